--- /dev/null
+++ b/lab/commands/driftway-lab.ts
@@ -0,0 +1,14 @@
+/** Entry point of the `driftway-lab` command line. Never deployed. */
+import { Builtins, Cli } from 'clipanion';
+
+/** Runs one command line and returns its exit code. */
+export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
+  const cli = new Cli({
+    binaryLabel: 'driftway-lab',
+    binaryName: 'driftway-lab',
+    binaryVersion: '0.1.0',
+  });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  return cli.run([...commandLine], Cli.defaultContext);
+}
--- /dev/null
+++ b/src/commands/driftway.ts
@@ -0,0 +1,10 @@
+/** Entry point of the `driftway` command line. */
+import { Builtins, Cli } from 'clipanion';
+
+/** Runs one command line and returns its exit code. */
+export async function runDriftway(commandLine: readonly string[]): Promise<number> {
+  const cli = new Cli({ binaryLabel: 'driftway', binaryName: 'driftway', binaryVersion: '0.1.0' });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  return cli.run([...commandLine], Cli.defaultContext);
+}
--- /dev/null
+++ b/src/configuration/configuration-error.ts
@@ -0,0 +1,28 @@
+/** A daemon's settings file, or a flag, is wrong; the process does not start. */
+import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
+
+/** One wrong key or value. */
+export interface ConfigurationProblem {
+  /** Dotted path within the file, such as `listen.http`. */
+  readonly path: string;
+  readonly reason: string;
+  /** A value that would do. */
+  readonly example?: string;
+}
+
+/** All problems of one file together. */
+export class ConfigurationError extends DriftwayError {
+  constructor(
+    readonly file: string,
+    readonly problems: readonly ConfigurationProblem[],
+  ) {
+    const lines = problems.map(({ path, reason, example }) => {
+      const hint = example === undefined ? '' : ` (example: ${example})`;
+      return `  ${path}: ${reason}${hint}`;
+    });
+    super(`${file} is not valid\n${lines.join('\n')}`, {
+      step: 'read settings file',
+      labels: [ErrorLabel.BadInput],
+    });
+  }
+}
--- /dev/null
+++ b/src/configuration/daemon-configuration.ts
@@ -0,0 +1,47 @@
+/** The parts that the settings files of all daemons share. */
+import { z } from 'zod';
+import { nameSchema } from '../model/service-definition.js';
+import { parseAddress, type Address } from '../seams/address.js';
+
+/** `host:port`, read into an {@link Address}. */
+export const addressSchema = z
+  .string()
+  .transform((text, context): Address => {
+    try {
+      return parseAddress(text);
+    } catch (error) {
+      context.addIssue({ code: 'custom', message: (error as Error).message });
+      return z.NEVER;
+    }
+  })
+  .describe('127.0.0.1:7400');
+
+/** The cluster a daemon belongs to. */
+export const clusterSchema = z.strictObject({
+  /** Peers of another cluster are turned away. */
+  id: nameSchema.describe('dohoku'),
+  /** Shared by all daemons; proves a peer is one of them. At least 16 characters. */
+  key: z.string().min(16).describe('a-long-random-secret'),
+});
+
+/** A controller as other daemons reach it. */
+export const controllerEndpointSchema = z.strictObject({
+  memberId: nameSchema.describe('controller-1'),
+  /** For internal messages. */
+  address: addressSchema,
+  zone: nameSchema.describe('asahikawa-a'),
+});
+export type ControllerEndpoint = z.infer<typeof controllerEndpointSchema>;
+
+/** Where a daemon stands. */
+export const placeShape = {
+  region: nameSchema.describe('dohoku'),
+  zone: nameSchema.describe('asahikawa-a'),
+};
+
+export const logSchema = z
+  .strictObject({
+    /** `auto`: readable on a terminal, JSON lines otherwise. */
+    format: z.enum(['auto', 'json', 'pretty']).default('auto').describe('json'),
+  })
+  .default({ format: 'auto' });
--- /dev/null
+++ b/src/node/message-server.ts
@@ -0,0 +1,57 @@
+/** Listens for, and opens, framed connections over TCP. */
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { ConnectionError } from '../errors/connection-error.js';
+import { formatAddress, type Address } from '../seams/address.js';
+import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
+import { NodeMessageConnection } from './node-message-connection.js';
+
+/** Accepts framed connections; see `Network.listenMessages`. */
+export async function listenMessages(
+  address: Address,
+  onConnection: (connection: MessageConnection) => Promise<void>,
+): Promise<MessageListener> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+    const connection = new NodeMessageConnection(socket);
+    onConnection(connection).then(
+      () => connection.close(),
+      () => connection.close(),
+    );
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (error) => {
+      reject(new ConnectionError('listen', formatAddress(address), error.message, error));
+    });
+    server.listen(address.port, address.host, resolve);
+  });
+  const bound = server.address() as AddressInfo;
+  return {
+    address: { host: address.host, port: bound.port },
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        for (const socket of sockets) socket.destroy();
+      }),
+  };
+}
+
+/** Opens a framed connection; see `Network.connectMessages`. */
+export function connectMessages(peer: Address, timeout: number): Promise<MessageConnection> {
+  return new Promise((resolve, reject) => {
+    const socket = connect({ host: peer.host, port: peer.port });
+    const fail = (message: string, cause?: unknown): void => {
+      socket.destroy();
+      reject(new ConnectionError('connect', formatAddress(peer), message, cause));
+    };
+    const onError = (error: Error): void => fail(error.message, error);
+    socket.setTimeout(timeout, () => fail(`no connection within ${timeout} ms`));
+    socket.once('error', onError);
+    socket.once('connect', () => {
+      socket.setTimeout(0);
+      socket.off('error', onError);
+      resolve(new NodeMessageConnection(socket));
+    });
+  });
+}
--- /dev/null
+++ b/src/node/node-network.ts
@@ -0,0 +1,40 @@
+/** The operating system's network. */
+import type { Address } from '../seams/address.js';
+import type {
+  HttpClient,
+  HttpClientOptions,
+  HttpHandler,
+  HttpListenOptions,
+  HttpListener,
+} from '../seams/http.js';
+import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
+import type { Network } from '../seams/network.js';
+import { connectMessages, listenMessages } from './message-server.js';
+import { NodeHttpClient } from './node-http-client.js';
+import { listenHttp } from './node-http-server.js';
+
+/** Production {@link Network}. */
+export class NodeNetwork implements Network {
+  listenHttp(
+    address: Address,
+    options: HttpListenOptions,
+    handler: HttpHandler,
+  ): Promise<HttpListener> {
+    return listenHttp(address, options, handler);
+  }
+
+  httpClient(peer: Address, options: HttpClientOptions): HttpClient {
+    return new NodeHttpClient(peer, options);
+  }
+
+  listenMessages(
+    address: Address,
+    onConnection: (connection: MessageConnection) => Promise<void>,
+  ): Promise<MessageListener> {
+    return listenMessages(address, onConnection);
+  }
+
+  connectMessages(peer: Address, timeout: number): Promise<MessageConnection> {
+    return connectMessages(peer, timeout);
+  }
+}
--- /dev/null
+++ b/src/observability/logger.ts
@@ -0,0 +1,21 @@
+/** Structured log lines, written only for changes of state. */
+
+/** Facts of a line, as JSON values. */
+export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
+
+/** Writes lines. Implemented over roarr, and by tests and the simulator over an array. */
+export interface Logger {
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+  /** A logger whose lines all carry `fields`. */
+  child(fields: LogFields): Logger;
+}
+
+/** Drops every line. */
+export const SILENT_LOGGER: Logger = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  child: () => SILENT_LOGGER,
+};
--- /dev/null
+++ b/src/seams/environment.ts
@@ -0,0 +1,17 @@
+/** The four seams together, as handed to every daemon. */
+import type { Clock } from './clock.js';
+import type { Disk } from './disk.js';
+import type { Network } from './network.js';
+import type { RandomSource } from './random-source.js';
+
+/** What a daemon without a data folder needs. */
+export interface Environment {
+  readonly clock: Clock;
+  readonly network: Network;
+  readonly random: RandomSource;
+}
+
+/** What a daemon with a data folder needs. */
+export interface DurableEnvironment extends Environment {
+  readonly disk: Disk;
+}
--- /dev/null
+++ b/src/seams/http.ts
@@ -0,0 +1,99 @@
+/**
+ * HTTP as product code sees it: whole requests and whole responses, with body
+ * sizes bounded by the implementation. Part of the network seam.
+ */
+import type { Address } from './address.js';
+
+/** Header names are lower case. A repeated header keeps its first value. */
+export type HttpHeaders = Readonly<Record<string, string>>;
+
+/** One received request, its body already read in full. */
+export interface HttpRequest {
+  readonly method: string;
+  /** Path without the query string, percent-encoding untouched. */
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly headers: HttpHeaders;
+  readonly body: Uint8Array;
+  /** Aborts when the caller closed its connection before the response was written. */
+  readonly signal: AbortSignal;
+  readonly remoteAddress: string;
+}
+
+/** One response to write. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly headers?: HttpHeaders;
+  readonly body: string | Uint8Array;
+}
+
+export type HttpHandler = (request: HttpRequest) => Promise<HttpResponse>;
+
+/** Bounds that the listener enforces before a handler sees a request. */
+export interface HttpListenOptions {
+  /** A longer body is answered 413 and its connection closed. Bytes. */
+  readonly maximumBodyBytes: number;
+  /** Longer header blocks are answered 431. Bytes. */
+  readonly maximumHeaderBytes: number;
+  /** A request not received in full within this time is answered 408. Milliseconds. */
+  readonly requestTimeout: number;
+  /** Further connections wait or are refused. */
+  readonly maximumConnections: number;
+}
+
+/** A running HTTP listener. */
+export interface HttpListener {
+  /** The port is the one really bound. */
+  readonly address: Address;
+
+  /**
+   * Stops accepting, closes idle keep-alive connections, answers what is in
+   * flight with `connection: close`, and resolves when the last one is done.
+   */
+  close(): Promise<void>;
+}
+
+/** One request to send. */
+export interface HttpClientRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HttpHeaders;
+  readonly body?: string | Uint8Array;
+  /** Aborting closes the connection that carries the request, which cancels it at the peer. */
+  readonly signal?: AbortSignal;
+  /** Asks for a connection that has carried no earlier request. */
+  readonly freshConnection?: boolean;
+}
+
+/** A response received in full. */
+export interface HttpClientResponse {
+  readonly status: number;
+  readonly headers: HttpHeaders;
+  readonly body: Uint8Array;
+}
+
+/** Bounds of the connections to one peer. */
+export interface HttpClientOptions {
+  /** Most connections, and so most requests in flight, since requests are never pipelined. */
+  readonly connections: number;
+  /** A longer response fails with `HttpClientError` of kind `response_too_large`. Bytes. */
+  readonly maximumResponseBytes: number;
+  /** Longest time to open a connection. Milliseconds. */
+  readonly connectTimeout: number;
+  /** Idle connections are closed after this time. Milliseconds. */
+  readonly keepAliveTimeout: number;
+}
+
+/**
+ * Connections to one peer. Never resends a request: a request fails with an
+ * `HttpClientError` whose `requestSent` tells whether any byte may have left.
+ */
+export interface HttpClient {
+  request(request: HttpClientRequest): Promise<HttpClientResponse>;
+
+  /** Closes idle connections now and the others as they finish. */
+  close(): Promise<void>;
+
+  /** Closes all connections; requests in flight fail. */
+  destroy(): void;
+}
--- /dev/null
+++ b/src/seams/message-connection.ts
@@ -0,0 +1,46 @@
+/**
+ * Framed, ordered, two-way message streams over one TCP connection. A frame is
+ * a four-byte big-endian length and that many bytes.
+ */
+import type { Address } from './address.js';
+
+/** Longest frame either side sends; a longer announced length closes the connection. Bytes. */
+export const MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
+
+/** One connection. Frames arrive in order or not at all. */
+export interface MessageConnection {
+  /** `host:port` of the other end, for errors and logs. */
+  readonly peer: string;
+
+  /**
+   * Sends one frame; resolves once it has been handed to the operating system
+   * and there is room for more, which is the sender's flow control.
+   *
+   * @throws ConnectionError when the connection is closed.
+   */
+  send(frame: Uint8Array): Promise<void>;
+
+  /** Bytes handed to {@link MessageConnection.send} that have not left yet. */
+  readonly queuedBytes: number;
+
+  /**
+   * The next frame, or undefined once the peer closed the connection. One
+   * reader at a time.
+   *
+   * @throws ConnectionError when the connection broke or a frame was malformed.
+   */
+  receive(): Promise<Uint8Array | undefined>;
+
+  /** Closes both directions at once. Safe to call twice. */
+  close(): void;
+
+  /** Resolves once the connection is closed, for whichever reason. */
+  readonly closed: Promise<void>;
+}
+
+/** A running listener of framed connections. */
+export interface MessageListener {
+  readonly address: Address;
+  /** Stops accepting and closes every accepted connection. */
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/src/settings/configuration-source.ts
@@ -0,0 +1,27 @@
+/** How a daemon learns the configuration: a stream of revisions, newest held. */
+import type { Stream } from '@most/types';
+import type { ReplicaSign } from '../model/replica-sign.js';
+import type { ConfigurationState } from './configuration-state.js';
+
+/** How far the held configuration can be trusted. */
+export interface ConfigurationFreshness {
+  /** True while the source has proven within the lease that it heard a quorum. */
+  readonly fresh: boolean;
+  /** Highest revision known to be committed anywhere. */
+  readonly committedRevision: number;
+}
+
+/** The daemon's side of the control stream. */
+export interface ConfigurationSource {
+  /** The revision in force here; undefined before the first one arrived. */
+  current(): ConfigurationState | undefined;
+  freshness(): ConfigurationFreshness;
+  /** Every later revision, in order, each higher than the one before. */
+  readonly revisions: Stream<ConfigurationState>;
+  /** Signs that other daemons of the zone and the platform list gave of replicas. */
+  readonly replicaSigns: Stream<ReplicaSign>;
+  /** Tells the other daemons of the zone. Best effort; a lost sign is seen again. */
+  reportReplicaSign(sign: ReplicaSign): void;
+  /** Leaves the source politely. */
+  close(): Promise<void>;
+}
