Make the baseline decisions of a service from its settings

Cause: the router needs one place that turns settings into policies.

Change: createServicePolicies with random, round robin, least in flight, power of two and latency weighted choice, no hedge, wait for all, budgeted retry and bounded admission, one a file behind the interfaces that stand. One new key, maximumInFlight, bounds the requests of a service at work in a router.

Not yet there: hedging "quantile" makes no hedges and completion "return_when_sufficient" waits for all; both land with their measurement.

--- /dev/null
+++ b/src/policies/no-hedge-policy.ts
@@ -0,0 +1,17 @@
+/** Never hedges. */
+import type { HedgePolicy } from './hedge-policy.js';
+
+/** The baseline: each attempt is waited for. */
+export class NoHedgePolicy implements HedgePolicy {
+  recordPrimary(): void {}
+
+  recordLatency(): void {}
+
+  hedgeDelay(): undefined {
+    return undefined;
+  }
+
+  takeBudget(): boolean {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/policies/service-policies.ts
@@ -0,0 +1,75 @@
+/** The decisions of one service in one router, made from its settings. */
+import type { Clock } from '../seams/clock.js';
+import type { RandomSource } from '../seams/random-source.js';
+import type { ServiceSettings } from '../settings/service-settings.js';
+import type { AdmissionPolicy } from './admission-policy.js';
+import { BoundedAdmissionPolicy } from './bounded-admission-policy.js';
+import { BudgetedRetryPolicy } from './budgeted-retry-policy.js';
+import type { CompletionPolicy } from './completion-policy.js';
+import type { HedgePolicy } from './hedge-policy.js';
+import { LatencyWeightedReplicaSelector } from './latency-weighted-replica-selector.js';
+import { LeastInFlightReplicaSelector } from './least-in-flight-replica-selector.js';
+import { NoHedgePolicy } from './no-hedge-policy.js';
+import { PowerOfTwoReplicaSelector } from './power-of-two-replica-selector.js';
+import { RandomReplicaSelector } from './random-replica-selector.js';
+import type { ReplicaSelector } from './replica-selector.js';
+import type { RetryPolicy } from './retry-policy.js';
+import { RoundRobinReplicaSelector } from './round-robin-replica-selector.js';
+import { WaitForAllPolicy } from './wait-for-all-policy.js';
+
+/** One instance of each decision, shared by all requests of the service in this router. */
+export interface ServicePolicies {
+  readonly replicaSelector: ReplicaSelector;
+  readonly hedge: HedgePolicy;
+  readonly completion: CompletionPolicy;
+  readonly retry: RetryPolicy;
+  readonly admission: AdmissionPolicy;
+}
+
+/** What policies may reach besides their settings. */
+export interface PolicyDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+function createReplicaSelector(
+  selection: ServiceSettings['replicaSelection'],
+  random: RandomSource,
+): ReplicaSelector {
+  switch (selection) {
+    case 'random':
+      return new RandomReplicaSelector(random);
+    case 'round_robin':
+      return new RoundRobinReplicaSelector();
+    case 'least_in_flight':
+      return new LeastInFlightReplicaSelector(random);
+    case 'power_of_two':
+      return new PowerOfTwoReplicaSelector(random);
+    case 'latency_weighted':
+      return new LatencyWeightedReplicaSelector(random);
+  }
+}
+
+/** Makes the policies that `settings` ask for. */
+export function createServicePolicies(
+  settings: ServiceSettings,
+  dependencies: PolicyDependencies,
+): ServicePolicies {
+  const { clock, random } = dependencies;
+  return {
+    replicaSelector: createReplicaSelector(settings.replicaSelection, random),
+    hedge: new NoHedgePolicy(),
+    completion: new WaitForAllPolicy(),
+    retry: new BudgetedRetryPolicy(
+      {
+        budgetPercent: settings.retryBudgetPercent,
+        maximumAttempts: settings.maximumAttemptsPerShard,
+      },
+      random,
+    ),
+    admission: new BoundedAdmissionPolicy(
+      { maximumInFlight: settings.maximumInFlight, queueLimit: settings.queueLimit },
+      clock,
+    ),
+  };
+}
--- /dev/null
+++ b/src/policies/wait-for-all-policy.ts
@@ -0,0 +1,9 @@
+/** Waits for every shard to the deadline. */
+import type { CompletionPolicy } from './completion-policy.js';
+
+/** For services whose coverage matters more than their latency. */
+export class WaitForAllPolicy implements CompletionPolicy {
+  furtherWait(): number {
+    return Infinity;
+  }
+}
--- a/src/settings/service-settings.ts
+++ b/src/settings/service-settings.ts
@@ -51,6 +51,11 @@
     .min(1)
     .max(10)
     .describe('Most attempts for one shard of one request, hedges included.'),
+  maximumInFlight: z
+    .int()
+    .min(1)
+    .max(100_000)
+    .describe('Most requests of the service that a router works on at once; more are queued.'),
   queueLimit: z
     .int()
     .min(0)
@@ -80,6 +85,7 @@
   hedgeBudgetPercent: 2,
   retryBudgetPercent: 10,
   maximumAttemptsPerShard: 3,
+  maximumInFlight: 1_000,
   queueLimit: 1_000,
   maximumAnswerBytes: 16_777_216,
   staleSettings: 'refuse',
