--- /dev/null
+++ b/src/commands/daemon-process.ts
@@ -0,0 +1,67 @@
+/** What the two daemons' processes share: logs, metrics, and a planned stop on a signal. */
+import { Registry, collectDefaultMetrics } from 'prom-client';
+import type { Logger } from '../observability/logger.js';
+import { createRoarrLogger } from '../observability/roarr-logger.js';
+
+/** A daemon that can be stopped without cutting off what is in flight. */
+export interface StoppableDaemon {
+  stop(): Promise<void>;
+}
+
+/** Handed to a daemon when it starts. */
+export interface Telemetry {
+  readonly logger: Logger;
+  readonly registry: Registry;
+}
+
+/** Exit codes of the daemons. */
+export enum ExitCode {
+  Success = 0,
+  /** The daemon failed while starting or running. */
+  Failure = 1,
+  /** The settings file or a flag is wrong. */
+  BadConfiguration = 2,
+}
+
+/** How log lines are written; `auto` is readable on a terminal and JSON otherwise. */
+export type LogFormat = 'auto' | 'json' | 'pretty';
+
+/** Makes the process's logger and metrics registry. */
+export function createTelemetry(format: LogFormat, output: NodeJS.WriteStream): Telemetry {
+  const pretty = format === 'pretty' || (format === 'auto' && output.isTTY === true);
+  const logger = createRoarrLogger(pretty, (line) => output.write(`${line}\n`));
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  return { logger, registry };
+}
+
+function nextStopSignal(): Promise<NodeJS.Signals> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+}
+
+/**
+ * Starts a daemon and runs it until SIGTERM or SIGINT, then stops it in the
+ * planned way. A second signal ends the process at once.
+ */
+export async function runDaemon(
+  logger: Logger,
+  start: () => Promise<StoppableDaemon>,
+): Promise<ExitCode> {
+  const stopSignal = nextStopSignal();
+  try {
+    const daemon = await start();
+    const signal = await stopSignal;
+    logger.info('stopping', { signal });
+    await daemon.stop();
+    logger.info('stopped');
+    return ExitCode.Success;
+  } catch (error) {
+    logger.error('daemon failed', {
+      reason: error instanceof Error ? error.message : String(error),
+    });
+    return ExitCode.Failure;
+  }
+}
--- /dev/null
+++ b/src/node/node-environment.ts
@@ -0,0 +1,20 @@
+/** The four seams as the operating system provides them. */
+import type { DurableEnvironment, Environment } from '../seams/environment.js';
+import { NodeClock } from './node-clock.js';
+import { NodeDisk } from './node-disk.js';
+import { NodeNetwork } from './node-network.js';
+import { PureRandomSource } from './pure-random-source.js';
+
+/** For a daemon without a data folder. */
+export function createNodeEnvironment(): Environment {
+  return {
+    clock: new NodeClock(),
+    network: new NodeNetwork(),
+    random: PureRandomSource.fromSystem(),
+  };
+}
+
+/** For a daemon whose data folder is `dataFolder`. */
+export function createDurableNodeEnvironment(dataFolder: string): DurableEnvironment {
+  return { ...createNodeEnvironment(), disk: new NodeDisk(dataFolder) };
+}
