--- a/eslint.config.js
+++ b/eslint.config.js
@@ -87,6 +87,9 @@
   {
     files: ['**/*.js'],
     ...tseslint.configs.disableTypeChecked,
-    languageOptions: { globals: { process: 'readonly' }, parserOptions: { projectService: false } },
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly' },
+      parserOptions: { projectService: false },
+    },
   },
 );
