Serve queries: plan, fan-out, verified merge, coverage

Cause: the whole path needs a router that answers one query from every shard. Ruled out: parsing and re-writing the shards' results (they are checked to be JSON and spliced into the answer as text); a core of state machines (one task for each replica's reports and for each shard of a query, written with await). Change: src/membership (replica records, report polls, signs joined by incarnation) and src/router (RouterDaemon and all steps of a query). Additive in the seams: HttpClientRequest.acceptResponse closes a connection whose reply does not echo the attempt; HttpClientError kinds response_rejected and response_truncated; NodeHttpClient honours freshConnection with a second pool that never reuses a connection.

--- a/src/errors/http-client-error.ts
+++ b/src/errors/http-client-error.ts
@@ -3,7 +3,13 @@
 
 /** What went wrong with the request. */
 export type HttpClientErrorKind =
-  'connect_failed' | 'connection_lost' | 'response_too_large' | 'malformed_response' | 'aborted';
+  | 'connect_failed'
+  | 'connection_lost'
+  | 'response_truncated'
+  | 'response_too_large'
+  | 'response_rejected'
+  | 'malformed_response'
+  | 'aborted';
 
 /** A request that brought no usable response. */
 export class HttpClientError extends DriftwayError {
--- /dev/null
+++ b/src/membership/replica-record.ts
@@ -0,0 +1,154 @@
+/** All that this router knows of one replica. */
+import type { BackendReport } from '../model/backend-protocol.js';
+import { supersedes, type ReplicaSign } from '../model/replica-sign.js';
+import type { ReplicaDefinition } from '../model/service-definition.js';
+import type { ReplicaView } from '../policies/replica-selector.js';
+import type { Clock } from '../seams/clock.js';
+import { HeldSnapshots } from './held-snapshots.js';
+import type { ReplicaChannel } from './replica-channel.js';
+import { SmoothedValue } from './smoothed-value.js';
+
+const LATENCY_WEIGHT = 0.2;
+const FAILURE_WEIGHT = 0.1;
+/** Reports missed in a row before a replica is tried only as a last resort. */
+export const SUSPECT_AFTER_MISSED_REPORTS = 3;
+
+/** One replica in one router. Methods that may change what can be sent to it say whether they did. */
+export class ReplicaRecord implements ReplicaView {
+  private attemptsInFlight = 0;
+  private readonly roomWaiters = new Set<() => void>();
+  private readonly latency = new SmoothedValue(LATENCY_WEIGHT);
+  private readonly failures = new SmoothedValue(FAILURE_WEIGHT);
+  private readonly snapshots = new HeldSnapshots();
+  private sign: ReplicaSign | undefined;
+  private firstSeen: number;
+  private missedReports = 0;
+  private lastLoad: { readonly load: number; readonly at: number } | undefined;
+
+  constructor(
+    readonly replica: ReplicaDefinition,
+    readonly channel: ReplicaChannel,
+    private readonly clock: Clock,
+    knownSign?: ReplicaSign,
+  ) {
+    this.sign = knownSign;
+    this.firstSeen = clock.now();
+  }
+
+  get inFlight(): number {
+    return this.attemptsInFlight;
+  }
+
+  get smoothedLatency(): number | undefined {
+    return this.latency.value;
+  }
+
+  get failureRate(): number {
+    return this.failures.value ?? 0;
+  }
+
+  get reportedLoad(): { readonly load: number; readonly age: number } | undefined {
+    if (this.lastLoad === undefined) return undefined;
+    return { load: this.lastLoad.load, age: this.clock.now() - this.lastLoad.at };
+  }
+
+  get age(): number {
+    return this.clock.now() - this.firstSeen;
+  }
+
+  get knownSign(): ReplicaSign | undefined {
+    return this.sign;
+  }
+
+  /** False once any sign of this incarnation said it is draining or gone. */
+  get isLive(): boolean {
+    return this.sign === undefined || this.sign.state === 'live';
+  }
+
+  /** True while its reports do not arrive; one missed report is not enough. */
+  get isSuspect(): boolean {
+    return this.missedReports >= SUSPECT_AFTER_MISSED_REPORTS;
+  }
+
+  get hasRoom(): boolean {
+    return this.inFlight < this.channel.capacity;
+  }
+
+  holds(snapshot: string): boolean {
+    return this.snapshots.has(snapshot);
+  }
+
+  heldSnapshots(): Iterable<string> {
+    return this.snapshots.all();
+  }
+
+  beginAttempt(): void {
+    this.attemptsInFlight += 1;
+  }
+
+  /** Frees the attempt's connection and wakes the first that waits for one. */
+  endAttempt(): void {
+    this.attemptsInFlight -= 1;
+    const [first] = this.roomWaiters;
+    if (first !== undefined) first();
+  }
+
+  /** Calls `wake` when an attempt ends, until {@link unregisterRoomWaiter}. */
+  registerRoomWaiter(wake: () => void): void {
+    this.roomWaiters.add(wake);
+  }
+
+  unregisterRoomWaiter(wake: () => void): void {
+    this.roomWaiters.delete(wake);
+  }
+
+  /** Takes a sign over unless something newer is known; true when it was news. */
+  applySign(sign: ReplicaSign): boolean {
+    const known = this.sign;
+    if (known !== undefined && !supersedes(sign, known)) return false;
+    this.sign = sign;
+    if (known !== undefined && known.incarnation !== sign.incarnation) this.beginIncarnation();
+    return true;
+  }
+
+  /** Takes a report over, unless it is of an earlier incarnation than the one known. */
+  applyReport(report: BackendReport): boolean {
+    const suspectBefore = this.isSuspect;
+    this.missedReports = 0;
+    if (this.sign !== undefined && report.incarnation < this.sign.incarnation) return suspectBefore;
+    this.recordLoad(report.load);
+    return this.snapshots.replace(report.snapshots, this.clock.now()) || suspectBefore;
+  }
+
+  /** A report did not arrive; true when the replica became suspect by it. */
+  missReport(): boolean {
+    this.missedReports += 1;
+    return this.missedReports === SUSPECT_AFTER_MISSED_REPORTS;
+  }
+
+  recordLoad(load: number): void {
+    this.lastLoad = { load, at: this.clock.now() };
+  }
+
+  recordAnswer(snapshot: string, latency: number): boolean {
+    this.latency.add(latency);
+    this.failures.add(0);
+    return this.snapshots.confirm(snapshot);
+  }
+
+  recordFailure(): void {
+    this.failures.add(1);
+  }
+
+  recordSnapshotNotHeld(snapshot: string): boolean {
+    return this.snapshots.deny(snapshot, this.clock.now());
+  }
+
+  private beginIncarnation(): void {
+    this.snapshots.clear();
+    this.latency.reset();
+    this.failures.reset();
+    this.lastLoad = undefined;
+    this.firstSeen = this.clock.now();
+  }
+}
--- /dev/null
+++ b/src/membership/replica-registry.ts
@@ -0,0 +1,162 @@
+/**
+ * Every replica of the configuration with what is known of it. Joins what
+ * reports, replies, other routers and the platform list say, by incarnation.
+ */
+import { createAdapter } from '@most/adapter';
+import type { Stream } from '@most/types';
+import type { BackendReport } from '../model/backend-protocol.js';
+import type { ReplicaSign } from '../model/replica-sign.js';
+import type { ReplicaDefinition } from '../model/service-definition.js';
+import type { Logger } from '../observability/logger.js';
+import type { RouterFaults } from '../router/router-faults.js';
+import type { Environment } from '../seams/environment.js';
+import { ReplicaChannel } from './replica-channel.js';
+import { ReplicaPoller, type ReportSink } from './replica-poller.js';
+import { ReplicaRecord } from './replica-record.js';
+
+/** What the registry needs besides the seams. */
+export interface RegistryOptions {
+  /** Name of this daemon, for the signs it gives. */
+  readonly observer: string;
+  /** Largest reply body. Bytes. */
+  readonly maximumReplyBytes: number;
+  readonly logger: Logger;
+  readonly faults: RouterFaults;
+}
+
+interface Entry {
+  readonly record: ReplicaRecord;
+  readonly poller: ReplicaPoller;
+  readonly task: Promise<void>;
+}
+
+/** What a back end's reply said about the replica itself. */
+export interface ReplyMark {
+  readonly incarnation: number;
+  readonly draining: boolean;
+  readonly load: number | undefined;
+}
+
+/** The replicas of one router. */
+export class ReplicaRegistry implements ReportSink {
+  /** Grows whenever what may be sent where has changed; caches of plans compare it. */
+  generation = 0;
+  /** Signs first seen here, to be told to others. */
+  readonly ownSigns: Stream<ReplicaSign>;
+  private readonly emitSign: (sign: ReplicaSign) => void;
+  private readonly entries = new Map<string, Entry>();
+
+  constructor(
+    private readonly environment: Environment,
+    private readonly options: RegistryOptions,
+  ) {
+    [this.emitSign, this.ownSigns] = createAdapter<ReplicaSign>();
+  }
+
+  get(replicaId: string): ReplicaRecord | undefined {
+    return this.entries.get(replicaId)?.record;
+  }
+
+  /** Makes the registry hold exactly `definitions`; known replicas keep their history. */
+  synchronize(definitions: ReadonlyMap<string, ReplicaDefinition>): void {
+    for (const replicaId of [...this.entries.keys()]) {
+      if (!definitions.has(replicaId)) this.remove(replicaId);
+    }
+    for (const definition of definitions.values()) this.addOrReplace(definition);
+    this.generation += 1;
+  }
+
+  /** Resolves once every replica known now has been asked for its report once. */
+  async firstReports(): Promise<void> {
+    await Promise.all([...this.entries.values()].map(({ poller }) => poller.firstPoll));
+  }
+
+  /** Whether `record` may get new work. */
+  mayReceive(record: ReplicaRecord): boolean {
+    return record.isLive || this.options.faults.ignoreDrain;
+  }
+
+  /** Joins a sign from another daemon or the platform list. */
+  applySign(sign: ReplicaSign): boolean {
+    const record = this.get(sign.replicaId);
+    if (record === undefined || !record.applySign(sign)) return false;
+    this.generation += 1;
+    if (sign.state !== 'live') {
+      const { replicaId, state, incarnation, observedBy } = sign;
+      this.options.logger.info('replica leaving', { replicaId, state, incarnation, observedBy });
+    }
+    return true;
+  }
+
+  onReport(record: ReplicaRecord, report: BackendReport): void {
+    this.observe(record, report.incarnation, report.draining);
+    if (record.applyReport(report)) this.generation += 1;
+  }
+
+  onMissedReport(record: ReplicaRecord): void {
+    if (!record.missReport()) return;
+    this.generation += 1;
+    const { replicaId } = record.replica;
+    this.options.logger.warn('replica does not report', { replicaId });
+  }
+
+  /** Joins what a verified reply said of its sender. */
+  onReplyMark(record: ReplicaRecord, mark: ReplyMark): void {
+    this.observe(record, mark.incarnation, mark.draining);
+    if (mark.load !== undefined) record.recordLoad(mark.load);
+  }
+
+  onAnswer(record: ReplicaRecord, snapshot: string, latency: number): void {
+    if (record.recordAnswer(snapshot, latency)) this.generation += 1;
+  }
+
+  onSnapshotNotHeld(record: ReplicaRecord, snapshot: string): void {
+    if (record.recordSnapshotNotHeld(snapshot)) this.generation += 1;
+  }
+
+  /** Ends all polls and closes all connections politely. */
+  async stop(): Promise<void> {
+    const entries = [...this.entries.values()];
+    this.entries.clear();
+    for (const { poller } of entries) poller.stop();
+    await Promise.all(entries.map(({ task }) => task));
+    await Promise.all(entries.map(({ record }) => record.channel.close()));
+  }
+
+  private observe(record: ReplicaRecord, incarnation: number, draining: boolean): void {
+    const { replicaId } = record.replica;
+    const known = record.knownSign;
+    const state = draining ? 'draining' : 'live';
+    const sign: ReplicaSign = { replicaId, incarnation, state, observedBy: this.options.observer };
+    if (!this.applySign(sign)) return;
+    if (draining || known !== undefined) this.emitSign(sign);
+  }
+
+  private addOrReplace(definition: ReplicaDefinition): void {
+    const existing = this.entries.get(definition.replicaId)?.record;
+    if (existing !== undefined && sameEndpoint(existing.replica, definition)) return;
+    if (existing !== undefined) this.remove(definition.replicaId);
+    const { clock, network, random } = this.environment;
+    const channel = new ReplicaChannel(network, definition, this.options.maximumReplyBytes);
+    const record = new ReplicaRecord(definition, channel, clock, existing?.knownSign);
+    const poller = new ReplicaPoller(record, this, clock, random);
+    this.entries.set(definition.replicaId, { record, poller, task: poller.run() });
+  }
+
+  private remove(replicaId: string): void {
+    const entry = this.entries.get(replicaId);
+    if (entry === undefined) return;
+    this.entries.delete(replicaId);
+    entry.poller.stop();
+    void entry.task.then(() => entry.record.channel.close()).catch(() => undefined);
+  }
+}
+
+function sameEndpoint(left: ReplicaDefinition, right: ReplicaDefinition): boolean {
+  return (
+    left.address === right.address &&
+    left.connections === right.connections &&
+    left.slots === right.slots &&
+    left.zone === right.zone
+  );
+}
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -15,6 +15,8 @@
 
 class ResponseTooLargeError extends Error {}
 
+class ResponseRejectedError extends Error {}
+
 /** Names header pairs as undici's raw buffers give them. */
 function readHeaders(rawHeaders: Buffer[]): Record<string, string> {
   const headers: Record<string, string> = {};
@@ -25,12 +27,13 @@
   return headers;
 }
 
-function classify(error: Error, aborted: boolean): HttpClientErrorKind {
-  if (aborted) return 'aborted';
+/** The kind of a failure after the request was handed to a connection. */
+function classify(error: Error, headerReceived: boolean): HttpClientErrorKind {
   if (error instanceof ResponseTooLargeError) return 'response_too_large';
+  if (error instanceof ResponseRejectedError) return 'response_rejected';
   if (error instanceof errors.HTTPParserError) return 'malformed_response';
   if (error instanceof errors.ResponseContentLengthMismatchError) return 'malformed_response';
-  return 'connection_lost';
+  return headerReceived ? 'response_truncated' : 'connection_lost';
 }
 
 /** Collects one response and settles the caller's promise once. */
@@ -46,16 +49,16 @@
   constructor(
     private readonly peer: string,
     private readonly maximumBytes: number,
-    private readonly signal: AbortSignal | undefined,
+    private readonly request: HttpClientRequest,
     private readonly resolve: (response: HttpClientResponse) => void,
     private readonly reject: (error: HttpClientError) => void,
   ) {
-    signal?.addEventListener('abort', this.onSignal, { once: true });
+    request.signal?.addEventListener('abort', this.onSignal, { once: true });
   }
 
   /** Called by undici immediately before it writes the request to a socket. */
   onConnect(abort: (error?: Error) => void): void {
-    if (this.signal?.aborted === true) {
+    if (this.request.signal?.aborted === true) {
       abort(new Error('aborted'));
       return;
     }
@@ -66,6 +69,10 @@
   onHeaders(status: number, rawHeaders: Buffer[]): boolean {
     this.status = status;
     this.headers = readHeaders(rawHeaders);
+    if (this.request.acceptResponse?.(this.headers) === false) {
+      this.abort(new ResponseRejectedError('response rejected'));
+      return false;
+    }
     return true;
   }
 
@@ -80,20 +87,23 @@
   }
 
   onComplete(): void {
-    this.signal?.removeEventListener('abort', this.onSignal);
+    this.request.signal?.removeEventListener('abort', this.onSignal);
     const [only] = this.chunks;
     const body = this.chunks.length === 1 && only !== undefined ? only : Buffer.concat(this.chunks);
     this.resolve({ status: this.status, headers: this.headers, body });
   }
 
   onError(error: Error): void {
-    this.signal?.removeEventListener('abort', this.onSignal);
-    const aborted = this.signal?.aborted === true;
-    const kind =
-      this.requestSent || aborted ? classify(error, aborted) : ('connect_failed' as const);
+    this.request.signal?.removeEventListener('abort', this.onSignal);
+    const kind = this.kindOf(error);
     this.reject(new HttpClientError(kind, this.requestSent, this.peer, error));
   }
 
+  private kindOf(error: Error): HttpClientErrorKind {
+    if (this.request.signal?.aborted === true) return 'aborted';
+    return this.requestSent ? classify(error, this.status !== 0) : 'connect_failed';
+  }
+
   private abort(error: Error): void {
     if (this.abortRequest !== undefined) {
       this.abortRequest(error);
@@ -103,9 +113,19 @@
   }
 }
 
+/** Whether a connection carries further requests after its first. */
+enum ConnectionReuse {
+  /** undici's way of saying that every connection is closed after one request. */
+  Never = 0,
+  /** One request at a time, so that none waits behind another on a connection. */
+  OneAtATime = 1,
+}
+
 /** Production {@link HttpClient}. */
 export class NodeHttpClient implements HttpClient {
-  private readonly pool: Pool;
+  private readonly kept: Pool;
+  /** For requests that must not meet a connection the peer may have closed meanwhile. */
+  private readonly fresh: Pool;
   private readonly peer: string;
 
   constructor(
@@ -113,15 +133,8 @@
     private readonly options: HttpClientOptions,
   ) {
     this.peer = formatAddress(address);
-    this.pool = new Pool(`http://${this.peer}`, {
-      connections: options.connections,
-      pipelining: 1,
-      connect: { timeout: options.connectTimeout },
-      keepAliveTimeout: options.keepAliveTimeout,
-      keepAliveMaxTimeout: options.keepAliveTimeout,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    this.kept = this.createPool(ConnectionReuse.OneAtATime);
+    this.fresh = this.createPool(ConnectionReuse.Never);
   }
 
   request(request: HttpClientRequest): Promise<HttpClientResponse> {
@@ -133,11 +146,12 @@
       const handler = new ResponseCollector(
         this.peer,
         this.options.maximumResponseBytes,
-        request.signal,
+        request,
         resolve,
         reject,
       );
-      this.pool.dispatch(
+      const pool = request.freshConnection === true ? this.fresh : this.kept;
+      pool.dispatch(
         {
           method: request.method,
           path: request.path,
@@ -151,10 +165,24 @@
   }
 
   async close(): Promise<void> {
-    await this.pool.close();
+    await Promise.all([this.kept.close(), this.fresh.close()]);
   }
 
   destroy(): void {
-    void this.pool.destroy();
+    void this.kept.destroy();
+    void this.fresh.destroy();
+  }
+
+  private createPool(reuse: ConnectionReuse): Pool {
+    const { connections, connectTimeout, keepAliveTimeout } = this.options;
+    return new Pool(`http://${this.peer}`, {
+      connections,
+      pipelining: reuse,
+      connect: { timeout: connectTimeout },
+      keepAliveTimeout,
+      keepAliveMaxTimeout: keepAliveTimeout,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
   }
 }
--- /dev/null
+++ b/src/router/backend-attempt.ts
@@ -0,0 +1,159 @@
+/**
+ * One request to one replica. Whatever comes back is verified before anything
+ * of it is used; a reply that is not this attempt's own is counted and dropped.
+ */
+import { HttpClientError } from '../errors/http-client-error.js';
+import type { ReplicaRecord } from '../membership/replica-record.js';
+import { BACKEND_QUERY_PATH, BackendHeader } from '../model/backend-protocol.js';
+import type { HttpClientResponse, HttpHeaders } from '../seams/http.js';
+import { failedAttempt, type AttemptOutcome } from './attempt-outcome.js';
+import type { QueryContext } from './query-context.js';
+import {
+  findMismatch,
+  readDisposition,
+  readReplyMark,
+  type AttemptIdentity,
+  type DroppedReplyReason,
+} from './reply-verification.js';
+import type { RouterContext } from './router-context.js';
+
+/** Where the attempt goes. */
+export interface AttemptTarget {
+  readonly record: ReplicaRecord;
+  readonly shardId: string;
+  /** `epoch.version`. */
+  readonly snapshot: string;
+}
+
+/** One attempt. */
+export class BackendAttempt {
+  private readonly identity: AttemptIdentity;
+  private mismatch: DroppedReplyReason | undefined;
+
+  constructor(
+    private readonly router: RouterContext,
+    private readonly query: QueryContext,
+    private readonly target: AttemptTarget,
+  ) {
+    this.identity = {
+      requestId: query.backendRequestId,
+      attemptId: router.identifiers.next(),
+      service: query.service.definition.name,
+      shardId: target.shardId,
+      snapshot: target.snapshot,
+    };
+  }
+
+  /** Sends it and judges what comes back. Never throws; aborting `signal` cancels it. */
+  async run(signal: AbortSignal): Promise<AttemptOutcome> {
+    const { record } = this.target;
+    const { clock } = this.router.environment;
+    const startedAt = clock.now();
+    record.beginAttempt();
+    try {
+      const response = await this.send(signal, startedAt);
+      return this.judge(response, clock.now() - startedAt);
+    } catch (error) {
+      return this.judgeError(error);
+    } finally {
+      record.endAttempt();
+    }
+  }
+
+  private send(signal: AbortSignal, now: number): Promise<HttpClientResponse> {
+    const { request } = this.query;
+    return this.target.record.channel.send({
+      method: 'POST',
+      path: BACKEND_QUERY_PATH,
+      headers: this.headers(this.query.deadlineAt - now),
+      body: this.query.body,
+      signal,
+      freshConnection: !request.repeatable,
+      acceptResponse: (headers) => this.accepts(headers),
+    });
+  }
+
+  private headers(remaining: number): HttpHeaders {
+    return {
+      'content-type': 'application/json',
+      [BackendHeader.RequestId]: this.identity.requestId,
+      [BackendHeader.AttemptId]: this.identity.attemptId,
+      [BackendHeader.Service]: this.identity.service,
+      [BackendHeader.ShardId]: this.identity.shardId,
+      [BackendHeader.Snapshot]: this.identity.snapshot,
+      [BackendHeader.DeadlineMs]: String(Math.max(1, Math.floor(remaining))),
+      [BackendHeader.Repeatable]: String(this.query.request.repeatable),
+    };
+  }
+
+  /** Asked when the header is there, so that an untrustworthy connection is closed at once. */
+  private accepts(headers: HttpHeaders): boolean {
+    const { skipReplyMatching } = this.router.faults;
+    this.mismatch = skipReplyMatching ? undefined : findMismatch(this.identity, headers);
+    return this.mismatch === undefined;
+  }
+
+  private judge(response: HttpClientResponse, latency: number): AttemptOutcome {
+    const { headers } = response;
+    if (!this.accepts(headers)) return this.drop(this.mismatch ?? 'missing_echo');
+    const { registry } = this.router;
+    const { record, snapshot, shardId } = this.target;
+    const mark = readReplyMark(headers);
+    if (mark !== undefined) registry.onReplyMark(record, mark);
+    switch (readDisposition(headers)) {
+      case 'answered':
+        return this.judgeAnswer(response, latency);
+      case 'not_started':
+        record.recordFailure();
+        return failedAttempt('shed', false);
+      case 'snapshot_not_held':
+        registry.onSnapshotNotHeld(record, snapshot);
+        return failedAttempt('snapshot_not_held', false);
+      case 'failed':
+        record.recordFailure();
+        this.query.service.policies.hedge.recordLatency(shardId, latency);
+        return failedAttempt('backend_failed', true);
+      case undefined:
+        return this.drop('unknown_disposition');
+    }
+  }
+
+  private judgeAnswer(response: HttpClientResponse, latency: number): AttemptOutcome {
+    const resultText = readJsonText(response.body);
+    if (resultText === undefined) return this.drop('malformed_body');
+    const { record, snapshot, shardId } = this.target;
+    this.router.registry.onAnswer(record, snapshot, latency);
+    this.query.service.policies.hedge.recordLatency(shardId, latency);
+    return { kind: 'answered', resultText, bytes: response.body.length };
+  }
+
+  private judgeError(error: unknown): AttemptOutcome {
+    if (!(error instanceof HttpClientError)) return failedAttempt('connection_lost', true);
+    if (this.mismatch !== undefined) return this.drop(this.mismatch);
+    const { kind, requestSent } = error;
+    if (kind === 'aborted') return failedAttempt('not_waited_for', requestSent);
+    if (kind === 'response_too_large') return this.drop('too_large');
+    if (kind === 'malformed_response') return this.drop('malformed_response');
+    if (kind === 'response_truncated') return this.drop('truncated');
+    this.target.record.recordFailure();
+    return failedAttempt(requestSent ? 'connection_lost' : 'connect_failed', requestSent);
+  }
+
+  /** The request was sent and its reply is lost, so it may have been run. */
+  private drop(reason: DroppedReplyReason): AttemptOutcome {
+    this.router.metrics.droppedReplies.inc({ reason });
+    this.target.record.recordFailure();
+    return failedAttempt('bad_reply', true);
+  }
+}
+
+/** The body as text when it is JSON in UTF-8, else undefined. */
+function readJsonText(body: Uint8Array): string | undefined {
+  try {
+    const text = new TextDecoder('utf-8', { fatal: true }).decode(body);
+    JSON.parse(text);
+    return text;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/router/coverage-statement.ts
@@ -0,0 +1,20 @@
+/** States which shards an answer was drawn from, and why the others are missing. */
+import type { Coverage, MissingReason } from '../model/coverage.js';
+
+/** One shard at the end of a try. */
+export interface ShardStanding {
+  readonly shardId: string;
+  /** Undefined when its reply is merged into the answer. */
+  readonly missing: MissingReason | undefined;
+}
+
+/** The statement over all shards that were asked, in layout order. */
+export function stateCoverage(standings: readonly ShardStanding[], required: number): Coverage {
+  const reached: string[] = [];
+  const missing: { shardId: string; reason: MissingReason }[] = [];
+  for (const { shardId, missing: reason } of standings) {
+    if (reason === undefined) reached.push(shardId);
+    else missing.push({ shardId, reason });
+  }
+  return { required, reached, missing, fraction: reached.length / standings.length };
+}
--- /dev/null
+++ b/src/router/router-daemon.ts
@@ -0,0 +1,197 @@
+/** The query daemon: serves callers, asks back ends, follows the configuration. */
+import { createAdapter } from '@most/adapter';
+import { runEffects, tap, until } from '@most/core';
+import type { Stream } from '@most/types';
+import type { Registry } from 'prom-client';
+import type { RouterConfiguration } from '../configuration/router-configuration.js';
+import { ReplicaRegistry } from '../membership/replica-registry.js';
+import type { Logger } from '../observability/logger.js';
+import type { Address } from '../seams/address.js';
+import type { Environment } from '../seams/environment.js';
+import type { HttpListener, HttpRequest, HttpResponse } from '../seams/http.js';
+import type { ConfigurationSource } from '../settings/configuration-source.js';
+import type { ConfigurationState } from '../settings/configuration-state.js';
+import { createClockScheduler } from './clock-scheduler.js';
+import { closingConnection, errorResponse, textResponse } from './http-responses.js';
+import { IdentifierSequence } from './identifier-sequence.js';
+import { InFlightQueries } from './in-flight-queries.js';
+import { IDS_PER_OUTCOME, MAXIMUM_OUTCOME_BYTES, OutcomeLedger } from './outcome-ledger.js';
+import { QueryEndpoint } from './query-endpoint.js';
+import { badRequest } from './query-error.js';
+import { serviceOfPath } from './query-reader.js';
+import type { RouterContext } from './router-context.js';
+import { NO_ROUTER_FAULTS, type RouterFaults } from './router-faults.js';
+import { RouterMetrics } from './router-metrics.js';
+import { RouterReadiness } from './router-readiness.js';
+import { ServiceDirectory } from './service-directory.js';
+
+/** Where a daemon's lines and counters go. */
+export interface RouterTelemetry {
+  readonly logger: Logger;
+  readonly registry: Registry;
+}
+
+/** Time between readiness going false and the first closed connection, for probes. Milliseconds. */
+export const STOP_NOTICE_MS = 250;
+
+/** One running router. */
+export class RouterDaemon {
+  private readonly context: RouterContext;
+  private readonly directory: ServiceDirectory;
+  private readonly readiness: RouterReadiness;
+  private readonly inFlight = new InFlightQueries();
+  private readonly endpoint: QueryEndpoint;
+  private readonly logger: Logger;
+  private readonly endSubscriptions: (event: undefined) => void;
+  private readonly subscriptionsEnd: Stream<undefined>;
+  private listener: HttpListener | undefined;
+  private stopped: Promise<void> | undefined;
+
+  private constructor(
+    environment: Environment,
+    private readonly configuration: RouterConfiguration,
+    private readonly source: ConfigurationSource,
+    private readonly telemetry: RouterTelemetry,
+    faults: RouterFaults,
+  ) {
+    const { name, limits, zone } = configuration;
+    [this.endSubscriptions, this.subscriptionsEnd] = createAdapter<undefined>();
+    this.logger = telemetry.logger.child({ router: name });
+    const registry = new ReplicaRegistry(environment, {
+      observer: name,
+      maximumReplyBytes: limits.maximumReplyBytes,
+      logger: this.logger,
+      faults,
+    });
+    this.context = {
+      environment,
+      registry,
+      identifiers: new IdentifierSequence(name, environment.random),
+      metrics: new RouterMetrics(telemetry.registry),
+      faults,
+    };
+    this.directory = new ServiceDirectory(environment, registry, zone);
+    this.readiness = new RouterReadiness(source, this.logger);
+    this.endpoint = this.createEndpoint();
+  }
+
+  /**
+   * Starts a router that listens and follows `source`, which stays the caller's to close.
+   *
+   * @throws ConnectionError when the listener cannot be opened.
+   */
+  static async start(
+    environment: Environment,
+    configuration: RouterConfiguration,
+    source: ConfigurationSource,
+    telemetry: RouterTelemetry,
+    faults: RouterFaults = NO_ROUTER_FAULTS,
+  ): Promise<RouterDaemon> {
+    const daemon = new RouterDaemon(environment, configuration, source, telemetry, faults);
+    await daemon.open();
+    return daemon;
+  }
+
+  /** Where callers reach it. */
+  get address(): Address {
+    if (this.listener === undefined) throw new Error('the router does not listen yet');
+    return this.listener.address;
+  }
+
+  /**
+   * Stops without cutting anything off: no new work from now on, every query in
+   * flight is answered, connections are closed as they fall idle.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  private createEndpoint(): QueryEndpoint {
+    const outcomes = this.configuration.limits.maximumRecordedOutcomes;
+    const ledger = new OutcomeLedger(this.context.environment.clock, {
+      outcomes,
+      ids: outcomes * IDS_PER_OUTCOME,
+      bytes: MAXIMUM_OUTCOME_BYTES,
+    });
+    return new QueryEndpoint({
+      router: this.context,
+      directory: this.directory,
+      readiness: this.readiness,
+      ledger,
+      inFlight: this.inFlight,
+      logger: this.logger,
+    });
+  }
+
+  private async open(): Promise<void> {
+    const { limits, listen } = this.configuration;
+    const { network } = this.context.environment;
+    this.listener = await network.listenHttp(listen.http, limits, (request) => this.route(request));
+    const { registry } = this.context;
+    this.subscribe(this.source.revisions, (state) => this.applyRevision(state));
+    this.subscribe(this.source.replicaSigns, (sign) => registry.applySign(sign));
+    this.subscribe(registry.ownSigns, (sign) => this.source.reportReplicaSign(sign));
+    const current = this.source.current();
+    if (current !== undefined) this.applyRevision(current);
+  }
+
+  private subscribe<T>(stream: Stream<T>, consume: (value: T) => void): void {
+    const scheduler = createClockScheduler(this.context.environment.clock);
+    const untilStopped = until(this.subscriptionsEnd, stream);
+    runEffects(tap(consume, untilStopped), scheduler).catch((error: unknown) => {
+      this.logger.error('subscription ended', { reason: String(error) });
+    });
+  }
+
+  private applyRevision(state: ConfigurationState): void {
+    const isFirst = this.directory.revision === undefined;
+    this.directory.apply(state);
+    this.readiness.noteConfigured();
+    if (isFirst) void this.becomeReady(state.revision);
+  }
+
+  private async becomeReady(revision: number): Promise<void> {
+    await this.context.registry.firstReports();
+    this.readiness.noteReported();
+    if (!this.readiness.isStopping) this.logger.info('router ready', { revision });
+  }
+
+  private async route(request: HttpRequest): Promise<HttpResponse> {
+    const response = await this.respond(request);
+    return this.readiness.isStopping ? closingConnection(response) : response;
+  }
+
+  private async respond(request: HttpRequest): Promise<HttpResponse> {
+    const { method, path } = request;
+    const service = serviceOfPath(path);
+    if (service !== undefined && method === 'POST') return this.endpoint.handle(request, service);
+    if (path === '/livez') return textResponse(200, 'live\n');
+    if (path === '/readyz') return this.readyz();
+    if (path === '/metrics') return this.metrics();
+    const reason = service === undefined ? 'there is no such path' : 'use POST';
+    return errorResponse(badRequest(reason, undefined, 404));
+  }
+
+  private readyz(): HttpResponse {
+    const reason = this.readiness.reason();
+    return reason === undefined ? textResponse(200, 'ready\n') : textResponse(503, `${reason}\n`);
+  }
+
+  private async metrics(): Promise<HttpResponse> {
+    const { registry } = this.telemetry;
+    return textResponse(200, await registry.metrics(), registry.contentType);
+  }
+
+  private async shutDown(): Promise<void> {
+    this.readiness.noteStopping();
+    this.logger.info('router stopping', { inFlight: this.inFlight.size });
+    await this.context.environment.clock.sleep(STOP_NOTICE_MS);
+    if (this.context.faults.cutInFlightAtStop) this.inFlight.cancelAll();
+    await this.inFlight.drained();
+    await this.listener?.close();
+    this.endSubscriptions(undefined);
+    await this.context.registry.stop();
+    this.logger.info('router stopped');
+  }
+}
--- /dev/null
+++ b/src/router/shard-execution.ts
@@ -0,0 +1,195 @@
+/**
+ * One shard's part of one query: a first attempt, a hedge when it is slow, and
+ * retries when it fails, each at another replica where there is one. A request
+ * that is not repeatable is never hedged, and is not retried once an attempt
+ * may have been run.
+ */
+import type { ReplicaRecord } from '../membership/replica-record.js';
+import { waitForRoom } from '../membership/wait-for-room.js';
+import { failedAttempt, type AttemptKind, type AttemptOutcome } from './attempt-outcome.js';
+import type { AttemptTally } from './attempt-tally.js';
+import { BackendAttempt } from './backend-attempt.js';
+import type { ShardView } from './layout-view.js';
+import type { QueryContext } from './query-context.js';
+import type { QueryPlan } from './query-plan.js';
+import type { RouterContext } from './router-context.js';
+import { ShardCandidates } from './shard-candidates.js';
+import type { ShardOutcome } from './shard-outcome.js';
+
+interface RunningAttempt {
+  readonly outcome: Promise<AttemptOutcome>;
+  cancel(): void;
+}
+
+/** Runs one shard's part. */
+export class ShardExecution {
+  /** Whether any attempt so far may have been run; kept after the end. */
+  mayHaveRun = false;
+  /** Whether a replica said that it does not hold the pinned snapshot. */
+  snapshotVanished = false;
+  private attempts = 0;
+  private readonly candidates: ShardCandidates;
+  private readonly running = new Set<AbortController>();
+
+  constructor(
+    private readonly router: RouterContext,
+    private readonly query: QueryContext,
+    private readonly plan: QueryPlan,
+    private readonly shard: ShardView,
+    private readonly tally: AttemptTally,
+    /** Aborts when the query has ended. */
+    private readonly ended: AbortSignal,
+  ) {
+    this.candidates = new ShardCandidates(router.registry, shard, plan.snapshotText);
+  }
+
+  /** Ends with the first verified answer, or when nothing more may be tried. Never throws. */
+  async run(): Promise<ShardOutcome> {
+    let outcome = await this.tryOnce('primary');
+    while (outcome.kind === 'failed') {
+      const { reason } = outcome;
+      const delay = this.mayRetry() ? this.retryDelay() : undefined;
+      if (delay === undefined) return { kind: 'missing', reason };
+      await this.router.environment.clock.sleep(delay, this.ended).catch(() => undefined);
+      if (this.ended.aborted) return { kind: 'missing', reason };
+      outcome = await this.tryOnce('retry');
+    }
+    return outcome;
+  }
+
+  /** Cancels whatever is in flight. */
+  cancel(): void {
+    for (const controller of this.running) controller.abort();
+  }
+
+  private async tryOnce(kind: AttemptKind): Promise<AttemptOutcome> {
+    const record = await this.chooseReplica();
+    if (record === undefined) return failedAttempt(this.candidates.whyNone(), false);
+    if (this.ended.aborted) return failedAttempt('not_waited_for', false);
+    if (kind === 'primary') this.earnBudgets();
+    const first = this.launch(kind, record);
+    const delay = this.hedgeDelay();
+    if (delay === undefined) return first.outcome;
+    const early = await this.outcomeWithin(first, delay);
+    if (early !== undefined) return early;
+    const hedge = this.launchHedge();
+    return hedge === undefined ? first.outcome : this.firstAnswered(first, hedge);
+  }
+
+  /** A replica with a free connection, waiting for one until the query ends. */
+  private async chooseReplica(): Promise<ReplicaRecord | undefined> {
+    for (;;) {
+      const preferred = this.candidates.preferred();
+      if (preferred.length === 0) return undefined;
+      const chosen = this.select(preferred.filter((record) => record.hasRoom));
+      if (chosen !== undefined || this.ended.aborted) return chosen;
+      await waitForRoom(preferred, this.ended);
+    }
+  }
+
+  private select(records: readonly ReplicaRecord[]): ReplicaRecord | undefined {
+    const view = this.query.service.policies.replicaSelector.select(records);
+    return records.find((record) => record === view);
+  }
+
+  private launch(kind: AttemptKind, record: ReplicaRecord): RunningAttempt {
+    this.attempts += 1;
+    this.tally.add(kind);
+    this.candidates.markTried(record);
+    const { metrics, faults } = this.router;
+    metrics.attempts.inc({ service: this.query.service.definition.name, kind });
+    const pinned = this.plan.snapshotText;
+    const snapshot = faults.mergeAcrossSnapshots ? newestHeld(record, pinned) : pinned;
+    const target = { record, shardId: this.shard.shardId, snapshot };
+    const controller = new AbortController();
+    this.running.add(controller);
+    const attempt = new BackendAttempt(this.router, this.query, target);
+    const outcome = attempt.run(controller.signal).then((result) => {
+      this.running.delete(controller);
+      this.note(result);
+      return result;
+    });
+    return { outcome, cancel: () => controller.abort() };
+  }
+
+  private note(outcome: AttemptOutcome): void {
+    if (outcome.kind === 'answered' || outcome.mayHaveRun) this.mayHaveRun = true;
+    else if (outcome.reason === 'snapshot_not_held') this.snapshotVanished = true;
+  }
+
+  private earnBudgets(): void {
+    const { hedge, retry } = this.query.service.policies;
+    hedge.recordPrimary(this.shard.shardId);
+    retry.recordPrimary();
+  }
+
+  private hedgeDelay(): number | undefined {
+    if (!this.query.request.repeatable) return undefined;
+    const { policies, settings } = this.query.service;
+    if (this.attempts >= settings.maximumAttemptsPerShard) return undefined;
+    return policies.hedge.hedgeDelay(this.shard.shardId);
+  }
+
+  private launchHedge(): RunningAttempt | undefined {
+    if (this.ended.aborted) return undefined;
+    const record = this.select(this.candidates.siblings());
+    if (record === undefined) return undefined;
+    if (!this.query.service.policies.hedge.takeBudget()) return undefined;
+    return this.launch('hedge', record);
+  }
+
+  /** The attempt's outcome, or undefined when it takes longer than `delay` milliseconds. */
+  private outcomeWithin(
+    attempt: RunningAttempt,
+    delay: number,
+  ): Promise<AttemptOutcome | undefined> {
+    return new Promise((resolve) => {
+      const timer = this.router.environment.clock.setTimer(delay, () => resolve(undefined));
+      void attempt.outcome.then((outcome) => {
+        timer.cancel();
+        resolve(outcome);
+      });
+    });
+  }
+
+  /** The first answer of two attempts, the other cancelled; the later failure when both fail. */
+  private async firstAnswered(
+    first: RunningAttempt,
+    second: RunningAttempt,
+  ): Promise<AttemptOutcome> {
+    const [outcome, other] = await Promise.race([
+      first.outcome.then((result) => [result, second] as const),
+      second.outcome.then((result) => [result, first] as const),
+    ]);
+    if (outcome.kind === 'failed') return other.outcome;
+    other.cancel();
+    return outcome;
+  }
+
+  /** Whether anything but the retry policy stands against another attempt. */
+  private mayRetry(): boolean {
+    if (this.ended.aborted || this.candidates.holders().length === 0) return false;
+    if (this.attempts >= this.query.service.settings.maximumAttemptsPerShard) return false;
+    return this.treatAsRepeatable || !this.mayHaveRun;
+  }
+
+  private get treatAsRepeatable(): boolean {
+    return this.query.request.repeatable || this.router.faults.retryNotRepeatable;
+  }
+
+  private retryDelay(): number | undefined {
+    const { clock } = this.router.environment;
+    return this.query.service.policies.retry.retryDelay({
+      shardId: this.shard.shardId,
+      attempts: this.attempts,
+      mayHaveRun: this.mayHaveRun,
+      repeatable: this.treatAsRepeatable,
+      remaining: this.query.deadlineAt - clock.now(),
+    });
+  }
+}
+
+/** The last of the replica's snapshots, `otherwise` when it holds none. */
+function newestHeld(record: ReplicaRecord, otherwise: string): string {
+  return [...record.heldSnapshots()].at(-1) ?? otherwise;
+}
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -63,6 +63,12 @@
   readonly signal?: AbortSignal;
   /** Asks for a connection that has carried no earlier request. */
   readonly freshConnection?: boolean;
+  /**
+   * Asked once the header of the response is there. When it says false, the
+   * connection is closed at once and the request fails with an
+   * `HttpClientError` of kind `response_rejected`.
+   */
+  readonly acceptResponse?: (headers: HttpHeaders) => boolean;
 }
 
 /** A response received in full. */
@@ -74,7 +80,11 @@
 
 /** Bounds of the connections to one peer. */
 export interface HttpClientOptions {
-  /** Most connections, and so most requests in flight, since requests are never pipelined. */
+  /**
+   * Most connections, and so most requests in flight, since requests are never
+   * pipelined. Requests with `freshConnection` are bounded on their own, by the
+   * same number.
+   */
   readonly connections: number;
   /** A longer response fails with `HttpClientError` of kind `response_too_large`. Bytes. */
   readonly maximumResponseBytes: number;
--- /dev/null
+++ b/test/router/support/fake-network.ts
@@ -0,0 +1,73 @@
+/** A network in memory: the router's listener and the back ends it reaches. */
+import { HttpClientError } from '../../../src/errors/http-client-error.js';
+import { formatAddress, type Address } from '../../../src/seams/address.js';
+import type {
+  HttpClient,
+  HttpClientRequest,
+  HttpClientResponse,
+  HttpHandler,
+  HttpListenOptions,
+  HttpListener,
+} from '../../../src/seams/http.js';
+import type { MessageConnection, MessageListener } from '../../../src/seams/message-connection.js';
+import type { Network } from '../../../src/seams/network.js';
+import type { FakeBackend } from './fake-backend.js';
+
+class FakeHttpClient implements HttpClient {
+  constructor(
+    private readonly peer: string,
+    private readonly backend: FakeBackend | undefined,
+  ) {}
+
+  request(request: HttpClientRequest): Promise<HttpClientResponse> {
+    const fail = (kind: HttpClientError['kind'], sent: boolean): HttpClientError =>
+      new HttpClientError(kind, sent, this.peer);
+    const { backend } = this;
+    if (request.signal?.aborted === true) return Promise.reject(fail('aborted', false));
+    if (backend === undefined || backend.down) return Promise.reject(fail('connect_failed', false));
+    const cancelled = new AbortController();
+    return new Promise((resolve, reject) => {
+      request.signal?.addEventListener('abort', () => {
+        cancelled.abort(new Error('cancelled'));
+        reject(fail('aborted', true));
+      });
+      backend.serve(request, cancelled.signal).then((response) => {
+        const accepted = request.acceptResponse?.(response.headers) ?? true;
+        if (accepted) resolve(response);
+        else reject(fail('response_rejected', true));
+      }, reject);
+    });
+  }
+
+  async close(): Promise<void> {}
+
+  destroy(): void {}
+}
+
+export class FakeNetwork implements Network {
+  /** The router's. */
+  handler: HttpHandler | undefined;
+  listening = false;
+
+  constructor(private readonly backends: ReadonlyMap<string, FakeBackend>) {}
+
+  listenHttp(address: Address, _: HttpListenOptions, handler: HttpHandler): Promise<HttpListener> {
+    this.handler = handler;
+    this.listening = true;
+    const close = async (): Promise<void> => void (this.listening = false);
+    return Promise.resolve({ address, close });
+  }
+
+  httpClient(peer: Address): HttpClient {
+    const address = formatAddress(peer);
+    return new FakeHttpClient(address, this.backends.get(address));
+  }
+
+  listenMessages(): Promise<MessageListener> {
+    return Promise.reject(new Error('not used'));
+  }
+
+  connectMessages(): Promise<MessageConnection> {
+    return Promise.reject(new Error('not used'));
+  }
+}
--- /dev/null
+++ b/test/router/support/fixed-source.ts
@@ -0,0 +1,42 @@
+/** A configuration source that a test drives by hand. */
+import { createAdapter } from '@most/adapter';
+import type { Stream } from '@most/types';
+import type { ReplicaSign } from '../../../src/model/replica-sign.js';
+import type {
+  ConfigurationFreshness,
+  ConfigurationSource,
+} from '../../../src/settings/configuration-source.js';
+import type { ConfigurationState } from '../../../src/settings/configuration-state.js';
+
+export class FixedSource implements ConfigurationSource {
+  readonly revisions: Stream<ConfigurationState>;
+  readonly replicaSigns: Stream<ReplicaSign>;
+  readonly publish: (state: ConfigurationState) => void;
+  readonly tellSign: (sign: ReplicaSign) => void;
+  readonly reported: ReplicaSign[] = [];
+  fresh = true;
+
+  constructor(private state: ConfigurationState | undefined) {
+    const [publish, revisions] = createAdapter<ConfigurationState>();
+    this.revisions = revisions;
+    this.publish = (next) => {
+      this.state = next;
+      publish(next);
+    };
+    [this.tellSign, this.replicaSigns] = createAdapter<ReplicaSign>();
+  }
+
+  current(): ConfigurationState | undefined {
+    return this.state;
+  }
+
+  freshness(): ConfigurationFreshness {
+    return { fresh: this.fresh, committedRevision: this.state?.revision ?? 0 };
+  }
+
+  reportReplicaSign(sign: ReplicaSign): void {
+    this.reported.push(sign);
+  }
+
+  async close(): Promise<void> {}
+}
