--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -6,7 +6,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { ConnectionError } from '../errors/connection-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type {
@@ -58,6 +58,7 @@
 class NodeHttpListener implements HttpListener {
   readonly address: Address;
   private closing = false;
+  private readonly usedSockets = new WeakSet<Socket>();
 
   constructor(
     private readonly server: Server,
@@ -102,6 +103,8 @@
 
   private toRequest(message: IncomingMessage, body: Buffer, signal: AbortSignal): HttpRequest {
     const target = message.url ?? '/';
+    const newConnection = !this.usedSockets.has(message.socket);
+    this.usedSockets.add(message.socket);
     const separator = target.indexOf('?');
     return {
       method: message.method ?? 'GET',
@@ -111,6 +114,7 @@
       body,
       signal,
       remoteAddress: message.socket.remoteAddress ?? '',
+      newConnection,
     };
   }
 
@@ -118,8 +122,16 @@
     if (response.destroyed || response.headersSent) return;
     const body = typeof content.body === 'string' ? Buffer.from(content.body) : content.body;
     if (this.closing) response.setHeader('connection', 'close');
+    if (content.closeAfterBytes === 0) {
+      response.destroy();
+      return;
+    }
     response.writeHead(content.status, { ...content.headers, 'content-length': body.length });
-    response.end(body);
+    if (content.closeAfterBytes === undefined) {
+      response.end(body);
+      return;
+    }
+    response.write(body.subarray(0, content.closeAfterBytes), () => response.destroy());
   }
 }
 
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -18,6 +18,8 @@
   /** Aborts when the caller closed its connection before the response was written. */
   readonly signal: AbortSignal;
   readonly remoteAddress: string;
+  /** Whether this is the first request its connection carries; unset when the listener cannot tell. */
+  readonly newConnection?: boolean;
 }
 
 /** One response to write. */
@@ -25,6 +27,12 @@
   readonly status: number;
   readonly headers?: HttpHeaders;
   readonly body: string | Uint8Array;
+  /**
+   * Writes only this many bytes of the body and then closes the connection; 0
+   * closes it before the header. Stand-in back ends break replies with it;
+   * product code never sets it. Bytes.
+   */
+  readonly closeAfterBytes?: number;
 }
 
 export type HttpHandler = (request: HttpRequest) => Promise<HttpResponse>;
