Read a query once and keep its text

Cause: the schema's recursive JSON check walks every node of the query, and the query was written out twice (for back ends and for the resend check).

--- a/src/router/backend-attempt.ts
+++ b/src/router/backend-attempt.ts
@@ -66,7 +66,7 @@
       method: 'POST',
       path: BACKEND_QUERY_PATH,
       headers: this.headers(this.query.deadlineAt - now),
-      body: this.query.body,
+      body: this.query.queryText,
       signal,
       freshConnection: !request.repeatable,
       acceptResponse: (headers) => this.accepts(headers),
--- a/src/router/outcome-ledger.ts
+++ b/src/router/outcome-ledger.ts
@@ -4,10 +4,10 @@
  * in docs/design/at-most-once.md.
  */
 import { xxh3 } from '@node-rs/xxhash';
-import type { QueryRequest } from '../model/query-request.js';
 import type { Clock } from '../seams/clock.js';
 import type { FinishedQuery } from './finished-query.js';
 import { badRequest, QueryError, refusedNotRun } from './query-error.js';
+import type { ReadQuery } from './query-reader.js';
 
 /** A request id is remembered at least this long after its receipt. Milliseconds. */
 export const REMEMBER_MS = 3_600_000;
@@ -36,10 +36,9 @@
 }
 
 /** What of a request has to be the same in a resend; its deadline may differ. */
-function fingerprintOf(service: string, request: QueryRequest): bigint {
-  const { team, key, requiredCoverage, query } = request;
-  const content = { service, team, key, requiredCoverage, query };
-  return xxh3.xxh128(JSON.stringify(content));
+function fingerprintOf({ request, queryText }: ReadQuery): bigint {
+  const { team, key = null, requiredCoverage = null } = request;
+  return xxh3.xxh128(JSON.stringify([team, key, requiredCoverage, queryText]));
 }
 
 /** The ledger of one run of one router. */
@@ -62,11 +61,11 @@
    * @throws QueryError of code `bad_request` when the id belongs to a different
    *   request, and `outcome_unknown` when the outcome is no longer kept.
    */
-  find(service: string, request: QueryRequest): Promise<FinishedQuery> | undefined {
+  find(service: string, read: ReadQuery): Promise<FinishedQuery> | undefined {
     this.forgetOld();
-    const entry = this.entries.get(keyOf(service, request));
+    const entry = this.entries.get(keyOf(service, read));
     if (entry === undefined) return undefined;
-    if (request.repeatable || entry.fingerprint !== fingerprintOf(service, request)) {
+    if (read.request.repeatable || entry.fingerprint !== fingerprintOf(read)) {
       throw badRequest('another request with this id was received before', 'requestId');
     }
     if (entry.outcome !== undefined) return entry.outcome;
@@ -82,14 +81,14 @@
    */
   async run(
     service: string,
-    request: QueryRequest,
+    read: ReadQuery,
     execute: () => Promise<FinishedQuery>,
   ): Promise<FinishedQuery> {
     this.refuseWhenFull();
-    const key = keyOf(service, request);
+    const key = keyOf(service, read);
     const outcome = execute();
     const entry: Entry = {
-      fingerprint: fingerprintOf(service, request),
+      fingerprint: fingerprintOf(read),
       receivedAt: this.clock.now(),
       outcome,
       bytes: undefined,
@@ -137,6 +136,6 @@
   }
 }
 
-function keyOf(service: string, request: QueryRequest): string {
+function keyOf(service: string, { request }: ReadQuery): string {
   return `${service}/${request.requestId}`;
 }
--- a/src/router/query-endpoint.ts
+++ b/src/router/query-endpoint.ts
@@ -1,5 +1,4 @@
 /** Serves `POST /v1/services/{service}/query`: reads, finds resends, runs, answers. */
-import type { QueryRequest } from '../model/query-request.js';
 import type { Logger } from '../observability/logger.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
 import type { FinishedQuery } from './finished-query.js';
@@ -9,7 +8,7 @@
 import type { QueryContext } from './query-context.js';
 import { badRequest, QueryError, type QueryErrorDetails } from './query-error.js';
 import { QueryPipeline } from './query-pipeline.js';
-import { readQueryRequest } from './query-reader.js';
+import { readQueryRequest, type ReadQuery } from './query-reader.js';
 import type { RouterContext } from './router-context.js';
 import { notReadyError, type RouterReadiness } from './router-readiness.js';
 import type { ServiceDirectory } from './service-directory.js';
@@ -59,12 +58,13 @@
   ): Promise<FinishedQuery> {
     let details: QueryErrorDetails = { service: serviceName };
     try {
-      const request = readQueryRequest(http.body);
-      details = { ...details, requestId: request.requestId };
-      const earlier = this.parts.ledger.find(serviceName, request);
-      if (earlier !== undefined) return await this.join(earlier, request);
+      const read = readQueryRequest(http.body);
+      const { requestId, deadlineMs } = read.request;
+      details = { ...details, requestId };
+      const earlier = this.parts.ledger.find(serviceName, read);
+      if (earlier !== undefined) return await this.join(earlier, deadlineMs);
       const service = this.findService(serviceName);
-      const query = this.createContext(service, request, receivedAt);
+      const query = this.createContext(service, read, receivedAt);
       return await this.run(query, http.signal);
     } catch (error) {
       return this.finishError(error, details);
@@ -86,7 +86,7 @@
 
   private createContext(
     service: ServiceRuntime,
-    request: QueryRequest,
+    { request, queryText }: ReadQuery,
     receivedAt: number,
   ): QueryContext {
     const { settings } = service;
@@ -99,7 +99,7 @@
       request,
       service,
       backendRequestId: this.parts.router.identifiers.qualify(request.requestId),
-      body: JSON.stringify(request.query),
+      queryText,
       requiredCoverage: Math.max(request.requiredCoverage ?? 0, settings.requiredCoverage),
       receivedAt,
       deadlineAt: receivedAt + deadline - reserve,
@@ -116,7 +116,7 @@
     if (request.repeatable) {
       return inFlight.track(callerGone, (signal) => this.execute(query, signal));
     }
-    return ledger.run(service.definition.name, request, () =>
+    return ledger.run(service.definition.name, query, () =>
       inFlight.track(undefined, (signal) => this.execute(query, signal)),
     );
   }
@@ -138,12 +138,11 @@
   /** Gives a resend the outcome of the first request, waiting to the resend's own deadline. */
   private async join(
     earlier: Promise<FinishedQuery>,
-    request: QueryRequest,
+    deadlineMs: number | undefined,
   ): Promise<FinishedQuery> {
     this.parts.router.metrics.joinedResends.inc();
-    if (request.deadlineMs === undefined) return earlier;
+    if (deadlineMs === undefined) return earlier;
     const { clock } = this.parts.router.environment;
-    const { deadlineMs } = request;
     return new Promise((resolve, reject) => {
       const message = 'the first request with this id is still running';
       const timer = clock.setTimer(deadlineMs, () =>
