Run stand-in back ends as a process, and make roarr write

Cause: a fleet on one machine runs many replicas in one process and switches faults from outside.

The first run printed no log line at all. Cause: roarr makes a logger that drops everything unless ROARR_LOG is set when it is imported; the writer is not at fault (the same run with ROARR_LOG=true printed all three lines). src/observability/enable-roarr.ts sets it unless the operator did.

--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -1,5 +1,7 @@
 /** Entry point of the `driftway-lab` command line. Never deployed. */
 import { Builtins, Cli } from 'clipanion';
+import { BackendCommand } from './backend-command.js';
+import { PlatformCommand } from './platform-command.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -10,5 +12,7 @@
   });
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
+  cli.register(BackendCommand);
+  cli.register(PlatformCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
--- a/src/observability/roarr-logger.ts
+++ b/src/observability/roarr-logger.ts
@@ -1,4 +1,5 @@
 /** The production logger: roarr messages as JSON lines, or readable lines on a terminal. */
+import './enable-roarr.js';
 import { Roarr, type Logger as RoarrInstance, type MessageContext } from 'roarr';
 import { ROARR } from 'roarr';
 import type { LogFields, Logger } from './logger.js';
