--- a/src/settings/effective-settings.ts
+++ b/src/settings/effective-settings.ts
@@ -13,14 +13,17 @@
   return scopes;
 }
 
+/** The built-in defaults under the overrides of `scopes`, of which a later one wins per key. */
+export function settingsAt(state: ConfigurationState, scopes: readonly Scope[]): ServiceSettings {
+  const overrides = scopes.map((scope) => state.overrides[formatScope(scope)] ?? {});
+  return Object.assign({}, DEFAULT_SERVICE_SETTINGS, ...overrides) as ServiceSettings;
+}
+
 /** Every key's value in force for `service` in `zone`. */
 export function effectiveSettings(
   state: ConfigurationState,
   service: string,
   zone: string,
 ): ServiceSettings {
-  const overrides = scopesOf(state, service, zone).map(
-    (scope) => state.overrides[formatScope(scope)] ?? {},
-  );
-  return Object.assign({}, DEFAULT_SERVICE_SETTINGS, ...overrides) as ServiceSettings;
+  return settingsAt(state, scopesOf(state, service, zone));
 }
