Follow the seams: broken replies, new connections, pools for fresh requests

The stand-in back ends close a connection after part of a reply, and learn which request is the first of its connection; the simulated listener does both as the Node one does.

--- a/lab/simulation/pooled-connection.ts
+++ b/lab/simulation/pooled-connection.ts
@@ -1,4 +1,5 @@
 /** One connection of an HTTP client: opening, idle, or carrying one request. */
+import { formatAddress } from '../../src/seams/address.js';
 import { MICROSECONDS_PER_MILLISECOND } from './event-queue.js';
 import {
   headerBytes,
@@ -8,22 +9,18 @@
   type WireResponse,
 } from './http-messages.js';
 import type { ConnectFailure } from './network-fabric.js';
-import type { PendingRequest, SimulatedHttpClient } from './simulated-http-client.js';
+import type { ConnectionPool } from './connection-pool.js';
+import type { PendingRequest } from './pending-request.js';
 import { SimulatedSocket, type SocketHandlers } from './simulated-socket.js';
 
 /** See the module comment. */
 export class PooledConnection implements SocketHandlers {
-  /** Whether it has carried a request. */
-  used = false;
   private socket: SimulatedSocket | undefined;
   private pending: PendingRequest | undefined;
   private idleSince = 0;
   private gone = false;
 
-  constructor(
-    private readonly client: SimulatedHttpClient,
-    private readonly maximumResponseBytes: number,
-  ) {}
+  constructor(private readonly pool: ConnectionPool) {}
 
   get idle(): boolean {
     return this.socket !== undefined && this.pending === undefined && !this.gone;
@@ -31,12 +28,12 @@
 
   /** How long it has been idle. Milliseconds. */
   get idleFor(): number {
-    return (this.client.fabric.events.now - this.idleSince) / MICROSECONDS_PER_MILLISECOND;
+    return (this.pool.target.fabric.events.now - this.idleSince) / MICROSECONDS_PER_MILLISECOND;
   }
 
   /** Connects, then carries `pending`. */
   open(pending: PendingRequest): void {
-    const { fabric, node, life, address, options } = this.client;
+    const { fabric, node, life, address, options } = this.pool.target;
     this.pending = pending;
     fabric.connect(node, life, address, options.connectTimeout, (result) => {
       if (result instanceof SimulatedSocket) this.onConnected(result);
@@ -49,11 +46,10 @@
     const { request } = pending;
     const body = toBytes(request.body);
     const headers = lowerCaseNames(request.headers);
-    headers['host'] ??= `${this.client.address.host}:${this.client.address.port}`;
+    headers['host'] ??= formatAddress(this.pool.target.address);
     if (body.length > 0) headers['content-length'] = String(body.length);
     const wire: WireRequest = { method: request.method, target: request.path, headers, body };
     this.pending = pending;
-    this.used = true;
     pending.sent = true;
     this.socket?.send(wire, headerBytes(headers) + request.path.length + body.length);
   }
@@ -85,7 +81,7 @@
     const { pending } = this;
     if (pending === undefined) return;
     this.pending = undefined;
-    if (response.body.length > this.maximumResponseBytes) {
+    if (response.body.length > this.pool.target.options.maximumResponseBytes) {
       this.close();
       pending.fail('response_too_large');
       return;
@@ -97,7 +93,7 @@
     }
     const { status, headers, body } = response;
     pending.succeed({ status, headers, body });
-    if (response.lastOfConnection) this.close();
+    if (response.lastOfConnection || !this.pool.reuse) this.close();
     else this.becomeIdle();
   }
 
@@ -135,13 +131,13 @@
   }
 
   private becomeIdle(): void {
-    this.idleSince = this.client.fabric.events.now;
-    this.client.onIdle(this);
+    this.idleSince = this.pool.target.fabric.events.now;
+    this.pool.onIdle(this);
   }
 
   private markGone(): void {
     if (this.gone) return;
     this.gone = true;
-    this.client.onGone(this);
+    this.pool.onGone(this);
   }
 }
--- a/lab/simulation/simulated-http-listener.ts
+++ b/lab/simulation/simulated-http-listener.ts
@@ -37,6 +37,7 @@
 class ServerConnection implements SocketHandlers {
   private gone: AbortController | undefined;
   private idleTimer: ScheduledEvent | undefined;
+  private used = false;
 
   constructor(
     private readonly listener: SimulatedHttpListener,
@@ -92,6 +93,8 @@
 
   private toRequest(request: WireRequest, signal: AbortSignal): HttpRequest {
     const { target } = request;
+    const newConnection = !this.used;
+    this.used = true;
     const separator = target.indexOf('?');
     return {
       method: request.method,
@@ -101,24 +104,30 @@
       body: request.body,
       signal,
       remoteAddress: this.socket.remoteHost,
+      newConnection,
     };
   }
 
   private write(content: HttpResponse, last: boolean): void {
     if (!this.socket.open || !this.socket.life.alive) return;
     this.gone = undefined;
+    if (content.closeAfterBytes === 0) {
+      this.close();
+      return;
+    }
     const body = toBytes(content.body);
     const headers = lowerCaseNames(content.headers);
     headers['content-length'] = String(body.length);
+    const truncated = content.closeAfterBytes !== undefined;
     const close = last || this.listener.closing;
     if (close) headers['connection'] = 'close';
-    const lastOfConnection = headers['connection'] === 'close';
+    const lastOfConnection = truncated || headers['connection'] === 'close';
     const response: WireResponse = {
       status: content.status,
       headers,
       body,
       lastOfConnection,
-      truncated: false,
+      truncated,
     };
     this.socket.send(response, headerBytes(headers) + body.length);
     if (lastOfConnection) this.close();
--- a/lab/simulation/simulated-network.ts
+++ b/lab/simulation/simulated-network.ts
@@ -47,7 +47,8 @@
   }
 
   httpClient(peer: Address, options: HttpClientOptions): HttpClient {
-    return new SimulatedHttpClient(this.fabric, this.node, this.life, peer, options);
+    const { fabric, node, life } = this;
+    return new SimulatedHttpClient({ fabric, node, life, address: peer, options });
   }
 
   async listenMessages(
