Add the internal handshake, the message codec and both ends of the control stream

Cause: daemons need to learn the agreed configuration from controllers, and internal peers must prove that they belong to the cluster.

Telemetry moves to src/observability so that daemons need nothing from src/commands.

Shown: handshake and codec tests. The stream itself has no test yet.

--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -2,17 +2,14 @@
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import type { Logger } from '../observability/logger.js';
 import { createRoarrLogger } from '../observability/roarr-logger.js';
+import type { Telemetry } from '../observability/telemetry.js';
 
 /** A daemon that can be stopped without cutting off what is in flight. */
 export interface StoppableDaemon {
   stop(): Promise<void>;
 }
 
-/** Handed to a daemon when it starts. */
-export interface Telemetry {
-  readonly logger: Logger;
-  readonly registry: Registry;
-}
+export type { Telemetry };
 
 /** Exit codes of the daemons. */
 export enum ExitCode {
--- /dev/null
+++ b/src/control-stream/control-stream-client.ts
@@ -0,0 +1,138 @@
+/**
+ * A daemon's end of the control stream. One task follows one controller at a
+ * time, and looks for a better one where the present one fails.
+ */
+import type { Stream } from '@most/types';
+import type { ControllerEndpoint } from '../configuration/daemon-configuration.js';
+import type { ReplicaSign } from '../model/replica-sign.js';
+import type { Logger } from '../observability/logger.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import type { Environment } from '../seams/environment.js';
+import type {
+  ConfigurationFreshness,
+  ConfigurationSource,
+} from '../settings/configuration-source.js';
+import type { ConfigurationState } from '../settings/configuration-state.js';
+import { ClientMetrics } from './client-metrics.js';
+import { NO_CONTROL_STREAM_FAULTS, type ControlStreamFaults } from './control-stream-faults.js';
+import { DaemonCopy } from './daemon-copy.js';
+import type { SessionEnd } from './session-end.js';
+import { SourceSelector } from './source-selector.js';
+import { SourceSession, type SessionContext } from './source-session.js';
+
+/** Who the daemon is and whom it may follow; a router's settings file holds all of it. */
+export interface ControlStreamClientConfiguration {
+  /** Unique among the daemons of the cluster. */
+  readonly name: string;
+  readonly zone: string;
+  readonly cluster: { readonly id: string; readonly key: string };
+  readonly controllers: readonly ControllerEndpoint[];
+}
+
+/** Of this software; shown to operators. */
+export const SOFTWARE_VERSION = '0.1.0';
+
+/** {@link ConfigurationSource} over the control stream. */
+export class ControlStreamClient implements ConfigurationSource {
+  readonly revisions: Stream<ConfigurationState>;
+  readonly replicaSigns: Stream<ReplicaSign>;
+  private readonly context: SessionContext;
+  private readonly selector: SourceSelector;
+  private readonly logger: Logger;
+  private readonly stop = new AbortController();
+  private session: SourceSession | undefined;
+  private readonly finished: Promise<void>;
+
+  private constructor(
+    private readonly environment: Environment,
+    configuration: ControlStreamClientConfiguration,
+    telemetry: Telemetry,
+    faults: ControlStreamFaults,
+  ) {
+    const { name, zone, cluster, controllers } = configuration;
+    const metrics = new ClientMetrics(telemetry.registry, () => this.freshness().fresh);
+    const copy = new DaemonCopy(faults, metrics);
+    this.revisions = copy.revisions;
+    this.replicaSigns = copy.replicaSigns;
+    this.logger = telemetry.logger.child({ component: 'control-stream' });
+    this.selector = new SourceSelector(controllers, zone, environment.random);
+    this.context = {
+      environment,
+      identity: { clusterId: cluster.id, clusterKey: cluster.key, name },
+      zone,
+      version: SOFTWARE_VERSION,
+      copy,
+      metrics,
+      incarnation: Math.max(1, Math.floor(environment.clock.wallTime())),
+      reportSequence: 0,
+    };
+    this.finished = this.follow();
+  }
+
+  /** Starts to follow; `current()` is undefined until a source proven fresh was reached. */
+  static start(
+    environment: Environment,
+    configuration: ControlStreamClientConfiguration,
+    telemetry: Telemetry,
+    faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
+  ): ControlStreamClient {
+    return new ControlStreamClient(environment, configuration, telemetry, faults);
+  }
+
+  current(): ConfigurationState | undefined {
+    return this.context.copy.held.current();
+  }
+
+  freshness(): ConfigurationFreshness {
+    const { proof } = this.context.copy;
+    const fresh = proof.isFresh(this.environment.clock.now());
+    return { fresh, committedRevision: proof.committedRevision };
+  }
+
+  reportReplicaSign(sign: ReplicaSign): void {
+    if (this.context.copy.observeSign(sign)) this.session?.reportSign(sign);
+  }
+
+  /** Member id of the controller that is followed, if any. */
+  get source(): string | undefined {
+    return this.session?.endpoint.memberId;
+  }
+
+  async close(): Promise<void> {
+    this.stop.abort(new Error('closed'));
+    await this.session?.leave('closed');
+    await this.finished;
+  }
+
+  private async follow(): Promise<void> {
+    const { clock } = this.environment;
+    while (!this.stop.signal.aborted) {
+      const choice = this.selector.next(clock.now(), this.current() !== undefined);
+      if (choice.waitMs > 0 && !(await this.pause(choice.waitMs))) return;
+      const startedAt = clock.now();
+      const end = await this.runSession(choice.endpoint, choice.tolerateStale);
+      const now = clock.now();
+      this.selector.record(choice.endpoint, end, now - startedAt, now);
+    }
+  }
+
+  private async runSession(endpoint: ControllerEndpoint, stale: boolean): Promise<SessionEnd> {
+    const session = new SourceSession(this.context, endpoint, stale);
+    this.session = session;
+    const end = await session.run();
+    this.session = undefined;
+    this.context.metrics.sessionsEnded.inc({ reason: end });
+    this.logger.info('left controller', { controller: endpoint.memberId, reason: end });
+    return end;
+  }
+
+  /** Returns whether the daemon still runs afterwards. */
+  private async pause(milliseconds: number): Promise<boolean> {
+    try {
+      await this.environment.clock.sleep(milliseconds, this.stop.signal);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/control-stream/control-stream-server.ts
@@ -0,0 +1,94 @@
+/** A controller's end of the control stream: serves any number of daemons, on followers too. */
+import type { ReplicatedLog } from '../consensus/replicated-log.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import type { RemoteIdentity } from '../protocol/handshake.js';
+import type { Clock } from '../seams/clock.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import type { ConfigurationFeed } from './configuration-feed.js';
+import type { DaemonDirectory } from './daemon-directory.js';
+import type { EncodedHistoryOptions } from './encoded-history.js';
+import { ServerMetrics } from './server-metrics.js';
+import { SharedReadBarrier } from './shared-read-barrier.js';
+import type { SignBoard } from './sign-board.js';
+import { StreamBroadcast } from './stream-broadcast.js';
+import { SubscriberSession, type SubscriberContext } from './subscriber-session.js';
+
+/** Longest wait, on a planned stop, for daemons to leave. Milliseconds. */
+export const LEAVE_TIMEOUT_MS = 2_000;
+
+/** What a server is made of. */
+export interface ControlStreamServerParts {
+  readonly clock: Clock;
+  readonly memberId: string;
+  readonly feed: ConfigurationFeed;
+  readonly log: Pick<ReplicatedLog, 'readBarrier' | 'status'>;
+  readonly daemons: DaemonDirectory;
+  readonly signs: SignBoard;
+  /** Called when there is something to pass on to other controllers. */
+  readonly onNews: () => void;
+  readonly historyOptions?: EncodedHistoryOptions;
+}
+
+/** One for each controller. */
+export class ControlStreamServer {
+  private readonly broadcast: StreamBroadcast;
+  private readonly context: SubscriberContext;
+  private readonly sessions = new Set<SubscriberSession>();
+  private readonly stopped = new AbortController();
+  private readonly finished: Promise<void>;
+  private stopping = false;
+
+  constructor(
+    private readonly parts: ControlStreamServerParts,
+    telemetry: Telemetry,
+  ) {
+    const { clock, memberId, feed, log, daemons, signs, onNews, historyOptions } = parts;
+    const readStatus = (): ReturnType<ReplicatedLog['status']> => log.status();
+    this.broadcast = new StreamBroadcast(clock, feed, readStatus, signs, historyOptions);
+    this.context = {
+      clock,
+      memberId,
+      broadcast: this.broadcast,
+      barrier: new SharedReadBarrier(log, clock),
+      signs,
+      daemons,
+      metrics: new ServerMetrics(telemetry.registry),
+      onNews,
+    };
+    this.finished = this.broadcast.run(this.stopped.signal);
+  }
+
+  /** Serves one daemon whose handshake is done; resolves when its stream is over. */
+  async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
+    const session = new SubscriberSession(this.context, connection, peer.name);
+    if (this.stopping) return session.dismiss('stopping');
+    this.sessions.add(session);
+    this.context.metrics.subscribers.set(this.sessions.size);
+    try {
+      await session.run();
+    } finally {
+      this.sessions.delete(session);
+      this.context.metrics.subscribers.set(this.sessions.size);
+    }
+  }
+
+  /** Something that came from elsewhere than a subscriber is to be sent on. */
+  notify(): void {
+    this.broadcast.news.notify();
+  }
+
+  /** Asks every daemon to move elsewhere, waits a little, then ends what is left. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    // Not awaited: a daemon that reads nothing must not hold up the stop.
+    for (const session of this.sessions) void session.dismiss('stopping');
+    const deadline = this.parts.clock.now() + LEAVE_TIMEOUT_MS;
+    while (this.sessions.size > 0 && this.parts.clock.now() < deadline) {
+      await this.parts.clock.sleep(LEAVE_TIMEOUT_MS / 100);
+    }
+    for (const session of this.sessions) session.end();
+    this.stopped.abort(new Error('stopped'));
+    await this.finished;
+    this.broadcast.dispose();
+  }
+}
--- /dev/null
+++ b/src/control-stream/controller-exchange.ts
@@ -0,0 +1,138 @@
+/**
+ * Passes reports of daemons and signs of replicas between controllers. Each
+ * controller keeps one connection to every other and sends what is new to it;
+ * what it receives as news it sends on, so that two controllers cut off from
+ * each other still learn from a third.
+ */
+import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
+import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
+import type { Environment } from '../seams/environment.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import type { DaemonDirectory } from './daemon-directory.js';
+import { EXCHANGE_CODEC, toDaemonRecord, type ExchangeMessage } from './exchange-messages.js';
+import { ExchangeLink } from './exchange-link.js';
+import type { SignBoard } from './sign-board.js';
+import { fromSignMessage } from './sign-message.js';
+import { Signal } from './signal.js';
+
+/** How often the list of members is looked at. Milliseconds. */
+const MEMBERS_INTERVAL_MS = 1_000;
+
+/** A connection over which nothing arrived for this long is closed. Milliseconds. */
+const EXCHANGE_SILENCE_MS = 10_000;
+
+/** What an exchange is made of. */
+export interface ControllerExchangeParts {
+  readonly environment: Environment;
+  readonly identity: LocalIdentity;
+  readonly readMembers: () => readonly ReplicatedLogMember[];
+  readonly daemons: DaemonDirectory;
+  readonly signs: SignBoard;
+  /** Called when another controller told of a sign that was not known here. */
+  readonly onSigns: () => void;
+  readonly onMalformed: () => void;
+}
+
+/** One for each controller. */
+export class ControllerExchange {
+  private readonly news = new Signal();
+  private readonly links = new Map<string, ExchangeLink>();
+  private readonly stopped = new AbortController();
+  private readonly finished: Promise<void>;
+
+  constructor(private readonly parts: ControllerExchangeParts) {
+    this.finished = this.followMembers();
+  }
+
+  /** There is something to pass on. */
+  notify(): void {
+    this.news.notify();
+  }
+
+  /** Receives from one other controller until its connection ends. */
+  async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
+    const { clock } = this.parts.environment;
+    let heardAt = clock.now();
+    const over = new AbortController();
+    const silence = this.closeWhenSilent(connection, () => heardAt, over.signal);
+    try {
+      for (;;) {
+        const frame = await connection.receive();
+        if (frame === undefined) break;
+        heardAt = clock.now();
+        this.takeAll(EXCHANGE_CODEC.decodeBatch(frame, peer.name), peer.name);
+      }
+    } catch (error) {
+      if (error instanceof MalformedMessageError) this.parts.onMalformed();
+    } finally {
+      over.abort(new Error('over'));
+      connection.close();
+    }
+    await silence;
+  }
+
+  async stop(): Promise<void> {
+    this.stopped.abort(new Error('stopped'));
+    await this.finished;
+    await Promise.all([...this.links.values()].map((link) => link.stop()));
+  }
+
+  private async followMembers(): Promise<void> {
+    const { environment, identity, readMembers } = this.parts;
+    while (!this.stopped.signal.aborted) {
+      const others = readMembers().filter(({ memberId }) => memberId !== identity.name);
+      await this.adjustLinks(others);
+      await environment.clock
+        .sleep(MEMBERS_INTERVAL_MS, this.stopped.signal)
+        .catch(() => undefined);
+    }
+  }
+
+  private async adjustLinks(members: readonly ReplicatedLogMember[]): Promise<void> {
+    const wanted = new Set(members.map(({ memberId, address }) => `${memberId} ${address}`));
+    for (const [key, link] of this.links) {
+      if (wanted.has(key)) continue;
+      this.links.delete(key);
+      await link.stop();
+    }
+    for (const member of members) {
+      const key = `${member.memberId} ${member.address}`;
+      if (this.links.has(key)) continue;
+      this.links.set(key, new ExchangeLink(this.parts, member.memberId, member.address, this.news));
+    }
+  }
+
+  private takeAll(messages: readonly ExchangeMessage[], peer: string): void {
+    let signNews = false;
+    let news = false;
+    for (const message of messages) {
+      if (message.kind === 'daemon') {
+        news = this.parts.daemons.record(toDaemonRecord(message), message.silentMs) || news;
+      }
+      if (message.kind === 'scopedSign') {
+        const { scope, ...rest } = message;
+        const sign = fromSignMessage({ ...rest, kind: 'sign' });
+        if (sign === undefined) {
+          throw new MalformedMessageError('read exchange', peer, 'not a sign of a replica');
+        }
+        signNews = this.parts.signs.record({ scope, sign }) || signNews;
+      }
+    }
+    if (signNews) this.parts.onSigns();
+    if (signNews || news) this.notify();
+  }
+
+  private async closeWhenSilent(
+    connection: MessageConnection,
+    readHeardAt: () => number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.parts.environment;
+    while (!signal.aborted) {
+      const remaining = readHeardAt() + EXCHANGE_SILENCE_MS - clock.now();
+      if (remaining <= 0) return connection.close();
+      await clock.sleep(remaining, signal).catch(() => undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/control-stream/exchange-link.ts
@@ -0,0 +1,109 @@
+/** The sending half of the exchange with one other controller. */
+import { dial } from '../protocol/dial.js';
+import { parseAddress } from '../seams/address.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import type { ControllerExchangeParts } from './controller-exchange.js';
+import { EXCHANGE_CODEC, type ExchangeMessage } from './exchange-messages.js';
+import type { Signal } from './signal.js';
+import { CONNECT_TIMEOUT_MS, INITIAL_BACK_OFF_MS, MAXIMUM_BACK_OFF_MS } from './stream-timing.js';
+
+/** Longest time without a message. Milliseconds. */
+const KEEP_ALIVE_INTERVAL_MS = 3_000;
+
+/** News within this time goes into one frame. Milliseconds. */
+const BATCH_INTERVAL_MS = 50;
+
+/** Most messages of one frame. */
+const MESSAGES_PER_FRAME = 1_000;
+
+/** Reconnects until stopped. */
+export class ExchangeLink {
+  private readonly stopped = new AbortController();
+  private connection: MessageConnection | undefined;
+  private readonly finished: Promise<void>;
+
+  constructor(
+    private readonly parts: ControllerExchangeParts,
+    private readonly memberId: string,
+    private readonly address: string,
+    private readonly news: Signal,
+  ) {
+    this.finished = this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped.abort(new Error('stopped'));
+    this.connection?.close();
+    this.news.notify();
+    await this.finished;
+  }
+
+  private async run(): Promise<void> {
+    const { random } = this.parts.environment;
+    let backOff = INITIAL_BACK_OFF_MS;
+    while (!this.stopped.signal.aborted) {
+      const wasOpen = await this.connectAndSend();
+      backOff = wasOpen ? INITIAL_BACK_OFF_MS : Math.min(backOff * 2, MAXIMUM_BACK_OFF_MS);
+      await this.pause(backOff * (0.5 + random.nextFloat() / 2));
+    }
+  }
+
+  /** Returns whether the connection came about. */
+  private async connectAndSend(): Promise<boolean> {
+    const { environment, identity } = this.parts;
+    let open = false;
+    try {
+      const connection = await dial(environment, identity, {
+        address: parseAddress(this.address),
+        role: 'exchange',
+        memberId: this.memberId,
+        connectTimeout: CONNECT_TIMEOUT_MS,
+      });
+      this.connection = connection;
+      open = true;
+      await this.sendNews(connection);
+    } catch {
+      // Counted by the accepting side; tried again after a pause.
+    } finally {
+      this.connection?.close();
+      this.connection = undefined;
+    }
+    return open;
+  }
+
+  /** From the beginning on each connection: the other side may have lost what it knew. */
+  private async sendNews(connection: MessageConnection): Promise<void> {
+    const { daemons, signs } = this.parts;
+    let daemonPosition = 0;
+    let signPosition = 0;
+    while (!this.stopped.signal.aborted) {
+      const news = this.news.wait();
+      const messages = this.collect(daemonPosition, signPosition);
+      daemonPosition = daemons.position;
+      signPosition = signs.position;
+      for (let start = 0; start < messages.length; start += MESSAGES_PER_FRAME) {
+        const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
+        await connection.send(EXCHANGE_CODEC.encodeBatch(batch));
+      }
+      await Promise.race([news, this.pause(KEEP_ALIVE_INTERVAL_MS)]);
+      await this.pause(BATCH_INTERVAL_MS);
+    }
+  }
+
+  private collect(daemonPosition: number, signPosition: number): ExchangeMessage[] {
+    const daemons = this.parts.daemons
+      .changedAfter(daemonPosition)
+      .map(({ record, silentMs }) => ({ kind: 'daemon' as const, ...record, silentMs }));
+    const signs = this.parts.signs
+      .changedAfter(signPosition)
+      .map(({ scope, sign }) => ({ kind: 'scopedSign' as const, scope, ...sign }));
+    const messages = [...daemons, ...signs];
+    return messages.length > 0 ? messages : [{ kind: 'keepAlive' }];
+  }
+
+  private async pause(milliseconds: number): Promise<void> {
+    await this.parts.environment.clock
+      .sleep(milliseconds, this.stopped.signal)
+      .catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/src/control-stream/shared-read-barrier.ts
@@ -0,0 +1,50 @@
+/**
+ * One read barrier for all subscribers that wait for one. A barrier that has
+ * begun proves nothing to who comes later, so late comers share the next.
+ */
+import type { ReplicatedLog } from '../consensus/replicated-log.js';
+import type { Clock } from '../seams/clock.js';
+import { PROOF_TIMEOUT_MS } from './stream-timing.js';
+
+/** Barriers of one controller. */
+export class SharedReadBarrier {
+  private running: Promise<boolean> | undefined;
+  private next: Promise<boolean> | undefined;
+
+  constructor(
+    private readonly log: Pick<ReplicatedLog, 'readBarrier'>,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Whether everything committed before the call is now applied here. */
+  pass(): Promise<boolean> {
+    if (this.running === undefined) return this.begin();
+    this.next ??= this.running.then(() => {
+      this.next = undefined;
+      return this.begin();
+    });
+    return this.next;
+  }
+
+  private begin(): Promise<boolean> {
+    const attempt = this.attempt().finally(() => {
+      if (this.running === attempt) this.running = undefined;
+    });
+    this.running = attempt;
+    return attempt;
+  }
+
+  private attempt(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = this.clock.setTimer(PROOF_TIMEOUT_MS, () => resolve(false));
+      const finish = (proven: boolean): void => {
+        timer.cancel();
+        resolve(proven);
+      };
+      this.log.readBarrier().then(
+        () => finish(true),
+        () => finish(false),
+      );
+    });
+  }
+}
--- /dev/null
+++ b/src/control-stream/source-watch.ts
@@ -0,0 +1,65 @@
+/** Decides when a daemon has to leave the controller that it follows. */
+import type { SessionEnd } from './session-end.js';
+import type { HeartbeatMessage } from './stream-messages.js';
+import { QUORUM_LEASE_MS, SOURCE_SILENCE_MS, WELCOME_TIMEOUT_MS } from './stream-timing.js';
+import { TransitDelay } from './transit-delay.js';
+
+/** What one session saw of its source. Times are of the daemon's own clock. */
+export class SourceWatch {
+  private heardAt: number;
+  private quorumAt: number;
+  private behindSince: number | undefined;
+  private transitDelay: TransitDelay | undefined;
+
+  constructor(
+    now: number,
+    /** Until then a source without a quorum is not left. */
+    private readonly staleUntil: number,
+  ) {
+    this.heardAt = now;
+    this.quorumAt = now;
+  }
+
+  get isWelcomed(): boolean {
+    return this.transitDelay !== undefined;
+  }
+
+  /** The handshake is done. */
+  opened(now: number): void {
+    this.heardAt = now;
+    this.quorumAt = now;
+  }
+
+  welcomed(sourceTime: number, now: number): void {
+    this.transitDelay = new TransitDelay(sourceTime, now);
+  }
+
+  /** Anything arrived. */
+  heard(now: number): void {
+    this.heardAt = now;
+  }
+
+  /** Returns when the source last knew of a quorum. */
+  heartbeat({ sinceQuorumMs, sourceTime }: HeartbeatMessage, now: number): number {
+    const delay = this.transitDelay?.delayOf(sourceTime, now) ?? 0;
+    this.quorumAt = now - delay - sinceQuorumMs;
+    return this.quorumAt;
+  }
+
+  /** Compares the daemon's revision with its source's. */
+  compare(heldRevision: number, committedRevision: number, now: number): void {
+    if (heldRevision <= committedRevision) this.behindSince = undefined;
+    else this.behindSince ??= now;
+  }
+
+  /** Why to leave now, if at all. */
+  reasonToLeave(now: number): SessionEnd | undefined {
+    const patience = this.isWelcomed ? SOURCE_SILENCE_MS : WELCOME_TIMEOUT_MS;
+    if (now - this.heardAt > patience) return 'silent';
+    const cutOff = now - this.quorumAt > QUORUM_LEASE_MS;
+    if (cutOff && now > this.staleUntil) return 'cut_off';
+    const behindFor = this.behindSince === undefined ? 0 : now - this.behindSince;
+    if (behindFor > SOURCE_SILENCE_MS && now > this.staleUntil) return 'behind';
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/control-stream/stream-broadcast.ts
@@ -0,0 +1,74 @@
+/** What all subscribers of a controller are sent, encoded once, and the signal that there is more. */
+import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
+import type { Clock } from '../seams/clock.js';
+import type { ConfigurationFeed } from './configuration-feed.js';
+import { EncodedHistory, type EncodedHistoryOptions } from './encoded-history.js';
+import type { SignBoard } from './sign-board.js';
+import { Signal } from './signal.js';
+import { STREAM_CODEC } from './stream-messages.js';
+import { HEARTBEAT_INTERVAL_MS } from './stream-timing.js';
+
+/** How far one subscriber has been served. */
+export interface BroadcastPosition {
+  heldRevision: number;
+  signPosition: number;
+  heartbeatNumber: number;
+}
+
+/** Shared by the tasks of all subscribers. */
+export class StreamBroadcast {
+  readonly history: EncodedHistory;
+  /** Notified whenever there is something new to send. */
+  readonly news = new Signal();
+  private heartbeatFrame: Uint8Array = new Uint8Array();
+  private heartbeatNumber = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    feed: ConfigurationFeed,
+    private readonly readStatus: () => ReplicatedLogStatus,
+    readonly signs: SignBoard,
+    options?: EncodedHistoryOptions,
+  ) {
+    this.history = new EncodedHistory(feed, () => this.news.notify(), options);
+  }
+
+  /** Writes heartbeats until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.beat();
+      await this.clock.sleep(HEARTBEAT_INTERVAL_MS, signal).catch(() => undefined);
+    }
+  }
+
+  /**
+   * Everything a subscriber has not been sent, in the order in which it must
+   * arrive: a heartbeat follows the changes that it tells of. Moves `position` on.
+   */
+  take(position: BroadcastPosition, zone: string): Uint8Array[] {
+    const frames = [...this.history.framesAfter(position.heldRevision)];
+    position.heldRevision = Math.max(position.heldRevision, this.history.revision);
+    const signFrame = this.signs.frameAfter(position.signPosition, zone);
+    position.signPosition = this.signs.position;
+    if (signFrame !== undefined) frames.push(signFrame);
+    if (position.heartbeatNumber !== this.heartbeatNumber) frames.push(this.heartbeatFrame);
+    position.heartbeatNumber = this.heartbeatNumber;
+    return frames;
+  }
+
+  dispose(): void {
+    this.history.dispose();
+  }
+
+  private beat(): void {
+    this.heartbeatFrame = STREAM_CODEC.encode({
+      kind: 'heartbeat',
+      committedRevision: this.history.revision,
+      stateHash: this.history.stateHash,
+      sinceQuorumMs: this.readStatus().sinceQuorumMs,
+      sourceTime: this.clock.now(),
+    });
+    this.heartbeatNumber += 1;
+    this.news.notify();
+  }
+}
--- /dev/null
+++ b/src/control-stream/stream-messages.ts
@@ -0,0 +1,178 @@
+/** Messages of the control stream, from controllers to daemons and back. */
+import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
+
+/** First message of a daemon. */
+export interface SubscribeMessage {
+  readonly kind: 'subscribe';
+  /** Larger than that of any earlier process of the same name. */
+  readonly incarnation: number;
+  readonly zone: string;
+  /** Of the daemon's software. */
+  readonly version: string;
+  /** Revision in force at the daemon; {@link NO_REVISION} when none is. */
+  readonly heldRevision: number;
+  /** Only heartbeats are wanted: the daemon looks whether this source is healthy. */
+  readonly probe: boolean;
+}
+
+/** First message of a controller. */
+export interface WelcomeMessage {
+  readonly kind: 'welcome';
+  /** Whether a quorum confirmed, after the subscription arrived, that nothing newer is committed. */
+  readonly provenFresh: boolean;
+  /** Largest incarnation that any process of the daemon's name has shown. */
+  readonly knownIncarnation: number;
+  /** Clock reading of the controller, as in {@link HeartbeatMessage}. Milliseconds. */
+  readonly sourceTime: number;
+}
+
+/** Announces the chunks of a whole configuration. */
+export interface SnapshotBeginMessage {
+  readonly kind: 'snapshotBegin';
+  readonly revision: number;
+  readonly stateHash: string;
+  readonly totalBytes: number;
+}
+
+/** The next part of the configuration, as JSON text in UTF-8. */
+export interface SnapshotChunkMessage {
+  readonly kind: 'snapshotChunk';
+  readonly bytes: Uint8Array;
+}
+
+/** One accepted change. */
+export interface DeltaMessage {
+  readonly kind: 'delta';
+  readonly revision: number;
+  /** Of the configuration after the change. */
+  readonly stateHash: string;
+  /** An `AcceptedChange`, as JSON text in UTF-8. */
+  readonly change: Uint8Array;
+}
+
+/** Sent at a fixed interval, also when nothing changes. */
+export interface HeartbeatMessage {
+  readonly kind: 'heartbeat';
+  /** Highest revision the controller knows to be committed. */
+  readonly committedRevision: number;
+  /** Of the configuration at that revision. */
+  readonly stateHash: string;
+  /** How long ago the controller last knew of a quorum. Milliseconds. */
+  readonly sinceQuorumMs: number;
+  /** Clock reading of the controller when it wrote this; tells a delayed message. Milliseconds. */
+  readonly sourceTime: number;
+}
+
+/** A sign about a replica, in either direction. */
+export interface SignMessage {
+  readonly kind: 'sign';
+  readonly replicaId: string;
+  readonly incarnation: number;
+  /** A `ReplicaState`. */
+  readonly state: string;
+  readonly observedBy: string;
+}
+
+/** Revision in force at the daemon; sent at each change and at a fixed interval. */
+export interface ReportMessage {
+  readonly kind: 'report';
+  /** Grows with each report of an incarnation, whichever controller it goes to. */
+  readonly sequence: number;
+  readonly revision: number;
+}
+
+/** The daemon asks for the whole configuration. */
+export interface ResyncMessage {
+  readonly kind: 'resync';
+  /** A `ResyncReason`, for the counter. */
+  readonly reason: string;
+}
+
+/** The sender is about to stop, or has no use for the stream; in either direction. */
+export interface GoodbyeMessage {
+  readonly kind: 'goodbye';
+  /** A `GoodbyeReason`. */
+  readonly reason: string;
+}
+
+export type StreamMessage =
+  | SubscribeMessage
+  | WelcomeMessage
+  | SnapshotBeginMessage
+  | SnapshotChunkMessage
+  | DeltaMessage
+  | HeartbeatMessage
+  | SignMessage
+  | ReportMessage
+  | ResyncMessage
+  | GoodbyeMessage;
+
+/** Stands for "no revision yet". */
+export const NO_REVISION = -1;
+
+/** Why a side ends the stream politely. */
+export type GoodbyeReason =
+  /** Planned stop of the sender. */
+  | 'stopping'
+  /** The controller could not prove that what it holds is fresh. */
+  | 'not_proven_fresh'
+  /** The daemon follows another controller. */
+  | 'moved';
+
+/** Why a daemon asks for the whole configuration. */
+export type ResyncReason = 'gap' | 'divergence' | 'unreadable';
+
+function field(name: string, type: MessageField['type']): MessageField {
+  return { name, type };
+}
+
+export const STREAM_CODEC = new MessageCodec<StreamMessage>({
+  subscribe: {
+    tag: 10,
+    fields: [
+      field('incarnation', 'long'),
+      field('zone', 'string'),
+      field('version', 'string'),
+      field('heldRevision', 'long'),
+      field('probe', 'boolean'),
+    ],
+  },
+  welcome: {
+    tag: 11,
+    fields: [
+      field('provenFresh', 'boolean'),
+      field('knownIncarnation', 'long'),
+      field('sourceTime', 'double'),
+    ],
+  },
+  snapshotBegin: {
+    tag: 12,
+    fields: [field('revision', 'long'), field('stateHash', 'string'), field('totalBytes', 'long')],
+  },
+  snapshotChunk: { tag: 13, fields: [field('bytes', 'bytes')] },
+  delta: {
+    tag: 14,
+    fields: [field('revision', 'long'), field('stateHash', 'string'), field('change', 'bytes')],
+  },
+  heartbeat: {
+    tag: 15,
+    fields: [
+      field('committedRevision', 'long'),
+      field('stateHash', 'string'),
+      field('sinceQuorumMs', 'double'),
+      field('sourceTime', 'double'),
+    ],
+  },
+  sign: {
+    tag: 16,
+    fields: [
+      field('replicaId', 'string'),
+      field('incarnation', 'long'),
+      field('state', 'string'),
+      field('observedBy', 'string'),
+    ],
+  },
+  report: { tag: 17, fields: [field('sequence', 'long'), field('revision', 'long')] },
+  resync: { tag: 18, fields: [field('reason', 'string')] },
+  goodbye: { tag: 19, fields: [field('reason', 'string')] },
+});
--- /dev/null
+++ b/src/control-stream/subscriber-session.ts
@@ -0,0 +1,227 @@
+/** One daemon's stream at the controller it follows: one task sends, one receives. */
+import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import type { Clock } from '../seams/clock.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import type { DaemonDirectory } from './daemon-directory.js';
+import type { DaemonRecord } from './daemon-record.js';
+import type { ServerMetrics } from './server-metrics.js';
+import type { SharedReadBarrier } from './shared-read-barrier.js';
+import { scopeOf, type SignBoard } from './sign-board.js';
+import { fromSignMessage } from './sign-message.js';
+import type { BroadcastPosition, StreamBroadcast } from './stream-broadcast.js';
+import {
+  NO_REVISION,
+  STREAM_CODEC,
+  type GoodbyeReason,
+  type ReportMessage,
+  type SignMessage,
+  type StreamMessage,
+  type SubscribeMessage,
+} from './stream-messages.js';
+import { SUBSCRIBER_SILENCE_MS } from './stream-timing.js';
+
+/** Longest frame taken from a daemon: nothing it says is long. Bytes. */
+export const MAXIMUM_SUBSCRIBER_FRAME_BYTES = 64 * 1024;
+
+/** What the sessions of one controller share. */
+export interface SubscriberContext {
+  readonly clock: Clock;
+  /** Of the controller. */
+  readonly memberId: string;
+  readonly broadcast: StreamBroadcast;
+  readonly barrier: SharedReadBarrier;
+  readonly signs: SignBoard;
+  readonly daemons: DaemonDirectory;
+  readonly metrics: ServerMetrics;
+  /** Called when there is something to pass on to other controllers. */
+  readonly onNews: () => void;
+}
+
+/** Runs once. */
+export class SubscriberSession {
+  private readonly position: BroadcastPosition = {
+    heldRevision: NO_REVISION,
+    signPosition: 0,
+    heartbeatNumber: 0,
+  };
+  private record: DaemonRecord | undefined;
+  private snapshotWanted = false;
+  private ended = false;
+  private heardAt: number;
+
+  constructor(
+    private readonly context: SubscriberContext,
+    private readonly connection: MessageConnection,
+    /** Proven in the handshake. */
+    private readonly daemonName: string,
+  ) {
+    this.heardAt = context.clock.now();
+  }
+
+  /** Resolves once the stream is over; never rejects. */
+  async run(): Promise<void> {
+    const silence = this.closeWhenSilent();
+    let reason = 'closed';
+    try {
+      const subscription = await this.receiveSubscription();
+      if (subscription !== undefined) await this.serve(subscription);
+    } catch (error) {
+      const malformed = error instanceof MalformedMessageError;
+      if (malformed) this.context.metrics.malformedFrames.inc();
+      reason = malformed ? 'malformed' : 'lost';
+    }
+    this.end();
+    this.context.metrics.ended.inc({ reason });
+    await silence;
+  }
+
+  /** Tells the daemon to move elsewhere; it closes the connection. */
+  async dismiss(reason: GoodbyeReason): Promise<void> {
+    try {
+      await this.connection.send(STREAM_CODEC.encode({ kind: 'goodbye', reason }));
+    } catch {
+      // Gone already.
+    }
+  }
+
+  end(): void {
+    this.ended = true;
+    this.connection.close();
+    this.context.broadcast.news.notify();
+  }
+
+  private async receiveSubscription(): Promise<SubscribeMessage | undefined> {
+    const frame = await this.receiveFrame();
+    if (frame === undefined) return undefined;
+    const message = STREAM_CODEC.decode(frame, this.daemonName);
+    if (message.kind !== 'subscribe') throw this.malformed('no subscription');
+    return message;
+  }
+
+  private async serve(subscription: SubscribeMessage): Promise<void> {
+    const { barrier, broadcast, clock, daemons } = this.context;
+    const { heldRevision, incarnation, zone } = subscription;
+    const provenFresh = heldRevision === NO_REVISION ? await barrier.pass() : false;
+    const knownIncarnation = daemons.incarnationOf(this.daemonName);
+    const welcome = STREAM_CODEC.encode({
+      kind: 'welcome',
+      provenFresh,
+      knownIncarnation,
+      sourceTime: clock.now(),
+    });
+    await this.connection.send(welcome);
+    if (knownIncarnation > incarnation) return;
+    if (heldRevision === NO_REVISION && !provenFresh) return this.dismiss('not_proven_fresh');
+    this.position.heldRevision = heldRevision;
+    if (!subscription.probe) this.register(subscription);
+    // Whichever ends first ends the stream; closing the connection ends the other.
+    await Promise.race([this.sendNews(zone, broadcast), this.receiveAll(zone)]);
+  }
+
+  private async sendNews(zone: string, broadcast: StreamBroadcast): Promise<void> {
+    while (!this.ended) {
+      const news = broadcast.news.wait();
+      for (const frame of this.takeFrames(zone, broadcast)) {
+        await this.connection.send(frame);
+        this.context.metrics.sentBytes.inc(frame.length);
+      }
+      if (this.snapshotWanted) continue;
+      await news;
+    }
+  }
+
+  private takeFrames(zone: string, broadcast: StreamBroadcast): Uint8Array[] {
+    if (!this.snapshotWanted) return broadcast.take(this.position, zone);
+    this.snapshotWanted = false;
+    this.position.heldRevision = broadcast.history.revision;
+    return [...broadcast.history.snapshotFrames(), ...broadcast.take(this.position, zone)];
+  }
+
+  private async receiveAll(zone: string): Promise<void> {
+    for (;;) {
+      const frame = await this.receiveFrame();
+      if (frame === undefined) return;
+      for (const message of STREAM_CODEC.decodeBatch(frame, this.daemonName)) {
+        if (message.kind === 'goodbye') return this.takeGoodbye(message.reason as GoodbyeReason);
+        this.take(message, zone);
+      }
+    }
+  }
+
+  private take(message: StreamMessage, zone: string): void {
+    switch (message.kind) {
+      case 'report':
+        return this.takeReport(message);
+      case 'sign':
+        return this.takeSign(message, zone);
+      case 'resync':
+        this.context.metrics.resyncs.inc({ reason: message.reason });
+        this.snapshotWanted = true;
+        this.context.broadcast.news.notify();
+        return;
+      default:
+        throw this.malformed(`a ${message.kind} message from a daemon`);
+    }
+  }
+
+  private register({ incarnation, zone, version, heldRevision }: SubscribeMessage): void {
+    this.update({
+      name: this.daemonName,
+      zone,
+      version,
+      incarnation,
+      sequence: 0,
+      revision: heldRevision,
+      controller: this.context.memberId,
+      left: false,
+    });
+  }
+
+  private takeReport({ sequence, revision }: ReportMessage): void {
+    if (this.record !== undefined) this.update({ ...this.record, sequence, revision });
+  }
+
+  private takeGoodbye(reason: GoodbyeReason): void {
+    if (reason !== 'stopping' || this.record === undefined) return;
+    this.update({ ...this.record, sequence: this.record.sequence + 1, left: true });
+  }
+
+  private takeSign(message: SignMessage, zone: string): void {
+    const sign = fromSignMessage(message);
+    if (sign === undefined) throw this.malformed('not a sign of a replica');
+    const scoped = { scope: scopeOf(sign, zone), sign };
+    if (!this.context.signs.record(scoped)) return;
+    this.context.broadcast.news.notify();
+    this.context.onNews();
+  }
+
+  private update(record: DaemonRecord): void {
+    this.record = record;
+    if (this.context.daemons.record(record)) this.context.onNews();
+  }
+
+  private async receiveFrame(): Promise<Uint8Array | undefined> {
+    const frame = await this.connection.receive();
+    this.heardAt = this.context.clock.now();
+    if (frame !== undefined && frame.length > MAXIMUM_SUBSCRIBER_FRAME_BYTES) {
+      throw this.malformed(`a frame of ${frame.length} bytes`);
+    }
+    return frame;
+  }
+
+  /** Also ends the stream of a daemon that reads nothing: it reports nothing either. */
+  private async closeWhenSilent(): Promise<void> {
+    const { clock } = this.context;
+    const closed = new AbortController();
+    void this.connection.closed.then(() => closed.abort(new Error('closed')));
+    while (!this.ended) {
+      const remaining = this.heardAt + SUBSCRIBER_SILENCE_MS - clock.now();
+      if (remaining <= 0) return this.end();
+      await clock.sleep(remaining, closed.signal).catch(() => undefined);
+    }
+  }
+
+  private malformed(message: string): MalformedMessageError {
+    return new MalformedMessageError('read stream', this.daemonName, message);
+  }
+}
--- /dev/null
+++ b/src/control/platform-list-poller.ts
@@ -0,0 +1,120 @@
+/**
+ * Reads the platform's list of machines at a fixed interval and notes what it
+ * says of each replica. Only stated states count: a machine that is missing
+ * from the list may be one that a lagging or restarted list does not know yet.
+ */
+import { Counter } from 'prom-client';
+import { z } from 'zod';
+import { EVERYWHERE, PLATFORM_OBSERVER, type SignBoard } from '../control-stream/sign-board.js';
+import { nameSchema } from '../model/service-definition.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import type { Address } from '../seams/address.js';
+import type { Environment } from '../seams/environment.js';
+import type { HttpClient } from '../seams/http.js';
+
+/** Path of the list. */
+const MACHINES_PATH = '/machines';
+
+/** Milliseconds. */
+const POLL_INTERVAL_MS = 1_000;
+const POLL_TIMEOUT_MS = 2_000;
+
+const CLIENT_OPTIONS = {
+  connections: 1,
+  maximumResponseBytes: 16 * 1024 * 1024,
+  connectTimeout: 1_000,
+  keepAliveTimeout: 10_000,
+};
+
+const machinesSchema = z
+  .array(
+    z.object({
+      replicaId: nameSchema,
+      incarnation: z.int().min(0),
+      state: z.enum(['live', 'draining', 'gone']),
+    }),
+  )
+  .max(100_000);
+
+/** Polls until stopped. */
+export class PlatformListPoller {
+  private readonly client: HttpClient;
+  private readonly stopped = new AbortController();
+  private readonly finished: Promise<void>;
+  private readonly polls: Counter<'outcome'>;
+
+  constructor(
+    private readonly environment: Environment,
+    address: Address,
+    private readonly signs: SignBoard,
+    private readonly onSigns: () => void,
+    telemetry: Telemetry,
+  ) {
+    this.client = environment.network.httpClient(address, CLIENT_OPTIONS);
+    this.polls = new Counter({
+      name: 'driftway_platform_list_polls_total',
+      help: "Readings of the platform's list of machines, by outcome.",
+      labelNames: ['outcome'],
+      registers: [telemetry.registry],
+    });
+    this.finished = this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped.abort(new Error('stopped'));
+    this.client.destroy();
+    await this.finished;
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      const outcome = await this.poll();
+      this.polls.inc({ outcome });
+      await this.environment.clock.sleep(POLL_INTERVAL_MS, signal).catch(() => undefined);
+    }
+  }
+
+  private async poll(): Promise<'read' | 'failed' | 'malformed'> {
+    const body = await this.fetch();
+    if (body === undefined) return 'failed';
+    const machines = parseMachines(body);
+    if (machines === undefined) return 'malformed';
+    let news = false;
+    for (const machine of machines) {
+      const sign = { ...machine, observedBy: PLATFORM_OBSERVER };
+      news = this.signs.record({ scope: EVERYWHERE, sign }) || news;
+    }
+    if (news) this.onSigns();
+    return 'read';
+  }
+
+  private async fetch(): Promise<Uint8Array | undefined> {
+    const timeout = new AbortController();
+    const timer = this.environment.clock.setTimer(POLL_TIMEOUT_MS, () => {
+      timeout.abort(new Error('timeout'));
+    });
+    try {
+      const response = await this.client.request({
+        method: 'GET',
+        path: MACHINES_PATH,
+        headers: {},
+        signal: timeout.signal,
+      });
+      return response.status === 200 ? response.body : undefined;
+    } catch {
+      return undefined;
+    } finally {
+      timer.cancel();
+    }
+  }
+}
+
+function parseMachines(body: Uint8Array): z.infer<typeof machinesSchema> | undefined {
+  try {
+    const document: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
+    return machinesSchema.safeParse(document).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/protocol/dial.ts
@@ -0,0 +1,45 @@
+/** Opens an internal connection, handshake included. */
+import type { Address } from '../seams/address.js';
+import type { Clock } from '../seams/clock.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import type { Network } from '../seams/network.js';
+import type { ConnectionRole } from './connection-role.js';
+import { HandshakeError } from './handshake-error.js';
+import { initiateHandshake, type LocalIdentity } from './handshake.js';
+
+/** The seams that dialling needs. */
+export interface DialEnvironment {
+  readonly clock: Clock;
+  readonly network: Network;
+}
+
+/** Whom to reach and as what. */
+export interface DialTarget {
+  readonly address: Address;
+  readonly role: ConnectionRole;
+  /** Member id that must answer there; any when absent. */
+  readonly memberId?: string;
+  /** Longest time to open the connection, without the handshake. Milliseconds. */
+  readonly connectTimeout: number;
+}
+
+/**
+ * Resolves with a connection whose peer has proven the cluster key.
+ *
+ * @throws ConnectionError when the peer cannot be reached.
+ * @throws HandshakeError when it is not the wanted one or turns this process away.
+ */
+export async function dial(
+  environment: DialEnvironment,
+  identity: LocalIdentity,
+  target: DialTarget,
+): Promise<MessageConnection> {
+  const { address, role, memberId, connectTimeout } = target;
+  const connection = await environment.network.connectMessages(address, connectTimeout);
+  const peer = await initiateHandshake(environment.clock, connection, identity, role);
+  if (memberId !== undefined && peer.name !== memberId) {
+    connection.close();
+    throw new HandshakeError('wrong_member', connection.peer, `${peer.name} answers there`);
+  }
+  return connection;
+}
