Add the router command

The router daemon and the control stream client stand; the command reads the settings file, follows the controllers and stops in the planned way.

--- /dev/null
+++ b/src/commands/router-command.ts
@@ -0,0 +1,66 @@
+/** `driftway router`: the query daemon. */
+import { Command, Option } from 'clipanion';
+import { ConfigurationError } from '../configuration/configuration-error.js';
+import { routerConfigurationSchema } from '../configuration/router-configuration.js';
+import { ControlStreamClient } from '../control-stream/control-stream-client.js';
+import { createNodeEnvironment } from '../node/node-environment.js';
+import { RouterDaemon } from '../router/router-daemon.js';
+import { createTelemetry, ExitCode, runDaemon } from './daemon-process.js';
+import { loadConfiguration } from './load-configuration.js';
+
+/** Runs until SIGTERM. */
+export class RouterCommand extends Command {
+  static override paths = [['router']];
+  static override usage = Command.Usage({
+    category: 'Daemons',
+    description: 'Run the query daemon',
+    details: `
+      Serves callers over HTTP and sends their queries to the back ends. Learns services,
+      replicas and settings from the controllers named in its settings file.
+
+      Stops on SIGTERM: takes no new work, finishes what is in flight, then exits with 0.
+      Exits with 2 when the settings file is wrong, naming every wrong key.
+    `,
+    examples: [
+      ['Run with a settings file', 'driftway router --config router.yaml'],
+      ['Listen elsewhere', 'driftway router --config router.yaml --listen 127.0.0.1:7400'],
+    ],
+  });
+
+  config = Option.String('--config', { required: true, description: 'Settings file (YAML)' });
+  daemonName = Option.String('--name', { description: 'Overrides name' });
+  listen = Option.String('--listen', { description: 'Overrides listen.http, as host:port' });
+  region = Option.String('--region', { description: 'Overrides region' });
+  zone = Option.String('--zone', { description: 'Overrides zone' });
+
+  override async execute(): Promise<ExitCode> {
+    try {
+      return await this.run();
+    } catch (error) {
+      if (!(error instanceof ConfigurationError)) throw error;
+      this.context.stderr.write(`${error.message}\n`);
+      return ExitCode.BadConfiguration;
+    }
+  }
+
+  private async run(): Promise<ExitCode> {
+    const configuration = await loadConfiguration(routerConfigurationSchema, this.config, [
+      { path: 'name', value: this.daemonName },
+      { path: 'listen.http', value: this.listen },
+      { path: 'region', value: this.region },
+      { path: 'zone', value: this.zone },
+    ]);
+    const telemetry = createTelemetry(configuration.log.format, process.stdout);
+    const environment = createNodeEnvironment();
+    return runDaemon(telemetry.logger, async () => {
+      const source = ControlStreamClient.start(environment, configuration, telemetry);
+      const router = await RouterDaemon.start(environment, configuration, source, telemetry);
+      return {
+        stop: async () => {
+          await router.stop();
+          await source.close();
+        },
+      };
+    });
+  }
+}
