--- a/src/router/shard-execution.ts
+++ b/src/router/shard-execution.ts
@@ -62,10 +62,20 @@
     for (const controller of this.running) controller.abort();
   }
 
+  /** Launches at a replica with a free connection, waiting for one until the query ends. */
   private async tryOnce(kind: AttemptKind): Promise<AttemptOutcome> {
-    const record = await this.chooseReplica();
-    if (record === undefined) return failedAttempt(this.candidates.whyNone(), false);
-    if (this.ended.aborted) return failedAttempt('not_waited_for', false);
+    for (;;) {
+      const preferred = this.candidates.preferred();
+      if (preferred.length === 0) return failedAttempt(this.candidates.whyNone(), false);
+      // No await between the choice and the launch, so that two tasks never take one connection.
+      const record = this.select(preferred.filter((each) => each.hasRoom));
+      if (record !== undefined) return this.launchWithHedge(kind, record);
+      await waitForRoom(preferred, this.ended);
+      if (this.ended.aborted) return failedAttempt('not_waited_for', false);
+    }
+  }
+
+  private async launchWithHedge(kind: AttemptKind, record: ReplicaRecord): Promise<AttemptOutcome> {
     if (kind === 'primary') this.earnBudgets();
     const first = this.launch(kind, record);
     const delay = this.hedgeDelay();
@@ -76,17 +86,6 @@
     return hedge === undefined ? first.outcome : this.firstAnswered(first, hedge);
   }
 
-  /** A replica with a free connection, waiting for one until the query ends. */
-  private async chooseReplica(): Promise<ReplicaRecord | undefined> {
-    for (;;) {
-      const preferred = this.candidates.preferred();
-      if (preferred.length === 0) return undefined;
-      const chosen = this.select(preferred.filter((record) => record.hasRoom));
-      if (chosen !== undefined || this.ended.aborted) return chosen;
-      await waitForRoom(preferred, this.ended);
-    }
-  }
-
   private select(records: readonly ReplicaRecord[]): ReplicaRecord | undefined {
     const view = this.query.service.policies.replicaSelector.select(records);
     return records.find((record) => record === view);
