--- a/test/router/support/fake-backend.ts
+++ b/test/router/support/fake-backend.ts
@@ -19,6 +19,7 @@
   started: boolean;
   finished: boolean;
   cancelled: boolean;
+  cancelledAt?: number;
 }
 
 /** A reply in the making; a test may change anything about it. */
@@ -62,7 +63,10 @@
     this.tamper(draft, entry);
     entry.started = draft.disposition === 'answered' || draft.disposition === 'failed';
     draft.headers[BackendHeader.Disposition] ??= draft.disposition;
-    signal.addEventListener('abort', () => void (entry.cancelled = !entry.finished));
+    signal.addEventListener('abort', () => {
+      entry.cancelled = !entry.finished;
+      entry.cancelledAt = this.clock.now();
+    });
     await this.wait(draft.latency, signal);
     entry.finished = true;
     if (draft.error !== undefined) throw draft.error;
