Add the administration API

Cause: operators need one door to the controllers that says of every request whether it changed anything.

Change: createAdministrationHandler over ReplicatedLog and ConfigurationStateMachine: changes with dry run, change reports, configuration at kept revisions, services, effective settings, history, status, members (over an interface the Raft node may offer) and tokens. Failures of the log are told apart by their labels: NotRun means nothing changed, anything else that the outcome is unknown and the same change id has to be resent. Tokens are checked again when a command is applied. The controller's settings file gains administration.bootstrapTokenHash (additive). The history keeps the configuration before its oldest change, so that earlier revisions can be read.

--- /dev/null
+++ b/src/administration/administration-dependencies.ts
@@ -0,0 +1,26 @@
+/** What the administration API works with. */
+import type { Registry } from 'prom-client';
+import type { ReplicatedLog } from '../consensus/replicated-log.js';
+import type { Logger } from '../observability/logger.js';
+import type { Clock } from '../seams/clock.js';
+import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
+import type { ForceTracker } from './force-tracker.js';
+import type { MemberAdministration } from './member-administration.js';
+
+/** Parts of one controller. */
+export interface AdministrationDependencies {
+  readonly log: ReplicatedLog;
+  /** The state that `log` applies to. */
+  readonly machine: ConfigurationStateMachine;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly registry: Registry;
+  /** SHA-256 of the bootstrap token, hexadecimal; without one, only team tokens are accepted. */
+  readonly bootstrapTokenHash?: string;
+  /** Without one, answers say nothing of daemons. */
+  readonly forces?: ForceTracker;
+  /** Without one, members cannot be changed. */
+  readonly members?: MemberAdministration;
+  /** A longer body is refused. Bytes. {@link MAXIMUM_COMMAND_BYTES} when absent. */
+  readonly maximumBodyBytes?: number;
+}
--- /dev/null
+++ b/src/administration/routes.ts
@@ -0,0 +1,15 @@
+/** Every endpoint of the administration API. */
+import { CHANGE_ROUTES } from './change-routes.js';
+import { CONFIGURATION_ROUTES } from './configuration-routes.js';
+import type { Route } from './route.js';
+import { SERVICE_ROUTES } from './service-routes.js';
+import { STATUS_ROUTES } from './status-routes.js';
+import { TOKEN_ROUTES } from './token-routes.js';
+
+export const ROUTES: readonly Route[] = [
+  ...CHANGE_ROUTES,
+  ...CONFIGURATION_ROUTES,
+  ...SERVICE_ROUTES,
+  ...STATUS_ROUTES,
+  ...TOKEN_ROUTES,
+];
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -1,6 +1,7 @@
 /** Settings file of the control daemon. */
 import { z } from 'zod';
 import { nameSchema } from '../model/service-definition.js';
+import { tokenHashSchema } from '../settings/access-token.js';
 import {
   addressSchema,
   clusterSchema,
@@ -25,6 +26,17 @@
   initialMembers: z.array(controllerEndpointSchema).min(1),
   /** Start as a learner that an operator adds to a running cluster. */
   join: z.boolean().default(false),
+  administration: z
+    .strictObject({
+      /**
+       * SHA-256 of the bootstrap token's text, hexadecimal. That token may do
+       * anything; without it only tokens that it once created are accepted.
+       */
+      bootstrapTokenHash: tokenHashSchema
+        .optional()
+        .describe('9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08'),
+    })
+    .prefault({}),
   /** The platform's list of machines, polled over HTTP. */
   platformList: addressSchema.optional(),
   log: logSchema,
--- a/src/settings/apply-operations.ts
+++ b/src/settings/apply-operations.ts
@@ -100,12 +100,12 @@
 }
 
 /**
- * The next revision: all operations in order, then the whole tree validated.
+ * All operations in order, without validating the result: for changes that were
+ * accepted before.
  *
- * @throws ChangeRejectedError when an operation does not fit or the result
- *   would leave any service invalid; `state` is untouched.
+ * @throws ChangeRejectedError when an operation does not fit.
  */
-export function applyOperations(
+export function replayOperations(
   state: ConfigurationState,
   operations: readonly Operation[],
 ): ConfigurationState {
@@ -113,6 +113,20 @@
   for (const [index, operation] of operations.entries()) {
     next = applyAt(next, operation, index);
   }
-  validateConfiguration(next);
   return { ...next, revision: state.revision + 1 };
 }
+
+/**
+ * The next revision: all operations in order, then the whole tree validated.
+ *
+ * @throws ChangeRejectedError when an operation does not fit or the result
+ *   would leave any service invalid; `state` is untouched.
+ */
+export function applyOperations(
+  state: ConfigurationState,
+  operations: readonly Operation[],
+): ConfigurationState {
+  const next = replayOperations(state, operations);
+  validateConfiguration(next);
+  return next;
+}
--- a/src/settings/authorize.ts
+++ b/src/settings/authorize.ts
@@ -1,6 +1,8 @@
 /** Whether a principal may make a change: containment of scopes in the subtrees of a token. */
 import type { AccessToken } from './access-token.js';
 import type { Operation } from './change.js';
+import type { RefusedOutcome } from './change-outcome.js';
+import type { ConfigurationCommand } from './configuration-command.js';
 import type { ConfigurationState } from './configuration-state.js';
 import { lookUp } from './look-up.js';
 import { formatScope, parseScope, type Scope } from './scope.js';
@@ -66,16 +68,18 @@
 }
 
 /** The first operation that `token` does not cover, or undefined when it covers all. */
-export function uncoveredOperation(
+function refusalOfOperations(
   state: ConfigurationState,
   token: AccessToken,
   operations: readonly Operation[],
-): { readonly index: number; readonly scope: string } | undefined {
+): RefusedOutcome | undefined {
   const regions = new RegionLookup(state, operations);
   for (const [index, operation] of operations.entries()) {
     const target = targetOf(regions, operation);
     const covered = enclosing(regions, target).some((scope) => token.scopes.includes(scope));
-    if (!covered) return { index, scope: formatScope(target) };
+    if (covered) continue;
+    const reason = `the token of team ${token.team} does not cover ${formatScope(target)}`;
+    return { kind: 'forbidden', path: `operations.${index}`, reason };
   }
   return undefined;
 }
@@ -84,3 +88,25 @@
 export function coversEverything(token: AccessToken): boolean {
   return token.scopes.includes(EVERYTHING);
 }
+
+/**
+ * Why a command may not be run; undefined when it may. Asked when the command
+ * is applied, so that a token revoked before that is refused at every controller.
+ */
+export function refusalOf(
+  state: ConfigurationState,
+  findToken: (tokenId: string) => AccessToken | undefined,
+  { principal, ...command }: ConfigurationCommand,
+): RefusedOutcome | undefined {
+  if (principal.kind === 'bootstrap') return undefined;
+  const token = findToken(principal.tokenId);
+  if (token === undefined) {
+    return { kind: 'forbidden', path: 'token', reason: 'the token has been revoked' };
+  }
+  if (command.kind === 'change') {
+    return refusalOfOperations(state, token, command.request.operations);
+  }
+  if (coversEverything(token)) return undefined;
+  const reason = 'only a token for defaults may change tokens';
+  return { kind: 'forbidden', path: 'token', reason };
+}
--- a/src/settings/change-history.ts
+++ b/src/settings/change-history.ts
@@ -1,5 +1,7 @@
 /** The last accepted changes, bounded in number and in bytes. Part of the replicated state. */
 import type { AcceptedChange } from './accepted-change.js';
+import { replayOperations } from './apply-operations.js';
+import { EMPTY_CONFIGURATION, type ConfigurationState } from './configuration-state.js';
 
 /** Most changes kept. At 2,000 changes a day this is two days. */
 export const HISTORY_CHANGES = 4_096;
@@ -15,6 +17,7 @@
 export class ChangeHistory {
   private entries: HistoryEntry[] = [];
   private bytes = 0;
+  private base: ConfigurationState = EMPTY_CONFIGURATION;
 
   constructor(
     private readonly maximumChanges: number,
@@ -25,7 +28,21 @@
     const size = JSON.stringify(change).length;
     this.entries.push({ change, size });
     this.bytes += size;
-    while (this.isOverfull()) this.bytes -= this.entries.shift()?.size ?? 0;
+    while (this.isOverfull()) this.dropOldest();
+  }
+
+  /** The configuration before the oldest kept change. */
+  oldestConfiguration(): ConfigurationState {
+    return this.base;
+  }
+
+  /** The configuration of an earlier revision, or undefined when it is no longer kept. */
+  configurationAt(revision: number): ConfigurationState | undefined {
+    const steps = revision - this.base.revision;
+    if (steps < 0 || steps > this.entries.length) return undefined;
+    return this.entries
+      .slice(0, steps)
+      .reduce((state, { change }) => replayOperations(state, change.operations), this.base);
   }
 
   /** Oldest first. */
@@ -41,12 +58,20 @@
     return this.entries.slice(this.entries.length - wanted).map((entry) => entry.change);
   }
 
-  replace(changes: readonly AcceptedChange[]): void {
+  replace(base: ConfigurationState, changes: readonly AcceptedChange[]): void {
+    this.base = base;
     this.entries = [];
     this.bytes = 0;
     for (const change of changes) this.add(change);
   }
 
+  private dropOldest(): void {
+    const oldest = this.entries.shift();
+    if (oldest === undefined) return;
+    this.bytes -= oldest.size;
+    this.base = replayOperations(this.base, oldest.change.operations);
+  }
+
   private isOverfull(): boolean {
     if (this.entries.length <= 1) return false;
     return this.entries.length > this.maximumChanges || this.bytes > this.maximumBytes;
--- a/src/settings/configuration-snapshot.ts
+++ b/src/settings/configuration-snapshot.ts
@@ -12,6 +12,8 @@
 /** Everything that a controller must not forget. */
 export interface ConfigurationSnapshot {
   readonly configuration: ConfigurationState;
+  /** Before the oldest change of `history`. */
+  readonly oldestConfiguration: ConfigurationState;
   readonly history: readonly AcceptedChange[];
   readonly outcomes: readonly OutcomeEntry[];
   readonly tokens: readonly AccessToken[];
--- a/src/settings/configuration-state-machine.ts
+++ b/src/settings/configuration-state-machine.ts
@@ -10,9 +10,9 @@
 import type { AcceptedChange } from './accepted-change.js';
 import type { AccessToken } from './access-token.js';
 import { applyOperations } from './apply-operations.js';
-import { coversEverything, uncoveredOperation } from './authorize.js';
+import { refusalOf } from './authorize.js';
 import { ChangeHistory, HISTORY_BYTES, HISTORY_CHANGES } from './change-history.js';
-import type { ChangeOutcome, RecordedOutcome } from './change-outcome.js';
+import type { ChangeOutcome, RecordedOutcome, RefusedOutcome } from './change-outcome.js';
 import { ChangeRejectedError } from './change-rejected-error.js';
 import {
   decodeCommand,
@@ -89,6 +89,11 @@
     return this.history.all();
   }
 
+  /** The configuration of an earlier revision, or undefined when it is no longer kept. */
+  configurationAt(revision: number): ConfigurationState | undefined {
+    return this.history.configurationAt(revision);
+  }
+
   /** What became of a change, while it is in the window. */
   outcomeOf(changeId: string): ChangeOutcome | undefined {
     return this.outcomes.find(changeId)?.outcome;
@@ -107,6 +112,11 @@
     return this.tokenRecords;
   }
 
+  /** Why the principal may not run the command now; undefined when it may. */
+  refusalOf(command: ConfigurationCommand): RefusedOutcome | undefined {
+    return refusalOf(this.configuration, (tokenId) => this.tokens.find(tokenId), command);
+  }
+
   apply(bytes: Uint8Array, _index: number): Uint8Array {
     const command = decodeCommand(bytes);
     return encodeJson(command === undefined ? NOT_UNDERSTOOD : this.applyOnce(command));
@@ -115,6 +125,7 @@
   snapshot(): Uint8Array {
     return encodeSnapshot({
       configuration: this.configuration,
+      oldestConfiguration: this.history.oldestConfiguration(),
       history: this.history.all(),
       outcomes: this.outcomes.all(),
       tokens: this.tokens.all(),
@@ -125,7 +136,7 @@
   restore(bytes: Uint8Array): void {
     const snapshot = decodeSnapshot(bytes);
     this.configuration = snapshot.configuration;
-    this.history.replace(snapshot.history);
+    this.history.replace(snapshot.oldestConfiguration, snapshot.history);
     this.outcomes.replace(snapshot.outcomes);
     this.tokens.replace(snapshot.tokens);
     this.tokenRecords = [...snapshot.tokenRecords];
@@ -149,7 +160,7 @@
   }
 
   private applyCommand(command: ConfigurationCommand): ChangeOutcome {
-    const refusal = this.authorize(command);
+    const refusal = this.refusalOf(command);
     if (refusal !== undefined) return refusal;
     try {
       if (command.kind === 'change') return this.applyChange(command);
@@ -160,25 +171,6 @@
     }
   }
 
-  /** Decided here and not at the API alone, so that a revoked token is refused everywhere. */
-  private authorize(command: ConfigurationCommand): ChangeOutcome | undefined {
-    if (command.principal.kind === 'bootstrap') return undefined;
-    const token = this.tokens.find(command.principal.tokenId);
-    if (token === undefined) {
-      return { kind: 'forbidden', path: 'token', reason: 'the token has been revoked' };
-    }
-    if (command.kind !== 'change') {
-      if (coversEverything(token)) return undefined;
-      const reason = 'only a token for defaults may change tokens';
-      return { kind: 'forbidden', path: 'token', reason };
-    }
-    const uncovered = uncoveredOperation(this.configuration, token, command.request.operations);
-    if (uncovered === undefined) return undefined;
-    const path = `operations.${uncovered.index}`;
-    const reason = `the token of team ${token.team} does not cover ${uncovered.scope}`;
-    return { kind: 'forbidden', path, reason };
-  }
-
   private applyChange({ principal, at, request }: CommandOf<'change'>): ChangeOutcome {
     const { baseRevision, changeId, author, reason, operations } = request;
     const currentRevision = this.configuration.revision;
--- /dev/null
+++ b/test/administration/memory-log.ts
@@ -0,0 +1,95 @@
+/** A replicated log of several members in one process, with failures on demand. */
+import { empty } from '@most/core';
+import type {
+  CommittedCommand,
+  ReplicatedLog,
+  ReplicatedLogStatus,
+} from '../../src/consensus/replicated-log.js';
+import { DriftwayError, ErrorLabel } from '../../src/errors/driftway-error.js';
+import { ConfigurationStateMachine } from '../../src/settings/configuration-state-machine.js';
+
+/** What happens to the next proposal. */
+export type ProposalFault = 'not_proposed' | 'answer_lost' | 'lost_before_commit';
+
+/** The agreed history that the members share. */
+export class MemoryHistory {
+  readonly commands: Uint8Array[] = [];
+  readonly members: MemoryLog[] = [];
+
+  addMember(memberId: string): MemoryLog {
+    const member = new MemoryLog(memberId, this);
+    this.members.push(member);
+    return member;
+  }
+}
+
+/** One member. Applies lazily, so that it lags until it proposes or is asked for a barrier. */
+export class MemoryLog implements ReplicatedLog {
+  readonly machine = new ConfigurationStateMachine();
+  readonly applied = empty();
+  nextFault: ProposalFault | undefined;
+  hasQuorum = true;
+  private appliedIndex = 0;
+
+  constructor(
+    private readonly memberId: string,
+    private readonly history: MemoryHistory,
+  ) {}
+
+  async propose(command: Uint8Array): Promise<CommittedCommand> {
+    const fault = this.nextFault;
+    this.nextFault = undefined;
+    if (fault === 'not_proposed' || !this.hasQuorum) {
+      const labels = [ErrorLabel.NotRun, ErrorLabel.Transient];
+      throw new DriftwayError('no leader', { step: 'propose', labels });
+    }
+    if (fault === 'lost_before_commit') throw new DriftwayError('cut off', { step: 'propose' });
+    this.history.commands.push(command);
+    const index = this.history.commands.length;
+    const result = this.applyUpTo(index);
+    if (fault === 'answer_lost') throw new DriftwayError('cut off', { step: 'propose' });
+    return { index, result };
+  }
+
+  async readBarrier(): Promise<void> {
+    if (!this.hasQuorum) {
+      const labels = [ErrorLabel.Transient];
+      throw new DriftwayError('no quorum', { step: 'read barrier', labels });
+    }
+    this.applyUpTo(this.history.commands.length);
+  }
+
+  status(): ReplicatedLogStatus {
+    const lastIndex = this.history.commands.length;
+    return {
+      memberId: this.memberId,
+      role: this.memberId === 'controller-1' ? 'leader' : 'follower',
+      term: 1,
+      leaderId: 'controller-1',
+      commitIndex: lastIndex,
+      appliedIndex: this.appliedIndex,
+      lastIndex,
+      sinceQuorumMs: this.hasQuorum ? 0 : Infinity,
+      members: this.history.members.map((member) => ({
+        memberId: member.memberId,
+        address: '127.0.0.1:1',
+        voter: true,
+        matchIndex: member.appliedIndex,
+      })),
+    };
+  }
+
+  async close(): Promise<void> {}
+
+  private applyUpTo(index: number): Uint8Array {
+    let result = new Uint8Array();
+    while (this.appliedIndex < index) {
+      const command = this.history.commands[this.appliedIndex];
+      this.appliedIndex += 1;
+      if (command !== undefined) {
+        result = new Uint8Array(this.machine.apply(command, this.appliedIndex));
+      }
+    }
+    return result;
+  }
+}
--- a/test/settings/configuration-state-machine.test.ts
+++ b/test/settings/configuration-state-machine.test.ts
@@ -143,6 +143,10 @@
     expect(machine.acceptedSince(2)?.map(({ revision }) => revision)).toEqual([3, 4]);
     expect(machine.acceptedSince(1)).toBeUndefined();
     expect(machine.acceptedSince(5)).toBeUndefined();
+    expect(machine.configurationAt(4)).toEqual(machine.current());
+    expect(machine.configurationAt(2)).toMatchObject({ revision: 2, regions: { dohoku: {} } });
+    expect(machine.configurationAt(1)).toBeUndefined();
+    expect(copyOf(machine).configurationAt(3)).toEqual(machine.configurationAt(3));
   });
 
   it('turns garbage in the history into a refusal instead of a failure', () => {
@@ -171,6 +175,12 @@
     expect(machine.current().revision).toBe(1);
     expect(attempt('change-002', 1, [own])).toBe('accepted');
     expect(machine.acceptedChanges().at(-1)).toMatchObject({ author: 'sato', team: 'audit' });
+    const evil = { ...request, changeId: 'token-evil', tokenId: 'evil', scopes: ['defaults'] };
+    machine.apply(
+      encodeCommand({ kind: 'createToken', principal: audit, at: 2, request: evil }),
+      3,
+    );
+    expect(machine.token('evil')).toBeUndefined();
     const revoke = { changeId: 'token-002', tokenId: 'audit', ...by };
     machine.apply(
       encodeCommand({ kind: 'revokeToken', principal: BOOTSTRAP, at: 2, request: revoke }),
