Add the control daemon, and show the control stream in the simulation

Cause: nothing yet put an accepted configuration in force at daemons.

Change: ControllerDaemon (administration API, health, counters, control stream, exchange between controllers, platform list) over a log of one member in a synced file; the controller command; return of a daemon to its zone once a controller there stayed healthy; the switch applyLowerRevision for the simulator's broken builds.

Shown: simulated runs for silent, cut-off, lagging and stopping sources, stale sources at a restart, divergence, gaps, held-back heartbeats, replica signs and revisions in force; real sockets for the handshake and for a restart after 300 changes.

Not yet: the consensus node, figures, documents.

--- /dev/null
+++ b/src/commands/controller-command.ts
@@ -0,0 +1,66 @@
+/** `driftway controller`: the control daemon. */
+import { Command, Option } from 'clipanion';
+import { ConfigurationError } from '../configuration/configuration-error.js';
+import { controllerConfigurationSchema } from '../configuration/controller-configuration.js';
+import { ControllerDaemon } from '../control/controller-daemon.js';
+import { createDurableNodeEnvironment } from '../node/node-environment.js';
+import { createTelemetry, ExitCode, runDaemon } from './daemon-process.js';
+import { loadConfiguration } from './load-configuration.js';
+
+/** Runs until SIGTERM. */
+export class ControllerCommand extends Command {
+  static override paths = [['controller']];
+  static override usage = Command.Usage({
+    category: 'Daemons',
+    description: 'Run the control daemon',
+    details: `
+      Agrees with the other controllers on the configuration, serves operators over HTTP, and
+      streams the configuration to the other daemons. Keeps its state in its data folder.
+
+      Stops on SIGTERM: answers what is in flight, sends daemons to other controllers, hands
+      leadership over, then exits with 0. Exits with 2 when the settings file is wrong, naming
+      every wrong key.
+    `,
+    examples: [
+      ['Run with a settings file', 'driftway controller --config controller-1.yaml'],
+      [
+        'Keep the state elsewhere',
+        'driftway controller --config controller-1.yaml --data-folder ./data/controller-1',
+      ],
+    ],
+  });
+
+  config = Option.String('--config', { required: true, description: 'Settings file (YAML)' });
+  memberId = Option.String('--member-id', { description: 'Overrides memberId' });
+  dataFolder = Option.String('--data-folder', { description: 'Overrides dataFolder' });
+  listenHttp = Option.String('--listen-http', { description: 'Overrides listen.http' });
+  listenMessages = Option.String('--listen-messages', { description: 'Overrides listen.messages' });
+  region = Option.String('--region', { description: 'Overrides region' });
+  zone = Option.String('--zone', { description: 'Overrides zone' });
+
+  override async execute(): Promise<ExitCode> {
+    try {
+      return await this.run();
+    } catch (error) {
+      if (!(error instanceof ConfigurationError)) throw error;
+      this.context.stderr.write(`${error.message}\n`);
+      return ExitCode.BadConfiguration;
+    }
+  }
+
+  private async run(): Promise<ExitCode> {
+    const configuration = await loadConfiguration(controllerConfigurationSchema, this.config, [
+      { path: 'memberId', value: this.memberId },
+      { path: 'dataFolder', value: this.dataFolder },
+      { path: 'listen.http', value: this.listenHttp },
+      { path: 'listen.messages', value: this.listenMessages },
+      { path: 'region', value: this.region },
+      { path: 'zone', value: this.zone },
+    ]);
+    const telemetry = createTelemetry(configuration.log.format, process.stdout);
+    const environment = createDurableNodeEnvironment(configuration.dataFolder);
+    return runDaemon(telemetry.logger, () =>
+      ControllerDaemon.start(environment, configuration, telemetry),
+    );
+  }
+}
--- a/src/control-stream/control-stream-client.ts
+++ b/src/control-stream/control-stream-client.ts
@@ -18,7 +18,10 @@
 import { DaemonCopy } from './daemon-copy.js';
 import type { SessionEnd } from './session-end.js';
 import { SourceSelector } from './source-selector.js';
-import { SourceSession, type SessionContext } from './source-session.js';
+import type { SessionContext } from './session-context.js';
+import { SourceProbe } from './source-probe.js';
+import { SourceSession } from './source-session.js';
+import { RETURN_CHECK_INTERVAL_MS } from './stream-timing.js';
 
 /** Who the daemon is and whom it may follow; a router's settings file holds all of it. */
 export interface ControlStreamClientConfiguration {
@@ -119,13 +122,38 @@
   private async runSession(endpoint: ControllerEndpoint, stale: boolean): Promise<SessionEnd> {
     const session = new SourceSession(this.context, endpoint, stale);
     this.session = session;
+    const over = new AbortController();
+    void this.returnWhenHealthy(session, over.signal);
     const end = await session.run();
+    over.abort(new Error('session over'));
     this.session = undefined;
     this.context.metrics.sessionsEnded.inc({ reason: end });
     this.logger.info('left controller', { controller: endpoint.memberId, reason: end });
     return end;
   }
 
+  /** Looks after controllers that are preferred, and moves there once one stays healthy. */
+  private async returnWhenHealthy(session: SourceSession, over: AbortSignal): Promise<void> {
+    const preferred = this.selector.preferredOver(session.endpoint);
+    const { clock, random } = this.environment;
+    while (preferred.length > 0 && !over.aborted) {
+      for (const endpoint of preferred) {
+        // Jittered, so that the daemons of a zone do not come back at one moment.
+        const interval = RETURN_CHECK_INTERVAL_MS * (0.5 + random.nextFloat());
+        await clock.sleep(interval, over).catch(() => undefined);
+        if (over.aborted) return;
+        const probe = new SourceProbe(this.context, endpoint);
+        const abandon = (): void => probe.abandon();
+        over.addEventListener('abort', abandon, { once: true });
+        const healthy = await probe.run();
+        over.removeEventListener('abort', abandon);
+        if (!healthy) continue;
+        this.selector.recordHealthy(endpoint);
+        return session.leave('returned');
+      }
+    }
+  }
+
   /** Returns whether the daemon still runs afterwards. */
   private async pause(milliseconds: number): Promise<boolean> {
     try {
--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -4,7 +4,9 @@
  * what it receives as news it sends on, so that two controllers cut off from
  * each other still learn from a third.
  */
+import { Counter } from 'prom-client';
 import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
+import type { Telemetry } from '../observability/telemetry.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
@@ -31,7 +33,6 @@
   readonly signs: SignBoard;
   /** Called when another controller told of a sign that was not known here. */
   readonly onSigns: () => void;
-  readonly onMalformed: () => void;
 }
 
 /** One for each controller. */
@@ -40,8 +41,17 @@
   private readonly links = new Map<string, ExchangeLink>();
   private readonly stopped = new AbortController();
   private readonly finished: Promise<void>;
+  private readonly malformedFrames: Counter;
 
-  constructor(private readonly parts: ControllerExchangeParts) {
+  constructor(
+    private readonly parts: ControllerExchangeParts,
+    telemetry: Telemetry,
+  ) {
+    this.malformedFrames = new Counter({
+      name: 'driftway_exchange_malformed_frames_total',
+      help: 'Frames from other controllers that the protocol does not allow.',
+      registers: [telemetry.registry],
+    });
     this.finished = this.followMembers();
   }
 
@@ -64,7 +74,7 @@
         this.takeAll(EXCHANGE_CODEC.decodeBatch(frame, peer.name), peer.name);
       }
     } catch (error) {
-      if (error instanceof MalformedMessageError) this.parts.onMalformed();
+      if (error instanceof MalformedMessageError) this.malformedFrames.inc();
     } finally {
       over.abort(new Error('over'));
       connection.close();
--- a/src/control-stream/daemon-directory.ts
+++ b/src/control-stream/daemon-directory.ts
@@ -3,6 +3,7 @@
  * that hears it and at those it is passed on to. A daemon whose lease ran out
  * counts as late, not as gone: it may still serve with what it holds.
  */
+import type { ForceReport, ForceTracker } from '../administration/force-tracker.js';
 import type { Clock } from '../seams/clock.js';
 import { isNewer, type DaemonRecord } from './daemon-record.js';
 import { VersionedTable } from './versioned-table.js';
@@ -42,7 +43,7 @@
 }
 
 /** One controller's view. */
-export class DaemonDirectory {
+export class DaemonDirectory implements ForceTracker {
   private readonly sightings = new Map<string, Sighting>();
   private readonly outgoing = new VersionedTable<DaemonRecord>(MAXIMUM_DAEMONS);
 
@@ -92,6 +93,14 @@
       .sort((left, right) => (left.record.name < right.record.name ? -1 : 1));
   }
 
+  inForce(_revision: number): ForceReport {
+    const daemons = this.daemons().map(({ record }) => ({
+      name: record.name,
+      revision: record.revision,
+    }));
+    return { daemons };
+  }
+
   private forgetOld(now: number): void {
     for (const [name, { heardAt }] of this.sightings) {
       if (now - heardAt <= FORGET_AFTER_MS) continue;
--- /dev/null
+++ b/src/control-stream/session-context.ts
@@ -0,0 +1,20 @@
+/** What the sessions of one daemon share. */
+import type { LocalIdentity } from '../protocol/handshake.js';
+import type { Environment } from '../seams/environment.js';
+import type { ClientMetrics } from './client-metrics.js';
+import type { DaemonCopy } from './daemon-copy.js';
+
+/** One for each daemon. */
+export interface SessionContext {
+  readonly environment: Environment;
+  readonly identity: LocalIdentity;
+  readonly zone: string;
+  /** Of the software. */
+  readonly version: string;
+  readonly copy: DaemonCopy;
+  readonly metrics: ClientMetrics;
+  /** Of this process; raised when an earlier process of the name showed a larger one. */
+  incarnation: number;
+  /** Counts reports over all sessions. */
+  reportSequence: number;
+}
--- /dev/null
+++ b/src/control-stream/source-link.ts
@@ -0,0 +1,131 @@
+/**
+ * A connection of a daemon with one controller: opened, watched, and ended for
+ * one stated reason. What passes over it is the business of its owner.
+ */
+import type { ControllerEndpoint } from '../configuration/daemon-configuration.js';
+import { dial } from '../protocol/dial.js';
+import { HandshakeError } from '../protocol/handshake-error.js';
+import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import type { SessionContext } from './session-context.js';
+import type { SessionEnd } from './session-end.js';
+import { SourceWatch } from './source-watch.js';
+import { STREAM_CODEC, type StreamMessage, type SubscribeMessage } from './stream-messages.js';
+import { CONNECT_TIMEOUT_MS, WATCH_INTERVAL_MS } from './stream-timing.js';
+
+/** Used for one connection. */
+export class SourceLink {
+  readonly watch: SourceWatch;
+  private connection: MessageConnection | undefined;
+  private reason: SessionEnd | undefined;
+  private readonly over = new AbortController();
+
+  constructor(
+    private readonly context: SessionContext,
+    readonly endpoint: ControllerEndpoint,
+    /** Until then a source without a quorum is not left. Clock reading. */
+    staleUntil: number,
+  ) {
+    this.watch = new SourceWatch(context.environment.clock.now(), staleUntil);
+  }
+
+  get ended(): boolean {
+    return this.reason !== undefined;
+  }
+
+  /**
+   * Connects, subscribes, and hands each message to `take` until either side
+   * ends the connection. Resolves with why it ended; never rejects.
+   */
+  async run(
+    subscription: SubscribeMessage,
+    take: (message: StreamMessage) => void,
+  ): Promise<SessionEnd> {
+    try {
+      const connection = await this.open();
+      if (connection !== undefined) {
+        void this.watchSource();
+        await connection.send(STREAM_CODEC.encode(subscription));
+        await this.receiveAll(connection, take);
+      }
+    } catch (error) {
+      const malformed = error instanceof MalformedMessageError;
+      if (malformed) this.context.metrics.malformedFrames.inc();
+      this.end(malformed ? 'malformed' : 'lost');
+    }
+    return this.end('lost');
+  }
+
+  /** Ends the connection; the first reason stands. */
+  end(reason: SessionEnd): SessionEnd {
+    this.reason ??= reason;
+    this.over.abort(new Error(reason));
+    this.connection?.close();
+    return this.reason;
+  }
+
+  /** Sends if it can; a broken connection shows itself to the receiving task. */
+  async send(message: StreamMessage): Promise<void> {
+    try {
+      await this.connection?.send(STREAM_CODEC.encode(message));
+    } catch {
+      // The receiving task sees the same failure and ends the connection.
+    }
+  }
+
+  /** Waits; returns whether the connection still stands afterwards. */
+  async pause(milliseconds: number): Promise<boolean> {
+    try {
+      await this.context.environment.clock.sleep(milliseconds, this.over.signal);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  malformed(message: string, cause?: unknown): MalformedMessageError {
+    return new MalformedMessageError('read stream', this.endpoint.memberId, message, cause);
+  }
+
+  private async open(): Promise<MessageConnection | undefined> {
+    const { environment, identity } = this.context;
+    const { address, memberId } = this.endpoint;
+    try {
+      this.connection = await dial(environment, identity, {
+        address,
+        role: 'subscriber',
+        memberId,
+        connectTimeout: CONNECT_TIMEOUT_MS,
+      });
+    } catch (error) {
+      this.end(error instanceof HandshakeError ? 'handshake_failed' : 'connect_failed');
+      return undefined;
+    }
+    if (this.ended) {
+      this.connection.close();
+      return undefined;
+    }
+    this.watch.opened(environment.clock.now());
+    return this.connection;
+  }
+
+  private async receiveAll(
+    connection: MessageConnection,
+    take: (message: StreamMessage) => void,
+  ): Promise<void> {
+    while (!this.ended) {
+      const frame = await connection.receive();
+      if (frame === undefined || this.ended) return;
+      this.watch.heard(this.context.environment.clock.now());
+      this.context.metrics.receivedBytes.inc(frame.length);
+      for (const message of STREAM_CODEC.decodeBatch(frame, connection.peer)) take(message);
+    }
+  }
+
+  private async watchSource(): Promise<void> {
+    while (await this.pause(WATCH_INTERVAL_MS)) {
+      const reason = this.watch.reasonToLeave(this.context.environment.clock.now());
+      if (reason !== undefined) this.end(reason);
+    }
+  }
+}
--- a/src/control-stream/stream-broadcast.ts
+++ b/src/control-stream/stream-broadcast.ts
@@ -51,11 +51,17 @@
     const signFrame = this.signs.frameAfter(position.signPosition, zone);
     position.signPosition = this.signs.position;
     if (signFrame !== undefined) frames.push(signFrame);
-    if (position.heartbeatNumber !== this.heartbeatNumber) frames.push(this.heartbeatFrame);
-    position.heartbeatNumber = this.heartbeatNumber;
+    frames.push(...this.takeHeartbeat(position));
     return frames;
   }
 
+  /** The newest heartbeat, unless the subscriber was sent it. Moves `position` on. */
+  takeHeartbeat(position: BroadcastPosition): Uint8Array[] {
+    if (position.heartbeatNumber === this.heartbeatNumber) return [];
+    position.heartbeatNumber = this.heartbeatNumber;
+    return [this.heartbeatFrame];
+  }
+
   dispose(): void {
     this.history.dispose();
   }
--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -115,22 +115,28 @@
     this.position.heldRevision = heldRevision;
     if (!subscription.probe) this.register(subscription);
     // Whichever ends first ends the stream; closing the connection ends the other.
-    await Promise.race([this.sendNews(zone, broadcast), this.receiveAll(zone)]);
+    await Promise.race([this.sendNews(subscription, broadcast), this.receiveAll(zone)]);
   }
 
-  private async sendNews(zone: string, broadcast: StreamBroadcast): Promise<void> {
+  private async sendNews(
+    subscription: SubscribeMessage,
+    broadcast: StreamBroadcast,
+  ): Promise<void> {
     while (!this.ended) {
       const news = broadcast.news.wait();
-      for (const frame of this.takeFrames(zone, broadcast)) {
+      for (const frame of this.takeFrames(subscription, broadcast)) {
         await this.connection.send(frame);
         this.context.metrics.sentBytes.inc(frame.length);
       }
-      if (this.snapshotWanted) continue;
-      await news;
+      if (!this.snapshotWanted) await news;
     }
   }
 
-  private takeFrames(zone: string, broadcast: StreamBroadcast): Uint8Array[] {
+  private takeFrames(
+    { probe, zone }: SubscribeMessage,
+    broadcast: StreamBroadcast,
+  ): readonly Uint8Array[] {
+    if (probe) return broadcast.takeHeartbeat(this.position);
     if (!this.snapshotWanted) return broadcast.take(this.position, zone);
     this.snapshotWanted = false;
     this.position.heldRevision = broadcast.history.revision;
--- /dev/null
+++ b/test/control-stream/daemon-fixture.ts
@@ -0,0 +1,56 @@
+/** A daemon that follows the control stream in the simulation, and what it saw. */
+import { Registry } from 'prom-client';
+import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import {
+  ControlStreamClient,
+  type ControlStreamClientConfiguration,
+} from '../../src/control-stream/control-stream-client.js';
+import type { ControlStreamFaults } from '../../src/control-stream/control-stream-faults.js';
+import { observe } from '../../src/control-stream/observe.js';
+import type { ReplicaSign } from '../../src/model/replica-sign.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { CLUSTER, type TestController } from './controller-fixture.js';
+
+/** One daemon's process. */
+export class TestDaemon {
+  readonly client: ControlStreamClient;
+  /** Every revision put in force, in order. */
+  readonly revisions: number[] = [];
+  readonly signs: ReplicaSign[] = [];
+  readonly registry = new Registry();
+
+  constructor(
+    readonly host: SimulatedMachine,
+    controllers: readonly TestController[],
+    overrides: Partial<ControlStreamClientConfiguration> = {},
+    faults?: ControlStreamFaults,
+  ) {
+    const configuration = {
+      name: host.name,
+      zone: host.zone,
+      cluster: CLUSTER,
+      controllers: controllers.map(({ endpoint }) => endpoint),
+      ...overrides,
+    };
+    const telemetry = { logger: SILENT_LOGGER, registry: this.registry };
+    this.client = ControlStreamClient.start(host.environment, configuration, telemetry, faults);
+    observe(this.client.revisions, ({ revision }) => this.revisions.push(revision));
+    observe(this.client.replicaSigns, (sign) => this.signs.push(sign));
+  }
+
+  get revision(): number | undefined {
+    return this.client.current()?.revision;
+  }
+
+  get fresh(): boolean {
+    return this.client.freshness().fresh;
+  }
+
+  /** How often sessions ended, or resyncs were asked for, for `reason`. */
+  async counter(name: string, reason?: string): Promise<number> {
+    const values = (await this.registry.getSingleMetric(name)?.get())?.values ?? [];
+    return values
+      .filter(({ labels }) => reason === undefined || labels['reason'] === reason)
+      .reduce((sum, { value }) => sum + value, 0);
+  }
+}
--- /dev/null
+++ b/test/control-stream/force-tracker.test.ts
@@ -0,0 +1,93 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import { introduce, TestController } from './controller-fixture.js';
+import { TestDaemon } from './daemon-fixture.js';
+
+const SEED = 4;
+const SETTLE_MS = 3_000;
+
+let simulation: Simulation;
+let controllers: TestController[];
+
+beforeEach(async () => {
+  simulation = new Simulation(SEED);
+  controllers = [];
+  for (const [index, zone] of ['asahikawa-a', 'nayoro', 'wakkanai'].entries()) {
+    const host = simulation.createMachine(`controller-${index + 1}`, zone);
+    controllers.push(await simulation.settle(TestController.start(host)));
+  }
+  introduce(controllers);
+});
+
+function startDaemon(name: string, zone: string): TestDaemon {
+  return new TestDaemon(simulation.createMachine(name, zone), controllers);
+}
+
+/** What each controller says of each daemon. */
+function reports(): Record<string, number>[] {
+  return controllers.map(({ daemons }) => {
+    const entries = daemons.inForce(0).daemons.map(({ name, revision }) => [name, revision]);
+    return Object.fromEntries(entries) as Record<string, number>;
+  });
+}
+
+function acceptEverywhere(revision: number): void {
+  for (const controller of controllers) controller.acceptUpTo(revision);
+}
+
+describe('revisions in force', () => {
+  it('are known at every controller, the late daemon included', async () => {
+    startDaemon('router-1', 'asahikawa-a');
+    const late = startDaemon('router-2', 'nayoro');
+    await simulation.runFor(SETTLE_MS);
+    late.host.freeze(60_000);
+    acceptEverywhere(2);
+    await simulation.runFor(SETTLE_MS);
+    expect(reports()).toEqual(Array(3).fill({ 'router-1': 2, 'router-2': 0 }));
+  });
+
+  it('of a daemon that stopped as planned are no longer counted, those of a lost one are', async () => {
+    const stopped = startDaemon('router-1', 'asahikawa-a');
+    const lost = startDaemon('router-2', 'nayoro');
+    await simulation.runFor(SETTLE_MS);
+    await simulation.settle(stopped.client.close());
+    lost.host.crash({ power: true });
+    await simulation.runFor(30_000);
+    expect(reports()).toEqual(Array(3).fill({ 'router-2': 0 }));
+  });
+
+  it('are those of the newest process, also when its clock was set back', async () => {
+    acceptEverywhere(1);
+    const daemon = startDaemon('router-1', 'asahikawa-a');
+    await simulation.runFor(SETTLE_MS);
+    daemon.host.skew(-86_400_000);
+    daemon.host.restart({ keepDisk: false });
+    const restarted = new TestDaemon(daemon.host, controllers);
+    acceptEverywhere(2);
+    await simulation.runFor(SETTLE_MS);
+    expect(restarted.revision).toBe(2);
+    expect(reports()).toEqual(Array(3).fill({ 'router-1': 2 }));
+  });
+
+  it('do not fall when an older report comes later by another way', () => {
+    const [controller] = controllers;
+    const report = { name: 'router-1', zone: 'nayoro', version: '1', incarnation: 7, left: false };
+    const daemons = controller?.daemons ?? expect.fail('no controller');
+    daemons.record({ ...report, sequence: 2, revision: 5, controller: 'controller-1' });
+    daemons.record({ ...report, sequence: 1, revision: 4, controller: 'controller-2' });
+    expect(reports()[0]).toEqual({ 'router-1': 5 });
+  });
+
+  it('reach a controller that was restarted', async () => {
+    startDaemon('router-1', 'asahikawa-a');
+    await simulation.runFor(SETTLE_MS);
+    const [, second] = controllers;
+    second?.host.restart({ keepDisk: true });
+    if (second !== undefined) {
+      controllers[1] = await simulation.settle(TestController.start(second.host));
+    }
+    introduce(controllers);
+    await simulation.runFor(10_000);
+    expect(reports()[1]).toEqual({ 'router-1': 0 });
+  });
+});
--- /dev/null
+++ b/test/control/controller-daemon.test.ts
@@ -0,0 +1,131 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Registry } from 'prom-client';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  controllerConfigurationSchema,
+  type ControllerConfiguration,
+} from '../../src/configuration/controller-configuration.js';
+import { ControllerDaemon } from '../../src/control/controller-daemon.js';
+import { ControlStreamClient } from '../../src/control-stream/control-stream-client.js';
+import { observe } from '../../src/control-stream/observe.js';
+import { createDurableNodeEnvironment } from '../../src/node/node-environment.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { formatAddress } from '../../src/seams/address.js';
+import type { ConfigurationSource } from '../../src/settings/configuration-source.js';
+import { createTokenText, hashToken } from '../../src/settings/token-text.js';
+
+const TOKEN = createTokenText('bootstrap');
+const CLUSTER = { id: 'dohoku', key: 'a-long-random-secret' };
+
+let folder: string;
+let running: { stop(): Promise<void> }[];
+
+function configurationAt(messages: string): ControllerConfiguration {
+  return controllerConfigurationSchema.parse({
+    memberId: 'controller-1',
+    region: 'dohoku',
+    zone: 'nayoro',
+    cluster: CLUSTER,
+    dataFolder: folder,
+    listen: { http: '127.0.0.1:0', messages },
+    initialMembers: [{ memberId: 'controller-1', address: messages, zone: 'nayoro' }],
+    administration: { bootstrapTokenHash: hashToken(TOKEN) },
+  });
+}
+
+async function startController(messages = '127.0.0.1:0'): Promise<ControllerDaemon> {
+  const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+  const environment = createDurableNodeEnvironment(folder);
+  const daemon = await ControllerDaemon.start(environment, configurationAt(messages), telemetry);
+  running.push(daemon);
+  return daemon;
+}
+
+function startClient({ messageAddress: address }: ControllerDaemon): ControlStreamClient {
+  const client = ControlStreamClient.start(
+    createDurableNodeEnvironment(folder),
+    {
+      name: 'router-1',
+      zone: 'nayoro',
+      cluster: CLUSTER,
+      controllers: [{ memberId: 'controller-1', address, zone: 'nayoro' }],
+    },
+    { logger: SILENT_LOGGER, registry: new Registry() },
+  );
+  running.push({ stop: () => client.close() });
+  return client;
+}
+
+function request(daemon: ControllerDaemon, path: string, body?: object): Promise<Response> {
+  return fetch(`http://${formatAddress(daemon.httpAddress)}${path}`, {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' },
+    ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+  });
+}
+
+/** Sets one key, as an operator would; makes revision `revision`. */
+async function accept(daemon: ControllerDaemon, revision: number): Promise<void> {
+  const response = await request(daemon, '/v1/changes', {
+    changeId: `change-${revision}`,
+    baseRevision: revision - 1,
+    author: 'operator',
+    reason: 'test',
+    operations: [{ type: 'set', scope: 'defaults', key: 'queueLimit', value: revision }],
+  });
+  expect(response.status, await response.clone().text()).toBe(200);
+}
+
+/** Resolves once `revision` is in force at the daemon. */
+function inForce(source: ConfigurationSource, revision: number): Promise<void> {
+  return new Promise((resolve) => {
+    const check = (): void => {
+      if (source.current()?.revision !== revision) return;
+      subscription.dispose();
+      resolve();
+    };
+    const subscription = observe(source.revisions, check);
+    check();
+  });
+}
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'driftway-controller-'));
+  running = [];
+});
+
+afterEach(async () => {
+  for (const daemon of running.reverse()) await daemon.stop();
+  await rm(folder, { recursive: true });
+});
+
+describe('ControllerDaemon', () => {
+  it('puts an accepted change in force at a daemon, and tells that it is', async () => {
+    const controller = await startController();
+    const client = startClient(controller);
+    await inForce(client, 0);
+    await accept(controller, 1);
+    await inForce(client, 1);
+    expect(client.freshness().committedRevision).toBe(1);
+    expect((await request(controller, '/readyz')).status).toBe(200);
+    expect(await (await request(controller, '/metrics')).text()).toContain(
+      'driftway_control_stream_subscribers 1',
+    );
+  });
+
+  it('comes back with what was last accepted, and daemons find it again', async () => {
+    const first = await startController();
+    const client = startClient(first);
+    for (let revision = 1; revision <= 300; revision += 1) await accept(first, revision);
+    await inForce(client, 300);
+    const address = formatAddress(first.messageAddress);
+    await first.stop();
+    const second = await startController(address);
+    await accept(second, 301);
+    await inForce(client, 301);
+    const response = await request(second, '/v1/changes/change-300');
+    expect(await response.json()).toMatchObject({ revision: 300 });
+  });
+});
--- a/test/protocol/handshake.test.ts
+++ b/test/protocol/handshake.test.ts
@@ -102,6 +102,12 @@
     await expect(dialling).rejects.toMatchObject({ reason: 'wrong_member' });
   });
 
+  it('takes no long names from a stranger', async () => {
+    const dialling = dialAs({ ...ROUTER, name: 'x'.repeat(1_000) });
+    await expect(dialling).rejects.toMatchObject({ reason: 'closed' });
+    expect(await refusals('malformed')).toBe(1);
+  });
+
   const garbage: [string, Uint8Array][] = [
     ['an unknown message', Uint8Array.of(0, 0, 0, 2, 255, 255)],
     [
