Add Raft among controllers over a durable log

The control plane needs one ordered history at every controller.

Faults, crashes and replacement are written but have no tests yet.

--- /dev/null
+++ b/src/consensus/append-handler.ts
@@ -0,0 +1,95 @@
+/** Takes over a leader's records and hears its heartbeats. */
+import { DriftwayError } from '../errors/driftway-error.js';
+import type { LogRecord } from '../storage/log-record.js';
+import type { MemberState } from './member-state.js';
+import type { RequestOf, ResponseOf } from './messages.js';
+import { decodeRecords } from './record-transfer.js';
+import { persistOrFail, stopOnDiskError } from './record-writer.js';
+
+/** Where the leader should try next after records that do not follow what is held. */
+function nextIndexAfterMismatch(state: MemberState, previousIndex: number): number {
+  if (previousIndex > state.log.lastIndex) return state.log.lastIndex + 1;
+  // Skips the whole conflicting term in one step.
+  return state.log.firstIndexOfTermAt(previousIndex);
+}
+
+/** Whether the record before the new ones is held here and the same. */
+function follows(state: MemberState, previousIndex: number, previousTerm: number): boolean {
+  // What a snapshot covers is committed, so it agrees with every leader.
+  if (previousIndex <= state.log.baseIndex) return true;
+  return state.log.termAt(previousIndex) === previousTerm;
+}
+
+function refuseReplacingCommitted(state: MemberState, records: readonly LogRecord[]): void {
+  const conflict = state.log.firstConflict(records);
+  if (conflict === undefined || conflict > state.commitIndex) return;
+  const message = `record ${conflict} is committed here and differs from the leader's`;
+  const error = new DriftwayError(message, { step: 'append records' });
+  state.fail(error);
+  throw error;
+}
+
+async function appendRecords(
+  state: MemberState,
+  request: RequestOf<'append'>,
+): Promise<ResponseOf<'append'>> {
+  const refusal = { accepted: false, matchIndex: 0, nextIndex: 1, needsSnapshot: false };
+  if (request.term < state.term) return { ...refusal, term: state.term };
+  await stopOnDiskError(state, () => state.adoptTerm(request.term));
+  if (state.leadership !== undefined) throw new Error('two leaders in one term');
+  state.hearLeader(request.leaderId);
+  const { term } = state;
+  if (!state.bootstrapped) return { ...refusal, term, needsSnapshot: true };
+  const { previousIndex, previousTerm } = request;
+  if (!follows(state, previousIndex, previousTerm)) {
+    return { ...refusal, term, nextIndex: nextIndexAfterMismatch(state, previousIndex) };
+  }
+  const records = decodeRecords(request.records, previousIndex);
+  refuseReplacingCommitted(state, records);
+  state.log.merge(records);
+  if (state.dependencies.faults.acknowledgeBeforeSync === true) state.recordsAdded.notify();
+  else await persistOrFail(state);
+  state.hearLeader(request.leaderId);
+  const matchIndex = previousIndex + records.length;
+  state.verifiedIndex = Math.max(state.verifiedIndex, matchIndex);
+  state.advanceCommit(Math.min(request.commitIndex, state.verifiedIndex));
+  return { term, accepted: true, matchIndex, nextIndex: matchIndex + 1, needsSnapshot: false };
+}
+
+/** Answers records once they are durable. */
+export async function handleAppend(
+  state: MemberState,
+  request: RequestOf<'append'>,
+): Promise<ResponseOf<'append'>> {
+  if (request.term >= state.term && state.leadership === undefined) {
+    // Also while the lock is held by a slow sync.
+    state.electionTimerStart = state.dependencies.clock.now();
+  }
+  return state.runExclusive(() => appendRecords(state, request));
+}
+
+/** Remembers since when a quorum is known to have stood, by the clock here. */
+function noteQuorum(state: MemberState, request: RequestOf<'heartbeat'>): void {
+  if (request.echoedSession !== state.session) return;
+  // The leader sent this after it got the echoed answer, so it knew of its
+  // quorum no longer before that answer than it says.
+  const knownAt = request.echoedTime - request.sinceQuorumMs;
+  state.quorumKnownAt = Math.max(state.quorumKnownAt, knownAt);
+}
+
+/** Answers a heartbeat; touches the disk only when the term is new. */
+export async function handleHeartbeat(
+  state: MemberState,
+  request: RequestOf<'heartbeat'>,
+): Promise<ResponseOf<'heartbeat'>> {
+  if (request.term > state.term) {
+    await state.runExclusive(() => stopOnDiskError(state, () => state.adoptTerm(request.term)));
+  }
+  if (request.term === state.term && state.leadership === undefined) {
+    state.hearLeader(request.leaderId);
+    noteQuorum(state, request);
+    state.advanceCommit(Math.min(request.commitIndex, state.verifiedIndex));
+  }
+  const time = state.dependencies.clock.now();
+  return { term: state.term, time, session: state.session };
+}
--- /dev/null
+++ b/src/consensus/election-task.ts
@@ -0,0 +1,142 @@
+/**
+ * Stands for election after a silence of the leader. First asks whether the
+ * votes would be given (pre-vote), so that a member that was cut off does not
+ * raise the term and unseat a leader that the others hear.
+ */
+import { Leadership } from './leadership.js';
+import type { MemberState } from './member-state.js';
+import type { RequestOf } from './messages.js';
+import type { PeerLinks } from './peer-links.js';
+import { stopOnDiskError } from './record-writer.js';
+
+/** The election task of one member. */
+export class ElectionTask {
+  constructor(
+    private readonly state: MemberState,
+    private readonly links: PeerLinks,
+  ) {}
+
+  /** Runs until the member stops. */
+  async run(): Promise<void> {
+    const { state } = this;
+    while (!state.signal.aborted) {
+      if (!this.mayStand()) {
+        await state.roleChanged.wait(Infinity, state.signal);
+        continue;
+      }
+      const asked = await this.waitForSilence();
+      if (state.signal.aborted || !this.mayStand()) continue;
+      try {
+        if (asked || (await this.askVotes(state.term + 1, true, false))) await this.stand(asked);
+      } catch {
+        // Only a disk error gets here, and it has stopped the member.
+      }
+      state.electionTimerStart = state.dependencies.clock.now();
+    }
+  }
+
+  private mayStand(): boolean {
+    const { state } = this;
+    const isVoter = state.membership.isVoter(state.memberId);
+    return state.bootstrapped && isVoter && state.leadership === undefined;
+  }
+
+  /** Waits out one election timeout of silence. True when the leader asked to stand at once. */
+  private async waitForSilence(): Promise<boolean> {
+    const { state } = this;
+    const { clock, random, timings } = state.dependencies;
+    const { electionTimeoutMinimum, electionTimeoutMaximum } = timings;
+    const timeout = random.nextInteger(electionTimeoutMinimum, electionTimeoutMaximum);
+    for (;;) {
+      if (state.transferTerm === state.term) {
+        state.transferTerm = undefined;
+        return true;
+      }
+      const rest = state.electionTimerStart + timeout - clock.now();
+      if (rest <= 0 || state.signal.aborted || !this.mayStand()) return false;
+      await state.roleChanged.wait(rest, state.signal);
+    }
+  }
+
+  /** Raises the term, votes for itself, asks the others, and leads when a majority agrees. */
+  private async stand(transfer: boolean): Promise<void> {
+    const { state } = this;
+    const { clock, metrics, logger } = state.dependencies;
+    const term = await state.runExclusive(() => this.enterTerm());
+    if (term === undefined) return;
+    metrics.elections.inc();
+    const startedAt = clock.now();
+    const won = await this.askVotes(term, false, transfer);
+    if (!won || state.term !== term || state.role !== 'candidate') {
+      if (state.role === 'candidate') state.becomeFollower(undefined, 'election lost');
+      return;
+    }
+    metrics.leadershipsWon.inc();
+    logger.info('leadership won', { term });
+    state.role = 'leader';
+    state.leaderId = state.memberId;
+    state.leadership = new Leadership(state, this.links, term, startedAt);
+    state.leadership.start();
+    state.roleChanged.notify();
+  }
+
+  /** Undefined when a leader was heard meanwhile. */
+  private async enterTerm(): Promise<number | undefined> {
+    const { state } = this;
+    if (state.signal.aborted || !this.mayStand()) return undefined;
+    const term = state.term + 1;
+    await stopOnDiskError(state, () => state.recordVote(term, state.memberId));
+    if (state.signal.aborted) return undefined;
+    state.role = 'candidate';
+    state.leaderId = undefined;
+    state.roleChanged.notify();
+    return term;
+  }
+
+  /** True once a majority, this member included, grants the vote. */
+  private askVotes(term: number, preVote: boolean, transfer: boolean): Promise<boolean> {
+    const { state } = this;
+    const { membership, memberId } = state;
+    const others = membership.voters.filter((member) => member.memberId !== memberId);
+    const request = {
+      term,
+      candidateId: memberId,
+      lastIndex: state.log.lastIndex,
+      lastTerm: state.log.lastTerm,
+      preVote,
+      transfer,
+    };
+    return new Promise((resolve) => {
+      let granted = 1;
+      let outstanding = others.length;
+      const settle = (): void => {
+        if (granted >= membership.quorum) resolve(true);
+        else if (outstanding === 0) resolve(false);
+      };
+      settle();
+      for (const member of others) {
+        void this.askVote(member.memberId, request).then((vote) => {
+          outstanding -= 1;
+          if (vote) granted += 1;
+          settle();
+        });
+      }
+    });
+  }
+
+  private async askVote(peerId: string, request: RequestOf<'vote'>): Promise<boolean> {
+    const { state } = this;
+    const { timings } = state.dependencies;
+    try {
+      const link = this.links.find(peerId);
+      if (link === undefined) return false;
+      const response = await link.request('vote', request, timings.electionTimeoutMinimum / 2);
+      if (response.term > state.term) {
+        await state.runExclusive(() => state.adoptTerm(response.term));
+      }
+      return response.granted;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/consensus/membership-changer.ts
@@ -0,0 +1,187 @@
+/**
+ * Changes who belongs to the group, one member at a time: then any majority of
+ * the old members and any of the new ones share a member, and no second quorum
+ * can form.
+ */
+import { ErrorLabel } from '../errors/driftway-error.js';
+import { parseAddress } from '../seams/address.js';
+import { LogRecordKind } from '../storage/log-record.js';
+import { MembershipChangeRefusedError, ProposalOutcomeUnknownError } from './consensus-errors.js';
+import type { Leadership } from './leadership.js';
+import type { MemberState } from './member-state.js';
+import type { Membership } from './membership.js';
+import { MembershipAction, type MembershipChange } from './membership-action.js';
+import type { RequestOf, ResponseOf } from './messages.js';
+import { OutcomeKind } from './outcome-kind.js';
+import type { PeerLinks } from './peer-links.js';
+import type { PendingProposals } from './pending-proposals.js';
+
+const EMPTY_RESULT = new Uint8Array(0);
+
+function refuseForNow(message: string): MembershipChangeRefusedError {
+  return new MembershipChangeRefusedError(message, ErrorLabel.Transient);
+}
+
+/** Takes changes at the leader, and passes them on elsewhere. */
+export class MembershipChanger {
+  constructor(
+    private readonly state: MemberState,
+    private readonly links: PeerLinks,
+    private readonly proposals: PendingProposals,
+  ) {}
+
+  /**
+   * Makes one change and waits until it is committed.
+   *
+   * @throws MembershipChangeRefusedError when nothing was changed.
+   * @throws ProposalOutcomeUnknownError when it may have been.
+   */
+  async change(change: MembershipChange): Promise<void> {
+    const { leadership, leaderId } = this.state;
+    if (leadership !== undefined) await this.changeHere(change, leadership);
+    else if (leaderId !== undefined) await this.forward(change, leaderId);
+    else throw refuseForNow('no leader is known');
+  }
+
+  /** Answers a change that another member passed on. */
+  async handleForwarded(request: RequestOf<'changeMembership'>): Promise<ResponseOf<'propose'>> {
+    const answer = { index: 0, result: EMPTY_RESULT };
+    try {
+      const { leadership } = this.state;
+      if (leadership === undefined) throw refuseForNow('not the leader');
+      await this.changeHere({ ...request, action: request.action as MembershipAction }, leadership);
+      return { ...answer, kind: OutcomeKind.Committed, reason: '' };
+    } catch (error) {
+      const refused = error instanceof MembershipChangeRefusedError;
+      const kind = refused ? OutcomeKind.NotProposed : OutcomeKind.Unknown;
+      return { ...answer, kind, reason: String(error).slice(0, 512) };
+    }
+  }
+
+  private async forward(change: MembershipChange, leaderId: string): Promise<void> {
+    const { timings } = this.state.dependencies;
+    const timeout = timings.proposalTimeout + timings.catchUpTimeout;
+    const link = this.links.find(leaderId);
+    if (link === undefined) throw refuseForNow('the leader is not known here');
+    let response: ResponseOf<'changeMembership'>;
+    try {
+      response = await link.request('changeMembership', { ...change }, timeout);
+    } catch (error) {
+      throw new ProposalOutcomeUnknownError(String(error), leaderId, error);
+    }
+    if (response.kind === OutcomeKind.Committed.valueOf()) return;
+    if (response.kind === OutcomeKind.NotProposed.valueOf()) throw refuseForNow(response.reason);
+    throw new ProposalOutcomeUnknownError(response.reason, leaderId);
+  }
+
+  private async changeHere(change: MembershipChange, leadership: Leadership): Promise<void> {
+    if (change.action === MembershipAction.AddLearner) await this.addLearner(change, leadership);
+    else if (change.action === MembershipAction.Promote) await this.promote(change, leadership);
+    else if (change.action === MembershipAction.Remove) await this.remove(change, leadership);
+    else throw new MembershipChangeRefusedError(`unknown action ${String(change.action)}`);
+  }
+
+  private async addLearner(change: MembershipChange, leadership: Leadership): Promise<void> {
+    const { memberId, address } = change;
+    const { membership } = this.state;
+    if (membership.find(memberId) !== undefined) {
+      throw new MembershipChangeRefusedError(`"${memberId}" is a member already`);
+    }
+    if (membership.retiredIds.includes(memberId)) {
+      throw new MembershipChangeRefusedError(`"${memberId}" was removed; choose a new member id`);
+    }
+    const incarnation = await this.askIncarnation(memberId, address);
+    const learner = { memberId, address, incarnation, voter: false };
+    await this.commit(leadership, (current) => current.withMember(learner));
+  }
+
+  /** The data folder with which the new member will take part. */
+  private async askIncarnation(memberId: string, address: string): Promise<string> {
+    const { timings } = this.state.dependencies;
+    let endpoint;
+    try {
+      endpoint = parseAddress(address);
+    } catch (error) {
+      throw new MembershipChangeRefusedError((error as Error).message);
+    }
+    const link = this.links.open({ memberId, address: endpoint });
+    try {
+      const response = await link.request('bootstrap', {}, timings.replicationTimeout);
+      return response.incarnation;
+    } catch (error) {
+      this.links.drop(memberId);
+      throw refuseForNow(`"${memberId}" cannot be reached: ${String(error)}`);
+    }
+  }
+
+  private async promote(change: MembershipChange, leadership: Leadership): Promise<void> {
+    const learner = this.state.membership.find(change.memberId);
+    if (learner === undefined) {
+      throw new MembershipChangeRefusedError(`"${change.memberId}" is no member`);
+    }
+    if (learner.voter) return;
+    await this.waitForCatchUp(change.memberId, leadership);
+    await this.commit(leadership, (current) => current.withMember({ ...learner, voter: true }));
+  }
+
+  /** A voter that lags would count for the quorum and yet hold commits up. */
+  private async waitForCatchUp(memberId: string, leadership: Leadership): Promise<void> {
+    const { clock, timings, limits } = this.state.dependencies;
+    const deadline = clock.now() + timings.catchUpTimeout;
+    for (;;) {
+      const progress = leadership.progressOf(memberId);
+      const lag = this.state.log.lastIndex - (progress?.matchIndex ?? 0);
+      const heard = clock.now() - (progress?.confirmedAt ?? -Infinity);
+      if (lag <= limits.promotionLag && heard < timings.electionTimeoutMinimum) return;
+      const rest = deadline - clock.now();
+      if (rest <= 0 || leadership.signal.aborted) {
+        throw refuseForNow(`"${memberId}" has not caught up: ${lag} records behind`);
+      }
+      await leadership.progressChanged.wait(rest, leadership.signal);
+    }
+  }
+
+  private async remove(change: MembershipChange, leadership: Leadership): Promise<void> {
+    const { memberId } = change;
+    if (this.state.membership.find(memberId) === undefined) {
+      if (this.state.membership.retiredIds.includes(memberId)) return;
+      throw new MembershipChangeRefusedError(`"${memberId}" is no member`);
+    }
+    await this.commit(leadership, (current) => current.withoutMember(memberId));
+  }
+
+  /** Writes the new membership and waits for it to be committed. */
+  private async commit(
+    leadership: Leadership,
+    alter: (current: Membership) => Membership,
+  ): Promise<void> {
+    const { state } = this;
+    if (leadership.signal.aborted || leadership.transferring) throw refuseForNow('not the leader');
+    // Until a record of this term is committed, a predecessor's change may
+    // still come into force beside this one.
+    if (state.commitIndex < leadership.openingIndex) throw refuseForNow('the term is just opening');
+    if (state.log.memberships.latestIndex > state.commitIndex) {
+      throw refuseForNow('another change of members is under way');
+    }
+    const next = alter(state.membership);
+    this.checkQuorum(next, leadership);
+    const record = leadership.append(LogRecordKind.Membership, next.encode());
+    state.roleChanged.notify();
+    await this.proposals.wait(record);
+  }
+
+  /** Refuses a change after which no majority would answer now. */
+  private checkQuorum(next: Membership, leadership: Leadership): void {
+    const { clock, timings, memberId } = this.state.dependencies;
+    if (next.voters.length === 0) {
+      throw new MembershipChangeRefusedError('the last voter cannot be removed');
+    }
+    const now = clock.now();
+    const knownAt = next.quorumValue((id) =>
+      id === memberId ? now : (leadership.progressOf(id)?.confirmedAt ?? -Infinity),
+    );
+    if (now - knownAt >= timings.electionTimeoutMinimum) {
+      throw refuseForNow('without this member no majority would be live');
+    }
+  }
+}
--- /dev/null
+++ b/src/consensus/peer-link.ts
@@ -0,0 +1,146 @@
+/**
+ * The connection on which this member asks one other, dialled when first
+ * needed and again after it broke.
+ */
+import { formatAddress } from '../seams/address.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import { IncarnationMismatchError, PeerRequestError } from './consensus-errors.js';
+import { HelloRefusal } from './hello-refusal.js';
+import type { MemberEndpoint } from './member-endpoint.js';
+import type { MemberState } from './member-state.js';
+import type { ExchangeName, RequestOf, ResponseOf } from './messages.js';
+import { RequestConnection } from './request-connection.js';
+
+/** Opens a connection to a member, handshake included. */
+export type Dial = (member: MemberEndpoint) => Promise<MessageConnection>;
+
+/** Asks one other member. */
+export class PeerLink {
+  private connection: RequestConnection | undefined;
+  private dialling: Promise<RequestConnection> | undefined;
+  private lastDialAt = -Infinity;
+  private closed = false;
+
+  constructor(
+    private readonly state: MemberState,
+    private readonly endpoint: MemberEndpoint,
+    private readonly dial: Dial,
+  ) {}
+
+  get peerId(): string {
+    return this.endpoint.memberId;
+  }
+
+  /**
+   * Sends one request and waits for its answer.
+   *
+   * @throws PeerRequestError telling whether the request may have left.
+   */
+  async request<N extends ExchangeName>(
+    exchange: N,
+    message: RequestOf<N>,
+    timeout: number,
+  ): Promise<ResponseOf<N>> {
+    const connection = await this.connect(exchange, timeout);
+    try {
+      return await connection.request(exchange, message, timeout);
+    } catch (error) {
+      this.state.dependencies.metrics.failedRequests.inc({ exchange });
+      throw error;
+    }
+  }
+
+  close(): void {
+    this.closed = true;
+    this.connection?.close('link closed');
+  }
+
+  private async connect(step: string, timeout: number): Promise<RequestConnection> {
+    if (this.closed || this.state.signal.aborted) throw this.notSent(step, 'link closed');
+    if (this.connection !== undefined && !this.connection.closed) return this.connection;
+    this.dialling ??= this.redial(timeout).finally(() => {
+      this.dialling = undefined;
+    });
+    return this.dialling;
+  }
+
+  private async redial(timeout: number): Promise<RequestConnection> {
+    const { clock, timings } = this.state.dependencies;
+    const wait = this.lastDialAt + timings.redialInterval - clock.now();
+    if (wait > 0) await clock.sleep(wait);
+    this.lastDialAt = clock.now();
+    const raw = await this.dialWithin(timeout);
+    const connection = this.adopt(raw);
+    try {
+      await this.sayHello(connection, timeout);
+    } catch (error) {
+      connection.close('hello failed');
+      if (error instanceof PeerRequestError) throw this.notSent('hello', error.message, error);
+      throw error;
+    }
+    if (this.closed) connection.close('link closed');
+    this.connection = connection;
+    return connection;
+  }
+
+  /** Gives up after `timeout`; a connection that still comes later is closed. */
+  private dialWithin(timeout: number): Promise<MessageConnection> {
+    return new Promise((resolve, reject) => {
+      let abandoned = false;
+      const timer = this.state.dependencies.clock.setTimer(timeout, () => {
+        abandoned = true;
+        reject(this.notSent('dial', `no connection within ${timeout} ms`));
+      });
+      this.dial(this.endpoint).then(
+        (connection) => {
+          timer.cancel();
+          if (abandoned) connection.close();
+          else resolve(connection);
+        },
+        (error: unknown) => {
+          timer.cancel();
+          reject(this.notSent('dial', String(error), error));
+        },
+      );
+    });
+  }
+
+  private adopt(raw: MessageConnection): RequestConnection {
+    const { clock, metrics } = this.state.dependencies;
+    const connection = new RequestConnection(raw, this.peerId, clock, () =>
+      metrics.malformedMessages.inc(),
+    );
+    void connection.run();
+    return connection;
+  }
+
+  /** Shows which data folder each side has, and goes no further if it is not the known one. */
+  private async sayHello(connection: RequestConnection, timeout: number): Promise<void> {
+    const { clusterId, memberId, faults, metrics } = this.state.dependencies;
+    const expectedIncarnation = this.state.membership.find(this.peerId)?.incarnation ?? '';
+    const response = await connection.request(
+      'hello',
+      { clusterId, memberId, incarnation: this.state.incarnation, expectedIncarnation },
+      timeout,
+    );
+    if (!response.accepted) this.onRefused(response.reason);
+    const known = expectedIncarnation === '' || expectedIncarnation === response.incarnation;
+    if (!known && faults.ignoreIncarnation !== true) {
+      metrics.refusedPeers.inc({ reason: HelloRefusal.Incarnation });
+      throw this.notSent('hello', 'the peer came back with another data folder');
+    }
+  }
+
+  private onRefused(reason: string): never {
+    const isNewFolder = !this.state.bootstrapped;
+    if (isNewFolder && reason === HelloRefusal.Incarnation.valueOf()) {
+      this.state.fail(new IncarnationMismatchError(this.state.memberId, this.peerId));
+    }
+    throw this.notSent('hello', `refused: ${reason}`);
+  }
+
+  private notSent(step: string, message: string, cause?: unknown): PeerRequestError {
+    const peer = `${this.peerId} at ${formatAddress(this.endpoint.address)}`;
+    return new PeerRequestError(step, peer, message, false, cause);
+  }
+}
--- /dev/null
+++ b/src/storage/log-recovery.ts
@@ -0,0 +1,118 @@
+/** Reads the segments of a log back into the records that stand. */
+import type { Disk } from '../seams/disk.js';
+import { DamagedStorageError } from './damaged-storage-error.js';
+import type { LogManifest } from './log-manifest.js';
+import { LogRecordKind, type LogRecord } from './log-record.js';
+import { LOG_DIRECTORY, parseSegmentName, segmentPath } from './segment-name.js';
+import { scanSegment, type SegmentScan } from './segment-scan.js';
+
+/** A place in the log. */
+export interface LogPosition {
+  readonly index: number;
+  readonly term: number;
+}
+
+/** A segment that is no longer written. */
+export interface RecoveredSegment {
+  readonly sequence: number;
+  readonly highestIndex: number;
+}
+
+/** What a log held when it was opened. */
+export interface RecoveredLog {
+  /** The position before the first record. */
+  readonly base: LogPosition;
+  /** Records that stand, with consecutive indexes. */
+  readonly records: readonly LogRecord[];
+  /** Position of the last record written. */
+  readonly position: LogPosition;
+  readonly sealed: readonly RecoveredSegment[];
+  /** Bytes of the last segment that are to be kept. */
+  readonly lastSegmentBytes: number;
+  /** Bytes after those, from a write that a crash cut short. */
+  readonly tornBytes: number;
+}
+
+/** Collects records, later ones replacing earlier ones of the same index. */
+class RecordCollector {
+  readonly records: LogRecord[] = [];
+
+  constructor(readonly base: LogPosition) {}
+
+  get position(): LogPosition {
+    return this.records.at(-1) ?? this.base;
+  }
+
+  /** False when the record leaves a hole. */
+  add(record: LogRecord): boolean {
+    const place = record.index - this.base.index - 1;
+    if (place < 0 || place > this.records.length) return false;
+    this.records.length = place;
+    this.records.push(record);
+    return true;
+  }
+}
+
+async function readSegment(
+  disk: Disk,
+  sequence: number,
+  last: number,
+): Promise<SegmentScan & { size: number }> {
+  const path = segmentPath(sequence);
+  const bytes = await disk.read(path);
+  if (bytes === undefined) throw new DamagedStorageError(path, 0, 'the segment is missing');
+  const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  return { ...scanSegment(path, buffer, sequence < last), size: buffer.length };
+}
+
+/** Removes segments that the manifest does not count. */
+async function removeStrays(disk: Disk, manifest: LogManifest): Promise<void> {
+  for (const name of await disk.list(LOG_DIRECTORY)) {
+    const sequence = parseSegmentName(name);
+    if (sequence === undefined) continue;
+    if (sequence < manifest.first || sequence > manifest.last) {
+      await disk.remove(segmentPath(sequence));
+    }
+  }
+}
+
+/**
+ * Reads all segments that count.
+ *
+ * @throws DamagedStorageError on a missing segment, a hole, or damage before the tail.
+ */
+export async function recoverSegments(disk: Disk, manifest: LogManifest): Promise<RecoveredLog> {
+  await removeStrays(disk, manifest);
+  let collector: RecordCollector | undefined;
+  const sealed: RecoveredSegment[] = [];
+  let lastSegmentBytes = 0;
+  let tornBytes = 0;
+  for (let sequence = manifest.first; sequence <= manifest.last; sequence += 1) {
+    const scan = await readSegment(disk, sequence, manifest.last);
+    const [start, ...records] = scan.records;
+    if (start?.kind !== LogRecordKind.SegmentStart) {
+      throw new DamagedStorageError(segmentPath(sequence), 0, 'the first record is unreadable');
+    }
+    collector ??= new RecordCollector(start);
+    const { position } = collector;
+    if (start.index !== position.index || start.term !== position.term) {
+      throw new DamagedStorageError(segmentPath(sequence), 0, 'does not follow the segment before');
+    }
+    let highestIndex = start.index;
+    for (const record of records) {
+      if (!collector.add(record)) {
+        const reason = `record ${record.index} does not follow record ${collector.position.index}`;
+        throw new DamagedStorageError(segmentPath(sequence), 0, reason);
+      }
+      highestIndex = Math.max(highestIndex, record.index);
+    }
+    if (sequence < manifest.last) sealed.push({ sequence, highestIndex });
+    lastSegmentBytes = scan.validBytes;
+    tornBytes = scan.size - scan.validBytes;
+  }
+  if (collector === undefined) {
+    throw new DamagedStorageError(`${LOG_DIRECTORY}/manifest`, 0, 'counts no segment');
+  }
+  const { base, records, position } = collector;
+  return { base, records, position, sealed, lastSegmentBytes, tornBytes };
+}
