--- a/lab/simulation/pooled-connection.ts
+++ b/lab/simulation/pooled-connection.ts
@@ -81,6 +81,11 @@
     const { pending } = this;
     if (pending === undefined) return;
     this.pending = undefined;
+    if (pending.request.acceptResponse?.(response.headers) === false) {
+      this.close();
+      pending.fail('response_rejected');
+      return;
+    }
     if (response.body.length > this.pool.target.options.maximumResponseBytes) {
       this.close();
       pending.fail('response_too_large');
@@ -88,7 +93,7 @@
     }
     if (response.truncated) {
       this.close();
-      pending.fail('connection_lost', new Error('response cut short'));
+      pending.fail('response_truncated', new Error('response cut short'));
       return;
     }
     const { status, headers, body } = response;
--- a/test/lab/simulation/simulated-http.test.ts
+++ b/test/lab/simulation/simulated-http.test.ts
@@ -246,11 +246,30 @@
     expect(outcomes.map(({ status }) => status).sort()).toEqual(['fulfilled', 'rejected']);
   });
 
+  it('breaks a reply where its handler says so, and refuses one whose header is not accepted', async () => {
+    const { simulation, client } = await startPair(async ({ path }) => {
+      if (path === '/none') return { status: 200, body: 'whole', closeAfterBytes: 0 };
+      return { status: 200, body: 'whole', ...(path === '/part' ? { closeAfterBytes: 2 } : {}) };
+    });
+    const failure = async (path: string, accept: boolean): Promise<unknown> =>
+      simulation
+        .settle(client.request({ ...GET, path, acceptResponse: () => accept }))
+        .catch((error: { kind: unknown }) => error.kind);
+    expect(await failure('/none', true)).toBe('connection_lost');
+    expect(await failure('/part', true)).toBe('response_truncated');
+    expect(await failure('/', false)).toBe('response_rejected');
+    expect(await failure('/', true)).toMatchObject({ status: 200 });
+  });
+
   it('opens a fresh connection when asked', async () => {
-    const { simulation, client } = await startPair(answer, { connections: 1 });
-    await simulation.settle(client.request(GET));
-    const start = simulation.now;
-    await simulation.settle(client.request({ ...GET, freshConnection: true }));
-    expect(simulation.now - start).toBeGreaterThan(5);
+    const seen: unknown[] = [];
+    const { simulation, client } = await startPair(async ({ newConnection }) => {
+      seen.push(newConnection);
+      return { status: 200, body: '' };
+    });
+    for (const freshConnection of [false, false, true, true]) {
+      await simulation.settle(client.request({ ...GET, freshConnection }));
+    }
+    expect(seen).toEqual([true, false, true, true]);
   });
 });
