Run the controllers as a Raft group

Cause: the control daemon kept its history in a file of its own, without peers.

Change: RaftNode in place of the log of one member, which is removed; peers and daemons share the message listener, told apart by the role that the handshake proves. A controller that can't vouch for its state any more ends its process with a failure instead of staying up without a log.

--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -7,6 +7,8 @@
 /** A daemon that can be stopped without cutting off what is in flight. */
 export interface StoppableDaemon {
   stop(): Promise<void>;
+  /** Resolves with the cause if the daemon cannot go on by itself. */
+  readonly failure?: Promise<Error>;
 }
 
 export type { Telemetry };
@@ -39,9 +41,19 @@
   });
 }
 
+/** What ends a running daemon. */
+type DaemonEnd = { readonly signal: NodeJS.Signals } | { readonly failure: Error };
+
+function nextEnd(daemon: StoppableDaemon, stopSignal: Promise<NodeJS.Signals>): Promise<DaemonEnd> {
+  const ends: Promise<DaemonEnd>[] = [stopSignal.then((signal) => ({ signal }))];
+  if (daemon.failure !== undefined) ends.push(daemon.failure.then((failure) => ({ failure })));
+  return Promise.race(ends);
+}
+
 /**
  * Starts a daemon and runs it until SIGTERM or SIGINT, then stops it in the
- * planned way. A second signal ends the process at once.
+ * planned way; also when the daemon itself cannot go on. A second signal ends
+ * the process at once.
  */
 export async function runDaemon(
   logger: Logger,
@@ -50,9 +62,11 @@
   const stopSignal = nextStopSignal();
   try {
     const daemon = await start();
-    const signal = await stopSignal;
-    logger.info('stopping', { signal });
+    const end = await nextEnd(daemon, stopSignal);
+    if ('signal' in end) logger.info('stopping', { signal: end.signal });
+    else logger.error('stopping', { reason: end.failure.message });
     await daemon.stop();
+    if ('failure' in end) return ExitCode.Failure;
     logger.info('stopped');
     return ExitCode.Success;
   } catch (error) {
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -4,15 +4,21 @@
  */
 import { createAdministrationHandler } from '../administration/administration-handler.js';
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
-import type { ReplicatedLog } from '../consensus/replicated-log.js';
+import { RaftNode } from '../consensus/raft-node.js';
+import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
 import { ControlStreamServer } from '../control-stream/control-stream-server.js';
 import { ControllerExchange } from '../control-stream/controller-exchange.js';
 import { DaemonDirectory } from '../control-stream/daemon-directory.js';
 import { SignBoard } from '../control-stream/sign-board.js';
-import { QUORUM_LEASE_MS } from '../control-stream/stream-timing.js';
+import { CONNECT_TIMEOUT_MS, QUORUM_LEASE_MS } from '../control-stream/stream-timing.js';
+import type { DriftwayError } from '../errors/driftway-error.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
-import { AuthenticatedListener } from '../protocol/authenticated-listener.js';
+import {
+  AuthenticatedListener,
+  type ConnectionRoutes,
+} from '../protocol/authenticated-listener.js';
+import { dial } from '../protocol/dial.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
@@ -24,13 +30,19 @@
   type Readiness,
 } from './controller-http.js';
 import { PlatformListPoller } from './platform-list-poller.js';
-import { SingleMemberLog } from './single-member-log.js';
 
-/** The running parts, in the order in which they are started. */
-interface ControllerParts {
-  readonly log: ReplicatedLog;
+/** The parts that hold the controller's state. */
+interface ControllerCore {
+  readonly log: RaftNode;
+  readonly machine: ConfigurationStateMachine;
+  readonly daemons: DaemonDirectory;
+  readonly signs: SignBoard;
   readonly server: ControlStreamServer;
   readonly exchange: ControllerExchange;
+}
+
+/** All running parts. */
+interface ControllerParts extends ControllerCore {
   readonly messages: AuthenticatedListener;
   readonly http: HttpListener;
   readonly platformList: PlatformListPoller | undefined;
@@ -41,13 +53,15 @@
   private stopping = false;
   private parts!: ControllerParts;
   private readonly logger: Logger;
+  private readonly identity: LocalIdentity;
 
   private constructor(
     private readonly environment: DurableEnvironment,
     private readonly configuration: ControllerConfiguration,
     private readonly telemetry: Telemetry,
   ) {
-    const { memberId } = configuration;
+    const { memberId, cluster } = configuration;
+    this.identity = { clusterId: cluster.id, clusterKey: cluster.key, name: memberId };
     this.logger = telemetry.logger.child({ component: 'controller', memberId });
   }
 
@@ -78,6 +92,15 @@
     return this.parts.messages.address;
   }
 
+  /** Resolves if the controller cannot vouch for its state any more, with the cause. */
+  get failure(): Promise<DriftwayError> {
+    return new Promise((resolve) => {
+      void this.parts.log.stopped.then((cause) => {
+        if (cause !== undefined) resolve(cause);
+      });
+    });
+  }
+
   /**
    * Planned stop: answers the HTTP requests in flight, sends daemons to other
    * controllers, hands leadership over, then closes.
@@ -85,107 +108,124 @@
   async stop(): Promise<void> {
     if (this.stopping) return;
     this.stopping = true;
-    const { log, server, exchange, messages, http, platformList } = this.parts;
+    const { messages, http, platformList } = this.parts;
     await http.close();
     await platformList?.stop();
-    await server.stop();
-    await exchange.stop();
-    await log.close();
+    await this.stopCore(this.parts);
     await messages.close();
     this.logger.info('controller stopped');
   }
 
   private async startParts(): Promise<ControllerParts> {
-    const { environment, configuration, telemetry } = this;
-    const { clock, disk } = environment;
-    const { memberId, listen, cluster } = configuration;
-    const identity = { clusterId: cluster.id, clusterKey: cluster.key, name: memberId };
+    await this.environment.disk.createDirectory('.');
     const machine = new ConfigurationStateMachine();
-    await disk.createDirectory('.');
-    const address = formatAddress(listen.messages);
-    const log = await SingleMemberLog.open(disk, machine, memberId, address);
+    const log = await this.startLog(machine);
+    // Nothing is awaited between the log and what listens to the state machine.
+    const core = this.startCore(log, machine);
+    let messages: AuthenticatedListener | undefined;
+    try {
+      messages = await this.listenMessages(core);
+      const http = await this.listenHttp(core);
+      return { ...core, messages, http, platformList: this.startPlatformList(core) };
+    } catch (error) {
+      await this.stopCore(core);
+      await messages?.close();
+      throw error;
+    }
+  }
+
+  private startCore(log: RaftNode, machine: ConfigurationStateMachine): ControllerCore {
+    const { environment, identity, telemetry } = this;
+    const { clock } = environment;
     const daemons = new DaemonDirectory(clock);
     const signs = new SignBoard();
+    const onNews = (): void => exchange.notify();
     const server = new ControlStreamServer(
-      { clock, memberId, feed: machine, log, daemons, signs, onNews: () => exchange.notify() },
+      { clock, memberId: identity.name, feed: machine, log, daemons, signs, onNews },
       telemetry,
     );
-    const exchange: ControllerExchange = this.startExchange(identity, log, daemons, signs, server);
-    const messages = await this.listenMessages(identity, server, exchange);
-    const http = await this.listenHttp(log, machine, daemons);
-    const platformList = this.startPlatformList(signs, () => {
-      server.notify();
-      exchange.notify();
-    });
-    return { log, server, exchange, messages, http, platformList };
+    const readMembers = (): readonly ReplicatedLogMember[] => log.status().members;
+    const onSigns = (): void => server.notify();
+    const exchange = new ControllerExchange(
+      { environment, identity, readMembers, daemons, signs, onSigns },
+      telemetry,
+    );
+    return { log, machine, daemons, signs, server, exchange };
+  }
+
+  /** Leadership is handed over while the daemons already follow other controllers. */
+  private async stopCore({ log, server, exchange }: ControllerCore): Promise<void> {
+    await server.stop();
+    await log.close();
+    await exchange.stop();
   }
 
-  private startExchange(
-    identity: LocalIdentity,
-    log: ReplicatedLog,
-    daemons: DaemonDirectory,
-    signs: SignBoard,
-    server: ControlStreamServer,
-  ): ControllerExchange {
-    return new ControllerExchange(
+  private startLog(stateMachine: ConfigurationStateMachine): Promise<RaftNode> {
+    const { environment, configuration, identity, telemetry } = this;
+    const { memberId, listen, initialMembers, join } = configuration;
+    return RaftNode.start(
+      environment,
       {
-        environment: this.environment,
-        identity,
-        readMembers: () => log.status().members,
-        daemons,
-        signs,
-        onSigns: () => server.notify(),
+        clusterId: identity.clusterId,
+        memberId,
+        address: listen.messages,
+        initialMembers,
+        join,
+        stateMachine,
+        dial: (member) =>
+          dial(environment, identity, {
+            ...member,
+            role: 'consensus',
+            connectTimeout: CONNECT_TIMEOUT_MS,
+          }),
       },
-      this.telemetry,
+      telemetry,
     );
   }
 
-  private listenMessages(
-    identity: LocalIdentity,
-    server: ControlStreamServer,
-    exchange: ControllerExchange,
-  ): Promise<AuthenticatedListener> {
-    const routes = {
-      // A log of one member has no peers.
-      consensus: async () => undefined,
-      exchange: exchange.serve.bind(exchange),
-      subscriber: server.serve.bind(server),
+  private listenMessages(core: ControllerCore): Promise<AuthenticatedListener> {
+    const { log, exchange, server } = core;
+    const routes: ConnectionRoutes = {
+      consensus: (connection, peer) => log.acceptConnection(connection, peer.name),
+      exchange: (connection, peer) => exchange.serve(connection, peer),
+      subscriber: (connection, peer) => server.serve(connection, peer),
     };
-    const { messages } = this.configuration.listen;
-    const { registry } = this.telemetry;
-    return AuthenticatedListener.listen(this.environment, messages, identity, routes, registry);
+    const { environment, identity, configuration, telemetry } = this;
+    const { messages } = configuration.listen;
+    const { registry } = telemetry;
+    return AuthenticatedListener.listen(environment, messages, identity, routes, registry);
   }
 
-  private listenHttp(
-    log: ReplicatedLog,
-    machine: ConfigurationStateMachine,
-    daemons: DaemonDirectory,
-  ): Promise<HttpListener> {
-    const { environment, telemetry } = this;
-    const { logger, registry } = telemetry;
+  private listenHttp({ log, machine, daemons }: ControllerCore): Promise<HttpListener> {
+    const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
-    const { bootstrapTokenHash } = this.configuration.administration;
+    const { bootstrapTokenHash } = configuration.administration;
     const administration = createAdministrationHandler({
+      ...telemetry,
       log,
       machine,
       clock,
-      logger,
-      registry,
       forces: daemons,
+      members: log,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
     const readReadiness = (): Readiness => this.readiness(log);
-    const handler = createControllerHandler(registry, readReadiness, administration);
-    return network.listenHttp(this.configuration.listen.http, CONTROLLER_HTTP_OPTIONS, handler);
+    const handler = createControllerHandler(telemetry.registry, readReadiness, administration);
+    return network.listenHttp(configuration.listen.http, CONTROLLER_HTTP_OPTIONS, handler);
   }
 
-  private startPlatformList(signs: SignBoard, onSigns: () => void): PlatformListPoller | undefined {
+  private startPlatformList(core: ControllerCore): PlatformListPoller | undefined {
     const { platformList } = this.configuration;
     if (platformList === undefined) return undefined;
+    const { signs, server, exchange } = core;
+    const onSigns = (): void => {
+      server.notify();
+      exchange.notify();
+    };
     return new PlatformListPoller(this.environment, platformList, signs, onSigns, this.telemetry);
   }
 
-  private readiness(log: ReplicatedLog): Readiness {
+  private readiness(log: RaftNode): Readiness {
     if (this.stopping) return { ready: false, reason: 'stopping' };
     const { sinceQuorumMs } = log.status();
     if (sinceQuorumMs <= QUORUM_LEASE_MS) return { ready: true };
