Replay traces in virtual time and measure them against an oracle

Cause: no choice of replicas, hedging or limits can land without a figure, and no figure means much without knowing what was possible.

Change: `driftway-lab bench` runs the shipped router and the stand-in back ends on the simulator from a trace file, at the sizes of dohoku and pnw. It prints latency quantiles, coverage, extra attempts and wasted work from the back ends' own ledger, the best possible latency and coverage, and a digest. Traces extend one another, state outcomes, and a test replays small ones. Back ends take a working time per request instead of a draw.

--- a/lab/backend/backend-exchange.ts
+++ b/lab/backend/backend-exchange.ts
@@ -92,7 +92,9 @@
     this.record.start();
     this.stop.startDeadline(this.remaining());
     const slowdown = this.strike('slow')?.factor ?? 1;
-    const serviceTime = drawServiceTime(options.serviceTime, environment.random);
+    const serviceTime =
+      options.workingTime?.(this.request) ??
+      drawServiceTime(options.serviceTime, environment.random);
     if (this.strike('stall') !== undefined) {
       this.stop.liftDeadline();
       await this.stop.waitForever();
--- a/lab/backend/backend-options.ts
+++ b/lab/backend/backend-options.ts
@@ -2,6 +2,7 @@
 import type { Snapshot } from '../../src/model/snapshot.js';
 import type { Address } from '../../src/seams/address.js';
 import type { BackendLedger } from '../ledger/backend-ledger.js';
+import type { BackendRequest } from './backend-request.js';
 import type { ServiceTimeModel } from './service-time.js';
 
 /** A replica that has just started works slower until it is warm. */
@@ -35,6 +36,8 @@
   readonly connections: number;
   readonly queueLimit: number;
   readonly serviceTime: ServiceTimeModel;
+  /** Replaces the draw from {@link serviceTime}. Milliseconds. */
+  readonly workingTime?: (request: BackendRequest) => number;
   readonly coldStart?: ColdStart;
   /** Added to each request and again to each reply. Milliseconds. */
   readonly oneWayLatency: number;
--- /dev/null
+++ b/lab/bench/policy-sets.ts
@@ -0,0 +1,25 @@
+/** Named sets of policies that a bench compares; each overrides what the trace's settings choose. */
+import type { SettingsOverride } from '../../src/settings/service-settings.js';
+
+/** The simplest choice in every decision. */
+const BASELINE: SettingsOverride = {
+  replicaSelection: 'random',
+  hedging: 'none',
+  completionPolicy: 'wait_for_all',
+};
+
+export const POLICY_SETS: Readonly<Record<string, SettingsOverride>> = {
+  baseline: BASELINE,
+  round_robin: { ...BASELINE, replicaSelection: 'round_robin' },
+  least_in_flight: { ...BASELINE, replicaSelection: 'least_in_flight' },
+  power_of_two: { ...BASELINE, replicaSelection: 'power_of_two' },
+  latency_weighted: { ...BASELINE, replicaSelection: 'latency_weighted' },
+};
+
+/** @throws RangeError naming the sets there are. */
+export function policySet(name: string): SettingsOverride {
+  const known = POLICY_SETS[name];
+  if (known !== undefined) return known;
+  const names = Object.keys(POLICY_SETS).join(', ');
+  throw new RangeError(`there is no policy set "${name}"; choose one of ${names}`);
+}
--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -1,5 +1,6 @@
 /** Entry point of the `driftway-lab` command line. Never deployed. */
 import { Builtins, Cli } from 'clipanion';
+import { BenchCommand } from './bench-command.js';
 import { BackendCommand } from './backend-command.js';
 import { PlatformCommand } from './platform-command.js';
 
@@ -12,6 +13,7 @@
   });
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
+  cli.register(BenchCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
   return cli.run([...commandLine], Cli.defaultContext);
--- a/lab/ledger/backend-ledger.ts
+++ b/lab/ledger/backend-ledger.ts
@@ -17,7 +17,7 @@
 /** Writes one request's entry. */
 export class BackendLedgerRecord {
   constructor(
-    private readonly clock: Clock,
+    private readonly clock: Pick<Clock, 'wallTime'>,
     private readonly entry: MutableEntry,
   ) {}
 
@@ -48,7 +48,7 @@
   private readonly recorded: BackendLedgerEntry[] = [];
   private readonly recordedEvents: BackendEvent[] = [];
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Pick<Clock, 'wallTime'>) {}
 
   get entries(): readonly BackendLedgerEntry[] {
     return this.recorded;
