--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -1,5 +1,6 @@
 /** Entry point of the `driftway-lab` command line. Never deployed. */
 import { Builtins, Cli } from 'clipanion';
+import { MeasureRouterCostCommand } from './measure-router-cost.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -10,5 +11,6 @@
   });
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
+  cli.register(MeasureRouterCostCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
--- /dev/null
+++ b/lab/measure/fixed-configuration-source.ts
@@ -0,0 +1,33 @@
+/** A configuration that never changes, for runs that measure routers without controllers. */
+import { never } from '@most/core';
+import type { Stream } from '@most/types';
+import type { ReplicaSign } from '../../src/model/replica-sign.js';
+import type {
+  ConfigurationFreshness,
+  ConfigurationSource,
+} from '../../src/settings/configuration-source.js';
+import type { ConfigurationState } from '../../src/settings/configuration-state.js';
+
+/** {@link ConfigurationSource} that is always fresh. */
+export class FixedConfigurationSource implements ConfigurationSource {
+  readonly revisions: Stream<ConfigurationState> = never();
+  readonly replicaSigns: Stream<ReplicaSign> = never();
+
+  constructor(private readonly state: ConfigurationState) {}
+
+  current(): ConfigurationState {
+    return this.state;
+  }
+
+  freshness(): ConfigurationFreshness {
+    return { fresh: true, committedRevision: this.state.revision };
+  }
+
+  reportReplicaSign(): void {
+    // Nobody else follows this source.
+  }
+
+  async close(): Promise<void> {
+    // Holds nothing.
+  }
+}
