--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -1,5 +1,7 @@
 /** Entry point of the `driftway-lab` command line. Never deployed. */
 import { Builtins, Cli } from 'clipanion';
+import { BackendCommand } from './backend-command.js';
+import { PlatformCommand } from './platform-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 
 /** Runs one command line and returns its exit code. */
@@ -11,6 +13,8 @@
   });
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
+  cli.register(BackendCommand);
+  cli.register(PlatformCommand);
   cli.register(MeasureRouterCostCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
