--- a/src/membership/replica-registry.ts
+++ b/src/membership/replica-registry.ts
@@ -5,7 +5,7 @@
 import { createAdapter } from '@most/adapter';
 import type { Stream } from '@most/types';
 import type { BackendReport } from '../model/backend-protocol.js';
-import type { ReplicaSign } from '../model/replica-sign.js';
+import { supersedes, type ReplicaSign } from '../model/replica-sign.js';
 import type { ReplicaDefinition } from '../model/service-definition.js';
 import type { Logger } from '../observability/logger.js';
 import type { RouterFaults } from '../router/router-faults.js';
@@ -14,6 +14,9 @@
 import { ReplicaPoller, type ReportSink } from './replica-poller.js';
 import { ReplicaRecord } from './replica-record.js';
 
+/** Signs kept of replicas that no configuration has named yet. */
+const MAXIMUM_EARLY_SIGNS = 10_000;
+
 /** What the registry needs besides the seams. */
 export interface RegistryOptions {
   /** Name of this daemon, for the signs it gives. */
@@ -45,6 +48,8 @@
   readonly ownSigns: Stream<ReplicaSign>;
   private readonly emitSign: (sign: ReplicaSign) => void;
   private readonly entries = new Map<string, Entry>();
+  /** Newest sign of each replica that is not in the configuration yet. */
+  private readonly earlySigns = new Map<string, ReplicaSign>();
 
   constructor(
     private readonly environment: Environment,
@@ -79,6 +84,7 @@
   /** Joins a sign from another daemon or the platform list. */
   applySign(sign: ReplicaSign): boolean {
     const record = this.get(sign.replicaId);
+    if (record === undefined) this.keepEarlySign(sign);
     if (record === undefined || !record.applySign(sign)) return false;
     this.generation += 1;
     if (sign.state !== 'live') {
@@ -123,6 +129,13 @@
     await Promise.all(entries.map(({ record }) => record.channel.close()));
   }
 
+  private keepEarlySign(sign: ReplicaSign): void {
+    const known = this.earlySigns.get(sign.replicaId);
+    if (known !== undefined && !supersedes(sign, known)) return;
+    if (known === undefined && this.earlySigns.size >= MAXIMUM_EARLY_SIGNS) return;
+    this.earlySigns.set(sign.replicaId, sign);
+  }
+
   private observe(record: ReplicaRecord, incarnation: number, draining: boolean): void {
     const { replicaId } = record.replica;
     const known = record.knownSign;
@@ -138,7 +151,9 @@
     if (existing !== undefined) this.remove(definition.replicaId);
     const { clock, network, random } = this.environment;
     const channel = new ReplicaChannel(network, definition, this.options.maximumReplyBytes);
-    const record = new ReplicaRecord(definition, channel, clock, existing?.knownSign);
+    const knownSign = existing?.knownSign ?? this.earlySigns.get(definition.replicaId);
+    this.earlySigns.delete(definition.replicaId);
+    const record = new ReplicaRecord(definition, channel, clock, knownSign);
     const poller = new ReplicaPoller(record, this, clock, random);
     this.entries.set(definition.replicaId, { record, poller, task: poller.run() });
   }
--- a/test/router/support/virtual-clock.ts
+++ b/test/router/support/virtual-clock.ts
@@ -15,6 +15,10 @@
   private time = 0;
   private readonly timers = new Set<PendingTimer>();
 
+  get pendingTimers(): number {
+    return this.timers.size;
+  }
+
   now(): number {
     return this.time;
   }
