--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -1,7 +1,9 @@
 /** Entry point of the `driftway-lab` command line. Never deployed. */
 import { Builtins, Cli } from 'clipanion';
+import { BenchCommand } from './bench-command.js';
 import { BackendCommand } from './backend-command.js';
 import { PlatformCommand } from './platform-command.js';
+import { MeasureRouterCostCommand } from './measure-router-cost.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -12,7 +14,9 @@
   });
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
+  cli.register(BenchCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
+  cli.register(MeasureRouterCostCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
