--- a/src/consensus/apply-task.ts
+++ b/src/consensus/apply-task.ts
@@ -31,7 +31,7 @@
       const applied = this.applyCommitted();
       if (applied) this.announce();
       this.snapshotWhenDue();
-      await state.commitChanged.wait(Infinity, state.signal);
+      await state.commitChanged.wait(Infinity);
     }
   }
 
--- a/src/consensus/bootstrap-task.ts
+++ b/src/consensus/bootstrap-task.ts
@@ -31,7 +31,7 @@
     while (!state.signal.aborted && !state.bootstrapped) {
       const membership = await this.askAll(others);
       if (membership !== undefined) await this.begin(membership);
-      else await state.roleChanged.wait(timings.redialInterval, state.signal);
+      else await state.roleChanged.wait(timings.redialInterval);
     }
   }
 
--- a/src/consensus/election-task.ts
+++ b/src/consensus/election-task.ts
@@ -21,7 +21,7 @@
     const { state } = this;
     while (!state.signal.aborted) {
       if (!this.mayStand()) {
-        await state.roleChanged.wait(Infinity, state.signal);
+        await state.roleChanged.wait(Infinity);
         continue;
       }
       const asked = await this.waitForSilence();
@@ -54,7 +54,7 @@
       }
       const rest = state.electionTimerStart + timeout - clock.now();
       if (rest <= 0 || state.signal.aborted || !this.mayStand()) return false;
-      await state.roleChanged.wait(rest, state.signal);
+      await state.roleChanged.wait(rest);
     }
   }
 
--- a/src/consensus/follower-progress.ts
+++ b/src/consensus/follower-progress.ts
@@ -40,5 +40,7 @@
 
   end(): void {
     this.controller.abort(new Error('no longer followed'));
+    this.recordsWanted.close();
+    this.heartbeatWanted.close();
   }
 }
--- a/src/consensus/heartbeat-task.ts
+++ b/src/consensus/heartbeat-task.ts
@@ -55,11 +55,11 @@
       await sendHeartbeat(state, leadership, links, follower);
     } catch {
       // The link counts the failure; the next heartbeat dials again.
-      await follower.heartbeatWanted.wait(timings.redialInterval, follower.signal);
+      await follower.heartbeatWanted.wait(timings.redialInterval);
       continue;
     }
     if (leadership.readRound > round) continue;
     const rest = startedAt + timings.heartbeatInterval - clock.now();
-    await follower.heartbeatWanted.wait(rest, follower.signal);
+    await follower.heartbeatWanted.wait(rest);
   }
 }
--- a/src/consensus/leadership-transfer.ts
+++ b/src/consensus/leadership-transfer.ts
@@ -41,7 +41,7 @@
       await askToStand(state, links, leadership, successor.memberId);
       continue;
     }
-    await leadership.progressChanged.wait(timings.heartbeatInterval, leadership.signal);
+    await leadership.progressChanged.wait(timings.heartbeatInterval);
   }
 }
 
--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -6,6 +6,7 @@
 import { LogRecordKind, type LogRecord } from '../storage/log-record.js';
 import { FollowerProgress } from './follower-progress.js';
 import { heartbeatFollower } from './heartbeat-task.js';
+import type { Member } from './membership.js';
 import type { MemberState } from './member-state.js';
 import { Notifier } from './notifier.js';
 import type { PeerLinks } from './peer-links.js';
@@ -51,7 +52,7 @@
   end(): void {
     this.controller.abort(new Error('leadership ended'));
     for (const follower of this.followers.values()) follower.end();
-    this.progressChanged.notify();
+    this.progressChanged.close();
   }
 
   /** Adds a record to the log; every member learns of it, this one's disk included. */
@@ -82,6 +83,7 @@
     const ofThisTerm = log.termAt(index) === this.term;
     if (!ofThisTerm && faults.commitOldTermEntries !== true) return;
     this.state.advanceCommit(index);
+    this.progressChanged.notify();
     this.followMembers();
     for (const follower of this.followers.values()) follower.recordsWanted.notify();
     this.leaveIfRemoved();
@@ -115,9 +117,13 @@
   /** Starts tasks for new members and ends those of members whose removal is committed. */
   private followMembers(): void {
     const { membership, memberId, log, commitIndex } = this.state;
-    for (const member of membership.members) {
-      if (member.memberId === memberId || this.followers.has(member.memberId)) continue;
-      this.follow(member.memberId);
+    const added = membership.members
+      .filter((member) => member.memberId !== memberId && !this.followers.has(member.memberId))
+      .map((member) => this.addFollower(member));
+    // Only now: the tasks look at the progress of all members.
+    for (const follower of added) {
+      void replicateToFollower(this.state, this, this.links, follower);
+      void heartbeatFollower(this.state, this, this.links, follower);
     }
     if (log.memberships.latestIndex > commitIndex) return;
     for (const [id, follower] of this.followers) {
@@ -128,14 +134,12 @@
     }
   }
 
-  private follow(memberId: string): void {
+  private addFollower({ memberId, voter }: Member): FollowerProgress {
     const { clock } = this.state.dependencies;
-    const isVoter = this.state.membership.isVoter(memberId);
-    const confirmedAt = isVoter ? this.electedAt : -Infinity;
+    const confirmedAt = voter ? this.electedAt : -Infinity;
     const follower = new FollowerProgress(memberId, clock, this.openingIndex, confirmedAt);
     this.followers.set(memberId, follower);
-    void replicateToFollower(this.state, this, this.links, follower);
-    void heartbeatFollower(this.state, this, this.links, follower);
+    return follower;
   }
 
   /** Steps down once no quorum has answered for the shortest election timeout. */
@@ -147,7 +151,7 @@
         this.state.becomeFollower(undefined, 'no quorum');
         return;
       }
-      await this.progressChanged.wait(timings.heartbeatInterval, this.signal);
+      await this.progressChanged.wait(timings.heartbeatInterval);
     }
   }
 
--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -140,7 +140,10 @@
     this.leadership = undefined;
     this.leaderId = undefined;
     this.stopController.abort(new Error('member stopped'));
-    this.roleChanged.notify();
+    this.roleChanged.close();
+    this.commitChanged.close();
+    this.appliedChanged.close();
+    this.recordsAdded.close();
   }
 
   /** Stops for good because the member cannot vouch for its state any more. */
--- a/src/consensus/membership-changer.ts
+++ b/src/consensus/membership-changer.ts
@@ -137,7 +137,7 @@
       if (rest <= 0 || leadership.signal.aborted) {
         throw refuseForNow(`"${memberId}" has not caught up: ${lag} records behind`);
       }
-      await leadership.progressChanged.wait(rest, leadership.signal);
+      await leadership.progressChanged.wait(rest);
     }
   }
 
--- a/src/consensus/notifier.ts
+++ b/src/consensus/notifier.ts
@@ -4,6 +4,7 @@
 /** Waiters check their condition, wait, and check again. */
 export class Notifier {
   private waiters = new Set<() => void>();
+  private closed = false;
 
   constructor(private readonly clock: Clock) {}
 
@@ -14,22 +15,23 @@
     for (const wake of woken) wake();
   }
 
-  /**
-   * Resolves at the next {@link Notifier.notify}, after `milliseconds`
-   * (Infinity for never), or when `signal` aborts, whichever is first.
-   */
-  wait(milliseconds: number, signal: AbortSignal): Promise<void> {
-    if (signal.aborted || milliseconds <= 0) return Promise.resolve();
+  /** Wakes every current waiter, and lets none wait again. */
+  close(): void {
+    this.closed = true;
+    this.notify();
+  }
+
+  /** Resolves at the next {@link Notifier.notify}, or after `milliseconds` (Infinity for never). */
+  wait(milliseconds: number): Promise<void> {
+    if (this.closed || milliseconds <= 0) return Promise.resolve();
     return new Promise((resolve) => {
       let timer: Timer | undefined;
       const wake = (): void => {
         timer?.cancel();
         this.waiters.delete(wake);
-        signal.removeEventListener('abort', wake);
         resolve();
       };
       this.waiters.add(wake);
-      signal.addEventListener('abort', wake, { once: true });
       if (milliseconds !== Infinity) timer = this.clock.setTimer(milliseconds, wake);
     });
   }
--- a/src/consensus/proposer.ts
+++ b/src/consensus/proposer.ts
@@ -71,7 +71,7 @@
         reason = error.message;
       }
       const wait = Math.min(timings.heartbeatInterval, deadline - clock.now());
-      await state.roleChanged.wait(wait, state.signal);
+      await state.roleChanged.wait(wait);
     }
     throw new NotProposedError(state.signal.aborted ? 'this member stopped' : reason);
   }
@@ -137,7 +137,7 @@
       if (state.signal.aborted || clock.now() >= deadline) {
         throw new ProposalOutcomeUnknownError(`committed at ${index} but not applied here in time`);
       }
-      await state.appliedChanged.wait(deadline - clock.now(), state.signal);
+      await state.appliedChanged.wait(deadline - clock.now());
     }
   }
 }
--- a/src/consensus/reader.ts
+++ b/src/consensus/reader.ts
@@ -24,7 +24,7 @@
       const index = await this.readIndex(deadline);
       if (index !== undefined && (await this.waitForApplied(index, deadline))) return;
       const wait = Math.min(timings.heartbeatInterval, deadline - clock.now());
-      await state.roleChanged.wait(wait, state.signal);
+      await state.roleChanged.wait(wait);
     }
     throw new NoQuorumError(state.signal.aborted ? 'this member stopped' : 'no leader confirmed');
   }
@@ -79,7 +79,7 @@
     while (!condition()) {
       const rest = deadline - clock.now();
       if (leadership.signal.aborted || rest <= 0) return false;
-      await leadership.progressChanged.wait(rest, leadership.signal);
+      await leadership.progressChanged.wait(rest);
     }
     return !leadership.signal.aborted;
   }
@@ -90,7 +90,7 @@
     while (state.appliedIndex < index) {
       const rest = deadline - clock.now();
       if (state.signal.aborted || rest <= 0) return false;
-      await state.appliedChanged.wait(rest, state.signal);
+      await state.appliedChanged.wait(rest);
     }
     return true;
   }
--- a/src/consensus/record-writer.ts
+++ b/src/consensus/record-writer.ts
@@ -31,7 +31,7 @@
 export async function runRecordWriter(state: MemberState): Promise<void> {
   while (!state.signal.aborted) {
     if (state.log.syncedIndex >= state.log.lastIndex) {
-      await state.recordsAdded.wait(Infinity, state.signal);
+      await state.recordsAdded.wait(Infinity);
       continue;
     }
     try {
--- a/src/consensus/replication-task.ts
+++ b/src/consensus/replication-task.ts
@@ -29,7 +29,7 @@
     }
     const upToDate =
       follower.matchIndex >= state.log.lastIndex && follower.sentCommitIndex >= state.commitIndex;
-    if (upToDate) await follower.recordsWanted.wait(Infinity, follower.signal);
+    if (upToDate) await follower.recordsWanted.wait(Infinity);
     else await this.sendRecords();
   }
 
@@ -132,6 +132,6 @@
     } catch {
       // The link counts the failure; the next message dials again.
     }
-    await follower.recordsWanted.wait(timings.redialInterval, follower.signal);
+    await follower.recordsWanted.wait(timings.redialInterval);
   }
 }
--- a/src/consensus/request-server.ts
+++ b/src/consensus/request-server.ts
@@ -93,7 +93,7 @@
     let running = 0;
     for (;;) {
       while (running >= limits.maximumConcurrentRequests) {
-        await answered.wait(Infinity, this.state.signal);
+        await answered.wait(Infinity);
         if (this.state.signal.aborted) return;
       }
       const frame = await connection.receive();
--- a/src/storage/log-recovery.ts
+++ b/src/storage/log-recovery.ts
@@ -37,7 +37,7 @@
 class RecordCollector {
   readonly records: LogRecord[] = [];
 
-  constructor(readonly base: LogPosition) {}
+  constructor(public base: LogPosition) {}
 
   get position(): LogPosition {
     return this.records.at(-1) ?? this.base;
@@ -45,8 +45,15 @@
 
   /** False when the record leaves a hole. */
   add(record: LogRecord): boolean {
+    if (record.index <= this.base.index) {
+      // It replaced records of a segment that was dropped since. Segments are
+      // dropped once a snapshot covers them, so it covers this record too.
+      this.records.length = 0;
+      this.base = { index: record.index, term: record.term };
+      return true;
+    }
     const place = record.index - this.base.index - 1;
-    if (place < 0 || place > this.records.length) return false;
+    if (place > this.records.length) return false;
     this.records.length = place;
     this.records.push(record);
     return true;
--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -17,6 +17,8 @@
   readonly faults?: RaftFaults;
   readonly limits?: Partial<RaftLimits>;
   readonly timings?: Partial<RaftTimings>;
+  /** Timings of single members, for clocks that run differently. */
+  readonly timingsOf?: Readonly<Record<string, Partial<RaftTimings>>>;
 }
 
 /** One machine: its disk stays, its process comes and goes. */
@@ -26,7 +28,7 @@
   state: HistoryMachine;
 }
 
-const CLUSTER_ID = 'test';
+export const CLUSTER_ID = 'test';
 const FIRST_PORT = 7_000;
 const ELECTION_LIMIT = 20_000;
 
@@ -103,7 +105,9 @@
         join,
         stateMachine: machine.state,
         dial: (member) => this.dial(id, member.memberId),
-        ...this.options,
+        faults: this.options.faults,
+        limits: this.options.limits,
+        timings: { ...this.options.timings, ...this.options.timingsOf?.[id] },
       },
       { logger: this.logger(id), registry: new Registry() },
     );
