Hedge slow attempts after a learned quantile, within a budget

Cause: with 1 in 100 replies 10 to 50 times slower, a query to 8 shards waits for a straggler in 8 of 100 cases.

Change: QuantileHedgePolicy learns each shard's latencies (its own once it has 250 samples, the service's before) and hedges after the higher of hedgeQuantile and the quantile at which hedges take 90% of the budget: a lower one spends the budget on whichever attempt comes first instead of the slowest. The budget is earned by first attempts only. An attempt that is cancelled tells that it took longer than its wait; HedgePolicy gains recordUnfinished, the router calls it for cancelled attempts, and the digest joins both kinds in a Kaplan-Meier estimate, since leaving them out hides exactly the slow replies.

Tests: hedges stay within budget when every reply turns slow (seen to fail with the budget not spent), most stragglers are hedged, the digest is not misled by attempts given up (seen to fail with those left out).

--- a/lab/bench/policy-sets.ts
+++ b/lab/bench/policy-sets.ts
@@ -13,6 +13,7 @@
   round_robin: { ...BASELINE, replicaSelection: 'round_robin' },
   least_in_flight: { ...BASELINE, replicaSelection: 'least_in_flight' },
   power_of_two: { ...BASELINE, replicaSelection: 'power_of_two' },
+  hedge: { ...BASELINE, hedging: 'quantile' },
   latency_weighted: { ...BASELINE, replicaSelection: 'latency_weighted' },
 };
 
--- a/src/policies/hedge-policy.ts
+++ b/src/policies/hedge-policy.ts
@@ -8,6 +8,9 @@
   /** An attempt was answered after `latency` milliseconds. */
   recordLatency(shardId: string, latency: number): void;
 
+  /** An attempt was given up without a reply after `elapsed` milliseconds. */
+  recordUnfinished(shardId: string, elapsed: number): void;
+
   /** How long to wait for an attempt before hedging; undefined for never. Milliseconds. */
   hedgeDelay(shardId: string): number | undefined;
 
--- a/src/policies/no-hedge-policy.ts
+++ b/src/policies/no-hedge-policy.ts
@@ -7,6 +7,8 @@
 
   recordLatency(): void {}
 
+  recordUnfinished(): void {}
+
   hedgeDelay(): undefined {
     return undefined;
   }
--- a/src/policies/service-policies.ts
+++ b/src/policies/service-policies.ts
@@ -11,6 +11,7 @@
 import { LeastInFlightReplicaSelector } from './least-in-flight-replica-selector.js';
 import { NoHedgePolicy } from './no-hedge-policy.js';
 import { PowerOfTwoReplicaSelector } from './power-of-two-replica-selector.js';
+import { QuantileHedgePolicy } from './quantile-hedge-policy.js';
 import { RandomReplicaSelector } from './random-replica-selector.js';
 import type { ReplicaSelector } from './replica-selector.js';
 import type { RetryPolicy } from './retry-policy.js';
@@ -50,6 +51,14 @@
   }
 }
 
+function createHedgePolicy(settings: ServiceSettings): HedgePolicy {
+  if (settings.hedging === 'none') return new NoHedgePolicy();
+  return new QuantileHedgePolicy({
+    quantile: settings.hedgeQuantile,
+    budgetPercent: settings.hedgeBudgetPercent,
+  });
+}
+
 /** Makes the policies that `settings` ask for. */
 export function createServicePolicies(
   settings: ServiceSettings,
@@ -58,7 +67,7 @@
   const { clock, random } = dependencies;
   return {
     replicaSelector: createReplicaSelector(settings.replicaSelection, random),
-    hedge: new NoHedgePolicy(),
+    hedge: createHedgePolicy(settings),
     completion: new WaitForAllPolicy(),
     retry: new BudgetedRetryPolicy(
       {
--- a/src/router/backend-attempt.ts
+++ b/src/router/backend-attempt.ts
@@ -54,7 +54,7 @@
       const response = await this.send(signal, startedAt);
       return this.judge(response, clock.now() - startedAt);
     } catch (error) {
-      return this.judgeError(error);
+      return this.judgeError(error, clock.now() - startedAt);
     } finally {
       record.endAttempt();
     }
@@ -127,11 +127,11 @@
     return { kind: 'answered', resultText, bytes: response.body.length };
   }
 
-  private judgeError(error: unknown): AttemptOutcome {
+  private judgeError(error: unknown, elapsed: number): AttemptOutcome {
     if (!(error instanceof HttpClientError)) return failedAttempt('connection_lost', true);
     if (this.mismatch !== undefined) return this.drop(this.mismatch);
     const { kind, requestSent } = error;
-    if (kind === 'aborted') return failedAttempt('not_waited_for', requestSent);
+    if (kind === 'aborted') return this.giveUp(elapsed, requestSent);
     if (kind === 'response_too_large') return this.drop('too_large');
     if (kind === 'malformed_response') return this.drop('malformed_response');
     if (kind === 'response_truncated') return this.drop('truncated');
@@ -139,6 +139,12 @@
     return failedAttempt(requestSent ? 'connection_lost' : 'connect_failed', requestSent);
   }
 
+  /** Cancelled: that there was no reply for so long is all that can be learned from it. */
+  private giveUp(elapsed: number, requestSent: boolean): AttemptOutcome {
+    this.query.service.policies.hedge.recordUnfinished(this.target.shardId, elapsed);
+    return failedAttempt('not_waited_for', requestSent);
+  }
+
   /** The request was sent and its reply is lost, so it may have been run. */
   private drop(reason: DroppedReplyReason): AttemptOutcome {
     this.router.metrics.droppedReplies.inc({ reason });
