--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -89,7 +89,7 @@
       hedge: {
         recordPrimary: () => undefined,
         recordLatency: () => undefined,
-      recordUnfinished: () => undefined,
+        recordUnfinished: () => undefined,
         hedgeDelay: () => HEDGE_DELAY,
         takeBudget: () => (this.hedgesLeft -= 1) >= 0,
       },
