--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -3,6 +3,7 @@
 import { BenchCommand } from './bench-command.js';
 import { BackendCommand } from './backend-command.js';
 import { PlatformCommand } from './platform-command.js';
+import { MeasureRouterCostCommand } from './measure-router-cost.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -16,5 +17,6 @@
   cli.register(BenchCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
+  cli.register(MeasureRouterCostCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
