--- a/lab/backend/backend-control.ts
+++ b/lab/backend/backend-control.ts
@@ -13,6 +13,7 @@
 import type { Environment } from '../../src/seams/environment.js';
 import type { HttpListener, HttpRequest, HttpResponse } from '../../src/seams/http.js';
 import type { BackendEvent } from '../ledger/backend-event.js';
+import type { BackendHolding } from '../ledger/backend-holding.js';
 import type { BackendLedgerEntry } from '../ledger/backend-ledger-entry.js';
 import type { Backend } from './backend.js';
 import { backendActionSchema, publishSchema } from './backend-action.js';
@@ -40,6 +41,8 @@
   readonly entries: readonly BackendLedgerEntry[];
   /** All events, on every page. */
   readonly events: readonly BackendEvent[];
+  /** All holdings, on every page. */
+  readonly holdings: readonly BackendHolding[];
   /** Entries in the ledger. */
   readonly total: number;
 }
@@ -130,10 +133,11 @@
 
   private serveLedger(request: HttpRequest): HttpResponse {
     const from = Number(request.query.get('from') ?? 0);
-    const { entries, events } = this.group.ledger;
+    const { entries, events, holdings } = this.group.ledger;
     const page: LedgerPage = {
       entries: entries.slice(from, from + LEDGER_PAGE_ENTRIES),
       events,
+      holdings,
       total: entries.length,
     };
     return respond(200, page);
--- a/lab/backend/backend.ts
+++ b/lab/backend/backend.ts
@@ -57,7 +57,7 @@
     this.boundAddress = options.address;
     this.faults = new FaultSwitchboard(environment.random);
     this.snapshots = new HeldSnapshots(options.keptSnapshots);
-    this.snapshots.add(options.snapshot, options.shardIds);
+    this.hold(options.snapshot, options.shardIds);
     this.slots = this.newSlots();
     this.history = this.newHistory();
   }
@@ -92,7 +92,7 @@
 
   /** Adds a snapshot to those it answers from; the oldest beyond the number kept is dropped. */
   publish(snapshot: Snapshot, shardIds?: readonly string[]): void {
-    this.snapshots.add(snapshot, shardIds ?? this.snapshots.newest?.shardIds ?? []);
+    this.hold(snapshot, shardIds ?? this.snapshots.newest?.shardIds ?? []);
     this.noteState();
   }
 
@@ -170,6 +170,12 @@
     return 1 + (coldStart.factor - 1) * coldness;
   }
 
+  private hold(snapshot: Snapshot, shardIds: readonly string[]): void {
+    const { replicaId, service, ledger } = this.options;
+    this.snapshots.add(snapshot, shardIds);
+    ledger.recordHolding({ replicaId, service, snapshot, shardIds });
+  }
+
   private newSlots(): SlotQueue {
     const { slots, queueLimit } = this.options;
     return new SlotQueue(this.environment.clock, slots, queueLimit);
--- a/lab/ledger/backend-ledger.ts
+++ b/lab/ledger/backend-ledger.ts
@@ -1,6 +1,7 @@
 /** Collects what the stand-in back ends of one process saw and did. */
 import type { Clock } from '../../src/seams/clock.js';
 import type { BackendEvent, BackendEventKind } from './backend-event.js';
+import type { BackendHolding } from './backend-holding.js';
 import type { BackendLedgerEntry, BackendOutcome } from './backend-ledger-entry.js';
 
 /** The facts of a request when it arrives. */
@@ -47,6 +48,7 @@
 export class BackendLedger {
   private readonly recorded: BackendLedgerEntry[] = [];
   private readonly recordedEvents: BackendEvent[] = [];
+  private readonly recordedHoldings: BackendHolding[] = [];
 
   constructor(private readonly clock: Clock) {}
 
@@ -58,6 +60,10 @@
     return this.recordedEvents;
   }
 
+  get holdings(): readonly BackendHolding[] {
+    return this.recordedHoldings;
+  }
+
   /** Opens the entry of a request that has arrived. */
   receive(replicaId: string, incarnation: number, request: ReceivedRequest): BackendLedgerRecord {
     const entry: MutableEntry = {
@@ -78,6 +84,10 @@
     return new BackendLedgerRecord(this.clock, entry);
   }
 
+  recordHolding(holding: Omit<BackendHolding, 'at'>): void {
+    this.recordedHoldings.push({ ...holding, at: this.clock.wallTime() });
+  }
+
   recordEvent(replicaId: string, incarnation: number, kind: BackendEventKind): void {
     this.recordedEvents.push({ replicaId, incarnation, kind, at: this.clock.wallTime() });
   }
--- a/lab/ledger/caller-ledger-entry.ts
+++ b/lab/ledger/caller-ledger-entry.ts
@@ -26,6 +26,8 @@
   readonly repeatable: boolean;
   /** Whether the request was aimed at one shard by a key. */
   readonly keyed: boolean;
+  /** Least coverage the caller itself asked for. */
+  readonly requiredCoverage?: number;
   readonly deadlineMs: number;
   /** When the schedule wanted it sent; latency counts from here. */
   readonly scheduledAt: number;
--- a/lab/load/caller.ts
+++ b/lab/load/caller.ts
@@ -124,6 +124,7 @@
     if (oneWayLatency > 0) await clock.sleep(oneWayLatency);
     const facts = await this.exchange(call);
     if (oneWayLatency > 0) await clock.sleep(oneWayLatency);
+    const { requiredCoverage } = call.request;
     const entry: CallerLedgerEntry = {
       caller: this.options.name,
       target: this.options.target,
@@ -132,6 +133,7 @@
       queryDigest: digestQuery(call.request.query),
       repeatable: call.request.repeatable ?? true,
       keyed: call.request.key !== undefined,
+      ...(requiredCoverage === undefined ? {} : { requiredCoverage }),
       deadlineMs: call.request.deadlineMs ?? ASSUMED_DEADLINE,
       scheduledAt: sentAt - (calledAt - scheduledAt),
       sentAt,
