--- a/lab/ledger/backend-ledger.ts
+++ b/lab/ledger/backend-ledger.ts
@@ -18,7 +18,7 @@
 /** Writes one request's entry. */
 export class BackendLedgerRecord {
   constructor(
-    private readonly clock: Clock,
+    private readonly clock: Pick<Clock, 'wallTime'>,
     private readonly entry: MutableEntry,
   ) {}
 
@@ -50,7 +50,7 @@
   private readonly recordedEvents: BackendEvent[] = [];
   private readonly recordedHoldings: BackendHolding[] = [];
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Pick<Clock, 'wallTime'>) {}
 
   get entries(): readonly BackendLedgerEntry[] {
     return this.recorded;
