Stop adding a crash listener for every request at a stand-in

Cause: each request in flight listened on one abort signal of its back end, so that eleven at once made Node warn of a listener leak (seen in the trace replay tests; no leak: the listeners were removed).

Change: a back end keeps the set of work it has in hand and ends it itself. The crash and queue tests pass as before.

--- a/lab/backend/backend.ts
+++ b/lab/backend/backend.ts
@@ -44,7 +44,7 @@
   slots: SlotQueue;
   private boundAddress: Address;
   private listener: HttpListener | undefined;
-  private crashed = new AbortController();
+  private readonly running = new Set<WorkStop>();
   private draining = false;
   private currentIncarnation = 0;
   private startedAt = 0;
@@ -132,7 +132,7 @@
     if (listener === undefined) return;
     this.listener = undefined;
     this.recordEvent('crashed');
-    this.crashed.abort(new Error('crashed'));
+    for (const stop of this.running) stop.crash();
     await listener.close();
   }
 
@@ -151,7 +151,6 @@
   /** Comes back after a crash or stop on the same port, cold and as a new incarnation. */
   async restart(): Promise<void> {
     if (this.listener !== undefined) return;
-    this.crashed = new AbortController();
     this.draining = false;
     this.slots = this.newSlots();
     this.history = this.newHistory();
@@ -221,7 +220,8 @@
   private async serveQuery(request: HttpRequest): Promise<HttpResponse> {
     const query = readBackendRequest(request);
     if (query === undefined) return BAD_REQUEST;
-    const stop = new WorkStop(this.environment.clock, request.signal, this.crashed.signal);
+    const stop = new WorkStop(this.environment.clock, request.signal);
+    this.running.add(stop);
     try {
       await stop.wait(this.arrivalDelay(request));
       if (stop.reason !== undefined) return NO_REPLY;
@@ -232,6 +232,7 @@
       await stop.wait(this.options.oneWayLatency);
       return stop.reason === 'crashed' ? NO_REPLY : reply;
     } finally {
+      this.running.delete(stop);
       stop.dispose();
     }
   }
--- a/lab/backend/work-stop.ts
+++ b/lab/backend/work-stop.ts
@@ -9,18 +9,14 @@
   private readonly controller = new AbortController();
   private stopReason: StopReason | undefined;
   private readonly onCancelled = (): void => this.stop('cancelled');
-  private readonly onCrashed = (): void => this.stop('crashed');
   private timer: Timer | undefined;
 
   constructor(
     private readonly clock: Clock,
     private readonly cancelled: AbortSignal,
-    private readonly crashed: AbortSignal,
   ) {
     if (cancelled.aborted) this.stop('cancelled');
-    if (crashed.aborted) this.stop('crashed');
     cancelled.addEventListener('abort', this.onCancelled, { once: true });
-    crashed.addEventListener('abort', this.onCrashed, { once: true });
   }
 
   get signal(): AbortSignal {
@@ -32,6 +28,11 @@
     return this.stopReason;
   }
 
+  /** Ends the work because the back end crashed. */
+  crash(): void {
+    this.stop('crashed');
+  }
+
   /** Ends the work after `milliseconds`. */
   startDeadline(milliseconds: number): void {
     this.timer = this.clock.setTimer(Math.max(0, milliseconds), () => this.stop('deadline'));
@@ -63,7 +64,6 @@
   dispose(): void {
     this.timer?.cancel();
     this.cancelled.removeEventListener('abort', this.onCancelled);
-    this.crashed.removeEventListener('abort', this.onCrashed);
   }
 
   private stop(reason: StopReason): void {
