--- a/src/consensus/heartbeat-task.ts
+++ b/src/consensus/heartbeat-task.ts
@@ -8,6 +8,9 @@
 import type { MemberState } from './member-state.js';
 import type { PeerLinks } from './peer-links.js';
 
+/** Below every commit index. */
+const NOT_TOLD = -1;
+
 /** Sends one heartbeat and takes in the answer. */
 async function sendHeartbeat(
   state: MemberState,
@@ -36,7 +39,12 @@
   follower.confirmedAt = Math.max(follower.confirmedAt, sentAt);
   follower.confirmedRound = Math.max(follower.confirmedRound, round);
   follower.peerTime = response.time;
-  follower.peerSession = response.session;
+  if (follower.peerSession !== response.session) {
+    follower.peerSession = response.session;
+    // A new process does not know yet that its log agrees, nor what is committed.
+    follower.sentCommitIndex = NOT_TOLD;
+    follower.recordsWanted.notify();
+  }
   leadership.progressChanged.notify();
 }
 
--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -164,14 +164,15 @@
   async adoptTerm(term: number): Promise<void> {
     if (term <= this.term) return;
     await this.dependencies.storage.saveVote(term, undefined);
-    this.noteTerm();
+    this.noteNewTerm();
     this.becomeFollower(undefined, 'higher term');
   }
 
   /** Votes in a term, raising it if needed. Under the lock only. */
   async recordVote(term: number, candidateId: string): Promise<void> {
+    const isNewTerm = term > this.term;
     await this.dependencies.storage.saveVote(term, candidateId);
-    this.noteTerm();
+    if (isNewTerm) this.noteNewTerm();
   }
 
   /** Ceases to lead or to stand. */
@@ -214,7 +215,7 @@
     this.commitChanged.notify();
   }
 
-  private noteTerm(): void {
+  private noteNewTerm(): void {
     this.verifiedIndex = 0;
     this.dependencies.metrics.term.set(this.term);
   }
