--- a/src/administration/describe-force.ts
+++ b/src/administration/describe-force.ts
@@ -9,8 +9,6 @@
 ): Force | undefined {
   if (tracker === undefined) return undefined;
   const { daemons } = tracker.inForce(revision);
-  const late = daemons
-    .filter((daemon) => daemon.revision < revision)
-    .map((daemon) => ({ name: daemon.name, revision: daemon.revision }));
+  const late = daemons.filter((daemon) => daemon.revision < revision);
   return { revision, daemons: daemons.length, inForce: daemons.length - late.length, late };
 }
--- a/src/administration/force-tracker.ts
+++ b/src/administration/force-tracker.ts
@@ -1,10 +1,14 @@
 /** Which daemons have put which revision in force. Implemented by the control stream. */
 
-/** One daemon that some controller holds a lease for. */
+/** One daemon known to the controllers. */
 export interface DaemonRevision {
   readonly name: string;
   /** Highest revision it has reported in force. */
   readonly revision: number;
+  readonly zone?: string;
+  readonly version?: string;
+  /** Since it was last heard of. Milliseconds. */
+  readonly silentMs?: number;
 }
 
 /** What is known of the daemons. */
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -35,11 +35,19 @@
   operations: z.array(operationSchema),
 });
 
+const daemonSchema = z.strictObject({
+  name: z.string(),
+  revision: revisionSchema,
+  zone: z.string().optional(),
+  version: z.string().optional(),
+  silentMs: z.number().optional().describe('Since it was last heard of.'),
+});
+
 export const forceSchema = z.strictObject({
   revision: revisionSchema,
   daemons: z.int().describe('Daemons known to the controllers.'),
   inForce: z.int().describe('Those that report this revision or a later one in force.'),
-  late: z.array(z.strictObject({ name: z.string(), revision: revisionSchema })),
+  late: z.array(daemonSchema),
 });
 export type Force = z.infer<typeof forceSchema>;
 
@@ -131,7 +139,8 @@
         .describe('Log entries it lacks; null where this controller does not know.'),
     }),
   ),
-  daemons: forceSchema.nullable(),
+  force: forceSchema.nullable().describe('Of the newest revision; null where no one keeps track.'),
+  daemons: z.array(daemonSchema),
 });
 export type StatusReport = z.infer<typeof statusSchema>;
 
--- a/src/administration/status-routes.ts
+++ b/src/administration/status-routes.ts
@@ -43,7 +43,8 @@
     sinceQuorumMs: Number.isFinite(status.sinceQuorumMs) ? status.sinceQuorumMs : null,
     revision,
     members: describeMembers(status),
-    daemons: describeForce(dependencies.forces, revision) ?? null,
+    force: describeForce(dependencies.forces, revision) ?? null,
+    daemons: [...(dependencies.forces?.inForce(revision).daemons ?? [])],
   };
 }
 
--- /dev/null
+++ b/src/commands/operator-change-command.ts
@@ -0,0 +1,100 @@
+/** What all commands share that change the configuration. */
+import { Option } from 'clipanion';
+import type {
+  ChangeReport,
+  ChangeResult,
+  ServiceList,
+} from '../administration/response-schemas.js';
+import { formatForce, formatResult } from '../operator/format-change.js';
+import type { OperatorClient } from '../operator/operator-client.js';
+import { OperatorExitCode } from '../operator/operator-error.js';
+import type { ChangeRequest, Operation } from '../settings/change.js';
+import { OperatorRecordedCommand } from './operator-recorded-command.js';
+
+/** How often `--wait` asks whether the change is in force. Milliseconds. */
+const WAIT_INTERVAL_MS = 200;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What a command wants changed; absent fields come from flags. */
+export interface PlannedChange {
+  readonly operations: readonly Operation[];
+  readonly baseRevision?: number;
+  readonly author?: string;
+  readonly reason?: string;
+}
+
+/** Base of the commands that send a change. */
+export abstract class OperatorChangeCommand extends OperatorRecordedCommand {
+  base = Option.String('--base', {
+    description: 'Revision the change was made against; the current one when absent',
+  });
+  dryRun = Option.Boolean('--dry-run', false, {
+    description: 'Check everything and show what would differ; change nothing',
+  });
+  wait = Option.String('--wait', {
+    description: 'Wait until every daemon has it in force; exit with 1 after this many seconds',
+  });
+
+  protected abstract plan(): Promise<PlannedChange>;
+
+  protected override async run(client: OperatorClient): Promise<unknown> {
+    const request = await this.toRequest(client, await this.plan());
+    const target = this.dryRun ? '/v1/changes?dryRun=true' : '/v1/changes';
+    this.announce(request);
+    const result = await client.post<ChangeResult>(target, request);
+    if (this.wait === undefined || this.dryRun) return result;
+    const seconds = this.numberOf('--wait', this.wait);
+    const force = await this.waitUntilInForce(client, request.changeId, seconds);
+    return { ...result, force };
+  }
+
+  protected override format(answer: unknown): string {
+    const result = answer as ChangeResult & { force?: ChangeReport['force'] };
+    const force = result.force === undefined ? '' : formatForce(result.force);
+    return formatResult(result) + force;
+  }
+
+  /** Printed before sending, so that the id is known should this process end before the answer. */
+  private announce({ changeId, baseRevision }: ChangeRequest): void {
+    if (this.dryRun) return;
+    this.context.stderr.write(
+      `sending change ${changeId} against revision ${baseRevision}; should the answer be lost, ` +
+        `repeat the command with --change-id ${changeId} --base ${baseRevision}\n`,
+    );
+  }
+
+  private async toRequest(client: OperatorClient, planned: PlannedChange): Promise<ChangeRequest> {
+    const { changeId, author, reason } = this.recordFields();
+    return {
+      changeId,
+      baseRevision: await this.baseRevision(client, planned),
+      author: this.author ?? planned.author ?? author,
+      reason: this.reason ?? planned.reason ?? reason,
+      operations: [...planned.operations],
+    };
+  }
+
+  private async baseRevision(client: OperatorClient, planned: PlannedChange): Promise<number> {
+    if (this.base !== undefined) return this.numberOf('--base', this.base);
+    if (planned.baseRevision !== undefined) return planned.baseRevision;
+    return (await client.get<ServiceList>('/v1/services')).revision;
+  }
+
+  private async waitUntilInForce(
+    client: OperatorClient,
+    changeId: string,
+    seconds: number,
+  ): Promise<ChangeReport['force']> {
+    const { clock } = this.environment;
+    const deadline = clock.now() + seconds * MILLISECONDS_PER_SECOND;
+    for (;;) {
+      const { force } = await client.get<ChangeReport>(`/v1/changes/${changeId}`);
+      if (force === undefined || force.late.length === 0) return force;
+      if (clock.now() >= deadline) {
+        this.exitCode = OperatorExitCode.Failure;
+        return force;
+      }
+      await clock.sleep(WAIT_INTERVAL_MS);
+    }
+  }
+}
--- /dev/null
+++ b/src/operator/change-file.ts
@@ -0,0 +1,48 @@
+/** Files that operators write: changes, services and shards, as YAML or JSON. */
+import { parseDocument } from 'yaml';
+import { z } from 'zod';
+import { shardSchema } from '../model/service-definition.js';
+import {
+  authorSchema,
+  operationSchema,
+  reasonSchema,
+  MAXIMUM_OPERATIONS,
+} from '../settings/change.js';
+import { OperatorError } from './operator-error.js';
+
+/** What `driftway settings apply -f` reads. Flags fill in what is absent. */
+export const changeFileSchema = z.strictObject({
+  baseRevision: z.int().min(0).optional(),
+  author: authorSchema.optional(),
+  reason: reasonSchema.optional(),
+  operations: z.array(operationSchema).min(1).max(MAXIMUM_OPERATIONS),
+});
+
+/** What `driftway services repartition -f` reads. */
+export const shardsFileSchema = z.strictObject({ shards: z.array(shardSchema).min(1) });
+
+function badFile(file: string, problems: { path: string; reason: string }[]): OperatorError {
+  const text = problems.map(({ path, reason }) => `  ${path}: ${reason}`).join('\n');
+  const message = `${file} is not valid\n${text}`;
+  const step = 'read file';
+  return new OperatorError(
+    { code: 'bad_request', message, step, changed: 'no', problems },
+    undefined,
+  );
+}
+
+/** @throws OperatorError naming every wrong key and value. */
+export function parseFile<S extends z.ZodType>(schema: S, file: string, text: string): z.infer<S> {
+  const document = parseDocument(text);
+  const [syntaxError] = document.errors;
+  if (syntaxError !== undefined) {
+    throw badFile(file, [{ path: '(whole file)', reason: syntaxError.message }]);
+  }
+  const parsed = schema.safeParse(document.toJS());
+  if (parsed.success) return parsed.data;
+  const problems = parsed.error.issues.map((issue) => ({
+    path: issue.path.length === 0 ? '(whole file)' : issue.path.map(String).join('.'),
+    reason: issue.message,
+  }));
+  throw badFile(file, problems);
+}
