--- a/test/administration/administration-handler.test.ts
+++ b/test/administration/administration-handler.test.ts
@@ -163,7 +163,7 @@
     const refused = await first.call('GET', '/v1/configuration');
     expect(refused.status).toBe(503);
     const status = await first.call<StatusReport>('GET', '/v1/status');
-    expect(status.body).toMatchObject({ leaderId: 'controller-1', sinceQuorumMs: null });
+    expect(status.body).toMatchObject({ leaderId: null, sinceQuorumMs: null });
   });
 
   it('explain each value by the level it came from', async () => {
--- a/test/administration/controllers.ts
+++ b/test/administration/controllers.ts
@@ -1,7 +1,15 @@
 /** Controllers over one in-memory history, called without a network. */
 import { Registry } from 'prom-client';
+import { expect } from 'vitest';
 import { createAdministrationHandler } from '../../src/administration/administration-handler.js';
-import type { ErrorBody } from '../../src/administration/administration-error.js';
+import {
+  ERROR_STATUS,
+  errorBodySchema,
+  type ErrorBody,
+} from '../../src/administration/administration-error.js';
+import { COMMON_ERRORS } from '../../src/administration/openapi-document.js';
+import { matchPath } from '../../src/administration/route.js';
+import { ROUTES } from '../../src/administration/routes.js';
 import type { ForceTracker } from '../../src/administration/force-tracker.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import type { Clock } from '../../src/seams/clock.js';
@@ -43,6 +51,20 @@
   readonly rawBody?: string;
 }
 
+/** Every answer that a test gets is of the form that the OpenAPI document gives for it. */
+function expectDocumented(method: string, path: string, status: number, body: unknown): void {
+  const route = ROUTES.find(
+    (known) => known.method === method && matchPath(known.path, path) !== undefined,
+  );
+  if (status === 200) {
+    route?.response.parse(body);
+    return;
+  }
+  const { error } = errorBodySchema.parse(body);
+  expect(status).toBe(ERROR_STATUS[error.code]);
+  if (route !== undefined) expect([...COMMON_ERRORS, ...route.errors]).toContain(error.code);
+}
+
 /** One controller. */
 export class TestController {
   readonly clock = new StoppedClock();
@@ -82,6 +104,7 @@
       remoteAddress: '127.0.0.1',
     });
     const text = typeof response.body === 'string' ? response.body : '';
+    expectDocumented(method, path, response.status, JSON.parse(text));
     return {
       status: response.status,
       headers: response.headers ?? {},
