Run whole fleets of real processes, and a demo that judges itself

Cause: no command started controllers, routers, stand-in back ends and the platform list together, so nothing was ever tried end to end.

Ruled out: several daemons in one process (a kill, a planned stop and a second data folder would not be real); fixed ports (two runs on a machine would meet); reusing the measuring children of lab/measure (they serve operations over a channel, daemons tell what they do by log lines).

A process that does not stop in time is killed and reported. Every process watches a channel to the runner and stops when the runner is gone, however it ended. `driftway-lab load` sends the queries of a fleet file on schedule. The router logs where it listens. A back-end process leaves its ledger in a file when it has stopped, so that the audit covers the stop too.

`driftway-lab demo` sends 406 queries to the dohoku fleet while a replica straggles, one drains, a setting is changed, an index version is published, a controller is killed and restarted, and a router is stopped with queries in flight. Its verdict is a pure function of ledgers, process ends and what the run itself noted; a test breaks each of these and the verdict must name it.

Not seen yet: a run on a machine that is short of cores.

--- a/lab/backend/backend-process-file.ts
+++ b/lab/backend/backend-process-file.ts
@@ -34,6 +34,9 @@
     .describe('{ lag: 500 }'),
 };
 
+/** Reads the behaviour out of whatever else a service says. */
+export const backendBehaviourSchema = z.object(backendBehaviourShape);
+
 export const backendReplicaSchema = z.strictObject({
   replicaId: nameSchema.describe('kifu-audit-0-a'),
   service: nameSchema.describe('kifu-audit'),
@@ -51,6 +54,8 @@
   control: addressSchema.prefault(ANY_PORT),
   /** The platform list to tell of changes. */
   platformList: addressSchema.optional(),
+  /** Where the ledger is written, as JSON, once all replicas have stopped. */
+  ledgerFile: z.string().min(1).optional().describe('./backends.ledger.json'),
   /** Of all chance in the process; differs from run to run when absent. */
   seed: z.int().min(0).optional().describe('1'),
   replicas: z.array(backendReplicaSchema).min(1),
--- a/lab/backend/backend-process.ts
+++ b/lab/backend/backend-process.ts
@@ -1,4 +1,5 @@
 /** Everything one `driftway-lab backend` process runs. */
+import { writeFile } from 'node:fs/promises';
 import type { Logger } from '../../src/observability/logger.js';
 import { formatAddress } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
@@ -14,6 +15,7 @@
     private readonly group: BackendGroup,
     private readonly control: BackendControl,
     private readonly agent: PlatformAgent | undefined,
+    private readonly ledgerFile: string | undefined,
   ) {}
 
   static async start(
@@ -35,7 +37,7 @@
       control: formatAddress(control.address),
       replicas: file.replicas.length,
     });
-    return new BackendProcess(group, control, agent);
+    return new BackendProcess(group, control, agent, file.ledgerFile);
   }
 
   /** A planned stop: every replica drains and answers what is in flight. */
@@ -43,5 +45,12 @@
     await this.group.stop();
     await this.agent?.close();
     await this.control.stop();
+    await this.writeLedger();
+  }
+
+  private async writeLedger(): Promise<void> {
+    if (this.ledgerFile === undefined) return;
+    const { entries, events, holdings } = this.group.ledger;
+    await writeFile(this.ledgerFile, JSON.stringify({ entries, events, holdings }));
   }
 }
--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -2,7 +2,10 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCommand } from './bench-command.js';
 import { BackendCommand } from './backend-command.js';
+import { DemoCommand } from './demo-command.js';
+import { FleetCommand } from './fleet-command.js';
 import { PlatformCommand } from './platform-command.js';
+import { LoadCommand } from './load-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 
 /** Runs one command line and returns its exit code. */
@@ -17,6 +20,9 @@
   cli.register(BenchCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
+  cli.register(FleetCommand);
+  cli.register(DemoCommand);
+  cli.register(LoadCommand);
   cli.register(MeasureRouterCostCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
--- /dev/null
+++ b/lab/demo/demo.ts
@@ -0,0 +1,165 @@
+/** The demo: real queries to a real fleet while things go wrong, then an audit. */
+import type { Environment } from '../../src/seams/environment.js';
+import type { FleetFile } from '../fleet/fleet-file.js';
+import type { Fleet } from '../fleet/fleet.js';
+import { withFleet } from '../fleet/with-fleet.js';
+import type { CallerLedgerEntry } from '../ledger/caller-ledger-entry.js';
+import { formatLoadTable } from '../load/load-table.js';
+import { runLoad } from '../load/run-load.js';
+import type { QueryKind } from '../load/query-mix.js';
+import { describeAnswer } from './answer-text.js';
+import type { DemoEvidence } from './demo-evidence.js';
+import { DemoIncidents } from './demo-incidents.js';
+import { judgeDemo, type DemoVerdict } from './demo-verdict.js';
+import { HELD_QUERIES, stopWhileInFlight } from './planned-stop.js';
+
+const REQUESTS = 400;
+/** Requests a second. */
+const RATE = 40;
+/** Slows the replicas of the service whose queries are in flight at the planned stop. */
+const HOLD_FACTOR = 200;
+
+/** Most problems that are told one by one. */
+const MAXIMUM_PROBLEMS = 20;
+
+/** What a run needs. */
+export interface DemoOptions {
+  readonly environment: Environment;
+  readonly file: FleetFile;
+  readonly folder?: string | undefined;
+  readonly signal: AbortSignal;
+  /** Gets one line, or several, at a time. */
+  readonly print: (text: string) => void;
+}
+
+/** What is known once the queries have ended, before the processes are stopped. */
+type DemoRun = Omit<DemoEvidence, 'backends' | 'started' | 'ends'>;
+
+/** One run. */
+export class Demo {
+  private readonly startedAt: number;
+  private readonly texts = new Map<string, string>();
+
+  constructor(private readonly options: DemoOptions) {
+    this.startedAt = options.environment.clock.now();
+  }
+
+  /** @throws Error when the run cannot be finished; no process is left then either. */
+  async run(): Promise<DemoVerdict> {
+    const { file, print } = this.options;
+    const replicas = file.services.map(({ shards, replicasPerShard }) => shards * replicasPerShard);
+    this.tell(
+      `starting the ${file.name} fleet: ${file.controllers} controllers, ${file.routers} routers, ` +
+        `${replicas.reduce((sum, count) => sum + count)} replicas of ${file.services.length} services`,
+    );
+    return withFleet(
+      this.options,
+      (fleet) => this.use(fleet),
+      async (fleet, run) => {
+        this.tell('every process has ended; comparing what callers and back ends noted');
+        const backends = await fleet.readLedgers();
+        const { started, ends } = fleet;
+        const verdict = judgeDemo({ ...run, backends, started, ends });
+        for (const problem of verdict.problems.slice(0, MAXIMUM_PROBLEMS))
+          print(`PROBLEM ${problem}`);
+        return verdict;
+      },
+    );
+  }
+
+  private tell(line: string): void {
+    const seconds = (this.options.environment.clock.now() - this.startedAt) / 1_000;
+    this.options.print(`${seconds.toFixed(1).padStart(5)} s  ${line}`);
+  }
+
+  private async use(fleet: Fleet): Promise<DemoRun> {
+    const { environment, print, file } = this.options;
+    const incidents = new DemoIncidents(environment, fleet, (line) => this.tell(line));
+    this.tell(`all of it runs; sending ${REQUESTS} queries, ${RATE} a second`);
+    const callers = await this.sendQueries(fleet, incidents);
+    const stop = await this.stopRouter(fleet, incidents);
+    this.tell('the cluster, as `driftway status` shows it');
+    print(indent(await fleet.operator.require('status')));
+    this.tell('what the callers got');
+    print(indent(formatLoadTable([...callers, ...stop.entries])));
+    this.printSamples(callers);
+    this.tell('stopping everything with SIGTERM');
+    return {
+      planned: REQUESTS + HELD_QUERIES,
+      services: [...new Set(file.queries.map(({ service }) => service))],
+      routers: fleet.routers.map(({ name }) => name),
+      callers: [...callers, ...stop.entries],
+      replicas: incidents.replicas,
+      change: incidents.change,
+      inFlightAtStop: stop.inFlight,
+      killed: incidents.killed,
+    };
+  }
+
+  private async sendQueries(
+    fleet: Fleet,
+    incidents: DemoIncidents,
+  ): Promise<readonly CallerLedgerEntry[]> {
+    const { environment, file, signal } = this.options;
+    const load = runLoad(environment, {
+      targets: fleet.routers,
+      queries: file.queries,
+      clientLatency: file.clientLatency,
+      rate: RATE,
+      requests: REQUESTS,
+      arrivals: 'poisson',
+      signal,
+      onSend: ({ request }) => {
+        this.texts.set(request.requestId, (request.query as { text: string }).text);
+      },
+    });
+    const [ledger] = await Promise.all([load, incidents.run(signal)]);
+    return ledger.entries;
+  }
+
+  private async stopRouter(
+    fleet: Fleet,
+    incidents: DemoIncidents,
+  ): Promise<Awaited<ReturnType<typeof stopWhileInFlight>>> {
+    const { environment, signal } = this.options;
+    const target = fleet.routers.at(-1);
+    const kind = this.kindToHold();
+    if (target === undefined) throw new RangeError('the fleet has no router');
+    await incidents.slowDown(kind.service, HOLD_FACTOR);
+    const outcome = await stopWhileInFlight(environment, fleet, target, kind, signal);
+    const answered = outcome.entries.filter((entry) => entry.outcome === 'answered').length;
+    this.tell(
+      `${target.name} was told to stop with ${outcome.inFlight} queries in flight; ` +
+        `${answered} of them were answered`,
+    );
+    return outcome;
+  }
+
+  /** Queries of a single-server service, so that none waits for a slot. */
+  private kindToHold(): QueryKind {
+    const { services, queries } = this.options.file;
+    const isSingle = (kind: QueryKind): boolean =>
+      services.some(({ name, kind: type }) => name === kind.service && type === 'single');
+    const kind = queries.findLast(isSingle) ?? queries.at(-1);
+    if (kind === undefined) throw new RangeError('the fleet file asks nothing');
+    return kind;
+  }
+
+  /** One answer of each kind of query, and one request that got none. */
+  private printSamples(callers: readonly CallerLedgerEntry[]): void {
+    this.tell('some of the answers');
+    const seen = new Set<string>();
+    for (const entry of callers.toReversed()) {
+      const { service, keyed, outcome } = entry;
+      const sort = outcome === 'answered' ? `${service} ${keyed}` : 'no answer';
+      if (seen.has(sort)) continue;
+      seen.add(sort);
+      const text = this.texts.get(entry.requestId) ?? '';
+      this.options.print(indent(describeAnswer(entry, text)));
+    }
+  }
+}
+
+function indent(text: string): string {
+  return text.trimEnd().replace(/^/gm, '         ');
+}
--- /dev/null
+++ b/lab/fleet/fleet-process.ts
@@ -0,0 +1,135 @@
+/** One process of a fleet: its log lines as they come, and its end. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import { z } from 'zod';
+import type { ProcessEnd } from './process-end.js';
+
+/** How to start a process. */
+export interface FleetProcessOptions {
+  /** Unique within the fleet. */
+  readonly name: string;
+  /** Of Node; see `programArguments`. */
+  readonly nodeArguments: readonly string[];
+  /** Everything the process writes is appended here. */
+  readonly logFile: string;
+}
+
+/** One log line of a daemon. */
+const logLineSchema = z.looseObject({
+  message: z.string(),
+  context: z.record(z.string(), z.unknown()),
+});
+export type LogLine = z.infer<typeof logLineSchema>;
+
+type LineListener = (line: LogLine) => void;
+
+function parseLine(text: string): LogLine | undefined {
+  try {
+    return logLineSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** A running process. It ends when this one does, in whatever way. */
+export class FleetProcess {
+  /** Resolves with how it ended. */
+  readonly ended: Promise<ProcessEnd>;
+  private readonly child: ChildProcess;
+  private readonly listeners = new Set<LineListener>();
+  private hasEnded = false;
+  private hung = false;
+
+  constructor(readonly options: FleetProcessOptions) {
+    const { name, nodeArguments } = options;
+    this.child = spawn(process.execPath, nodeArguments, {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+    });
+    this.ended = new Promise((resolve) => {
+      const settle = (exitCode: number | null, signal: string | null): void => {
+        this.hasEnded = true;
+        resolve({
+          name,
+          ...(exitCode === null ? {} : { exitCode }),
+          ...(signal === null ? {} : { signal }),
+          hung: this.hung,
+        });
+      };
+      this.child.once('exit', settle);
+      this.child.once('error', (error) => settle(null, error.message));
+    });
+    this.record();
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  get isRunning(): boolean {
+    return !this.hasEnded;
+  }
+
+  /**
+   * Waits for the log line with this message.
+   *
+   * @throws Error when the process ends first, or the signal aborts.
+   */
+  waitFor(message: string, signal: AbortSignal): Promise<LogLine> {
+    const { name, logFile } = this.options;
+    return new Promise((resolve, reject) => {
+      const finish = (): void => {
+        this.listeners.delete(onLine);
+        signal.removeEventListener('abort', onAbort);
+      };
+      const onLine: LineListener = (line) => {
+        if (line.message !== message) return;
+        finish();
+        resolve(line);
+      };
+      const fail = (reason: string): void => {
+        finish();
+        reject(new Error(`${name} ${reason} before it said "${message}"; see ${logFile}`));
+      };
+      const onAbort = (): void => fail('was interrupted');
+      this.listeners.add(onLine);
+      signal.addEventListener('abort', onAbort, { once: true });
+      if (signal.aborted) onAbort();
+      void this.ended.then(() => fail('ended'));
+    });
+  }
+
+  /** Ends it without warning. */
+  async kill(): Promise<ProcessEnd> {
+    this.child.kill('SIGKILL');
+    return this.ended;
+  }
+
+  /** A planned stop; kills the process when it is not done after `patience` milliseconds. */
+  async stop(patience: number): Promise<ProcessEnd> {
+    this.child.kill('SIGTERM');
+    const timer = setTimeout(() => {
+      this.hung = this.isRunning;
+      this.child.kill('SIGKILL');
+    }, patience);
+    const end = await this.ended;
+    clearTimeout(timer);
+    return end;
+  }
+
+  private record(): void {
+    const { stdout, stderr } = this.child;
+    const log = createWriteStream(this.options.logFile, { flags: 'a' });
+    // A log that cannot be written costs nobody the run.
+    log.on('error', () => undefined);
+    stderr?.on('data', (chunk: Buffer) => log.write(chunk));
+    if (stdout === null) return;
+    const lines = createInterface({ input: stdout });
+    lines.on('line', (text) => {
+      log.write(`${text}\n`);
+      const line = parseLine(text);
+      if (line !== undefined) for (const listener of [...this.listeners]) listener(line);
+    });
+    this.child.once('close', () => log.end());
+  }
+}
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -6,7 +6,7 @@
 import type { RouterConfiguration } from '../configuration/router-configuration.js';
 import { ReplicaRegistry } from '../membership/replica-registry.js';
 import type { Logger } from '../observability/logger.js';
-import type { Address } from '../seams/address.js';
+import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { HttpListener, HttpRequest, HttpResponse } from '../seams/http.js';
 import type { ConfigurationSource } from '../settings/configuration-source.js';
@@ -128,6 +128,7 @@
     const { limits, listen } = this.configuration;
     const { network } = this.context.environment;
     this.listener = await network.listenHttp(listen.http, limits, (request) => this.route(request));
+    this.logger.info('router listening', { http: formatAddress(this.address) });
     const { registry } = this.context;
     this.subscribe(this.source.revisions, (state) => this.applyRevision(state));
     this.subscribe(this.source.replicaSigns, (sign) => registry.applySign(sign));
