Refuse a joiner with a history of its own, and decide changes of members late

A resend of an addition whose answer was lost was refused as a mistake. A change that a follower passed on lost the difference between "wrong" and "not now", and one that never left it counted as of unknown outcome.

Ruled out: two additions of one id at two addresses, and an addition beside a removal, did no harm before either, but only because the second dial closed the connection of the first. They are now decided against the members at the time of the record, and the member that is asked gets a connection of its own.

Seen to fail without it: the resend, the foreign history and the forwarded refusal against the code before; the two races against this code without the second look.

--- a/src/consensus/consensus-errors.ts
+++ b/src/consensus/consensus-errors.ts
@@ -24,8 +24,12 @@
 
 /** A change of members was refused; nothing was changed. */
 export class MembershipChangeRefusedError extends DriftwayError {
-  constructor(message: string, label = ErrorLabel.BadInput) {
-    super(message, { step: 'change membership', labels: [ErrorLabel.NotRun, label] });
+  constructor(
+    /** The message without the step. */
+    readonly reason: string,
+    label = ErrorLabel.BadInput,
+  ) {
+    super(reason, { step: 'change membership', labels: [ErrorLabel.NotRun, label] });
   }
 }
 
--- a/src/consensus/membership-changer.ts
+++ b/src/consensus/membership-changer.ts
@@ -6,10 +6,14 @@
 import { ErrorLabel } from '../errors/driftway-error.js';
 import { parseAddress } from '../seams/address.js';
 import { LogRecordKind } from '../storage/log-record.js';
-import { MembershipChangeRefusedError, ProposalOutcomeUnknownError } from './consensus-errors.js';
+import {
+  MembershipChangeRefusedError,
+  PeerRequestError,
+  ProposalOutcomeUnknownError,
+} from './consensus-errors.js';
 import type { Leadership } from './leadership.js';
 import type { MemberState } from './member-state.js';
-import type { Membership } from './membership.js';
+import type { Member, Membership } from './membership.js';
 import { MembershipAction, type MembershipChange } from './membership-action.js';
 import type { RequestOf, ResponseOf } from './messages.js';
 import { OutcomeKind } from './outcome-kind.js';
@@ -17,11 +21,34 @@
 import type { PendingProposals } from './pending-proposals.js';
 
 const EMPTY_RESULT = new Uint8Array(0);
+const MAXIMUM_REASON_LENGTH = 512;
 
 function refuseForNow(message: string): MembershipChangeRefusedError {
   return new MembershipChangeRefusedError(message, ErrorLabel.Transient);
 }
 
+function outcomeOf(error: unknown): OutcomeKind {
+  if (!(error instanceof MembershipChangeRefusedError)) return OutcomeKind.Unknown;
+  return error.hasLabel(ErrorLabel.BadInput) ? OutcomeKind.Rejected : OutcomeKind.NotProposed;
+}
+
+/** A resend that finds the learner it added is no misuse. */
+function refuseUsedId(membership: Membership, memberId: string, address: string): void {
+  if (membership.retiredIds.includes(memberId)) {
+    throw new MembershipChangeRefusedError(`"${memberId}" was removed; choose a new member id`);
+  }
+  const known = membership.find(memberId);
+  if (known !== undefined && known.address !== address) {
+    throw new MembershipChangeRefusedError(`"${memberId}" is a member at ${known.address}`);
+  }
+}
+
+function requireMember(membership: Membership, memberId: string): Member {
+  const member = membership.find(memberId);
+  if (member !== undefined) return member;
+  throw new MembershipChangeRefusedError(`"${memberId}" is no member`);
+}
+
 /** Takes changes at the leader, and passes them on elsewhere. */
 export class MembershipChanger {
   constructor(
@@ -52,9 +79,8 @@
       await this.changeHere({ ...request, action: request.action as MembershipAction }, leadership);
       return { ...answer, kind: OutcomeKind.Committed, reason: '' };
     } catch (error) {
-      const refused = error instanceof MembershipChangeRefusedError;
-      const kind = refused ? OutcomeKind.NotProposed : OutcomeKind.Unknown;
-      return { ...answer, kind, reason: String(error).slice(0, 512) };
+      const reason = error instanceof MembershipChangeRefusedError ? error.reason : String(error);
+      return { ...answer, kind: outcomeOf(error), reason: reason.slice(0, MAXIMUM_REASON_LENGTH) };
     }
   }
 
@@ -67,10 +93,13 @@
     try {
       response = await link.request('changeMembership', { ...change }, timeout);
     } catch (error) {
+      if (error instanceof PeerRequestError && !error.sent) throw refuseForNow(error.message);
       throw new ProposalOutcomeUnknownError(String(error), leaderId, error);
     }
-    if (response.kind === OutcomeKind.Committed.valueOf()) return;
-    if (response.kind === OutcomeKind.NotProposed.valueOf()) throw refuseForNow(response.reason);
+    const { kind, reason } = response;
+    if (kind === OutcomeKind.Committed.valueOf()) return;
+    if (kind === OutcomeKind.NotProposed.valueOf()) throw refuseForNow(reason);
+    if (kind === OutcomeKind.Rejected.valueOf()) throw new MembershipChangeRefusedError(reason);
     throw new ProposalOutcomeUnknownError(response.reason, leaderId);
   }
 
@@ -83,16 +112,17 @@
 
   private async addLearner(change: MembershipChange, leadership: Leadership): Promise<void> {
     const { memberId, address } = change;
-    const { membership } = this.state;
-    if (membership.find(memberId) !== undefined) {
-      throw new MembershipChangeRefusedError(`"${memberId}" is a member already`);
-    }
-    if (membership.retiredIds.includes(memberId)) {
-      throw new MembershipChangeRefusedError(`"${memberId}" was removed; choose a new member id`);
-    }
+    refuseUsedId(this.state.membership, memberId, address);
     const incarnation = await this.askIncarnation(memberId, address);
     const learner = { memberId, address, incarnation, voter: false };
-    await this.commit(leadership, (current) => current.withMember(learner));
+    await this.commit(leadership, (current) => {
+      // Others may have changed the group while the new member was asked.
+      refuseUsedId(current, memberId, address);
+      const known = current.find(memberId);
+      if (known === undefined) return current.withMember(learner);
+      if (known.incarnation === incarnation) return current;
+      throw new MembershipChangeRefusedError(`"${memberId}" is a member with another data folder`);
+    });
   }
 
   /** The data folder with which the new member will take part. */
@@ -104,24 +134,33 @@
     } catch (error) {
       throw new MembershipChangeRefusedError((error as Error).message);
     }
-    const link = this.links.open({ memberId, address: endpoint });
+    const link = this.links.openApart({ memberId, address: endpoint });
+    let response: ResponseOf<'bootstrap'>;
     try {
-      const response = await link.request('bootstrap', {}, timings.replicationTimeout);
-      return response.incarnation;
+      response = await link.request('bootstrap', {}, timings.replicationTimeout);
     } catch (error) {
-      this.links.drop(memberId);
       throw refuseForNow(`"${memberId}" cannot be reached: ${String(error)}`);
+    } finally {
+      link.close();
     }
+    const isMember = this.state.membership.find(memberId) !== undefined;
+    if (response.bootstrapped && !isMember) {
+      // Its records may be of another history, which nobody would compare.
+      throw new MembershipChangeRefusedError(
+        `"${memberId}" has a history already; start it with \`join: true\` and an empty data folder`,
+      );
+    }
+    return response.incarnation;
   }
 
   private async promote(change: MembershipChange, leadership: Leadership): Promise<void> {
-    const learner = this.state.membership.find(change.memberId);
-    if (learner === undefined) {
-      throw new MembershipChangeRefusedError(`"${change.memberId}" is no member`);
-    }
-    if (learner.voter) return;
-    await this.waitForCatchUp(change.memberId, leadership);
-    await this.commit(leadership, (current) => current.withMember({ ...learner, voter: true }));
+    const { memberId } = change;
+    if (requireMember(this.state.membership, memberId).voter) return;
+    await this.waitForCatchUp(memberId, leadership);
+    await this.commit(leadership, (current) => {
+      const member = requireMember(current, memberId);
+      return member.voter ? current : current.withMember({ ...member, voter: true });
+    });
   }
 
   /** A voter that lags would count for the quorum and yet hold commits up. */
@@ -143,14 +182,17 @@
 
   private async remove(change: MembershipChange, leadership: Leadership): Promise<void> {
     const { memberId } = change;
-    if (this.state.membership.find(memberId) === undefined) {
-      if (this.state.membership.retiredIds.includes(memberId)) return;
-      throw new MembershipChangeRefusedError(`"${memberId}" is no member`);
-    }
-    await this.commit(leadership, (current) => current.withoutMember(memberId));
+    if (this.state.membership.retiredIds.includes(memberId)) return;
+    await this.commit(leadership, (current) => {
+      requireMember(current, memberId);
+      return current.withoutMember(memberId);
+    });
   }
 
-  /** Writes the new membership and waits for it to be committed. */
+  /**
+   * Writes the new membership and waits for it to be committed. `alter` sees the
+   * membership that counts now, and gives it back unchanged when nothing is left to do.
+   */
   private async commit(
     leadership: Leadership,
     alter: (current: Membership) => Membership,
@@ -164,6 +206,7 @@
       throw refuseForNow('another change of members is under way');
     }
     const next = alter(state.membership);
+    if (next === state.membership) return;
     this.checkQuorum(next, leadership);
     const record = leadership.append(LogRecordKind.Membership, next.encode());
     state.roleChanged.notify();
--- a/src/consensus/peer-links.ts
+++ b/src/consensus/peer-links.ts
@@ -26,15 +26,18 @@
     const known = this.state.membership.find(memberId);
     const address =
       known === undefined ? this.initialAddresses.get(memberId) : parseAddress(known.address);
-    return address === undefined ? undefined : this.open({ memberId, address });
+    if (address === undefined) return undefined;
+    const link = this.openApart({ memberId, address });
+    this.links.set(memberId, link);
+    return link;
   }
 
-  /** The link to an endpoint that need not be a member yet. */
-  open(endpoint: MemberEndpoint): PeerLink {
-    this.links.get(endpoint.memberId)?.close();
-    const link = new PeerLink(this.state, endpoint, this.dial);
-    this.links.set(endpoint.memberId, link);
-    return link;
+  /**
+   * A link of its own to an endpoint that need not be a member yet. It takes
+   * the place of none, and the caller closes it.
+   */
+  openApart(endpoint: MemberEndpoint): PeerLink {
+    return new PeerLink(this.state, endpoint, this.dial);
   }
 
   /** Closes the link to a member that was removed. */
--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -22,6 +22,14 @@
   readonly timingsOf?: Readonly<Record<string, Partial<RaftTimings>>>;
 }
 
+export interface StartOptions {
+  readonly join?: boolean;
+  /** False starts on an empty disk. */
+  readonly keepDisk?: boolean;
+  /** What the settings file says of the group's begin; the cluster's own ids by default. */
+  readonly initialIds?: readonly string[];
+}
+
 /** One machine: its disk stays, its process comes and goes. */
 export interface Member {
   readonly machine: SimulatedMachine;
@@ -95,7 +103,7 @@
   }
 
   /** Starts a member's process on what its disk holds. */
-  async start(id: string, options: { join?: boolean; keepDisk?: boolean } = {}): Promise<RaftNode> {
+  async start(id: string, options: StartOptions = {}): Promise<RaftNode> {
     const member = this.member(id);
     const environment = member.machine.restart({ keepDisk: options.keepDisk ?? true });
     member.state = this.newState(id);
@@ -106,7 +114,9 @@
         clusterId: CLUSTER_ID,
         memberId: id,
         address: this.endpoint(id).address,
-        initialMembers: this.initialIds.map((memberId) => this.endpoint(memberId)),
+        initialMembers: (options.initialIds ?? this.initialIds).map((memberId) =>
+          this.endpoint(memberId),
+        ),
         join: options.join ?? false,
         stateMachine: member.state,
         dial: (peer) => dial(environment, id, peer),
