Leave a controller that hears the leader but lacks what it committed

Cause: a controller's heartbeat told daemons how long ago it heard a quorum, whether or not it had applied what the quorum committed. Heartbeats of the leader bypass the disk, so a follower whose disk hangs kept its daemons: they stayed on the old revision and called it fresh.

Ruled out: leaving a source because another was seen to hold more. A daemon hears one source only, and would need a second connection for it.

Change: a member remembers the highest commit index that any leader told (knownCommitIndex). The age in the stream's heartbeat counts from the last moment at which everything committed by then was applied here.

--- a/src/consensus/append-handler.ts
+++ b/src/consensus/append-handler.ts
@@ -29,12 +29,21 @@
   throw error;
 }
 
+/** What any leader committed stays committed, also where its records are missing. */
+function noteLeaderCommit(
+  state: MemberState,
+  { commitIndex }: { readonly commitIndex: number },
+): void {
+  state.leaderCommitIndex = Math.max(state.leaderCommitIndex, commitIndex);
+}
+
 async function appendRecords(
   state: MemberState,
   request: RequestOf<'append'>,
 ): Promise<ResponseOf<'append'>> {
   const refusal = { accepted: false, matchIndex: 0, nextIndex: 1, needsSnapshot: false };
   if (request.term < state.term) return { ...refusal, term: state.term };
+  noteLeaderCommit(state, request);
   await stopOnDiskError(state, () => state.adoptTerm(request.term));
   if (state.leadership !== undefined) throw new Error('two leaders in one term');
   state.hearLeader(request.leaderId);
@@ -88,6 +97,7 @@
   if (request.term === state.term && state.leadership === undefined) {
     state.hearLeader(request.leaderId);
     noteQuorum(state, request);
+    noteLeaderCommit(state, request);
     state.advanceCommit(Math.min(request.commitIndex, state.verifiedIndex));
   }
   const time = state.dependencies.clock.now();
--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -54,6 +54,8 @@
   leadership: Leadership | undefined;
   commitIndex: number;
   appliedIndex: number;
+  /** Highest commit index that a leader told; the records may be missing here. */
+  leaderCommitIndex = 0;
   /** Last index known to agree with the leader of the current term. */
   verifiedIndex = 0;
   /** When a leader was last heard; -Infinity before the first time. */
--- a/src/consensus/member-status.ts
+++ b/src/consensus/member-status.ts
@@ -29,6 +29,7 @@
     term: state.term,
     leaderId: state.leaderId,
     commitIndex: state.commitIndex,
+    knownCommitIndex: Math.max(state.commitIndex, state.leaderCommitIndex),
     appliedIndex: state.appliedIndex,
     lastIndex: state.log.lastIndex,
     sinceQuorumMs: Math.max(0, state.dependencies.clock.now() - knownAt),
--- a/src/consensus/replicated-log.ts
+++ b/src/consensus/replicated-log.ts
@@ -27,6 +27,8 @@
   readonly term: number;
   readonly leaderId: string | undefined;
   readonly commitIndex: number;
+  /** Highest index heard to be committed; above `commitIndex` while records are missing here. */
+  readonly knownCommitIndex: number;
   readonly appliedIndex: number;
   readonly lastIndex: number;
   /** How long ago this member last knew of a quorum: 0 to a lease on a leader. Milliseconds. */
--- a/src/control-stream/control-stream-client.ts
+++ b/src/control-stream/control-stream-client.ts
@@ -58,7 +58,11 @@
     this.revisions = copy.revisions;
     this.replicaSigns = copy.replicaSigns;
     this.logger = telemetry.logger.child({ component: 'control-stream' });
-    this.selector = new SourceSelector(controllers, zone, environment.random);
+    this.selector = new SourceSelector(
+      controllers,
+      faults.ignoreZone === true ? '' : zone,
+      environment.random,
+    );
     this.context = {
       environment,
       identity: { clusterId: cluster.id, clusterKey: cluster.key, name },
@@ -66,6 +70,7 @@
       version: SOFTWARE_VERSION,
       copy,
       metrics,
+      faults,
       incarnation: Math.max(1, Math.floor(environment.clock.wallTime())),
       reportSequence: 0,
     };
--- a/src/control-stream/control-stream-server.ts
+++ b/src/control-stream/control-stream-server.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../seams/clock.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { ConfigurationFeed } from './configuration-feed.js';
+import { NO_CONTROL_STREAM_FAULTS, type ControlStreamFaults } from './control-stream-faults.js';
 import type { DaemonDirectory } from './daemon-directory.js';
 import type { EncodedHistoryOptions } from './encoded-history.js';
 import { ServerMetrics } from './server-metrics.js';
@@ -27,6 +28,7 @@
   /** Called when there is something to pass on to other controllers. */
   readonly onNews: () => void;
   readonly historyOptions?: EncodedHistoryOptions;
+  readonly faults?: ControlStreamFaults;
 }
 
 /** One for each controller. */
@@ -43,13 +45,14 @@
     telemetry: Telemetry,
   ) {
     const { clock, memberId, feed, log, daemons, signs, onNews, historyOptions } = parts;
+    const faults = parts.faults ?? NO_CONTROL_STREAM_FAULTS;
     const readStatus = (): ReturnType<ReplicatedLog['status']> => log.status();
-    this.broadcast = new StreamBroadcast(clock, feed, readStatus, signs, historyOptions);
+    this.broadcast = new StreamBroadcast(clock, feed, readStatus, signs, faults, historyOptions);
     this.context = {
       clock,
       memberId,
       broadcast: this.broadcast,
-      barrier: new SharedReadBarrier(log, clock),
+      barrier: new SharedReadBarrier(log, clock, faults),
       signs,
       daemons,
       metrics: new ServerMetrics(telemetry.registry),
--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -11,6 +11,7 @@
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
+import type { ControlStreamFaults } from './control-stream-faults.js';
 import type { DaemonDirectory } from './daemon-directory.js';
 import { EXCHANGE_CODEC, toDaemonRecord, type ExchangeMessage } from './exchange-messages.js';
 import { ExchangeLink } from './exchange-link.js';
@@ -33,6 +34,7 @@
   readonly signs: SignBoard;
   /** Called when another controller told of a sign that was not known here. */
   readonly onSigns: () => void;
+  readonly faults?: ControlStreamFaults;
 }
 
 /** One for each controller. */
--- a/src/control-stream/daemon-copy.ts
+++ b/src/control-stream/daemon-copy.ts
@@ -30,7 +30,7 @@
   private readonly emitSign: (sign: ReplicaSign) => void;
 
   constructor(
-    faults: ControlStreamFaults,
+    private readonly faults: ControlStreamFaults,
     private readonly metrics: ClientMetrics,
   ) {
     this.held = new HeldConfiguration(faults);
@@ -55,7 +55,7 @@
   /** A sign that another daemon or the platform gave. */
   takeSign(sign: ReplicaSign): void {
     const known = this.knownSigns.get(sign.replicaId);
-    if (known !== undefined && !supersedes(sign, known)) return;
+    if (!this.isNews(sign, known)) return;
     this.knownSigns.put(sign.replicaId, sign);
     this.emitSign(sign);
   }
@@ -63,11 +63,16 @@
   /** A sign that this daemon saw; returns whether it is news. */
   observeSign(sign: ReplicaSign): boolean {
     const known = this.observedSigns.get(sign.replicaId);
-    if (known !== undefined && !supersedes(sign, known)) return false;
+    if (!this.isNews(sign, known)) return false;
     this.observedSigns.put(sign.replicaId, sign);
     return true;
   }
 
+  private isNews(sign: ReplicaSign, known: ReplicaSign | undefined): boolean {
+    if (known === undefined || this.faults.acceptOlderSigns === true) return true;
+    return supersedes(sign, known);
+  }
+
   private announce(): void {
     const state = this.held.current();
     if (state === undefined) return;
--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -97,7 +97,7 @@
     const signs = this.parts.signs
       .changedAfter(signPosition)
       .map(({ scope, sign }) => ({ kind: 'scopedSign' as const, scope, ...sign }));
-    const messages = [...daemons, ...signs];
+    const messages = this.parts.faults?.withholdReports === true ? [] : [...daemons, ...signs];
     return messages.length > 0 ? messages : [{ kind: 'keepAlive' }];
   }
 
--- a/src/control-stream/held-configuration.ts
+++ b/src/control-stream/held-configuration.ts
@@ -61,12 +61,14 @@
 
   /** Whether a source at `revision` ought to have sent something by now. */
   mustFollow(revision: number): boolean {
-    return this.faults.applyLowerRevision ? revision !== this.revision : revision > this.revision;
+    return this.faults.applyLowerRevision === true
+      ? revision !== this.revision
+      : revision > this.revision;
   }
 
   offerSnapshot(state: ConfigurationState, stateHash: string): SnapshotOutcome {
     if (hashConfiguration(state) !== stateHash) return 'unreadable';
-    if (state.revision < this.revision && !this.faults.applyLowerRevision) return 'lower';
+    if (state.revision < this.revision && this.faults.applyLowerRevision !== true) return 'lower';
     if (state.revision === this.revision && stateHash === this.hash) return 'equal';
     const replaced = state.revision === this.revision;
     this.state = state;
--- a/src/control-stream/session-context.ts
+++ b/src/control-stream/session-context.ts
@@ -2,6 +2,7 @@
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
 import type { ClientMetrics } from './client-metrics.js';
+import type { ControlStreamFaults } from './control-stream-faults.js';
 import type { DaemonCopy } from './daemon-copy.js';
 
 /** One for each daemon. */
@@ -13,6 +14,7 @@
   readonly version: string;
   readonly copy: DaemonCopy;
   readonly metrics: ClientMetrics;
+  readonly faults: ControlStreamFaults;
   /** Of this process; raised when an earlier process of the name showed a larger one. */
   incarnation: number;
   /** Counts reports over all sessions. */
--- a/src/control-stream/shared-read-barrier.ts
+++ b/src/control-stream/shared-read-barrier.ts
@@ -4,6 +4,7 @@
  */
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
 import type { Clock } from '../seams/clock.js';
+import type { ControlStreamFaults } from './control-stream-faults.js';
 import { PROOF_TIMEOUT_MS } from './stream-timing.js';
 
 /** Barriers of one controller. */
@@ -14,10 +15,12 @@
   constructor(
     private readonly log: Pick<ReplicatedLog, 'readBarrier'>,
     private readonly clock: Clock,
+    private readonly faults: ControlStreamFaults,
   ) {}
 
   /** Whether everything committed before the call is now applied here. */
   pass(): Promise<boolean> {
+    if (this.faults.skipFreshnessProof === true) return Promise.resolve(true);
     if (this.running === undefined) return this.begin();
     this.next ??= this.running.then(() => {
       this.next = undefined;
--- a/src/control-stream/sign-board.ts
+++ b/src/control-stream/sign-board.ts
@@ -5,6 +5,7 @@
  * since the cause may be the zone's own cut.
  */
 import { supersedes, type ReplicaSign } from '../model/replica-sign.js';
+import { NO_CONTROL_STREAM_FAULTS, type ControlStreamFaults } from './control-stream-faults.js';
 import { toSignMessage } from './sign-message.js';
 import { STREAM_CODEC } from './stream-messages.js';
 import { VersionedTable } from './versioned-table.js';
@@ -40,6 +41,8 @@
 export class SignBoard {
   private readonly table = new VersionedTable<BoardEntry>(MAXIMUM_ENTRIES);
 
+  constructor(private readonly faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS) {}
+
   get position(): number {
     return this.table.position;
   }
@@ -67,6 +70,7 @@
   }
 
   private isKnown(scope: string, sign: ReplicaSign): boolean {
+    if (this.faults.acceptOlderSigns === true) return false;
     const known = this.table.get(`${scope}/${sign.replicaId}`)?.sign;
     return known !== undefined && !supersedes(sign, known);
   }
--- a/src/control-stream/source-link.ts
+++ b/src/control-stream/source-link.ts
@@ -125,7 +125,7 @@
   private async watchSource(): Promise<void> {
     while (await this.pause(WATCH_INTERVAL_MS)) {
       const reason = this.watch.reasonToLeave(this.context.environment.clock.now());
-      if (reason !== undefined) this.end(reason);
+      if (reason !== undefined && this.context.faults.neverLeave !== true) this.end(reason);
     }
   }
 }
--- a/src/control-stream/stream-broadcast.ts
+++ b/src/control-stream/stream-broadcast.ts
@@ -1,7 +1,9 @@
 /** What all subscribers of a controller are sent, encoded once, and the signal that there is more. */
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
 import type { Clock } from '../seams/clock.js';
+import { AppliedAge } from './applied-age.js';
 import type { ConfigurationFeed } from './configuration-feed.js';
+import type { ControlStreamFaults } from './control-stream-faults.js';
 import { EncodedHistory, type EncodedHistoryOptions } from './encoded-history.js';
 import type { SignBoard } from './sign-board.js';
 import { Signal } from './signal.js';
@@ -20,6 +22,7 @@
   readonly history: EncodedHistory;
   /** Notified whenever there is something new to send. */
   readonly news = new Signal();
+  private readonly appliedAge: AppliedAge;
   private heartbeatFrame: Uint8Array = new Uint8Array();
   private heartbeatNumber = 0;
 
@@ -28,8 +31,10 @@
     feed: ConfigurationFeed,
     private readonly readStatus: () => ReplicatedLogStatus,
     readonly signs: SignBoard,
+    faults: ControlStreamFaults,
     options?: EncodedHistoryOptions,
   ) {
+    this.appliedAge = new AppliedAge(faults);
     this.history = new EncodedHistory(feed, () => this.news.notify(), options);
   }
 
@@ -67,12 +72,13 @@
   }
 
   private beat(): void {
+    const now = this.clock.now();
     this.heartbeatFrame = STREAM_CODEC.encode({
       kind: 'heartbeat',
       committedRevision: this.history.revision,
       stateHash: this.history.stateHash,
-      sinceQuorumMs: this.readStatus().sinceQuorumMs,
-      sourceTime: this.clock.now(),
+      sinceQuorumMs: this.appliedAge.read(this.readStatus(), now),
+      sourceTime: now,
     });
     this.heartbeatNumber += 1;
     this.news.notify();
--- a/src/control-stream/stream-messages.ts
+++ b/src/control-stream/stream-messages.ts
@@ -57,7 +57,7 @@
   readonly committedRevision: number;
   /** Of the configuration at that revision. */
   readonly stateHash: string;
-  /** How long ago the controller last knew of a quorum. Milliseconds. */
+  /** How long ago a quorum confirmed that the controller lacked nothing. Milliseconds. */
   readonly sinceQuorumMs: number;
   /** Clock reading of the controller when it wrote this; tells a delayed message. Milliseconds. */
   readonly sourceTime: number;
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -6,6 +6,10 @@
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
 import { RaftNode } from '../consensus/raft-node.js';
 import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
+import {
+  NO_CONTROL_STREAM_FAULTS,
+  type ControlStreamFaults,
+} from '../control-stream/control-stream-faults.js';
 import { ControlStreamServer } from '../control-stream/control-stream-server.js';
 import { ControllerExchange } from '../control-stream/controller-exchange.js';
 import { DaemonDirectory } from '../control-stream/daemon-directory.js';
@@ -59,6 +63,7 @@
     private readonly environment: DurableEnvironment,
     private readonly configuration: ControllerConfiguration,
     private readonly telemetry: Telemetry,
+    private readonly faults: ControlStreamFaults,
   ) {
     const { memberId, cluster } = configuration;
     this.identity = { clusterId: cluster.id, clusterKey: cluster.key, name: memberId };
@@ -74,8 +79,9 @@
     environment: DurableEnvironment,
     configuration: ControllerConfiguration,
     telemetry: Telemetry,
+    faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
   ): Promise<ControllerDaemon> {
-    const daemon = new ControllerDaemon(environment, configuration, telemetry);
+    const daemon = new ControllerDaemon(environment, configuration, telemetry, faults);
     daemon.parts = await daemon.startParts();
     daemon.logger.info('controller started', {
       http: formatAddress(daemon.httpAddress),
@@ -135,19 +141,19 @@
   }
 
   private startCore(log: RaftNode, machine: ConfigurationStateMachine): ControllerCore {
-    const { environment, identity, telemetry } = this;
+    const { environment, identity, telemetry, faults } = this;
     const { clock } = environment;
-    const daemons = new DaemonDirectory(clock);
-    const signs = new SignBoard();
+    const daemons = new DaemonDirectory(clock, faults);
+    const signs = new SignBoard(faults);
     const onNews = (): void => exchange.notify();
     const server = new ControlStreamServer(
-      { clock, memberId: identity.name, feed: machine, log, daemons, signs, onNews },
+      { clock, memberId: identity.name, feed: machine, log, daemons, signs, onNews, faults },
       telemetry,
     );
     const readMembers = (): readonly ReplicatedLogMember[] => log.status().members;
     const onSigns = (): void => server.notify();
     const exchange = new ControllerExchange(
-      { environment, identity, readMembers, daemons, signs, onSigns },
+      { environment, identity, readMembers, daemons, signs, onSigns, faults },
       telemetry,
     );
     return { log, machine, daemons, signs, server, exchange };
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -67,6 +67,7 @@
       term: 1,
       leaderId: this.hasQuorum ? 'controller-1' : undefined,
       commitIndex: lastIndex,
+      knownCommitIndex: lastIndex,
       appliedIndex: this.appliedIndex,
       lastIndex,
       sinceQuorumMs: this.hasQuorum ? 0 : Infinity,
--- a/test/control-stream/controller-fixture.ts
+++ b/test/control-stream/controller-fixture.ts
@@ -67,6 +67,7 @@
       term: 1,
       leaderId: undefined,
       commitIndex: 0,
+      knownCommitIndex: 0,
       appliedIndex: 0,
       lastIndex: 0,
       sinceQuorumMs,
--- /dev/null
+++ b/test/control/in-force.test.ts
@@ -0,0 +1,150 @@
+import { describe, expect, it } from 'vitest';
+import type { ControlStreamFaults } from '../../src/control-stream/control-stream-faults.js';
+import { DAEMON_LEASE_MS } from '../../src/control-stream/daemon-directory.js';
+import { formatStatus } from '../../src/operator/format-status.js';
+import { ControllerGroup, ELECTION_MS, IN_FORCE_WITHIN_MS, ZONES } from './controller-group.js';
+
+/** Each is run once as it is, and once with the defect that it has to find. */
+type Scenario = (faults: ControlStreamFaults) => Promise<unknown>;
+
+/** What a daemon puts in force whose controller hears the leader but cannot write. */
+const hangingDisk: Scenario = async (faults) => {
+  const group = await ControllerGroup.start(faults);
+  const leader = await group.leaderIndex();
+  const slow = group.hostAt((leader + 1) % ZONES.length);
+  const daemon = group.startDaemon('router-1', slow.zone);
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  slow.volume.faults.slowness = 1e9;
+  await group.accept(leader, 1);
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  return daemon.revisions;
+};
+
+/** What a daemon puts in force that was restarted where only a controller cut off is left. */
+const restartBesideStaleController: Scenario = async (faults) => {
+  const group = await ControllerGroup.start(faults);
+  const daemon = group.startDaemon('router-1', 'nayoro');
+  group.cutMachine(group.hostAt(1));
+  await group.simulation.runFor(ELECTION_MS);
+  await group.accept(0, 1);
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  expect(daemon.revision).toBe(1);
+  group.cutZone('nayoro');
+  const restarted = daemon.restarted();
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  const whileCut = [...restarted.revisions];
+  group.simulation.healAll();
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  return { whileCut, afterwards: restarted.revision };
+};
+
+/** What a daemon puts in force whose controller is cut off in silence. */
+const silentController: Scenario = async (faults) => {
+  const group = await ControllerGroup.start(faults);
+  const daemon = group.startDaemon('router-1', 'nayoro');
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  group.cutMachine(group.hostAt(1));
+  group.simulation.cut({ from: { machine: 'controller-2' }, to: { machine: 'router-1' } });
+  await group.simulation.runFor(ELECTION_MS);
+  await group.accept(0, 1);
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  return daemon.revisions;
+};
+
+/** How many of nine daemons follow a controller of another zone. */
+const strangers: Scenario = async (faults) => {
+  const group = await ControllerGroup.start(faults);
+  const daemons = Array.from({ length: 9 }, (_, index) =>
+    group.startDaemon(`router-${index}`, ZONES[index % ZONES.length] as string),
+  );
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  const own = daemons.filter(({ host, client }) =>
+    group.hosts.some(({ name, zone }) => name === client.source && zone === host.zone),
+  );
+  return daemons.length - own.length;
+};
+
+/** Late daemons that each controller left names, long after one fell silent and the leader died. */
+const lateDaemons: Scenario = async (faults) => {
+  const group = await ControllerGroup.start(faults);
+  const daemons = ZONES.map((zone, index) => group.startDaemon(`router-${index + 1}`, zone));
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  daemons[2]?.host.freeze(600_000);
+  const leader = await group.leaderIndex();
+  group.hostAt(leader).crash({ power: true });
+  await group.simulation.runFor(DAEMON_LEASE_MS + ELECTION_MS);
+  const left = [...ZONES.keys()].filter((index) => index !== leader);
+  await group.accept(left[0] as number, 1);
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  const reports = [];
+  for (const index of left) {
+    const { force } = await group.changeReport(index, 1);
+    const late = force?.late.map(({ name, revision, zone }) => ({ name, revision, zone }));
+    reports.push({ inForce: force?.inForce, daemons: force?.daemons, late });
+  }
+  return reports;
+};
+
+const ROUTER_3 = { name: 'router-3', revision: 0, zone: 'wakkanai' };
+const WHOLE = { inForce: 2, daemons: 3, late: [ROUTER_3] };
+const FORGETFUL = { inForce: 2, daemons: 2, late: [] };
+
+describe('an accepted change', () => {
+  const cases: [string, Scenario, unknown, ControlStreamFaults, unknown][] = [
+    [
+      'is in force at daemons whose controller cannot write',
+      hangingDisk,
+      [0, 1],
+      { ignoreApplyLag: true },
+      [0],
+    ],
+    [
+      'does not revert at a daemon restarted beside a controller cut off',
+      restartBesideStaleController,
+      { whileCut: [], afterwards: 1 },
+      { skipFreshnessProof: true },
+      { whileCut: [0], afterwards: 1 },
+    ],
+    [
+      'is in force at daemons whose controller is cut off',
+      silentController,
+      [0, 1],
+      { neverLeave: true },
+      [0],
+    ],
+    ['comes from a controller of the own zone', strangers, 0, { ignoreZone: true }, 3],
+    [
+      'is told by every controller to be late at a daemon that is silent',
+      lateDaemons,
+      [WHOLE, WHOLE],
+      { forgetSilentDaemons: true },
+      [FORGETFUL, FORGETFUL],
+    ],
+  ];
+  it.each(cases)('%s', async (_name, scenario, expected, faults, found) => {
+    expect(await scenario({})).toEqual(expected);
+    expect(await scenario(faults)).toEqual(found);
+  });
+
+  it('is known where it is in force at controllers that daemons do not follow', async () => {
+    expect(await lateDaemons({ withholdReports: true })).not.toEqual([WHOLE, WHOLE]);
+  });
+});
+
+describe('the status of the cluster', () => {
+  it('shows leader, lag, members, daemons and versions', async () => {
+    const group = await ControllerGroup.start();
+    group.startDaemon('router-1', 'nayoro');
+    await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+    const leader = await group.leaderIndex();
+    const text = formatStatus(await group.status(leader));
+    const { name } = group.hostAt(leader);
+    expect(text).toMatch(new RegExp(`^Leader: ${name}, term \\d+. Revision 0.$`, 'm'));
+    for (const { name: member, host } of group.hosts) {
+      const role = member === name ? 'leader' : 'voter';
+      expect(text).toMatch(new RegExp(`^${member} +${role} +${host}:7500 +up to date`, 'm'));
+    }
+    expect(text).toMatch(/^router-1 +nayoro +0\.1\.0 +0 +\d+ ms ago$/m);
+    expect(text).toContain('in force at 1 of 1 daemons');
+  });
+});
