Tell operators zone, version and silence of each daemon, and forget none early

Cause: the force report carried name and revision alone, so `driftway status` showed question marks; a daemon without a revision did not fit the documented schema (-1); and a daemon out of reach was forgotten after ten minutes, after which a change was said to be in force at n of n although that daemon might serve with an older revision. Regions are expected out of reach of each other for an hour.

Change: the report carries what is known; -1 stands for none yet; a silent daemon is forgotten after two hours. The test with an hour's silence failed with ten minutes.

--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -37,7 +37,7 @@
 
 const daemonSchema = z.strictObject({
   name: z.string(),
-  revision: revisionSchema,
+  revision: z.int().min(-1).describe('In force there; -1 before the first.'),
   zone: z.string().optional(),
   version: z.string().optional(),
   silentMs: z.number().optional().describe('Since it was last heard of.'),
--- a/src/control-stream/daemon-directory.ts
+++ b/src/control-stream/daemon-directory.ts
@@ -3,8 +3,9 @@
  * that hears it and at those it is passed on to. A daemon whose lease ran out
  * counts as late, not as gone: it may still serve with what it holds.
  */
-import type { ForceReport, ForceTracker } from '../administration/force-tracker.js';
+import type { DaemonRevision, ForceReport, ForceTracker } from '../administration/force-tracker.js';
 import type { Clock } from '../seams/clock.js';
+import { NO_CONTROL_STREAM_FAULTS, type ControlStreamFaults } from './control-stream-faults.js';
 import { isNewer, type DaemonRecord } from './daemon-record.js';
 import { VersionedTable } from './versioned-table.js';
 
@@ -17,8 +18,12 @@
 /** A daemon not heard of for this long is shown as silent. Milliseconds. */
 export const DAEMON_LEASE_MS = 15_000;
 
-/** A daemon not heard of for this long is forgotten. Milliseconds. */
-export const FORGET_AFTER_MS = 600_000;
+/**
+ * A daemon not heard of for this long is forgotten: longer than regions are
+ * expected to be out of reach of each other, since it may serve meanwhile with
+ * what it holds. Milliseconds.
+ */
+export const FORGET_AFTER_MS = 2 * 3_600_000;
 
 /** A daemon as shown to operators. */
 export interface KnownDaemon {
@@ -42,12 +47,20 @@
   );
 }
 
+function describeDaemon({ record, silentMs }: KnownDaemon): DaemonRevision {
+  const { name, zone, version, revision } = record;
+  return { name, zone, version, revision, silentMs };
+}
+
 /** One controller's view. */
 export class DaemonDirectory implements ForceTracker {
   private readonly sightings = new Map<string, Sighting>();
   private readonly outgoing = new VersionedTable<DaemonRecord>(MAXIMUM_DAEMONS);
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
+  ) {}
 
   /** Position of the newest record to pass on. */
   get position(): number {
@@ -94,16 +107,14 @@
   }
 
   inForce(_revision: number): ForceReport {
-    const daemons = this.daemons().map(({ record }) => ({
-      name: record.name,
-      revision: record.revision,
-    }));
-    return { daemons };
+    return { daemons: this.daemons().map(describeDaemon) };
   }
 
   private forgetOld(now: number): void {
+    const forgetAfter =
+      this.faults.forgetSilentDaemons === true ? DAEMON_LEASE_MS : FORGET_AFTER_MS;
     for (const [name, { heardAt }] of this.sightings) {
-      if (now - heardAt <= FORGET_AFTER_MS) continue;
+      if (now - heardAt <= forgetAfter) continue;
       this.sightings.delete(name);
       this.outgoing.remove(name);
     }
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -30,7 +30,7 @@
     name,
     zone ?? '?',
     version ?? '?',
-    held >= revision ? String(held) : `${held} (late)`,
+    held >= revision ? String(held) : `${held < 0 ? 'none' : held} (late)`,
     silentMs === undefined ? '?' : `${Math.round(silentMs)} ms ago`,
   ]);
   return `${summary}${formatTable(['DAEMON', 'ZONE', 'VERSION', 'REVISION', 'HEARD'], rows)}`;
--- a/test/control-stream/force-tracker.test.ts
+++ b/test/control-stream/force-tracker.test.ts
@@ -56,6 +56,14 @@
     expect(reports()).toEqual(Array(3).fill({ 'router-2': 0 }));
   });
 
+  it('of a daemon out of reach for an hour are counted, since it may serve with what it holds', async () => {
+    const cutOff = startDaemon('router-1', 'nayoro');
+    await simulation.runFor(SETTLE_MS);
+    cutOff.host.crash({ power: true });
+    await simulation.runFor(3_600_000);
+    expect(reports()).toEqual(Array(3).fill({ 'router-1': 0 }));
+  });
+
   it('are those of the newest process, also when its clock was set back', async () => {
     acceptEverywhere(1);
     const daemon = startDaemon('router-1', 'asahikawa-a');
