Audit every replay of the bench

Cause: the bench stated latency, coverage and extra load, and nothing of the promises, though both ledgers are at hand. Change: the auditor reads them after each replay; the object printed last holds a count for each promise, and a breach ends the command with 1. Ruled out: auditing the measured period alone, since a promise holds in the warm-up too.

--- a/lab/bench/bench-record.ts
+++ b/lab/bench/bench-record.ts
@@ -1,5 +1,5 @@
 /** What a run leaves behind for measuring. */
-import type { BackendLedgerEntry } from '../ledger/backend-ledger-entry.js';
+import type { BackendEvidence } from '../auditor/audit-evidence.js';
 import type { CallerLedgerEntry } from '../ledger/caller-ledger-entry.js';
 
 /** One request as sent, and how it ended. */
@@ -16,7 +16,7 @@
 export interface BenchRecord {
   readonly requests: readonly RequestRecord[];
   /** Times are milliseconds since the start of the run. */
-  readonly backendEntries: readonly BackendLedgerEntry[];
+  readonly backends: BackendEvidence;
   /** Of every event of the simulation. */
   readonly eventDigest: string;
 }
--- a/lab/bench/bench-run.ts
+++ b/lab/bench/bench-run.ts
@@ -4,6 +4,7 @@
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { RouterDaemon } from '../../src/router/router-daemon.js';
+import type { RouterFaults } from '../../src/router/router-faults.js';
 import type { ServiceDefinition } from '../../src/model/service-definition.js';
 import type { Clock } from '../../src/seams/clock.js';
 import { formatScope } from '../../src/settings/scope.js';
@@ -12,8 +13,12 @@
   DEFAULT_SERVICE_SETTINGS,
   type SettingsOverride,
 } from '../../src/settings/service-settings.js';
+import { DEFAULT_AUDIT_TERMS } from '../auditor/audit-evidence.js';
+import { audit } from '../auditor/auditor.js';
+import type { ViolationCounts } from '../auditor/violation.js';
 import { BackendLedger } from '../ledger/backend-ledger.js';
 import { CallerLedger } from '../ledger/caller-ledger.js';
+import { EPOCH_START } from '../simulation/simulated-clock.js';
 import { SAME_ZONE_LATENCY, DEFAULT_LINK } from '../simulation/link-table.js';
 import { Simulation } from '../simulation/simulation.js';
 import { BenchCallers, CALLERS_ZONE, type RouterEndpoint } from './bench-callers.js';
@@ -41,6 +46,8 @@
   readonly trace: Trace;
   readonly policies: SettingsOverride;
   readonly seed: number;
+  /** Promises the routers break on purpose, to show that the audit would notice. */
+  readonly faults?: RouterFaults;
 }
 
 /** Reads fractions of a millisecond since the trace began, unlike a time of day. */
@@ -98,7 +105,7 @@
     await this.simulation.runUntil(TRACE_START + trace.durationMs + DRAIN_TIME);
     return this.measure({
       requests: callers.records,
-      backendEntries: this.backendLedger.entries,
+      backends: this.backendLedger,
       eventDigest: this.simulation.eventDigest,
     });
   }
@@ -122,7 +129,13 @@
         controllers: [{ memberId: 'none', address: '10.255.255.255:1', zone }],
       });
       const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
-      const started = RouterDaemon.start(machine.environment, configuration, source, telemetry);
+      const started = RouterDaemon.start(
+        machine.environment,
+        configuration,
+        source,
+        telemetry,
+        this.options.faults,
+      );
       const { address } = await this.simulation.settle(started);
       endpoints.push({ name, zone, address });
     }
@@ -166,10 +179,23 @@
     return {
       ...measurement.period({ from: trace.warmupMs, to: trace.durationMs }),
       phases,
+      violations: this.audit(record),
       digest: digestOf(record),
     };
   }
 
+  /** Callers keep wall-clock times, back ends the time of the trace; both are given the latter. */
+  private audit({ backends }: BenchRecord): ViolationCounts {
+    const origin = EPOCH_START + TRACE_START;
+    const callers = this.callerLedger.entries.map((entry) => ({
+      ...entry,
+      scheduledAt: entry.scheduledAt - origin,
+      sentAt: entry.sentAt - origin,
+      endedAt: entry.endedAt - origin,
+    }));
+    return audit({ backends, callers, terms: DEFAULT_AUDIT_TERMS }).counts;
+  }
+
   private measuredServices(): ReadonlyMap<string, MeasuredService> {
     const { trace } = this.options;
     const asked = new Set(trace.arrivals.map(({ service }) => service));
--- a/lab/bench/measure.ts
+++ b/lab/bench/measure.ts
@@ -131,7 +131,7 @@
     private readonly services: ReadonlyMap<string, MeasuredService>,
     private readonly oracle: Oracle,
   ) {
-    this.work = new BackendWork(record.backendEntries);
+    this.work = new BackendWork(record.backends.entries);
   }
 
   period(period: Period): PeriodFigures {
--- a/lab/commands/bench-command.ts
+++ b/lab/commands/bench-command.ts
@@ -24,7 +24,8 @@
     details: `
       Runs the shipped router against stand-in back ends on the simulator. The
       same trace, seed and policy set give the same bytes. Exit code 1 when an
-      outcome stated in the trace for the policy set does not hold.
+      outcome stated in the trace for the policy set does not hold, or when the
+      audit of callers and back ends finds a promise broken.
     `,
     examples: [
       [
@@ -80,7 +81,7 @@
     }
     this.context.stdout.write(`${trace.name}, seed ${this.seed}: ${trace.description}\n\n`);
     this.context.stdout.write(`${comparisonTable(runs)}\n`);
-    const missed = runs.map((run) => this.printOutcomes(trace, run));
+    const missed = runs.map((run) => this.printOutcomes(trace, run) + this.printViolations(run));
     if (this.json) this.printJson(runs);
     return missed.some((count) => count > 0) ? EXIT_OUTCOME_MISSED : 0;
   }
@@ -107,16 +108,31 @@
     return checked.filter(({ holds }) => !holds).length;
   }
 
+  /** Returns how many violations the audit found. */
+  private printViolations({ policy, figures }: ComparedRun): number {
+    const found = Object.entries(figures.violations).filter(([, count]) => count > 0);
+    for (const [kind, count] of found) {
+      this.context.stdout.write(`VIOLATED ${policy}: ${kind} ${count} times\n`);
+    }
+    return found.reduce((sum, [, count]) => sum + count, 0);
+  }
+
   private printJson(runs: readonly ComparedRun[]): void {
     const [first] = runs;
     const content =
       this.compare === undefined && first !== undefined
-        ? { trace: this.trace, seed: this.seed, policy: first.policy, ...first.figures }
-        : { trace: this.trace, seed: this.seed, runs };
+        ? { trace: this.trace, seed: this.seed, ...flatten(first) }
+        : { trace: this.trace, seed: this.seed, runs: runs.map(flatten) };
     this.context.stdout.write(`${JSON.stringify(content)}\n`);
   }
 }
 
+/** The figures of all services together stand at the top of the object. */
+function flatten({ policy, figures }: ComparedRun): object {
+  const { all, services, phases, violations, digest } = figures;
+  return { policy, ...all, violations, services, phases, digest };
+}
+
 function describeOutcome({ outcome, value, holds }: CheckedOutcome): string {
   const { policy, figure, service, phase, atLeast, atMost } = outcome;
   const where = [policy, service ?? 'all', phase].filter((part) => part !== undefined).join(' ');
--- a/test/lab/bench/trace-replay.test.ts
+++ b/test/lab/bench/trace-replay.test.ts
@@ -5,14 +5,26 @@
 import { loadTrace } from '../../../lab/bench/load-trace.js';
 import { policySet } from '../../../lab/bench/policy-sets.js';
 import { checkOutcomes } from '../../../lab/bench/stated-outcome.js';
+import { NO_ROUTER_FAULTS, type RouterFaults } from '../../../src/router/router-faults.js';
 import type { BenchFigures } from '../../../lab/bench/bench-figures.js';
 
 const TRACES = 'lab/traces';
 const SMALL_TRACES = join(TRACES, 'ci');
 
-async function replay(file: string, policy: string, seed: number): Promise<BenchFigures> {
+async function replay(
+  file: string,
+  policy: string,
+  seed: number,
+  faults: RouterFaults = NO_ROUTER_FAULTS,
+): Promise<BenchFigures> {
   const trace = await loadTrace(join(SMALL_TRACES, file));
-  return new BenchRun({ trace, policies: policySet(policy), seed }).run();
+  return new BenchRun({ trace, policies: policySet(policy), seed, faults }).run();
+}
+
+function brokenPromises({ violations }: BenchFigures): string[] {
+  return Object.entries(violations)
+    .filter(([, count]) => count > 0)
+    .map(([kind]) => kind);
 }
 
 describe('trace replay', async () => {
@@ -26,6 +38,7 @@
       const figures = await replay(file, policy, 1);
       const missed = checkOutcomes(trace.outcomes, policy, figures).filter(({ holds }) => !holds);
       expect(missed).toEqual([]);
+      expect(brokenPromises(figures)).toEqual([]);
     }
   });
 
@@ -37,6 +50,13 @@
     expect(other.digest).not.toBe((JSON.parse(first) as BenchFigures).digest);
   });
 
+  it('counts what a router that breaks a promise does', async () => {
+    const faults = { ...NO_ROUTER_FAULTS, mergeAcrossSnapshots: true };
+    const figures = await replay('dohoku-publish.yaml', 'baseline', 1, faults);
+    // A shard asked at another snapshot was also not reached at the one stated.
+    expect(brokenPromises(figures)).toEqual(['mixedSnapshot', 'falseCoverage']);
+  });
+
   it('never beats the oracle', async () => {
     const { services } = await replay('dohoku-stragglers.yaml', 'baseline', 3);
     for (const { latency, oracle } of Object.values(services)) {
