Report a settings file that is no map instead of failing on it

Cause: a flag was set inside whatever the file held, so a file of one word, or a number where a map belongs, ended the daemon with a type error and exit code 1. Aliases that blow the content up did the same. Ruled out: validating before the flags are laid over, since a flag may supply a key the file leaves out. Change: a flag is set only inside maps, and validation names the parent that is not one. Everything the YAML library refuses is a problem of the whole file. The three commands that run from a settings file share the code that prints problems, and two copies of a test clock are one. Shown by: five new cases fail on the former code and pass now.

--- a/lab/commands/backend-command.ts
+++ b/lab/commands/backend-command.ts
@@ -1,15 +1,15 @@
 /** `driftway-lab backend`: stand-in back ends. */
 import { Command, Option } from 'clipanion';
-import { createTelemetry, ExitCode, runDaemon } from '../../src/commands/daemon-process.js';
+import { ConfiguredCommand } from '../../src/commands/configured-command.js';
+import { createTelemetry, runDaemon, type ExitCode } from '../../src/commands/daemon-process.js';
 import { loadConfiguration } from '../../src/commands/load-configuration.js';
-import { ConfigurationError } from '../../src/configuration/configuration-error.js';
 import { createNodeEnvironment } from '../../src/node/node-environment.js';
 import { PureRandomSource } from '../../src/node/pure-random-source.js';
 import { BackendProcess } from '../backend/backend-process.js';
 import { backendProcessSchema } from '../backend/backend-process-file.js';
 
 /** Runs until SIGTERM. */
-export class BackendCommand extends Command {
+export class BackendCommand extends ConfiguredCommand {
   static override paths = [['backend']];
   static override usage = Command.Usage({
     category: 'Stand-ins',
@@ -41,17 +41,7 @@
   control = Option.String('--control', { description: 'Overrides control, as host:port' });
   json = Option.Boolean('--json', false, { description: 'JSON log lines, also on a terminal' });
 
-  override async execute(): Promise<ExitCode> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof ConfigurationError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return ExitCode.BadConfiguration;
-    }
-  }
-
-  private async run(): Promise<ExitCode> {
+  protected override async runConfigured(): Promise<ExitCode> {
     const file = await loadConfiguration(backendProcessSchema, this.file, [
       { path: 'control', value: this.control },
     ]);
--- a/src/commands/controller-command.ts
+++ b/src/commands/controller-command.ts
@@ -1,14 +1,14 @@
 /** `driftway controller`: the control daemon. */
 import { Command, Option } from 'clipanion';
-import { ConfigurationError } from '../configuration/configuration-error.js';
+import { ConfiguredCommand } from './configured-command.js';
 import { controllerConfigurationSchema } from '../configuration/controller-configuration.js';
 import { ControllerDaemon } from '../control/controller-daemon.js';
 import { createDurableNodeEnvironment } from '../node/node-environment.js';
-import { createTelemetry, ExitCode, runDaemon } from './daemon-process.js';
+import { createTelemetry, runDaemon, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 
 /** Runs until SIGTERM. */
-export class ControllerCommand extends Command {
+export class ControllerCommand extends ConfiguredCommand {
   static override paths = [['controller']];
   static override usage = Command.Usage({
     category: 'Daemons',
@@ -38,17 +38,7 @@
   region = Option.String('--region', { description: 'Overrides region' });
   zone = Option.String('--zone', { description: 'Overrides zone' });
 
-  override async execute(): Promise<ExitCode> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof ConfigurationError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return ExitCode.BadConfiguration;
-    }
-  }
-
-  private async run(): Promise<ExitCode> {
+  protected override async runConfigured(): Promise<ExitCode> {
     const configuration = await loadConfiguration(controllerConfigurationSchema, this.config, [
       { path: 'memberId', value: this.memberId },
       { path: 'dataFolder', value: this.dataFolder },
--- a/src/commands/router-command.ts
+++ b/src/commands/router-command.ts
@@ -1,15 +1,15 @@
 /** `driftway router`: the query daemon. */
 import { Command, Option } from 'clipanion';
-import { ConfigurationError } from '../configuration/configuration-error.js';
+import { ConfiguredCommand } from './configured-command.js';
 import { routerConfigurationSchema } from '../configuration/router-configuration.js';
 import { ControlStreamClient } from '../control-stream/control-stream-client.js';
 import { createNodeEnvironment } from '../node/node-environment.js';
 import { RouterDaemon } from '../router/router-daemon.js';
-import { createTelemetry, ExitCode, runDaemon } from './daemon-process.js';
+import { createTelemetry, runDaemon, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 
 /** Runs until SIGTERM. */
-export class RouterCommand extends Command {
+export class RouterCommand extends ConfiguredCommand {
   static override paths = [['router']];
   static override usage = Command.Usage({
     category: 'Daemons',
@@ -33,17 +33,7 @@
   region = Option.String('--region', { description: 'Overrides region' });
   zone = Option.String('--zone', { description: 'Overrides zone' });
 
-  override async execute(): Promise<ExitCode> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof ConfigurationError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return ExitCode.BadConfiguration;
-    }
-  }
-
-  private async run(): Promise<ExitCode> {
+  protected override async runConfigured(): Promise<ExitCode> {
     const configuration = await loadConfiguration(routerConfigurationSchema, this.config, [
       { path: 'name', value: this.daemonName },
       { path: 'listen.http', value: this.listen },
--- a/src/configuration/read-configuration.ts
+++ b/src/configuration/read-configuration.ts
@@ -9,17 +9,40 @@
   readonly value: unknown;
 }
 
+function isMap(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/** Sets a value inside `root`; where a parent is not a map, validation names that parent. */
 function setPath(root: Record<string, unknown>, path: string, value: unknown): void {
   const keys = path.split('.');
   const last = keys.pop();
   let node = root;
   for (const key of keys) {
     node[key] ??= {};
-    node = node[key] as Record<string, unknown>;
+    const child = node[key];
+    if (!isMap(child)) return;
+    node = child;
   }
   if (last !== undefined) node[last] = value;
 }
 
+/** The file's content; an empty file is an empty map. */
+function parseContent(file: string, text: string): unknown {
+  const document = parseDocument(text);
+  const [syntaxError] = document.errors;
+  if (syntaxError !== undefined) {
+    throw new ConfigurationError(file, [{ path: '(whole file)', reason: syntaxError.message }]);
+  }
+  try {
+    return document.toJS() ?? {};
+  } catch (error) {
+    // The library resolves aliases here, and refuses those that would blow the content up.
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new ConfigurationError(file, [{ path: '(whole file)', reason }]);
+  }
+}
+
 /** The example that the schema's description gives for a path, if it has one. */
 function exampleAt(schema: z.ZodType, path: readonly PropertyKey[]): string | undefined {
   let node: unknown = schema;
@@ -49,13 +72,10 @@
   text: string,
   overrides: readonly ConfigurationOverride[] = [],
 ): z.infer<S> {
-  const document = parseDocument(text);
-  const [syntaxError] = document.errors;
-  if (syntaxError !== undefined) {
-    throw new ConfigurationError(file, [{ path: '(whole file)', reason: syntaxError.message }]);
+  const content = parseContent(file, text);
+  if (isMap(content)) {
+    for (const { path, value } of overrides) setPath(content, path, value);
   }
-  const content = (document.toJS() ?? {}) as Record<string, unknown>;
-  for (const { path, value } of overrides) setPath(content, path, value);
   const result = schema.safeParse(content);
   if (result.success) return result.data;
   throw new ConfigurationError(
--- a/test/configuration/read-configuration.test.ts
+++ b/test/configuration/read-configuration.test.ts
@@ -1,6 +1,9 @@
 import { describe, expect, it } from 'vitest';
 import { ConfigurationError } from '../../src/configuration/configuration-error.js';
-import { readConfiguration } from '../../src/configuration/read-configuration.js';
+import {
+  readConfiguration,
+  type ConfigurationOverride,
+} from '../../src/configuration/read-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
 
 const VALID = `
@@ -13,9 +16,9 @@
   - { memberId: controller-1, address: '127.0.0.1:7500', zone: asahikawa-a }
 `;
 
-function problemsOf(text: string): string[] {
+function problemsOf(text: string, flags: readonly ConfigurationOverride[] = []): string[] {
   try {
-    readConfiguration(routerConfigurationSchema, 'router.yaml', text);
+    readConfiguration(routerConfigurationSchema, 'router.yaml', text, flags);
     return [];
   } catch (error) {
     if (error instanceof ConfigurationError) return error.problems.map(({ path }) => path);
@@ -54,4 +57,21 @@
   it('reports a YAML syntax error', () => {
     expect(problemsOf('name: [')).toEqual(['(whole file)']);
   });
+
+  it.each(['hello', '[1, 2]', '7'])('reports that %s is not a map, also with flags', (text) => {
+    expect(problemsOf(text, [{ path: 'name', value: 'router-2' }])).toEqual(['(whole file)']);
+  });
+
+  it('names a parent that is not a map when a flag would go inside it', () => {
+    const text = VALID.replace("listen: { http: '127.0.0.1:0' }", 'listen: 3');
+    const flags = [{ path: 'listen.http', value: '127.0.0.1:7400' }];
+    expect(problemsOf(text, flags)).toEqual(['listen']);
+  });
+
+  it('reports aliases that would blow the content up', () => {
+    const level = (name: string, inner: string): string =>
+      `${name}: &${name} [${Array.from({ length: 20 }, () => inner).join(', ')}]`;
+    const bomb = [level('a', '1'), level('b', '*a'), level('c', '*b'), level('d', '*c')];
+    expect(problemsOf(bomb.join('\n'))).toEqual(['(whole file)']);
+  });
 });
--- a/test/lab/auditor/auditor.test.ts
+++ b/test/lab/auditor/auditor.test.ts
@@ -10,7 +10,7 @@
 import { CallerLedger } from '../../../lab/ledger/caller-ledger.js';
 import { Caller, DEADLINE_GRACE } from '../../../lab/load/caller.js';
 import { QueryMix, queryKindSchema } from '../../../lab/load/query-mix.js';
-import { ManualClock, until } from '../support/manual-clock.js';
+import { ManualClock, until } from '../../support/manual-clock.js';
 import { NaiveRouter, type NaiveFault } from './naive-router.js';
 
 const SERVICE = 'kifu-audit';
--- a/test/lab/backend/backend-fixture.ts
+++ b/test/lab/backend/backend-fixture.ts
@@ -11,7 +11,7 @@
   type BackendOptions,
 } from '../../../lab/backend/backend-options.js';
 import { BackendLedger } from '../../../lab/ledger/backend-ledger.js';
-import { ManualClock } from '../support/manual-clock.js';
+import { ManualClock } from '../../support/manual-clock.js';
 
 export const LOOPBACK = { host: '127.0.0.1', port: 0 };
 const LONG_DEADLINE = 30_000;
--- a/test/lab/backend/backend.test.ts
+++ b/test/lab/backend/backend.test.ts
@@ -2,7 +2,7 @@
 import { BackendHeader } from '../../../src/model/backend-protocol.js';
 import type { BackendOptions } from '../../../lab/backend/backend-options.js';
 import { deriveResult, digestQuery } from '../../../lab/ledger/derived-result.js';
-import { until } from '../support/manual-clock.js';
+import { until } from '../../support/manual-clock.js';
 import { BackendFixture, dispositionOf } from './backend-fixture.js';
 
 const running: BackendFixture[] = [];
--- a/test/lab/platform/platform-list.test.ts
+++ b/test/lab/platform/platform-list.test.ts
@@ -2,7 +2,7 @@
 import { NodeNetwork } from '../../../src/node/node-network.js';
 import { PureRandomSource } from '../../../src/node/pure-random-source.js';
 import { PlatformList } from '../../../lab/platform/platform-list.js';
-import { ManualClock } from '../support/manual-clock.js';
+import { ManualClock } from '../../support/manual-clock.js';
 
 it('tells every change only after its lag, over HTTP', async () => {
   const clock = new ManualClock();
--- a/test/policies/bounded-admission-policy.test.ts
+++ b/test/policies/bounded-admission-policy.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { AdmissionRefusal, AdmissionTicket } from '../../src/policies/admission-policy.js';
 import { BoundedAdmissionPolicy } from '../../src/policies/bounded-admission-policy.js';
-import { ManualClock } from './manual-clock.js';
+import { ManualClock } from '../support/manual-clock.js';
 
 const NEVER = new AbortController().signal;
 
--- a/test/lab/support/manual-clock.ts
+++ b/test/support/manual-clock.ts
@@ -1,5 +1,5 @@
 /** A clock that a test moves by hand, for code that otherwise runs on real sockets. */
-import type { Clock, Timer } from '../../../src/seams/clock.js';
+import type { Clock, Timer } from '../../src/seams/clock.js';
 
 interface PendingTimer {
   readonly due: number;
