Stay with a source while its configuration arrives, however slowly

Cause: heartbeats queue behind a configuration under way. When it took longer than the quorum lease (4 s), the daemon left the source as cut off and began again at the next one: on a slow link, or when all daemons start at once, it would never have got through. A chunk of 1 MiB could besides outlast the 3 s of silence on its own.

Ruled out: heartbeats between the chunks. They wait in the same socket buffers and arrive as old as the chunks before them.

--- a/src/control-stream/source-session.ts
+++ b/src/control-stream/source-session.ts
@@ -17,6 +17,7 @@
   type HeartbeatMessage,
   type ResyncReason,
   type SignMessage,
+  type SnapshotBeginMessage,
   type SnapshotChunkMessage,
   type StreamMessage,
   type WelcomeMessage,
@@ -82,7 +83,7 @@
       case 'welcome':
         return this.takeWelcome(message);
       case 'snapshotBegin':
-        return this.assembler.begin(message);
+        return this.takeBegin(message);
       case 'snapshotChunk':
         return this.takeChunk(message);
       case 'delta':
@@ -115,12 +116,19 @@
     for (const sign of context.copy.observedSigns.values()) this.reportSign(sign);
   }
 
+  private takeBegin(message: SnapshotBeginMessage): void {
+    this.awaitingSnapshot = true;
+    this.link.watch.snapshotBegan();
+    this.assembler.begin(message);
+  }
+
   private takeChunk(message: SnapshotChunkMessage): void {
     const snapshot = this.assembler.add(message);
     if (snapshot === undefined) return;
     if (!this.link.watch.isWelcomed)
       throw this.link.malformed('a configuration before the welcome');
     this.awaitingSnapshot = false;
+    this.link.watch.snapshotArrived(this.context.environment.clock.now());
     if (!this.context.copy.takeSnapshot(snapshot))
       throw this.link.malformed('not the hashed content');
     this.report();
--- a/src/control-stream/source-watch.ts
+++ b/src/control-stream/source-watch.ts
@@ -9,6 +9,7 @@
   private heardAt: number;
   private quorumAt: number;
   private behindSince: number | undefined;
+  private receivingSnapshot = false;
   private transitDelay: TransitDelay | undefined;
 
   constructor(
@@ -39,7 +40,20 @@
     this.heardAt = now;
   }
 
-  /** Returns when the source last knew of a quorum. */
+  /**
+   * A configuration is under way. Heartbeats may queue behind it, so that only
+   * silence counts until it has arrived.
+   */
+  snapshotBegan(): void {
+    this.receivingSnapshot = true;
+  }
+
+  snapshotArrived(now: number): void {
+    this.receivingSnapshot = false;
+    this.quorumAt = now;
+  }
+
+  /** Returns when a quorum last confirmed that the source lacked nothing. */
   heartbeat({ sinceQuorumMs, sourceTime }: HeartbeatMessage, now: number): number {
     const delay = this.transitDelay?.delayOf(sourceTime, now) ?? 0;
     this.quorumAt = now - delay - sinceQuorumMs;
@@ -56,6 +70,7 @@
   reasonToLeave(now: number): SessionEnd | undefined {
     const patience = this.isWelcomed ? SOURCE_SILENCE_MS : WELCOME_TIMEOUT_MS;
     if (now - this.heardAt > patience) return 'silent';
+    if (this.receivingSnapshot) return undefined;
     const cutOff = now - this.quorumAt > QUORUM_LEASE_MS;
     if (cutOff && now > this.staleUntil) return 'cut_off';
     const behindFor = this.behindSince === undefined ? 0 : now - this.behindSince;
