Count oversized frames as malformed, and test refusals by version

Cause: a frame announced longer than any closed the connection, but was counted as a lost connection; nothing tested the counting at the controller's end, nor the refusal of a protocol version that is too old in either direction.

Change: isProtocolViolation tells a peer that broke the protocol from a connection that broke. The handshake test of an announced length expected reason "closed"; it now expects "malformed", which is as strict and names the cause.

--- a/lab/simulation/simulated-message-connection.ts
+++ b/lab/simulation/simulated-message-connection.ts
@@ -1,6 +1,10 @@
 /** Framed connections over simulated sockets, with the behaviour of the Node ones. */
 import { ConnectionError } from '../../src/errors/connection-error.js';
-import { MAXIMUM_FRAME_BYTES, type MessageConnection } from '../../src/seams/message-connection.js';
+import {
+  MAXIMUM_FRAME_BYTES,
+  READ_FRAME_STEP,
+  type MessageConnection,
+} from '../../src/seams/message-connection.js';
 import { never } from './process-life.js';
 import type { SimulatedSocket, SocketHandlers } from './simulated-socket.js';
 
@@ -85,7 +89,7 @@
     const frame = payload as Uint8Array;
     if (frame.length > MAXIMUM_FRAME_BYTES) {
       this.socket.reset();
-      this.fail('read frame', `frame of ${frame.length} bytes`);
+      this.fail(READ_FRAME_STEP, `frame of ${frame.length} bytes`);
       return;
     }
     const { waiter } = this;
--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -9,6 +9,7 @@
 import type { Telemetry } from '../observability/telemetry.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
+import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { ControlStreamFaults } from './control-stream-faults.js';
@@ -76,7 +77,7 @@
         this.takeAll(EXCHANGE_CODEC.decodeBatch(frame, peer.name), peer.name);
       }
     } catch (error) {
-      if (error instanceof MalformedMessageError) this.malformedFrames.inc();
+      if (isProtocolViolation(error)) this.malformedFrames.inc();
     } finally {
       over.abort(new Error('over'));
       connection.close();
--- a/src/control-stream/source-link.ts
+++ b/src/control-stream/source-link.ts
@@ -6,6 +6,7 @@
 import { dial } from '../protocol/dial.js';
 import { HandshakeError } from '../protocol/handshake-error.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { SessionContext } from './session-context.js';
 import type { SessionEnd } from './session-end.js';
@@ -49,7 +50,7 @@
         await this.receiveAll(connection, take);
       }
     } catch (error) {
-      const malformed = error instanceof MalformedMessageError;
+      const malformed = isProtocolViolation(error);
       if (malformed) this.context.metrics.malformedFrames.inc();
       this.end(malformed ? 'malformed' : 'lost');
     }
--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -1,5 +1,6 @@
 /** One daemon's stream at the controller it follows: one task sends, one receives. */
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { Clock } from '../seams/clock.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { DaemonDirectory } from './daemon-directory.js';
@@ -66,7 +67,7 @@
       const subscription = await this.receiveSubscription();
       if (subscription !== undefined) await this.serve(subscription);
     } catch (error) {
-      const malformed = error instanceof MalformedMessageError;
+      const malformed = isProtocolViolation(error);
       if (malformed) this.context.metrics.malformedFrames.inc();
       reason = malformed ? 'malformed' : 'lost';
     }
--- a/src/node/node-message-connection.ts
+++ b/src/node/node-message-connection.ts
@@ -1,7 +1,7 @@
 /** A framed connection over one TCP socket. */
 import type { Socket } from 'node:net';
 import { ConnectionError } from '../errors/connection-error.js';
-import type { MessageConnection } from '../seams/message-connection.js';
+import { READ_FRAME_STEP, type MessageConnection } from '../seams/message-connection.js';
 import { FRAME_HEADER_BYTES, FrameReader } from './frame-reader.js';
 
 /** Received frames held before the socket is paused. */
@@ -86,7 +86,7 @@
     try {
       for (const frame of this.reader.push(chunk)) this.deliver(frame);
     } catch (error) {
-      this.fail('read frame', error);
+      this.fail(READ_FRAME_STEP, error);
       return;
     }
     if (this.received.length >= RECEIVE_QUEUE_LIMIT) this.socket.pause();
--- a/src/protocol/handshake.ts
+++ b/src/protocol/handshake.ts
@@ -15,7 +15,7 @@
   type HelloMessage,
 } from './handshake-messages.js';
 import { createNonce, createProof, NONCE_BYTES, proofsEqual } from './handshake-proof.js';
-import { MalformedMessageError } from './malformed-message-error.js';
+import { isProtocolViolation } from './protocol-violation.js';
 import { OLDEST_PROTOCOL_VERSION, PROTOCOL_VERSION } from './protocol-version.js';
 
 /** Longest frame taken from a peer that has not proven the key. Bytes. */
@@ -90,7 +90,7 @@
     connection.close();
     if (expired) throw new HandshakeError('timeout', connection.peer, 'took too long', error);
     if (error instanceof HandshakeError) throw error;
-    const reason = error instanceof MalformedMessageError ? 'malformed' : 'closed';
+    const reason = isProtocolViolation(error) ? 'malformed' : 'closed';
     throw new HandshakeError(reason, connection.peer, (error as Error).message, error);
   } finally {
     timer.cancel();
--- a/src/seams/message-connection.ts
+++ b/src/seams/message-connection.ts
@@ -7,6 +7,9 @@
 /** Longest frame either side sends; a longer announced length closes the connection. Bytes. */
 export const MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
 
+/** Step of the `ConnectionError` of a connection whose peer announced too long a frame. */
+export const READ_FRAME_STEP = 'read frame';
+
 /** One connection. Frames arrive in order or not at all. */
 export interface MessageConnection {
   /** `host:port` of the other end, for errors and logs. */
@@ -27,7 +30,8 @@
    * The next frame, or undefined once the peer closed the connection. One
    * reader at a time.
    *
-   * @throws ConnectionError when the connection broke or a frame was malformed.
+   * @throws ConnectionError when the connection broke; its step is
+   * {@link READ_FRAME_STEP} when the peer announced too long a frame.
    */
   receive(): Promise<Uint8Array | undefined>;
 
--- /dev/null
+++ b/test/control-stream/malformed-frames.test.ts
@@ -0,0 +1,95 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import { EXCHANGE_CODEC } from '../../src/control-stream/exchange-messages.js';
+import { STREAM_CODEC, type StreamMessage } from '../../src/control-stream/stream-messages.js';
+import { MAXIMUM_SUBSCRIBER_FRAME_BYTES } from '../../src/control-stream/subscriber-session.js';
+import type { ConnectionRole } from '../../src/protocol/connection-role.js';
+import { dial } from '../../src/protocol/dial.js';
+import { MAXIMUM_FRAME_BYTES, type MessageConnection } from '../../src/seams/message-connection.js';
+import { CLUSTER, introduce, TestController } from './controller-fixture.js';
+
+const SEED = 4;
+const SUBSCRIBER = 'driftway_control_stream_subscriber_malformed_frames_total';
+const EXCHANGE = 'driftway_exchange_malformed_frames_total';
+const SIGN = { kind: 'sign', replicaId: 'replica-1', incarnation: 1, state: 'live' } as const;
+const SUBSCRIPTION: StreamMessage = {
+  kind: 'subscribe',
+  incarnation: 1,
+  zone: 'nayoro',
+  version: '0',
+  heldRevision: -1,
+  probe: false,
+};
+
+let simulation: Simulation;
+let controller: TestController;
+
+beforeEach(async () => {
+  simulation = new Simulation(SEED);
+  const host = simulation.createMachine('controller-1', 'nayoro');
+  controller = await simulation.settle(TestController.start(host));
+  introduce([controller]);
+});
+
+function connect(role: ConnectionRole): Promise<MessageConnection> {
+  const { environment } = simulation.createMachine('peer', 'nayoro');
+  const identity = { clusterId: CLUSTER.id, clusterKey: CLUSTER.key, name: 'peer' };
+  const { address } = controller.endpoint;
+  return simulation.settle(dial(environment, identity, { address, role, connectTimeout: 1_000 }));
+}
+
+/** Sends frames to the controller; whether it closes the connection within a second. */
+async function isClosedAfter(role: ConnectionRole, frames: Uint8Array[]): Promise<boolean> {
+  const connection = await connect(role);
+  let closed = false;
+  void connection.closed.then(() => (closed = true));
+  for (const frame of frames) void connection.send(frame).catch(() => undefined);
+  await simulation.runFor(1_000);
+  return closed;
+}
+
+function stream(message: object): Uint8Array {
+  return STREAM_CODEC.encode(message as StreamMessage);
+}
+
+const WELL_FORMED = stream({ kind: 'report', sequence: 1, revision: 0 });
+const BEYOND_ANY_FRAME = Buffer.alloc(MAXIMUM_FRAME_BYTES + 1);
+
+describe('a controller', () => {
+  const fromDaemons: [string, Uint8Array][] = [
+    ['an unknown message', Uint8Array.of(255)],
+    ['a message cut short', WELL_FORMED.subarray(0, 2)],
+    ['a message that only controllers send', stream({ kind: 'snapshotChunk', bytes: WELL_FORMED })],
+    ['a sign in an unknown state', stream({ ...SIGN, state: 'asleep', observedBy: 'router-1' })],
+    ['a sign by no valid name', stream({ ...SIGN, observedBy: '' })],
+    ['a frame longer than daemons send', Buffer.alloc(MAXIMUM_SUBSCRIBER_FRAME_BYTES + 1, 17)],
+    ['a frame longer than any', BEYOND_ANY_FRAME],
+  ];
+  it.each(fromDaemons)('closes and counts a daemon that sends %s', async (_name, frame) => {
+    expect(await isClosedAfter('subscriber', [stream(SUBSCRIPTION), frame])).toBe(true);
+    expect(await controller.counter(SUBSCRIBER)).toBe(1);
+  });
+
+  it('closes and counts a daemon that does not subscribe first', async () => {
+    expect(await isClosedAfter('subscriber', [WELL_FORMED])).toBe(true);
+    expect(await controller.counter(SUBSCRIBER)).toBe(1);
+  });
+
+  const fromControllers: [string, Uint8Array][] = [
+    ['an unknown message', Uint8Array.of(255)],
+    [
+      'a sign in an unknown state',
+      EXCHANGE_CODEC.encode({ ...SIGN, kind: 'scopedSign', scope: '', state: '', observedBy: 'x' }),
+    ],
+    ['a frame longer than any', BEYOND_ANY_FRAME],
+  ];
+  it.each(fromControllers)('closes and counts another that sends %s', async (_name, frame) => {
+    expect(await isClosedAfter('exchange', [frame])).toBe(true);
+    expect(await controller.counter(EXCHANGE)).toBe(1);
+  });
+
+  it('keeps the connection of a daemon that keeps to the protocol', async () => {
+    expect(await isClosedAfter('subscriber', [stream(SUBSCRIPTION), WELL_FORMED])).toBe(false);
+    expect(await controller.counter(SUBSCRIBER)).toBe(0);
+  });
+});
--- a/test/protocol/handshake.test.ts
+++ b/test/protocol/handshake.test.ts
@@ -6,7 +6,11 @@
 import { AuthenticatedListener } from '../../src/protocol/authenticated-listener.js';
 import { dial, type DialTarget } from '../../src/protocol/dial.js';
 import type { HandshakeFailure } from '../../src/protocol/handshake-error.js';
+import { HANDSHAKE_CODEC } from '../../src/protocol/handshake-messages.js';
+import { NONCE_BYTES } from '../../src/protocol/handshake-proof.js';
 import type { LocalIdentity, RemoteIdentity } from '../../src/protocol/handshake.js';
+import { OLDEST_PROTOCOL_VERSION } from '../../src/protocol/protocol-version.js';
+import type { MessageConnection } from '../../src/seams/message-connection.js';
 
 const ENVIRONMENT = { clock: new NodeClock(), network: new NodeNetwork() };
 const CONTROLLER: LocalIdentity = {
@@ -75,9 +79,52 @@
     expect(served).toEqual([]);
   });
 
+  /** Opens a connection without a handshake. */
+  function connectRaw(address = listener.address): Promise<MessageConnection> {
+    return ENVIRONMENT.network.connectMessages(address, 1_000);
+  }
+
+  it('turns away and counts a peer of a version that is too old', async () => {
+    const connection = await connectRaw();
+    const hello = {
+      kind: 'hello',
+      clusterId: ROUTER.clusterId,
+      protocolVersion: OLDEST_PROTOCOL_VERSION - 1,
+      role: 'subscriber',
+      name: ROUTER.name,
+      nonce: new Uint8Array(NONCE_BYTES),
+    } as const;
+    await connection.send(HANDSHAKE_CODEC.encode(hello));
+    const frame = (await connection.receive()) ?? expect.fail('no refusal');
+    const refusal = HANDSHAKE_CODEC.decode(frame, connection.peer);
+    expect(refusal).toEqual({ kind: 'rejected', reason: 'wrong_version' });
+    await connection.closed;
+    expect(await refusals('wrong_version')).toBe(1);
+    expect(served).toEqual([]);
+  });
+
+  it('proves nothing to an acceptor of a version that is too old', async () => {
+    let received = 0;
+    const address = { host: '127.0.0.1', port: 0 };
+    const old = await ENVIRONMENT.network.listenMessages(address, async (connection) => {
+      await connection.receive();
+      const challenge = {
+        kind: 'challenge',
+        protocolVersion: OLDEST_PROTOCOL_VERSION - 1,
+        name: CONTROLLER.name,
+        nonce: new Uint8Array(NONCE_BYTES),
+      } as const;
+      await connection.send(HANDSHAKE_CODEC.encode(challenge));
+      if ((await connection.receive()) !== undefined) received += 1;
+    });
+    const dialling = dialAs(ROUTER, { address: old.address });
+    await expect(dialling).rejects.toMatchObject({ reason: 'wrong_version' });
+    await old.close();
+    expect(received).toBe(0);
+  });
+
   it('does not trust an acceptor that does not hold the key', async () => {
     // A listener that says "accepted" to anyone, with a proof of its own making.
-    const { HANDSHAKE_CODEC } = await import('../../src/protocol/handshake-messages.js');
     const impostor = await ENVIRONMENT.network.listenMessages(
       { host: '127.0.0.1', port: 0 },
       async (connection) => {
@@ -122,8 +169,8 @@
     expect(served).toEqual([]);
   });
 
-  it('closes on an announced length beyond any frame', async () => {
+  it('closes and counts an announced length beyond any frame', async () => {
     await sendRaw(Uint8Array.of(255, 255, 255, 255));
-    expect(await refusals('closed')).toBe(1);
+    expect(await refusals('malformed')).toBe(1);
   });
 });
