Mend a controller that hung when a daemon left during its proof of freshness

Cause: the task that closes the stream of a silent daemon slept until the connection closed, then looped until the session had ended. When a daemon that held no configuration went away while the controller still asked the quorum (up to 2 s, and always that long without one), the sleep was refused at once and the loop ran on promise jobs alone: timers, and with them the proof's own end, never came. The controller stood still for good at 100% of a core. Found by a test that ran without end; the test kept here hung on the old code until it was killed from outside.

Change: SilenceGuard, one class for streams and the exchange in place of two copies of the loop, ends when its connection does.

--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -16,6 +16,7 @@
 import type { DaemonDirectory } from './daemon-directory.js';
 import { EXCHANGE_CODEC, toDaemonRecord, type ExchangeMessage } from './exchange-messages.js';
 import { ExchangeLink } from './exchange-link.js';
+import { SilenceGuard } from './silence-guard.js';
 import type { SignBoard } from './sign-board.js';
 import { fromSignMessage } from './sign-message.js';
 import { Signal } from './signal.js';
@@ -23,8 +24,8 @@
 /** How often the list of members is looked at. Milliseconds. */
 const MEMBERS_INTERVAL_MS = 1_000;
 
-/** A connection over which nothing arrived for this long is closed. Milliseconds. */
-const EXCHANGE_SILENCE_MS = 10_000;
+/** A connection over which nothing arrived for this long is closed, at either end. Milliseconds. */
+export const EXCHANGE_SILENCE_MS = 10_000;
 
 /** What an exchange is made of. */
 export interface ControllerExchangeParts {
@@ -65,24 +66,21 @@
 
   /** Receives from one other controller until its connection ends. */
   async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
-    const { clock } = this.parts.environment;
-    let heardAt = clock.now();
-    const over = new AbortController();
-    const silence = this.closeWhenSilent(connection, () => heardAt, over.signal);
+    const guard = new SilenceGuard(this.parts.environment.clock, connection, EXCHANGE_SILENCE_MS);
+    void guard.run();
     try {
       for (;;) {
         const frame = await connection.receive();
         if (frame === undefined) break;
-        heardAt = clock.now();
+        guard.heard();
         this.takeAll(EXCHANGE_CODEC.decodeBatch(frame, peer.name), peer.name);
+        // Tells the sender that its frames arrive.
+        await connection.send(EXCHANGE_CODEC.encode({ kind: 'keepAlive' }));
       }
     } catch (error) {
       if (isProtocolViolation(error)) this.malformedFrames.inc();
-    } finally {
-      over.abort(new Error('over'));
-      connection.close();
     }
-    await silence;
+    connection.close();
   }
 
   async stop(): Promise<void> {
@@ -135,17 +133,4 @@
     if (signNews) this.parts.onSigns();
     if (signNews || news) this.notify();
   }
-
-  private async closeWhenSilent(
-    connection: MessageConnection,
-    readHeardAt: () => number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { clock } = this.parts.environment;
-    while (!signal.aborted) {
-      const remaining = readHeardAt() + EXCHANGE_SILENCE_MS - clock.now();
-      if (remaining <= 0) return connection.close();
-      await clock.sleep(remaining, signal).catch(() => undefined);
-    }
-  }
 }
--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -8,6 +8,7 @@
 import type { ServerMetrics } from './server-metrics.js';
 import type { SharedReadBarrier } from './shared-read-barrier.js';
 import { scopeOf, type SignBoard } from './sign-board.js';
+import { SilenceGuard } from './silence-guard.js';
 import { fromSignMessage } from './sign-message.js';
 import type { BroadcastPosition, StreamBroadcast } from './stream-broadcast.js';
 import {
@@ -48,7 +49,7 @@
   private record: DaemonRecord | undefined;
   private snapshotWanted = false;
   private ended = false;
-  private heardAt: number;
+  private readonly guard: SilenceGuard;
 
   constructor(
     private readonly context: SubscriberContext,
@@ -56,12 +57,13 @@
     /** Proven in the handshake. */
     private readonly daemonName: string,
   ) {
-    this.heardAt = context.clock.now();
+    this.guard = new SilenceGuard(context.clock, connection, SUBSCRIBER_SILENCE_MS);
   }
 
   /** Resolves once the stream is over; never rejects. */
   async run(): Promise<void> {
-    const silence = this.closeWhenSilent();
+    // Also ends the stream of a daemon that reads nothing: it reports nothing either.
+    void this.guard.run();
     let reason = 'closed';
     try {
       const subscription = await this.receiveSubscription();
@@ -73,7 +75,6 @@
     }
     this.end();
     this.context.metrics.ended.inc({ reason });
-    await silence;
   }
 
   /** Tells the daemon to move elsewhere; it closes the connection. */
@@ -209,25 +210,13 @@
 
   private async receiveFrame(): Promise<Uint8Array | undefined> {
     const frame = await this.connection.receive();
-    this.heardAt = this.context.clock.now();
+    this.guard.heard();
     if (frame !== undefined && frame.length > MAXIMUM_SUBSCRIBER_FRAME_BYTES) {
       throw this.malformed(`a frame of ${frame.length} bytes`);
     }
     return frame;
   }
 
-  /** Also ends the stream of a daemon that reads nothing: it reports nothing either. */
-  private async closeWhenSilent(): Promise<void> {
-    const { clock } = this.context;
-    const closed = new AbortController();
-    void this.connection.closed.then(() => closed.abort(new Error('closed')));
-    while (!this.ended) {
-      const remaining = this.heardAt + SUBSCRIBER_SILENCE_MS - clock.now();
-      if (remaining <= 0) return this.end();
-      await clock.sleep(remaining, closed.signal).catch(() => undefined);
-    }
-  }
-
   private malformed(message: string): MalformedMessageError {
     return new MalformedMessageError('read stream', this.daemonName, message);
   }
--- a/test/control-stream/controller-fixture.ts
+++ b/test/control-stream/controller-fixture.ts
@@ -40,6 +40,8 @@
 /** A log without peers of its own; the test says whether it hears a quorum. */
 class TestLog {
   members: { memberId: string; address: string; voter: boolean }[] = [];
+  /** Whether reads wait for a quorum without end, as they do while a leader is cut off. */
+  readsHang = false;
   private quorumLostAt: number | undefined;
 
   constructor(
@@ -56,6 +58,7 @@
   }
 
   async readBarrier(): Promise<void> {
+    if (this.readsHang) return new Promise(() => undefined);
     if (this.quorumLostAt !== undefined) throw new Error('no quorum');
   }
 
--- a/test/control-stream/malformed-frames.test.ts
+++ b/test/control-stream/malformed-frames.test.ts
@@ -88,6 +88,16 @@
     expect(await controller.counter(EXCHANGE)).toBe(1);
   });
 
+  it('outlives a daemon that goes while the controller asks the quorum', async () => {
+    controller.log.readsHang = true;
+    const connection = await connect('subscriber');
+    void connection.send(stream(SUBSCRIPTION));
+    await simulation.runFor(500);
+    connection.close();
+    await simulation.runFor(10_000);
+    expect(await controller.counter('driftway_control_stream_subscribers')).toBe(0);
+  });
+
   it('keeps the connection of a daemon that keeps to the protocol', async () => {
     expect(await isClosedAfter('subscriber', [stream(SUBSCRIPTION), WELL_FORMED])).toBe(false);
     expect(await controller.counter(SUBSCRIBER)).toBe(0);
