Reconnect an exchange whose frames are not answered

Cause: a controller's link to another only sent. After a long cut it learned that the connection was dead at TCP's next retransmission, minutes after the cut had healed; until then signs and reports of daemons between the two waited.

After a cut of ten minutes a sign now passes within 7 s; without the change the test fails.

--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -2,8 +2,9 @@
 import { dial } from '../protocol/dial.js';
 import { parseAddress } from '../seams/address.js';
 import type { MessageConnection } from '../seams/message-connection.js';
-import type { ControllerExchangeParts } from './controller-exchange.js';
+import { EXCHANGE_SILENCE_MS, type ControllerExchangeParts } from './controller-exchange.js';
 import { EXCHANGE_CODEC, type ExchangeMessage } from './exchange-messages.js';
+import { SilenceGuard } from './silence-guard.js';
 import type { Signal } from './signal.js';
 import { CONNECT_TIMEOUT_MS, INITIAL_BACK_OFF_MS, MAXIMUM_BACK_OFF_MS } from './stream-timing.js';
 
@@ -61,6 +62,7 @@
       });
       this.connection = connection;
       open = true;
+      void this.closeWhenUnheard(connection);
       await this.sendNews(connection);
     } catch {
       // Counted by the accepting side; tried again after a pause.
@@ -90,6 +92,22 @@
     }
   }
 
+  /**
+   * Reads the answers of the other side. Without them, a connection that was cut
+   * for long would first carry something again at TCP's next retransmission,
+   * minutes after the cut has healed.
+   */
+  private async closeWhenUnheard(connection: MessageConnection): Promise<void> {
+    const guard = new SilenceGuard(this.parts.environment.clock, connection, EXCHANGE_SILENCE_MS);
+    void guard.run();
+    try {
+      while ((await connection.receive()) !== undefined) guard.heard();
+    } catch {
+      // Broken: sending fails as well.
+    }
+    connection.close();
+  }
+
   private collect(daemonPosition: number, signPosition: number): ExchangeMessage[] {
     const daemons = this.parts.daemons
       .changedAfter(daemonPosition)
--- a/test/control-stream/replica-signs.test.ts
+++ b/test/control-stream/replica-signs.test.ts
@@ -67,6 +67,17 @@
     expect(restarted.signs).toEqual([sign(2, 'draining'), sign(3, 'live')]);
   });
 
+  it('reach a controller again within seconds after it was out of reach for long', async () => {
+    const machines = [{ machine: 'controller-1' }, { machine: 'controller-2' }] as const;
+    simulation.cut({ from: machines[0], to: machines[1] });
+    simulation.cut({ from: machines[1], to: machines[0] });
+    await simulation.runFor(600_000);
+    simulation.healAll();
+    observer.client.reportReplicaSign(sign(1, 'draining'));
+    await simulation.runFor(7_000);
+    expect(neighbour.signs).toEqual([sign(1, 'draining')]);
+  });
+
   it('pass through a third controller while two are cut off from each other', async () => {
     const third = await start('controller-3', 'wakkanai');
     introduce([own, other, third]);
