Say in an answer that its settings could not be proven the newest

Cause: a service set to be served on stale settings got answers that looked like any other; only the revision number stood in them.

Change: such an answer carries settingsStale.

--- a/src/model/query-answer.ts
+++ b/src/model/query-answer.ts
@@ -25,6 +25,8 @@
   readonly coverage: Coverage;
   /** Revision of the settings the plan was made under. */
   readonly settingsRevision: number;
+  /** Present when no source could prove that this revision is still the newest. */
+  readonly settingsStale?: true;
   readonly attempts: AttemptCounts;
   readonly results: readonly ShardResult[];
 }
--- a/src/router/query-context.ts
+++ b/src/router/query-context.ts
@@ -5,6 +5,8 @@
 /** Pinned when the query was received. */
 export interface QueryContext extends ReadQuery {
   readonly service: ServiceRuntime;
+  /** Whether no source could prove the service's settings the newest when the query came. */
+  readonly settingsStale: boolean;
   /** The request id as back ends see it. */
   readonly backendRequestId: string;
   /** Stricter of the request's and the service's, 0 to 1. */
--- a/src/router/query-endpoint.ts
+++ b/src/router/query-endpoint.ts
@@ -90,6 +90,7 @@
     receivedAt: number,
   ): QueryContext {
     const { settings } = service;
+    const settingsStale = !this.parts.readiness.checkFreshness();
     const deadline = Math.min(
       request.deadlineMs ?? settings.defaultDeadlineMs,
       settings.maximumDeadlineMs,
@@ -98,6 +99,7 @@
     return {
       request,
       service,
+      settingsStale,
       backendRequestId: this.parts.router.identifiers.qualify(request.requestId),
       queryText,
       requiredCoverage: Math.max(request.requiredCoverage ?? 0, settings.requiredCoverage),
--- a/src/router/query-pipeline.ts
+++ b/src/router/query-pipeline.ts
@@ -98,7 +98,7 @@
   }
 
   private answer(result: ExecutionResult): string {
-    const { request, service } = this.query;
+    const { request, service, settingsStale } = this.query;
     return writeAnswer(
       {
         requestId: request.requestId,
@@ -106,6 +106,7 @@
         snapshot: result.plan.snapshot,
         coverage: result.coverage,
         settingsRevision: service.revision,
+        ...(settingsStale ? { settingsStale } : {}),
         attempts: this.tally,
       },
       result.results,
--- a/test/control/controller-group.ts
+++ b/test/control/controller-group.ts
@@ -10,6 +10,7 @@
 import type { ControlStreamFaults } from '../../src/control-stream/control-stream-faults.js';
 import { ControlStreamClient } from '../../src/control-stream/control-stream-client.js';
 import { observe } from '../../src/control-stream/observe.js';
+import type { ReplicaSign } from '../../src/model/replica-sign.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import type { Operation } from '../../src/settings/change.js';
 import { createTokenText, hashToken } from '../../src/settings/token-text.js';
@@ -25,7 +26,7 @@
 const TOKEN = createTokenText('bootstrap');
 const HTTP_PORT = 7400;
 const MESSAGE_PORT = 7500;
-const CLIENT_OPTIONS = {
+export const HTTP_CLIENT_OPTIONS = {
   connections: 1,
   maximumResponseBytes: 1_048_576,
   connectTimeout: 1_000,
@@ -41,6 +42,7 @@
   readonly client: ControlStreamClient;
   /** Every revision put in force, in order. */
   readonly revisions: number[] = [];
+  readonly signs: ReplicaSign[] = [];
 
   constructor(
     readonly host: SimulatedMachine,
@@ -51,6 +53,7 @@
     const configuration = { name, zone, cluster: CLUSTER, controllers };
     this.client = ControlStreamClient.start(environment, configuration, telemetry(), faults);
     observe(this.client.revisions, ({ revision }) => this.revisions.push(revision));
+    observe(this.client.replicaSigns, (sign) => this.signs.push(sign));
   }
 
   get revision(): number | undefined {
@@ -129,7 +132,7 @@
 
   async request<T>(host: SimulatedMachine, path: string, body?: object): Promise<T> {
     const address = { host: host.host, port: HTTP_PORT };
-    const client = this.operator.environment.network.httpClient(address, CLIENT_OPTIONS);
+    const client = this.operator.environment.network.httpClient(address, HTTP_CLIENT_OPTIONS);
     const requesting = client.request({
       method: body === undefined ? 'GET' : 'POST',
       path,
--- a/test/router/settings.test.ts
+++ b/test/router/settings.test.ts
@@ -40,8 +40,12 @@
     for (const harness of [refusing, serving]) harness.source.fresh = false;
     expect((await refusing.query()).error.code).toBe('refused_not_run');
     expect(refusing.attempts).toHaveLength(0);
-    expect((await serving.query()).status).toBe(200);
-    refusing.source.fresh = true;
-    expect((await refusing.query()).status).toBe(200);
+    expect((await serving.query()).answer.settingsStale).toBe(true);
+    for (const harness of [refusing, serving]) harness.source.fresh = true;
+    for (const harness of [refusing, serving]) {
+      const { status, answer } = await harness.query();
+      expect(status).toBe(200);
+      expect(answer).not.toHaveProperty('settingsStale');
+    }
   });
 });
--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -68,6 +68,7 @@
       request: { requestId: 'request-1', repeatable, team: 'default', query: 1 },
       queryText: '1',
       service: this.service,
+      settingsStale: false,
       backendRequestId: 'request-1~router-1',
       requiredCoverage,
       receivedAt,
