--- a/test/control/in-force.test.ts
+++ b/test/control/in-force.test.ts
@@ -85,12 +85,31 @@
   return reports;
 };
 
+/** Signs that a daemon gets of a replica when another router tells of its earlier incarnation. */
+const signsOfTwoIncarnations: Scenario = async (faults) => {
+  const group = await ControllerGroup.start(faults);
+  const [first, second, third] = [1, 2, 3].map((number) =>
+    group.startDaemon(`router-${number}`, 'nayoro'),
+  );
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  const sign = { replicaId: 'replica-1', observedBy: 'router' };
+  first?.client.reportReplicaSign({ ...sign, incarnation: 2, state: 'draining' });
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  second?.client.reportReplicaSign({ ...sign, incarnation: 1, state: 'gone' });
+  second?.client.reportReplicaSign({ ...sign, incarnation: 2, state: 'live' });
+  await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+  return third?.signs.map(({ incarnation, state }) => `${incarnation} ${state}`);
+};
+
 const ROUTER_3 = { name: 'router-3', revision: 0, zone: 'wakkanai' };
 const WHOLE = { inForce: 2, daemons: 3, late: [ROUTER_3] };
 const FORGETFUL = { inForce: 2, daemons: 2, late: [] };
 
+/** Name, what is seen of the build as it is, and what of a build with a defect. */
+type Case = [string, Scenario, unknown, ControlStreamFaults, unknown];
+
 describe('an accepted change', () => {
-  const cases: [string, Scenario, unknown, ControlStreamFaults, unknown][] = [
+  const cases: Case[] = [
     [
       'is in force at daemons whose controller cannot write',
       hangingDisk,
@@ -131,6 +150,14 @@
   });
 });
 
+describe('a sign of a replica', () => {
+  it('never overrides a newer one', async () => {
+    expect(await signsOfTwoIncarnations({})).toEqual(['2 draining']);
+    const found = await signsOfTwoIncarnations({ acceptOlderSigns: true });
+    expect(found).toContain('1 gone');
+  });
+});
+
 describe('the status of the cluster', () => {
   it('shows leader, lag, members, daemons and versions', async () => {
     const group = await ControllerGroup.start();
