Measure slopes of the control plane with hollow daemons and replicas

Only the router's cost could be measured so far; nothing showed what the control stream, the controllers and the registry of replicas cost as daemons, replicas, controllers and changes grow.

Change: `driftway-lab scale` runs real controllers and hollow daemons (the control-stream client of a router without query work, a hundred to a process) at several sizes, counts framed bytes through a network that wraps the real one, reads CPU and memory in each process, and times changes by the system's monotonic clock, from the operator's request to each daemon. Each quantity gets a line with standard errors and residuals; each part can be repeated alone.

Ruled out: reading loopback counters of the machine, which other processes share; wall clocks of the processes, which start from different readings.

The two copies of FixedConfigurationSource become one.

--- a/lab/bench/bench-run.ts
+++ b/lab/bench/bench-run.ts
@@ -21,7 +21,7 @@
 import type { BenchFigures, PeriodFigures } from './bench-figures.js';
 import type { BenchRecord } from './bench-record.js';
 import { DEPLOYMENTS } from './deployment.js';
-import { FixedConfigurationSource } from './fixed-configuration-source.js';
+import { FixedConfigurationSource } from '../measure/fixed-configuration-source.js';
 import { Measurement, type MeasuredService } from './measure.js';
 import { Oracle } from './oracle.js';
 import { ReplicaOutages, struckReplicas } from './replica-outages.js';
--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -4,6 +4,7 @@
 import { BackendCommand } from './backend-command.js';
 import { PlatformCommand } from './platform-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
+import { ScaleCommand } from './scale-command.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -18,5 +19,6 @@
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
   cli.register(MeasureRouterCostCommand);
+  cli.register(ScaleCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
--- a/lab/measure/fixed-configuration-source.ts
+++ b/lab/measure/fixed-configuration-source.ts
@@ -1,4 +1,4 @@
-/** A configuration that never changes, for runs that measure routers without controllers. */
+/** A configuration that never changes, for runs without controllers. */
 import { never } from '@most/core';
 import type { Stream } from '@most/types';
 import type { ReplicaSign } from '../../src/model/replica-sign.js';
--- /dev/null
+++ b/lab/scale/scale-report.ts
@@ -0,0 +1,86 @@
+/** The record of a scale run in its form for people. */
+import { formatNumber, formatTable } from '../measure/table.js';
+import type { ControlReading, RoleReading } from './control-reading.js';
+import type { ScaleRecord } from './scale-run.js';
+import type { Slope } from './slope.js';
+
+const SLOPE_HEADER = ['quantity', 'unit', 'each', '± error', 'at 0', 'R²', 'residuals'];
+
+function slopeRow({ quantity, unit, fit }: Slope): string[] {
+  return [
+    quantity,
+    unit,
+    formatNumber(fit.slope),
+    formatNumber(fit.slopeError),
+    formatNumber(fit.intercept),
+    formatNumber(fit.determination),
+    fit.residuals.map(formatNumber).join(', '),
+  ];
+}
+
+function slopeTables(slopes: readonly Slope[]): string[] {
+  const sizes = [...new Set(slopes.map(({ over }) => over))];
+  return sizes.flatMap((over) => {
+    const chosen = slopes.filter((slope) => slope.over === over);
+    const points = chosen[0]?.fit.points.map(({ x }) => formatNumber(x)).join(', ') ?? '';
+    return [`Over ${over} (${points}):`, '', formatTable(SLOPE_HEADER, chosen.map(slopeRow)), ''];
+  });
+}
+
+function roleLine(
+  name: string,
+  processes: number,
+  { rest, eachChange, memory }: RoleReading,
+): string {
+  const seconds = rest.milliseconds / 1_000;
+  const each = (total: number): string => formatNumber(total / processes);
+  return [
+    `${name}, each of ${processes}: at rest ${each(rest.bytes / seconds)} bytes/s`,
+    `${each(rest.frames / seconds)} frames/s`,
+    `${each(rest.cpuMicroseconds / seconds)} µs CPU/s`,
+    `for one change ${each(eachChange.bytes)} bytes`,
+    `${each(eachChange.cpuMicroseconds)} µs CPU`,
+    `memory ${each(memory.resident)} bytes resident, ${each(memory.managed)} heap and buffers`,
+  ].join(', ');
+}
+
+function controlLines({
+  size,
+  daemons,
+  controllers,
+  timeInForce,
+  ...rest
+}: ControlReading): string[] {
+  const { acceptedMedian, median, p99, maximum, observations } = timeInForce;
+  return [
+    `${size.controllers} controllers, ${size.daemons} daemons, ${size.replicas} replicas:`,
+    `  ${roleLine('daemon', size.daemons, daemons)}`,
+    `  ${roleLine('controller', size.controllers, controllers)}`,
+    `  accepted p50 ${formatNumber(acceptedMedian)} ms; in force p50 ${formatNumber(median)}, ` +
+      `p99 ${formatNumber(p99)}, longest ${formatNumber(maximum)} ms of ${observations}`,
+    `  all daemons started at once in ${formatNumber(rest.startMilliseconds)} ms; ` +
+      `log ${formatNumber(rest.logBytesEachChange)} bytes and ` +
+      `${formatNumber(rest.syncsEachChange)} syncs a change`,
+  ];
+}
+
+/** Markdown. */
+export function formatScale(record: ScaleRecord): string {
+  const { machine, loadAverageAtEnd, growth, daemons, replicas, controllers, registry, letter } =
+    record;
+  const series = [daemons, replicas, controllers].filter((one) => one !== undefined);
+  const slopes = [
+    ...(growth?.slopes ?? []),
+    ...series.flatMap((one) => one.slopes),
+    ...(registry?.slopes ?? []),
+  ];
+  const readings = [...series.flatMap((one) => one.readings), ...(letter ? [letter] : [])];
+  return [
+    `Node ${machine.node}, ${machine.cores} cores (${machine.processor}), load average ` +
+      `${formatNumber(machine.loadAverage)} at the start, ${formatNumber(loadAverageAtEnd)} ` +
+      `at the end, ${machine.at}`,
+    '',
+    ...slopeTables(slopes),
+    ...readings.flatMap(controlLines),
+  ].join('\n');
+}
--- /dev/null
+++ b/test/lab/scale/scale-run.test.ts
@@ -0,0 +1,82 @@
+import { execFile } from 'node:child_process';
+import { promisify } from 'node:util';
+import { beforeAll, describe, expect, it } from 'vitest';
+import type { ControlSeries } from '../../../lab/scale/control-series.js';
+import type { ScaleRecord } from '../../../lab/scale/scale-run.js';
+import { beyondRest, type RoleUse } from '../../../lab/scale/role-totals.js';
+
+/** Real processes, so the run is of the build, as `npm test` makes it. */
+const COMMAND = ['bin/driftway-lab.js', 'scale', '--size', 'tiny', '--json'];
+/** Bounds a hanging run only. Milliseconds. */
+const LONGEST_RUN = 300_000;
+const PARTS = ['growth', 'daemons', 'registry'];
+
+function slopeOf(series: ControlSeries | ScaleRecord['registry'], quantity: string) {
+  const found = series?.slopes.find((slope) => slope.quantity === quantity);
+  return found?.fit ?? expect.fail(`no slope of ${quantity}`);
+}
+
+describe('driftway-lab scale', () => {
+  let record: ScaleRecord;
+
+  beforeAll(async () => {
+    const parts = PARTS.flatMap((part) => ['--part', part]);
+    const { stdout } = await promisify(execFile)(process.execPath, [...COMMAND, ...parts]);
+    record = JSON.parse(stdout) as ScaleRecord;
+  }, LONGEST_RUN);
+
+  it('runs the chosen parts and no others', () => {
+    expect(Object.keys(record)).toEqual(expect.arrayContaining(PARTS));
+    expect(record).not.toHaveProperty('letter');
+  });
+
+  it('sees every change come in force at every daemon', () => {
+    const { changes } = record.options.pace;
+    for (const { size, timeInForce } of record.daemons?.readings ?? expect.fail('no readings')) {
+      expect(timeInForce.observations).toBe(size.daemons * changes);
+    }
+  });
+
+  it('counts what more daemons and changes take', () => {
+    expect(slopeOf(record.daemons, 'all daemons: messages for one change').slope).toBeGreaterThan(
+      0,
+    );
+    for (const reading of record.daemons?.readings ?? []) {
+      expect(reading.logBytesEachChange).toBeGreaterThan(0);
+      expect(reading.syncsEachChange).toBeGreaterThanOrEqual(1);
+    }
+  });
+
+  it('holds replicas that answer and such that refuse', () => {
+    const readings = record.registry?.readings ?? expect.fail('no readings');
+    expect(readings.filter(({ reachable }) => reachable).map(({ replicas }) => replicas)).toEqual([
+      2, 4, 6,
+    ]);
+    for (const { reachable, pollsPerSecond } of readings) {
+      expect(pollsPerSecond > 0).toBe(reachable);
+    }
+  });
+
+  it('counts the growth of the state without sampling', () => {
+    const { overReplicas, overChanges, slopes } = record.growth ?? expect.fail('no growth');
+    expect(overReplicas.map(({ deltaBytes }) => deltaBytes)).toEqual(
+      overReplicas.map(() => overReplicas[0]?.deltaBytes),
+    );
+    const snapshotBytes = overChanges.map((growth) => growth.snapshotBytes);
+    expect(snapshotBytes).toEqual([...snapshotBytes].sort((left, right) => left - right));
+    expect(slopes.every(({ fit }) => fit.points.length === 3)).toBe(true);
+  });
+});
+
+describe('beyondRest', () => {
+  it('takes off what the same time would have used without the work', () => {
+    const use = (milliseconds: number, amount: number): RoleUse => ({
+      milliseconds,
+      cpuMicroseconds: amount,
+      bytes: amount,
+      frames: amount,
+      largestCpuMicroseconds: amount,
+    });
+    expect(beyondRest(use(2_000, 500), use(1_000, 100))).toEqual(use(2_000, 300));
+  });
+});
