Answer every broken request with a typed error, and cut no answer off at a stop

Cause: the listener left broken requests to node:http. Its 400, 408 and 431 have no body, a body over the limit destroyed the connection before its 413 was written, and bytes that were no request were answered 400 in the place of an earlier request that was still served, which a caller could read as 'not run'. After close() Node stops looking for slow senders, so one half-open connection held a planned stop for ever; and its closeIdleConnections destroys connections whose last response is still on its way, so a planned stop cut answers short. A handler that threw was answered with mayHaveRun: false.

Ruled out: http.Server.close with a timer for slow senders; it still cuts responses short.

Change: the listener answers broken requests itself, reads on for a second after a refusal, serves the requests of one connection one after the other, bounds the bodies and untaken responses of all connections together (limits.maximumBufferedBytes), gives a caller a bounded time to take its response, and closes connections by itself. A wrong method is 405.

--- a/src/configuration/router-configuration.ts
+++ b/src/configuration/router-configuration.ts
@@ -24,6 +24,8 @@
       maximumBodyBytes: z.int().min(1_024).default(1_048_576),
       maximumHeaderBytes: z.int().min(1_024).default(16_384),
       maximumConnections: z.int().min(1).default(10_000),
+      /** Bodies of queries in hand and answers not taken yet, all callers together. Bytes. */
+      maximumBufferedBytes: z.int().min(1_048_576).default(268_435_456),
       /** Milliseconds. */
       requestTimeout: z.int().min(100).default(10_000),
       /** Largest body of one back-end reply. Bytes. */
--- a/src/model/query-answer.ts
+++ b/src/model/query-answer.ts
@@ -31,7 +31,7 @@
 
 /** How a query that brought no answer ended. */
 export type QueryErrorCode =
-  /** The request itself is wrong; nothing was run. HTTP 400, 404, 408, 413, 431. */
+  /** The request itself is wrong; nothing was run. HTTP 400, 404, 405, 408, 413, 431. */
   | 'bad_request'
   /** Nothing of it was run anywhere. HTTP 429 or 503. */
   | 'refused_not_run'
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -1,4 +1,9 @@
-/** Serves whole requests over Node's `http`, with every bound enforced before the handler. */
+/**
+ * Serves whole requests over Node's `http`, with every bound enforced before the
+ * handler. A caller that sends slowly, sends nothing, sends too much or does not
+ * read what it asked for costs bounded memory for a bounded time, and gets a
+ * typed error where an answer can still reach it.
+ */
 import {
   createServer,
   type IncomingHttpHeaders,
@@ -6,7 +11,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { ConnectionError } from '../errors/connection-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type {
@@ -17,11 +22,24 @@
   HttpRequest,
   HttpResponse,
 } from '../seams/http.js';
+import { ByteBudget } from './byte-budget.js';
+import { CallerConnection } from './caller-connection.js';
+import {
+  bodyRefusedResponse,
+  brokenRequestResponse,
+  handlerFailedResponse,
+  writeRawResponse,
+} from './listener-errors.js';
+import { announcesTooMuch, BodyRefusedError, readBody } from './request-body.js';
 
-const STATUS_PAYLOAD_TOO_LARGE = 413;
-const STATUS_INTERNAL_ERROR = 500;
-/** How often Node looks for requests that outlasted their time. Milliseconds. */
+/** How often Node looks for requests that outlasted their time, at most. Milliseconds. */
 const CONNECTION_CHECK_INTERVAL = 1_000;
+/** How long a refused caller may go on sending before its connection is closed. Milliseconds. */
+const LINGER = 1_000;
+/** A caller may take a response as slowly as this, after its first `requestTimeout`. Bytes per ms. */
+const MINIMUM_READ_RATE = 64;
+/** See {@link HttpListenOptions.maximumBufferedBytes}. */
+const DEFAULT_BUFFERED_BYTES = 268_435_456;
 
 function flattenHeaders(headers: IncomingHttpHeaders): HttpHeaders {
   const flat: Record<string, string> = {};
@@ -32,94 +50,158 @@
   return flat;
 }
 
-/** The whole body, or undefined when it is longer than `maximumBytes`. */
-async function readBody(
-  message: IncomingMessage,
-  maximumBytes: number,
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of message as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maximumBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-}
-
-function errorResponse(status: number, code: string, message: string): HttpResponse {
+function toRequest(message: IncomingMessage, body: Buffer): Omit<HttpRequest, 'signal'> {
+  const target = message.url ?? '/';
+  const separator = target.indexOf('?');
   return {
-    status,
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify({ error: { code, message, mayHaveRun: false } }),
+    method: message.method ?? 'GET',
+    path: separator < 0 ? target : target.slice(0, separator),
+    query: new URLSearchParams(separator < 0 ? '' : target.slice(separator + 1)),
+    headers: flattenHeaders(message.headers),
+    body,
+    remoteAddress: message.socket.remoteAddress ?? '',
   };
 }
 
 class NodeHttpListener implements HttpListener {
   readonly address: Address;
   private closing = false;
-  private readonly usedSockets = new WeakSet<Socket>();
+  private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly buffered: ByteBudget;
 
   constructor(
     private readonly server: Server,
     private readonly options: HttpListenOptions,
     private readonly handler: HttpHandler,
     host: string,
+    private readonly minimumReadRate: number,
   ) {
     this.address = { host, port: (server.address() as AddressInfo).port };
-    server.on('request', (message, response) => void this.serve(message, response));
+    this.buffered = new ByteBudget(options.maximumBufferedBytes ?? DEFAULT_BUFFERED_BYTES);
+    const serve = (message: IncomingMessage, response: ServerResponse): void =>
+      void this.serve(message, response);
+    server.on('connection', (socket) => this.connectionOf(socket));
+    server.on('request', serve);
+    server.on('checkExpectation', serve);
+    server.on('checkContinue', (message, response) => {
+      if (!announcesTooMuch(message, options.maximumBodyBytes)) response.writeContinue();
+      serve(message, response);
+    });
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.refuseBroken(socket as Socket, error.code),
+    );
   }
 
   close(): Promise<void> {
     this.closing = true;
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      // HTTP's own close would cut responses short and stop looking for slow senders.
+      NetServer.prototype.close.call(this.server, () => {
+        this.server.close();
+        resolve();
+      });
+      for (const connection of this.connections.values()) connection.closeWhenIdle();
     });
   }
 
+  private connectionOf(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
+    return connection;
+  }
+
   private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const gone = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) gone.abort(new Error('caller gone'));
-    });
+    const connection = this.connectionOf(message.socket);
+    await connection.takeTurn(response);
+    const body = await this.receive(message, response);
+    if (body === undefined) return;
+    await this.handle(connection, message, body, response);
+    this.buffered.release(body.length);
+  }
+
+  /** The body; undefined when it was refused or the connection ended. */
+  private async receive(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Buffer | undefined> {
     try {
-      const body = await readBody(message, this.options.maximumBodyBytes);
-      if (body === undefined) {
-        response.setHeader('connection', 'close');
-        this.write(
-          response,
-          errorResponse(STATUS_PAYLOAD_TOO_LARGE, 'bad_request', 'the body is too large'),
-        );
-        return;
+      return await readBody(message, this.options.maximumBodyBytes, this.buffered);
+    } catch (error) {
+      if (error instanceof BodyRefusedError) {
+        this.refuseBody(message, response, bodyRefusedResponse(error.refusal));
       }
-      this.write(response, await this.handler(this.toRequest(message, body, gone.signal)));
+      return undefined;
+    }
+  }
+
+  private async handle(
+    connection: CallerConnection,
+    message: IncomingMessage,
+    body: Buffer,
+    response: ServerResponse,
+  ): Promise<void> {
+    const newConnection = !connection.isUsed;
+    const request = connection.beginRequest();
+    const { signal } = request;
+    const content = await this.respond({ ...toRequest(message, body), signal, newConnection });
+    connection.endRequest(request);
+    this.write(message.socket, response, content);
+  }
+
+  private async respond(request: HttpRequest): Promise<HttpResponse> {
+    try {
+      return await this.handler(request);
     } catch (error) {
-      if (gone.signal.aborted) return;
-      const reason = error instanceof Error ? error.message : String(error);
-      this.write(response, errorResponse(STATUS_INTERNAL_ERROR, 'failed', reason));
+      return handlerFailedResponse(error instanceof Error ? error.message : String(error));
     }
   }
 
-  private toRequest(message: IncomingMessage, body: Buffer, signal: AbortSignal): HttpRequest {
-    const target = message.url ?? '/';
-    const newConnection = !this.usedSockets.has(message.socket);
-    this.usedSockets.add(message.socket);
-    const separator = target.indexOf('?');
-    return {
-      method: message.method ?? 'GET',
-      path: separator < 0 ? target : target.slice(0, separator),
-      query: new URLSearchParams(separator < 0 ? '' : target.slice(separator + 1)),
-      headers: flattenHeaders(message.headers),
-      body,
-      signal,
-      remoteAddress: message.socket.remoteAddress ?? '',
-      newConnection,
+  /** Answers at once; what the caller still sends is read and forgotten for a while. */
+  private refuseBody(
+    message: IncomingMessage,
+    response: ServerResponse,
+    content: HttpResponse,
+  ): void {
+    if (!this.canWrite(message.socket, response)) return;
+    this.connectionOf(message.socket).isRefused = true;
+    const end = (): void => {
+      clearTimeout(timer);
+      response.end();
     };
+    const timer = setTimeout(end, LINGER);
+    message.once('close', end);
+    message.resume();
+    const body = Buffer.from(content.body);
+    response.writeHead(content.status, { ...content.headers, 'content-length': body.length });
+    response.write(body);
+  }
+
+  /** Bytes that are no request, or not in time; also called for connections that broke. */
+  private refuseBroken(socket: Socket, code: string | undefined): void {
+    const connection = this.connectionOf(socket);
+    // An error written now would be taken for the answer to a request that is still served.
+    const canAnswer = socket.writable && !connection.isBusy && socket.writableLength === 0;
+    if (connection.isRefused) return;
+    if (!canAnswer) {
+      socket.destroy();
+      return;
+    }
+    connection.isRefused = true;
+    socket.end(writeRawResponse(brokenRequestResponse(code)));
+    const timer = setTimeout(() => socket.destroy(), LINGER);
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  private canWrite(socket: Socket, response: ServerResponse): boolean {
+    const isRefused = this.connections.get(socket)?.isRefused ?? true;
+    return !isRefused && !response.destroyed && !response.headersSent;
   }
 
-  private write(response: ServerResponse, content: HttpResponse): void {
-    if (response.destroyed || response.headersSent) return;
+  private write(socket: Socket, response: ServerResponse, content: HttpResponse): void {
+    if (!this.canWrite(socket, response)) return;
     const body = typeof content.body === 'string' ? Buffer.from(content.body) : content.body;
     if (this.closing) response.setHeader('connection', 'close');
     if (content.closeAfterBytes === 0) {
@@ -127,25 +209,41 @@
       return;
     }
     response.writeHead(content.status, { ...content.headers, 'content-length': body.length });
-    if (content.closeAfterBytes === undefined) {
-      response.end(body);
+    if (content.closeAfterBytes !== undefined) {
+      response.write(body.subarray(0, content.closeAfterBytes), () => response.destroy());
       return;
     }
-    response.write(body.subarray(0, content.closeAfterBytes), () => response.destroy());
+    response.end(body);
+    this.limitTaking(socket, response, body.length);
+  }
+
+  /** Gives the caller a bounded time to take the response, unless the system has it already. */
+  private limitTaking(socket: Socket, response: ServerResponse, bytes: number): void {
+    if (socket.writableLength === 0 || socket.destroyed) return;
+    this.buffered.add(bytes);
+    const allowed = this.options.requestTimeout + bytes / this.minimumReadRate;
+    const timer = setTimeout(() => socket.destroy(), allowed);
+    response.once('close', () => {
+      clearTimeout(timer);
+      this.buffered.release(bytes);
+    });
   }
 }
 
-/** Starts a listener; see `Network.listenHttp`. */
+/** Starts a listener; see `Network.listenHttp`. `minimumReadRate` in bytes per millisecond. */
 export async function listenHttp(
   address: Address,
   options: HttpListenOptions,
   handler: HttpHandler,
+  minimumReadRate = MINIMUM_READ_RATE,
 ): Promise<HttpListener> {
+  const { requestTimeout } = options;
   const server = createServer({
     maxHeaderSize: options.maximumHeaderBytes,
-    requestTimeout: options.requestTimeout,
-    headersTimeout: options.requestTimeout,
-    connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL,
+    requestTimeout,
+    headersTimeout: requestTimeout,
+    connectionsCheckingInterval: Math.min(CONNECTION_CHECK_INTERVAL, requestTimeout),
+    requireHostHeader: false,
     noDelay: true,
   });
   server.maxConnections = options.maximumConnections;
@@ -155,5 +253,5 @@
     });
     server.listen(address.port, address.host, resolve);
   });
-  return new NodeHttpListener(server, options, handler, address.host);
+  return new NodeHttpListener(server, options, handler, address.host, minimumReadRate);
 }
--- a/src/router/http-responses.ts
+++ b/src/router/http-responses.ts
@@ -1,6 +1,6 @@
 /** HTTP responses of the router's listener. */
 import type { HttpResponse } from '../seams/http.js';
-import type { QueryError } from './query-error.js';
+import { badRequest, type QueryError } from './query-error.js';
 
 const JSON_TYPE = { 'content-type': 'application/json' };
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -20,6 +20,17 @@
   return { status: error.status, headers, body: JSON.stringify(error.toBody()) };
 }
 
+/** The path is none of the router's. */
+export function noSuchPath(): HttpResponse {
+  return errorResponse(badRequest('there is no such path', undefined, 404));
+}
+
+/** The path takes queries, which are posted. */
+export function methodNotAllowed(): HttpResponse {
+  const { headers, ...response } = errorResponse(badRequest('use POST', undefined, 405));
+  return { ...response, headers: { ...headers, allow: 'POST' } };
+}
+
 /** Plain text, for probes. */
 export function textResponse(status: number, body: string, type = 'text/plain'): HttpResponse {
   return { status, headers: { 'content-type': type }, body };
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -12,12 +12,11 @@
 import type { ConfigurationSource } from '../settings/configuration-source.js';
 import type { ConfigurationState } from '../settings/configuration-state.js';
 import { createClockScheduler } from './clock-scheduler.js';
-import { closingConnection, errorResponse, textResponse } from './http-responses.js';
+import { closingConnection, methodNotAllowed, noSuchPath, textResponse } from './http-responses.js';
 import { IdentifierSequence } from './identifier-sequence.js';
 import { InFlightQueries } from './in-flight-queries.js';
 import { IDS_PER_OUTCOME, MAXIMUM_OUTCOME_BYTES, OutcomeLedger } from './outcome-ledger.js';
 import { QueryEndpoint } from './query-endpoint.js';
-import { badRequest } from './query-error.js';
 import { serviceOfPath } from './query-reader.js';
 import type { RouterContext } from './router-context.js';
 import { NO_ROUTER_FAULTS, type RouterFaults } from './router-faults.js';
@@ -169,8 +168,7 @@
     if (path === '/livez') return textResponse(200, 'live\n');
     if (path === '/readyz') return this.readyz();
     if (path === '/metrics') return this.metrics();
-    const reason = service === undefined ? 'there is no such path' : 'use POST';
-    return errorResponse(badRequest(reason, undefined, 404));
+    return service === undefined ? noSuchPath() : methodNotAllowed();
   }
 
   private readyz(): HttpResponse {
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -41,12 +41,22 @@
 export interface HttpListenOptions {
   /** A longer body is answered 413 and its connection closed. Bytes. */
   readonly maximumBodyBytes: number;
-  /** Longer header blocks are answered 431. Bytes. */
+  /** Longer header blocks are answered 431 and the connection closed. Bytes. */
   readonly maximumHeaderBytes: number;
-  /** A request not received in full within this time is answered 408. Milliseconds. */
+  /**
+   * A request not received in full within this time is answered 408 and its
+   * connection closed. Milliseconds.
+   */
   readonly requestTimeout: number;
   /** Further connections wait or are refused. */
   readonly maximumConnections: number;
+  /**
+   * Bodies of requests in hand and responses that callers have not taken yet,
+   * of all connections together; a request past it is answered 503 without
+   * having been seen by the handler. Bytes; the implementation's own bound when
+   * absent.
+   */
+  readonly maximumBufferedBytes?: number;
 }
 
 /** A running HTTP listener. */
