--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -7,6 +7,7 @@
 import { PlatformCommand } from './platform-command.js';
 import { LoadCommand } from './load-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
+import { ScaleCommand } from './scale-command.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -24,5 +25,6 @@
   cli.register(DemoCommand);
   cli.register(LoadCommand);
   cli.register(MeasureRouterCostCommand);
+  cli.register(ScaleCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
