--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -8,6 +8,7 @@
 import { LoadCommand } from './load-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
+import { ScaleCommand } from './scale-command.js';
 
 /** Runs one command line and returns its exit code. */
 export async function runDriftwayLab(commandLine: readonly string[]): Promise<number> {
@@ -26,5 +27,6 @@
   cli.register(RecoveryCommand);
   cli.register(LoadCommand);
   cli.register(MeasureRouterCostCommand);
+  cli.register(ScaleCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
