Show in the demo what callers are told when a shard is lost

Cause: every answer of the demo reached every shard, so it never showed how less is stated.

Change: all replicas of one shard crash; the same query is asked while the whole layout is required and again after an operator's change to 0.75. The fleet runner says that all runs only once the first change is in force at every router. The recovery run uses the same wait.

Ruled out: starting routers after the election. Machines that start together are the usual case.

--- a/lab/demo/demo-incidents.ts
+++ b/lab/demo/demo-incidents.ts
@@ -1,14 +1,13 @@
 /** What happens to the fleet while the demo's queries run, in order of time. */
 import type { Environment } from '../../src/seams/environment.js';
-import type { ChangeResult, Force } from '../../src/administration/response-schemas.js';
 import { BackendControlClient } from '../backend/backend-control-client.js';
-import { LAYOUT_EPOCH, replicaName } from '../bench/deployment.js';
+import { LAYOUT_EPOCH, replicaName, shardName } from '../bench/deployment.js';
 import type { Fleet } from '../fleet/fleet.js';
 import type { FleetService } from '../fleet/fleet-file.js';
 import type { DemoChange, DemoReplicas } from './demo-evidence.js';
+import { changeSetting, type Tell } from './settings-change.js';
 
 export const STRAGGLER_FACTOR = 20;
-const CHANGE_PATIENCE_SECONDS = 10;
 const KILLED_CONTROLLER = 'controller-2';
 /** Milliseconds from the first query. */
 const STRAGGLE_AT = 1_000;
@@ -18,8 +17,6 @@
 const PUBLISH_AT = 5_500;
 const RESTART_AT = 6_500;
 
-type Tell = (line: string) => void;
-
 /** The sharded services lose replicas: the first has a straggler, the last one that drains. */
 function chooseReplicas(services: readonly FleetService[]): DemoReplicas {
   const sharded = services.filter(({ kind }) => kind === 'sharded');
@@ -78,6 +75,18 @@
     });
   }
 
+  /** Crashes every replica of the last shard of a service. */
+  async loseShard(service: string): Promise<void> {
+    const size = this.fleet.terms.file.services.find(({ name }) => name === service);
+    if (size === undefined) throw new RangeError(`the fleet has no service ${service}`);
+    const shard = size.shards - 1;
+    for (let replica = 0; replica < size.replicasPerShard; replica += 1) {
+      const replicaId = replicaName(service, shard, replica);
+      await this.atReplica(replicaId, (client) => client.act(replicaId, 'crash'));
+    }
+    this.tell(`every replica of ${shardName(shard)} of ${service} crashed`);
+  }
+
   private async straggle(): Promise<void> {
     const { straggling } = this.replicas;
     await this.atReplica(straggling, (client) =>
@@ -93,32 +102,9 @@
   }
 
   private async changeSettings(): Promise<void> {
-    const service = this.fleet.terms.file.services[0]?.name ?? '';
-    const command = ['settings', 'set', `service/${service}`, 'hedging', 'quantile'];
-    this.tell(`$ driftway ${command.join(' ')} --wait ${CHANGE_PATIENCE_SECONDS}`);
-    const flags = [
-      '--wait',
-      String(CHANGE_PATIENCE_SECONDS),
-      '--json',
-      '-m',
-      'one replica is slow',
-    ];
-    const startedAt = this.environment.clock.now();
-    const { stdout, stderr } = await this.fleet.operator.run(...command, ...flags);
-    const seconds = (this.environment.clock.now() - startedAt) / 1_000;
-    const result = readChange(stdout);
-    if (result === undefined) {
-      this.tell(`the change was not accepted: ${stderr.trim()}`);
-      this.change = { inForce: 0 };
-      return;
-    }
-    const { revision, force } = result;
-    this.change = { revision, inForce: force?.inForce ?? 0 };
-    const { inForce, daemons } = force ?? { inForce: 0, daemons: 0 };
-    this.tell(
-      `accepted as revision ${revision}, in force at ${inForce} of ${daemons} routers ` +
-        `(${seconds.toFixed(1)} s with the start of the command)`,
-    );
+    const { operator } = this.fleet;
+    const change = [this.firstService(), 'hedging', 'quantile'] as const;
+    this.change = await changeSetting(operator, this.environment.clock, this.tell, change);
   }
 
   private async killController(): Promise<void> {
@@ -132,12 +118,16 @@
   }
 
   private async publish(): Promise<void> {
-    const service = this.fleet.terms.file.services[0]?.name ?? '';
+    const service = this.firstService();
     const snapshot = { layoutEpoch: LAYOUT_EPOCH, indexVersion: 2 };
     await this.atEveryProcess((client) => client.publish(service, snapshot));
     this.tell(`${service} published index version 2`);
   }
 
+  private firstService(): string {
+    return this.fleet.terms.file.services[0]?.name ?? '';
+  }
+
   private async atReplica(
     replicaId: string,
     act: (client: BackendControlClient) => Promise<unknown>,
@@ -161,14 +151,3 @@
     }
   }
 }
-
-function readChange(stdout: string): (ChangeResult & { force?: Force }) | undefined {
-  try {
-    const result = JSON.parse(stdout) as Partial<ChangeResult> & { force?: Force };
-    return typeof result.revision === 'number'
-      ? (result as ChangeResult & { force?: Force })
-      : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/lab/demo/demo.ts
+++ b/lab/demo/demo.ts
@@ -7,10 +7,11 @@
 import { formatLoadTable } from '../load/load-table.js';
 import { runLoad } from '../load/run-load.js';
 import type { QueryKind } from '../load/query-mix.js';
-import { describeAnswer } from './answer-text.js';
+import { describeAnswer, describeOutcomes } from './answer-text.js';
 import type { DemoEvidence } from './demo-evidence.js';
 import { DemoIncidents } from './demo-incidents.js';
 import { judgeDemo, type DemoVerdict } from './demo-verdict.js';
+import { LOST_SHARD_QUERIES, askWithoutShard } from './lost-shard.js';
 import { HELD_QUERIES, stopWhileInFlight } from './planned-stop.js';
 
 const REQUESTS = 400;
@@ -68,7 +69,9 @@
 
   private tell(line: string): void {
     const seconds = (this.options.environment.clock.now() - this.startedAt) / 1_000;
-    this.options.print(`${seconds.toFixed(1).padStart(5)} s  ${line}`);
+    const [first, ...rest] = line.split('\n');
+    this.options.print(`${seconds.toFixed(1).padStart(5)} s  ${first}`);
+    for (const each of rest) this.options.print(indent(each));
   }
 
   private async use(fleet: Fleet): Promise<DemoRun> {
@@ -76,18 +79,20 @@
     const incidents = new DemoIncidents(environment, fleet, (line) => this.tell(line));
     this.tell(`all of it runs; sending ${REQUESTS} queries, ${RATE} a second`);
     const callers = await this.sendQueries(fleet, incidents);
+    const lost = await this.loseShard(fleet, incidents);
     const stop = await this.stopRouter(fleet, incidents);
+    const all = [...callers, ...lost, ...stop.entries];
     this.tell('the cluster, as `driftway status` shows it');
     print(indent(await fleet.operator.require('status')));
     this.tell('what the callers got');
-    print(indent(formatLoadTable([...callers, ...stop.entries])));
+    print(indent(formatLoadTable(all)));
     this.printSamples(callers);
     this.tell('stopping everything with SIGTERM');
     return {
-      planned: REQUESTS + HELD_QUERIES,
+      planned: REQUESTS + LOST_SHARD_QUERIES + HELD_QUERIES,
       services: [...new Set(file.queries.map(({ service }) => service))],
       routers: fleet.routers.map(({ name }) => name),
-      callers: [...callers, ...stop.entries],
+      callers: all,
       replicas: incidents.replicas,
       change: incidents.change,
       inFlightAtStop: stop.inFlight,
@@ -115,6 +120,17 @@
     return ledger.entries;
   }
 
+  private async loseShard(
+    fleet: Fleet,
+    incidents: DemoIncidents,
+  ): Promise<readonly CallerLedgerEntry[]> {
+    const { environment, file } = this.options;
+    const service = file.services[0]?.name;
+    const kind = file.queries.find((each) => each.service === service);
+    if (kind === undefined) throw new RangeError('the fleet file does not ask its first service');
+    return askWithoutShard(environment, fleet, incidents, kind, (line) => this.tell(line));
+  }
+
   private async stopRouter(
     fleet: Fleet,
     incidents: DemoIncidents,
@@ -125,10 +141,9 @@
     if (target === undefined) throw new RangeError('the fleet has no router');
     await incidents.slowDown(kind.service, HOLD_FACTOR);
     const outcome = await stopWhileInFlight(environment, fleet, target, kind, signal);
-    const answered = outcome.entries.filter((entry) => entry.outcome === 'answered').length;
     this.tell(
       `${target.name} was told to stop with ${outcome.inFlight} queries in flight; ` +
-        `${answered} of them were answered`,
+        `they ended: ${describeOutcomes(outcome.entries)}`,
     );
     return outcome;
   }
--- a/lab/fleet/configure-fleet.ts
+++ b/lab/fleet/configure-fleet.ts
@@ -1,9 +1,11 @@
 /** Gives a started fleet its first configuration and waits until it serves. */
+import type { ChangeResult } from '../../src/administration/response-schemas.js';
 import type { Environment } from '../../src/seams/environment.js';
 import type { Address } from '../../src/seams/address.js';
 import { BackendControlClient } from '../backend/backend-control-client.js';
 import type { Fleet } from './fleet.js';
 import { firstChange } from './fleet-layout.js';
+import { waitUntilInForce } from './in-force.js';
 import { writeChangeFile } from './settings-files.js';
 
 const POLL_INTERVAL = 50;
@@ -62,7 +64,10 @@
   const addresses = await findReplicas(environment, fleet.backendControls.values());
   const change = { reason: 'first configuration', operations: firstChange(file, addresses) };
   const path = await writeChangeFile(folder, 'first-change', change);
-  await fleet.operator.require('settings', 'apply', '--file', path);
+  const answer = await fleet.operator.require('settings', 'apply', '--file', path, '--json');
+  const { changeId } = JSON.parse(answer) as ChangeResult;
+  const inForce = await waitUntilInForce(environment, fleet, changeId, signal);
+  if (inForce < file.routers) throw new Error(`only ${inForce} routers follow the controllers`);
   await Promise.all(
     fleet.routers.map(({ address }) => waitUntilReady(environment, address, signal)),
   );
--- a/lab/recovery/recovery-run.ts
+++ b/lab/recovery/recovery-run.ts
@@ -1,17 +1,12 @@
 /** Kills controllers while operators race each other, restarts all, and looks what is left. */
-import type {
-  ChangeReport,
-  HistoryReport,
-  StatusReport,
-} from '../../src/administration/response-schemas.js';
+import type { HistoryReport, StatusReport } from '../../src/administration/response-schemas.js';
 import type { ConfigurationState } from '../../src/settings/configuration-state.js';
-import { OperatorClient } from '../../src/operator/operator-client.js';
-import type { Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
 import { DEFAULT_AUDIT_TERMS } from '../auditor/audit-evidence.js';
 import { audit } from '../auditor/auditor.js';
 import type { FleetFile } from '../fleet/fleet-file.js';
 import type { Fleet } from '../fleet/fleet.js';
+import { fleetClient, waitUntilInForce } from '../fleet/in-force.js';
 import { withFleet } from '../fleet/with-fleet.js';
 import type { CallerLedgerEntry } from '../ledger/caller-ledger-entry.js';
 import { runLoad } from '../load/run-load.js';
@@ -21,11 +16,6 @@
 const WRITERS = 2;
 const QUERIES_PER_SECOND = 20;
 const HISTORY_TARGET = '/v1/history?limit=1000';
-/** Milliseconds. */
-const ATTEMPT_TIMEOUT = 3_000;
-const TOTAL_TIMEOUT = 30_000;
-const IN_FORCE_PATIENCE = 15_000;
-const POLL_INTERVAL = 200;
 
 export interface RecoveryOptions {
   readonly environment: Environment;
@@ -114,7 +104,7 @@
   }
 
   private async writeLoop(fleet: Fleet, name: string, offset: number): Promise<void> {
-    const client = this.client(fleet, fleet.operator.controllers);
+    const client = fleetClient(this.options.environment, fleet);
     const service = this.writtenService();
     const writer = new ChangeWriter(client, name, service);
     for (let index = 1; index <= this.options.changes; index += 1) {
@@ -160,7 +150,7 @@
   private async readViews(fleet: Fleet): Promise<ControllerView[]> {
     const views: ControllerView[] = [];
     for (const { memberId, http } of fleet.terms.controllers) {
-      const client = this.client(fleet, [http]);
+      const client = fleetClient(this.options.environment, fleet, [http]);
       const history = await client.get<HistoryReport>(HISTORY_TARGET);
       const { overrides } = await client.get<ConfigurationState>('/v1/configuration');
       const value = overrides[`service/${this.writtenService()}`]?.[WRITTEN_KEY];
@@ -171,40 +161,20 @@
   }
 
   private async countInForce(fleet: Fleet, views: readonly ControllerView[]): Promise<number> {
-    const { clock } = this.options.environment;
+    const { environment, signal, print } = this.options;
     const newest = views[0]?.history.changes[0]?.changeId ?? '';
-    const client = this.client(fleet, fleet.operator.controllers);
-    const giveUpAt = clock.now() + IN_FORCE_PATIENCE;
-    for (;;) {
-      const { force } = await client.get<ChangeReport>(`/v1/changes/${newest}`);
-      const inForce = force?.inForce ?? 0;
-      if (inForce < this.options.file.routers && clock.now() < giveUpAt) {
-        await clock.sleep(POLL_INTERVAL, this.options.signal);
-        continue;
-      }
-      client.close();
-      this.options.print(`the last change is in force at ${inForce} routers`);
-      return inForce;
-    }
+    const inForce = await waitUntilInForce(environment, fleet, newest, signal);
+    print(`the last change is in force at ${inForce} routers`);
+    return inForce;
   }
 
   private async findLeader(fleet: Fleet): Promise<string | undefined> {
-    const client = this.client(fleet, fleet.operator.controllers);
+    const client = fleetClient(this.options.environment, fleet);
     const { leaderId } = await client.get<StatusReport>('/v1/status');
     client.close();
     return leaderId ?? undefined;
   }
 
-  private client(fleet: Fleet, controllers: readonly Address[]): OperatorClient {
-    const { network, clock } = this.options.environment;
-    return new OperatorClient(network, clock, {
-      controllers,
-      token: fleet.operator.token,
-      attemptTimeoutMs: ATTEMPT_TIMEOUT,
-      totalTimeoutMs: TOTAL_TIMEOUT,
-    });
-  }
-
   private writtenService(): string {
     return this.options.file.services[0]?.name ?? '';
   }
