Keep the terminal's Ctrl-C from the processes of a fleet

Cause: Ctrl-C reaches every process of the terminal's group. Each daemon began its planned stop, then got the runner's SIGTERM as a second signal, which ends a daemon at once: the fleet stopped its controllers and back ends unplanned. Ruled out: daemons that ignore a second signal, since an operator relies on it. Change: each process of a fleet leads a group of its own. It still ends with the runner, by the channel to it.

--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -44,6 +44,9 @@
   constructor(readonly options: FleetProcessOptions) {
     const { name, nodeArguments } = options;
     this.child = spawn(process.execPath, nodeArguments, {
+      // A group of its own: Ctrl-C in a terminal reaches the runner alone. Else
+      // the runner's SIGTERM would be the process's second signal, and end it at once.
+      detached: true,
       stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
     });
     this.ended = new Promise((resolve) => {
--- a/test/lab/fleet/fleet-process.test.ts
+++ b/test/lab/fleet/fleet-process.test.ts
@@ -37,6 +37,15 @@
     expect(isPlannedEnd(end)).toBe(false);
   });
 
+  it('is out of reach of a signal to the group of the runner', async () => {
+    const sayPid = `console.log(JSON.stringify({ message: 'up', context: { pid: process.pid } }));`;
+    const child = start('grouped', `${STAY} ${sayPid}`);
+    const { context } = await child.waitFor('up', NEVER);
+    const group = -Number(context['pid']);
+    expect(() => process.kill(group, 0)).not.toThrow();
+    await child.kill();
+  });
+
   it('gives up waiting for a line when it ends, and when it is interrupted', async () => {
     const ending = start('short', 'process.exit(3)');
     await expect(ending.waitFor('up', NEVER)).rejects.toThrow(/short ended/);
