Name every wrong key of a file by its own path, with an example

Cause: started by hand with a misspelt key, a daemon said "(whole file): Unrecognized key", and a key left out was "expected string, received undefined"; lists, mappings and limits had no example at all.

The three copies of the code that turns schema issues into problems (daemon files, operators' files, API requests) are now one, src/errors/input-problem.ts. An unknown key is a problem at its own path and lists the keys there are; a missing key says so. Every key of both daemons' files has an example, walked over the schemas by a test; a file that is no mapping is refused instead of failing with a TypeError when a flag is laid over it.

The test that expected "(whole file)" for an unknown key is replaced by one that expects the key's own path, which is stricter.

--- a/src/administration/parse-call.ts
+++ b/src/administration/parse-call.ts
@@ -1,5 +1,6 @@
 /** Validates the query string and the body of a request against a route's schemas. */
 import { z } from 'zod';
+import { describeIssues } from '../errors/input-problem.js';
 import type { HttpRequest } from '../seams/http.js';
 import { AdministrationError } from './administration-error.js';
 import type { Route } from './route.js';
@@ -11,10 +12,9 @@
 function parseWith(schema: z.ZodType, where: string, value: unknown): unknown {
   const parsed = schema.safeParse(value);
   if (parsed.success) return parsed.data;
-  const problems = parsed.error.issues.slice(0, MAXIMUM_PROBLEMS).map((issue) => ({
-    path: [where, ...issue.path.map(String)].join('.'),
-    reason: issue.message,
-  }));
+  const problems = describeIssues(schema, value, parsed.error.issues)
+    .slice(0, MAXIMUM_PROBLEMS)
+    .map(({ path, reason }) => ({ path: path === '' ? where : `${where}.${path}`, reason }));
   const reason = problems.map((problem) => `${problem.path}: ${problem.reason}`).join('; ');
   throw new AdministrationError('bad_request', STEP, reason, { problems });
 }
--- a/src/commands/load-configuration.ts
+++ b/src/commands/load-configuration.ts
@@ -1,6 +1,6 @@
 /** Reads a daemon's settings file from disk. */
 import type { z } from 'zod';
-import { ConfigurationError } from '../configuration/configuration-error.js';
+import { ConfigurationError, WHOLE_FILE } from '../configuration/configuration-error.js';
 import {
   readConfiguration,
   type ConfigurationOverride,
@@ -32,7 +32,7 @@
     text = await readTextFile(file);
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    throw new ConfigurationError(file, [{ path: '(whole file)', reason }]);
+    throw new ConfigurationError(file, [{ path: WHOLE_FILE, reason }]);
   }
   return readConfiguration(schema, file, text, overrides);
 }
--- a/src/configuration/configuration-error.ts
+++ b/src/configuration/configuration-error.ts
@@ -1,11 +1,12 @@
 /** A daemon's settings file, or a flag, is wrong; the process does not start. */
 import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
+import type { InputProblem } from '../errors/input-problem.js';
+
+/** Path of a problem that is no single key's. */
+export const WHOLE_FILE = '(whole file)';
 
 /** One wrong key or value. */
-export interface ConfigurationProblem {
-  /** Dotted path within the file, such as `listen.http`. */
-  readonly path: string;
-  readonly reason: string;
+export interface ConfigurationProblem extends InputProblem {
   /** A value that would do. */
   readonly example?: string;
 }
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -3,6 +3,7 @@
 import { nameSchema } from '../model/service-definition.js';
 import { tokenHashSchema } from '../settings/access-token.js';
 import {
+  CONTROLLERS_EXAMPLE,
   addressSchema,
   clusterSchema,
   controllerEndpointSchema,
@@ -16,14 +17,16 @@
   ...placeShape,
   cluster: clusterSchema,
   dataFolder: z.string().min(1).describe('./data/controller-1'),
-  listen: z.strictObject({
-    /** Administration API, `/metrics`, `/livez` and `/readyz`. */
-    http: addressSchema,
-    /** Peers and daemons. */
-    messages: addressSchema,
-  }),
+  listen: z
+    .strictObject({
+      /** Administration API, `/metrics`, `/livez` and `/readyz`. */
+      http: addressSchema,
+      /** Peers and daemons. */
+      messages: addressSchema,
+    })
+    .describe("{ http: '127.0.0.1:7400', messages: '127.0.0.1:7500' }"),
   /** Voters of a new cluster, this one included; ignored once the data folder has a history. */
-  initialMembers: z.array(controllerEndpointSchema).min(1),
+  initialMembers: z.array(controllerEndpointSchema).min(1).describe(CONTROLLERS_EXAMPLE),
   /** Start as a learner that an operator adds to a running cluster. */
   join: z.boolean().default(false),
   administration: z
@@ -36,7 +39,8 @@
         .optional()
         .describe('9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08'),
     })
-    .prefault({}),
+    .prefault({})
+    .describe('{ bootstrapTokenHash: (SHA-256 of the token, hexadecimal) }'),
   /** The platform's list of machines, polled over HTTP. */
   platformList: addressSchema.optional(),
   log: logSchema,
--- a/src/configuration/daemon-configuration.ts
+++ b/src/configuration/daemon-configuration.ts
@@ -17,12 +17,21 @@
   .describe('127.0.0.1:7400');
 
 /** The cluster a daemon belongs to. */
-export const clusterSchema = z.strictObject({
-  /** Peers of another cluster are turned away. */
-  id: nameSchema.describe('dohoku'),
-  /** Shared by all daemons; proves a peer is one of them. At least 16 characters. */
-  key: z.string().min(16).describe('a-long-random-secret'),
-});
+export const clusterSchema = z
+  .strictObject({
+    /** Peers of another cluster are turned away. */
+    id: nameSchema.describe('dohoku'),
+    /** Shared by all daemons; proves a peer is one of them. */
+    key: z
+      .string()
+      .min(16, 'write at least 16 characters, the same at every daemon')
+      .describe('a-long-random-secret'),
+  })
+  .describe('{ id: dohoku, key: a-long-random-secret }');
+
+/** Shown for lists of controllers. */
+export const CONTROLLERS_EXAMPLE =
+  "[{ memberId: controller-1, address: '127.0.0.1:7500', zone: asahikawa-a }]";
 
 /** A controller as other daemons reach it. */
 export const controllerEndpointSchema = z.strictObject({
@@ -44,4 +53,5 @@
     /** `auto`: readable on a terminal, JSON lines otherwise. */
     format: z.enum(['auto', 'json', 'pretty']).default('auto').describe('json'),
   })
-  .default({ format: 'auto' });
+  .default({ format: 'auto' })
+  .describe('{ format: json }');
--- a/src/configuration/read-configuration.ts
+++ b/src/configuration/read-configuration.ts
@@ -1,7 +1,17 @@
 /** Reads a daemon's YAML file, lays flags over it and validates the whole. */
 import { parseDocument } from 'yaml';
 import type { z } from 'zod';
-import { ConfigurationError, type ConfigurationProblem } from './configuration-error.js';
+import {
+  describeIssues,
+  schemaAt,
+  schemaLayers,
+  type InputProblem,
+} from '../errors/input-problem.js';
+import {
+  ConfigurationError,
+  WHOLE_FILE,
+  type ConfigurationProblem,
+} from './configuration-error.js';
 
 /** A flag's value and the dotted path it replaces. */
 export interface ConfigurationOverride {
@@ -9,32 +19,39 @@
   readonly value: unknown;
 }
 
+function isMapping(content: unknown): content is Record<string, unknown> {
+  return typeof content === 'object' && content !== null && !Array.isArray(content);
+}
+
 function setPath(root: Record<string, unknown>, path: string, value: unknown): void {
   const keys = path.split('.');
   const last = keys.pop();
   let node = root;
   for (const key of keys) {
-    node[key] ??= {};
-    node = node[key] as Record<string, unknown>;
+    const next = (node[key] ??= {});
+    if (!isMapping(next)) return; // The schema reports what the file has there.
+    node = next;
   }
   if (last !== undefined) node[last] = value;
 }
 
-/** The example that the schema's description gives for a path, if it has one. */
-function exampleAt(schema: z.ZodType, path: readonly PropertyKey[]): string | undefined {
-  let node: unknown = schema;
-  for (const key of path) {
-    const shape = (node as { shape?: Record<PropertyKey, unknown> }).shape;
-    node = shape?.[key] ?? (node as { element?: unknown }).element;
-    if (node === undefined) return undefined;
-  }
-  return (node as { description?: string }).description;
+/**
+ * A value that would do: the description that a settings file's schema gives
+ * for the key, or else its default.
+ */
+function exampleAt(schema: z.ZodType, path: string): string | undefined {
+  const node = path === '' ? undefined : schemaAt(schema, path.split('.'));
+  if (node === undefined) return undefined;
+  const layers = schemaLayers(node) as readonly z.ZodType[];
+  const described = layers.find(({ description }) => description !== undefined);
+  if (described !== undefined) return described.description;
+  const { defaultValue } = layers[0]?.def as { defaultValue?: unknown };
+  return defaultValue === undefined ? undefined : JSON.stringify(defaultValue);
 }
 
-function toProblem(schema: z.ZodType, issue: z.core.$ZodIssue): ConfigurationProblem {
-  const example = exampleAt(schema, issue.path);
-  const path = issue.path.length === 0 ? '(whole file)' : issue.path.map(String).join('.');
-  const problem = { path, reason: issue.message };
+function withExample(schema: z.ZodType, { path, reason }: InputProblem): ConfigurationProblem {
+  const example = exampleAt(schema, path);
+  const problem = { path: path === '' ? WHOLE_FILE : path, reason };
   return example === undefined ? problem : { ...problem, example };
 }
 
@@ -52,14 +69,20 @@
   const document = parseDocument(text);
   const [syntaxError] = document.errors;
   if (syntaxError !== undefined) {
-    throw new ConfigurationError(file, [{ path: '(whole file)', reason: syntaxError.message }]);
+    throw new ConfigurationError(file, [{ path: WHOLE_FILE, reason: syntaxError.message }]);
+  }
+  const content: unknown = document.toJS() ?? {};
+  if (!isMapping(content)) {
+    const reason = 'write keys and values, such as "name: router-1"';
+    throw new ConfigurationError(file, [{ path: WHOLE_FILE, reason }]);
   }
-  const content = (document.toJS() ?? {}) as Record<string, unknown>;
   for (const { path, value } of overrides) setPath(content, path, value);
   const result = schema.safeParse(content);
   if (result.success) return result.data;
   throw new ConfigurationError(
     file,
-    result.error.issues.map((issue) => toProblem(schema, issue)),
+    describeIssues(schema, content, result.error.issues).map((problem) =>
+      withExample(schema, problem),
+    ),
   );
 }
--- a/src/configuration/router-configuration.ts
+++ b/src/configuration/router-configuration.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 import {
+  CONTROLLERS_EXAMPLE,
   addressSchema,
   clusterSchema,
   controllerEndpointSchema,
@@ -14,11 +15,13 @@
   name: nameSchema.describe('router-1'),
   ...placeShape,
   cluster: clusterSchema,
-  listen: z.strictObject({
-    /** Callers, `/metrics`, `/livez` and `/readyz`. */
-    http: addressSchema,
-  }),
-  controllers: z.array(controllerEndpointSchema).min(1),
+  listen: z
+    .strictObject({
+      /** Callers, `/metrics`, `/livez` and `/readyz`. */
+      http: addressSchema,
+    })
+    .describe("{ http: '127.0.0.1:7400' }"),
+  controllers: z.array(controllerEndpointSchema).min(1).describe(CONTROLLERS_EXAMPLE),
   limits: z
     .strictObject({
       maximumBodyBytes: z.int().min(1_024).default(1_048_576),
@@ -31,7 +34,8 @@
       /** Outcomes of not repeatable requests kept for resends. */
       maximumRecordedOutcomes: z.int().min(1).default(100_000),
     })
-    .prefault({}),
+    .prefault({})
+    .describe('{ maximumConnections: 10000 }'),
   log: logSchema,
 });
 export type RouterConfiguration = z.infer<typeof routerConfigurationSchema>;
--- a/src/operator/change-file.ts
+++ b/src/operator/change-file.ts
@@ -1,6 +1,8 @@
 /** Files that operators write: changes, services and shards, as YAML or JSON. */
 import { parseDocument } from 'yaml';
 import { z } from 'zod';
+import { WHOLE_FILE } from '../configuration/configuration-error.js';
+import { describeIssues, type InputProblem } from '../errors/input-problem.js';
 import { shardSchema } from '../model/service-definition.js';
 import {
   authorSchema,
@@ -21,12 +23,12 @@
 /** What `driftway services repartition -f` reads. */
 export const shardsFileSchema = z.strictObject({ shards: z.array(shardSchema).min(1) });
 
-function badFile(file: string, problems: { path: string; reason: string }[]): OperatorError {
-  const text = problems.map(({ path, reason }) => `  ${path}: ${reason}`).join('\n');
+function badFile(file: string, problems: readonly InputProblem[]): OperatorError {
+  const text = problems.map(({ path, reason }) => `  ${path || WHOLE_FILE}: ${reason}`).join('\n');
   const message = `${file} is not valid\n${text}`;
   const step = 'read file';
   return new OperatorError(
-    { code: 'bad_request', message, step, changed: 'no', problems },
+    { code: 'bad_request', message, step, changed: 'no', problems: [...problems] },
     undefined,
   );
 }
@@ -36,13 +38,11 @@
   const document = parseDocument(text);
   const [syntaxError] = document.errors;
   if (syntaxError !== undefined) {
-    throw badFile(file, [{ path: '(whole file)', reason: syntaxError.message }]);
+    throw badFile(file, [{ path: '', reason: syntaxError.message }]);
   }
-  const parsed = schema.safeParse(document.toJS());
+  const content: unknown = document.toJS() ?? {};
+  const parsed = schema.safeParse(content);
   if (parsed.success) return parsed.data;
-  const problems = parsed.error.issues.map((issue) => ({
-    path: issue.path.length === 0 ? '(whole file)' : issue.path.map(String).join('.'),
-    reason: issue.message,
-  }));
+  const problems = describeIssues(schema, content, parsed.error.issues);
   throw badFile(file, problems);
 }
--- a/src/settings/change.ts
+++ b/src/settings/change.ts
@@ -29,7 +29,10 @@
   type: z.literal('set'),
   scope: scopeTextSchema,
   key: keySchema,
-  value: z.union([z.string().max(64), z.number()]),
+  value: z.union(
+    [z.string().max(64), z.number()],
+    'write a number, or text of at most 64 characters',
+  ),
 });
 
 /** Removes one override, which restores what the wider levels say. */
--- a/test/configuration/read-configuration.test.ts
+++ b/test/configuration/read-configuration.test.ts
@@ -1,7 +1,10 @@
 import { describe, expect, it } from 'vitest';
+import type { z } from 'zod';
 import { ConfigurationError } from '../../src/configuration/configuration-error.js';
+import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
 import { readConfiguration } from '../../src/configuration/read-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
+import { schemaLayers } from '../../src/errors/input-problem.js';
 
 const VALID = `
 name: router-1
@@ -13,14 +16,43 @@
   - { memberId: controller-1, address: '127.0.0.1:7500', zone: asahikawa-a }
 `;
 
-function problemsOf(text: string): string[] {
+function errorOf(text: string, schema: z.ZodType = routerConfigurationSchema): ConfigurationError {
   try {
-    readConfiguration(routerConfigurationSchema, 'router.yaml', text);
-    return [];
+    readConfiguration(schema, 'router.yaml', text);
   } catch (error) {
-    if (error instanceof ConfigurationError) return error.problems.map(({ path }) => path);
+    if (error instanceof ConfigurationError) return error;
     throw error;
   }
+  return expect.fail('the file was accepted');
+}
+
+function problemsOf(text: string): string[] {
+  return errorOf(text).problems.map(({ path }) => path);
+}
+
+interface Children {
+  readonly shape?: Record<string, unknown>;
+  readonly element?: unknown;
+}
+
+/** The dotted paths of all keys, list elements by their first index. */
+function pathsOf(schema: unknown, prefix = ''): string[] {
+  const { shape, element } = schemaLayers(schema).at(-1) as Children;
+  const children = shape ?? (element === undefined ? {} : { 0: element });
+  return Object.entries(children).flatMap(([key, child]) => [
+    ...(shape === undefined ? [] : [`${prefix}${key}`]),
+    ...pathsOf(child, `${prefix}${key}.`),
+  ]);
+}
+
+/** A value that no key takes. */
+const WRONG = 7.5;
+
+/** A document with a wrong value at `path` alone. */
+function wrongAt(path: string): string {
+  const keys = path.split('.');
+  const wrap = (value: unknown, key: string): unknown => (key === '0' ? [value] : { [key]: value });
+  return JSON.stringify(keys.reduceRight(wrap, WRONG));
 }
 
 describe('readConfiguration', () => {
@@ -38,20 +70,40 @@
   });
 
   it('names every wrong key and value with its path', () => {
-    const text = VALID.replace('name: router-1', 'name: Router_1\nnmae: x').replace(':7500', ':x');
-    expect(problemsOf(text)).toEqual(
-      expect.arrayContaining(['name', 'controllers.0.address', '(whole file)']),
-    );
+    const text = VALID.replace('name: router-1', 'name: Router_1\nnmae: x')
+      .replace(':7500', ':x')
+      .replace('id: dohoku', 'idd: dohoku');
+    const paths = ['name', 'nmae', 'controllers.0.address', 'cluster.id', 'cluster.idd'];
+    expect(problemsOf(text).sort()).toEqual(paths.sort());
+    const { message } = errorOf(text);
+    expect(message).toMatch(/nmae: there is no such key; there are name, region/);
+    expect(message).toMatch(/cluster\.id: this key is missing \(example: dohoku\)/);
+  });
+
+  it.each([
+    ['router', routerConfigurationSchema],
+    ['controller', controllerConfigurationSchema],
+  ])('says what a good value looks like, for every key of a %s', (_daemon, schema) => {
+    const paths = pathsOf(schema);
+    expect(paths.length).toBeGreaterThan(10);
+    for (const path of paths) {
+      const problem = errorOf(wrongAt(path), schema).problems.find((known) => known.path === path);
+      expect(problem?.example, path).toMatch(/./);
+    }
   });
 
-  it('says what a good value looks like', () => {
+  it('prints path, reason and example', () => {
     const text = VALID.replace("http: '127.0.0.1:0'", 'http: nowhere');
-    expect(() => readConfiguration(routerConfigurationSchema, 'router.yaml', text)).toThrow(
-      /listen\.http: .*example: 127\.0\.0\.1:7400/,
-    );
+    expect(errorOf(text).message).toMatch(/listen\.http: .*example: 127\.0\.0\.1:7400/);
   });
 
-  it('reports a YAML syntax error', () => {
+  it('reports a YAML syntax error, and a file that is no mapping', () => {
     expect(problemsOf('name: [')).toEqual(['(whole file)']);
+    expect(problemsOf('- name')).toEqual(['(whole file)']);
+    expect(problemsOf('name')).toEqual(['(whole file)']);
+    const flag = { path: 'listen.http', value: '127.0.0.1:7400' };
+    const read = () => readConfiguration(routerConfigurationSchema, 'x', 'listen: 1', [flag]);
+    expect(read).toThrow(/listen: .*expected object/);
+    expect(problemsOf('')).toContain('controllers');
   });
 });
