Never call an accepted change undone

Flags are now read before anything is sent, and a failure after acceptance says that the change is accepted and how to ask again, with exit code 1.

--- a/src/commands/operator-change-command.ts
+++ b/src/commands/operator-change-command.ts
@@ -7,7 +7,7 @@
 } from '../administration/response-schemas.js';
 import { formatForce, formatResult } from '../operator/format-change.js';
 import type { OperatorClient } from '../operator/operator-client.js';
-import { OperatorExitCode } from '../operator/operator-error.js';
+import { OperatorError, OperatorExitCode, usageError } from '../operator/operator-error.js';
 import type { ChangeRequest, Operation } from '../settings/change.js';
 import { OperatorRecordedCommand } from './operator-recorded-command.js';
 
@@ -38,14 +38,13 @@
   protected abstract plan(): Promise<PlannedChange>;
 
   protected override async run(client: OperatorClient): Promise<unknown> {
+    const seconds = this.wait === undefined ? undefined : this.numberOf('--wait', this.wait);
     const request = await this.toRequest(client, await this.plan());
     const target = this.dryRun ? '/v1/changes?dryRun=true' : '/v1/changes';
     this.announce(request);
     const result = await client.post<ChangeResult>(target, request);
-    if (this.wait === undefined || this.dryRun) return result;
-    const seconds = this.numberOf('--wait', this.wait);
-    const force = await this.waitUntilInForce(client, request.changeId, seconds);
-    return { ...result, force };
+    if (seconds === undefined || this.dryRun) return result;
+    return { ...result, force: await this.learnForce(client, request.changeId, seconds) };
   }
 
   protected override format(answer: unknown): string {
@@ -63,6 +62,25 @@
     );
   }
 
+  /** The change is accepted by now, so a failure here must not read as if it were not. */
+  private async learnForce(
+    client: OperatorClient,
+    changeId: string,
+    seconds: number,
+  ): Promise<ChangeReport['force']> {
+    try {
+      return await this.waitUntilInForce(client, changeId, seconds);
+    } catch (error) {
+      if (!(error instanceof OperatorError)) throw error;
+      this.exitCode = OperatorExitCode.Failure;
+      this.context.stderr.write(
+        `change ${changeId} is accepted, but where it is in force could not be learned: ` +
+          `${error.error.message}; ask again with driftway changes show ${changeId}\n`,
+      );
+      return undefined;
+    }
+  }
+
   private async toRequest(client: OperatorClient, planned: PlannedChange): Promise<ChangeRequest> {
     const { changeId, author, reason } = this.recordFields();
     return {
@@ -77,6 +95,9 @@
   private async baseRevision(client: OperatorClient, planned: PlannedChange): Promise<number> {
     if (this.base !== undefined) return this.numberOf('--base', this.base);
     if (planned.baseRevision !== undefined) return planned.baseRevision;
+    if (this.changeId !== undefined) {
+      throw usageError('--change-id resends a change and needs --base as it was then');
+    }
     return (await client.get<ServiceList>('/v1/services')).revision;
   }
 
--- a/src/commands/operator-command.ts
+++ b/src/commands/operator-command.ts
@@ -4,7 +4,7 @@
 import { readTextFile } from '../node/read-text-file.js';
 import { formatError } from '../operator/format-error.js';
 import { OperatorClient } from '../operator/operator-client.js';
-import { OperatorError, OperatorExitCode } from '../operator/operator-error.js';
+import { OperatorError, OperatorExitCode, usageError } from '../operator/operator-error.js';
 import { parseAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 
@@ -12,11 +12,6 @@
 const ATTEMPT_TIMEOUT_MS = 5_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-function usageError(message: string): OperatorError {
-  const step = 'read arguments';
-  return new OperatorError({ code: 'bad_request', message, step, changed: 'no' }, undefined);
-}
-
 /** Base of every command that talks to the administration API. */
 export abstract class OperatorCommand extends Command<BaseContext> {
   controllers = Option.Array('--controller', {
--- a/src/operator/operator-error.ts
+++ b/src/operator/operator-error.ts
@@ -55,3 +55,9 @@
     this.exitCode = lost ? OperatorExitCode.OutcomeUnknown : EXIT_CODES[error.code];
   }
 }
+
+/** A command line or file is wrong; nothing was sent. */
+export function usageError(message: string): OperatorError {
+  const step = 'read arguments';
+  return new OperatorError({ code: 'bad_request', message, step, changed: 'no' }, undefined);
+}
--- a/src/operator/setting-value.ts
+++ b/src/operator/setting-value.ts
@@ -1,18 +1,13 @@
 /** Reads a setting's key and value from a command line. */
 import { serviceSettingsSchema, type ServiceSettingKey } from '../settings/service-settings.js';
-import { OperatorError } from './operator-error.js';
-
-function badArgument(message: string): OperatorError {
-  const step = 'read arguments';
-  return new OperatorError({ code: 'bad_request', message, step, changed: 'no' }, undefined);
-}
+import { usageError } from './operator-error.js';
 
 /** @throws OperatorError listing the keys there are. */
 export function parseSettingKey(text: string): ServiceSettingKey {
   const keySchema = serviceSettingsSchema.keyof();
   const parsed = keySchema.safeParse(text);
   if (parsed.success) return parsed.data;
-  throw badArgument(`there is no setting ${text}; there are ${keySchema.options.join(', ')}`);
+  throw usageError(`there is no setting ${text}; there are ${keySchema.options.join(', ')}`);
 }
 
 /**
@@ -27,5 +22,5 @@
   const asNumber = schema.safeParse(text.trim() === '' ? undefined : Number(text));
   if (asNumber.success) return asNumber.data;
   const issue = (Number.isNaN(Number(text)) ? asText : asNumber).error.issues[0];
-  throw badArgument(`${key} cannot be ${text}: ${issue?.message ?? 'not valid'}`);
+  throw usageError(`${key} cannot be ${text}: ${issue?.message ?? 'not valid'}`);
 }
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -9,7 +9,8 @@
 import { ConfigurationStateMachine } from '../../src/settings/configuration-state-machine.js';
 
 /** What happens to the next proposal. */
-export type ProposalFault = 'not_proposed' | 'answer_lost' | 'lost_before_commit';
+export type ProposalFault =
+  'not_proposed' | 'answer_lost' | 'lost_before_commit' | 'quorum_lost_after';
 
 /** The agreed history that the members share. */
 export class MemoryHistory {
@@ -21,6 +22,10 @@
     this.members.push(member);
     return member;
   }
+
+  loseQuorum(): void {
+    for (const member of this.members) member.hasQuorum = false;
+  }
 }
 
 /** One member. Applies lazily, so that it lags until it proposes or is asked for a barrier. */
@@ -47,6 +52,7 @@
     this.history.commands.push(command);
     const index = this.history.commands.length;
     const result = this.applyUpTo(index);
+    if (fault === 'quorum_lost_after') this.history.loseQuorum();
     if (fault === 'answer_lost') throw new DriftwayError('cut off', { step: 'propose' });
     return { index, result };
   }
--- a/test/operator/operator-commands.test.ts
+++ b/test/operator/operator-commands.test.ts
@@ -2,11 +2,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { PassThrough } from 'node:stream';
-import { Cli } from 'clipanion';
 import { Registry } from 'prom-client';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createAdministrationHandler } from '../../src/administration/administration-handler.js';
-import { OPERATOR_COMMANDS } from '../../src/commands/operator-commands.js';
+import { runDriftway } from '../../src/commands/driftway.js';
 import { NodeClock } from '../../src/node/node-clock.js';
 import { NodeNetwork } from '../../src/node/node-network.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
@@ -62,13 +61,11 @@
 }
 
 async function runAs(token: string | undefined, ...commandLine: string[]): Promise<Run> {
-  const cli = new Cli({ binaryName: 'driftway' });
-  for (const command of OPERATOR_COMMANDS) cli.register(command);
   const stdout = new PassThrough();
   const stderr = new PassThrough();
   const controllers = listeners.map(({ address }) => formatAddress(address)).join(',');
   const env = { DRIFTWAY_CONTROLLERS: controllers, DRIFTWAY_TOKEN: token, DRIFTWAY_AUTHOR: 'sato' };
-  const code = await cli.run(commandLine, { stdin: process.stdin, stdout, stderr, env });
+  const code = await runDriftway(commandLine, { stdout, stderr, env });
   const read = (stream: PassThrough): string => String(stream.read() ?? '');
   return { code, stdout: read(stdout), stderr: read(stderr) };
 }
@@ -144,6 +141,41 @@
     expect(late.stdout).toMatch(/accepted as revision 2[^]*late: router-1 at 1/);
   });
 
+  it('never call a change undone that was accepted before something else failed', async () => {
+    await createDohoku();
+    const set = (...flags: string[]): Promise<Run> =>
+      run('settings', 'set', 'defaults', 'queueLimit', '5', ...flags);
+    const badFlag = await set('--wait', 'x');
+    expect(badFlag.code).toBe(OperatorExitCode.BadInput);
+    expect((await run('settings', 'diff', '--from', '1')).stdout).toBe('no difference\n');
+    const [log] = logs;
+    if (log !== undefined) log.nextFault = 'quorum_lost_after';
+    const cutOff = await set('--wait', '1', '--timeout', '1');
+    expect(cutOff.code).toBe(OperatorExitCode.Failure);
+    expect(cutOff.stdout).toContain('accepted as revision 2');
+    expect(cutOff.stderr).toMatch(/is accepted, but where it is in force could not be learned/);
+    expect(cutOff.stderr).not.toContain('Nothing was changed');
+  });
+
+  it('want the base revision of the change that is resent', async () => {
+    await createDohoku();
+    const change = ['settings', 'set', 'defaults', 'queueLimit', '5', '--change-id', 'change-001'];
+    const refused = await run(...change);
+    expect(refused.code).toBe(OperatorExitCode.BadInput);
+    expect(refused.stderr).toMatch(/--change-id .* needs --base/);
+    for (const repeated of [false, true]) {
+      const { stdout } = await run(...change, '--base', '1', '--json');
+      expect(JSON.parse(stdout)).toMatchObject({ revision: 2, repeated });
+    }
+  });
+
+  it('say what a command line lacks on the error stream, with the exit code of bad input', async () => {
+    const { code, stdout, stderr } = await run('settings', 'set', 'defaults');
+    expect(code).toBe(OperatorExitCode.BadInput);
+    expect(stderr).toContain('Not enough positional arguments');
+    expect(stdout).toBe('');
+  });
+
   it('tell which settings and which values there are', async () => {
     await createDohoku();
     const key = await run('settings', 'set', 'defaults', 'typo', '5');
