Show daemons with zone, version and age, and errors with their bounds

Cause, each seen by hand against three controllers and two routers: `driftway status` and `changes show` had "?" for zone, version and age of every daemon, which the controllers know; a body between the API's and the listener's bound was an "unexpected answer with status 413"; "queueLimit cannot be 1e3x: Invalid input: expected number, received string" gave no bounds; without a token the answer spoke of an HTTP header, and an empty DRIFTWAY_CONTROLLERS of an address.

The directory of daemons now gives all it knows, and a daemon whose lease ran out is marked silent. The controller's listener reads twice what the API takes, so that the API itself says by how much a body is too large; beyond that the client reads the listener's 413 as too_large, and asks no other controller.

--- a/src/commands/operator-command.ts
+++ b/src/commands/operator-command.ts
@@ -89,9 +89,9 @@
 
   private addresses(): Address[] {
     const fromEnvironment = this.context.env['DRIFTWAY_CONTROLLERS']?.split(',') ?? [];
-    const texts = this.controllers ?? fromEnvironment;
+    const texts = (this.controllers ?? fromEnvironment).map((text) => text.trim());
     try {
-      return texts.map((text) => parseAddress(text.trim()));
+      return texts.filter((text) => text !== '').map(parseAddress);
     } catch (error) {
       throw usageError((error as Error).message);
     }
--- a/src/control-stream/daemon-directory.ts
+++ b/src/control-stream/daemon-directory.ts
@@ -94,10 +94,15 @@
   }
 
   inForce(_revision: number): ForceReport {
-    const daemons = this.daemons().map(({ record }) => ({
-      name: record.name,
-      revision: record.revision,
-    }));
+    const daemons = this.daemons().map(
+      ({ record: { name, revision, zone, version }, silentMs }) => ({
+        name,
+        revision,
+        zone,
+        version,
+        silentMs,
+      }),
+    );
     return { daemons };
   }
 
--- a/src/control/controller-http.ts
+++ b/src/control/controller-http.ts
@@ -1,10 +1,12 @@
 /** The HTTP face of a controller: health and counters, and the administration API for the rest. */
 import type { Registry } from 'prom-client';
 import type { HttpHandler, HttpListenOptions, HttpResponse } from '../seams/http.js';
+import { MAXIMUM_COMMAND_BYTES } from '../settings/configuration-command.js';
 
 /** Bounds of the administration listener. */
 export const CONTROLLER_HTTP_OPTIONS: HttpListenOptions = {
-  maximumBodyBytes: 1_048_576,
+  // Above what the API takes, so that the API says by how much a body is too large.
+  maximumBodyBytes: 2 * MAXIMUM_COMMAND_BYTES,
   maximumHeaderBytes: 16_384,
   requestTimeout: 10_000,
   maximumConnections: 1_000,
--- a/src/operator/format-change.ts
+++ b/src/operator/format-change.ts
@@ -5,6 +5,7 @@
   Force,
   HistoryReport,
 } from '../administration/response-schemas.js';
+import { formatDuration, isSilent } from './format-duration.js';
 import { formatDifferences, formatOperation } from './format-operation.js';
 import { formatTime } from './format-table.js';
 
@@ -14,9 +15,15 @@
   return team === undefined ? `${author} (bootstrap token)` : `${author} (team ${team})`;
 }
 
+function formatLate({ name, zone, revision, silentMs }: Force['late'][number]): string {
+  const where = zone === undefined ? '' : ` in ${zone}`;
+  const heard = isSilent(silentMs) ? `, not heard for ${formatDuration(silentMs)}` : '';
+  return `  late: ${name}${where} at ${revision}${heard}\n`;
+}
+
 export function formatForce({ revision, daemons, inForce, late }: Force): string {
   const head = `revision ${revision} is in force at ${inForce} of ${daemons} daemons\n`;
-  return head + late.map(({ name, revision: held }) => `  late: ${name} at ${held}\n`).join('');
+  return head + late.map(formatLate).join('');
 }
 
 export function formatChange(change: ListedChange): string {
--- a/src/operator/format-error.ts
+++ b/src/operator/format-error.ts
@@ -11,7 +11,7 @@
 export function formatError({ error, peer }: OperatorError): string {
   const where = peer === undefined ? '' : ` (controller ${peer})`;
   const lines = [`error: ${error.message}${where}`, CHANGED_TEXT[error.changed]];
-  const { conflict, retryAfterMs } = error;
+  const { code, conflict, retryAfterMs } = error;
   if (conflict !== undefined) {
     lines.push(`There now, at revision ${conflict.currentRevision}:`);
     for (const { path, value } of conflict.current) lines.push(`  ${path}: ${formatValue(value)}`);
@@ -22,6 +22,7 @@
       lines.push(`  ${revision}  ${changeId}  ${author}: ${reason}`);
     }
   }
+  if (code === 'unauthorized') lines.push('Set DRIFTWAY_TOKEN, or give --token.');
   if (retryAfterMs !== undefined) lines.push(`Worth trying again in ${retryAfterMs} ms.`);
   return `${lines.join('\n')}\n`;
 }
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -1,5 +1,6 @@
 /** The cluster as a person wants to see it. */
 import type { StatusReport } from '../administration/response-schemas.js';
+import { formatDuration, isSilent } from './format-duration.js';
 import { formatTable } from './format-table.js';
 
 function lagOf(status: StatusReport, behind: number | null): string {
@@ -19,7 +20,12 @@
 
 function formatQuorum({ sinceQuorumMs }: StatusReport): string {
   if (sinceQuorumMs === null) return 'never heard a quorum';
-  return `heard a quorum ${Math.round(sinceQuorumMs)} ms ago`;
+  return `heard a quorum ${formatDuration(sinceQuorumMs)} ago`;
+}
+
+function formatHeard(silentMs: number | undefined): string {
+  if (silentMs === undefined) return '?';
+  return `${formatDuration(silentMs)} ago${isSilent(silentMs) ? ' (silent)' : ''}`;
 }
 
 function formatDaemons({ daemons, force, revision }: StatusReport): string {
@@ -31,7 +37,7 @@
     zone ?? '?',
     version ?? '?',
     held >= revision ? String(held) : `${held} (late)`,
-    silentMs === undefined ? '?' : `${Math.round(silentMs)} ms ago`,
+    formatHeard(silentMs),
   ]);
   return `${summary}${formatTable(['DAEMON', 'ZONE', 'VERSION', 'REVISION', 'HEARD'], rows)}`;
 }
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -16,6 +16,7 @@
 const MAXIMUM_RESPONSE_BYTES = 64 * 1_048_576;
 const STATUS_OK = 200;
 const STATUS_CLIENT_ERRORS = 400;
+const STATUS_PAYLOAD_TOO_LARGE = 413;
 const STATUS_SERVER_ERRORS = 500;
 
 /** Where and how to ask. */
@@ -71,8 +72,12 @@
   } catch {
     // Not JSON: told by its status below.
   }
-  const message = `unexpected answer with status ${response.status}`;
   const { status } = response;
+  if (status === STATUS_PAYLOAD_TOO_LARGE) {
+    const message = 'the request is larger than the controller reads';
+    return { code: 'too_large', message, step: 'ask controller', changed: 'no' };
+  }
+  const message = `unexpected answer with status ${status}`;
   if (status >= STATUS_CLIENT_ERRORS && status < STATUS_SERVER_ERRORS) {
     return { code: 'bad_request', message, step: 'ask controller', changed: 'no' };
   }
--- a/src/operator/setting-value.ts
+++ b/src/operator/setting-value.ts
@@ -1,4 +1,6 @@
 /** Reads a setting's key and value from a command line. */
+import { z } from 'zod';
+import { describeValues } from '../settings/setting-shape.js';
 import { serviceSettingsSchema, type ServiceSettingKey } from '../settings/service-settings.js';
 import { usageError } from './operator-error.js';
 
@@ -21,6 +23,6 @@
   if (asText.success) return asText.data;
   const asNumber = schema.safeParse(text.trim() === '' ? undefined : Number(text));
   if (asNumber.success) return asNumber.data;
-  const issue = (Number.isNaN(Number(text)) ? asText : asNumber).error.issues[0];
-  throw usageError(`${key} cannot be ${text}: ${issue?.message ?? 'not valid'}`);
+  const choices = schema instanceof z.ZodEnum ? 'one of ' : 'a ';
+  throw usageError(`${key} takes ${choices}${describeValues(key)}, not ${text}`);
 }
--- a/src/settings/settings-reference.ts
+++ b/src/settings/settings-reference.ts
@@ -1,5 +1,5 @@
 /** The settings reference for operators, written from the schema. */
-import { z } from 'zod';
+import { describeValues, settingShape } from './setting-shape.js';
 import { SETTINGS_RULES } from './settings-rules.js';
 import {
   DEFAULT_SERVICE_SETTINGS,
@@ -7,32 +7,12 @@
   type ServiceSettingKey,
 } from './service-settings.js';
 
-/** The parts of a key's JSON schema that the reference shows. */
-interface SettingShape {
-  readonly type?: string;
-  readonly enum?: readonly string[];
-  readonly minimum?: number;
-  readonly maximum?: number;
-  readonly description?: string;
-}
-
-function shapeOf(key: ServiceSettingKey): SettingShape {
-  return z.toJSONSchema(serviceSettingsSchema.shape[key]) as SettingShape;
-}
-
-function describeValues({ type, enum: choices, minimum, maximum }: SettingShape): string {
-  if (choices !== undefined) return choices.map((choice) => `\`${choice}\``).join(', ');
-  const kind = type === 'integer' ? 'whole number' : 'number';
-  return `${kind}, ${minimum} to ${maximum}`;
-}
-
 function describeSetting(key: ServiceSettingKey): string {
-  const shape = shapeOf(key);
   const cells = [
     `\`${key}\``,
-    describeValues(shape),
+    describeValues(key, (choice) => `\`${choice}\``),
     `\`${DEFAULT_SERVICE_SETTINGS[key]}\``,
-    shape.description ?? '',
+    settingShape(key).description ?? '',
   ];
   return `| ${cells.join(' | ')} |`;
 }
--- a/test/control/controller-group.test.ts
+++ b/test/control/controller-group.test.ts
@@ -129,6 +129,13 @@
     for (const host of hosts) {
       const report = await simulation.settle(request(host, '/v1/changes/change-3'));
       expect(report).toMatchObject({ force: { daemons: 3, inForce: 3, late: [] } });
+      const status = await simulation.settle(request(host, '/v1/status'));
+      const known = ZONES.map((zone, index) => ({
+        name: `router-${index + 1}`,
+        zone,
+        revision: 3,
+      }));
+      expect(status).toMatchObject({ daemons: known });
     }
   });
 
--- a/test/operator/operator-commands.test.ts
+++ b/test/operator/operator-commands.test.ts
@@ -6,9 +6,11 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { createAdministrationHandler } from '../../src/administration/administration-handler.js';
 import { runDriftway } from '../../src/commands/driftway.js';
+import { CONTROLLER_HTTP_OPTIONS } from '../../src/control/controller-http.js';
 import { NodeClock } from '../../src/node/node-clock.js';
 import { NodeNetwork } from '../../src/node/node-network.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { OperatorClient } from '../../src/operator/operator-client.js';
 import { OperatorExitCode } from '../../src/operator/operator-error.js';
 import { formatAddress } from '../../src/seams/address.js';
 import type { HttpListener } from '../../src/seams/http.js';
@@ -16,14 +18,7 @@
 import { hashToken } from '../../src/settings/token-text.js';
 import { BOOTSTRAP_TOKEN } from '../administration/controllers.js';
 import { MemoryHistory, type MemoryLog } from '../administration/memory-log.js';
-import { DOHOKU, setting } from '../settings/fixtures.js';
-
-const LISTEN_OPTIONS = {
-  maximumBodyBytes: 2 * 1_048_576,
-  maximumHeaderBytes: 16_384,
-  requestTimeout: 5_000,
-  maximumConnections: 100,
-};
+import { change, DOHOKU, setting } from '../settings/fixtures.js';
 
 let folder: string;
 let logs: MemoryLog[];
@@ -37,9 +32,19 @@
     logger: SILENT_LOGGER,
     registry: new Registry(),
     bootstrapTokenHash: hashToken(BOOTSTRAP_TOKEN),
-    forces: { inForce: () => ({ daemons: [{ name: 'router-1', revision: 1 }] }) },
+    forces: {
+      inForce: () => ({
+        daemons: [
+          { name: 'router-1', revision: 1, zone: 'nayoro', version: '0.1.0', silentMs: 20_000 },
+        ],
+      }),
+    },
   });
-  return new NodeNetwork().listenHttp({ host: '127.0.0.1', port: 0 }, LISTEN_OPTIONS, handler);
+  return new NodeNetwork().listenHttp(
+    { host: '127.0.0.1', port: 0 },
+    CONTROLLER_HTTP_OPTIONS,
+    handler,
+  );
 }
 
 beforeEach(async () => {
@@ -131,14 +136,16 @@
     expect(JSON.parse(stdout)).toMatchObject({ revision: 2, repeated: true });
     const id = (JSON.parse(stdout) as { changeId: string }).changeId;
     const shown = await run('changes', 'show', id);
-    expect(shown.stdout).toMatch(/accepted[^]*in force at 0 of 1 daemons\n +late: router-1 at 1/);
+    expect(shown.stdout).toMatch(
+      /accepted[^]*in force at 0 of 1 daemons\n +late: router-1 in nayoro at 1, not heard for 20 s/,
+    );
   });
 
   it('fail when the change is not in force in time, naming the late daemon', async () => {
     await createDohoku();
     const late = await run('settings', 'set', 'defaults', 'queueLimit', '5', '--wait', '0');
     expect(late.code).toBe(OperatorExitCode.Failure);
-    expect(late.stdout).toMatch(/accepted as revision 2[^]*late: router-1 at 1/);
+    expect(late.stdout).toMatch(/accepted as revision 2[^]*late: router-1 in nayoro at 1/);
   });
 
   it('never call a change undone that was accepted before something else failed', async () => {
@@ -176,6 +183,22 @@
     expect(stdout).toBe('');
   });
 
+  it.each([1.5, 3])('say that a change of %f MB is too large, and do not insist', async (size) => {
+    const client = new OperatorClient(new NodeNetwork(), new NodeClock(), {
+      controllers: listeners.map(({ address }) => address),
+      token: BOOTSTRAP_TOKEN,
+      attemptTimeoutMs: 5_000,
+      totalTimeoutMs: 5_000,
+    });
+    const body = { ...change('change-001', 0, DOHOKU), reason: 'x'.repeat(size * 1_048_576) };
+    const error: unknown = await client.post('/v1/changes', body).catch((cause: unknown) => cause);
+    client.close();
+    expect(error).toMatchObject({
+      error: { code: 'too_large', changed: 'no' },
+      exitCode: OperatorExitCode.BadInput,
+    });
+  });
+
   it('tell which settings and which values there are', async () => {
     await createDohoku();
     const key = await run('settings', 'set', 'defaults', 'typo', '5');
@@ -183,6 +206,11 @@
     expect(key.stderr).toContain('queueLimit');
     const value = await run('settings', 'set', 'defaults', 'hedging', 'often');
     expect(value.stderr).toContain('quantile');
+    for (const text of ['many', '-1', '1.5', '']) {
+      const bounds = await run('settings', 'set', 'defaults', '--', 'queueLimit', text);
+      expect(bounds.code).toBe(OperatorExitCode.BadInput);
+      expect(bounds.stderr).toContain('queueLimit takes a whole number, 0 to 100000');
+    }
   });
 
   it('create services and change their replicas and layouts', async () => {
@@ -218,7 +246,9 @@
     for (const log of logs) log.hasQuorum = false;
     const { code, stdout } = await run('status');
     expect(code).toBe(OperatorExitCode.Success);
-    expect(stdout).toMatch(/Leader: none known[^]*controller-2 +voter[^]*router-1/);
+    expect(stdout).toMatch(
+      /Leader: none known[^]*controller-2 +voter[^]*router-1 +nayoro +0.1.0 +1 +20 s ago \(silent\)/,
+    );
     const read = await run('settings', 'history', '--timeout', '0');
     expect(read.code).toBe(OperatorExitCode.Unavailable);
   });
@@ -226,6 +256,9 @@
   it('say what is missing when no controller or token is named', async () => {
     const noToken = await runAs(undefined, 'status');
     expect(noToken.code).toBe(OperatorExitCode.Refused);
-    expect(noToken.stderr).toContain('authorization: Bearer');
+    expect(noToken.stderr).toContain('DRIFTWAY_TOKEN');
+    const nobody = await run('status', '--controller', '');
+    expect(nobody.code).toBe(OperatorExitCode.BadInput);
+    expect(nobody.stderr).toContain('DRIFTWAY_CONTROLLERS');
   });
 });
