--- a/src/operator/format-change.ts
+++ b/src/operator/format-change.ts
@@ -18,7 +18,8 @@
 function formatLate({ name, zone, revision, silentMs }: Force['late'][number]): string {
   const where = zone === undefined ? '' : ` in ${zone}`;
   const heard = isSilent(silentMs) ? `, not heard for ${formatDuration(silentMs)}` : '';
-  return `  late: ${name}${where} at ${revision}${heard}\n`;
+  const held = revision < 0 ? 'none' : revision;
+  return `  late: ${name}${where} at ${held}${heard}\n`;
 }
 
 export function formatForce({ revision, daemons, inForce, late }: Force): string {
--- a/src/operator/format-duration.ts
+++ b/src/operator/format-duration.ts
@@ -8,8 +8,11 @@
   return silentMs !== undefined && silentMs > DAEMON_LEASE_MS;
 }
 
+/** Shorter times are given in milliseconds. Milliseconds. */
+const SHORT_MS = 10_000;
+
 /** `340 ms` or `12 s`. */
 export function formatDuration(milliseconds: number): string {
-  if (milliseconds < MILLISECONDS_PER_SECOND) return `${Math.round(milliseconds)} ms`;
+  if (milliseconds < SHORT_MS) return `${Math.round(milliseconds)} ms`;
   return `${Math.round(milliseconds / MILLISECONDS_PER_SECOND)} s`;
 }
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -36,7 +36,7 @@
     name,
     zone ?? '?',
     version ?? '?',
-    held >= revision ? String(held) : `${held} (late)`,
+    held >= revision ? String(held) : `${held < 0 ? 'none' : held} (late)`,
     formatHeard(silentMs),
   ]);
   return `${summary}${formatTable(['DAEMON', 'ZONE', 'VERSION', 'REVISION', 'HEARD'], rows)}`;
