Add commands for the controllers' group, and refuse scopes that do not exist

Scopes are checked by the controller that takes the request, against the newest configuration and not when the command is applied: the replicated state stays a function of the history alone, whatever version applied it. `tokens revoke` prints its change id like every change; a lost `tokens create` says how to revoke and begin again.

--- a/src/administration/administration-context.ts
+++ b/src/administration/administration-context.ts
@@ -12,7 +12,7 @@
 import { AdministrationError } from './administration-error.js';
 
 /** When a controller without a quorum is worth asking again. Milliseconds. */
-const RETRY_AFTER_MS = 1_000;
+export const RETRY_AFTER_MS = 1_000;
 
 function reasonOf(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
--- a/src/administration/status-routes.ts
+++ b/src/administration/status-routes.ts
@@ -1,9 +1,10 @@
 /** The state of the controllers and daemons, and changes of the controllers' group. */
 import { z } from 'zod';
+import { MembershipChangeRefusedError } from '../consensus/consensus-errors.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
 import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
 import { nameSchema } from '../model/service-definition.js';
-import type { AdministrationContext } from './administration-context.js';
+import { RETRY_AFTER_MS, type AdministrationContext } from './administration-context.js';
 import { AdministrationError } from './administration-error.js';
 import { describeForce } from './describe-force.js';
 import type { MemberAdministration } from './member-administration.js';
@@ -71,11 +72,16 @@
 }
 
 function memberError(error: unknown): AdministrationError {
-  const reason = error instanceof Error ? error.message : String(error);
+  const refused = error instanceof MembershipChangeRefusedError;
+  const reason = refused ? error.reason : error instanceof Error ? error.message : String(error);
   const notRun = error instanceof DriftwayError && error.hasLabel(ErrorLabel.NotRun);
   const badInput = error instanceof DriftwayError && error.hasLabel(ErrorLabel.BadInput);
-  const details = { changed: notRun ? ('no' as const) : ('unknown' as const), cause: error };
   const code = badInput ? 'rejected' : notRun ? 'unavailable' : 'outcome_unknown';
+  const details = {
+    changed: notRun ? ('no' as const) : ('unknown' as const),
+    ...(badInput ? {} : { retryAfterMs: RETRY_AFTER_MS }),
+    cause: error,
+  };
   return new AdministrationError(code, 'change members', reason, details);
 }
 
--- a/src/administration/token-routes.ts
+++ b/src/administration/token-routes.ts
@@ -1,7 +1,14 @@
 /** Creating, revoking and listing the tokens of teams. */
-import { createTokenRequestSchema, revokeTokenRequestSchema } from '../settings/access-token.js';
+import {
+  createTokenRequestSchema,
+  revokeTokenRequestSchema,
+  type CreateTokenRequest,
+} from '../settings/access-token.js';
 import type { ConfigurationCommand } from '../settings/configuration-command.js';
+import type { Principal } from '../settings/principal.js';
+import { hasScope } from '../settings/validate-configuration.js';
 import type { AdministrationContext } from './administration-context.js';
+import { AdministrationError } from './administration-error.js';
 import { refusalError } from './outcome-response.js';
 import {
   doneSchema,
@@ -20,6 +27,32 @@
   return { changeId: command.request.changeId, acceptedAt: outcome.acceptedAt, repeated };
 }
 
+/** Asked of the newest configuration; a scope may still go with its service later. */
+async function requireScopes(
+  context: AdministrationContext,
+  scopes: readonly string[],
+): Promise<void> {
+  const configuration = await context.readConfiguration();
+  const problems = scopes.flatMap((scope, index) => {
+    if (hasScope(configuration, scope)) return [];
+    return [{ path: `body.scopes.${index}`, reason: `there is no ${scope}` }];
+  });
+  const [first] = problems;
+  if (first === undefined) return;
+  const reason = `${first.path}: ${first.reason}`;
+  throw new AdministrationError('rejected', 'check scopes', reason, { problems });
+}
+
+async function createToken(
+  context: AdministrationContext,
+  principal: Principal,
+  request: CreateTokenRequest,
+): Promise<DoneResult> {
+  await requireScopes(context, request.scopes);
+  const at = context.dependencies.clock.wallTime();
+  return runTokenCommand(context, { kind: 'createToken', principal, at, request });
+}
+
 async function listTokens(context: AdministrationContext): Promise<TokenList> {
   await context.catchUp();
   const tokens = context.machine
@@ -48,10 +81,7 @@
     body: createTokenRequestSchema,
     response: doneSchema,
     errors: ['forbidden', 'rejected', 'change_id_reused', 'outcome_unknown'],
-    handle: ({ context, principal, body }) => {
-      const at = context.dependencies.clock.wallTime();
-      return runTokenCommand(context, { kind: 'createToken', principal, at, request: body });
-    },
+    handle: ({ context, principal, body }) => createToken(context, principal, body),
   }),
   defineRoute({
     method: 'POST',
--- a/src/commands/operator-command.ts
+++ b/src/commands/operator-command.ts
@@ -8,8 +8,8 @@
 import { parseAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 
-/** Longest wait for one controller. Milliseconds. */
-const ATTEMPT_TIMEOUT_MS = 5_000;
+/** Longest wait for one controller, unless a command says otherwise. Milliseconds. */
+const LONGEST_ATTEMPT_MS = 5_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Base of every command that talks to the administration API. */
@@ -29,6 +29,9 @@
   /** Returned when {@link OperatorCommand.run} does not throw. */
   protected exitCode = OperatorExitCode.Success;
 
+  /** Longest wait for one controller. Milliseconds. */
+  protected readonly longestAttemptMs: number = LONGEST_ATTEMPT_MS;
+
   /** The command's work; its answer is printed. */
   protected abstract run(client: OperatorClient): Promise<unknown>;
 
@@ -82,7 +85,7 @@
     return new OperatorClient(network, clock, {
       controllers: this.addresses(),
       token: this.token,
-      attemptTimeoutMs: Math.min(ATTEMPT_TIMEOUT_MS, totalTimeoutMs),
+      attemptTimeoutMs: Math.min(this.longestAttemptMs, totalTimeoutMs),
       totalTimeoutMs,
     });
   }
--- a/src/commands/operator-commands.ts
+++ b/src/commands/operator-commands.ts
@@ -1,6 +1,11 @@
 /** Every command that talks to the administration API. */
 import type { CommandClass } from 'clipanion';
 import { ChangesShowCommand } from './operator-changes-show.js';
+import {
+  MembersAddCommand,
+  MembersPromoteCommand,
+  MembersRemoveCommand,
+} from './operator-members.js';
 import { ServicesCreateCommand } from './operator-services-create.js';
 import { ServicesListCommand } from './operator-services-list.js';
 import { ServicesRemoveCommand } from './operator-services-remove.js';
@@ -24,6 +29,9 @@
 
 export const OPERATOR_COMMANDS: readonly CommandClass[] = [
   StatusCommand,
+  MembersAddCommand,
+  MembersPromoteCommand,
+  MembersRemoveCommand,
   SettingsExplainCommand,
   SettingsSetCommand,
   SettingsUnsetCommand,
--- a/src/commands/operator-tokens.ts
+++ b/src/commands/operator-tokens.ts
@@ -3,6 +3,7 @@
 import type { DoneResult, TokenList } from '../administration/response-schemas.js';
 import { formatTable, formatTime } from '../operator/format-table.js';
 import type { OperatorClient } from '../operator/operator-client.js';
+import { OperatorError, OperatorExitCode } from '../operator/operator-error.js';
 import type { CreateTokenRequest, RevokeTokenRequest } from '../settings/access-token.js';
 import { createTokenText, hashToken } from '../settings/token-text.js';
 import { OperatorCommand } from './operator-command.js';
@@ -45,10 +46,25 @@
       scopes: this.scopes,
       hash: hashToken(token),
     };
-    const result = await client.post<DoneResult>('/v1/tokens', request);
+    const result = await this.create(client, request);
     return { ...result, tokenId: this.tokenId, token };
   }
 
+  /** The text of a token that may or may not be there is not shown: it is revoked instead. */
+  private async create(client: OperatorClient, request: CreateTokenRequest): Promise<DoneResult> {
+    try {
+      return await client.post<DoneResult>('/v1/tokens', request);
+    } catch (error) {
+      if (error instanceof OperatorError && error.exitCode === OperatorExitCode.OutcomeUnknown) {
+        this.context.stderr.write(
+          `The token may be there, with a text that is lost. See driftway tokens list; if it is, ` +
+            `driftway tokens revoke ${this.tokenId} and create it again.\n`,
+        );
+      }
+      throw error;
+    }
+  }
+
   protected override format(answer: unknown): string {
     const { tokenId, token } = answer as CreatedToken;
     return `${token}\n(token ${tokenId}; keep it now, it is not shown again)\n`;
@@ -67,6 +83,11 @@
 
   protected override run(client: OperatorClient): Promise<DoneResult> {
     const request: RevokeTokenRequest = { ...this.recordFields(), tokenId: this.tokenId };
+    const { changeId } = request;
+    this.context.stderr.write(
+      `sending change ${changeId}; should the answer be lost, repeat the command with ` +
+        `--change-id ${changeId}\n`,
+    );
     return client.post<DoneResult>('/v1/tokens/revoke', request);
   }
 
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -3,17 +3,22 @@
 import { formatDuration, isSilent } from './format-duration.js';
 import { formatTable } from './format-table.js';
 
-function lagOf(status: StatusReport, behind: number | null): string {
-  if (behind !== null) return behind === 0 ? 'up to date' : `${behind} entries behind`;
-  return status.role === 'leader' ? 'unknown' : 'known at the leader';
+function lagOf(behind: number | null, unknown: string): string {
+  if (behind === null) return unknown;
+  return behind === 0 ? 'up to date' : `${behind} entries behind`;
 }
 
-function formatMembers(status: StatusReport): string {
-  const rows = status.members.map(({ memberId, address, voter, behind }) => [
+/** The controllers, one a line; the lag of each is known to the leader alone. */
+export function formatMembers(
+  members: StatusReport['members'],
+  leaderId: string | null = null,
+  unknownLag = 'known at the leader',
+): string {
+  const rows = members.map(({ memberId, address, voter, behind }) => [
     memberId,
-    memberId === status.leaderId ? 'leader' : voter ? 'voter' : 'learner',
+    memberId === leaderId ? 'leader' : voter ? 'voter' : 'learner',
     address,
-    lagOf(status, behind),
+    lagOf(behind, unknownLag),
   ]);
   return formatTable(['CONTROLLER', 'ROLE', 'ADDRESS', 'LOG'], rows);
 }
@@ -44,10 +49,11 @@
 
 export function formatStatus(status: StatusReport): string {
   const leader = status.leaderId ?? 'none known';
+  const unknownLag = status.role === 'leader' ? 'unknown' : 'known at the leader';
   const head = [
     `Leader: ${leader}, term ${status.term}. Revision ${status.revision}.`,
     `Answered by ${status.memberId} (${status.role}, version ${status.version}), which ${formatQuorum(status)}.`,
     `Log there: ${status.lastIndex} entries, ${status.commitIndex} committed, ${status.appliedIndex} applied.`,
   ].join('\n');
-  return `${head}\n\n${formatMembers(status)}\n${formatDaemons(status)}`;
+  return `${head}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}`;
 }
--- a/src/settings/validate-configuration.ts
+++ b/src/settings/validate-configuration.ts
@@ -21,15 +21,26 @@
   return zones;
 }
 
-function validateScope(state: ConfigurationState, zones: Set<string>, text: string): void {
+/** Whether the tree has the node that `text` names. */
+export function hasScope(state: ConfigurationState, text: string): boolean {
   const scope = parseScope(text);
-  const exists =
-    scope !== undefined &&
-    (scope.level === 'defaults' ||
-      (scope.level === 'region' && lookUp(state.regions, scope.region) !== undefined) ||
-      (scope.level === 'zone' && zones.has(scope.zone)) ||
-      (scope.level === 'service' && lookUp(state.services, scope.service) !== undefined));
-  if (!exists) throw new ChangeRejectedError(`overrides.${text}`, 'there is no such scope');
+  switch (scope?.level) {
+    case undefined:
+      return false;
+    case 'defaults':
+      return true;
+    case 'region':
+      return lookUp(state.regions, scope.region) !== undefined;
+    case 'zone':
+      return Object.values(state.regions).some(({ zones }) => zones.includes(scope.zone));
+    case 'service':
+      return lookUp(state.services, scope.service) !== undefined;
+  }
+}
+
+function validateScope(state: ConfigurationState, text: string): void {
+  if (hasScope(state, text)) return;
+  throw new ChangeRejectedError(`overrides.${text}`, 'there is no such scope');
 }
 
 /** Replica signs name a replica alone, so one name must not stand for two processes. */
@@ -85,7 +96,7 @@
  */
 export function validateConfiguration(state: ConfigurationState): void {
   const zones = validateZones(state);
-  for (const scope of Object.keys(state.overrides)) validateScope(state, zones, scope);
+  for (const scope of Object.keys(state.overrides)) validateScope(state, scope);
   for (const service of Object.values(state.services)) validateService(state, service);
   validateReplicaNames(state);
   requireValid('defaults', settingsAt(state, [{ level: 'defaults' }]));
