--- a/test/control/controller-group.ts
+++ b/test/control/controller-group.ts
@@ -22,8 +22,8 @@
 export const ELECTION_MS = 10_000;
 
 const SEED = 4;
-const TOKEN = createTokenText('bootstrap');
-const HTTP_PORT = 7400;
+export const TOKEN = createTokenText('bootstrap');
+export const HTTP_PORT = 7400;
 const MESSAGE_PORT = 7500;
 const CLIENT_OPTIONS = {
   connections: 1,
