--- a/src/configuration/read-configuration.ts
+++ b/src/configuration/read-configuration.ts
@@ -1,5 +1,4 @@
 /** Reads a daemon's YAML file, lays flags over it and validates the whole. */
-import { parseDocument } from 'yaml';
 import type { z } from 'zod';
 import {
   describeIssues,
@@ -12,6 +11,7 @@
   WHOLE_FILE,
   type ConfigurationProblem,
 } from './configuration-error.js';
+import { parseYaml } from './parse-yaml.js';
 
 /** A flag's value and the dotted path it replaces. */
 export interface ConfigurationOverride {
@@ -23,13 +23,14 @@
   return typeof content === 'object' && content !== null && !Array.isArray(content);
 }
 
+/** Sets a value inside `root`; where a parent is not a mapping, validation names that parent. */
 function setPath(root: Record<string, unknown>, path: string, value: unknown): void {
   const keys = path.split('.');
   const last = keys.pop();
   let node = root;
   for (const key of keys) {
     const next = (node[key] ??= {});
-    if (!isMapping(next)) return; // The schema reports what the file has there.
+    if (!isMapping(next)) return;
     node = next;
   }
   if (last !== undefined) node[last] = value;
@@ -66,12 +67,11 @@
   text: string,
   overrides: readonly ConfigurationOverride[] = [],
 ): z.infer<S> {
-  const document = parseDocument(text);
-  const [syntaxError] = document.errors;
-  if (syntaxError !== undefined) {
-    throw new ConfigurationError(file, [{ path: WHOLE_FILE, reason: syntaxError.message }]);
+  const parsed = parseYaml(text);
+  if ('reason' in parsed) {
+    throw new ConfigurationError(file, [{ path: WHOLE_FILE, reason: parsed.reason }]);
   }
-  const content: unknown = document.toJS() ?? {};
+  const { content } = parsed;
   if (!isMapping(content)) {
     const reason = 'write keys and values, such as "name: router-1"';
     throw new ConfigurationError(file, [{ path: WHOLE_FILE, reason }]);
--- a/src/operator/change-file.ts
+++ b/src/operator/change-file.ts
@@ -1,7 +1,7 @@
 /** Files that operators write: changes, services and shards, as YAML or JSON. */
-import { parseDocument } from 'yaml';
 import { z } from 'zod';
 import { WHOLE_FILE } from '../configuration/configuration-error.js';
+import { parseYaml } from '../configuration/parse-yaml.js';
 import { describeIssues, type InputProblem } from '../errors/input-problem.js';
 import { shardSchema } from '../model/service-definition.js';
 import {
@@ -35,12 +35,9 @@
 
 /** @throws OperatorError naming every wrong key and value. */
 export function parseFile<S extends z.ZodType>(schema: S, file: string, text: string): z.infer<S> {
-  const document = parseDocument(text);
-  const [syntaxError] = document.errors;
-  if (syntaxError !== undefined) {
-    throw badFile(file, [{ path: '', reason: syntaxError.message }]);
-  }
-  const content: unknown = document.toJS() ?? {};
+  const yaml = parseYaml(text);
+  if ('reason' in yaml) throw badFile(file, [{ path: '', reason: yaml.reason }]);
+  const { content } = yaml;
   const parsed = schema.safeParse(content);
   if (parsed.success) return parsed.data;
   const problems = describeIssues(schema, content, parsed.error.issues);
