--- a/scripts/write-generated-documents.js
+++ b/scripts/write-generated-documents.js
@@ -5,6 +5,6 @@
 
 for (const { path, write } of GENERATED_DOCUMENTS) {
   const options = await resolveConfig(path);
-  await writeFile(path, await format(write(), { ...options, filepath: path }));
+  await writeFile(path, await format(await write(), { ...options, filepath: path }));
   process.stdout.write(`wrote ${path}\n`);
 }
--- a/src/administration/administration-handler.ts
+++ b/src/administration/administration-handler.ts
@@ -55,10 +55,12 @@
   private readonly authenticator: Authenticator;
   private readonly metrics: AdministrationMetrics;
   private readonly maximumBodyBytes: number;
+  /** Operations whose last request failed in a way that was not foreseen. */
+  private readonly failing = new Set<string>();
 
   constructor(private readonly dependencies: AdministrationDependencies) {
     this.context = new AdministrationContext(dependencies);
-    this.metrics = new AdministrationMetrics(dependencies.registry);
+    this.metrics = new AdministrationMetrics(dependencies);
     this.maximumBodyBytes = dependencies.maximumBodyBytes ?? MAXIMUM_COMMAND_BYTES;
     this.authenticator = new Authenticator(
       dependencies.machine,
@@ -74,20 +76,23 @@
       operation = matched.route.operationId;
       const result = await this.run(matched, request);
       this.metrics.count(operation, 'ok');
+      this.failing.delete(operation);
       return { status: 200, headers: JSON_HEADERS, body: JSON.stringify(result) };
     } catch (cause) {
       const error = toError(cause, request.method);
       this.metrics.count(operation, error.code);
-      if (error.code === 'internal') {
-        this.dependencies.logger.error('administration request failed', {
-          operation,
-          reason: error.message,
-        });
-      }
+      if (error.code === 'internal') this.logFailure(operation, error.message);
       return errorResponse(error);
     }
   }
 
+  /** One line when an operation begins to fail; the counter tells of every failure. */
+  private logFailure(operation: string, reason: string): void {
+    if (this.failing.has(operation)) return;
+    this.failing.add(operation);
+    this.dependencies.logger.error('administration requests fail', { operation, reason });
+  }
+
   private async run({ route, parameters }: MatchedRoute, request: HttpRequest): Promise<unknown> {
     const principal = await this.authenticator.authenticate(request.headers);
     this.requireAccess(route, principal);
