Let attempts given up teach a replica's latency

Cause: under latency_weighted choice with hedging, a replica that turns slow is learned only from replies that were waited for. Its hedged attempts, the slow ones, were cancelled and taught nothing.

Change: a cancelled attempt is a lower bound of the latency; where it exceeds the smoothed latency it is added to it.

Ruled out: letting what is known of a latency decay with its age, so that a replica once slow is tried again sooner.

Tests seen to fail without the change: what a hedge's loser teaches.

--- a/src/membership/replica-record.ts
+++ b/src/membership/replica-record.ts
@@ -136,6 +136,14 @@
     return this.snapshots.confirm(snapshot);
   }
 
+  /**
+   * An attempt was given up after `elapsed` milliseconds. That is a lower bound
+   * of its latency, so it tells something only where it exceeds what is known.
+   */
+  recordUnfinished(elapsed: number): void {
+    if (elapsed > (this.latency.value ?? 0)) this.latency.add(elapsed);
+  }
+
   recordFailure(): void {
     this.failures.add(1);
   }
--- a/src/router/backend-attempt.ts
+++ b/src/router/backend-attempt.ts
@@ -141,6 +141,7 @@
 
   /** Cancelled: that there was no reply for so long is all that can be learned from it. */
   private giveUp(elapsed: number, requestSent: boolean): AttemptOutcome {
+    this.target.record.recordUnfinished(elapsed);
     this.query.service.policies.hedge.recordUnfinished(this.target.shardId, elapsed);
     return failedAttempt('not_waited_for', requestSent);
   }
--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -32,6 +32,7 @@
   hedgesLeft = 1;
   /** Milliseconds to wait once coverage suffices. */
   furtherWait = Infinity;
+  readonly registry: ReplicaRegistry;
   private readonly router: RouterContext;
   private readonly service: ServiceRuntime;
 
@@ -44,12 +45,13 @@
     const network = new FakeNetwork(new Map(this.backends.map((each) => [each.address, each])));
     const environment = { clock: this.clock, network, random: new PureRandomSource(3) };
     const faults = NO_ROUTER_FAULTS;
-    const registry = new ReplicaRegistry(environment, {
+    this.registry = new ReplicaRegistry(environment, {
       observer: 'router-1',
       maximumReplyBytes: 1_024,
       logger: SILENT_LOGGER,
       faults,
     });
+    const { registry } = this;
     registry.synchronize(new Map(definitions.map((each) => [each.replicaId, each])));
     const identifiers = new IdentifierSequence('router-1', environment.random);
     const metrics = new RouterMetrics(new Registry());
@@ -121,6 +123,15 @@
     expect(firstBackend(bench).ledger[0]?.cancelledAt).toBe(50 + HEDGE_DELAY + 1);
   });
 
+  it('leaves the loser known to take at least as long as it was waited for', async () => {
+    const bench = new Bench(1);
+    const slow = firstBackend(bench);
+    slow.latency = Infinity;
+    await bench.run();
+    const record = bench.registry.get(slow.replicaId);
+    expect(record?.smoothedLatency).toBe(HEDGE_DELAY + 1);
+  });
+
   it('is not sent when the first attempt is quick, or the budget is spent', async () => {
     const quick = new Bench(1);
     firstBackend(quick).latency = HEDGE_DELAY - 1;
