Respect slots, end waits that are in vain, and believe no absurd incarnation

Cause: attempts that waited for a connection were woken one at a time, when an attempt ended. When the reply said that the replica was leaving, or another source did, only one or none of them looked again and the others waited for their deadlines. An incarnation that is no whole number was taken over from a report or a reply, and then handed to the control stream, whose schema has integers only. A replica taken out of the configuration and in again forgot that it had left. A replica that stopped reporting was avoided only 3.2 s after its first missed report, later than the 3 s that are promised. A router sent a replica as many attempts as it had connections for, slots or not.

Change: everyone who waits for a replica looks again when what may be sent to it changes; incarnations are safe integers; signs outlive the configuration's entry; a report is missed after 800 ms, so that the third miss in a row is at most 2.8 s after the first; a router has at most as many attempts at a replica as it has slots.

--- a/src/membership/replica-channel.ts
+++ b/src/membership/replica-channel.ts
@@ -39,8 +39,10 @@
   private readonly kept: HttpClient;
   private readonly fresh: HttpClient;
   private readonly share: ConnectionShare;
+  private readonly slots: number;
 
   constructor(network: Network, replica: ReplicaDefinition, maximumResponseBytes: number) {
+    this.slots = replica.slots;
     this.share = connectionShare(replica.connections);
     const address = parseAddress(replica.address);
     const bounds = {
@@ -52,9 +54,13 @@
     this.fresh = network.httpClient(address, { ...bounds, connections: this.share.fresh });
   }
 
-  /** Most attempts in flight; one kept connection is left to the report where there are two. */
+  /**
+   * Most attempts in flight. No more than the replica has slots: a further one
+   * would wait at the replica, where no sibling can take it. One kept
+   * connection is left to the report where there are two.
+   */
   get capacity(): number {
-    return Math.max(1, Math.min(this.share.kept - 1, this.share.fresh));
+    return Math.max(1, Math.min(this.slots, this.share.kept - 1, this.share.fresh));
   }
 
   /** @throws HttpClientError as the client does. */
--- a/src/membership/replica-poller.ts
+++ b/src/membership/replica-poller.ts
@@ -9,8 +9,11 @@
 export const REPORT_INTERVAL = 500;
 /** Each wait differs from the mean by up to this part, so that routers do not poll in step. */
 const REPORT_JITTER = 0.2;
-/** A report that takes longer counts as missed. Milliseconds. */
-export const REPORT_TIMEOUT = 1_000;
+/**
+ * A report that takes longer counts as missed. Short enough that the third miss
+ * in a row comes within 3 s of the first. Milliseconds.
+ */
+export const REPORT_TIMEOUT = 800;
 
 /** Where reports go. */
 export interface ReportSink {
--- a/src/membership/replica-record.ts
+++ b/src/membership/replica-record.ts
@@ -93,7 +93,7 @@
     if (first !== undefined) first();
   }
 
-  /** Calls `wake` when an attempt ends, until {@link unregisterRoomWaiter}. */
+  /** Calls `wake` when an attempt ends or what may be sent here has changed, until {@link unregisterRoomWaiter}. */
   registerRoomWaiter(wake: () => void): void {
     this.roomWaiters.add(wake);
   }
@@ -108,6 +108,7 @@
     if (known !== undefined && !supersedes(sign, known)) return false;
     this.sign = sign;
     if (known !== undefined && known.incarnation !== sign.incarnation) this.beginIncarnation();
+    this.wakeRoomWaiters();
     return true;
   }
 
@@ -117,13 +118,17 @@
     this.missedReports = 0;
     if (this.sign !== undefined && report.incarnation < this.sign.incarnation) return suspectBefore;
     this.recordLoad(report.load);
-    return this.snapshots.replace(report.snapshots, this.clock.now()) || suspectBefore;
+    const isNews = this.snapshots.replace(report.snapshots, this.clock.now());
+    if (isNews || suspectBefore) this.wakeRoomWaiters();
+    return isNews || suspectBefore;
   }
 
   /** A report did not arrive; true when the replica became suspect by it. */
   missReport(): boolean {
     this.missedReports += 1;
-    return this.missedReports === SUSPECT_AFTER_MISSED_REPORTS;
+    if (this.missedReports !== SUSPECT_AFTER_MISSED_REPORTS) return false;
+    this.wakeRoomWaiters();
+    return true;
   }
 
   recordLoad(load: number): void {
@@ -141,7 +146,14 @@
   }
 
   recordSnapshotNotHeld(snapshot: string): boolean {
-    return this.snapshots.deny(snapshot, this.clock.now());
+    const isNews = this.snapshots.deny(snapshot, this.clock.now());
+    if (isNews) this.wakeRoomWaiters();
+    return isNews;
+  }
+
+  /** What may be sent to it has changed, so everyone who waits for it looks again. */
+  private wakeRoomWaiters(): void {
+    for (const wake of [...this.roomWaiters]) wake();
   }
 
   private beginIncarnation(): void {
--- a/src/membership/replica-registry.ts
+++ b/src/membership/replica-registry.ts
@@ -14,8 +14,8 @@
 import { ReplicaPoller, type ReportSink } from './replica-poller.js';
 import { ReplicaRecord } from './replica-record.js';
 
-/** Signs kept of replicas that no configuration has named yet. */
-const MAXIMUM_EARLY_SIGNS = 10_000;
+/** Signs kept of replicas that the configuration does not name. */
+const MAXIMUM_OTHER_SIGNS = 10_000;
 
 /** What the registry needs besides the seams. */
 export interface RegistryOptions {
@@ -48,8 +48,8 @@
   readonly ownSigns: Stream<ReplicaSign>;
   private readonly emitSign: (sign: ReplicaSign) => void;
   private readonly entries = new Map<string, Entry>();
-  /** Newest sign of each replica that is not in the configuration yet. */
-  private readonly earlySigns = new Map<string, ReplicaSign>();
+  /** Newest sign of each replica that is not in the configuration, yet or any more. */
+  private readonly otherSigns = new Map<string, ReplicaSign>();
 
   constructor(
     private readonly environment: Environment,
@@ -84,7 +84,7 @@
   /** Joins a sign from another daemon or the platform list. */
   applySign(sign: ReplicaSign): boolean {
     const record = this.get(sign.replicaId);
-    if (record === undefined) this.keepEarlySign(sign);
+    if (record === undefined) this.keepOtherSign(sign);
     if (record === undefined || !record.applySign(sign)) return false;
     this.generation += 1;
     if (sign.state !== 'live') {
@@ -129,11 +129,11 @@
     await Promise.all(entries.map(({ record }) => record.channel.close()));
   }
 
-  private keepEarlySign(sign: ReplicaSign): void {
-    const known = this.earlySigns.get(sign.replicaId);
+  private keepOtherSign(sign: ReplicaSign): void {
+    const known = this.otherSigns.get(sign.replicaId);
     if (known !== undefined && !supersedes(sign, known)) return;
-    if (known === undefined && this.earlySigns.size >= MAXIMUM_EARLY_SIGNS) return;
-    this.earlySigns.set(sign.replicaId, sign);
+    if (known === undefined && this.otherSigns.size >= MAXIMUM_OTHER_SIGNS) return;
+    this.otherSigns.set(sign.replicaId, sign);
   }
 
   private observe(record: ReplicaRecord, incarnation: number, draining: boolean): void {
@@ -151,8 +151,8 @@
     if (existing !== undefined) this.remove(definition.replicaId);
     const { clock, network, random } = this.environment;
     const channel = new ReplicaChannel(network, definition, this.options.maximumReplyBytes);
-    const knownSign = existing?.knownSign ?? this.earlySigns.get(definition.replicaId);
-    this.earlySigns.delete(definition.replicaId);
+    const knownSign = existing?.knownSign ?? this.otherSigns.get(definition.replicaId);
+    this.otherSigns.delete(definition.replicaId);
     const record = new ReplicaRecord(definition, channel, clock, knownSign);
     const poller = new ReplicaPoller(record, this, clock, random);
     this.entries.set(definition.replicaId, { record, poller, task: poller.run() });
@@ -162,6 +162,8 @@
     const entry = this.entries.get(replicaId);
     if (entry === undefined) return;
     this.entries.delete(replicaId);
+    const { knownSign } = entry.record;
+    if (knownSign !== undefined) this.keepOtherSign(knownSign);
     entry.poller.stop();
     void entry.task.then(() => entry.record.channel.close()).catch(() => undefined);
   }
--- a/src/membership/report-reader.ts
+++ b/src/membership/report-reader.ts
@@ -8,7 +8,7 @@
 
 const reportSchema = z.object({
   replicaId: z.string().max(63),
-  incarnation: z.number().min(0),
+  incarnation: z.int().min(0),
   draining: z.boolean(),
   load: z.number().min(0),
   snapshots: z
--- a/src/membership/wait-for-room.ts
+++ b/src/membership/wait-for-room.ts
@@ -1,7 +1,10 @@
 /** Waits until one of several replicas may have a free connection. */
 import type { ReplicaRecord } from './replica-record.js';
 
-/** Resolves when an attempt at any of `records` ended, or `signal` aborted. Ask again afterwards. */
+/**
+ * Resolves when an attempt at any of `records` ended, what may be sent to one
+ * of them has changed, or `signal` aborted. Ask again afterwards.
+ */
 export function waitForRoom(records: readonly ReplicaRecord[], signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     const wake = (): void => {
--- a/src/router/reply-verification.ts
+++ b/src/router/reply-verification.ts
@@ -63,7 +63,7 @@
 /** What the sender said of itself, or undefined when it named no incarnation. */
 export function readReplyMark(headers: HttpHeaders): ReplyMark | undefined {
   const incarnation = readNumber(headers[BackendHeader.Incarnation]);
-  if (incarnation === undefined) return undefined;
+  if (!Number.isSafeInteger(incarnation) || incarnation === undefined) return undefined;
   const draining = headers[BackendHeader.Draining] === 'true';
   return { incarnation, draining, load: readNumber(headers[BackendHeader.Load]) };
 }
--- /dev/null
+++ b/test/router/membership.test.ts
@@ -0,0 +1,136 @@
+import { describe, expect, it } from 'vitest';
+import { BackendHeader } from '../../src/model/backend-protocol.js';
+import { createLayout, createState, RouterHarness, type Reply } from './support/router-harness.js';
+
+/** Connections of which one router's share is one attempt at a time. */
+const ONE_AT_A_TIME = 16;
+
+function tellGone(harness: RouterHarness): void {
+  const replicaId = 's0-r0';
+  harness.source.tellSign({ replicaId, incarnation: 1, state: 'gone', observedBy: 'platform' });
+}
+
+describe('attempts that wait for a connection', () => {
+  async function startWaiting(mark: 'true' | 'false') {
+    const harness = await RouterHarness.start({
+      shards: 1,
+      replicas: 1,
+      connections: ONE_AT_A_TIME,
+    });
+    const backend = harness.backend('s0-r0');
+    backend.latency = 20;
+    backend.tamper = ({ headers }) => void (headers[BackendHeader.Draining] = mark);
+    const queries = [1, 2, 3].map((number) =>
+      harness.send({ requestId: `request-${number}`, deadlineMs: 10_000 }),
+    );
+    await harness.clock.advance(10);
+    expect(harness.backend('s0-r0').ledger).toHaveLength(1);
+    return { harness, queries };
+  }
+
+  function codesOf(replies: Reply[]): (string | undefined)[] {
+    return replies.map(({ error }) => error?.code);
+  }
+
+  it('all end at once when the reply before them says that the replica is leaving', async () => {
+    const { harness, queries } = await startWaiting('true');
+    const before = harness.clock.now();
+    const replies = await harness.clock.runUntil(Promise.all(queries));
+    expect(codesOf(replies)).toEqual([undefined, 'refused_not_run', 'refused_not_run']);
+    expect(harness.clock.now() - before).toBe(10);
+  });
+
+  it('all end at once when another source says that the replica is gone', async () => {
+    const { harness, queries } = await startWaiting('false');
+    const before = harness.clock.now();
+    tellGone(harness);
+    const waiting = await harness.clock.runUntil(Promise.all(queries.slice(1)));
+    expect(codesOf(waiting)).toEqual(['refused_not_run', 'refused_not_run']);
+    expect(harness.clock.now()).toBe(before);
+    expect((await harness.clock.runUntil(queries[0] ?? Promise.reject(new Error()))).status).toBe(
+      200,
+    );
+  });
+});
+
+describe('slots of a replica', () => {
+  it('are never exceeded by one router, hedges and retries included', async () => {
+    const harness = await RouterHarness.start({ shards: 1, replicas: 2, connections: 400 });
+    for (const backend of harness.backends.values()) backend.latency = 30;
+    const queries = Array.from({ length: 40 }, (_, index) =>
+      harness.send({ requestId: `request-${index}` }),
+    );
+    await harness.clock.advance(20);
+    for (const backend of harness.backends.values()) expect(backend.ledger).toHaveLength(5);
+    const replies = await harness.clock.runUntil(Promise.all(queries));
+    expect(replies.every(({ status }) => status === 200)).toBe(true);
+    for (const { ledger } of harness.backends.values()) {
+      const atOnce = ledger.map(({ at }) => ledger.filter((other) => other.at === at).length);
+      expect(Math.max(...atOnce)).toBeLessThanOrEqual(5);
+    }
+  });
+});
+
+describe('what a replica says of itself', () => {
+  const absurd = ['1.5', '-1', '99999999999999999', 'NaN', '1e3', ''];
+  for (const incarnation of absurd) {
+    it(`is not believed when its incarnation is "${incarnation}"`, async () => {
+      const harness = await RouterHarness.start({ shards: 1, replicas: 1 });
+      harness.backend('s0-r0').tamper = ({ headers }) => {
+        headers[BackendHeader.Incarnation] = incarnation;
+        headers[BackendHeader.Draining] = 'true';
+      };
+      expect((await harness.query()).status).toBe(200);
+      expect((await harness.query({ requestId: 'request-2' })).status).toBe(200);
+      expect(harness.source.reported).toEqual([]);
+    });
+  }
+
+  for (const incarnation of [1.5, 1e300, -1]) {
+    it(`in a report is not believed when its incarnation is ${incarnation}`, async () => {
+      const harness = await RouterHarness.start({ shards: 1, replicas: 1 });
+      const backend = harness.backend('s0-r0');
+      backend.incarnation = incarnation;
+      backend.draining = true;
+      await harness.clock.advance(1_000);
+      expect(harness.source.reported).toEqual([]);
+    });
+  }
+});
+
+describe('a replica that left', () => {
+  it('does not come back to life by being taken out of the configuration and in again', async () => {
+    const harness = await RouterHarness.start({ shards: 1 });
+    const { source } = harness;
+    tellGone(harness);
+    const whole = createLayout(1, { shards: 1 });
+    const without = createLayout(1, { shards: 1, replicas: 1 });
+    const [shard] = without.shards;
+    const kept = whole.shards[0]?.replicas.slice(1) ?? [];
+    if (shard === undefined) throw new Error('no shard');
+    source.publish(createState(2, {}, [{ ...without, shards: [{ ...shard, replicas: kept }] }]));
+    await harness.clock.advance(1_000);
+    source.publish(createState(3, {}, [whole]));
+    await harness.clock.advance(1_000);
+    for (let number = 0; number < 8; number += 1) {
+      await harness.query({ requestId: `request-${number}` });
+    }
+    expect(harness.backend('s0-r0').ledger).toHaveLength(0);
+    expect(harness.backend('s0-r1').ledger).toHaveLength(8);
+  });
+});
+
+describe('a replica that does not report', () => {
+  it('gets no new work 3 s after the first report it missed, while a sibling reports', async () => {
+    const harness = await RouterHarness.start({ shards: 1 });
+    const backend = harness.backend('s0-r0');
+    backend.silent = true;
+    const longestUntilFirstMiss = 600 + 800;
+    await harness.clock.advance(longestUntilFirstMiss + 3_000);
+    const before = backend.ledger.length;
+    for (let number = 0; number < 16; number += 1) {
+      await harness.query({ requestId: `request-${number}` });
+    }
+    expect(backend.ledger).toHaveLength(before);
+  });
+});
