--- a/lab/simulation/pooled-connection.ts
+++ b/lab/simulation/pooled-connection.ts
@@ -86,7 +86,8 @@
       pending.fail('response_rejected');
       return;
     }
-    if (response.body.length > this.pool.target.options.maximumResponseBytes) {
+    const isAccepted = pending.request.acceptBytes?.(response.body.length) ?? true;
+    if (response.body.length > this.pool.target.options.maximumResponseBytes || !isAccepted) {
       this.close();
       pending.fail('response_too_large');
       return;
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -32,6 +32,7 @@
   if (error instanceof ResponseTooLargeError) return 'response_too_large';
   if (error instanceof ResponseRejectedError) return 'response_rejected';
   if (error instanceof errors.HTTPParserError) return 'malformed_response';
+  if (error instanceof errors.HeadersOverflowError) return 'malformed_response';
   if (error instanceof errors.ResponseContentLengthMismatchError) return 'malformed_response';
   return headerReceived ? 'response_truncated' : 'connection_lost';
 }
@@ -56,9 +57,12 @@
     request.signal?.addEventListener('abort', this.onSignal, { once: true });
   }
 
-  /** Called by undici immediately before it writes the request to a socket. */
+  /**
+   * Called by undici immediately before it writes the request to a socket. A
+   * second call would be a resend, which no caller has asked for.
+   */
   onConnect(abort: (error?: Error) => void): void {
-    if (this.request.signal?.aborted === true) {
+    if (this.request.signal?.aborted === true || this.requestSent) {
       abort(new Error('aborted'));
       return;
     }
@@ -78,7 +82,8 @@
 
   onData(chunk: Buffer): boolean {
     this.size += chunk.length;
-    if (this.size > this.maximumBytes) {
+    const isAccepted = this.request.acceptBytes?.(chunk.length) ?? true;
+    if (this.size > this.maximumBytes || !isAccepted) {
       this.abort(new ResponseTooLargeError('response too large'));
       return false;
     }
--- a/src/router/backend-attempt.ts
+++ b/src/router/backend-attempt.ts
@@ -15,6 +15,7 @@
   type AttemptIdentity,
   type DroppedReplyReason,
 } from './reply-verification.js';
+import type { ReplyBuffer } from './reply-buffer.js';
 import type { RouterContext } from './router-context.js';
 
 /** Where the attempt goes. */
@@ -29,11 +30,13 @@
 export class BackendAttempt {
   private readonly identity: AttemptIdentity;
   private mismatch: DroppedReplyReason | undefined;
+  private bytesReceived = 0;
 
   constructor(
     private readonly router: RouterContext,
     private readonly query: QueryContext,
     private readonly target: AttemptTarget,
+    private readonly replies: ReplyBuffer,
   ) {
     this.identity = {
       requestId: query.backendRequestId,
@@ -47,16 +50,21 @@
   /** Sends it and judges what comes back. Never throws; aborting `signal` cancels it. */
   async run(signal: AbortSignal): Promise<AttemptOutcome> {
     const { record } = this.target;
+    record.beginAttempt();
+    const outcome = await this.exchange(signal);
+    if (outcome.kind === 'failed') this.replies.release(this.bytesReceived);
+    record.endAttempt();
+    return outcome;
+  }
+
+  private async exchange(signal: AbortSignal): Promise<AttemptOutcome> {
     const { clock } = this.router.environment;
     const startedAt = clock.now();
-    record.beginAttempt();
     try {
       const response = await this.send(signal, startedAt);
       return this.judge(response, clock.now() - startedAt);
     } catch (error) {
       return this.judgeError(error, clock.now() - startedAt);
-    } finally {
-      record.endAttempt();
     }
   }
 
@@ -70,6 +78,7 @@
       signal,
       freshConnection: !request.repeatable,
       acceptResponse: (headers) => this.accepts(headers),
+      acceptBytes: (bytes) => this.takeBytes(bytes),
     });
   }
 
@@ -86,6 +95,11 @@
     };
   }
 
+  private takeBytes(bytes: number): boolean {
+    this.bytesReceived += bytes;
+    return this.replies.take(bytes);
+  }
+
   /** Asked when the header is there, so that an untrustworthy connection is closed at once. */
   private accepts(headers: HttpHeaders): boolean {
     const { skipReplyMatching } = this.router.faults;
--- a/src/router/query-endpoint.ts
+++ b/src/router/query-endpoint.ts
@@ -21,6 +21,11 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 const UNKNOWN_SERVICE = 'unknown';
 
+/** The part of a deadline that is kept back. Milliseconds. */
+function answerReserve(deadlineMs: number): number {
+  return Math.min(ANSWER_RESERVE_MS, deadlineMs * ANSWER_RESERVE_SHARE);
+}
+
 /** The parts of a router that serve a query. */
 export interface QueryEndpointParts {
   readonly router: RouterContext;
@@ -95,7 +100,6 @@
       request.deadlineMs ?? settings.defaultDeadlineMs,
       settings.maximumDeadlineMs,
     );
-    const reserve = Math.min(ANSWER_RESERVE_MS, deadline * ANSWER_RESERVE_SHARE);
     return {
       request,
       service,
@@ -104,7 +108,7 @@
       queryText,
       requiredCoverage: Math.max(request.requiredCoverage ?? 0, settings.requiredCoverage),
       receivedAt,
-      deadlineAt: receivedAt + deadline - reserve,
+      deadlineAt: receivedAt + deadline - answerReserve(deadline),
     };
   }
 
@@ -147,7 +151,7 @@
     const { clock } = this.parts.router.environment;
     return new Promise((resolve, reject) => {
       const message = 'the first request with this id is still running';
-      const timer = clock.setTimer(deadlineMs, () =>
+      const timer = clock.setTimer(deadlineMs - answerReserve(deadlineMs), () =>
         reject(new QueryError('outcome_unknown', 504, message, true, {}, { step: 'join' })),
       );
       void earlier.then((finished) => {
--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -8,6 +8,7 @@
 import type { ExecutionEnding, ExecutionResult, ReachedShard } from './execution-result.js';
 import type { QueryContext } from './query-context.js';
 import type { QueryPlan } from './query-plan.js';
+import { ReplyBuffer } from './reply-buffer.js';
 import type { RouterContext } from './router-context.js';
 import { ShardExecution } from './shard-execution.js';
 import type { ShardOutcome } from './shard-outcome.js';
@@ -18,6 +19,7 @@
 export class QueryExecution {
   private readonly ended = new AbortController();
   private readonly wakeup: Wakeup;
+  private readonly replies: ReplyBuffer;
   private readonly shards: readonly ShardExecution[];
   private readonly outcomes: (ShardOutcome | undefined)[];
   private readonly needed: number;
@@ -32,9 +34,10 @@
     tally: AttemptTally,
   ) {
     this.wakeup = new Wakeup(router.environment.clock);
-    this.shards = plan.shards.map(
-      (shard) => new ShardExecution(router, query, plan, shard, tally, this.ended.signal),
-    );
+    const { maximumAnswerBytes } = query.service.settings;
+    this.replies = new ReplyBuffer(maximumAnswerBytes, () => this.wakeup.wake());
+    const queryTry = { plan, tally, replies: this.replies, ended: this.ended.signal };
+    this.shards = plan.shards.map((shard) => new ShardExecution(router, query, queryTry, shard));
     this.outcomes = this.shards.map(() => undefined);
     this.needed = requiredShardCount(query.requiredCoverage, this.shards.length);
     this.pending = this.shards.length;
@@ -77,7 +80,8 @@
   }
 
   private get isTooLarge(): boolean {
-    return this.answerBytes > this.query.service.settings.maximumAnswerBytes;
+    const { maximumAnswerBytes } = this.query.service.settings;
+    return this.replies.isExceeded || this.answerBytes > maximumAnswerBytes;
   }
 
   private async waitForEnding(signal: AbortSignal): Promise<ExecutionEnding> {
@@ -116,7 +120,9 @@
       coverage: stateCoverage(standings, this.query.requiredCoverage),
       results: sufficient ? this.results() : [],
       mayHaveRun: this.shards.some((shard) => shard.mayHaveRun),
-      snapshotVanished: this.shards.some((shard) => shard.snapshotVanished),
+      snapshotVanished: this.shards.some(
+        (shard, index) => shard.snapshotVanished && this.outcomes[index]?.kind !== 'answered',
+      ),
     };
   }
 
--- a/src/router/shard-execution.ts
+++ b/src/router/shard-execution.ts
@@ -6,12 +6,12 @@
  */
 import type { ReplicaRecord } from '../membership/replica-record.js';
 import { waitForRoom } from '../membership/wait-for-room.js';
+import type { MissingReason } from '../model/coverage.js';
 import { failedAttempt, type AttemptKind, type AttemptOutcome } from './attempt-outcome.js';
-import type { AttemptTally } from './attempt-tally.js';
 import { BackendAttempt } from './backend-attempt.js';
 import type { ShardView } from './layout-view.js';
 import type { QueryContext } from './query-context.js';
-import type { QueryPlan } from './query-plan.js';
+import type { QueryTry } from './query-try.js';
 import type { RouterContext } from './router-context.js';
 import { ShardCandidates } from './shard-candidates.js';
 import type { ShardOutcome } from './shard-outcome.js';
@@ -34,13 +34,10 @@
   constructor(
     private readonly router: RouterContext,
     private readonly query: QueryContext,
-    private readonly plan: QueryPlan,
+    private readonly queryTry: QueryTry,
     private readonly shard: ShardView,
-    private readonly tally: AttemptTally,
-    /** Aborts when the query has ended. */
-    private readonly ended: AbortSignal,
   ) {
-    this.candidates = new ShardCandidates(router.registry, shard, plan.snapshotText);
+    this.candidates = new ShardCandidates(router.registry, shard, queryTry.plan.snapshotText);
   }
 
   /** Ends with the first verified answer, or when nothing more may be tried. Never throws. */
@@ -48,10 +45,10 @@
     let outcome = await this.tryOnce('primary');
     while (outcome.kind === 'failed') {
       const { reason } = outcome;
-      const delay = this.mayRetry() ? this.retryDelay() : undefined;
+      const delay = this.mayRetry() ? this.retryDelay(reason) : undefined;
       if (delay === undefined) return { kind: 'missing', reason };
-      await this.router.environment.clock.sleep(delay, this.ended).catch(() => undefined);
-      if (this.ended.aborted) return { kind: 'missing', reason };
+      await this.router.environment.clock.sleep(delay, this.queryTry.ended).catch(() => undefined);
+      if (this.queryTry.ended.aborted) return { kind: 'missing', reason };
       outcome = await this.tryOnce('retry');
     }
     return outcome;
@@ -70,8 +67,8 @@
       // No await between the choice and the launch, so that two tasks never take one connection.
       const record = this.select(preferred.filter((each) => each.hasRoom));
       if (record !== undefined) return this.launchWithHedge(kind, record);
-      await waitForRoom(preferred, this.ended);
-      if (this.ended.aborted) return failedAttempt('not_waited_for', false);
+      await waitForRoom(preferred, this.queryTry.ended);
+      if (this.queryTry.ended.aborted) return failedAttempt('not_waited_for', false);
     }
   }
 
@@ -93,16 +90,16 @@
 
   private launch(kind: AttemptKind, record: ReplicaRecord): RunningAttempt {
     this.attempts += 1;
-    this.tally.add(kind);
+    this.queryTry.tally.add(kind);
     this.candidates.markTried(record);
     const { metrics, faults } = this.router;
     metrics.attempts.inc({ service: this.query.service.definition.name, kind });
-    const pinned = this.plan.snapshotText;
+    const pinned = this.queryTry.plan.snapshotText;
     const snapshot = faults.mergeAcrossSnapshots ? newestHeld(record, pinned) : pinned;
     const target = { record, shardId: this.shard.shardId, snapshot };
     const controller = new AbortController();
     this.running.add(controller);
-    const attempt = new BackendAttempt(this.router, this.query, target);
+    const attempt = new BackendAttempt(this.router, this.query, target, this.queryTry.replies);
     const outcome = attempt.run(controller.signal).then((result) => {
       this.running.delete(controller);
       this.note(result);
@@ -130,7 +127,7 @@
   }
 
   private launchHedge(): RunningAttempt | undefined {
-    if (this.ended.aborted) return undefined;
+    if (this.queryTry.ended.aborted) return undefined;
     const record = this.select(this.candidates.siblings());
     if (record === undefined) return undefined;
     if (!this.query.service.policies.hedge.takeBudget()) return undefined;
@@ -167,7 +164,7 @@
 
   /** Whether anything but the retry policy stands against another attempt. */
   private mayRetry(): boolean {
-    if (this.ended.aborted || this.candidates.holders().length === 0) return false;
+    if (this.queryTry.ended.aborted || this.candidates.holders().length === 0) return false;
     if (this.attempts >= this.query.service.settings.maximumAttemptsPerShard) return false;
     return this.treatAsRepeatable || !this.mayHaveRun;
   }
@@ -176,7 +173,13 @@
     return this.query.request.repeatable || this.router.faults.retryNotRepeatable;
   }
 
-  private retryDelay(): number | undefined {
+  /**
+   * When to try again; undefined for never. A replica that lacks the snapshot
+   * spent nothing on the request and drops out of the candidates, so the next
+   * one is asked at once and no budget is charged.
+   */
+  private retryDelay(reason: MissingReason): number | undefined {
+    if (reason === 'snapshot_not_held') return 0;
     const { clock } = this.router.environment;
     return this.query.service.policies.retry.retryDelay({
       shardId: this.shard.shardId,
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -87,6 +87,12 @@
    * `HttpClientError` of kind `response_rejected`.
    */
   readonly acceptResponse?: (headers: HttpHeaders) => boolean;
+  /**
+   * Asked for each part of the response's body as it arrives, with its size in
+   * bytes. When it says false, the connection is closed at once and the request
+   * fails with an `HttpClientError` of kind `response_too_large`.
+   */
+  readonly acceptBytes?: (bytes: number) => boolean;
 }
 
 /** A response received in full. */
--- a/test/node/node-http-client.test.ts
+++ b/test/node/node-http-client.test.ts
@@ -141,14 +141,31 @@
     expect(peer.current.sockets).toHaveLength(2);
   });
 
+  it('closes the connection of a body that is not accepted, before it is whole', async () => {
+    const http = await start((socket, number) => {
+      socket.write(number === 1 ? httpReply('xxxx', 60) : httpReply('ok'));
+    });
+    const asked: number[] = [];
+    const acceptBytes = (bytes: number): boolean => {
+      asked.push(bytes);
+      return false;
+    };
+    const error = await failureOf(http.request({ ...GET, acceptBytes }));
+    expect(error).toMatchObject({ kind: 'response_too_large', requestSent: true });
+    expect(asked).toEqual([4]);
+    expect(textOf(await http.request(GET))).toBe('ok');
+    expect(peer.current.sockets).toHaveLength(2);
+  });
+
   const broken: readonly [string, string][] = [
     ['response_truncated', httpReply('cut', 20)],
     ['response_too_large', httpReply('x'.repeat(65))],
     ['malformed_response', 'not HTTP at all\r\n\r\n'],
+    ['malformed_response', `HTTP/1.1 200 OK\r\nx: ${'y'.repeat(70_000)}\r\n\r\n`],
     ['connection_lost', ''],
   ];
-  for (const [kind, bytes] of broken) {
-    it(`reports ${kind} as sent, without sending again`, async () => {
+  for (const [number, [kind, bytes]] of broken.entries()) {
+    it(`reports ${kind} (${number}) as sent, without sending again`, async () => {
       const http = await start((socket) => socket.end(bytes));
       expect(await failureOf(http.request(GET))).toMatchObject({ kind, requestSent: true });
       expect(peer.current.requests).toBe(1);
--- a/test/router/at-most-once.test.ts
+++ b/test/router/at-most-once.test.ts
@@ -86,6 +86,19 @@
     expect(startedCount(harness)).toBe(1);
   });
 
+  it('is answered before its own deadline when the first takes longer', async () => {
+    const harness = await RouterHarness.start({ shards: 1 });
+    for (const backend of harness.backends.values()) backend.latency = 800;
+    const first = harness.send(ONCE);
+    const before = harness.clock.now();
+    const resend = await harness.query({ ...ONCE, deadlineMs: 100 });
+    expect(harness.clock.now() - before).toBeLessThan(100);
+    expect(resend.error).toMatchObject({ code: 'outcome_unknown', mayHaveRun: true });
+    const { answer } = await harness.clock.runUntil(first);
+    expect((await harness.query(ONCE)).answer).toEqual(answer);
+    expect(startedCount(harness)).toBe(1);
+  });
+
   it('learns the outcome of a first try whose caller went away', async () => {
     const harness = await RouterHarness.start({ shards: 1 });
     const gone = new AbortController();
--- a/test/router/deadlines.test.ts
+++ b/test/router/deadlines.test.ts
@@ -81,6 +81,40 @@
   });
 });
 
+describe('replies that arrive slowly', () => {
+  const settings = { maximumAnswerBytes: 1_024 };
+
+  it('hold no more memory than two answers, and end the query once they would', async () => {
+    const harness = await RouterHarness.start({ shards: 8, settings });
+    for (const backend of harness.backends.values()) {
+      backend.latency = Infinity;
+      backend.bytesAtOnce = 400;
+    }
+    const before = harness.clock.now();
+    const { status, error } = await harness.query({ deadlineMs: 10_000 });
+    expect(status).toBe(502);
+    expect(error.message).toContain('maximumAnswerBytes');
+    expect(harness.clock.now()).toBe(before);
+    expect(harness.attempts.length).toBeLessThan(8);
+  });
+
+  it('give their memory back when they fail', async () => {
+    const harness = await RouterHarness.start({
+      shards: 1,
+      replicas: 1,
+      settings: { ...settings, maximumAttemptsPerShard: 10, retryBudgetPercent: 100 },
+    });
+    const backend = harness.backend('s0-r0');
+    backend.bytesAtOnce = 900;
+    backend.tamper = (draft) => {
+      if (backend.ledger.length < 6) draft.disposition = 'failed';
+    };
+    const { status } = await harness.query();
+    expect(status).toBe(200);
+    expect(backend.ledger).toHaveLength(6);
+  });
+});
+
 describe('a caller that is gone', () => {
   it('has its attempts cancelled', async () => {
     const harness = await RouterHarness.start({ shards: 2 });
--- a/test/router/snapshots.test.ts
+++ b/test/router/snapshots.test.ts
@@ -80,6 +80,64 @@
     expect(reply.answer.attempts.primary).toBe(6);
   });
 
+  it('asks every sibling for the snapshot, without charging the retry budget', async () => {
+    const settings = { retryBudgetPercent: 0, maximumAttemptsPerShard: 4 };
+    const harness = await RouterHarness.start({ shards: 3, replicas: 4, settings });
+    for (const backend of harness.backends.values()) backend.snapshots = ['1.1', '1.2'];
+    await harness.clock.advance(1_000);
+    for (const replica of ['s2-r0', 's2-r1', 's2-r2']) {
+      harness.backend(replica).snapshots = ['1.1'];
+    }
+    for (let number = 0; number < 30; number += 1) {
+      const reply = await harness.query({ requestId: `request-${number}` });
+      expect(drawnFrom(reply)).toEqual(['1.2']);
+    }
+  });
+
+  it('plans afresh only once, and shares nothing between the tries', async () => {
+    const settings = { requiredCoverage: 0.6 };
+    const harness = await RouterHarness.start({ shards: 3, replicas: 1, settings });
+    for (const backend of harness.backends.values()) backend.snapshots = ['1.1', '1.2', '1.3'];
+    await harness.clock.advance(1_000);
+    for (const replica of ['s1-r0', 's2-r0']) harness.backend(replica).snapshots = ['1.1'];
+    const { status, error } = await harness.query();
+    expect(status).toBe(503);
+    expect(error.coverage?.reached).toEqual(['shard-0']);
+    const ledger = [...harness.backends.values()].flatMap((backend) => backend.ledger);
+    const asked = ['1.3', '1.3', '1.3', '1.2', '1.2', '1.2'];
+    expect(ledger.map(({ snapshot }) => snapshot).sort()).toEqual(asked.sort());
+    expect(new Set(ledger.map(({ attemptId }) => attemptId)).size).toBe(6);
+  });
+
+  it('plans afresh on another snapshot, even where the first would still suffice', async () => {
+    const settings = { requiredCoverage: 0.6, maximumAttemptsPerShard: 1 };
+    const harness = await RouterHarness.start({ shards: 3, replicas: 1, settings });
+    for (const backend of harness.backends.values()) backend.snapshots = ['1.1', '1.2'];
+    harness.backend('s2-r0').snapshots = ['1.2'];
+    await harness.clock.advance(1_000);
+    harness.backend('s2-r0').snapshots = [];
+    harness.backend('s1-r0').tamper = (draft, { snapshot }) => {
+      if (snapshot === '1.2') draft.disposition = 'failed';
+    };
+    const reply = await harness.query();
+    expect(drawnFrom(reply)).toEqual(['1.1']);
+    expect(reply.answer.coverage.reached).toEqual(['shard-0', 'shard-1']);
+  });
+
+  it('does not plan afresh when the snapshot is not what is missing', async () => {
+    const harness = await RouterHarness.start({ shards: 3 });
+    for (const backend of harness.backends.values()) backend.snapshots = ['1.1', '1.2'];
+    await harness.clock.advance(1_000);
+    for (const replica of ['s2-r0', 's2-r1']) harness.backend(replica).down = true;
+    harness.backend('s1-r0').snapshots = ['1.1'];
+    for (let number = 0; number < 8; number += 1) {
+      const { status } = await harness.query({ requestId: `request-${number}` });
+      expect(status).toBe(503);
+    }
+    const ledger = [...harness.backends.values()].flatMap((backend) => backend.ledger);
+    expect(new Set(ledger.map(({ snapshot }) => snapshot))).toEqual(new Set(['1.2']));
+  });
+
   it('does not plan a not repeatable request afresh', async () => {
     const harness = await RouterHarness.start({ shards: 3 });
     for (const backend of harness.backends.values()) backend.snapshots = ['1.1', '1.2'];
--- a/test/router/support/fake-backend.ts
+++ b/test/router/support/fake-backend.ts
@@ -42,6 +42,8 @@
   /** Reports do not arrive, queries do. */
   silent = false;
   latency = 1;
+  /** Bytes of a reply's body that arrive at once, long before the rest. */
+  bytesAtOnce = 0;
   readonly ledger: LedgerEntry[] = [];
   /** Changes a reply before it is sent. */
   tamper: (draft: ReplyDraft, entry: LedgerEntry) => void = () => undefined;
--- a/test/router/support/fake-network.ts
+++ b/test/router/support/fake-network.ts
@@ -1,5 +1,6 @@
 /** A network in memory: the router's listener and the back ends it reaches. */
 import { HttpClientError } from '../../../src/errors/http-client-error.js';
+import { BACKEND_QUERY_PATH } from '../../../src/model/backend-protocol.js';
 import { formatAddress, type Address } from '../../../src/seams/address.js';
 import type {
   HttpClient,
@@ -26,15 +27,23 @@
     if (request.signal?.aborted === true) return Promise.reject(fail('aborted', false));
     if (backend === undefined || backend.down) return Promise.reject(fail('connect_failed', false));
     const cancelled = new AbortController();
+    const accept = (bytes: number): boolean => request.acceptBytes?.(bytes) ?? true;
     return new Promise((resolve, reject) => {
       request.signal?.addEventListener('abort', () => {
         cancelled.abort(new Error('cancelled'));
         reject(fail('aborted', true));
       });
+      const partial = backend.bytesAtOnce;
+      if (partial > 0 && request.path === BACKEND_QUERY_PATH && !accept(partial)) {
+        cancelled.abort(new Error('cancelled'));
+        reject(fail('response_too_large', true));
+        return;
+      }
       backend.serve(request, cancelled.signal).then((response) => {
         const accepted = request.acceptResponse?.(response.headers) ?? true;
-        if (accepted) resolve(response);
-        else reject(fail('response_rejected', true));
+        if (!accepted) reject(fail('response_rejected', true));
+        else if (accept(response.body.length)) resolve(response);
+        else reject(fail('response_too_large', true));
       }, reject);
     });
   }
