--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -13,6 +13,7 @@
 import type { RandomSource } from '../../../src/seams/random-source.js';
 import { CountingDisk } from './counting-disk.js';
 import { HistoryMachine } from './history-machine.js';
+import { ShufflingConnection } from './shuffling-connection.js';
 
 export interface ClusterOptions {
   readonly faults?: RaftFaults;
@@ -20,6 +21,10 @@
   readonly timings?: Partial<RaftTimings>;
   /** Timings of single members. */
   readonly timingsOf?: Readonly<Record<string, Partial<RaftTimings>>>;
+  /** Zones of machines; each has one of its own by default. */
+  readonly zoneOf?: Readonly<Record<string, string>>;
+  /** Requests are duplicated and reordered. */
+  readonly shuffle?: boolean;
 }
 
 export interface StartOptions {
@@ -84,7 +89,7 @@
   member(id: string): Member {
     let member = this.members.get(id);
     if (member === undefined) {
-      const machine = this.simulation.createMachine(id, `zone-${id}`);
+      const machine = this.simulation.createMachine(id, this.zoneOf(id));
       const disk = this.countingDisk(id, machine.environment);
       member = { machine, disk, node: undefined, state: this.newState(id) };
       this.members.set(id, member);
@@ -119,7 +124,7 @@
         ),
         join: options.join ?? false,
         stateMachine: member.state,
-        dial: (peer) => dial(environment, id, peer),
+        dial: (peer) => this.dial(environment, id, peer),
         faults: this.options.faults,
         limits: this.options.limits,
         timings: { ...this.options.timings, ...this.options.timingsOf?.[id] },
@@ -146,6 +151,13 @@
     member.node = undefined;
   }
 
+  /** Like {@link RaftCluster.crash}, and nothing tells the others. */
+  losePower(id: string): void {
+    const member = this.member(id);
+    member.machine.crash({ power: true });
+    member.node = undefined;
+  }
+
   /** Drops everything between two members from now on. */
   cut(left: string, right: string, bothWays = true): void {
     if (left === right) return;
@@ -159,6 +171,16 @@
     this.simulation.cut({ to: { machine: id } });
   }
 
+  /** Cuts one zone off from all others. */
+  isolateZone(zone: string): void {
+    const others = new Set([...this.members.keys()].map((id) => this.zoneOf(id)));
+    others.delete(zone);
+    for (const other of others) {
+      this.simulation.cut({ from: { zone }, to: { zone: other } });
+      this.simulation.cut({ from: { zone: other }, to: { zone } });
+    }
+  }
+
   heal(): void {
     this.simulation.healAll();
   }
@@ -215,6 +237,10 @@
     return this.member(id).state.commands;
   }
 
+  private zoneOf(id: string): string {
+    return this.options.zoneOf?.[id] ?? `zone-${id}`;
+  }
+
   private describe(ids: readonly string[]): string {
     return ids.map((id) => JSON.stringify(this.members.get(id)?.node?.status())).join(' ');
   }
@@ -229,6 +255,18 @@
     return { memberId, address: { host: this.member(memberId).machine.host, port: PORT } };
   }
 
+  /** Stands for the handshake: the first frame names the member. */
+  private async dial(
+    environment: DurableEnvironment,
+    from: string,
+    peer: MemberEndpoint,
+  ): Promise<MessageConnection> {
+    const connection = await environment.network.connectMessages(peer.address, CONNECT_TIMEOUT);
+    await connection.send(Buffer.from(from));
+    if (this.options.shuffle !== true) return connection;
+    return new ShufflingConnection(connection, environment.clock, this.random);
+  }
+
   private countingDisk(id: string, environment: DurableEnvironment): CountingDisk {
     return new CountingDisk(environment.disk, () => {
       const delay = this.random.nextFloat() * LATEST_CRASH;
@@ -268,17 +306,6 @@
   }
 }
 
-/** Stands for the handshake: the first frame names the member. */
-async function dial(
-  environment: DurableEnvironment,
-  from: string,
-  peer: MemberEndpoint,
-): Promise<MessageConnection> {
-  const connection = await environment.network.connectMessages(peer.address, CONNECT_TIMEOUT);
-  await connection.send(Buffer.from(from));
-  return connection;
-}
-
 async function accept(node: RaftNode, connection: MessageConnection): Promise<void> {
   const frame = await connection.receive();
   if (frame === undefined) return;
