--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -33,6 +33,10 @@
   readonly keepDisk?: boolean;
   /** What the settings file says of the group's begin; the cluster's own ids by default. */
   readonly initialIds?: readonly string[];
+  /** The start is killed in this write. */
+  readonly crashAt?: number;
+  /** The start fails when it takes longer. Milliseconds. */
+  readonly limit?: number;
 }
 
 /** One machine: its disk stays, its process comes and goes. */
@@ -113,6 +117,7 @@
     const environment = member.machine.restart({ keepDisk: options.keepDisk ?? true });
     member.state = this.newState(id);
     member.disk = this.countingDisk(id, environment);
+    member.disk.crashAt = options.crashAt ?? Infinity;
     const starting = RaftNode.start(
       { ...environment, disk: member.disk },
       {
@@ -131,7 +136,7 @@
       },
       { logger: this.logger(id), registry: new Registry() },
     );
-    const node = await this.simulation.settle(starting);
+    const node = await this.simulation.settle(starting, options.limit);
     await this.simulation.settle(
       environment.network.listenMessages(this.endpoint(id).address, (connection) =>
         accept(node, connection),
