Let a promoted member stand for election

Cause: a follower whose vote came with a record of the log was not woken, so its election task slept until the leader changed. Right after a replacement, when the leader died and only the promoted member held the last accepted change, the two that were left elected nobody for good, although they were a majority.

Also: an answer to a resent change of members now waits for the change that it finds, since that may not be committed yet.

Ruled out as a fault: a forwarded proposal that is sent twice on one connection is applied twice; TCP does not do that, and change ids tell resends above.

--- a/src/consensus/append-handler.ts
+++ b/src/consensus/append-handler.ts
@@ -37,6 +37,13 @@
   state.leaderCommitIndex = Math.max(state.leaderCommitIndex, commitIndex);
 }
 
+/** Adds the records; a member that they promote has to know that it may stand for election. */
+function mergeRecords(state: MemberState, records: readonly LogRecord[]): void {
+  const { membership } = state;
+  state.log.merge(records);
+  if (state.membership !== membership) state.roleChanged.notify();
+}
+
 async function appendRecords(
   state: MemberState,
   request: RequestOf<'append'>,
@@ -55,7 +62,7 @@
   }
   const records = decodeRecords(request.records, previousIndex);
   refuseReplacingCommitted(state, records);
-  state.log.merge(records);
+  mergeRecords(state, records);
   if (state.dependencies.faults.acknowledgeBeforeSync === true) state.recordsAdded.notify();
   else await persistOrFail(state);
   state.hearLeader(request.leaderId);
--- a/src/consensus/membership-changer.ts
+++ b/src/consensus/membership-changer.ts
@@ -155,8 +155,8 @@
 
   private async promote(change: MembershipChange, leadership: Leadership): Promise<void> {
     const { memberId } = change;
-    if (requireMember(this.state.membership, memberId).voter) return;
-    await this.waitForCatchUp(memberId, leadership);
+    const { voter } = requireMember(this.state.membership, memberId);
+    if (!voter) await this.waitForCatchUp(memberId, leadership);
     await this.commit(leadership, (current) => {
       const member = requireMember(current, memberId);
       return member.voter ? current : current.withMember({ ...member, voter: true });
@@ -182,8 +182,8 @@
 
   private async remove(change: MembershipChange, leadership: Leadership): Promise<void> {
     const { memberId } = change;
-    if (this.state.membership.retiredIds.includes(memberId)) return;
     await this.commit(leadership, (current) => {
+      if (current.retiredIds.includes(memberId)) return current;
       requireMember(current, memberId);
       return current.withoutMember(memberId);
     });
--- a/test/consensus/disk-loss.test.ts
+++ b/test/consensus/disk-loss.test.ts
@@ -63,6 +63,25 @@
     expect(commands).toContain('later');
   });
 
+  it('has a successor that stands for election, should it alone hold the last change', async () => {
+    const cluster = await RaftCluster.started(4, IDS);
+    const leader = await cluster.leader();
+    const [lost = '', behind = ''] = others(leader);
+    cluster.crash(lost);
+    await cluster.start('d', { join: true });
+    const node = cluster.node(leader);
+    await cluster.simulation.settle(node.addLearner('d', cluster.addressOf('d')));
+    await cluster.simulation.settle(node.promote('d'));
+    await cluster.simulation.settle(node.remove(lost));
+    cluster.isolate(behind);
+    await cluster.propose(leader, 'accepted');
+    cluster.losePower(leader);
+    cluster.heal();
+    expect(await cluster.leader(['d', behind])).toBe('d');
+    await cluster.converge(['d', behind]);
+    expect(cluster.commandsOf(behind)).toEqual(['accepted']);
+  });
+
   it.each([0, 1, 2])(
     'is replaced, and a second machine then fails, and nothing is lost (member %i)',
     async (place) => {
