--- a/src/model/query-answer.ts
+++ b/src/model/query-answer.ts
@@ -25,13 +25,15 @@
   readonly coverage: Coverage;
   /** Revision of the settings the plan was made under. */
   readonly settingsRevision: number;
+  /** Present when no source could prove that this revision is still the newest. */
+  readonly settingsStale?: true;
   readonly attempts: AttemptCounts;
   readonly results: readonly ShardResult[];
 }
 
 /** How a query that brought no answer ended. */
 export type QueryErrorCode =
-  /** The request itself is wrong; nothing was run. HTTP 400, 404, 408, 413, 431. */
+  /** The request itself is wrong; nothing was run. HTTP 400, 404, 405, 408, 413, 431. */
   | 'bad_request'
   /** Nothing of it was run anywhere. HTTP 429 or 503. */
   | 'refused_not_run'
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -6,18 +6,17 @@
 import type { RouterConfiguration } from '../configuration/router-configuration.js';
 import { ReplicaRegistry } from '../membership/replica-registry.js';
 import type { Logger } from '../observability/logger.js';
-import type { Address } from '../seams/address.js';
+import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { HttpListener, HttpRequest, HttpResponse } from '../seams/http.js';
 import type { ConfigurationSource } from '../settings/configuration-source.js';
 import type { ConfigurationState } from '../settings/configuration-state.js';
 import { createClockScheduler } from './clock-scheduler.js';
-import { closingConnection, errorResponse, textResponse } from './http-responses.js';
+import { closingConnection, methodNotAllowed, noSuchPath, textResponse } from './http-responses.js';
 import { IdentifierSequence } from './identifier-sequence.js';
 import { InFlightQueries } from './in-flight-queries.js';
 import { IDS_PER_OUTCOME, MAXIMUM_OUTCOME_BYTES, OutcomeLedger } from './outcome-ledger.js';
 import { QueryEndpoint } from './query-endpoint.js';
-import { badRequest } from './query-error.js';
 import { serviceOfPath } from './query-reader.js';
 import type { RouterContext } from './router-context.js';
 import { NO_ROUTER_FAULTS, type RouterFaults } from './router-faults.js';
@@ -128,6 +127,7 @@
     const { limits, listen } = this.configuration;
     const { network } = this.context.environment;
     this.listener = await network.listenHttp(listen.http, limits, (request) => this.route(request));
+    this.logger.info('router listening', { http: formatAddress(this.address) });
     const { registry } = this.context;
     this.subscribe(this.source.revisions, (state) => this.applyRevision(state));
     this.subscribe(this.source.replicaSigns, (sign) => registry.applySign(sign));
@@ -169,8 +169,7 @@
     if (path === '/livez') return textResponse(200, 'live\n');
     if (path === '/readyz') return this.readyz();
     if (path === '/metrics') return this.metrics();
-    const reason = service === undefined ? 'there is no such path' : 'use POST';
-    return errorResponse(badRequest(reason, undefined, 404));
+    return service === undefined ? noSuchPath() : methodNotAllowed();
   }
 
   private readyz(): HttpResponse {
