Round simulated waits up, so that time always passes

Cause: a wait of a fraction of a microsecond was rounded down to nothing.

Ruled out: a fault of the loop. A real clock moves between two looks.

Change: timers are rounded up to whole microseconds.

--- a/lab/simulation/simulated-clock.ts
+++ b/lab/simulation/simulated-clock.ts
@@ -40,8 +40,11 @@
   }
 
   setTimer(milliseconds: number, callback: () => void): Timer {
+    // Rounded up: a wait that ends a fraction early would be taken up again at the same moment,
+    // and a loop that waits for a deadline would never see time pass.
+    const microseconds = Math.ceil((milliseconds / this.rate) * MICROSECONDS_PER_MILLISECOND);
     const event = this.events.schedule(
-      milliseconds / this.rate,
+      microseconds / MICROSECONDS_PER_MILLISECOND,
       EventKind.Timer,
       this.life,
       0,
