End the wait of an exchange link when there is news

Cause: the link waits for news or for the time of its next sign of life, whichever comes first, and left the other wait running. With news every 100 ms the waits pile up until each has run out; Node warns of more than ten abort listeners on one signal.

Change: news ends the wait.

--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -85,11 +85,25 @@
         const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
         await connection.send(EXCHANGE_CODEC.encodeBatch(batch));
       }
-      await Promise.race([news, this.pause(KEEP_ALIVE_INTERVAL_MS)]);
+      await this.waitFor(news);
       await this.pause(BATCH_INTERVAL_MS);
     }
   }
 
+  /** Until there is news, or it is time to send a sign of life. */
+  private async waitFor(news: Promise<void>): Promise<void> {
+    const { signal } = this.stopped;
+    if (signal.aborted) return;
+    const over = new AbortController();
+    const end = (): void => over.abort(new Error('news'));
+    signal.addEventListener('abort', end, { once: true });
+    const { clock } = this.parts.environment;
+    const pause = clock.sleep(KEEP_ALIVE_INTERVAL_MS, over.signal).catch(() => undefined);
+    await Promise.race([news, pause]);
+    signal.removeEventListener('abort', end);
+    end();
+  }
+
   private collect(daemonPosition: number, signPosition: number): ExchangeMessage[] {
     const daemons = this.parts.daemons
       .changedAfter(daemonPosition)
