Keep idle connections of callers open through the stop notice

Cause: a planned stop closed idle connections after 250 ms. A caller that sent a request on one at that moment saw its connection close without an answer and could not tell whether the request ran.

Ruled out: closing idle connections one by one as they are used only narrows the race; TCP has no way to close for new requests alone.

Change: the notice is 5.5 s, longer than the 5 s for which a connection may be idle. Each answer in that time ends its connection, so none is left when the listener closes. A stop takes that much longer. The switch that cuts requests off at a stop now does so at the beginning of the notice; after it hardly any request is still in flight.

--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -31,8 +31,13 @@
   readonly registry: Registry;
 }
 
-/** Time between readiness going false and the first closed connection, for probes. Milliseconds. */
-export const STOP_NOTICE_MS = 250;
+/**
+ * Time between readiness going false and the first closed connection. Longer
+ * than the 5 s for which a caller's connection may be idle: every answer of this
+ * time ends its connection, so that at its end none is left on which a caller
+ * may just be sending a request. Milliseconds.
+ */
+export const STOP_NOTICE_MS = 5_500;
 
 /** One running router. */
 export class RouterDaemon {
@@ -186,8 +191,8 @@
   private async shutDown(): Promise<void> {
     this.readiness.noteStopping();
     this.logger.info('router stopping', { inFlight: this.inFlight.size });
-    await this.context.environment.clock.sleep(STOP_NOTICE_MS);
     if (this.context.faults.cutInFlightAtStop) this.inFlight.cancelAll();
+    await this.context.environment.clock.sleep(STOP_NOTICE_MS);
     await this.inFlight.drained();
     await this.listener?.close();
     this.endSubscriptions(undefined);
