Simulate a whole fleet under seeded faults, and audit it

driftway-lab simulate runs three controllers, two routers, stand-in back ends and the platform's list, unchanged, in virtual time, with callers and with operators that race and resend, under cuts, crashes, disk faults, publishes and planned restarts drawn from the seed. Each run is audited for the eight promises and for coming back by itself after the last fault.

Stragglers, repartitions and skew are refused as not built yet.

--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -3,6 +3,7 @@
 import { BenchCommand } from './bench-command.js';
 import { BackendCommand } from './backend-command.js';
 import { PlatformCommand } from './platform-command.js';
+import { SimulateCommand } from './simulate-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 
 /** Runs one command line and returns its exit code. */
@@ -17,6 +18,7 @@
   cli.register(BenchCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
+  cli.register(SimulateCommand);
   cli.register(MeasureRouterCostCommand);
   return cli.run([...commandLine], Cli.defaultContext);
 }
--- /dev/null
+++ b/lab/commands/simulate-command.ts
@@ -0,0 +1,130 @@
+/** `driftway-lab simulate`: a whole fleet in virtual time under random, seeded faults. */
+import { Command, Option } from 'clipanion';
+import * as typanion from 'typanion';
+import type { DeploymentName } from '../bench/deployment.js';
+import { BUILT_FAULT_KINDS, parseFaultKinds } from '../simulate/fault-kinds.js';
+import { parseSeedRange, seedsOf, summarise } from '../simulate/seed-batch.js';
+import { formatFailure, formatSeedLine } from '../simulate/seed-report.js';
+import { hasFailed, type SeedResult } from '../simulate/seed-result.js';
+import { SeedRun } from '../simulate/seed-run.js';
+import { DEFAULT_SIMULATE_OPTIONS, type SimulateOptions } from '../simulate/simulate-options.js';
+
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+const DEPLOYMENT_NAMES: readonly DeploymentName[] = ['dohoku', 'pnw'];
+
+/** See `driftway-lab simulate --help`. */
+export class SimulateCommand extends Command {
+  static override paths = [['simulate']];
+
+  static override usage = Command.Usage({
+    category: 'Simulate',
+    description: 'Break a whole fleet in virtual time, and audit all promises.',
+    details: `
+      Runs, in one process and in virtual time, the shipped daemons unchanged: three controllers
+      as one group, two routers, stand-in back ends and the platform's list, with callers and
+      with operators that race and resend, under a schedule of faults drawn from the seed. The
+      same seed and options give the same events and the same digest.
+
+      After each seed the eight promises are audited from what callers, back ends and operators
+      saw, and the fleet must come back by itself: a leader stands, every daemon is at the last
+      revision, and queries are answered in full. Exits with 1 when anything of that fails, and
+      prints the command that replays the seed, with a timeline.
+
+      Faults: ${BUILT_FAULT_KINDS.map((kind) => `\`${kind}\``).join(', ')}, or \`none\`. What each
+      does and how the deployments are scaled down is in docs/design/simulation.md.
+    `,
+    examples: [
+      [
+        'A hundred seeds of one minute each',
+        '$0 simulate --deployment dohoku --seeds 1..100 --faults cuts,crashes,disks --minutes 1',
+      ],
+      ['All kinds, and one JSON object as the last line', '$0 simulate --seeds 1..20 --json'],
+      [
+        'Replay seed 7 with two of its faults only',
+        '$0 simulate --seeds 7 --faults cuts,drains --only 3,12',
+      ],
+    ],
+  });
+
+  deployment = Option.String('--deployment', 'dohoku', {
+    validator: typanion.isEnum(DEPLOYMENT_NAMES),
+    description: 'dohoku or pnw, scaled down.',
+  });
+
+  seeds = Option.String('--seeds', '1..10', { description: 'First and last seed, as A..B.' });
+
+  faults = Option.String('--faults', BUILT_FAULT_KINDS.join(','), {
+    description: 'Kinds of faults, separated by commas; none for a calm run. All when absent.',
+  });
+
+  minutes = Option.String('--minutes', '1', {
+    validator: typanion.isNumber(),
+    description: 'Virtual minutes in which faults strike.',
+  });
+
+  rate = Option.String('--rate', String(DEFAULT_SIMULATE_OPTIONS.rate), {
+    validator: typanion.isNumber(),
+    description: 'Requests a second over both routers.',
+  });
+
+  only = Option.String('--only', {
+    description: 'Numbers of the scheduled faults that strike; the others are left out.',
+  });
+
+  timeline = Option.Boolean('--timeline', false, {
+    description: 'Print the timeline of every seed, also of those that pass.',
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print one JSON object as the last line.',
+  });
+
+  async execute(): Promise<number> {
+    try {
+      return await this.run();
+    } catch (error) {
+      if (!(error instanceof RangeError)) throw error;
+      this.context.stderr.write(`${error.message}\n`);
+      return EXIT_USAGE;
+    }
+  }
+
+  private async run(): Promise<number> {
+    const options = this.readOptions();
+    const seeds = seedsOf(parseSeedRange(this.seeds));
+    const results: SeedResult[] = [];
+    for (const seed of seeds) {
+      const result = await new SeedRun(seed, options).run();
+      this.print(result, options, !results.some(hasFailed));
+      results.push(result);
+    }
+    const summary = summarise(results);
+    if (this.json) this.context.stdout.write(`${JSON.stringify(summary)}\n`);
+    return summary.failingSeeds.length > 0 ? EXIT_FAILED : 0;
+  }
+
+  /** @throws RangeError naming what is wrong. */
+  private readOptions(): SimulateOptions {
+    const { deployment, minutes, rate } = this;
+    if (minutes <= 0) throw new RangeError('--minutes must be above 0');
+    if (rate <= 0) throw new RangeError('--rate must be above 0');
+    const faults = parseFaultKinds(this.faults);
+    const only = this.only?.split(',').map(Number);
+    if (only?.some((number) => !Number.isInteger(number)) === true) {
+      throw new RangeError(`--only "${this.only ?? ''}" is no list of numbers, such as 3,12`);
+    }
+    const options = { ...DEFAULT_SIMULATE_OPTIONS, deployment, faults, minutes, rate };
+    return only === undefined ? options : { ...options, only };
+  }
+
+  /** The timeline of the first failing seed is enough; the others name their replay. */
+  private print(result: SeedResult, options: SimulateOptions, firstFailure: boolean): void {
+    const { stdout } = this.context;
+    stdout.write(`${formatSeedLine(result)}\n`);
+    const withTimeline = this.timeline || (hasFailed(result) && firstFailure);
+    if (hasFailed(result) || withTimeline) {
+      stdout.write(`${formatFailure(result, options, withTimeline)}\n`);
+    }
+  }
+}
--- /dev/null
+++ b/lab/simulate/simulate-options.ts
@@ -0,0 +1,37 @@
+/** What a simulation run is asked for. */
+import type { DeploymentName } from '../bench/deployment.js';
+import { NO_BROKEN_RULES, type BrokenRules } from './broken-rules.js';
+import type { FaultKind } from './fault-kinds.js';
+
+/** One seed's run. */
+export interface SimulateOptions {
+  readonly deployment: DeploymentName;
+  readonly faults: readonly FaultKind[];
+  /** Virtual time during which faults begin and end. Minutes. */
+  readonly minutes: number;
+  /** Requests a second over all routers. */
+  readonly rate: number;
+  /** Numbers of the scheduled faults that strike; all when absent. */
+  readonly only?: readonly number[];
+  readonly broken: BrokenRules;
+}
+
+export const DEFAULT_SIMULATE_OPTIONS: SimulateOptions = {
+  deployment: 'dohoku',
+  faults: [],
+  minutes: 1,
+  rate: 20,
+  broken: NO_BROKEN_RULES,
+};
+
+/** The command that runs one seed again with the same options. */
+export function replayCommand(seed: number, options: SimulateOptions): string {
+  const { deployment, faults, minutes, rate, only } = options;
+  const kinds = faults.length === 0 ? 'none' : faults.join(',');
+  const parts = [
+    `driftway-lab simulate --deployment ${deployment} --seeds ${seed}..${seed}`,
+    `--faults ${kinds} --minutes ${minutes} --rate ${rate}`,
+  ];
+  if (only !== undefined) parts.push(`--only ${only.join(',')}`);
+  return `${parts.join(' ')} --json`;
+}
