Kill two controllers at once and one after the other's repair

Cause: the recovery run killed one controller at a time, so that a quorum was always left, and never a second one right after a repair.

Change: the kills go round the leader, a follower, both at once, and a follower as soon as the leader listens again; one task does it.

--- a/lab/commands/recovery-command.ts
+++ b/lab/commands/recovery-command.ts
@@ -21,8 +21,9 @@
     description: 'Kill controllers with SIGKILL while changes are made, and check what is kept',
     details: `
       Two operators race each other with changes of the same setting on a real fleet. After every
-      so many accepted changes a controller is killed and started again, the leader every other
-      time; at the end all are killed at once and started again. Then every controller must have
+      so many accepted changes controllers are killed and started again: in turn the leader, a
+      follower, both at once, and a follower as soon as the leader is back. At the end all are
+      killed at once and started again. Then every controller must have
       every accepted change at its revision, none that was refused, and no other history than
       its peers, and the last revision must be in force at every router. Queries are sent
       meanwhile and audited.
--- a/lab/recovery/recovery-run.ts
+++ b/lab/recovery/recovery-run.ts
@@ -1,5 +1,5 @@
 /** Kills controllers while operators race each other, restarts all, and looks what is left. */
-import type { HistoryReport, StatusReport } from '../../src/administration/response-schemas.js';
+import type { HistoryReport } from '../../src/administration/response-schemas.js';
 import type { ConfigurationState } from '../../src/settings/configuration-state.js';
 import type { Environment } from '../../src/seams/environment.js';
 import { DEFAULT_AUDIT_TERMS } from '../auditor/audit-evidence.js';
@@ -10,8 +10,14 @@
 import { withFleet } from '../fleet/with-fleet.js';
 import type { CallerLedgerEntry } from '../ledger/caller-ledger-entry.js';
 import { runLoad } from '../load/run-load.js';
+import { ControllerKiller } from './controller-killer.js';
 import { ChangeWriter, WRITTEN_KEY } from './change-writer.js';
-import type { ControllerView, RecoveryEvidence, WrittenChange } from './recovery-evidence.js';
+import type {
+  ControllerView,
+  RecoveryEvidence,
+  WriteOutcome,
+  WrittenChange,
+} from './recovery-evidence.js';
 
 const WRITERS = 2;
 const QUERIES_PER_SECOND = 20;
@@ -25,7 +31,7 @@
   readonly print: (line: string) => void;
   /** Changes that each of the operators makes. */
   readonly changes: number;
-  /** One controller is killed, and started again, after this many accepted changes. */
+  /** Controllers are killed, and started again, after this many accepted changes. */
   readonly changesPerKill: number;
 }
 
@@ -37,14 +43,8 @@
 /** One run. */
 export class RecoveryRun {
   private readonly written: WrittenChange[] = [];
-  private accepted = 0;
-  private nextKillAt: number;
-  private kills = 0;
-  private killing: Promise<void> = Promise.resolve();
 
-  constructor(private readonly options: RecoveryOptions) {
-    this.nextKillAt = options.changesPerKill;
-  }
+  constructor(private readonly options: RecoveryOptions) {}
 
   /** @throws Error when it cannot be finished; no process is left then either. */
   run(): Promise<RecoveryEvidence> {
@@ -62,6 +62,7 @@
 
   private async use(fleet: Fleet): Promise<RecoveryUse> {
     const { environment, file, print, signal } = this.options;
+    const killer = new ControllerKiller(environment, fleet, print);
     const enough = new AbortController();
     const load = runLoad(environment, {
       targets: fleet.routers,
@@ -73,36 +74,51 @@
       signal: AbortSignal.any([enough.signal, signal]),
     });
     try {
-      await this.writeAll(fleet);
-      await this.restartAll(fleet);
+      await this.writeAll(fleet, killer);
+      await killer.killAll();
       const views = await this.readViews(fleet);
       print(`each controller tells ${views.map(({ history }) => history.revision).join(', ')}`);
       const inForce = await this.countInForce(fleet, views);
       enough.abort();
       const { entries } = await load;
       const { controllers, routers } = file;
-      const { written, kills } = this;
-      return { written, kills, views, inForce, controllers, routers, callers: entries };
+      const { written } = this;
+      return {
+        written,
+        kills: killer.steps,
+        views,
+        inForce,
+        controllers,
+        routers,
+        callers: entries,
+      };
     } finally {
       enough.abort();
     }
   }
 
-  private async writeAll(fleet: Fleet): Promise<void> {
-    const { changes, print } = this.options;
+  private async writeAll(fleet: Fleet, killer: ControllerKiller): Promise<void> {
+    const { changes, changesPerKill, print, signal } = this.options;
+    const written = new AbortController();
     const writers = Array.from({ length: WRITERS }, (_, index) =>
       this.writeLoop(fleet, `operator-${index + 1}`, index * changes),
     );
-    await Promise.all(writers);
-    await this.killing;
-    const count = (wanted: string): number =>
-      this.written.filter(({ outcome }) => outcome === wanted).length;
+    const accepted = (): number => this.count('accepted');
+    const end = AbortSignal.any([written.signal, signal]);
+    await Promise.all([
+      Promise.all(writers).finally(() => written.abort()),
+      killer.run({ accepted, changesPerKill, signal: end }),
+    ]);
     print(
-      `${this.written.length} changes: ${count('accepted')} accepted, ${count('refused')} ` +
-        `refused, ${count('unknown')} unknown; ${this.kills} kills of one controller`,
+      `${this.written.length} changes: ${accepted()} accepted, ${this.count('refused')} ` +
+        `refused, ${this.count('unknown')} unknown; killed ${killer.steps} times`,
     );
   }
 
+  private count(wanted: WriteOutcome): number {
+    return this.written.filter(({ outcome }) => outcome === wanted).length;
+  }
+
   private async writeLoop(fleet: Fleet, name: string, offset: number): Promise<void> {
     const client = fleetClient(this.options.environment, fleet);
     const service = this.writtenService();
@@ -111,42 +127,10 @@
       this.options.signal.throwIfAborted();
       const change = await writer.write(offset + index);
       this.written.push(change);
-      if (change.outcome === 'accepted') this.noteAccepted(fleet);
     }
     client.close();
   }
 
-  /** Kills in the midst of whatever the writers do meanwhile, one controller at a time. */
-  private noteAccepted(fleet: Fleet): void {
-    this.accepted += 1;
-    if (this.accepted < this.nextKillAt) return;
-    this.nextKillAt += this.options.changesPerKill;
-    this.killing = this.killing.then(() => this.killOne(fleet));
-  }
-
-  /** The leader and another controller in turn. */
-  private async killOne(fleet: Fleet): Promise<void> {
-    const members = fleet.terms.controllers;
-    const leader = await this.findLeader(fleet);
-    const others = members.filter(({ memberId }) => memberId !== leader);
-    const wantsLeader = this.kills % 2 === 0;
-    const victim = wantsLeader
-      ? leader
-      : others[Math.floor(this.kills / 2) % others.length]?.memberId;
-    if (victim === undefined) return;
-    this.kills += 1;
-    await fleet.kill(victim);
-    await fleet.startController(victim);
-    this.options.print(`killed ${victim}${wantsLeader ? ' (leader)' : ''}, started it again`);
-  }
-
-  private async restartAll(fleet: Fleet): Promise<void> {
-    const members = fleet.terms.controllers.map(({ memberId }) => memberId);
-    await Promise.all(members.map((memberId) => fleet.kill(memberId)));
-    await Promise.all(members.map((memberId) => fleet.startController(memberId)));
-    this.options.print('killed all controllers at once, started them again');
-  }
-
   private async readViews(fleet: Fleet): Promise<ControllerView[]> {
     const views: ControllerView[] = [];
     for (const { memberId, http } of fleet.terms.controllers) {
@@ -168,13 +152,6 @@
     return inForce;
   }
 
-  private async findLeader(fleet: Fleet): Promise<string | undefined> {
-    const client = fleetClient(this.options.environment, fleet);
-    const { leaderId } = await client.get<StatusReport>('/v1/status');
-    client.close();
-    return leaderId ?? undefined;
-  }
-
   private writtenService(): string {
     return this.options.file.services[0]?.name ?? '';
   }
