--- a/lab/backend/backend.ts
+++ b/lab/backend/backend.ts
@@ -10,15 +10,11 @@
 import type { Snapshot } from '../../src/model/snapshot.js';
 import type { Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
-import type {
-  HttpListener,
-  HttpListenOptions,
-  HttpRequest,
-  HttpResponse,
-} from '../../src/seams/http.js';
+import type { HttpRequest, HttpResponse } from '../../src/seams/http.js';
 import type { BackendEventKind } from '../ledger/backend-event.js';
 import type { BackendFault, BackendFaultInput } from './backend-fault.js';
 import { BackendExchange, type ExchangeContext } from './backend-exchange.js';
+import { BackendListener } from './backend-listener.js';
 import type { BackendOptions } from './backend-options.js';
 import { NO_REPLY, type ReplicaFacts } from './backend-reply.js';
 import { readBackendRequest } from './backend-request.js';
@@ -28,10 +24,6 @@
 import { SlotQueue } from './slot-queue.js';
 import { WorkStop } from './work-stop.js';
 
-const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
-const MAXIMUM_HEADER_BYTES = 16 * 1024;
-const REQUEST_TIMEOUT = 10_000;
-
 const NOT_FOUND: HttpResponse = { status: 404, body: '{"error":"no such path"}' };
 const BAD_REQUEST: HttpResponse = { status: 400, body: '{"error":"not a back-end request"}' };
 const JSON_HEADERS = { 'content-type': 'application/json' };
@@ -42,8 +34,7 @@
   readonly snapshots: HeldSnapshots;
   previousReply: HttpResponse | undefined;
   slots: SlotQueue;
-  private boundAddress: Address;
-  private listener: HttpListener | undefined;
+  private readonly listener: BackendListener;
   private readonly running = new Set<WorkStop>();
   private draining = false;
   private currentIncarnation = 0;
@@ -54,7 +45,10 @@
     readonly environment: Environment,
     readonly options: BackendOptions,
   ) {
-    this.boundAddress = options.address;
+    const { address, connections } = options;
+    this.listener = new BackendListener(environment.network, address, connections, (request) =>
+      this.serve(request),
+    );
     this.faults = new FaultSwitchboard(environment.random);
     this.snapshots = new HeldSnapshots(options.keptSnapshots);
     this.hold(options.snapshot, options.shardIds);
@@ -70,7 +64,7 @@
   }
 
   get address(): Address {
-    return this.boundAddress;
+    return this.listener.address;
   }
 
   get replicaId(): string {
@@ -87,7 +81,7 @@
 
   /** Whether it accepts connections. */
   get isListening(): boolean {
-    return this.listener !== undefined;
+    return this.listener.isOpen;
   }
 
   /** Adds a snapshot to those it answers from; the oldest beyond the number kept is dropped. */
@@ -118,39 +112,33 @@
 
   /** A planned stop: drains, answers what is in flight, and closes. */
   async stop(): Promise<void> {
-    const listener = this.listener;
-    if (listener === undefined) return;
+    if (!this.listener.isOpen) return;
     this.drain();
-    this.listener = undefined;
-    await listener.close();
+    await this.listener.close();
     this.recordEvent('stopped');
   }
 
   /** Cuts every connection and refuses new ones until {@link Backend.restart}. */
   async crash(): Promise<void> {
-    const listener = this.listener;
-    if (listener === undefined) return;
-    this.listener = undefined;
+    if (!this.listener.isOpen) return;
     this.recordEvent('crashed');
     for (const stop of this.running) stop.crash();
-    await listener.close();
+    await this.listener.close();
   }
 
   /** Refuses new connections while what is in flight is finished; undone by {@link Backend.accept}. */
   async refuse(): Promise<void> {
-    const listener = this.listener;
-    this.listener = undefined;
-    await listener?.close();
+    await this.listener.close();
   }
 
   /** Accepts connections again after {@link Backend.refuse}, on the same port. */
   async accept(): Promise<void> {
-    this.listener ??= await this.listen();
+    await this.listener.open();
   }
 
   /** Comes back after a crash or stop on the same port, cold and as a new incarnation. */
   async restart(): Promise<void> {
-    if (this.listener !== undefined) return;
+    if (this.listener.isOpen) return;
     this.draining = false;
     this.slots = this.newSlots();
     this.history = this.newHistory();
@@ -185,7 +173,7 @@
   }
 
   private async open(): Promise<void> {
-    this.listener = await this.listen();
+    await this.listener.open();
     const wallTime = Math.floor(this.environment.clock.wallTime());
     this.currentIncarnation = Math.max(this.currentIncarnation + 1, wallTime);
     this.startedAt = this.environment.clock.now();
@@ -193,22 +181,6 @@
     this.noteState();
   }
 
-  private async listen(): Promise<HttpListener> {
-    const limits: HttpListenOptions = {
-      maximumBodyBytes: MAXIMUM_BODY_BYTES,
-      maximumHeaderBytes: MAXIMUM_HEADER_BYTES,
-      requestTimeout: REQUEST_TIMEOUT,
-      maximumConnections: this.options.connections,
-    };
-    const listener = await this.environment.network.listenHttp(
-      this.boundAddress,
-      limits,
-      (request) => this.serve(request),
-    );
-    this.boundAddress = listener.address;
-    return listener;
-  }
-
   private async serve(request: HttpRequest): Promise<HttpResponse> {
     if (request.path === BACKEND_REPORT_PATH) return this.serveReport();
     if (request.path === BACKEND_QUERY_PATH && request.method === 'POST') {
