Tell usage errors of the lab's runs alike

Cause: fleet, load and recovery each caught their errors in their own way; a wrong address or service name given to load ended in a stack trace, and a rate of 0 never sent anything.

Change: the three share RunCommand, on top of the daemons' ConfiguredCommand; rates and counts have a least value.

Measured: exit code 2 with the flag named for a wrong router, a missing and a wrong service, and a missing file; 1 when nothing was answered or a count is 0.

--- a/lab/commands/fleet-command.ts
+++ b/lab/commands/fleet-command.ts
@@ -2,16 +2,16 @@
 import { Command, Option } from 'clipanion';
 import { ExitCode } from '../../src/commands/daemon-process.js';
 import { loadConfiguration } from '../../src/commands/load-configuration.js';
-import { ConfigurationError } from '../../src/configuration/configuration-error.js';
 import { createNodeEnvironment } from '../../src/node/node-environment.js';
 import { formatAddress } from '../../src/seams/address.js';
 import { describeRouter, type Fleet } from '../fleet/fleet.js';
 import { fleetFileSchema } from '../fleet/fleet-file.js';
 import { checkProcesses } from '../fleet/process-record.js';
 import { stopSignal, withFleet } from '../fleet/with-fleet.js';
+import { RunCommand } from './run-command.js';
 
 /** Runs until SIGTERM. */
-export class FleetCommand extends Command {
+export class FleetCommand extends RunCommand {
   static override paths = [['fleet']];
   static override usage = Command.Usage({
     category: 'Fleets',
@@ -41,17 +41,7 @@
   });
   json = Option.Boolean('--json', false, { description: 'Print one JSON line once all runs' });
 
-  override async execute(): Promise<ExitCode> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof Error)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return error instanceof ConfigurationError ? ExitCode.BadConfiguration : ExitCode.Failure;
-    }
-  }
-
-  private async run(): Promise<ExitCode> {
+  protected override async runConfigured(): Promise<ExitCode> {
     const signal = stopSignal();
     const file = await loadConfiguration(fleetFileSchema, this.file, []);
     const environment = createNodeEnvironment();
--- a/lab/commands/load-command.ts
+++ b/lab/commands/load-command.ts
@@ -2,12 +2,13 @@
 import { writeFile } from 'node:fs/promises';
 import { Command, Option } from 'clipanion';
 import * as typanion from 'typanion';
+import { z } from 'zod';
 import { ExitCode } from '../../src/commands/daemon-process.js';
 import { loadConfiguration } from '../../src/commands/load-configuration.js';
 import { ConfigurationError } from '../../src/configuration/configuration-error.js';
 import { createNodeEnvironment } from '../../src/node/node-environment.js';
 import { PureRandomSource } from '../../src/node/pure-random-source.js';
-import { parseAddress } from '../../src/seams/address.js';
+import { parseAddress, type Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
 import { fleetFileSchema } from '../fleet/fleet-file.js';
 import { stopSignal } from '../fleet/with-fleet.js';
@@ -17,11 +18,14 @@
 import type { Arrivals } from '../load/open-loop-load.js';
 import { runLoad, type LoadPlan } from '../load/run-load.js';
 import { queryKindSchema } from '../load/query-mix.js';
+import { RunCommand } from './run-command.js';
 
+/** Requests a second. */
+const LEAST_RATE = 0.1;
 const ARRIVALS: readonly Arrivals[] = ['poisson', 'even'];
 
 /** Runs until every request has ended. */
-export class LoadCommand extends Command {
+export class LoadCommand extends RunCommand {
   static override paths = [['load']];
   static override usage = Command.Usage({
     category: 'Stand-ins',
@@ -50,11 +54,11 @@
   file = Option.String('--file', { description: 'Fleet file (YAML) that says what to ask' });
   service = Option.String('--service', { description: 'Ask this service only' });
   rate = Option.String('--rate', '50', {
-    validator: typanion.cascade(typanion.isNumber(), typanion.isPositive()),
+    validator: typanion.cascade(typanion.isNumber(), typanion.isAtLeast(LEAST_RATE)),
     description: 'Requests a second',
   });
   requests = Option.String('--requests', '500', {
-    validator: typanion.cascade(typanion.isNumber(), typanion.isInteger(), typanion.isPositive()),
+    validator: typanion.cascade(typanion.isNumber(), typanion.isInteger(), typanion.isAtLeast(1)),
     description: 'How many',
   });
   arrivals = Option.String('--arrivals', 'poisson', {
@@ -68,23 +72,13 @@
   ledger = Option.String('--ledger', { description: 'Write what callers sent and got (JSON)' });
   json = Option.Boolean('--json', false, { description: 'Print the summary as JSON' });
 
-  override async execute(): Promise<ExitCode> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof ConfigurationError) && !(error instanceof RangeError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return ExitCode.BadConfiguration;
-    }
-  }
-
-  private async run(): Promise<ExitCode> {
+  protected override async runConfigured(): Promise<ExitCode> {
     const system = createNodeEnvironment();
     const random = this.seed === undefined ? system.random : new PureRandomSource(this.seed);
     const environment: Environment = { ...system, random };
     const { entries } = await runLoad(environment, await this.plan());
     if (this.ledger !== undefined) await writeFile(this.ledger, JSON.stringify(entries));
-    this.print(entries);
+    this.printSummary(entries);
     return entries.some(({ outcome }) => outcome === 'answered')
       ? ExitCode.Success
       : ExitCode.Failure;
@@ -93,7 +87,7 @@
   private async plan(): Promise<LoadPlan> {
     return {
       ...(await this.readQueries()),
-      targets: this.routers.map((text) => ({ name: text, address: parseAddress(text) })),
+      targets: this.routers.map((text) => ({ name: text, address: readAddress(text) })),
       rate: this.rate,
       requests: this.requests,
       arrivals: this.arrivals,
@@ -101,23 +95,37 @@
     };
   }
 
-  /** @throws ConfigurationError, RangeError when there is nothing to ask. */
+  /** @throws ConfigurationError when there is nothing to ask. */
   private async readQueries(): Promise<Pick<LoadPlan, 'queries' | 'clientLatency'>> {
     const { file, service } = this;
     if (file === undefined) {
-      if (service === undefined) throw new RangeError('give --file or --service');
-      return { queries: [queryKindSchema.parse({ service })], clientLatency: 0 };
+      if (service === undefined) throw usageError('--file', 'give --file or --service');
+      const kind = queryKindSchema.safeParse({ service });
+      if (!kind.success) throw usageError('--service', z.prettifyError(kind.error));
+      return { queries: [kind.data], clientLatency: 0 };
     }
     const { queries, clientLatency } = await loadConfiguration(fleetFileSchema, file, []);
     const wanted = queries.filter((kind) => service === undefined || kind.service === service);
-    if (wanted.length === 0) throw new RangeError(`${file} asks nothing of ${service}`);
+    if (wanted.length === 0) throw usageError('--service', `${file} asks nothing of ${service}`);
     return { queries: wanted, clientLatency };
   }
 
-  private print(entries: readonly CallerLedgerEntry[]): void {
+  private printSummary(entries: readonly CallerLedgerEntry[]): void {
     const text = this.json
       ? `${JSON.stringify(Object.fromEntries(summarizeByService(entries)))}\n`
       : formatLoadTable(entries);
     this.context.stdout.write(text);
   }
 }
+
+function usageError(flag: string, reason: string): ConfigurationError {
+  return new ConfigurationError('the command line', [{ path: flag, reason }]);
+}
+
+function readAddress(text: string): Address {
+  try {
+    return parseAddress(text);
+  } catch (error) {
+    throw usageError('--router', (error as Error).message);
+  }
+}
--- a/lab/commands/recovery-command.ts
+++ b/lab/commands/recovery-command.ts
@@ -9,12 +9,13 @@
 import { stopSignal } from '../fleet/with-fleet.js';
 import { judgeRecovery } from '../recovery/recovery-verdict.js';
 import { RecoveryRun } from '../recovery/recovery-run.js';
+import { RunCommand } from './run-command.js';
 
-const isCount = typanion.cascade(typanion.isNumber(), typanion.isInteger(), typanion.isPositive());
+const isCount = typanion.cascade(typanion.isNumber(), typanion.isInteger(), typanion.isAtLeast(1));
 const MAXIMUM_PROBLEMS = 20;
 
 /** See `driftway-lab recovery --help`. */
-export class RecoveryCommand extends Command {
+export class RecoveryCommand extends RunCommand {
   static override paths = [['recovery']];
   static override usage = Command.Usage({
     category: 'Fleets',
@@ -23,10 +24,9 @@
       Two operators race each other with changes of the same setting on a real fleet. After every
       so many accepted changes controllers are killed and started again: in turn the leader, a
       follower, both at once, and a follower as soon as the leader is back. At the end all are
-      killed at once and started again. Then every controller must have
-      every accepted change at its revision, none that was refused, and no other history than
-      its peers, and the last revision must be in force at every router. Queries are sent
-      meanwhile and audited.
+      killed at once and started again. Then every controller must have every accepted change
+      at its revision, none that was refused, and no other history than its peers, and the last
+      revision must be in force at every router. Queries are sent meanwhile and audited.
 
       Exits with 0 when all of it holds, with 1 otherwise, naming what does not.
     `,
@@ -44,18 +44,8 @@
     description: 'Accepted changes between two kills',
   });
 
-  override async execute(): Promise<ExitCode> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof Error)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return ExitCode.Failure;
-    }
-  }
-
-  private async run(): Promise<ExitCode> {
-    const print = (line: string): void => void this.context.stdout.write(`${line}\n`);
+  protected override async runConfigured(): Promise<ExitCode> {
+    const print = (line: string): void => this.print(line);
     const { changes, changesPerKill, folder } = this;
     const evidence = await new RecoveryRun({
       environment: createNodeEnvironment(),
