Wait for news with the one notifier there is, which leaves no timers behind

Signal was besides a second class for what consensus has in Notifier.

Change: Notifier, with its time limit, in both places; Signal is gone.

--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -5,6 +5,7 @@
  * each other still learn from a third.
  */
 import { Counter } from 'prom-client';
+import { Notifier } from '../consensus/notifier.js';
 import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
@@ -19,7 +20,6 @@
 import { SilenceGuard } from './silence-guard.js';
 import type { SignBoard } from './sign-board.js';
 import { fromSignMessage } from './sign-message.js';
-import { Signal } from './signal.js';
 
 /** How often the list of members is looked at. Milliseconds. */
 const MEMBERS_INTERVAL_MS = 1_000;
@@ -41,7 +41,7 @@
 
 /** One for each controller. */
 export class ControllerExchange {
-  private readonly news = new Signal();
+  private readonly news: Notifier;
   private readonly links = new Map<string, ExchangeLink>();
   private readonly stopped = new AbortController();
   private readonly finished: Promise<void>;
@@ -51,6 +51,7 @@
     private readonly parts: ControllerExchangeParts,
     telemetry: Telemetry,
   ) {
+    this.news = new Notifier(parts.environment.clock);
     this.malformedFrames = new Counter({
       name: 'driftway_exchange_malformed_frames_total',
       help: 'Frames from other controllers that the protocol does not allow.',
--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -1,11 +1,11 @@
 /** The sending half of the exchange with one other controller. */
+import type { Notifier } from '../consensus/notifier.js';
 import { dial } from '../protocol/dial.js';
 import { parseAddress } from '../seams/address.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { EXCHANGE_SILENCE_MS, type ControllerExchangeParts } from './controller-exchange.js';
 import { EXCHANGE_CODEC, type ExchangeMessage } from './exchange-messages.js';
 import { SilenceGuard } from './silence-guard.js';
-import type { Signal } from './signal.js';
 import { CONNECT_TIMEOUT_MS, INITIAL_BACK_OFF_MS, MAXIMUM_BACK_OFF_MS } from './stream-timing.js';
 
 /** Longest time without a message. Milliseconds. */
@@ -27,7 +27,7 @@
     private readonly parts: ControllerExchangeParts,
     private readonly memberId: string,
     private readonly address: string,
-    private readonly news: Signal,
+    private readonly news: Notifier,
   ) {
     this.finished = this.run();
   }
@@ -79,7 +79,7 @@
     let daemonPosition = 0;
     let signPosition = 0;
     while (!this.stopped.signal.aborted) {
-      const news = this.news.wait();
+      const news = this.news.wait(KEEP_ALIVE_INTERVAL_MS);
       const messages = this.collect(daemonPosition, signPosition);
       daemonPosition = daemons.position;
       signPosition = signs.position;
@@ -87,7 +87,7 @@
         const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
         await connection.send(EXCHANGE_CODEC.encodeBatch(batch));
       }
-      await Promise.race([news, this.pause(KEEP_ALIVE_INTERVAL_MS)]);
+      await news;
       await this.pause(BATCH_INTERVAL_MS);
     }
   }
--- a/src/control-stream/stream-broadcast.ts
+++ b/src/control-stream/stream-broadcast.ts
@@ -1,4 +1,5 @@
 /** What all subscribers of a controller are sent, encoded once, and the signal that there is more. */
+import { Notifier } from '../consensus/notifier.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
 import type { Clock } from '../seams/clock.js';
 import { AppliedAge } from './applied-age.js';
@@ -6,7 +7,6 @@
 import type { ControlStreamFaults } from './control-stream-faults.js';
 import { EncodedHistory, type EncodedHistoryOptions } from './encoded-history.js';
 import type { SignBoard } from './sign-board.js';
-import { Signal } from './signal.js';
 import { STREAM_CODEC } from './stream-messages.js';
 import { HEARTBEAT_INTERVAL_MS } from './stream-timing.js';
 
@@ -21,7 +21,7 @@
 export class StreamBroadcast {
   readonly history: EncodedHistory;
   /** Notified whenever there is something new to send. */
-  readonly news = new Signal();
+  readonly news: Notifier;
   private readonly appliedAge: AppliedAge;
   private heartbeatFrame: Uint8Array = new Uint8Array();
   private heartbeatNumber = 0;
@@ -34,6 +34,7 @@
     faults: ControlStreamFaults,
     options?: EncodedHistoryOptions,
   ) {
+    this.news = new Notifier(clock);
     this.appliedAge = new AppliedAge(faults);
     this.history = new EncodedHistory(feed, () => this.news.notify(), options);
   }
--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -125,7 +125,7 @@
     broadcast: StreamBroadcast,
   ): Promise<void> {
     while (!this.ended) {
-      const news = broadcast.news.wait();
+      const news = broadcast.news.wait(Infinity);
       for (const frame of this.takeFrames(subscription, broadcast)) {
         await this.connection.send(frame);
         this.context.metrics.sentBytes.inc(frame.length);
