Pass a daemon's report on only to controllers that did not hear it themselves

Cause: what a controller heard of a daemon it sent to every other, and each of these sent it on to all the rest: for n controllers (n-1)^2 messages for each report and daemon, where n-1 would do.

Ruled out: passing nothing on. Two controllers cut off from each other must still learn from a third. Passing on less often: the report of a change in force must not wait.

Change: a controller says in its answers which others it hears itself, and is not sent their reports again. When it stops hearing one, what was left to that one is sent from the beginning; a test fails without this.

--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -1,8 +1,9 @@
 /**
  * Passes reports of daemons and signs of replicas between controllers. Each
- * controller keeps one connection to every other and sends what is new to it;
- * what it receives as news it sends on, so that two controllers cut off from
- * each other still learn from a third.
+ * controller keeps one connection to every other and sends what is new to it.
+ * A sign received as news it sends on, and a report it sends on to those that
+ * do not hear the report's controller themselves, so that two controllers cut
+ * off from each other still learn from a third.
  */
 import { Counter } from 'prom-client';
 import { Notifier } from '../consensus/notifier.js';
@@ -17,6 +18,7 @@
 import type { DaemonDirectory } from './daemon-directory.js';
 import { EXCHANGE_CODEC, toDaemonRecord, type ExchangeMessage } from './exchange-messages.js';
 import { ExchangeLink } from './exchange-link.js';
+import { HeardControllers } from './heard-controllers.js';
 import { SilenceGuard } from './silence-guard.js';
 import type { SignBoard } from './sign-board.js';
 import { fromSignMessage } from './sign-message.js';
@@ -42,6 +44,7 @@
 /** One for each controller. */
 export class ControllerExchange {
   private readonly news: Notifier;
+  private readonly heard = new HeardControllers();
   private readonly links = new Map<string, ExchangeLink>();
   private readonly stopped = new AbortController();
   private readonly finished: Promise<void>;
@@ -69,18 +72,20 @@
   async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
     const guard = new SilenceGuard(this.parts.environment.clock, connection, EXCHANGE_SILENCE_MS);
     void guard.run();
+    this.heard.opened(peer.name);
     try {
       for (;;) {
         const frame = await connection.receive();
         if (frame === undefined) break;
         guard.heard();
         this.takeAll(EXCHANGE_CODEC.decodeBatch(frame, peer.name), peer.name);
-        // Tells the sender that its frames arrive.
-        await connection.send(EXCHANGE_CODEC.encode({ kind: 'keepAlive' }));
+        // Tells the sender that its frames arrive, and what need not be sent.
+        await connection.send(this.heard.frame());
       }
     } catch (error) {
       if (isProtocolViolation(error)) this.malformedFrames.inc();
     }
+    this.heard.closed(peer.name);
     connection.close();
   }
 
--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -4,7 +4,9 @@
 import { parseAddress } from '../seams/address.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { EXCHANGE_SILENCE_MS, type ControllerExchangeParts } from './controller-exchange.js';
+import type { DaemonRecord } from './daemon-record.js';
 import { EXCHANGE_CODEC, type ExchangeMessage } from './exchange-messages.js';
+import { readHearing } from './heard-controllers.js';
 import { SilenceGuard } from './silence-guard.js';
 import { CONNECT_TIMEOUT_MS, INITIAL_BACK_OFF_MS, MAXIMUM_BACK_OFF_MS } from './stream-timing.js';
 
@@ -17,10 +19,16 @@
 /** Most messages of one frame. */
 const MESSAGES_PER_FRAME = 1_000;
 
+const NOTHING_HEARD: ReadonlySet<string> = new Set();
+
 /** Reconnects until stopped. */
 export class ExchangeLink {
   private readonly stopped = new AbortController();
   private connection: MessageConnection | undefined;
+  /** Controllers that the other one hears itself, as it last said. */
+  private peerHears: ReadonlySet<string> = NOTHING_HEARD;
+  private daemonPosition = 0;
+  private signPosition = 0;
   private readonly finished: Promise<void>;
 
   constructor(
@@ -62,7 +70,7 @@
       });
       this.connection = connection;
       open = true;
-      void this.closeWhenUnheard(connection);
+      void this.receiveAnswers(connection);
       await this.sendNews(connection);
     } catch {
       // Counted by the accepting side; tried again after a pause.
@@ -76,13 +84,14 @@
   /** From the beginning on each connection: the other side may have lost what it knew. */
   private async sendNews(connection: MessageConnection): Promise<void> {
     const { daemons, signs } = this.parts;
-    let daemonPosition = 0;
-    let signPosition = 0;
+    this.peerHears = NOTHING_HEARD;
+    this.daemonPosition = 0;
+    this.signPosition = 0;
     while (!this.stopped.signal.aborted) {
       const news = this.news.wait(KEEP_ALIVE_INTERVAL_MS);
-      const messages = this.collect(daemonPosition, signPosition);
-      daemonPosition = daemons.position;
-      signPosition = signs.position;
+      const messages = this.collect();
+      this.daemonPosition = daemons.position;
+      this.signPosition = signs.position;
       for (let start = 0; start < messages.length; start += MESSAGES_PER_FRAME) {
         const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
         await connection.send(EXCHANGE_CODEC.encodeBatch(batch));
@@ -97,23 +106,45 @@
    * for long would first carry something again at TCP's next retransmission,
    * minutes after the cut has healed.
    */
-  private async closeWhenUnheard(connection: MessageConnection): Promise<void> {
+  private async receiveAnswers(connection: MessageConnection): Promise<void> {
     const guard = new SilenceGuard(this.parts.environment.clock, connection, EXCHANGE_SILENCE_MS);
     void guard.run();
     try {
-      while ((await connection.receive()) !== undefined) guard.heard();
+      for (;;) {
+        const frame = await connection.receive();
+        if (frame === undefined) break;
+        guard.heard();
+        for (const message of EXCHANGE_CODEC.decodeBatch(frame, this.memberId)) {
+          if (message.kind === 'hearing') this.takeHearing(readHearing(message));
+        }
+      }
     } catch {
-      // Broken: sending fails as well.
+      // Broken, or not an answer: the connection is no use any more.
     }
     connection.close();
   }
 
-  private collect(daemonPosition: number, signPosition: number): ExchangeMessage[] {
+  private takeHearing(hears: ReadonlySet<string>): void {
+    const lost = [...this.peerHears].some((memberId) => !hears.has(memberId));
+    this.peerHears = hears;
+    if (!lost) return;
+    // What was left to a controller that the other one no longer hears.
+    this.daemonPosition = 0;
+    this.news.notify();
+  }
+
+  private mustSend({ controller }: DaemonRecord): boolean {
+    if (controller === this.parts.identity.name) return true;
+    return controller !== this.memberId && !this.peerHears.has(controller);
+  }
+
+  private collect(): ExchangeMessage[] {
     const daemons = this.parts.daemons
-      .changedAfter(daemonPosition)
+      .changedAfter(this.daemonPosition)
+      .filter(({ record }) => this.mustSend(record))
       .map(({ record, silentMs }) => ({ kind: 'daemon' as const, ...record, silentMs }));
     const signs = this.parts.signs
-      .changedAfter(signPosition)
+      .changedAfter(this.signPosition)
       .map(({ scope, sign }) => ({ kind: 'scopedSign' as const, scope, ...sign }));
     const messages = this.parts.faults?.withholdReports === true ? [] : [...daemons, ...signs];
     return messages.length > 0 ? messages : [{ kind: 'keepAlive' }];
--- a/src/control-stream/exchange-messages.ts
+++ b/src/control-stream/exchange-messages.ts
@@ -25,7 +25,14 @@
   readonly kind: 'keepAlive';
 }
 
-export type ExchangeMessage = DaemonMessage | ScopedSignMessage | KeepAliveMessage;
+/** In an answer: which controllers the receiver hears itself, so that no one need pass on theirs. */
+export interface HearingMessage {
+  readonly kind: 'hearing';
+  /** Separated by spaces. */
+  readonly memberIds: string;
+}
+
+export type ExchangeMessage = DaemonMessage | ScopedSignMessage | KeepAliveMessage | HearingMessage;
 
 export const EXCHANGE_CODEC = new MessageCodec<ExchangeMessage>({
   daemon: {
@@ -53,6 +60,7 @@
     ],
   },
   keepAlive: { tag: 42, fields: [] },
+  hearing: { tag: 43, fields: [{ name: 'memberIds', type: 'string' }] },
 });
 
 /** The record that a message carries. */
--- a/test/control-stream/force-tracker.test.ts
+++ b/test/control-stream/force-tracker.test.ts
@@ -77,6 +77,35 @@
     expect(reports()).toEqual(Array(3).fill({ 'router-1': 2 }));
   });
 
+  it('pass through a third controller while two are cut off from each other', async () => {
+    const machines = [{ machine: 'controller-1' }, { machine: 'controller-2' }] as const;
+    simulation.cut({ from: machines[0], to: machines[1] });
+    simulation.cut({ from: machines[1], to: machines[0] });
+    startDaemon('router-1', 'asahikawa-a');
+    await simulation.runFor(20_000);
+    acceptEverywhere(1);
+    await simulation.runFor(SETTLE_MS);
+    expect(reports()).toEqual(Array(3).fill({ 'router-1': 1 }));
+    simulation.healAll();
+    await simulation.runFor(20_000);
+    acceptEverywhere(2);
+    await simulation.runFor(SETTLE_MS);
+    expect(reports()).toEqual(Array(3).fill({ 'router-1': 2 }));
+  });
+
+  it('that came just before a cut was noticed pass through a third controller', async () => {
+    const daemon = startDaemon('router-1', 'asahikawa-a');
+    await simulation.runFor(SETTLE_MS);
+    const machines = [{ machine: 'controller-1' }, { machine: 'controller-2' }] as const;
+    simulation.cut({ from: machines[0], to: machines[1] });
+    simulation.cut({ from: machines[1], to: machines[0] });
+    acceptEverywhere(1);
+    await simulation.runFor(1_000);
+    daemon.host.crash({ power: true });
+    await simulation.runFor(20_000);
+    expect(reports()).toEqual(Array(3).fill({ 'router-1': 1 }));
+  });
+
   it('do not fall when an older report comes later by another way', () => {
     const [controller] = controllers;
     const report = { name: 'router-1', zone: 'nayoro', version: '1', incarnation: 7, left: false };
