Log once why a controller cannot be followed, with the refusal's reason

Cause: a daemon logged a line at every try of a controller that was down, and of a refused handshake only that it had failed, not why.

Change: a try that fails like the one before it is not logged again, and the line carries the detail (wrong_key and the like).

--- a/src/control-stream/control-stream-client.ts
+++ b/src/control-stream/control-stream-client.ts
@@ -44,6 +44,8 @@
   private readonly logger: Logger;
   private readonly stop = new AbortController();
   private session: SourceSession | undefined;
+  /** How the latest session with each controller ended, by member id. */
+  private readonly lastEnds = new Map<string, SessionEnd>();
   private readonly finished: Promise<void>;
 
   private constructor(
@@ -133,10 +135,20 @@
     over.abort(new Error('session over'));
     this.session = undefined;
     this.context.metrics.sessionsEnded.inc({ reason: end });
-    this.logger.info('left controller', { controller: endpoint.memberId, reason: end });
+    this.logEnd(session, end);
     return end;
   }
 
+  /** Says nothing of one more try that failed like the one before. */
+  private logEnd({ endpoint, wasWelcomed, detail }: SourceSession, reason: SessionEnd): void {
+    const controller = endpoint.memberId;
+    const repeated = this.lastEnds.get(controller) === reason;
+    this.lastEnds.set(controller, reason);
+    if (repeated && !wasWelcomed) return;
+    const message = wasWelcomed ? 'left controller' : 'cannot follow controller';
+    this.logger.info(message, { controller, reason, ...(detail === undefined ? {} : { detail }) });
+  }
+
   /** Looks after controllers that are preferred, and moves there once one stays healthy. */
   private async returnWhenHealthy(session: SourceSession, over: AbortSignal): Promise<void> {
     const preferred = this.selector.preferredOver(session.endpoint);
--- a/src/control-stream/source-link.ts
+++ b/src/control-stream/source-link.ts
@@ -19,6 +19,7 @@
   readonly watch: SourceWatch;
   private connection: MessageConnection | undefined;
   private reason: SessionEnd | undefined;
+  private cause: unknown;
   private readonly over = new AbortController();
 
   constructor(
@@ -30,6 +31,11 @@
     this.watch = new SourceWatch(context.environment.clock.now(), staleUntil);
   }
 
+  /** What the end is due to, where there is more to say than its reason. */
+  get detail(): string | undefined {
+    return this.cause instanceof Error ? this.cause.message : undefined;
+  }
+
   get ended(): boolean {
     return this.reason !== undefined;
   }
@@ -52,13 +58,14 @@
     } catch (error) {
       const malformed = isProtocolViolation(error);
       if (malformed) this.context.metrics.malformedFrames.inc();
-      this.end(malformed ? 'malformed' : 'lost');
+      this.end(malformed ? 'malformed' : 'lost', error);
     }
     return this.end('lost');
   }
 
   /** Ends the connection; the first reason stands. */
-  end(reason: SessionEnd): SessionEnd {
+  end(reason: SessionEnd, cause?: unknown): SessionEnd {
+    if (this.reason === undefined) this.cause = cause;
     this.reason ??= reason;
     this.over.abort(new Error(reason));
     this.connection?.close();
@@ -99,7 +106,7 @@
         connectTimeout: CONNECT_TIMEOUT_MS,
       });
     } catch (error) {
-      this.end(error instanceof HandshakeError ? 'handshake_failed' : 'connect_failed');
+      this.end(error instanceof HandshakeError ? 'handshake_failed' : 'connect_failed', error);
       return undefined;
     }
     if (this.ended) {
--- a/src/control-stream/source-session.ts
+++ b/src/control-stream/source-session.ts
@@ -45,6 +45,16 @@
     this.awaitingSnapshot = context.copy.held.revision === NO_REVISION;
   }
 
+  /** Whether the controller took the daemon on. */
+  get wasWelcomed(): boolean {
+    return this.link.watch.isWelcomed;
+  }
+
+  /** More about the end than its reason says, if there is more. */
+  get detail(): string | undefined {
+    return this.link.detail;
+  }
+
   /** Resolves when the session is over; never rejects. */
   run(): Promise<SessionEnd> {
     const { incarnation, zone, version, copy } = this.context;
