Do not leave a source just proven fresh for a heartbeat written before

Cause: in a real fleet a router left its controller as cut off 155 ms after the start: the heartbeat it got was up to a second old and told that no quorum had been heard yet, though the source had just passed a read barrier. It came back after 17 s.

Change: the opening of a connection whose proof succeeded counts as the earliest moment at which the quorum stood. The new test failed before; a source that goes on without a quorum is left after the lease as before.

--- a/src/control-stream/source-probe.ts
+++ b/src/control-stream/source-probe.ts
@@ -42,7 +42,7 @@
   private take(message: StreamMessage): void {
     const { environment, copy } = this.context;
     const now = environment.clock.now();
-    if (message.kind === 'welcome') this.link.watch.welcomed(message.sourceTime, now);
+    if (message.kind === 'welcome') this.link.watch.welcomed(message.sourceTime, false, now);
     if (message.kind === 'goodbye') this.link.end('stopping');
     if (message.kind !== 'heartbeat') return;
     this.link.watch.heartbeat(message, now);
--- a/src/control-stream/source-session.ts
+++ b/src/control-stream/source-session.ts
@@ -122,7 +122,7 @@
       this.link.end('cut_off');
       return;
     }
-    this.link.watch.welcomed(sourceTime, context.environment.clock.now());
+    this.link.watch.welcomed(sourceTime, provenFresh, context.environment.clock.now());
     for (const sign of context.copy.observedSigns.values()) this.reportSign(sign);
   }
 
--- a/src/control-stream/source-watch.ts
+++ b/src/control-stream/source-watch.ts
@@ -8,6 +8,9 @@
 export class SourceWatch {
   private heardAt: number;
   private quorumAt: number;
+  private openedAt: number;
+  /** When the source proved itself fresh; a heartbeat written before may not know of it. */
+  private provenAt = Number.NEGATIVE_INFINITY;
   private behindSince: number | undefined;
   private receivingSnapshot = false;
   private transitDelay: TransitDelay | undefined;
@@ -19,6 +22,7 @@
   ) {
     this.heardAt = now;
     this.quorumAt = now;
+    this.openedAt = now;
   }
 
   get isWelcomed(): boolean {
@@ -29,9 +33,12 @@
   opened(now: number): void {
     this.heardAt = now;
     this.quorumAt = now;
+    this.openedAt = now;
   }
 
-  welcomed(sourceTime: number, now: number): void {
+  welcomed(sourceTime: number, provenFresh: boolean, now: number): void {
+    // The proof began after the subscription, which followed the opening.
+    if (provenFresh) this.provenAt = this.openedAt;
     this.transitDelay = new TransitDelay(sourceTime, now);
   }
 
@@ -56,7 +63,7 @@
   /** Returns when a quorum last confirmed that the source lacked nothing. */
   heartbeat({ sinceQuorumMs, sourceTime }: HeartbeatMessage, now: number): number {
     const delay = this.transitDelay?.delayOf(sourceTime, now) ?? 0;
-    this.quorumAt = now - delay - sinceQuorumMs;
+    this.quorumAt = Math.max(this.provenAt, now - delay - sinceQuorumMs);
     return this.quorumAt;
   }
 
--- a/test/control-stream/source-session.test.ts
+++ b/test/control-stream/source-session.test.ts
@@ -124,6 +124,16 @@
     expect(client.freshness().fresh).toBe(false);
   });
 
+  it('does not leave a source proven fresh for a heartbeat written before the proof', async () => {
+    await begin();
+    sendHeartbeat({ sinceQuorumMs: Infinity });
+    await simulation.runFor(QUORUM_LEASE_MS - 1_000);
+    expect(await counter(ENDED)).toBe(0);
+    sendHeartbeat({ sinceQuorumMs: Infinity });
+    await simulation.runFor(2_000);
+    expect(await counter(ENDED, 'cut_off')).toBe(1);
+  });
+
   it('waits for a configuration that takes longer to arrive than the lease lasts', async () => {
     source.welcome();
     apply(1);
