Look only at what is new when signs and reports are sent on

Cause: whoever read what changed after a position walked the whole table. With 6,700 replicas on the board each new sign cost a walk for every daemon.

Change: the table keeps its changes by position and finds the first new one by bisection; superseded changes are dropped in bulk.

--- a/src/control-stream/versioned-table.ts
+++ b/src/control-stream/versioned-table.ts
@@ -4,15 +4,22 @@
  * of readers without a queue for each.
  */
 
-/** An entry and the position of its last change. */
-export interface VersionedEntry<V> {
+/** A value and the position of its last change. */
+interface VersionedEntry<V> {
+  readonly key: string;
   readonly position: number;
   readonly value: V;
 }
 
+/** Superseded changes kept before they are dropped, besides one for each entry. */
+const SPARE_CHANGES = 1_024;
+
 /** Latest value per key. */
 export class VersionedTable<V> {
+  /** In the order of their positions. */
   private readonly entries = new Map<string, VersionedEntry<V>>();
+  /** By position, superseded ones among them: a reader looks only at what is new to it. */
+  private changes: VersionedEntry<V>[] = [];
   private lastPosition = 0;
 
   constructor(
@@ -35,12 +42,14 @@
 
   put(key: string, value: V): void {
     this.lastPosition += 1;
+    const entry = { key, position: this.lastPosition, value };
     // Removing the key first keeps the map ordered by position.
     this.entries.delete(key);
-    this.entries.set(key, { position: this.lastPosition, value });
-    if (this.entries.size <= this.maximumEntries) return;
-    const [oldest] = this.entries.keys();
-    if (oldest !== undefined) this.entries.delete(oldest);
+    this.entries.set(key, entry);
+    this.changes.push(entry);
+    this.dropOldest();
+    const isSpare = this.changes.length > 2 * this.entries.size + SPARE_CHANGES;
+    if (isSpare) this.changes = [...this.entries.values()];
   }
 
   remove(key: string): void {
@@ -53,11 +62,30 @@
 
   /** Values changed after `position`, oldest change first. */
   changedAfter(position: number): V[] {
-    if (position >= this.lastPosition) return [];
     const changed: V[] = [];
-    for (const entry of this.entries.values()) {
-      if (entry.position > position) changed.push(entry.value);
+    for (let index = this.firstChangeAfter(position); index < this.changes.length; index += 1) {
+      const entry = this.changes[index] as VersionedEntry<V>;
+      if (this.entries.get(entry.key) === entry) changed.push(entry.value);
     }
     return changed;
   }
+
+  /** Index within the changes, by bisection. */
+  private firstChangeAfter(position: number): number {
+    let low = 0;
+    let high = this.changes.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      const isAfter = (this.changes[middle] as VersionedEntry<V>).position > position;
+      if (isAfter) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+
+  private dropOldest(): void {
+    if (this.entries.size <= this.maximumEntries) return;
+    const [oldest] = this.entries.keys();
+    if (oldest !== undefined) this.entries.delete(oldest);
+  }
 }
--- /dev/null
+++ b/test/control-stream/versioned-table.test.ts
@@ -0,0 +1,37 @@
+import * as fc from 'fast-check';
+import { expect, it } from 'vitest';
+import { VersionedTable } from '../../src/control-stream/versioned-table.js';
+
+const RUNS = { numRuns: 200, seed: 4 };
+const MAXIMUM_ENTRIES = 5;
+
+/** The slow way: every change is kept, and the latest of each key counts. */
+function latestAfter(changes: readonly string[], position: number): string[] {
+  return changes.filter((key, index) => index >= position && !changes.includes(key, index + 1));
+}
+
+it('gives each reader the latest value of what changed after its position, in order', () => {
+  const keys = fc.array(fc.constantFrom('a', 'b', 'c', 'd', 'e'), {
+    maxLength: 3_000,
+    size: 'max',
+  });
+  fc.assert(
+    fc.property(keys, fc.double({ min: 0, max: 1, noNaN: true }), (changes, share) => {
+      const table = new VersionedTable<string>(MAXIMUM_ENTRIES);
+      for (const key of changes) table.put(key, key);
+      const position = Math.floor(share * changes.length);
+      expect(table.position).toBe(changes.length);
+      expect(table.changedAfter(position)).toEqual(latestAfter(changes, position));
+    }),
+    RUNS,
+  );
+});
+
+it('forgets what was removed, and beyond its bound what is unchanged for longest', () => {
+  const table = new VersionedTable<number>(2);
+  for (const [index, key] of ['a', 'b', 'a', 'c'].entries()) table.put(key, index);
+  expect(table.changedAfter(0)).toEqual([2, 3]);
+  table.remove('a');
+  expect(table.changedAfter(0)).toEqual([3]);
+  expect(table.size).toBe(1);
+});
