Send the signs of 20 ms to each daemon in one frame

Cause: each new sign woke the task of every daemon and made a frame for each.

Change: a sign wakes them 20 ms later, for all that came until then; changes and heartbeats wake at once as before.

Also a test for a table entry that changed once and long ago, which the random one did not reach.

--- a/src/control-stream/control-stream-server.ts
+++ b/src/control-stream/control-stream-server.ts
@@ -75,9 +75,9 @@
     }
   }
 
-  /** Something that came from elsewhere than a subscriber is to be sent on. */
+  /** A sign that came from elsewhere than a subscriber is to be sent on. */
   notify(): void {
-    this.broadcast.news.notify();
+    this.broadcast.noteSign();
   }
 
   /** Asks every daemon to move elsewhere, waits a little, then ends what is left. */
--- a/src/control-stream/stream-broadcast.ts
+++ b/src/control-stream/stream-broadcast.ts
@@ -1,7 +1,7 @@
 /** What all subscribers of a controller are sent, encoded once, and the signal that there is more. */
 import { Notifier } from '../consensus/notifier.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
-import type { Clock } from '../seams/clock.js';
+import type { Clock, Timer } from '../seams/clock.js';
 import { AppliedAge } from './applied-age.js';
 import type { ConfigurationFeed } from './configuration-feed.js';
 import type { ControlStreamFaults } from './control-stream-faults.js';
@@ -10,6 +10,9 @@
 import { STREAM_CODEC } from './stream-messages.js';
 import { HEARTBEAT_INTERVAL_MS } from './stream-timing.js';
 
+/** Signs that come within this time go into one frame. Milliseconds. */
+const SIGN_BATCH_MS = 20;
+
 /** How far one subscriber has been served. */
 export interface BroadcastPosition {
   heldRevision: number;
@@ -25,6 +28,7 @@
   private readonly appliedAge: AppliedAge;
   private heartbeatFrame: Uint8Array = new Uint8Array();
   private heartbeatNumber = 0;
+  private signTimer: Timer | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -68,7 +72,16 @@
     return [this.heartbeatFrame];
   }
 
+  /** A sign was recorded: subscribers are woken soon, for all that come until then. */
+  noteSign(): void {
+    this.signTimer ??= this.clock.setTimer(SIGN_BATCH_MS, () => {
+      this.signTimer = undefined;
+      this.news.notify();
+    });
+  }
+
   dispose(): void {
+    this.signTimer?.cancel();
     this.history.dispose();
   }
 
--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -199,7 +199,7 @@
     if (sign === undefined) throw this.malformed('not a sign of a replica');
     const scoped = { scope: scopeOf(sign, zone), sign };
     if (!this.context.signs.record(scoped)) return;
-    this.context.broadcast.news.notify();
+    this.context.broadcast.noteSign();
     this.context.onNews();
   }
 
--- a/test/control-stream/versioned-table.test.ts
+++ b/test/control-stream/versioned-table.test.ts
@@ -27,6 +27,12 @@
   );
 });
 
+it('keeps what changed once and long ago', () => {
+  const table = new VersionedTable<string>(MAXIMUM_ENTRIES);
+  for (const key of ['a', ...Array<string>(5_000).fill('b')]) table.put(key, key);
+  expect(table.changedAfter(0)).toEqual(['a', 'b']);
+});
+
 it('forgets what was removed, and beyond its bound what is unchanged for longest', () => {
   const table = new VersionedTable<number>(2);
   for (const [index, key] of ['a', 'b', 'a', 'c'].entries()) table.put(key, index);
