Do not validate the whole configuration again at every daemon

Cause: a daemon applied each change with the function by which controllers accept one, which validates the whole tree: 98% of the work, growing with the replicas, although the hash of the result is compared with the controllers'.

Ruled out: the hash itself (0.02 to 0.04 ms; parts are hashed once).

Change: daemons replay the operations and compare the hash.

--- a/src/control-stream/held-configuration.ts
+++ b/src/control-stream/held-configuration.ts
@@ -4,7 +4,7 @@
  * the two differ.
  */
 import type { AcceptedChange } from '../settings/accepted-change.js';
-import { applyOperations } from '../settings/apply-operations.js';
+import { replayOperations } from '../settings/apply-operations.js';
 import type { ConfigurationState } from '../settings/configuration-state.js';
 import type { ControlStreamFaults } from './control-stream-faults.js';
 import { hashConfiguration } from './state-hash.js';
@@ -87,13 +87,16 @@
     return 'applied';
   }
 
-  /** Undefined when the change does not fit, which it did at the controllers. */
+  /**
+   * Undefined when the change does not fit, which it did at the controllers. They
+   * also validated the whole result, and the hash shows that this is the same.
+   */
   private applyChange(
     state: ConfigurationState,
     change: AcceptedChange,
   ): ConfigurationState | undefined {
     try {
-      return applyOperations(state, change.operations);
+      return replayOperations(state, change.operations);
     } catch {
       return undefined;
     }
