Count reports of a daemon whose name a newer process has

Cause: two daemons of one name are told apart by nothing an operator sees; the older one is not counted in "n of m".

Change: a counter at the controllers, and a test that two such daemons move it and one alone does not. They are not refused: after a restart the two processes of a daemon overlap for a moment.

--- a/src/control-stream/server-metrics.ts
+++ b/src/control-stream/server-metrics.ts
@@ -6,6 +6,7 @@
   readonly subscribers: Gauge;
   readonly sentBytes: Counter;
   readonly malformedFrames: Counter;
+  readonly supersededReports: Counter;
   readonly resyncs: Counter<'reason'>;
   readonly ended: Counter<'reason'>;
 
@@ -26,6 +27,11 @@
       help: 'Frames from daemons that the protocol does not allow.',
       registers,
     });
+    this.supersededReports = new Counter({
+      name: 'driftway_control_stream_superseded_reports_total',
+      help: 'Reports of a daemon whose name a newer process has taken: two have the same name.',
+      registers,
+    });
     this.resyncs = new Counter({
       name: 'driftway_control_stream_subscriber_resyncs_total',
       help: 'Whole configurations that daemons asked for, by reason.',
--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -186,7 +186,11 @@
   }
 
   private takeReport({ sequence, revision }: ReportMessage): void {
-    if (this.record !== undefined) this.update({ ...this.record, sequence, revision });
+    if (this.record === undefined) return;
+    const { daemons, metrics } = this.context;
+    const isSuperseded = daemons.incarnationOf(this.daemonName) > this.record.incarnation;
+    if (isSuperseded) metrics.supersededReports.inc();
+    this.update({ ...this.record, sequence, revision });
   }
 
   private takeGoodbye(reason: GoodbyeReason): void {
--- a/test/control-stream/force-tracker.test.ts
+++ b/test/control-stream/force-tracker.test.ts
@@ -5,6 +5,7 @@
 
 const SEED = 4;
 const SETTLE_MS = 3_000;
+const SUPERSEDED = 'driftway_control_stream_superseded_reports_total';
 
 let simulation: Simulation;
 let controllers: TestController[];
@@ -106,6 +107,20 @@
     expect(reports()).toEqual(Array(3).fill({ 'router-1': 1 }));
   });
 
+  it('of two daemons of one name are counted as such', async () => {
+    const counted = async (): Promise<number> => {
+      const counts = controllers.map((controller) => controller.counter(SUPERSEDED));
+      return (await Promise.all(counts)).reduce((sum, count) => sum + count, 0);
+    };
+    const first = startDaemon('router-1', 'asahikawa-a');
+    await simulation.runFor(SETTLE_MS);
+    expect(await counted()).toBe(0);
+    const host = simulation.createMachine('another', 'nayoro');
+    new TestDaemon(host, controllers, { name: first.host.name });
+    await simulation.runFor(SETTLE_MS);
+    expect(await counted()).toBeGreaterThan(0);
+  });
+
   it('do not fall when an older report comes later by another way', () => {
     const [controller] = controllers;
     const report = { name: 'router-1', zone: 'nayoro', version: '1', incarnation: 7, left: false };
