Have driftway status ask every controller and show what the leader knows

Cause: the first controller that answered was shown, mostly a follower, so the lag of each controller read "known at the leader", and one that was down went unmentioned. Without any answer the exit code is still 5.

--- a/src/commands/operator-command.ts
+++ b/src/commands/operator-command.ts
@@ -79,18 +79,20 @@
     this.context.stderr.write(formatError(error));
   }
 
-  private createClient(): OperatorClient {
+  /** A client of `controllers`, asked in that order; once each, or until time is up. */
+  protected createClient(controllers = this.addresses(), insist = true): OperatorClient {
     const { clock, network } = this.environment;
     const totalTimeoutMs = this.numberOf('--timeout', this.timeout) * MILLISECONDS_PER_SECOND;
     return new OperatorClient(network, clock, {
-      controllers: this.addresses(),
+      controllers,
       token: this.token,
       attemptTimeoutMs: Math.min(this.longestAttemptMs, totalTimeoutMs),
-      totalTimeoutMs,
+      totalTimeoutMs: insist ? totalTimeoutMs : 0,
     });
   }
 
-  private addresses(): Address[] {
+  /** The controllers that the command line or the environment names. */
+  protected addresses(): Address[] {
     const fromEnvironment = this.context.env['DRIFTWAY_CONTROLLERS']?.split(',') ?? [];
     const texts = (this.controllers ?? fromEnvironment).map((text) => text.trim());
     try {
--- a/src/operator/failure-record.ts
+++ b/src/operator/failure-record.ts
@@ -36,7 +36,8 @@
   }
 }
 
-function noController(): OperatorError {
+/** Nobody was named to ask. */
+export function noController(): OperatorError {
   const message = 'name a controller with --controller or DRIFTWAY_CONTROLLERS';
   const step = 'choose controller';
   return new OperatorError({ code: 'bad_request', message, step, changed: 'no' }, undefined);
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -47,7 +47,19 @@
   return `${summary}${formatTable(['DAEMON', 'ZONE', 'VERSION', 'REVISION', 'HEARD'], rows)}`;
 }
 
-export function formatStatus(status: StatusReport): string {
+/** What the command learnt of the cluster. */
+export interface ClusterStatus extends StatusReport {
+  /** Controllers that were asked and gave no answer. */
+  readonly unanswered?: readonly { readonly controller: string; readonly reason: string }[];
+}
+
+function formatUnanswered({ unanswered = [] }: ClusterStatus): string {
+  return unanswered
+    .map(({ controller, reason }) => `No answer from ${controller}: ${reason}\n`)
+    .join('');
+}
+
+export function formatStatus(status: ClusterStatus): string {
   const leader = status.leaderId ?? 'none known';
   const unknownLag = status.role === 'leader' ? 'unknown' : 'known at the leader';
   const head = [
@@ -55,5 +67,5 @@
     `Answered by ${status.memberId} (${status.role}, version ${status.version}), which ${formatQuorum(status)}.`,
     `Log there: ${status.lastIndex} entries, ${status.commitIndex} committed, ${status.appliedIndex} applied.`,
   ].join('\n');
-  return `${head}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}`;
+  return `${head}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}${formatUnanswered(status)}`;
 }
--- a/test/operator/operator-access.test.ts
+++ b/test/operator/operator-access.test.ts
@@ -3,6 +3,7 @@
 import { NodeNetwork } from '../../src/node/node-network.js';
 import { OperatorClient } from '../../src/operator/operator-client.js';
 import { OperatorExitCode } from '../../src/operator/operator-error.js';
+import { formatAddress } from '../../src/seams/address.js';
 import { BOOTSTRAP_TOKEN } from '../administration/controllers.js';
 import { change, DOHOKU } from '../settings/fixtures.js';
 import { OperatorFixture, type Run } from './operator-fixture.js';
@@ -84,6 +85,15 @@
     expect(stdout).toMatch(
       /Leader: none known[^]*controller-2 +voter[^]*router-1 +nayoro +0.1.0 +1 +20 s ago \(silent\)/,
     );
+    const nobody = ['--controller', '127.0.0.1:1', '--timeout', '1'];
+    const reversed = [...fixture.addresses].reverse().map(formatAddress);
+    const listeners = reversed.flatMap((each) => ['--controller', each]);
+    const partial = await fixture.run('status', ...listeners, ...nobody);
+    expect(partial.code).toBe(OperatorExitCode.Success);
+    expect(partial.stdout).toMatch(
+      /Answered by controller-1 \(leader[^]*No answer from 127.0.0.1:1/,
+    );
+    expect((await fixture.run('status', ...nobody)).code).toBe(OperatorExitCode.Unavailable);
     const read = await fixture.run('settings', 'history', '--timeout', '0');
     expect(read.code).toBe(OperatorExitCode.Unavailable);
   });
