--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -5,6 +5,7 @@
 import { DemoCommand } from './demo-command.js';
 import { FleetCommand } from './fleet-command.js';
 import { PlatformCommand } from './platform-command.js';
+import { SimulateCommand } from './simulate-command.js';
 import { LoadCommand } from './load-command.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
@@ -22,6 +23,7 @@
   cli.register(BenchCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
+  cli.register(SimulateCommand);
   cli.register(FleetCommand);
   cli.register(DemoCommand);
   cli.register(RecoveryCommand);
