--- a/src/control-stream/stream-broadcast.ts
+++ b/src/control-stream/stream-broadcast.ts
@@ -1,15 +1,18 @@
 /** What all subscribers of a controller are sent, encoded once, and the signal that there is more. */
+import { Notifier } from '../consensus/notifier.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
-import type { Clock } from '../seams/clock.js';
+import type { Clock, Timer } from '../seams/clock.js';
 import { AppliedAge } from './applied-age.js';
 import type { ConfigurationFeed } from './configuration-feed.js';
 import type { ControlStreamFaults } from './control-stream-faults.js';
 import { EncodedHistory, type EncodedHistoryOptions } from './encoded-history.js';
 import type { SignBoard } from './sign-board.js';
-import { Signal } from './signal.js';
 import { STREAM_CODEC } from './stream-messages.js';
 import { HEARTBEAT_INTERVAL_MS } from './stream-timing.js';
 
+/** Signs that come within this time go into one frame. Milliseconds. */
+const SIGN_BATCH_MS = 20;
+
 /** How far one subscriber has been served. */
 export interface BroadcastPosition {
   heldRevision: number;
@@ -21,10 +24,11 @@
 export class StreamBroadcast {
   readonly history: EncodedHistory;
   /** Notified whenever there is something new to send. */
-  readonly news = new Signal();
+  readonly news: Notifier;
   private readonly appliedAge: AppliedAge;
   private heartbeatFrame: Uint8Array = new Uint8Array();
   private heartbeatNumber = 0;
+  private signTimer: Timer | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -34,6 +38,7 @@
     faults: ControlStreamFaults,
     options?: EncodedHistoryOptions,
   ) {
+    this.news = new Notifier(clock);
     this.appliedAge = new AppliedAge(faults);
     this.history = new EncodedHistory(feed, () => this.news.notify(), options);
   }
@@ -67,7 +72,16 @@
     return [this.heartbeatFrame];
   }
 
+  /** A sign was recorded: subscribers are woken soon, for all that come until then. */
+  noteSign(): void {
+    this.signTimer ??= this.clock.setTimer(SIGN_BATCH_MS, () => {
+      this.signTimer = undefined;
+      this.news.notify();
+    });
+  }
+
   dispose(): void {
+    this.signTimer?.cancel();
     this.history.dispose();
   }
 
