Repartition a service in the demo, and stop its routers at the same time

Cause: the demo never changed a layout while queries ran. Since routers give notice for 5.5 s when they stop, stopping them one after the other took 11 s.

Change: relief-pledge, which also serves requests that may run once only, goes from 12 shards to 8 with the operator's own command; the verdict wants answers from the new layout. Queries go on until a little after the last incident, so that a slow machine does not run out of queries. All routers are stopped at the same time, each with queries in flight. A folder that is not empty is turned away: a fleet starts afresh, and old data folders are of another cluster.

--- a/lab/backend/backend-control-client.ts
+++ b/lab/backend/backend-control-client.ts
@@ -43,6 +43,11 @@
     return this.send('POST', `/services/${service}/publish`, snapshot);
   }
 
+  /** Publishes to one replica. */
+  publishTo(replicaId: string, snapshot: PublishRequest): Promise<unknown> {
+    return this.send('POST', `/replicas/${replicaId}/publish`, snapshot);
+  }
+
   close(): void {
     this.client.destroy();
   }
--- a/lab/commands/demo-command.ts
+++ b/lab/commands/demo-command.ts
@@ -22,9 +22,10 @@
     details: `
       Starts the fleet of a file on loopback and sends some hundred queries to its routers.
       Meanwhile one replica straggles, one drains, a setting is changed, an index version is
-      published, and a controller is killed and started again. Then a shard loses all its
-      replicas, a router is stopped while it works on queries, everything is stopped with
-      SIGTERM, and the ledgers of callers and back ends are compared.
+      published, a controller is killed and started again, and a service is repartitioned. Then
+      a shard loses all its replicas, the routers are stopped while they work on queries,
+      everything else is stopped with SIGTERM, and the ledgers of callers and back ends are
+      compared.
 
       The last line is one JSON object with the counts of requests and of breaches of each
       promise. Exits with 0 only when its \`ok\` is true: no breach, enough answers from every
--- a/lab/demo/demo-evidence.ts
+++ b/lab/demo/demo-evidence.ts
@@ -2,6 +2,7 @@
 import type { BackendEvidence } from '../auditor/audit-evidence.js';
 import type { ProcessRecord } from '../fleet/process-record.js';
 import type { CallerLedgerEntry } from '../ledger/caller-ledger-entry.js';
+import type { Repartition } from './repartition.js';
 
 /** What became of the settings change that was made during the run. */
 export interface DemoChange {
@@ -29,7 +30,9 @@
   readonly replicas: DemoReplicas;
   /** Undefined when the run never came to it. */
   readonly change: DemoChange | undefined;
-  /** Queries in flight at a router when it was told to stop. */
+  /** Undefined when the run never came to it. */
+  readonly repartitioned: Repartition | undefined;
+  /** Least number of queries in flight at a router when it was told to stop. */
   readonly inFlightAtStop: number;
   readonly processes: ProcessRecord;
 }
--- a/lab/demo/demo-incidents.ts
+++ b/lab/demo/demo-incidents.ts
@@ -5,6 +5,7 @@
 import type { Fleet } from '../fleet/fleet.js';
 import type { FleetService } from '../fleet/fleet-file.js';
 import type { DemoChange, DemoReplicas } from './demo-evidence.js';
+import { repartition, type AtEveryProcess, type Repartition } from './repartition.js';
 import { changeSetting, type Tell } from './settings-change.js';
 
 export const STRAGGLER_FACTOR = 20;
@@ -16,6 +17,7 @@
 const KILL_AT = 4_500;
 const PUBLISH_AT = 5_500;
 const RESTART_AT = 6_500;
+const REPARTITION_AT = 7_500;
 
 /** The sharded services lose replicas: the first has a straggler, the last one that drains. */
 function chooseReplicas(services: readonly FleetService[]): DemoReplicas {
@@ -34,6 +36,7 @@
 export class DemoIncidents {
   readonly replicas: DemoReplicas;
   change: DemoChange | undefined;
+  repartitioned: Repartition | undefined;
 
   constructor(
     private readonly environment: Environment,
@@ -62,6 +65,8 @@
     await this.publish();
     await until(RESTART_AT);
     await this.restartController();
+    await until(REPARTITION_AT);
+    await this.repartition();
   }
 
   /** Makes every replica of a service slow, so that its queries stay in flight. */
@@ -124,6 +129,13 @@
     this.tell(`${service} published index version 2`);
   }
 
+  private async repartition(): Promise<void> {
+    const { services } = this.fleet.terms.file;
+    const service = services.findLast(({ kind }) => kind === 'sharded')?.name ?? '';
+    const atEveryProcess: AtEveryProcess = (act) => this.atEveryProcess(act);
+    this.repartitioned = await repartition(this.fleet, service, atEveryProcess, this.tell);
+  }
+
   private firstService(): string {
     return this.fleet.terms.file.services[0]?.name ?? '';
   }
--- a/lab/demo/demo-verdict.ts
+++ b/lab/demo/demo-verdict.ts
@@ -77,6 +77,15 @@
   return problems;
 }
 
+function checkRepartition({ repartitioned, callers }: DemoEvidence): string[] {
+  if (repartitioned === undefined) return ['no service was repartitioned'];
+  const { service, layoutEpoch } = repartitioned;
+  const used = callers.some(
+    ({ answer }) => answer?.service === service && answer.snapshot.layoutEpoch === layoutEpoch,
+  );
+  return used ? [] : [`${service} answered nothing on layout ${layoutEpoch}`];
+}
+
 function checkPlannedStop({ inFlightAtStop }: DemoEvidence): string[] {
   return inFlightAtStop > 0 ? [] : ['no query was in flight when a router was told to stop'];
 }
@@ -103,6 +112,7 @@
     ...checkStraggler(evidence),
     ...checkDrain(evidence),
     ...checkChange(evidence),
+    ...checkRepartition(evidence),
     ...checkPlannedStop(evidence),
     ...checkProcesses(evidence.processes),
   ];
--- a/lab/demo/demo.ts
+++ b/lab/demo/demo.ts
@@ -12,9 +12,12 @@
 import { DemoIncidents } from './demo-incidents.js';
 import { judgeDemo, type DemoVerdict } from './demo-verdict.js';
 import { LOST_SHARD_QUERIES, askWithoutShard } from './lost-shard.js';
-import { HELD_QUERIES, stopWhileInFlight } from './planned-stop.js';
+import { HELD_QUERIES, stopWhileInFlight, type PlannedStopOutcome } from './planned-stop.js';
 
-const REQUESTS = 400;
+/** Sent at most; queries end a little after the last incident. */
+const MAXIMUM_REQUESTS = 2_000;
+/** Queries go on for so long after the last incident. Milliseconds. */
+const AFTERMATH = 1_500;
 /** Requests a second. */
 const RATE = 40;
 /** Slows the replicas of the service whose queries are in flight at the planned stop. */
@@ -77,25 +80,26 @@
   private async use(fleet: Fleet): Promise<DemoRun> {
     const { environment, print, file } = this.options;
     const incidents = new DemoIncidents(environment, fleet, (line) => this.tell(line));
-    this.tell(`all of it runs; sending ${REQUESTS} queries, ${RATE} a second`);
+    this.tell(`all of it runs; sending ${RATE} queries a second`);
     const callers = await this.sendQueries(fleet, incidents);
     const lost = await this.loseShard(fleet, incidents);
-    const stop = await this.stopRouter(fleet, incidents);
-    const all = [...callers, ...lost, ...stop.entries];
     this.tell('the cluster, as `driftway status` shows it');
     print(indent(await fleet.operator.require('status')));
+    const stops = await this.stopRouters(fleet, incidents);
+    const all = [...callers, ...lost, ...stops.flatMap(({ entries }) => entries)];
     this.tell('what the callers got');
     print(indent(formatLoadTable(all)));
     this.printSamples(callers);
-    this.tell('stopping everything with SIGTERM');
+    this.tell('stopping everything else with SIGTERM');
     return {
-      planned: REQUESTS + LOST_SHARD_QUERIES + HELD_QUERIES,
+      planned: this.texts.size + LOST_SHARD_QUERIES + fleet.routers.length * HELD_QUERIES,
       services: [...new Set(file.queries.map(({ service }) => service))],
       routers: fleet.routers.map(({ name }) => name),
       callers: all,
       replicas: incidents.replicas,
       change: incidents.change,
-      inFlightAtStop: stop.inFlight,
+      repartitioned: incidents.repartitioned,
+      inFlightAtStop: Math.min(...stops.map(({ inFlight }) => inFlight)),
     };
   }
 
@@ -104,19 +108,21 @@
     incidents: DemoIncidents,
   ): Promise<readonly CallerLedgerEntry[]> {
     const { environment, file, signal } = this.options;
+    const enough = new AbortController();
     const load = runLoad(environment, {
       targets: fleet.routers,
       queries: file.queries,
       clientLatency: file.clientLatency,
       rate: RATE,
-      requests: REQUESTS,
+      requests: MAXIMUM_REQUESTS,
       arrivals: 'poisson',
-      signal,
+      signal: AbortSignal.any([enough.signal, signal]),
       onSend: ({ request }) => {
         this.texts.set(request.requestId, (request.query as { text: string }).text);
       },
     });
-    const [ledger] = await Promise.all([load, incidents.run(signal)]);
+    const happenings = incidents.run(signal).then(() => environment.clock.sleep(AFTERMATH, signal));
+    const [ledger] = await Promise.all([load, happenings.finally(() => enough.abort())]);
     return ledger.entries;
   }
 
@@ -131,21 +137,23 @@
     return askWithoutShard(environment, fleet, incidents, kind, (line) => this.tell(line));
   }
 
-  private async stopRouter(
+  /** All at the same time: each gives notice for some seconds before it closes. */
+  private async stopRouters(
     fleet: Fleet,
     incidents: DemoIncidents,
-  ): Promise<Awaited<ReturnType<typeof stopWhileInFlight>>> {
+  ): Promise<readonly PlannedStopOutcome[]> {
     const { environment, signal } = this.options;
-    const target = fleet.routers.at(-1);
     const kind = this.kindToHold();
-    if (target === undefined) throw new RangeError('the fleet has no router');
     await incidents.slowDown(kind.service, HOLD_FACTOR);
-    const outcome = await stopWhileInFlight(environment, fleet, target, kind, signal);
-    this.tell(
-      `${target.name} was told to stop with ${outcome.inFlight} queries in flight; ` +
-        `they ended: ${describeOutcomes(outcome.entries)}`,
-    );
-    return outcome;
+    const stops = fleet.routers.map(async (target) => {
+      const outcome = await stopWhileInFlight(environment, fleet, target, kind, signal);
+      this.tell(
+        `${target.name} was told to stop with ${outcome.inFlight} queries in flight; ` +
+          `they ended: ${describeOutcomes(outcome.entries)}`,
+      );
+      return outcome;
+    });
+    return Promise.all(stops);
   }
 
   /** Queries of a single-server service, so that none waits for a slot. */
--- a/lab/demo/planned-stop.ts
+++ b/lab/demo/planned-stop.ts
@@ -7,8 +7,8 @@
 import { QueryMix, type QueryKind } from '../load/query-mix.js';
 import { createCallers, type LoadTarget } from '../load/run-load.js';
 
-/** Queries that are in flight when the router is told to stop. */
-export const HELD_QUERIES = 6;
+/** Queries that are in flight at each router when it is told to stop. */
+export const HELD_QUERIES = 4;
 const IN_FLIGHT_METRIC = 'driftway_router_queries_in_flight';
 const POLL_INTERVAL = 20;
 /** Longest wait for the queries to arrive. Milliseconds. */
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -1,6 +1,6 @@
 /** A whole fleet of real processes on this machine. */
 import { randomBytes } from 'node:crypto';
-import { mkdir, readFile } from 'node:fs/promises';
+import { mkdir, readFile, readdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import { formatAddress, parseAddress, type Address } from '../../src/seams/address.js';
 import { createTokenText } from '../../src/settings/token-text.js';
@@ -59,9 +59,14 @@
     this.operator = new Operator(addresses, terms.token, signal);
   }
 
-  /** Plans a fleet whose files go to `folder`; nothing runs yet. */
+  /**
+   * Plans a fleet whose files go to `folder`; nothing runs yet.
+   *
+   * @throws RangeError when anything is in the folder: every fleet starts afresh.
+   */
   static async plan(file: FleetFile, folder: string, signal: AbortSignal): Promise<Fleet> {
     await mkdir(folder, { recursive: true });
+    if ((await readdir(folder)).length > 0) throw new RangeError(`${folder} is not empty`);
     const ports = await findFreePorts(2 * file.controllers);
     const controllers = Array.from({ length: file.controllers }, (_, index): ControllerPlace => ({
       memberId: `controller-${index + 1}`,
--- a/lab/fleet/settings-files.ts
+++ b/lab/fleet/settings-files.ts
@@ -1,6 +1,7 @@
 /** Writes the settings files of a fleet's processes, as an operator would by hand. */
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import type { ShardDefinition } from '../../src/model/service-definition.js';
 import { formatAddress, type Address } from '../../src/seams/address.js';
 import { hashToken } from '../../src/settings/token-text.js';
 import type { BackendReplica } from '../backend/backend-process-file.js';
@@ -106,3 +107,12 @@
 ): Promise<string> {
   return writeSettings(folder, name, content);
 }
+
+/** For `driftway services repartition`. */
+export function writeShardsFile(
+  folder: string,
+  name: string,
+  shards: readonly ShardDefinition[],
+): Promise<string> {
+  return writeSettings(folder, name, { shards });
+}
--- a/test/lab/demo/demo-verdict.test.ts
+++ b/test/lab/demo/demo-verdict.test.ts
@@ -77,6 +77,7 @@
   },
   replicas: { straggling: REPLICA, draining: 'kifu-audit-0-1' },
   change: { revision: 2, inForce: 2 },
+  repartitioned: { service: SERVICE, layoutEpoch: 1 },
   inFlightAtStop: 1,
   processes: { started: ['router-1'], ends: [ROUTER_END], killed: [] },
 };
@@ -121,6 +122,12 @@
     { change: { revision: 3, inForce: 2 } },
     /router-2 answered nothing/,
   ],
+  ['no repartition', { repartitioned: undefined }, /no service was repartitioned/],
+  [
+    'a new layout that answered nothing',
+    { repartitioned: { service: SERVICE, layoutEpoch: 2 } },
+    /answered nothing on layout 2/,
+  ],
   ['nothing in flight at the stop', { inFlightAtStop: 0 }, /no query was in flight/],
   [
     'a daemon that failed',
