Freeze the leader in the recovery run, and ask every controller who leads

Cause: a controller that is cut off in silence was not among what the run tries. And the leader was whoever the first controller named: after a restart it named none, and the run then took that controller itself for the leader, so that several kills meant for the leader hit a follower.

Change: the fifth step stops the leader with SIGSTOP for 8 s, longer than every lease, and lets it go on. The leader is the controller with the highest term among those that say they lead.

--- a/lab/commands/recovery-command.ts
+++ b/lab/commands/recovery-command.ts
@@ -23,10 +23,11 @@
     details: `
       Two operators race each other with changes of the same setting on a real fleet. After every
       so many accepted changes controllers are killed and started again: in turn the leader, a
-      follower, both at once, and a follower as soon as the leader is back. At the end all are
-      killed at once and started again. Then every controller must have every accepted change
-      at its revision, none that was refused, and no other history than its peers, and the last
-      revision must be in force at every router. Queries are sent meanwhile and audited.
+      follower, both at once, and a follower as soon as the leader is back; then the leader is
+      frozen for 8 s. At the end all are killed at once and started again. Then every controller
+      must have every accepted change at its revision, none that was refused, and no other
+      history than its peers, and the last revision must be in force at every router. Queries
+      are sent meanwhile and audited.
 
       Exits with 0 when all of it holds, with 1 otherwise, naming what does not.
     `,
@@ -41,7 +42,7 @@
   });
   changesPerKill = Option.String('--changes-per-kill', '15', {
     validator: isCount,
-    description: 'Accepted changes between two kills',
+    description: 'Accepted changes between two of these',
   });
 
   protected override async runConfigured(): Promise<ExitCode> {
--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -108,6 +108,15 @@
     return this.ended;
   }
 
+  /** Stops it in its tracks, as a machine that is cut off in silence, until {@link FleetProcess.thaw}. */
+  freeze(): void {
+    this.child.kill('SIGSTOP');
+  }
+
+  thaw(): void {
+    this.child.kill('SIGCONT');
+  }
+
   /** A planned stop; kills the process when it is not done after `patience` milliseconds. */
   async stop(patience: number): Promise<ProcessEnd> {
     this.child.kill('SIGTERM');
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -3,6 +3,7 @@
 import { mkdir, readFile, readdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import { formatAddress, parseAddress, type Address } from '../../src/seams/address.js';
+import type { Clock } from '../../src/seams/clock.js';
 import { createTokenText } from '../../src/settings/token-text.js';
 import type { BackendEvidence } from '../auditor/audit-evidence.js';
 import { dealReplicas, inTurn } from './fleet-layout.js';
@@ -132,6 +133,17 @@
     await this.process(name).kill();
   }
 
+  /** Freezes a process for a time. Milliseconds. */
+  async freeze(name: string, duration: number, clock: Clock): Promise<void> {
+    const frozen = this.process(name);
+    frozen.freeze();
+    try {
+      await clock.sleep(duration, this.signal);
+    } finally {
+      frozen.thaw();
+    }
+  }
+
   /** A planned stop of one process. */
   stopOne(name: string): Promise<ProcessEnd> {
     return this.process(name).stop(STOP_PATIENCE);
--- a/lab/recovery/controller-killer.ts
+++ b/lab/recovery/controller-killer.ts
@@ -1,20 +1,27 @@
-/** Kills controllers with SIGKILL, again and again, and starts them again. */
+/** Kills controllers with SIGKILL and starts them again, or freezes them, again and again. */
 import type { StatusReport } from '../../src/administration/response-schemas.js';
+import { OperatorError } from '../../src/operator/operator-error.js';
+import type { Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
 import type { Fleet } from '../fleet/fleet.js';
 import { inTurn } from '../fleet/fleet-layout.js';
 import { fleetClient } from '../fleet/in-force.js';
 
 const LOOK_INTERVAL = 10;
+/** Milliseconds. */
+const FREEZE_DURATION = 8_000;
+const LEADER_PATIENCE = 15_000;
 
 /** Who dies, in turn. */
 const STEPS = [
-  'leader',
-  'follower',
+  'killed leader',
+  'killed follower',
   /** At once, so that no quorum is left. */
-  'leader and follower',
+  'killed leader and follower',
   /** The second as soon as the first listens again. */
-  'leader, then follower',
+  'killed leader, then follower',
+  /** Not killed, but silent for longer than every lease, while it believes to lead. */
+  'froze leader',
 ] as const;
 type KillStep = (typeof STEPS)[number];
 
@@ -60,22 +67,11 @@
     const followers = members.filter((memberId) => memberId !== leader);
     const follower = inTurn(followers, this.steps);
     this.steps += 1;
-    for (const victims of this.victimsOf(step, leader, follower)) await this.restart(victims);
-    this.tell(`killed ${step} (leader ${leader}, follower ${follower}), started again`);
-  }
-
-  /** Groups that die one after the other. */
-  private victimsOf(step: KillStep, leader: string, follower: string): string[][] {
-    switch (step) {
-      case 'leader':
-        return [[leader]];
-      case 'follower':
-        return [[follower]];
-      case 'leader and follower':
-        return [[leader, follower]];
-      case 'leader, then follower':
-        return [[leader], [follower]];
+    for (const victims of victimsOf(step, leader, follower)) await this.restart(victims);
+    if (step === 'froze leader') {
+      await this.fleet.freeze(leader, FREEZE_DURATION, this.environment.clock);
     }
+    this.tell(`${step} (leader ${leader}, follower ${follower})`);
   }
 
   private async restart(victims: readonly string[]): Promise<void> {
@@ -83,11 +79,49 @@
     await Promise.all(victims.map((memberId) => this.fleet.startController(memberId)));
   }
 
-  /** The leader that some controller knows of; any controller while there is none. */
+  /** @throws Error when no controller leads for long. */
   private async findLeader(): Promise<string> {
-    const client = fleetClient(this.environment, this.fleet);
-    const { leaderId, memberId } = await client.get<StatusReport>('/v1/status');
-    client.close();
-    return leaderId ?? memberId;
+    const { clock } = this.environment;
+    const giveUpAt = clock.now() + LEADER_PATIENCE;
+    while (clock.now() < giveUpAt) {
+      const statuses = await Promise.all(
+        this.fleet.terms.controllers.map(({ http }) => this.readStatus(http)),
+      );
+      const leaders = statuses.filter((status) => status?.role === 'leader');
+      // One that was deposed may not know it yet.
+      const [newest] = leaders.sort((one, other) => (other?.term ?? 0) - (one?.term ?? 0));
+      if (newest !== undefined) return newest.memberId;
+      await clock.sleep(LOOK_INTERVAL);
+    }
+    throw new Error(`no controller has led for ${LEADER_PATIENCE / 1_000} s`);
+  }
+
+  /** Undefined when the controller does not answer. */
+  private async readStatus(controller: Address): Promise<StatusReport | undefined> {
+    const client = fleetClient(this.environment, this.fleet, [controller]);
+    try {
+      return await client.get<StatusReport>('/v1/status');
+    } catch (error) {
+      if (!(error instanceof OperatorError)) throw error;
+      return undefined;
+    } finally {
+      client.close();
+    }
+  }
+}
+
+/** Groups that die one after the other. */
+function victimsOf(step: KillStep, leader: string, follower: string): string[][] {
+  switch (step) {
+    case 'killed leader':
+      return [[leader]];
+    case 'killed follower':
+      return [[follower]];
+    case 'killed leader and follower':
+      return [[leader, follower]];
+    case 'killed leader, then follower':
+      return [[leader], [follower]];
+    case 'froze leader':
+      return [];
   }
 }
--- a/lab/recovery/recovery-run.ts
+++ b/lab/recovery/recovery-run.ts
@@ -111,7 +111,7 @@
     ]);
     print(
       `${this.written.length} changes: ${accepted()} accepted, ${this.count('refused')} ` +
-        `refused, ${this.count('unknown')} unknown; killed ${killer.steps} times`,
+        `refused, ${this.count('unknown')} unknown; ${killer.steps} times a controller was killed or frozen`,
     );
   }
 
