Make a replica's connection pools when they are first needed

Cause: a router held 88 kB of heap for each replica it knew, 610 MB at 6,700. Replicas that refuse every connection cost nearly as much, so it was not the connections: each NodeHttpClient made two undici pools and each replica has two clients, of whose four pools two are never used; a pool's queue alone starts at 2,048 places.

Ruled out: the record, its poller and the signs, by the difference that the change makes.

Change: each pool is made for the first request of its kind. After close no pool is made, and the request fails as it did.

--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -123,18 +123,18 @@
 
 /** Production {@link HttpClient}. */
 export class NodeHttpClient implements HttpClient {
-  private readonly kept: Pool;
+  /** Made when first needed: an unused pool still costs memory for each peer. */
+  private kept: Pool | undefined;
   /** For requests that must not meet a connection the peer may have closed meanwhile. */
-  private readonly fresh: Pool;
+  private fresh: Pool | undefined;
   private readonly peer: string;
+  private closed = false;
 
   constructor(
     address: Address,
     private readonly options: HttpClientOptions,
   ) {
     this.peer = formatAddress(address);
-    this.kept = this.createPool(ConnectionReuse.OneAtATime);
-    this.fresh = this.createPool(ConnectionReuse.Never);
   }
 
   request(request: HttpClientRequest): Promise<HttpClientResponse> {
@@ -150,7 +150,11 @@
         resolve,
         reject,
       );
-      const pool = request.freshConnection === true ? this.fresh : this.kept;
+      const pool = this.poolFor(request);
+      if (pool === undefined) {
+        handler.onError(new errors.ClientClosedError());
+        return;
+      }
       pool.dispatch(
         {
           method: request.method,
@@ -165,12 +169,24 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.kept.close(), this.fresh.close()]);
+    this.closed = true;
+    await Promise.all([this.kept?.close(), this.fresh?.close()]);
   }
 
   destroy(): void {
-    void this.kept.destroy();
-    void this.fresh.destroy();
+    this.closed = true;
+    void this.kept?.destroy();
+    void this.fresh?.destroy();
+  }
+
+  /** Undefined when it would have to be made after the client was closed. */
+  private poolFor(request: HttpClientRequest): Pool | undefined {
+    if (request.freshConnection === true) {
+      if (!this.closed) this.fresh ??= this.createPool(ConnectionReuse.Never);
+      return this.fresh;
+    }
+    if (!this.closed) this.kept ??= this.createPool(ConnectionReuse.OneAtATime);
+    return this.kept;
   }
 
   private createPool(reuse: ConnectionReuse): Pool {
--- a/test/node/node-http-client.test.ts
+++ b/test/node/node-http-client.test.ts
@@ -122,6 +122,17 @@
     expect([textOf(await second), textOf(await third)]).toEqual(['second', 'reply-3']);
   });
 
+  it('opens no connection after it was closed, of a kind used before or not', async () => {
+    const http = await start((socket) => socket.write(httpReply('ok')));
+    await http.request(GET);
+    await http.close();
+    for (const request of [GET, FRESH]) {
+      const failure = await failureOf(http.request(request));
+      expect(failure).toMatchObject({ kind: 'connect_failed', requestSent: false });
+    }
+    expect(peer.current.requests).toBe(1);
+  });
+
   it('gives bytes that nobody asked for to nobody', async () => {
     const http = await start((socket, number) => {
       socket.write(httpReply(`reply-${number}`) + httpReply(`stray-${number}`));
