Go on with a scale run when one part fails, and read lines off at the expected size

Cause: a whole run was lost when its last part found a port taken between choice and use: other processes' outgoing connections take ports of 127.0.0.1.

Change: the controllers of a run listen on a loopback address of their own, from which no connection leaves; a part that fails is named in the record, the others go on and the command exits with 1; each line is also read off at 1,100 daemons, 6,700 replicas and 9 controllers with its standard error there.

--- a/lab/commands/scale-command.ts
+++ b/lab/commands/scale-command.ts
@@ -40,11 +40,12 @@
     validator: t.isArray(t.isEnum(SCALE_PARTS)),
   });
 
-  async execute(): Promise<void> {
+  async execute(): Promise<number> {
     const progress = (line: string): void => void this.context.stderr.write(`${line}\n`);
     const parts = new Set(this.part.length > 0 ? this.part : SCALE_PARTS);
     const record = await runScale(SCALE_SIZES[this.size], parts, progress);
     const text = this.json ? JSON.stringify(record, undefined, 2) : formatScale(record);
     this.context.stdout.write(`${text}\n`);
+    return Object.keys(record.failures).length === 0 ? 0 : 1;
   }
 }
--- a/lab/scale/cluster-files.ts
+++ b/lab/scale/cluster-files.ts
@@ -3,7 +3,18 @@
 import { createTokenText, hashToken } from '../../src/settings/token-text.js';
 import { SCALE_REGION, zoneName } from './scale-configuration.js';
 
-const HOST = '127.0.0.1';
+const BYTE = 256;
+
+/**
+ * An address of this process alone. Connections leave from 127.0.0.1, so that
+ * none takes a port here between its choice and its use.
+ */
+function ownHost(): string {
+  const high = Math.floor(process.pid / BYTE) % BYTE;
+  return `127.2.${high}.${process.pid % BYTE}`;
+}
+
+const HOST = ownHost();
 const CLUSTER = { id: 'scale', key: 'a-key-for-scale-runs' };
 
 /** A controller's settings file, as it would be written in YAML. */
--- a/lab/scale/scale-report.ts
+++ b/lab/scale/scale-report.ts
@@ -1,19 +1,33 @@
 /** The record of a scale run in its form for people. */
+import { predict, predictionError } from '../measure/linear-fit.js';
 import { formatNumber, formatTable } from '../measure/table.js';
 import { LONE_DAEMONS } from './control-bench.js';
 import type { ControlReading, RoleReading, TimeInForce } from './control-reading.js';
 import type { ScaleRecord } from './scale-run.js';
 import type { Slope } from './slope.js';
 
-const SLOPE_HEADER = ['quantity', 'unit', 'each', '± error', 'at 0', 'R²', 'residuals'];
+/** Sizes expected within two years, at which each line is read off. */
+const EXPECTED_SIZES: Readonly<Record<string, number>> = {
+  daemons: 1_100,
+  replicas: 6_700,
+  controllers: 9,
+};
 
-function slopeRow({ quantity, unit, fit }: Slope): string[] {
+function slopeHeader(expected: number | undefined): string[] {
+  const readOff = expected === undefined ? [] : [`at ${formatNumber(expected)}`, '± error'];
+  return ['quantity', 'unit', 'each', '± error', 'at 0', ...readOff, 'R²', 'residuals'];
+}
+
+function slopeRow({ quantity, unit, fit }: Slope, expected: number | undefined): string[] {
+  const readOff =
+    expected === undefined ? [] : [predict(fit, expected), predictionError(fit, expected)];
   return [
     quantity,
     unit,
     formatNumber(fit.slope),
     formatNumber(fit.slopeError),
     formatNumber(fit.intercept),
+    ...readOff.map(formatNumber),
     formatNumber(fit.determination),
     fit.residuals.map(formatNumber).join(', '),
   ];
@@ -24,7 +38,9 @@
   return sizes.flatMap((over) => {
     const chosen = slopes.filter((slope) => slope.over === over);
     const points = chosen[0]?.fit.points.map(({ x }) => formatNumber(x)).join(', ') ?? '';
-    return [`Over ${over} (${points}):`, '', formatTable(SLOPE_HEADER, chosen.map(slopeRow)), ''];
+    const expected = EXPECTED_SIZES[over];
+    const rows = chosen.map((slope) => slopeRow(slope, expected));
+    return [`Over ${over} (${points}):`, '', formatTable(slopeHeader(expected), rows), ''];
   });
 }
 
@@ -86,6 +102,7 @@
       `${formatNumber(machine.loadAverage)} at the start, ${formatNumber(loadAverageAtEnd)} ` +
       `at the end, ${machine.at}`,
     '',
+    ...Object.entries(record.failures).map(([part, reason]) => `${part} failed: ${reason}`),
     ...slopeTables(slopes),
     ...readings.flatMap(controlLines),
   ].join('\n');
