--- a/lab/scale/scale-run.ts
+++ b/lab/scale/scale-run.ts
@@ -42,7 +42,7 @@
     case 'registry':
       return { registry: await measureRegistrySeries(options.registry, progress) };
     case 'letter':
-      return { letter: await readControl(options.letter, pace) };
+      return { letter: await readControl(options.letter.size, options.letter.pace) };
   }
 }
 
