Let every shard of a query wait without a warning of the runtime

Cause: when all connections of its replicas are taken, each shard of a query listens for the query's end on one signal.

Ruled out: a leak. Each shard listens at most once at a time and stops when it is woken.

Change: the signal is told how many listeners to expect; more than that still warns.

The new test, twelve shards whose replicas have no room, shows the warning without the change.

--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -2,6 +2,7 @@
  * One try of a query: asks every shard of the plan at once, waits as the
  * completion policy says, cancels the rest and states the coverage.
  */
+import { setMaxListeners } from 'node:events';
 import type { MissingReason } from '../model/coverage.js';
 import type { AttemptTally } from './attempt-tally.js';
 import { stateCoverage, type ShardStanding } from './coverage-statement.js';
@@ -36,6 +37,8 @@
     this.wakeup = new Wakeup(router.environment.clock);
     const { maximumAnswerBytes } = query.service.settings;
     this.replies = new ReplyBuffer(maximumAnswerBytes, () => this.wakeup.wake());
+    // Each shard that waits for a connection or for a retry listens once.
+    setMaxListeners(plan.shards.length + 1, this.ended.signal);
     const queryTry = { plan, tally, replies: this.replies, ended: this.ended.signal };
     this.shards = plan.shards.map((shard) => new ShardExecution(router, query, queryTry, shard));
     this.outcomes = this.shards.map(() => undefined);
--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -23,6 +23,8 @@
 import { VirtualClock } from './support/virtual-clock.js';
 
 const HEDGE_DELAY = 20;
+/** Node warns of more than ten listeners on one signal unless told of them. */
+const SHARDS_BEYOND_DEFAULT_LISTENERS = 12;
 
 /** One execution over fake back ends, with policies that a test writes itself. */
 class Bench {
@@ -176,3 +178,20 @@
     expect(firstBackend(bench).ledger[0]?.cancelled).toBe(true);
   });
 });
+
+describe('a query of many shards', () => {
+  it('waits for connections without a warning of the runtime', async () => {
+    const warnings: string[] = [];
+    const onWarning = ({ name }: Error): void => void warnings.push(name);
+    process.on('warning', onWarning);
+    const bench = new Bench(SHARDS_BEYOND_DEFAULT_LISTENERS);
+    for (const { replicaId } of bench.backends) {
+      const record = bench.registry.get(replicaId);
+      while (record?.hasRoom === true) record.beginAttempt();
+    }
+    expect((await bench.run()).ending).toBe('deadline');
+    await new Promise((resolve) => setImmediate(resolve));
+    process.off('warning', onWarning);
+    expect(warnings).toEqual([]);
+  });
+});
