Never run a resend that this router knows nothing of, and test what was untested

Cause: outcomes are recorded in one run of one router. A caller that lost a reply and sent the request again to another router, or to the same one after a restart, had it run a second time, and had no way to ask for less.

Change: a not repeatable request marked 'resend' is told the recorded outcome or outcome_unknown, and is never run. Unmarked requests are as before.

--- a/src/model/query-request.ts
+++ b/src/model/query-request.ts
@@ -5,7 +5,10 @@
 export const MAXIMUM_DEADLINE_MS = 600_000;
 
 export const queryRequestSchema = z.strictObject({
-  /** Chosen by the caller, unique among its requests; a resend carries the same one. */
+  /**
+   * Chosen by the caller, unique among all requests to the service, such as a
+   * UUID; a resend carries the same one.
+   */
   requestId: z
     .string()
     .min(1)
@@ -15,6 +18,12 @@
   deadlineMs: z.number().positive().max(MAXIMUM_DEADLINE_MS).optional(),
   /** False when running the request twice would do harm. */
   repeatable: z.boolean().default(true),
+  /**
+   * True when a request with this id was sent before, to whichever router, and
+   * its outcome is not known. Not repeatable, it is told the recorded outcome or
+   * `outcome_unknown`, and never run.
+   */
+  resend: z.boolean().optional(),
   /** Aims the request at the one shard that holds this key. */
   key: z.string().min(1).max(1_024).optional(),
   /** Least fraction of shards, 0 to 1; only stricter than the service's own. */
--- a/src/router/query-endpoint.ts
+++ b/src/router/query-endpoint.ts
@@ -26,6 +26,17 @@
   return Math.min(ANSWER_RESERVE_MS, deadlineMs * ANSWER_RESERVE_SHARE);
 }
 
+/**
+ * A resend may have been run by another router, or by this one before it restarted.
+ *
+ * @throws QueryError of code `outcome_unknown`, for a not repeatable resend.
+ */
+function refuseUnknownResend({ request }: ReadQuery): void {
+  if (request.repeatable || request.resend !== true) return;
+  const message = 'this router knows no earlier request with this id';
+  throw new QueryError('outcome_unknown', 504, message, true, {}, { step: 'find outcome' });
+}
+
 /** The parts of a router that serve a query. */
 export interface QueryEndpointParts {
   readonly router: RouterContext;
@@ -68,6 +79,7 @@
       details = { ...details, requestId };
       const earlier = this.parts.ledger.find(serviceName, read);
       if (earlier !== undefined) return await this.join(earlier, deadlineMs);
+      refuseUnknownResend(read);
       const service = this.findService(serviceName);
       const query = this.createContext(service, read, receivedAt);
       return await this.run(query, http.signal);
--- a/test/router/at-most-once.test.ts
+++ b/test/router/at-most-once.test.ts
@@ -145,6 +145,18 @@
     expect(startedCount(harness)).toBe(1);
   });
 
+  it('marked as one is not run by a router that does not know the first', async () => {
+    const [harness, other] = [await RouterHarness.start(), await RouterHarness.start()];
+    const { answer } = await harness.query(ONCE);
+    const resend = { ...ONCE, resend: true };
+    const { status, error } = await other.query(resend);
+    expect(status).toBe(504);
+    expect(error).toMatchObject({ code: 'outcome_unknown', mayHaveRun: true });
+    expect(other.attempts).toHaveLength(0);
+    expect((await harness.query(resend)).answer).toEqual(answer);
+    expect((await other.query({ repeatable: true, resend: true })).status).toBe(200);
+  });
+
   it('is refused, not run, when no further id can be remembered', async () => {
     const limits = { maximumRecordedOutcomes: 1 };
     const harness = await RouterHarness.start({ shards: 1, limits });
--- a/test/router/planned-stop.test.ts
+++ b/test/router/planned-stop.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { RouterHarness } from './support/router-harness.js';
+import { RouterHarness, type HarnessOptions, type Reply } from './support/router-harness.js';
 
 async function startWithSlowQuery(faults = {}) {
   const harness = await RouterHarness.start({ shards: 2, faults });
@@ -53,6 +53,63 @@
     expect((await query).status).toBe(200);
   });
 
+  /** Ways to be in the middle of something; each leaves `send` unanswered for a while. */
+  const phases: Readonly<Record<string, [HarnessOptions, (harness: RouterHarness) => void]>> = {
+    'waiting to be admitted': [{ settings: { maximumInFlight: 1 } }, (harness) => harness.send({})],
+    'waiting for a connection': [{ connections: 16, replicas: 1 }, (harness) => harness.send({})],
+    'tried a second time': [
+      {},
+      (harness) => {
+        for (const backend of harness.backends.values()) {
+          backend.tamper = (draft) => {
+            if (backend.ledger.length === 1) draft.disposition = 'failed';
+          };
+        }
+      },
+    ],
+    'planned a second time': [
+      {},
+      (harness) => {
+        for (const replica of ['s1-r0', 's1-r1']) harness.backend(replica).snapshots = ['1.1'];
+      },
+    ],
+    'joined by its resend': [
+      {},
+      (harness) => harness.send({ requestId: 'request-2', repeatable: false }),
+    ],
+  };
+  for (const [phase, [options, prepare]] of Object.entries(phases)) {
+    const start = async (faults = {}): Promise<[RouterHarness, Promise<Reply>]> => {
+      const settings = { retryBudgetPercent: 100, ...options.settings };
+      const harness = await RouterHarness.start({ shards: 2, ...options, settings, faults });
+      for (const backend of harness.backends.values()) {
+        backend.latency = 600;
+        backend.snapshots = ['1.1', '1.2'];
+      }
+      await harness.clock.advance(1_000);
+      prepare(harness);
+      const repeatable = phase !== 'joined by its resend';
+      const query = harness.send({ requestId: 'request-2', deadlineMs: 5_000, repeatable });
+      await harness.clock.advance(50);
+      return [harness, query];
+    };
+
+    it(`answers a query that is ${phase}`, async () => {
+      const [harness, query] = await start();
+      let answered = false;
+      void query.then(() => (answered = true));
+      await harness.clock.runUntil(harness.daemon.stop());
+      expect(answered).toBe(true);
+      expect((await query).status).toBe(200);
+    });
+
+    it(`is seen to cut off a query that is ${phase} when it does not wait`, async () => {
+      const [harness, query] = await start({ cutInFlightAtStop: true });
+      await harness.clock.runUntil(harness.daemon.stop());
+      expect((await query).status).not.toBe(200);
+    });
+  }
+
   it('ends all polls', async () => {
     const harness = await RouterHarness.start({ shards: 1 });
     await harness.clock.runUntil(harness.daemon.stop());
--- a/test/router/support/router-harness.ts
+++ b/test/router/support/router-harness.ts
@@ -2,7 +2,11 @@
 import { Registry } from 'prom-client';
 import { routerConfigurationSchema } from '../../../src/configuration/router-configuration.js';
 import type { QueryAnswer, QueryErrorBody } from '../../../src/model/query-answer.js';
-import type { ServiceDefinition, ShardLayout } from '../../../src/model/service-definition.js';
+import type {
+  ServiceDefinition,
+  ServiceKind,
+  ShardLayout,
+} from '../../../src/model/service-definition.js';
 import { PureRandomSource } from '../../../src/node/pure-random-source.js';
 import { SILENT_LOGGER } from '../../../src/observability/logger.js';
 import { RouterDaemon } from '../../../src/router/router-daemon.js';
@@ -18,6 +22,7 @@
 export const SERVICE = 'kifu-audit';
 
 export interface HarnessOptions {
+  readonly kind?: ServiceKind;
   readonly shards?: number;
   readonly replicas?: number;
   readonly connections?: number;
@@ -68,7 +73,8 @@
   options: HarnessOptions,
   layouts: ShardLayout[] = [createLayout(1, options)],
 ): ConfigurationState {
-  const service: ServiceDefinition = { name: SERVICE, kind: 'sharded', region: 'dohoku', layouts };
+  const { kind = 'sharded' } = options;
+  const service: ServiceDefinition = { name: SERVICE, kind, region: 'dohoku', layouts };
   return {
     revision,
     regions: { dohoku: { name: 'dohoku', zones: ['nayoro'] } },
