--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -4,19 +4,12 @@
  * read what it asked for costs bounded memory for a bounded time, and gets a
  * typed error where an answer can still reach it.
  */
-import {
-  createServer,
-  type IncomingHttpHeaders,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { ConnectionError } from '../errors/connection-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type {
   HttpHandler,
-  HttpHeaders,
   HttpListenOptions,
   HttpListener,
   HttpRequest,
@@ -30,6 +23,7 @@
   handlerFailedResponse,
   writeRawResponse,
 } from './listener-errors.js';
+import { toRequest } from './received-request.js';
 import { announcesTooMuch, BodyRefusedError, readBody } from './request-body.js';
 
 /** How often Node looks for requests that outlasted their time, at most. Milliseconds. */
@@ -41,28 +35,6 @@
 /** See {@link HttpListenOptions.maximumBufferedBytes}. */
 const DEFAULT_BUFFERED_BYTES = 268_435_456;
 
-function flattenHeaders(headers: IncomingHttpHeaders): HttpHeaders {
-  const flat: Record<string, string> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined) continue;
-    flat[name] = typeof value === 'string' ? value : (value[0] ?? '');
-  }
-  return flat;
-}
-
-function toRequest(message: IncomingMessage, body: Buffer): Omit<HttpRequest, 'signal'> {
-  const target = message.url ?? '/';
-  const separator = target.indexOf('?');
-  return {
-    method: message.method ?? 'GET',
-    path: separator < 0 ? target : target.slice(0, separator),
-    query: new URLSearchParams(separator < 0 ? '' : target.slice(separator + 1)),
-    headers: flattenHeaders(message.headers),
-    body,
-    remoteAddress: message.socket.remoteAddress ?? '',
-  };
-}
-
 class NodeHttpListener implements HttpListener {
   readonly address: Address;
   private closing = false;
--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -2,6 +2,7 @@
  * One try of a query: asks every shard of the plan at once, waits as the
  * completion policy says, cancels the rest and states the coverage.
  */
+import { setMaxListeners } from 'node:events';
 import type { MissingReason } from '../model/coverage.js';
 import type { AttemptTally } from './attempt-tally.js';
 import { stateCoverage, type ShardStanding } from './coverage-statement.js';
@@ -33,6 +34,8 @@
     private readonly plan: QueryPlan,
     tally: AttemptTally,
   ) {
+    // Every shard may wait on it at the same time.
+    setMaxListeners(0, this.ended.signal);
     this.wakeup = new Wakeup(router.environment.clock);
     const { maximumAnswerBytes } = query.service.settings;
     this.replies = new ReplyBuffer(maximumAnswerBytes, () => this.wakeup.wake());
--- a/test/router/membership.test.ts
+++ b/test/router/membership.test.ts
@@ -40,6 +40,21 @@
     expect(harness.clock.now() - before).toBe(10);
   });
 
+  it('may be as many as a layout has shards, without a warning', async () => {
+    const warnings: string[] = [];
+    const onWarning = ({ name }: Error): void => void warnings.push(name);
+    process.on('warning', onWarning);
+    const options = { shards: 24, replicas: 1, connections: ONE_AT_A_TIME };
+    const harness = await RouterHarness.start(options);
+    for (const backend of harness.backends.values()) backend.latency = 20;
+    const queries = [1, 2].map((number) => harness.send({ requestId: `request-${number}` }));
+    const replies = await harness.clock.runUntil(Promise.all(queries));
+    await new Promise((resolve) => setImmediate(resolve));
+    process.off('warning', onWarning);
+    expect(replies.map(({ status }) => status)).toEqual([200, 200]);
+    expect(warnings).toEqual([]);
+  });
+
   it('all end at once when another source says that the replica is gone', async () => {
     const { harness, queries } = await startWaiting('false');
     const before = harness.clock.now();
