Bound the cache of plans, and refuse numbers that would become null

Cause: plans were remembered for each coverage that any caller asked for, until membership changed; a caller that asks for another fraction each time made that grow without bound. A number too large for a double, such as 1e999, reached the back ends as null, which is another query than the caller's.

Signs of replicas outside the configuration make room by age rather than refusing newer ones.

Both tests were seen to fail before.

--- a/src/membership/replica-registry.ts
+++ b/src/membership/replica-registry.ts
@@ -132,8 +132,11 @@
   private keepOtherSign(sign: ReplicaSign): void {
     const known = this.otherSigns.get(sign.replicaId);
     if (known !== undefined && !supersedes(sign, known)) return;
-    if (known === undefined && this.otherSigns.size >= MAXIMUM_OTHER_SIGNS) return;
+    this.otherSigns.delete(sign.replicaId);
     this.otherSigns.set(sign.replicaId, sign);
+    const [oldest] = this.otherSigns.keys();
+    const isFull = this.otherSigns.size > MAXIMUM_OTHER_SIGNS;
+    if (isFull && oldest !== undefined) this.otherSigns.delete(oldest);
   }
 
   private observe(record: ReplicaRecord, incarnation: number, draining: boolean): void {
--- a/src/router/query-reader.ts
+++ b/src/router/query-reader.ts
@@ -1,10 +1,13 @@
 /** Reads a caller's request; it may be anything. */
 import { z } from 'zod';
 import { queryRequestSchema, type QueryRequest } from '../model/query-request.js';
-import { badRequest } from './query-error.js';
+import { badRequest, QueryError } from './query-error.js';
 
 const QUERY_PATH = /^\/v1\/services\/([^/]{1,64})\/query$/;
 
+/** Text that could hold a number beyond the largest double. */
+const MAY_BE_INFINITE = /[eE]\+?\d{3}|\d{300}/;
+
 /**
  * What `JSON.parse` returned needs no second look at whether it is JSON; the
  * schema's recursive check would cost time and stack on large queries.
@@ -25,20 +28,36 @@
   return QUERY_PATH.exec(path)?.[1];
 }
 
-function parseJson(body: Uint8Array): unknown {
+function readText(body: Uint8Array): string {
+  try {
+    return new TextDecoder('utf-8', { fatal: true }).decode(body);
+  } catch {
+    throw badRequest('the body is not valid JSON in UTF-8');
+  }
+}
+
+function parseJson(text: string): unknown {
   try {
-    const text = new TextDecoder('utf-8', { fatal: true }).decode(body);
     return JSON.parse(text) as unknown;
   } catch {
     throw badRequest('the body is not valid JSON in UTF-8');
   }
 }
 
+/** Would be written as null, which is another query. */
+function refuseInfinite(_key: string, value: unknown): unknown {
+  if (value === Infinity || value === -Infinity) {
+    throw badRequest('a number is too large', 'query');
+  }
+  return value;
+}
+
 /** Writing fails only where nesting exhausts the stack. */
-function writeJson(query: unknown): string {
+function writeJson(query: unknown, mayBeInfinite: boolean): string {
   try {
-    return JSON.stringify(query);
-  } catch {
+    return JSON.stringify(query, mayBeInfinite ? refuseInfinite : undefined);
+  } catch (error) {
+    if (error instanceof QueryError) throw error;
     throw badRequest('the query is nested too deeply', 'query');
   }
 }
@@ -49,9 +68,10 @@
  * @throws QueryError of code `bad_request` naming the first wrong field.
  */
 export function readQueryRequest(body: Uint8Array): ReadQuery {
-  const result = parsedRequestSchema.safeParse(parseJson(body));
+  const text = readText(body);
+  const result = parsedRequestSchema.safeParse(parseJson(text));
   if (result.success) {
-    const queryText = writeJson(result.data.query);
+    const queryText = writeJson(result.data.query, MAY_BE_INFINITE.test(text));
     return { request: result.data as QueryRequest, queryText };
   }
   const [issue] = result.error.issues;
--- a/src/router/snapshot-planner.ts
+++ b/src/router/snapshot-planner.ts
@@ -13,6 +13,7 @@
   type Snapshot,
 } from '../model/snapshot.js';
 import type { LayoutView, ShardView } from './layout-view.js';
+import { PlanCache } from './plan-cache.js';
 import type { QueryPlan } from './query-plan.js';
 import { shardIndexOfKey } from './shard-of-key.js';
 
@@ -33,8 +34,7 @@
 
 /** Plans for one service at one settings revision. */
 export class SnapshotPlanner {
-  private cachedGeneration = -1;
-  private readonly cache = new Map<number, QueryPlan | undefined>();
+  private readonly cache = new PlanCache();
 
   constructor(
     private readonly layouts: readonly LayoutView[],
@@ -45,13 +45,8 @@
   plan(request: PlanRequest): QueryPlan | undefined {
     const cacheable = request.key === undefined && request.excluded.size === 0;
     if (!cacheable) return this.choose(request);
-    if (this.cachedGeneration !== this.registry.generation) {
-      this.cache.clear();
-      this.cachedGeneration = this.registry.generation;
-    }
-    const { requiredCoverage } = request;
-    if (!this.cache.has(requiredCoverage)) this.cache.set(requiredCoverage, this.choose(request));
-    return this.cache.get(requiredCoverage);
+    const { generation } = this.registry;
+    return this.cache.get(generation, request.requiredCoverage, () => this.choose(request));
   }
 
   private choose(request: PlanRequest): QueryPlan | undefined {
--- a/test/router/bad-input.test.ts
+++ b/test/router/bad-input.test.ts
@@ -40,6 +40,11 @@
       `{"requestId":"request-1","query":${'['.repeat(200_000)}${']'.repeat(200_000)}}`,
       'query',
     ],
+    'a number beyond all bounds': ['{"requestId":"request-1","query":{"a":[1e999]}}', 'query'],
+    'a number of very many digits': [
+      `{"requestId":"request-1","query":-${'9'.repeat(400)}}`,
+      'query',
+    ],
     'half a body': [JSON.stringify(GOOD).slice(0, -3), undefined],
     'an array': ['[]', undefined],
     nothing: ['', undefined],
