--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -2,6 +2,7 @@
  * One try of a query: asks every shard of the plan at once, waits as the
  * completion policy says, cancels the rest and states the coverage.
  */
+import { setMaxListeners } from 'node:events';
 import type { MissingReason } from '../model/coverage.js';
 import type { AttemptTally } from './attempt-tally.js';
 import { stateCoverage, type ShardStanding } from './coverage-statement.js';
@@ -33,6 +34,8 @@
     private readonly plan: QueryPlan,
     tally: AttemptTally,
   ) {
+    // Every shard may wait on it at the same time.
+    setMaxListeners(0, this.ended.signal);
     this.wakeup = new Wakeup(router.environment.clock);
     const { maximumAnswerBytes } = query.service.settings;
     this.replies = new ReplyBuffer(maximumAnswerBytes, () => this.wakeup.wake());
@@ -120,8 +123,8 @@
       coverage: stateCoverage(standings, this.query.requiredCoverage),
       results: sufficient ? this.results() : [],
       mayHaveRun: this.shards.some((shard) => shard.mayHaveRun),
-      snapshotVanished: this.shards.some(
-        (shard, index) => shard.snapshotVanished && this.outcomes[index]?.kind !== 'answered',
+      snapshotLacking: this.shards.some(
+        (shard, index) => this.outcomes[index]?.kind === 'missing' && shard.isSnapshotLacking,
       ),
     };
   }
