--- a/lab/linearizability/register-operation.ts
+++ b/lab/linearizability/register-operation.ts
@@ -28,9 +28,9 @@
   readonly client: string;
   readonly request: RegisterRequest;
   readonly answer: RegisterAnswer;
-  /** Milliseconds; any clock that all clients share. */
+  /** On a clock that all clients share; operations that touch at one moment count as concurrent. */
   readonly startedAt: number;
-  /** Infinity without an answer: it may take effect at any later time. Milliseconds. */
+  /** Infinity without an answer: it may take effect at any later time. */
   readonly endedAt: number;
 }
 
