--- a/src/consensus/consensus-errors.ts
+++ b/src/consensus/consensus-errors.ts
@@ -42,12 +42,23 @@
     super(
       `the group knows member "${memberId}" by another data folder than this one; if its disk was ` +
         'lost, remove the member and add a new member id as a learner ' +
-        '(see docs/operators/controller-storage.md)',
+        '(see docs/operators/replace-controller.md)',
       { step: 'join group', peer, labels: [ErrorLabel.BadInput] },
     );
   }
 }
 
+/** The data folder is whole and another member's; the settings file is wrong. */
+export class ForeignDataFolderError extends DriftwayError {
+  constructor(memberId: string, clusterId: string) {
+    super(
+      `the folder belongs to member "${memberId}" of cluster "${clusterId}"; correct memberId, ` +
+        'cluster.id or dataFolder in the settings file',
+      { step: 'read data folder', labels: [ErrorLabel.BadInput] },
+    );
+  }
+}
+
 /** A request to another member failed. */
 export class PeerRequestError extends DriftwayError {
   constructor(
--- a/src/consensus/member-storage.ts
+++ b/src/consensus/member-storage.ts
@@ -5,6 +5,7 @@
 import type { RecoveredLog } from '../storage/log-recovery.js';
 import { SegmentedLog } from '../storage/segmented-log.js';
 import { SnapshotStore, type StoredSnapshot } from '../storage/snapshot-store.js';
+import { ForeignDataFolderError } from './consensus-errors.js';
 import { Membership } from './membership.js';
 import { Mutex } from './mutex.js';
 import { RaftLog } from './raft-log.js';
@@ -36,7 +37,8 @@
   /**
    * Opens a data folder, or makes one.
    *
-   * @throws DamagedStorageError when the folder is damaged or another member's.
+   * @throws DamagedStorageError when the folder is damaged.
+   * @throws ForeignDataFolderError when it is another member's.
    */
   static async open(
     disk: Disk,
@@ -112,9 +114,7 @@
 function checkIdentity(hardState: HardState, identity: MemberIdentity): void {
   if (hardState.clusterId === identity.clusterId && hardState.memberId === identity.memberId)
     return;
-  const found = `${hardState.clusterId}/${hardState.memberId}`;
-  const wanted = `${identity.clusterId}/${identity.memberId}`;
-  throw new DamagedStorageError('hard-state', 0, `the folder belongs to ${found}, not ${wanted}`);
+  throw new ForeignDataFolderError(hardState.memberId, hardState.clusterId);
 }
 
 /** Joins what the log and the snapshot hold. */
--- /dev/null
+++ b/test/control/replace-controller.test.ts
@@ -0,0 +1,150 @@
+import { Registry } from 'prom-client';
+import { describe, expect, it } from 'vitest';
+import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import type { ChangeResult, MemberList } from '../../src/administration/response-schemas.js';
+import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
+import { ControllerDaemon } from '../../src/control/controller-daemon.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { OperatorClient } from '../../src/operator/operator-client.js';
+import { OperatorError, OperatorExitCode } from '../../src/operator/operator-error.js';
+import { createTokenText, hashToken } from '../../src/settings/token-text.js';
+
+const INITIAL = ['controller-1', 'controller-2', 'controller-3'];
+const ADDED = 'controller-4';
+const TOKEN = createTokenText('bootstrap');
+const HTTP_PORT = 7400;
+const MESSAGE_PORT = 7500;
+const ELECTION_MS = 10_000;
+
+type MemberChange =
+  | { readonly action: 'addLearner'; readonly memberId: string; readonly address: string }
+  | { readonly action: 'promote' | 'remove'; readonly memberId: string };
+
+/** As `driftway members` sends it. */
+function changeMembers(client: OperatorClient, body: MemberChange): Promise<MemberList> {
+  const request = { method: 'POST', target: '/v1/members', body, resendable: true } as const;
+  return client.send<MemberList>(request);
+}
+
+/** The steps of docs/operators/replace-controller.md. */
+async function replace(client: OperatorClient, lostId: string, at: string): Promise<MemberList> {
+  await changeMembers(client, { action: 'addLearner', memberId: ADDED, address: at });
+  await changeMembers(client, { action: 'promote', memberId: ADDED });
+  return changeMembers(client, { action: 'remove', memberId: lostId });
+}
+
+class Group {
+  readonly simulation = new Simulation(9);
+  private readonly machines = new Map<string, SimulatedMachine>();
+
+  constructor() {
+    for (const id of [...INITIAL, ADDED]) {
+      this.machines.set(id, this.simulation.createMachine(id, `zone-of-${id}`));
+    }
+  }
+
+  machine(id: string): SimulatedMachine {
+    return this.machines.get(id) ?? expect.fail(id);
+  }
+
+  messages(id: string): string {
+    return `${this.machine(id).host}:${MESSAGE_PORT}`;
+  }
+
+  start(id: string, join = false): Promise<ControllerDaemon> {
+    const { host, zone, environment } = this.machine(id);
+    const configuration = controllerConfigurationSchema.parse({
+      memberId: id,
+      region: 'dohoku',
+      zone,
+      cluster: { id: 'dohoku', key: 'a-long-random-secret' },
+      dataFolder: 'unused',
+      listen: { http: `${host}:${HTTP_PORT}`, messages: this.messages(id) },
+      initialMembers: INITIAL.map((memberId) => ({
+        memberId,
+        zone: `zone-of-${memberId}`,
+        address: this.messages(memberId),
+      })),
+      join,
+      administration: { bootstrapTokenHash: hashToken(TOKEN) },
+    });
+    const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+    return this.simulation.settle(ControllerDaemon.start(environment, configuration, telemetry));
+  }
+
+  /** An operator who asks these controllers, in this order. */
+  operator(...ids: readonly string[]): OperatorClient {
+    const machine = this.simulation.createMachine(`operator-${this.simulation.now}`, 'office');
+    const { clock, network } = machine.environment;
+    return new OperatorClient(network, clock, {
+      controllers: ids.map((id) => ({ host: this.machine(id).host, port: HTTP_PORT })),
+      token: TOKEN,
+      attemptTimeoutMs: 5_000,
+      totalTimeoutMs: 30_000,
+    });
+  }
+
+  async accept(client: OperatorClient, revision: number): Promise<void> {
+    const result = await this.simulation.settle(
+      client.post<ChangeResult>('/v1/changes', {
+        changeId: `change-${revision}`,
+        baseRevision: revision - 1,
+        author: 'operator',
+        reason: 'test',
+        operations: [{ type: 'set', scope: 'defaults', key: 'queueLimit', value: revision }],
+      } as never),
+    );
+    expect(result.revision).toBe(revision);
+  }
+}
+
+describe('replacement of a controller whose disk is lost', () => {
+  it.each(INITIAL)('carries a second failure right after it (%s)', async (lostId) => {
+    const group = new Group();
+    for (const id of INITIAL) await group.start(id);
+    await group.simulation.runFor(ELECTION_MS);
+    const rest = INITIAL.filter((id) => id !== lostId);
+    const client = group.operator(...rest);
+    await group.accept(client, 1);
+    group.machine(lostId).restart({ keepDisk: false });
+    await group.simulation.runFor(ELECTION_MS);
+    const wiped = await group.start(lostId);
+    const cause = await group.simulation.settle(wiped.failure);
+    expect(cause.message).toContain('docs/operators/replace-controller.md');
+    await group.start(ADDED, true);
+    const address = group.messages(ADDED);
+    const { members } = await group.simulation.settle(replace(client, lostId, address));
+    const voters = members.filter(({ voter }) => voter).map(({ memberId }) => memberId);
+    expect(voters.toSorted()).toEqual([...rest, ADDED].toSorted());
+    // Sent again, as after a lost answer, it changes nothing.
+    await group.simulation.settle(replace(client, lostId, address));
+    await group.accept(client, 2);
+    const [second = '', survivor = ''] = rest;
+    group.machine(second).crash({ power: true });
+    const after = group.operator(ADDED, survivor);
+    await group.accept(after, 3);
+    const history = await group.simulation.settle(
+      after.get<{ changes: { changeId: string }[] }>('/v1/history'),
+    );
+    const accepted = history.changes.map(({ changeId }) => changeId);
+    expect(accepted).toEqual(['change-3', 'change-2', 'change-1']);
+  });
+
+  it('refuses what is wrong at once, also when a follower is asked', async () => {
+    const group = new Group();
+    for (const id of INITIAL) await group.start(id);
+    await group.simulation.runFor(ELECTION_MS);
+    for (const id of INITIAL) {
+      const change = changeMembers(group.operator(id), { action: 'remove', memberId: 'nobody' });
+      const refusal = await group.simulation.settle(
+        change.then(
+          (list: MemberList) => list,
+          (error: unknown) => error,
+        ),
+      );
+      expect(refusal).toBeInstanceOf(OperatorError);
+      expect((refusal as OperatorError).exitCode).toBe(OperatorExitCode.BadInput);
+    }
+  });
+});
