Measure agreement with real controllers

`driftway-lab measure consensus` starts three controllers on loopback and measures the latency of an accepted change against one sync of the same disk in turn, the growth of the data folder, the time to a new leader after kill -9, and a replacement after a wiped folder with a second kill right after it.

--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -7,6 +7,7 @@
 import { PlatformCommand } from './platform-command.js';
 import { SimulateCommand } from './simulate-command.js';
 import { LoadCommand } from './load-command.js';
+import { MeasureConsensusCommand } from './measure-consensus.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
 import { ScaleCommand } from './scale-command.js';
@@ -28,6 +29,7 @@
   cli.register(DemoCommand);
   cli.register(RecoveryCommand);
   cli.register(LoadCommand);
+  cli.register(MeasureConsensusCommand);
   cli.register(MeasureRouterCostCommand);
   cli.register(ScaleCommand);
   return cli.run([...commandLine], Cli.defaultContext);
