--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -96,6 +96,9 @@
       stateMachine,
       storage,
     });
+    if (storage.tornBytes > 0) {
+      state.dependencies.logger.warn('interrupted write cut off', { bytes: storage.tornBytes });
+    }
     const node = new RaftNode(state, options);
     node.startTasks();
     return node;
--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -7,11 +7,11 @@
 import type { LogFields, Logger } from '../../../src/observability/logger.js';
 import { formatAddress } from '../../../src/seams/address.js';
 import type { DurableEnvironment } from '../../../src/seams/environment.js';
-import type { MessageConnection } from '../../../src/seams/message-connection.js';
 import type { RandomSource } from '../../../src/seams/random-source.js';
 import type { ClusterOptions, StartOptions } from './cluster-options.js';
 import { CountingDisk } from './counting-disk.js';
 import { HistoryMachine } from './history-machine.js';
+import { acceptMember, dialMember } from './member-network.js';
 import { SafetyWatch } from './safety-watch.js';
 import { ShufflingConnection } from './shuffling-connection.js';
 
@@ -27,7 +27,6 @@
 const PORT = 7_400;
 const ELECTION_LIMIT = 20_000;
 const CONVERGENCE_LIMIT = 60_000;
-const CONNECT_TIMEOUT = 500;
 /** How closely conditions are watched. Milliseconds. */
 const WATCH_STEP = 2;
 /** A process that is to end in a disk operation ends at most this much later. Milliseconds. */
@@ -112,7 +111,11 @@
         ),
         join: options.join ?? false,
         stateMachine: member.state,
-        dial: (peer) => this.dial(environment, id, peer),
+        dial: async (peer) => {
+          const connection = await dialMember(environment, id, peer);
+          if (this.options.shuffle !== true) return connection;
+          return new ShufflingConnection(connection, environment.clock, this.random);
+        },
         faults: this.options.faults,
         limits: this.options.limits,
         timings: { ...this.options.timings, ...this.options.timingsOf?.[id] },
@@ -120,7 +123,7 @@
       { logger: this.logger(id), registry: new Registry() },
     );
     await environment.network.listenMessages(this.endpoint(id).address, (connection) =>
-      accept(node, connection),
+      acceptMember(node, connection),
     );
     member.node = node;
     void node.stopped.then(() => {
@@ -246,18 +249,6 @@
     return { memberId, address: { host: this.member(memberId).machine.host, port: PORT } };
   }
 
-  /** Stands for the handshake: the first frame names the member. */
-  private async dial(
-    environment: DurableEnvironment,
-    from: string,
-    peer: MemberEndpoint,
-  ): Promise<MessageConnection> {
-    const connection = await environment.network.connectMessages(peer.address, CONNECT_TIMEOUT);
-    await connection.send(Buffer.from(from));
-    if (this.options.shuffle !== true) return connection;
-    return new ShufflingConnection(connection, environment.clock, this.random);
-  }
-
   private countingDisk(id: string, environment: DurableEnvironment): CountingDisk {
     return new CountingDisk(environment.disk, () => {
       const delay = this.random.nextFloat() * LATEST_CRASH;
@@ -284,9 +275,3 @@
     return logger;
   }
 }
-
-async function accept(node: RaftNode, connection: MessageConnection): Promise<void> {
-  const frame = await connection.receive();
-  if (frame === undefined) return;
-  await node.acceptConnection(connection, Buffer.from(frame).toString('utf8'));
-}
