--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -34,6 +34,8 @@
     private readonly plan: QueryPlan,
     tally: AttemptTally,
   ) {
+    // Every shard may wait on it at the same time.
+    setMaxListeners(0, this.ended.signal);
     this.wakeup = new Wakeup(router.environment.clock);
     const { maximumAnswerBytes } = query.service.settings;
     this.replies = new ReplyBuffer(maximumAnswerBytes, () => this.wakeup.wake());
@@ -123,8 +125,8 @@
       coverage: stateCoverage(standings, this.query.requiredCoverage),
       results: sufficient ? this.results() : [],
       mayHaveRun: this.shards.some((shard) => shard.mayHaveRun),
-      snapshotVanished: this.shards.some(
-        (shard, index) => shard.snapshotVanished && this.outcomes[index]?.kind !== 'answered',
+      snapshotLacking: this.shards.some(
+        (shard, index) => this.outcomes[index]?.kind === 'missing' && shard.isSnapshotLacking,
       ),
     };
   }
