--- a/src/router/query-endpoint.ts
+++ b/src/router/query-endpoint.ts
@@ -1,6 +1,7 @@
 /** Serves `POST /v1/services/{service}/query`: reads, finds resends, runs, answers. */
 import type { Logger } from '../observability/logger.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
+import { withoutReserve } from './answer-reserve.js';
 import type { FinishedQuery } from './finished-query.js';
 import { answerResponse, errorResponse } from './http-responses.js';
 import type { InFlightQueries } from './in-flight-queries.js';
@@ -9,34 +10,15 @@
 import { badRequest, QueryError, type QueryErrorDetails } from './query-error.js';
 import { QueryPipeline } from './query-pipeline.js';
 import { readQueryRequest, type ReadQuery } from './query-reader.js';
+import { Resends } from './resends.js';
 import type { RouterContext } from './router-context.js';
 import { notReadyError, type RouterReadiness } from './router-readiness.js';
 import type { ServiceDirectory } from './service-directory.js';
 import type { ServiceRuntime } from './service-runtime.js';
 
-/** Kept back from a deadline so that the answer still reaches the caller. Milliseconds. */
-const ANSWER_RESERVE_MS = 5;
-/** Most of a short deadline that is kept back. */
-const ANSWER_RESERVE_SHARE = 0.1;
 const MILLISECONDS_PER_SECOND = 1_000;
 const UNKNOWN_SERVICE = 'unknown';
 
-/** The part of a deadline that is kept back. Milliseconds. */
-function answerReserve(deadlineMs: number): number {
-  return Math.min(ANSWER_RESERVE_MS, deadlineMs * ANSWER_RESERVE_SHARE);
-}
-
-/**
- * A resend may have been run by another router, or by this one before it restarted.
- *
- * @throws QueryError of code `outcome_unknown`, for a not repeatable resend.
- */
-function refuseUnknownResend({ request }: ReadQuery): void {
-  if (request.repeatable || request.resend !== true) return;
-  const message = 'this router knows no earlier request with this id';
-  throw new QueryError('outcome_unknown', 504, message, true, {}, { step: 'find outcome' });
-}
-
 /** The parts of a router that serve a query. */
 export interface QueryEndpointParts {
   readonly router: RouterContext;
@@ -49,7 +31,11 @@
 
 /** Handles queries; never throws. */
 export class QueryEndpoint {
-  constructor(private readonly parts: QueryEndpointParts) {}
+  private readonly resends: Resends;
+
+  constructor(private readonly parts: QueryEndpointParts) {
+    this.resends = new Resends(parts.ledger, parts.router.environment.clock);
+  }
 
   /** One query, from its HTTP request to its HTTP response. */
   async handle(http: HttpRequest, serviceName: string): Promise<HttpResponse> {
@@ -75,11 +61,12 @@
     let details: QueryErrorDetails = { service: serviceName };
     try {
       const read = readQueryRequest(http.body);
-      const { requestId, deadlineMs } = read.request;
-      details = { ...details, requestId };
-      const earlier = this.parts.ledger.find(serviceName, read);
-      if (earlier !== undefined) return await this.join(earlier, deadlineMs);
-      refuseUnknownResend(read);
+      details = { ...details, requestId: read.request.requestId };
+      const earlier = this.resends.find(serviceName, read);
+      if (earlier !== undefined) {
+        this.parts.router.metrics.joinedResends.inc();
+        return await earlier;
+      }
       const service = this.findService(serviceName);
       const query = this.createContext(service, read, receivedAt);
       return await this.run(query, http.signal);
@@ -120,7 +107,7 @@
       queryText,
       requiredCoverage: Math.max(request.requiredCoverage ?? 0, settings.requiredCoverage),
       receivedAt,
-      deadlineAt: receivedAt + deadline - answerReserve(deadline),
+      deadlineAt: receivedAt + withoutReserve(deadline),
     };
   }
 
@@ -153,26 +140,6 @@
     }
   }
 
-  /** Gives a resend the outcome of the first request, waiting to the resend's own deadline. */
-  private async join(
-    earlier: Promise<FinishedQuery>,
-    deadlineMs: number | undefined,
-  ): Promise<FinishedQuery> {
-    this.parts.router.metrics.joinedResends.inc();
-    if (deadlineMs === undefined) return earlier;
-    const { clock } = this.parts.router.environment;
-    return new Promise((resolve, reject) => {
-      const message = 'the first request with this id is still running';
-      const timer = clock.setTimer(deadlineMs - answerReserve(deadlineMs), () =>
-        reject(new QueryError('outcome_unknown', 504, message, true, {}, { step: 'join' })),
-      );
-      void earlier.then((finished) => {
-        timer.cancel();
-        resolve(finished);
-      });
-    });
-  }
-
   private finishError(error: unknown, details: QueryErrorDetails): FinishedQuery {
     const typed = error instanceof QueryError ? error : this.unexpected(error);
     const complete = typed.with(details);
