--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -125,7 +125,7 @@
     broadcast: StreamBroadcast,
   ): Promise<void> {
     while (!this.ended) {
-      const news = broadcast.news.wait();
+      const news = broadcast.news.wait(Infinity);
       for (const frame of this.takeFrames(subscription, broadcast)) {
         await this.connection.send(frame);
         this.context.metrics.sentBytes.inc(frame.length);
@@ -186,7 +186,11 @@
   }
 
   private takeReport({ sequence, revision }: ReportMessage): void {
-    if (this.record !== undefined) this.update({ ...this.record, sequence, revision });
+    if (this.record === undefined) return;
+    const { daemons, metrics } = this.context;
+    const isSuperseded = daemons.incarnationOf(this.daemonName) > this.record.incarnation;
+    if (isSuperseded) metrics.supersededReports.inc();
+    this.update({ ...this.record, sequence, revision });
   }
 
   private takeGoodbye(reason: GoodbyeReason): void {
@@ -199,7 +203,7 @@
     if (sign === undefined) throw this.malformed('not a sign of a replica');
     const scoped = { scope: scopeOf(sign, zone), sign };
     if (!this.context.signs.record(scoped)) return;
-    this.context.broadcast.news.notify();
+    this.context.broadcast.noteSign();
     this.context.onNews();
   }
 
