--- a/test/router/failures-together.test.ts
+++ b/test/router/failures-together.test.ts
@@ -103,6 +103,11 @@
   });
 });
 
+function countHedges(run: FailureRun): number {
+  const counts = run.queries.map(({ reply }) => reply.answer.attempts?.hedges ?? 0);
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
 describe('failures that come together', () => {
   for (const seed of SEEDS) {
     it(`break no promise (seed ${seed})`, async () => {
@@ -116,6 +121,11 @@
     });
   }
 
+  it('come in runs that also hedge', async () => {
+    const runs = await Promise.all(SEEDS.slice(0, 3).map((seed) => FailureRun.run(seed)));
+    expect(Math.max(...runs.map(countHedges))).toBeGreaterThan(0);
+  });
+
   for (const [name, promise] of Object.entries(SWITCHES)) {
     it(`are seen to break "${promise}" with ${name}`, async () => {
       const broken = await Promise.all(
--- a/test/router/support/failure-run.ts
+++ b/test/router/support/failure-run.ts
@@ -7,13 +7,20 @@
 import type { ShardLayout } from '../../../src/model/service-definition.js';
 import { PureRandomSource } from '../../../src/node/pure-random-source.js';
 import type { RouterFaults } from '../../../src/router/router-faults.js';
+import type { SettingsOverride } from '../../../src/settings/service-settings.js';
 import type { FakeBackend, ReplyDraft } from './fake-backend.js';
 import { createLayout, createState, RouterHarness, type Reply } from './router-harness.js';
 
 const SHARDS = 3;
 const STEPS = 500;
 const LONGEST_STEP = 20;
-const SETTINGS = { maximumAttemptsPerShard: 4, retryBudgetPercent: 100 };
+const SETTINGS: SettingsOverride = {
+  maximumAttemptsPerShard: 4,
+  retryBudgetPercent: 100,
+  hedging: 'quantile',
+  hedgeQuantile: 0.9,
+  hedgeBudgetPercent: 20,
+};
 
 /** A query as its caller saw it. */
 export interface SentQuery {
