--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -39,6 +39,8 @@
   private readonly child: ChildProcess;
   private readonly listeners = new Set<LineListener>();
   private hasEnded = false;
+  /** Why the daemon failed, as it said itself. */
+  private failure: string | undefined;
   private hung = false;
 
   constructor(readonly options: FleetProcessOptions) {
@@ -59,7 +61,8 @@
           hung: this.hung,
         });
       };
-      this.child.once('exit', settle);
+      // Not `exit`, which may come before its last lines were read.
+      this.child.once('close', settle);
       this.child.once('error', (error) => settle(null, error.message));
     });
     this.record();
@@ -92,7 +95,8 @@
       };
       const fail = (reason: string): void => {
         finish();
-        reject(new Error(`${name} ${reason} before it said "${message}"; see ${logFile}`));
+        const why = this.failure === undefined ? '' : ` (${this.failure})`;
+        reject(new Error(`${name} ${reason}${why} before it said "${message}"; see ${logFile}`));
       };
       const onAbort = (): void => fail('was interrupted');
       this.listeners.add(onLine);
@@ -140,6 +144,7 @@
     lines.on('line', (text) => {
       log.write(`${text}\n`);
       const line = parseLine(text);
+      if (line?.message === 'daemon failed') this.failure = String(line.context['reason']);
       if (line !== undefined) for (const listener of [...this.listeners]) listener(line);
     });
     this.child.once('close', () => log.end());
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -99,10 +99,11 @@
   async start(): Promise<void> {
     await this.startPlatformList();
     const { controllers, file } = this.terms;
-    await Promise.all([
-      ...dealReplicas(file).map((replicas, index) => this.startBackends(index + 1, replicas)),
-      ...controllers.map(({ memberId }) => this.startController(memberId)),
-    ]);
+    // Before anything else asks the system for ports: theirs were free a moment ago.
+    await Promise.all(controllers.map(({ memberId }) => this.startController(memberId)));
+    await Promise.all(
+      dealReplicas(file).map((replicas, index) => this.startBackends(index + 1, replicas)),
+    );
     const routers = Array.from({ length: file.routers }, (_, index) => this.startRouter(index));
     this.routers.push(...(await Promise.all(routers)));
   }
--- a/test/lab/fleet/fleet-process.test.ts
+++ b/test/lab/fleet/fleet-process.test.ts
@@ -50,6 +50,8 @@
     const ending = start('short', 'process.exit(3)');
     await expect(ending.waitFor('up', NEVER)).rejects.toThrow(/short ended/);
     expect(await ending.ended).toMatchObject({ exitCode: 3, hung: false });
+    const failed = `console.log(JSON.stringify({ message: 'daemon failed', context: { reason: 'EADDRINUSE' } }));`;
+    await expect(start('failing', failed).waitFor('up', NEVER)).rejects.toThrow(/EADDRINUSE/);
     const silent = start('silent', STAY);
     await expect(silent.waitFor('up', AbortSignal.abort())).rejects.toThrow(/interrupted/);
     await silent.kill();
