Return once coverage suffices and waiting is not worth it

Cause: return_when_sufficient waited for all shards.

Change: ExpectedGainPolicy weighs the coverage expected from a further wait, by the learned chance that an awaited shard replies, against the wait; new setting leastWaitGain. Completion policies are told of replies and of shards not waited for.

--- a/lab/bench/policy-sets.ts
+++ b/lab/bench/policy-sets.ts
@@ -14,6 +14,8 @@
   least_in_flight: { ...BASELINE, replicaSelection: 'least_in_flight' },
   power_of_two: { ...BASELINE, replicaSelection: 'power_of_two' },
   hedge: { ...BASELINE, hedging: 'quantile' },
+  /** Completion as the trace's settings choose. */
+  tuned: { replicaSelection: 'latency_weighted', hedging: 'quantile' },
   round_robin_hedge: { ...BASELINE, replicaSelection: 'round_robin', hedging: 'quantile' },
   least_in_flight_hedge: { ...BASELINE, replicaSelection: 'least_in_flight', hedging: 'quantile' },
   power_of_two_hedge: { ...BASELINE, replicaSelection: 'power_of_two', hedging: 'quantile' },
--- a/src/policies/service-policies.ts
+++ b/src/policies/service-policies.ts
@@ -6,6 +6,7 @@
 import { BoundedAdmissionPolicy } from './bounded-admission-policy.js';
 import { BudgetedRetryPolicy } from './budgeted-retry-policy.js';
 import type { CompletionPolicy } from './completion-policy.js';
+import { ExpectedGainPolicy } from './expected-gain-policy.js';
 import type { HedgePolicy } from './hedge-policy.js';
 import { LatencyWeightedReplicaSelector } from './latency-weighted-replica-selector.js';
 import { LeastInFlightReplicaSelector } from './least-in-flight-replica-selector.js';
@@ -59,6 +60,11 @@
   });
 }
 
+function createCompletionPolicy(settings: ServiceSettings, random: RandomSource): CompletionPolicy {
+  if (settings.completionPolicy === 'wait_for_all') return new WaitForAllPolicy();
+  return new ExpectedGainPolicy(settings.leastWaitGain, random);
+}
+
 /** Makes the policies that `settings` ask for. */
 export function createServicePolicies(
   settings: ServiceSettings,
@@ -68,7 +74,7 @@
   return {
     replicaSelector: createReplicaSelector(settings.replicaSelection, random),
     hedge: createHedgePolicy(settings),
-    completion: new WaitForAllPolicy(),
+    completion: createCompletionPolicy(settings, random),
     retry: new BudgetedRetryPolicy(
       {
         budgetPercent: settings.retryBudgetPercent,
--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -3,6 +3,7 @@
  * completion policy says, cancels the rest and states the coverage.
  */
 import type { MissingReason } from '../model/coverage.js';
+import type { CompletionPolicy } from '../policies/completion-policy.js';
 import type { AttemptTally } from './attempt-tally.js';
 import { stateCoverage, type ShardStanding } from './coverage-statement.js';
 import type { ExecutionEnding, ExecutionResult, ReachedShard } from './execution-result.js';
@@ -21,6 +22,7 @@
   private readonly shards: readonly ShardExecution[];
   private readonly outcomes: (ShardOutcome | undefined)[];
   private readonly needed: number;
+  private readonly askedAt: number;
   private reached = 0;
   private pending: number;
   private answerBytes = 0;
@@ -38,6 +40,7 @@
     this.outcomes = this.shards.map(() => undefined);
     this.needed = requiredShardCount(query.requiredCoverage, this.shards.length);
     this.pending = this.shards.length;
+    this.askedAt = router.environment.clock.now();
   }
 
   /** Ends at the query's deadline at the latest. Aborting `signal` cancels every attempt. */
@@ -48,6 +51,9 @@
     const ending = await this.waitForEnding(signal);
     signal.removeEventListener('abort', onAbort);
     this.ended.abort();
+    this.outcomes.forEach((outcome) => {
+      if (outcome === undefined) this.completion.recordUnfinished(this.sinceAsked);
+    });
     for (const shard of this.shards) shard.cancel();
     const sufficient = this.isSufficient && ending !== 'answer_too_large' && ending !== 'cancelled';
     // Only once every attempt has ended is it known whether any byte left.
@@ -62,6 +68,7 @@
     this.outcomes[index] = outcome;
     if (outcome.kind === 'answered') {
       this.reached += 1;
+      this.completion.recordReply(this.sinceAsked);
       this.answerBytes += outcome.bytes;
     }
     if (this.mayEnd(outcome)) this.wakeup.wake();
@@ -72,6 +79,15 @@
     return outcome.kind === 'missing' || this.isSufficient || this.pending === 0 || this.isTooLarge;
   }
 
+  private get completion(): CompletionPolicy {
+    return this.query.service.policies.completion;
+  }
+
+  /** Milliseconds. */
+  private get sinceAsked(): number {
+    return this.router.environment.clock.now() - this.askedAt;
+  }
+
   private get isSufficient(): boolean {
     return this.reached >= this.needed;
   }
@@ -96,12 +112,13 @@
 
   private furtherWait(remaining: number): number {
     const { query } = this;
-    const furtherWait = query.service.policies.completion.furtherWait({
+    const furtherWait = this.completion.furtherWait({
       shardCount: this.shards.length,
       reached: this.reached,
       pending: this.pending,
       requiredCoverage: query.requiredCoverage,
       elapsed: this.router.environment.clock.now() - query.receivedAt,
+      sinceAsked: this.sinceAsked,
       remaining,
     });
     return Math.min(furtherWait, remaining);
--- a/src/settings/service-settings.ts
+++ b/src/settings/service-settings.ts
@@ -15,6 +15,13 @@
   completionPolicy: z
     .enum(['wait_for_all', 'return_when_sufficient'])
     .describe('Whether to wait for every shard to the deadline, or return once coverage suffices.'),
+  leastWaitGain: z
+    .number()
+    .min(0)
+    .max(100)
+    .describe(
+      'With return_when_sufficient: coverage that waiting as long again must be expected to add.',
+    ),
   defaultDeadlineMs: z
     .number()
     .min(1)
@@ -77,10 +84,11 @@
 export const DEFAULT_SERVICE_SETTINGS: ServiceSettings = {
   requiredCoverage: 1,
   completionPolicy: 'wait_for_all',
+  leastWaitGain: 0.2,
   defaultDeadlineMs: 1_000,
   maximumDeadlineMs: 30_000,
-  replicaSelection: 'power_of_two',
-  hedging: 'none',
+  replicaSelection: 'latency_weighted',
+  hedging: 'quantile',
   hedgeQuantile: 0.95,
   hedgeBudgetPercent: 2,
   retryBudgetPercent: 10,
--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -32,6 +32,9 @@
   hedgesLeft = 1;
   /** Milliseconds to wait once coverage suffices. */
   furtherWait = Infinity;
+  /** What the completion policy was told. Milliseconds. */
+  readonly replies: number[] = [];
+  readonly unfinished: number[] = [];
   readonly registry: ReplicaRegistry;
   private readonly router: RouterContext;
   private readonly service: ServiceRuntime;
@@ -96,7 +99,11 @@
         hedgeDelay: () => HEDGE_DELAY,
         takeBudget: () => (this.hedgesLeft -= 1) >= 0,
       },
-      completion: { furtherWait: () => this.furtherWait },
+      completion: {
+        recordReply: (sinceAsked) => this.replies.push(sinceAsked),
+        recordUnfinished: (sinceAsked) => this.unfinished.push(sinceAsked),
+        furtherWait: () => this.furtherWait,
+      },
     };
   }
 }
@@ -173,6 +180,8 @@
     expect(ending).toBe('sufficient');
     expect(bench.clock.now()).toBe(50 + latency + bench.furtherWait);
     expect(coverage.missing).toEqual([{ shardId: 'shard-0', reason: 'not_waited_for' }]);
+    expect(bench.replies).toEqual([latency]);
+    expect(bench.unfinished).toEqual([latency + bench.furtherWait]);
     expect(firstBackend(bench).ledger[0]?.cancelled).toBe(true);
   });
 });
