--- a/src/commands/operator-command.ts
+++ b/src/commands/operator-command.ts
@@ -4,19 +4,14 @@
 import { readTextFile } from '../node/read-text-file.js';
 import { formatError } from '../operator/format-error.js';
 import { OperatorClient } from '../operator/operator-client.js';
-import { OperatorError, OperatorExitCode } from '../operator/operator-error.js';
+import { OperatorError, OperatorExitCode, usageError } from '../operator/operator-error.js';
 import { parseAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 
-/** Longest wait for one controller. Milliseconds. */
-const ATTEMPT_TIMEOUT_MS = 5_000;
+/** Longest wait for one controller, unless a command says otherwise. Milliseconds. */
+const LONGEST_ATTEMPT_MS = 5_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-function usageError(message: string): OperatorError {
-  const step = 'read arguments';
-  return new OperatorError({ code: 'bad_request', message, step, changed: 'no' }, undefined);
-}
-
 /** Base of every command that talks to the administration API. */
 export abstract class OperatorCommand extends Command<BaseContext> {
   controllers = Option.Array('--controller', {
@@ -34,6 +29,9 @@
   /** Returned when {@link OperatorCommand.run} does not throw. */
   protected exitCode = OperatorExitCode.Success;
 
+  /** Longest wait for one controller. Milliseconds. */
+  protected readonly longestAttemptMs: number = LONGEST_ATTEMPT_MS;
+
   /** The command's work; its answer is printed. */
   protected abstract run(client: OperatorClient): Promise<unknown>;
 
@@ -87,16 +85,16 @@
     return new OperatorClient(network, clock, {
       controllers: this.addresses(),
       token: this.token,
-      attemptTimeoutMs: Math.min(ATTEMPT_TIMEOUT_MS, totalTimeoutMs),
+      attemptTimeoutMs: Math.min(this.longestAttemptMs, totalTimeoutMs),
       totalTimeoutMs,
     });
   }
 
   private addresses(): Address[] {
     const fromEnvironment = this.context.env['DRIFTWAY_CONTROLLERS']?.split(',') ?? [];
-    const texts = this.controllers ?? fromEnvironment;
+    const texts = (this.controllers ?? fromEnvironment).map((text) => text.trim());
     try {
-      return texts.map((text) => parseAddress(text.trim()));
+      return texts.filter((text) => text !== '').map(parseAddress);
     } catch (error) {
       throw usageError((error as Error).message);
     }
