Learn how many requests may be at work, and queue the rest fairly

Change: AdaptiveAdmissionPolicy learns a limit from latency, serves teams in turn and refuses at once what would wait longer than a tenth of the time to its deadline; setting admission, adaptive by default. The bench counts teams apart.

Ruled out: the least latency of the last 30 s as the one without load; in a long overload it creeps up, and the limit with it.

--- a/lab/bench/bench-figures.ts
+++ b/lab/bench/bench-figures.ts
@@ -57,6 +57,8 @@
 export interface PeriodFigures {
   readonly all: ServiceFigures;
   readonly services: Readonly<Record<string, ServiceFigures>>;
+  /** Of each team's requests; goodput is compared to all services asked. */
+  readonly teams: Readonly<Record<string, ServiceFigures>>;
 }
 
 /** Figures of a run, of all its counted requests and of the named phases of its trace. */
--- a/lab/bench/measure.ts
+++ b/lab/bench/measure.ts
@@ -139,24 +139,28 @@
     const collectors = new Map(
       [...this.services.keys()].map((name) => [name, new FiguresCollector()]),
     );
+    const teams = new Map<string, FiguresCollector>();
     for (const request of this.record.requests) {
       if (request.scheduledAt < period.from || request.scheduledAt >= period.to) continue;
       const service = this.services.get(request.entry.service);
       const own = collectors.get(request.entry.service);
       if (service === undefined || own === undefined) continue;
-      for (const collector of [all, own]) {
+      const team = teams.get(request.team) ?? new FiguresCollector();
+      teams.set(request.team, team);
+      for (const collector of [all, own, team]) {
         collector.addOutcome(request, service.settings);
         collector.addWork(request, this.work);
         collector.addOracle(request, service, this.oracle);
       }
     }
-    return this.collect(period, all, collectors);
+    return this.collect(period, all, collectors, teams);
   }
 
   private collect(
     period: Period,
     all: FiguresCollector,
     collectors: ReadonlyMap<string, FiguresCollector>,
+    teams: ReadonlyMap<string, FiguresCollector>,
   ): PeriodFigures {
     let capacity = 0;
     const services: Record<string, ServiceFigures> = {};
@@ -165,6 +169,11 @@
       capacity += own;
       services[name] = collector.figures(period, own);
     }
-    return { all: all.figures(period, capacity), services };
+    const ofTeams = [...teams].map(([team, each]) => [team, each.figures(period, capacity)]);
+    return {
+      all: all.figures(period, capacity),
+      services,
+      teams: Object.fromEntries(ofTeams) as Record<string, ServiceFigures>,
+    };
   }
 }
--- a/lab/bench/policy-sets.ts
+++ b/lab/bench/policy-sets.ts
@@ -6,6 +6,7 @@
   replicaSelection: 'random',
   hedging: 'none',
   completionPolicy: 'wait_for_all',
+  admission: 'bounded',
 };
 
 export const POLICY_SETS: Readonly<Record<string, SettingsOverride>> = {
@@ -15,7 +16,9 @@
   power_of_two: { ...BASELINE, replicaSelection: 'power_of_two' },
   hedge: { ...BASELINE, hedging: 'quantile' },
   /** Completion as the trace's settings choose. */
-  tuned: { replicaSelection: 'latency_weighted', hedging: 'quantile' },
+  tuned: { replicaSelection: 'latency_weighted', hedging: 'quantile', admission: 'adaptive' },
+  /** As tuned, but a fixed number of requests at work. */
+  bounded: { replicaSelection: 'latency_weighted', hedging: 'quantile', admission: 'bounded' },
   round_robin_hedge: { ...BASELINE, replicaSelection: 'round_robin', hedging: 'quantile' },
   least_in_flight_hedge: { ...BASELINE, replicaSelection: 'least_in_flight', hedging: 'quantile' },
   power_of_two_hedge: { ...BASELINE, replicaSelection: 'power_of_two', hedging: 'quantile' },
--- a/lab/bench/stated-outcome.ts
+++ b/lab/bench/stated-outcome.ts
@@ -22,6 +22,8 @@
   figure: outcomeFigureSchema,
   /** Of this service; of the whole run when absent. */
   service: z.string().optional(),
+  /** Of this team's requests; not together with `service`. */
+  team: z.string().optional(),
   /** Of requests scheduled in this phase; of all counted ones when absent. */
   phase: z.string().optional(),
   atLeast: z.number().optional(),
@@ -61,11 +63,17 @@
 
 /** Where the figure of an outcome stands. */
 function figuresFor(outcome: StatedOutcome, run: BenchFigures): ServiceFigures {
-  const { phase, service } = outcome;
+  const { phase, service, team } = outcome;
   const period: PeriodFigures | undefined = phase === undefined ? run : run.phases[phase];
-  const figures = service === undefined ? period?.all : period?.services[service];
+  const figures =
+    team === undefined
+      ? service === undefined
+        ? period?.all
+        : period?.services[service]
+      : period?.teams[team];
   if (figures !== undefined) return figures;
-  throw new RangeError(`the trace has no phase ${phase ?? ''} or service ${service ?? ''}`);
+  const named = [phase, service, team].filter((name) => name !== undefined);
+  throw new RangeError(`the trace has no such phase, service or team: ${named.join(', ')}`);
 }
 
 /** Checks the outcomes stated for `policy`. */
--- a/lab/commands/bench-command.ts
+++ b/lab/commands/bench-command.ts
@@ -134,8 +134,10 @@
 }
 
 function describeOutcome({ outcome, value, holds }: CheckedOutcome): string {
-  const { policy, figure, service, phase, atLeast, atMost } = outcome;
-  const where = [policy, service ?? 'all', phase].filter((part) => part !== undefined).join(' ');
+  const { policy, figure, service, team, phase, atLeast, atMost } = outcome;
+  const where = [policy, service ?? team ?? 'all', phase]
+    .filter((part) => part !== undefined)
+    .join(' ');
   const bounds = [
     atLeast === undefined ? [] : [`at least ${atLeast}`],
     atMost === undefined ? [] : [`at most ${atMost}`],
--- a/src/policies/service-policies.ts
+++ b/src/policies/service-policies.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
 import type { ServiceSettings } from '../settings/service-settings.js';
+import { AdaptiveAdmissionPolicy } from './adaptive-admission-policy.js';
 import type { AdmissionPolicy } from './admission-policy.js';
 import { BoundedAdmissionPolicy } from './bounded-admission-policy.js';
 import { BudgetedRetryPolicy } from './budgeted-retry-policy.js';
@@ -65,6 +66,14 @@
   return new ExpectedGainPolicy(settings.leastWaitGain, random);
 }
 
+function createAdmissionPolicy(settings: ServiceSettings, clock: Clock): AdmissionPolicy {
+  const { maximumInFlight, queueLimit } = settings;
+  const options = { maximumInFlight, queueLimit };
+  return settings.admission === 'bounded'
+    ? new BoundedAdmissionPolicy(options, clock)
+    : new AdaptiveAdmissionPolicy(options, clock);
+}
+
 /** Makes the policies that `settings` ask for. */
 export function createServicePolicies(
   settings: ServiceSettings,
@@ -82,9 +91,6 @@
       },
       random,
     ),
-    admission: new BoundedAdmissionPolicy(
-      { maximumInFlight: settings.maximumInFlight, queueLimit: settings.queueLimit },
-      clock,
-    ),
+    admission: createAdmissionPolicy(settings, clock),
   };
 }
--- a/src/settings/service-settings.ts
+++ b/src/settings/service-settings.ts
@@ -58,6 +58,9 @@
     .min(1)
     .max(10)
     .describe('Most attempts for one shard of one request, hedges included.'),
+  admission: z
+    .enum(['bounded', 'adaptive'])
+    .describe('Whether the number of requests at work is fixed or learned from latency.'),
   maximumInFlight: z
     .int()
     .min(1)
@@ -93,6 +96,7 @@
   hedgeBudgetPercent: 2,
   retryBudgetPercent: 10,
   maximumAttemptsPerShard: 3,
+  admission: 'adaptive',
   maximumInFlight: 1_000,
   queueLimit: 1_000,
   maximumAnswerBytes: 16_777_216,
