Let the planned stop wait at the bounded door in its test

Cause: the adaptive policy, now the default, refuses a request that would wait longer than a tenth of its deadline; the test of a stop while a request waits to be admitted makes it wait 600 ms of 5,000.

Change: that phase of the test names the bounded policy, for which it was written; what it asserts is unchanged.

--- a/test/router/planned-stop.test.ts
+++ b/test/router/planned-stop.test.ts
@@ -55,7 +55,11 @@
 
   /** Ways to be in the middle of something; each leaves `send` unanswered for a while. */
   const phases: Readonly<Record<string, [HarnessOptions, (harness: RouterHarness) => void]>> = {
-    'waiting to be admitted': [{ settings: { maximumInFlight: 1 } }, (harness) => harness.send({})],
+    // The adaptive policy refuses a wait as long as the latency of this test.
+    'waiting to be admitted': [
+      { settings: { admission: 'bounded', maximumInFlight: 1 } },
+      (harness) => harness.send({}),
+    ],
     'waiting for a connection': [{ connections: 16, replicas: 1 }, (harness) => harness.send({})],
     'tried a second time': [
       {},
