--- a/src/control-stream/source-session.ts
+++ b/src/control-stream/source-session.ts
@@ -45,6 +45,16 @@
     this.awaitingSnapshot = context.copy.held.revision === NO_REVISION;
   }
 
+  /** Whether the controller took the daemon on. */
+  get wasWelcomed(): boolean {
+    return this.link.watch.isWelcomed;
+  }
+
+  /** More about the end than its reason says, if there is more. */
+  get detail(): string | undefined {
+    return this.link.detail;
+  }
+
   /** Resolves when the session is over; never rejects. */
   run(): Promise<SessionEnd> {
     const { incarnation, zone, version, copy } = this.context;
@@ -112,7 +122,7 @@
       this.link.end('cut_off');
       return;
     }
-    this.link.watch.welcomed(sourceTime, context.environment.clock.now());
+    this.link.watch.welcomed(sourceTime, provenFresh, context.environment.clock.now());
     for (const sign of context.copy.observedSigns.values()) this.reportSign(sign);
   }
 
--- a/src/router/query-execution.ts
+++ b/src/router/query-execution.ts
@@ -41,6 +41,8 @@
     this.wakeup = new Wakeup(router.environment.clock);
     const { maximumAnswerBytes } = query.service.settings;
     this.replies = new ReplyBuffer(maximumAnswerBytes, () => this.wakeup.wake());
+    // Each shard that waits for a connection or for a retry listens once.
+    setMaxListeners(plan.shards.length + 1, this.ended.signal);
     const queryTry = { plan, tally, replies: this.replies, ended: this.ended.signal };
     this.shards = plan.shards.map((shard) => new ShardExecution(router, query, queryTry, shard));
     this.outcomes = this.shards.map(() => undefined);
