Set replicas apart that keep failing

Cause: a restarting replica refuses connections at once, so that it has little in flight and an old latency, and is chosen again; the retries it costs overdraw their budget.

Change: OutlierEjection makes a replica a last resort after three failures in a row, for 1 s, doubling to 8 s, never more than half of the replicas heard of; a restarted process starts afresh. Being a last resort, the last replica of a shard is never shut out.

Ruled out: counting by replica alone. A replica set apart before its restart then got no work from a router that ignores drains, so that the test which must see such a router break its promise did not.

--- a/src/membership/replica-record.ts
+++ b/src/membership/replica-record.ts
@@ -2,6 +2,7 @@
 import type { BackendReport } from '../model/backend-protocol.js';
 import { supersedes, type ReplicaSign } from '../model/replica-sign.js';
 import type { ReplicaDefinition } from '../model/service-definition.js';
+import type { ReplicaProcess } from '../policies/outlier-ejection.js';
 import type { ReplicaView } from '../policies/replica-selector.js';
 import type { Clock } from '../seams/clock.js';
 import { HeldSnapshots } from './held-snapshots.js';
@@ -60,6 +61,11 @@
     return this.sign;
   }
 
+  /** The process that answers now, as far as is known. */
+  get process(): ReplicaProcess {
+    return { replicaId: this.replica.replicaId, incarnation: this.sign?.incarnation };
+  }
+
   /** False once any sign of this incarnation said it is draining or gone. */
   get isLive(): boolean {
     return this.sign === undefined || this.sign.state === 'live';
--- a/src/policies/service-policies.ts
+++ b/src/policies/service-policies.ts
@@ -12,6 +12,7 @@
 import { LatencyWeightedReplicaSelector } from './latency-weighted-replica-selector.js';
 import { LeastInFlightReplicaSelector } from './least-in-flight-replica-selector.js';
 import { NoHedgePolicy } from './no-hedge-policy.js';
+import { OutlierEjection } from './outlier-ejection.js';
 import { PowerOfTwoReplicaSelector } from './power-of-two-replica-selector.js';
 import { QuantileHedgePolicy } from './quantile-hedge-policy.js';
 import { RandomReplicaSelector } from './random-replica-selector.js';
@@ -23,6 +24,7 @@
 /** One instance of each decision, shared by all requests of the service in this router. */
 export interface ServicePolicies {
   readonly replicaSelector: ReplicaSelector;
+  readonly outliers: OutlierEjection;
   readonly hedge: HedgePolicy;
   readonly completion: CompletionPolicy;
   readonly retry: RetryPolicy;
@@ -82,6 +84,7 @@
   const { clock, random } = dependencies;
   return {
     replicaSelector: createReplicaSelector(settings.replicaSelection, random),
+    outliers: new OutlierEjection(clock),
     hedge: createHedgePolicy(settings),
     completion: createCompletionPolicy(settings, random),
     retry: new BudgetedRetryPolicy(
--- a/src/router/backend-attempt.ts
+++ b/src/router/backend-attempt.ts
@@ -124,7 +124,7 @@
         registry.onSnapshotNotHeld(record, snapshot);
         return failedAttempt('snapshot_not_held', false);
       case 'failed':
-        record.recordFailure();
+        this.recordFailure();
         this.query.service.policies.hedge.recordLatency(shardId, latency);
         return failedAttempt('backend_failed', true);
       case undefined:
@@ -137,6 +137,7 @@
     if (resultText === undefined) return this.drop('malformed_body');
     const { record, snapshot, shardId } = this.target;
     this.router.registry.onAnswer(record, snapshot, latency);
+    this.query.service.policies.outliers.recordSuccess(record.process);
     this.query.service.policies.hedge.recordLatency(shardId, latency);
     return { kind: 'answered', resultText, bytes: response.body.length };
   }
@@ -149,10 +150,16 @@
     if (kind === 'response_too_large') return this.drop('too_large');
     if (kind === 'malformed_response') return this.drop('malformed_response');
     if (kind === 'response_truncated') return this.drop('truncated');
-    this.target.record.recordFailure();
+    this.recordFailure();
     return failedAttempt(requestSent ? 'connection_lost' : 'connect_failed', requestSent);
   }
 
+  private recordFailure(): void {
+    const { record } = this.target;
+    record.recordFailure();
+    this.query.service.policies.outliers.recordFailure(record.process);
+  }
+
   /** Cancelled: that there was no reply for so long is all that can be learned from it. */
   private giveUp(elapsed: number, requestSent: boolean): AttemptOutcome {
     this.target.record.recordUnfinished(elapsed);
@@ -163,7 +170,7 @@
   /** The request was sent and its reply is lost, so it may have been run. */
   private drop(reason: DroppedReplyReason): AttemptOutcome {
     this.router.metrics.droppedReplies.inc({ reason });
-    this.target.record.recordFailure();
+    this.recordFailure();
     return failedAttempt('bad_reply', true);
   }
 }
--- a/src/router/shard-candidates.ts
+++ b/src/router/shard-candidates.ts
@@ -2,6 +2,7 @@
 import type { ReplicaRecord } from '../membership/replica-record.js';
 import type { ReplicaRegistry } from '../membership/replica-registry.js';
 import type { MissingReason } from '../model/coverage.js';
+import type { OutlierEjection } from '../policies/outlier-ejection.js';
 import type { ShardView } from './layout-view.js';
 
 /** Looks a shard's replicas over for one query. */
@@ -10,6 +11,7 @@
 
   constructor(
     private readonly registry: ReplicaRegistry,
+    private readonly outliers: OutlierEjection,
     private readonly shard: ShardView,
     /** `epoch.version`. */
     private readonly snapshot: string,
@@ -27,20 +29,20 @@
   }
 
   /**
-   * The best group of holders: not tried yet and reporting, then not tried
-   * yet, then any. A replica that does not report is so a last resort.
+   * The best group of holders: not tried yet and sound, then not tried yet,
+   * then any. A replica that does not report or keeps failing is so a last resort.
    */
   preferred(): ReplicaRecord[] {
     const holders = this.holders();
     const untried = holders.filter((record) => !this.tried.has(record));
-    const reporting = untried.filter((record) => !record.isSuspect);
-    return [reporting, untried, holders].find((group) => group.length > 0) ?? [];
+    const sound = untried.filter((record) => this.isSound(record));
+    return [sound, untried, holders].find((group) => group.length > 0) ?? [];
   }
 
   /** Siblings for a hedge: not tried, reporting, with a free connection. */
   siblings(): ReplicaRecord[] {
     return this.holders().filter(
-      (record) => !this.tried.has(record) && !record.isSuspect && record.hasRoom,
+      (record) => !this.tried.has(record) && this.isSound(record) && record.hasRoom,
     );
   }
 
@@ -51,6 +53,10 @@
     );
   }
 
+  private isSound(record: ReplicaRecord): boolean {
+    return !record.isSuspect && !this.outliers.isEjected(record.process);
+  }
+
   /** Why there is no holder. */
   whyNone(): MissingReason {
     const anyUsable = this.shard.replicas.some((record) => this.registry.mayReceive(record));
--- a/src/router/shard-execution.ts
+++ b/src/router/shard-execution.ts
@@ -35,7 +35,12 @@
     private readonly queryTry: QueryTry,
     private readonly shard: ShardView,
   ) {
-    this.candidates = new ShardCandidates(router.registry, shard, queryTry.plan.snapshotText);
+    this.candidates = new ShardCandidates(
+      router.registry,
+      query.service.policies.outliers,
+      shard,
+      queryTry.plan.snapshotText,
+    );
   }
 
   /** Ends with the first verified answer, or when nothing more may be tried. Never throws. */
