--- a/lab/bench/policy-sets.ts
+++ b/lab/bench/policy-sets.ts
@@ -11,7 +11,6 @@
 
 export const POLICY_SETS: Readonly<Record<string, SettingsOverride>> = {
   baseline: BASELINE,
-  round_robin: { ...BASELINE, replicaSelection: 'round_robin' },
   least_in_flight: { ...BASELINE, replicaSelection: 'least_in_flight' },
   power_of_two: { ...BASELINE, replicaSelection: 'power_of_two' },
   hedge: { ...BASELINE, hedging: 'quantile' },
@@ -19,7 +18,6 @@
   tuned: { replicaSelection: 'latency_weighted', hedging: 'quantile', admission: 'adaptive' },
   /** As tuned, but a fixed number of requests at work. */
   bounded: { replicaSelection: 'latency_weighted', hedging: 'quantile', admission: 'bounded' },
-  round_robin_hedge: { ...BASELINE, replicaSelection: 'round_robin', hedging: 'quantile' },
   least_in_flight_hedge: { ...BASELINE, replicaSelection: 'least_in_flight', hedging: 'quantile' },
   power_of_two_hedge: { ...BASELINE, replicaSelection: 'power_of_two', hedging: 'quantile' },
   latency_weighted_hedge: {
--- a/src/policies/service-policies.ts
+++ b/src/policies/service-policies.ts
@@ -18,7 +18,6 @@
 import { RandomReplicaSelector } from './random-replica-selector.js';
 import type { ReplicaSelector } from './replica-selector.js';
 import type { RetryPolicy } from './retry-policy.js';
-import { RoundRobinReplicaSelector } from './round-robin-replica-selector.js';
 import { WaitForAllPolicy } from './wait-for-all-policy.js';
 
 /** One instance of each decision, shared by all requests of the service in this router. */
@@ -44,8 +43,6 @@
   switch (selection) {
     case 'random':
       return new RandomReplicaSelector(random);
-    case 'round_robin':
-      return new RoundRobinReplicaSelector();
     case 'least_in_flight':
       return new LeastInFlightReplicaSelector(random);
     case 'power_of_two':
--- a/src/settings/service-settings.ts
+++ b/src/settings/service-settings.ts
@@ -33,7 +33,7 @@
     .max(600_000)
     .describe('Longer deadlines are cut to this. Milliseconds.'),
   replicaSelection: z
-    .enum(['random', 'round_robin', 'least_in_flight', 'power_of_two', 'latency_weighted'])
+    .enum(['random', 'least_in_flight', 'power_of_two', 'latency_weighted'])
     .describe('How a replica of a shard is chosen.'),
   hedging: z
     .enum(['none', 'quantile'])
