Draw a page of charts from a replay

Cause: the figures of a run are tables; a curve of coverage against latency or the load through an overload cannot be seen in them.

Change: `driftway-lab report` replays a trace under policy sets and writes one HTML file with latency curves, coverage against latency, and load over time, drawn by Vega-Lite without a browser. A run keeps what came of each second.

How it looks has not been examined in a browser.

--- a/lab/bench/bench-figures.ts
+++ b/lab/bench/bench-figures.ts
@@ -1,5 +1,6 @@
 /** What a bench run measured. Latencies in milliseconds. */
 import type { Histogram } from 'hdr-histogram-js';
+import type { TimelinePoint } from './timeline.js';
 import type { ViolationCounts } from '../auditor/violation.js';
 
 /** Quantiles of a latency distribution. */
@@ -64,6 +65,7 @@
 /** Figures of a run, of all its counted requests and of the named phases of its trace. */
 export interface BenchFigures extends PeriodFigures {
   readonly phases: Readonly<Record<string, PeriodFigures>>;
+  readonly timeline: readonly TimelinePoint[];
   /** What the auditor found, over the whole run. */
   readonly violations: ViolationCounts;
   /** Equal digests mean equal runs. */
--- a/lab/bench/bench-run.ts
+++ b/lab/bench/bench-run.ts
@@ -32,6 +32,7 @@
 import { ReplicaOutages, struckReplicas } from './replica-outages.js';
 import { ReplyTimes } from './reply-times.js';
 import { serviceCapacity } from './service-capacity.js';
+import { timelineOf } from './timeline.js';
 import type { Trace } from './trace.js';
 
 /** Virtual time at which the trace begins, once everything has started. Milliseconds. */
@@ -179,6 +180,7 @@
     return {
       ...measurement.period({ from: trace.warmupMs, to: trace.durationMs }),
       phases,
+      timeline: timelineOf(record, trace.durationMs),
       violations: this.audit(record),
       digest: digestOf(record),
     };
--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -10,6 +10,7 @@
 import { MeasureConsensusCommand } from './measure-consensus.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
+import { ReportCommand } from './report-command.js';
 import { ScaleCommand } from './scale-command.js';
 
 /** Runs one command line and returns its exit code. */
@@ -22,6 +23,7 @@
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   cli.register(BenchCommand);
+  cli.register(ReportCommand);
   cli.register(BackendCommand);
   cli.register(PlatformCommand);
   cli.register(SimulateCommand);
