Report what a controller said before what could not be reached, and no quorum

Cause, seen by hand with two of three controllers killed: a change failed with "connect failed" to the last controller asked, while a live one had said that no leader is known; `driftway status` named the dead leader and left it to the reader to see that the quorum was 9 s old. What a controller answered is now the verdict over a broken connection, and status says that nothing can be changed. An answer that is not the API's is no longer an unknown outcome for a read.

--- a/src/operator/failure-record.ts
+++ b/src/operator/failure-record.ts
@@ -2,6 +2,9 @@
 import type { AdministrationErrorCode } from '../administration/administration-error.js';
 import { OperatorError } from './operator-error.js';
 
+/** Step of the errors that the client itself concludes on. */
+export const ASK_STEP = 'ask controller';
+
 /** Pause after every controller was asked in vain, unless one said otherwise. Milliseconds. */
 const PAUSE_MS = 300;
 
@@ -15,11 +18,14 @@
 /** Collects the failures of one request. */
 export class FailureRecord {
   private last: OperatorError | undefined;
+  /** The last that a controller itself answered with; it tells more than a broken connection. */
+  private answered: OperatorError | undefined;
   /** The first attempt that may have changed something. */
   private lost: OperatorError | undefined;
 
   add(error: OperatorError): void {
     this.last = error;
+    if (error.step !== ASK_STEP) this.answered = error;
     if (error.error.changed === 'unknown') this.lost ??= error;
   }
 
@@ -31,8 +37,8 @@
   /** What to tell the operator. */
   verdict(): OperatorError {
     if (this.last === undefined) return noController();
-    if (this.lost === undefined || VERDICTS.has(this.last.error.code)) return this.last;
-    return this.lost;
+    if (VERDICTS.has(this.last.error.code)) return this.last;
+    return this.lost ?? this.answered ?? this.last;
   }
 }
 
--- a/src/operator/format-error.ts
+++ b/src/operator/format-error.ts
@@ -9,7 +9,8 @@
 
 /** Several lines, the last one ended. */
 export function formatError({ error, peer }: OperatorError): string {
-  const where = peer === undefined ? '' : ` (controller ${peer})`;
+  const isNamed = peer === undefined || error.message.includes(peer);
+  const where = isNamed ? '' : ` (controller ${peer})`;
   const lines = [`error: ${error.message}${where}`, CHANGED_TEXT[error.changed]];
   const { code, conflict, retryAfterMs } = error;
   if (conflict !== undefined) {
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -1,5 +1,6 @@
 /** The cluster as a person wants to see it. */
 import type { StatusReport } from '../administration/response-schemas.js';
+import { QUORUM_LEASE_MS } from '../control-stream/stream-timing.js';
 import { formatDuration, isSilent } from './format-duration.js';
 import { formatTable } from './format-table.js';
 
@@ -33,6 +34,10 @@
   return `${formatDuration(silentMs)} ago${isSilent(silentMs) ? ' (silent)' : ''}`;
 }
 
+function hearsNoQuorum({ sinceQuorumMs }: StatusReport): boolean {
+  return sinceQuorumMs === null || sinceQuorumMs > QUORUM_LEASE_MS;
+}
+
 function formatDaemons({ daemons, force, revision }: StatusReport): string {
   if (force === null) return 'This controller does not keep track of daemons.\n';
   const summary = `Revision ${revision} is in force at ${force.inForce} of ${force.daemons} daemons.\n`;
@@ -67,5 +72,6 @@
     `Answered by ${status.memberId} (${status.role}, version ${status.version}), which ${formatQuorum(status)}.`,
     `Log there: ${status.lastIndex} entries, ${status.commitIndex} committed, ${status.appliedIndex} applied.`,
   ].join('\n');
-  return `${head}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}${formatUnanswered(status)}`;
+  const warning = hearsNoQuorum(status) ? '\nNo quorum: nothing can be changed now.' : '';
+  return `${head}${warning}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}${formatUnanswered(status)}`;
 }
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -9,7 +9,7 @@
 import type { Clock } from '../seams/clock.js';
 import type { HttpClient, HttpClientResponse } from '../seams/http.js';
 import type { Network } from '../seams/network.js';
-import { FailureRecord } from './failure-record.js';
+import { ASK_STEP, FailureRecord } from './failure-record.js';
 import { OperatorError } from './operator-error.js';
 
 /** Largest answer read; a whole configuration fits. Bytes. */
@@ -58,13 +58,13 @@
   return {
     code: requestSent ? 'outcome_unknown' : 'unavailable',
     message,
-    step: 'ask controller',
+    step: ASK_STEP,
     changed: requestSent ? 'unknown' : 'no',
   };
 }
 
 /** The error of a response; one without our error body comes from before the API. */
-function readError(response: HttpClientResponse): ErrorDetails {
+function readError(response: HttpClientResponse, method: OperatorRequest['method']): ErrorDetails {
   const text = new TextDecoder().decode(response.body);
   try {
     const parsed = errorBodySchema.safeParse(JSON.parse(text));
@@ -75,13 +75,13 @@
   const { status } = response;
   if (status === STATUS_PAYLOAD_TOO_LARGE) {
     const message = 'the request is larger than the controller reads';
-    return { code: 'too_large', message, step: 'ask controller', changed: 'no' };
+    return { code: 'too_large', message, step: 'read answer', changed: 'no' };
   }
   const message = `unexpected answer with status ${status}`;
   if (status >= STATUS_CLIENT_ERRORS && status < STATUS_SERVER_ERRORS) {
-    return { code: 'bad_request', message, step: 'ask controller', changed: 'no' };
+    return { code: 'bad_request', message, step: 'read answer', changed: 'no' };
   }
-  return clientSideError(message, true);
+  return clientSideError(message, method !== 'GET');
 }
 
 /** Asks the controllers. */
@@ -160,7 +160,10 @@
       if (response.status === STATUS_OK) {
         return { value: JSON.parse(new TextDecoder().decode(response.body)) as T };
       }
-      return this.failed(request, new OperatorError(readError(response), peer.name));
+      return this.failed(
+        request,
+        new OperatorError(readError(response, request.method), peer.name),
+      );
     } catch (error) {
       const sent = !(error instanceof HttpClientError) || error.requestSent;
       const message = error instanceof Error ? error.message : String(error);
--- a/test/operator/operator-access.test.ts
+++ b/test/operator/operator-access.test.ts
@@ -85,6 +85,7 @@
     expect(stdout).toMatch(
       /Leader: none known[^]*controller-2 +voter[^]*router-1 +nayoro +0.1.0 +1 +20 s ago \(silent\)/,
     );
+    expect(stdout).toContain('No quorum: nothing can be changed now.');
     const nobody = ['--controller', '127.0.0.1:1', '--timeout', '1'];
     const reversed = [...fixture.addresses].reverse().map(formatAddress);
     const listeners = reversed.flatMap((each) => ['--controller', each]);
--- a/test/operator/operator-client.test.ts
+++ b/test/operator/operator-client.test.ts
@@ -78,6 +78,16 @@
     expect(network.asked).toEqual([FIRST, SECOND, FIRST, SECOND]);
   });
 
+  it('reports what a controller said rather than that another cannot be reached', async () => {
+    const log = controllers[0]?.log;
+    if (log === undefined) throw new Error('no first controller');
+    log.hasQuorum = false;
+    network.faults.set(SECOND, 'refused');
+    const error = await failureOf(createClient().post('/v1/changes', REQUEST));
+    expect(error.error).toMatchObject({ code: 'unavailable', message: 'propose: no leader' });
+    expect(error.peer).toBe(FIRST);
+  });
+
   it('says that nothing was changed only when no attempt can have changed anything', async () => {
     network.faults.set(FIRST, 'refused').set(SECOND, 'refused');
     const refused = await failureOf(createClient().post('/v1/changes', REQUEST));
