--- a/src/administration/status-routes.ts
+++ b/src/administration/status-routes.ts
@@ -3,6 +3,7 @@
 import { MembershipChangeRefusedError } from '../consensus/consensus-errors.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
 import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
+import { SOFTWARE_VERSION } from '../software-version.js';
 import { nameSchema } from '../model/service-definition.js';
 import { RETRY_AFTER_MS, type AdministrationContext } from './administration-context.js';
 import { AdministrationError } from './administration-error.js';
@@ -16,8 +17,6 @@
 } from './response-schemas.js';
 import { defineRoute, type Route } from './route.js';
 
-const VERSION = '0.1.0';
-
 function describeMembers({ members, lastIndex }: ReplicatedLogStatus): StatusReport['members'] {
   return members.map(({ memberId, address, voter, matchIndex }) => ({
     memberId,
@@ -33,7 +32,7 @@
   const { memberId, role, leaderId, term, commitIndex, appliedIndex, lastIndex } = status;
   const { revision } = machine.current();
   return {
-    version: VERSION,
+    version: SOFTWARE_VERSION,
     memberId,
     role,
     leaderId: leaderId ?? null,
--- a/src/control-stream/control-stream-client.ts
+++ b/src/control-stream/control-stream-client.ts
@@ -13,6 +13,7 @@
   ConfigurationSource,
 } from '../settings/configuration-source.js';
 import type { ConfigurationState } from '../settings/configuration-state.js';
+import { SOFTWARE_VERSION } from '../software-version.js';
 import { ClientMetrics } from './client-metrics.js';
 import { NO_CONTROL_STREAM_FAULTS, type ControlStreamFaults } from './control-stream-faults.js';
 import { DaemonCopy } from './daemon-copy.js';
@@ -32,9 +33,6 @@
   readonly controllers: readonly ControllerEndpoint[];
 }
 
-/** Of this software; shown to operators. */
-export const SOFTWARE_VERSION = '0.1.0';
-
 /** {@link ConfigurationSource} over the control stream. */
 export class ControlStreamClient implements ConfigurationSource {
   readonly revisions: Stream<ConfigurationState>;
--- a/test/documentation/operators-pages.test.ts
+++ b/test/documentation/operators-pages.test.ts
@@ -6,6 +6,7 @@
 import { OPERATOR_COMMANDS } from '../../src/commands/operator-commands.js';
 import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
+import { SOFTWARE_VERSION } from '../../src/software-version.js';
 import { changeFileSchema } from '../../src/operator/change-file.js';
 
 const PAGES = ['install', 'runbooks', 'settings', 'tokens', 'upgrade'];
@@ -28,6 +29,13 @@
   ]);
 }
 
+describe('the version', () => {
+  it('is that of the package', async () => {
+    const text = await readFile('package.json', 'utf8');
+    expect(SOFTWARE_VERSION).toBe((JSON.parse(text) as { version: string }).version);
+  });
+});
+
 describe("operators' pages", () => {
   it.each(['install', 'settings'])('%s shows only files that are accepted', async (name) => {
     const page = await readPage(name);
