Keep lost outcomes lost, and a resent token creation its first result

Found by reading, each with a test that failed: the new check of a token's scopes ran before the lookup of earlier outcomes, so an identical resend could be "rejected" once its service had gone, and the client takes that word as the verdict of the agreed history; the check is now skipped for a known change id and answers bad_request. A dry run whose answer was lost was reported as an unknown outcome though it can change nothing. A change of members carries no change id, so a refusal of its second attempt is no verdict on the first.

--- a/src/administration/token-routes.ts
+++ b/src/administration/token-routes.ts
@@ -27,12 +27,17 @@
   return { changeId: command.request.changeId, acceptedAt: outcome.acceptedAt, repeated };
 }
 
-/** Asked of the newest configuration; a scope may still go with its service later. */
+/**
+ * Asked of the newest configuration; a scope may still go with its service later.
+ * Not `rejected`: that is the word of the agreed history on the command itself.
+ */
 async function requireScopes(
   context: AdministrationContext,
-  scopes: readonly string[],
+  { changeId, scopes }: CreateTokenRequest,
 ): Promise<void> {
   const configuration = await context.readConfiguration();
+  const isResend = context.machine.outcomeOf(changeId) !== undefined;
+  if (isResend) return;
   const problems = scopes.flatMap((scope, index) => {
     if (hasScope(configuration, scope)) return [];
     return [{ path: `body.scopes.${index}`, reason: `there is no ${scope}` }];
@@ -40,7 +45,7 @@
   const [first] = problems;
   if (first === undefined) return;
   const reason = `${first.path}: ${first.reason}`;
-  throw new AdministrationError('rejected', 'check scopes', reason, { problems });
+  throw new AdministrationError('bad_request', 'check scopes', reason, { problems });
 }
 
 async function createToken(
@@ -48,7 +53,7 @@
   principal: Principal,
   request: CreateTokenRequest,
 ): Promise<DoneResult> {
-  await requireScopes(context, request.scopes);
+  await requireScopes(context, request);
   const at = context.dependencies.clock.wallTime();
   return runTokenCommand(context, { kind: 'createToken', principal, at, request });
 }
--- a/src/commands/operator-change-command.ts
+++ b/src/commands/operator-change-command.ts
@@ -40,10 +40,10 @@
   protected override async run(client: OperatorClient): Promise<unknown> {
     const seconds = this.wait === undefined ? undefined : this.numberOf('--wait', this.wait);
     const request = await this.toRequest(client, await this.plan());
-    const target = this.dryRun ? '/v1/changes?dryRun=true' : '/v1/changes';
+    if (this.dryRun) return this.tryOut(client, request);
     this.announce(request);
-    const result = await client.post<ChangeResult>(target, request);
-    if (seconds === undefined || this.dryRun) return result;
+    const result = await client.post<ChangeResult>('/v1/changes', request);
+    if (seconds === undefined) return result;
     return { ...result, force: await this.learnForce(client, request.changeId, seconds) };
   }
 
@@ -53,9 +53,13 @@
     return formatResult(result) + force;
   }
 
+  private tryOut(client: OperatorClient, body: ChangeRequest): Promise<ChangeResult> {
+    const target = '/v1/changes?dryRun=true';
+    return client.send({ method: 'POST', target, body, resendable: true, changesNothing: true });
+  }
+
   /** Printed before sending, so that the id is known should this process end before the answer. */
   private announce({ changeId, baseRevision }: ChangeRequest): void {
-    if (this.dryRun) return;
     this.context.stderr.write(
       `sending change ${changeId} against revision ${baseRevision}; should the answer be lost, ` +
         `repeat the command with --change-id ${changeId} --base ${baseRevision}\n`,
--- a/src/operator/failure-record.ts
+++ b/src/operator/failure-record.ts
@@ -23,6 +23,9 @@
   /** The first attempt that may have changed something. */
   private lost: OperatorError | undefined;
 
+  /** @param isIdentified Whether the request carries a change id that verdicts refer to. */
+  constructor(private readonly isIdentified: boolean) {}
+
   add(error: OperatorError): void {
     this.last = error;
     if (error.step !== ASK_STEP) this.answered = error;
@@ -37,7 +40,7 @@
   /** What to tell the operator. */
   verdict(): OperatorError {
     if (this.last === undefined) return noController();
-    if (VERDICTS.has(this.last.error.code)) return this.last;
+    if (this.isIdentified && VERDICTS.has(this.last.error.code)) return this.last;
     return this.lost ?? this.answered ?? this.last;
   }
 }
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -38,6 +38,8 @@
   readonly body?: unknown;
   /** True when sending it twice does the same as once: reads, and whatever carries a change id. */
   readonly resendable: boolean;
+  /** True for a POST that only asks, such as a dry run. */
+  readonly changesNothing?: boolean;
 }
 
 /** One controller and its connections. */
@@ -63,8 +65,18 @@
   };
 }
 
+/** Whether the request can have changed anything once it was sent. */
+function mayChange({ method, changesNothing = false }: OperatorRequest): boolean {
+  return method !== 'GET' && !changesNothing;
+}
+
+/** Whether the controllers' verdict is on this very request, whichever attempt brought it. */
+function isIdentified({ body }: OperatorRequest): boolean {
+  return typeof body === 'object' && body !== null && 'changeId' in body;
+}
+
 /** The error of a response; one without our error body comes from before the API. */
-function readError(response: HttpClientResponse, method: OperatorRequest['method']): ErrorDetails {
+function readError(response: HttpClientResponse, request: OperatorRequest): ErrorDetails {
   const text = new TextDecoder().decode(response.body);
   try {
     const parsed = errorBodySchema.safeParse(JSON.parse(text));
@@ -81,7 +93,7 @@
   if (status >= STATUS_CLIENT_ERRORS && status < STATUS_SERVER_ERRORS) {
     return { code: 'bad_request', message, step: 'read answer', changed: 'no' };
   }
-  return clientSideError(message, method !== 'GET');
+  return clientSideError(message, mayChange(request));
 }
 
 /** Asks the controllers. */
@@ -123,7 +135,7 @@
    */
   async send<T>(request: OperatorRequest): Promise<T> {
     const deadline = this.clock.now() + this.options.totalTimeoutMs;
-    const failures = new FailureRecord();
+    const failures = new FailureRecord(isIdentified(request));
     if (this.peers.length === 0) throw failures.verdict();
     for (;;) {
       for (const peer of this.peers) {
@@ -160,15 +172,11 @@
       if (response.status === STATUS_OK) {
         return { value: JSON.parse(new TextDecoder().decode(response.body)) as T };
       }
-      return this.failed(
-        request,
-        new OperatorError(readError(response, request.method), peer.name),
-      );
+      return this.failed(request, new OperatorError(readError(response, request), peer.name));
     } catch (error) {
       const sent = !(error instanceof HttpClientError) || error.requestSent;
       const message = error instanceof Error ? error.message : String(error);
-      const mayHaveChanged = sent && request.method !== 'GET';
-      const details = clientSideError(message, mayHaveChanged);
+      const details = clientSideError(message, sent && mayChange(request));
       return this.failed(request, new OperatorError(details, peer.name, error));
     } finally {
       timer.cancel();
--- a/test/administration/tokens.test.ts
+++ b/test/administration/tokens.test.ts
@@ -73,6 +73,27 @@
     expect(history.body.changes[0]).toMatchObject({ revision: 2, team: 'audit', author: 'sato' });
   });
 
+  it('give a resent creation the first result when its scope has gone since', async () => {
+    const body = {
+      changeId: 'token-audit-1',
+      tokenId: 'audit',
+      team: 'audit',
+      scopes: ['service/kifu-audit'],
+      hash: hashToken('x'),
+      author: 'sato',
+      reason: 'test',
+    };
+    const created = await first.call<object>('POST', '/v1/tokens', { body });
+    const remove: Operation = { type: 'removeService', service: 'kifu-audit' };
+    expect((await first.change(change('change-001', 1, [remove]))).status).toBe(200);
+    const again = await second.call('POST', '/v1/tokens', { body });
+    expect(again.body).toEqual({ ...created.body, repeated: true });
+    const other = { ...body, changeId: 'token-audit-2', tokenId: 'other' };
+    const refused = await second.call('POST', '/v1/tokens', { body: other });
+    expect(refused.status).toBe(400);
+    expect(refused.body.error.message).toBe('body.scopes.0: there is no service/kifu-audit');
+  });
+
   it('give a team no way to more rights', async () => {
     const token = await createToken('audit', ['region/dohoku']);
     const body = {
--- a/test/operator/operator-client.test.ts
+++ b/test/operator/operator-client.test.ts
@@ -42,6 +42,17 @@
   throw new Error('an OperatorError was expected', { cause: error });
 }
 
+/** Has a controller turn down whatever it is asked. */
+function answerAt(controller: TestController | undefined, status: number, code: string): void {
+  if (controller === undefined) throw new Error('no such controller');
+  const body = { error: { code, message: 'x', step: 'test', changed: 'no' } };
+  controller.call = (async () => ({
+    status,
+    headers: {},
+    body,
+  })) as unknown as typeof controller.call;
+}
+
 async function revision(): Promise<number | undefined> {
   const reply = await controllers[1]?.call<ConfigurationState>('GET', '/v1/configuration');
   return reply?.body.revision;
@@ -103,17 +114,30 @@
 
   it('still calls the outcome unknown when another controller turns the resend away', async () => {
     network.faults.set(FIRST, 'lost_after_run');
-    const other = controllers[1];
-    if (other === undefined) throw new Error('no second controller');
-    other.call = (async () => ({
-      status: 401,
-      headers: {},
-      body: { error: { code: 'unauthorized', message: 'x', step: 'authenticate', changed: 'no' } },
-    })) as unknown as typeof other.call;
+    answerAt(controllers[1], 401, 'unauthorized');
     const error = await failureOf(createClient().post('/v1/changes', REQUEST));
     expect(error.exitCode).toBe(OperatorExitCode.OutcomeUnknown);
   });
 
+  it('never calls a dry run unknown, and no refusal of an unnamed request a verdict', async () => {
+    network.faults.set(FIRST, 'lost_after_run').set(SECOND, 'refused');
+    const dryRun = createClient().send({
+      method: 'POST',
+      target: '/v1/changes?dryRun=true',
+      body: REQUEST,
+      resendable: true,
+      changesNothing: true,
+    });
+    const error = await failureOf(dryRun);
+    expect(error.exitCode).toBe(OperatorExitCode.Unavailable);
+    network.faults.delete(SECOND);
+    answerAt(controllers[1], 422, 'rejected');
+    const body = { action: 'remove', memberId: 'controller-1' };
+    const request = { method: 'POST', target: '/v1/members', body, resendable: true } as const;
+    const lost = await failureOf(createClient().send(request));
+    expect(lost.exitCode).toBe(OperatorExitCode.OutcomeUnknown);
+  });
+
   it('reports a conflict as settled even when an earlier attempt was lost', async () => {
     const other = change('change-002', 1, [setting('defaults', 'queueLimit', 6)]);
     await controllers[1]?.change(other);
