--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -7,6 +7,7 @@
 import { PlatformCommand } from './platform-command.js';
 import { SimulateCommand } from './simulate-command.js';
 import { LoadCommand } from './load-command.js';
+import { MeasureConsensusCommand } from './measure-consensus.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
 import { ScaleCommand } from './scale-command.js';
@@ -20,6 +21,7 @@
   DemoCommand,
   RecoveryCommand,
   LoadCommand,
+  MeasureConsensusCommand,
   MeasureRouterCostCommand,
   ScaleCommand,
 ];
