--- a/src/commands/operator-members.ts
+++ b/src/commands/operator-members.ts
@@ -77,7 +77,7 @@
     details: `
       Its member id can never be used again. A removal after which no majority would answer is
       refused. Replace a controller that lost its disk by adding and promoting a new one first;
-      see docs/operators/controller-storage.md.
+      see docs/operators/replace-controller.md.
     `,
     examples: [['One that lost its disk', 'driftway members remove controller-2']],
   });
