Call a controller not ready that lacks what was committed

Cause: /readyz answered 200 on a controller whose disk hangs, since it hears a quorum; a change proposed there is accepted but never answered.

Change: readiness asks for the age of the state as the stream tells it to daemons. Judged in a file of its own; tested with a disk that is slow and recovers. A first try read the age of the last heartbeat, up to a second old, and called a controller just started not ready; the existing test found it.

--- a/src/control-stream/applied-age.ts
+++ b/src/control-stream/applied-age.ts
@@ -19,7 +19,7 @@
   'appliedIndex' | 'knownCommitIndex' | 'sinceQuorumMs'
 >;
 
-/** Of one controller; read at each heartbeat. */
+/** Of one controller; read at least at each heartbeat. */
 export class AppliedAge {
   private agreedAt = Number.NEGATIVE_INFINITY;
   /** One at a time, so that a controller that keeps up under load is not taken for a late one. */
--- a/src/control-stream/control-stream-server.ts
+++ b/src/control-stream/control-stream-server.ts
@@ -75,6 +75,11 @@
     }
   }
 
+  /** How long ago what this controller serves was known to be the agreed state. Milliseconds. */
+  get stateAge(): number {
+    return this.broadcast.stateAge;
+  }
+
   /** A sign that came from elsewhere than a subscriber is to be sent on. */
   notify(): void {
     this.broadcast.noteSign();
--- a/src/control-stream/stream-broadcast.ts
+++ b/src/control-stream/stream-broadcast.ts
@@ -43,6 +43,11 @@
     this.history = new EncodedHistory(feed, () => this.news.notify(), options);
   }
 
+  /** How long ago this controller's state was known to be the agreed one. Milliseconds. */
+  get stateAge(): number {
+    return this.appliedAge.read(this.readStatus(), this.clock.now());
+  }
+
   /** Writes heartbeats until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -86,13 +91,12 @@
   }
 
   private beat(): void {
-    const now = this.clock.now();
     this.heartbeatFrame = STREAM_CODEC.encode({
       kind: 'heartbeat',
       committedRevision: this.history.revision,
       stateHash: this.history.stateHash,
-      sinceQuorumMs: this.appliedAge.read(this.readStatus(), now),
-      sourceTime: now,
+      sinceQuorumMs: this.stateAge,
+      sourceTime: this.clock.now(),
     });
     this.heartbeatNumber += 1;
     this.news.notify();
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -14,7 +14,7 @@
 import { ControllerExchange } from '../control-stream/controller-exchange.js';
 import { DaemonDirectory } from '../control-stream/daemon-directory.js';
 import { SignBoard } from '../control-stream/sign-board.js';
-import { CONNECT_TIMEOUT_MS, QUORUM_LEASE_MS } from '../control-stream/stream-timing.js';
+import { CONNECT_TIMEOUT_MS } from '../control-stream/stream-timing.js';
 import type { DriftwayError } from '../errors/driftway-error.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
@@ -28,11 +28,8 @@
 import type { DurableEnvironment } from '../seams/environment.js';
 import type { HttpListener } from '../seams/http.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
-import {
-  CONTROLLER_HTTP_OPTIONS,
-  createControllerHandler,
-  type Readiness,
-} from './controller-http.js';
+import { CONTROLLER_HTTP_OPTIONS, createControllerHandler } from './controller-http.js';
+import { judgeReadiness, type Readiness } from './controller-readiness.js';
 import { PlatformListPoller } from './platform-list-poller.js';
 
 /** The parts that hold the controller's state. */
@@ -202,7 +199,7 @@
     return AuthenticatedListener.listen(environment, messages, identity, routes, registry);
   }
 
-  private listenHttp({ log, machine, daemons }: ControllerCore): Promise<HttpListener> {
+  private listenHttp({ log, machine, daemons, server }: ControllerCore): Promise<HttpListener> {
     const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
     const { bootstrapTokenHash } = configuration.administration;
@@ -215,7 +212,12 @@
       members: log,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
-    const readReadiness = (): Readiness => this.readiness(log);
+    const readReadiness = (): Readiness =>
+      judgeReadiness({
+        stopping: this.stopping,
+        sinceQuorumMs: log.status().sinceQuorumMs,
+        stateAge: server.stateAge,
+      });
     const handler = createControllerHandler(telemetry.registry, readReadiness, administration);
     return network.listenHttp(configuration.listen.http, CONTROLLER_HTTP_OPTIONS, handler);
   }
@@ -230,11 +232,4 @@
     };
     return new PlatformListPoller(this.environment, platformList, signs, onSigns, this.telemetry);
   }
-
-  private readiness(log: RaftNode): Readiness {
-    if (this.stopping) return { ready: false, reason: 'stopping' };
-    const { sinceQuorumMs } = log.status();
-    if (sinceQuorumMs <= QUORUM_LEASE_MS) return { ready: true };
-    return { ready: false, reason: `no quorum heard for ${Math.round(sinceQuorumMs)} ms` };
-  }
 }
--- a/src/control/controller-http.ts
+++ b/src/control/controller-http.ts
@@ -1,6 +1,7 @@
 /** The HTTP face of a controller: health and counters, and the administration API for the rest. */
 import type { Registry } from 'prom-client';
 import type { HttpHandler, HttpListenOptions, HttpResponse } from '../seams/http.js';
+import type { Readiness } from './controller-readiness.js';
 import { MAXIMUM_COMMAND_BYTES } from '../settings/configuration-command.js';
 
 /** Bounds of the administration listener. */
@@ -14,13 +15,6 @@
 
 const JSON_HEADERS = { 'content-type': 'application/json' };
 
-/** Whether the controller can be of use to operators and daemons now. */
-export interface Readiness {
-  readonly ready: boolean;
-  /** Why not. */
-  readonly reason?: string;
-}
-
 function readinessResponse(readiness: Readiness): HttpResponse {
   return {
     status: readiness.ready ? 200 : 503,
--- /dev/null
+++ b/src/control/controller-readiness.ts
@@ -0,0 +1,29 @@
+/** Whether a controller can be of use to operators and daemons. */
+import { QUORUM_LEASE_MS } from '../control-stream/stream-timing.js';
+
+/** For `/readyz`. */
+export interface Readiness {
+  readonly ready: boolean;
+  /** Why not. */
+  readonly reason?: string;
+}
+
+/** Ages are in milliseconds. */
+export interface ReadinessFacts {
+  readonly stopping: boolean;
+  /** Since a quorum was heard. */
+  readonly sinceQuorumMs: number;
+  /** Since the state here was known to be the agreed one. */
+  readonly stateAge: number;
+}
+
+/** The first reason that holds. */
+export function judgeReadiness({ stopping, sinceQuorumMs, stateAge }: ReadinessFacts): Readiness {
+  if (stopping) return { ready: false, reason: 'stopping' };
+  if (sinceQuorumMs > QUORUM_LEASE_MS) {
+    return { ready: false, reason: `no quorum heard for ${Math.round(sinceQuorumMs)} ms` };
+  }
+  if (stateAge <= QUORUM_LEASE_MS) return { ready: true };
+  const reason = `lacks what was committed ${Math.round(stateAge)} ms ago; is the disk slow?`;
+  return { ready: false, reason };
+}
--- a/test/control/in-force.test.ts
+++ b/test/control/in-force.test.ts
@@ -158,6 +158,21 @@
   });
 });
 
+describe('a controller that lacks what was committed', () => {
+  it('says that it is not ready, and is again once it has it', async () => {
+    const group = await ControllerGroup.start();
+    const slow = group.hostAt(((await group.leaderIndex()) + 1) % ZONES.length);
+    expect(await group.request(slow, '/readyz')).toEqual({ ready: true });
+    slow.volume.faults.slowness = 1e6;
+    await group.accept(await group.leaderIndex(), 1);
+    await group.simulation.runFor(IN_FORCE_WITHIN_MS);
+    await expect(group.request(slow, '/readyz')).rejects.toThrow(/"reason":"lacks what/);
+    slow.volume.faults.slowness = 1;
+    await group.simulation.runFor(600_000);
+    expect(await group.request(slow, '/readyz')).toEqual({ ready: true });
+  });
+});
+
 describe('the status of the cluster', () => {
   it('shows leader, lag, members, daemons and versions', async () => {
     const group = await ControllerGroup.start();
