Call a fleet's process ended once its log is written

Cause: the end was told at the process's exit, when what it wrote last could still be in the pipe or in the stream to the file; under load the test that reads the log after the end found it empty (once, in a run of the whole suite).

Change: the end is told when the log is closed. The test stands as it was.

--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -49,9 +49,9 @@
       detached: true,
       stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
     });
+    const logged = this.record();
     this.ended = new Promise((resolve) => {
       const settle = (exitCode: number | null, signal: string | null): void => {
-        this.hasEnded = true;
         resolve({
           name,
           ...(exitCode === null ? {} : { exitCode }),
@@ -59,10 +59,16 @@
           hung: this.hung,
         });
       };
-      this.child.once('exit', settle);
-      this.child.once('error', (error) => settle(null, error.message));
+      this.child.once('exit', (exitCode, signal) => {
+        this.hasEnded = true;
+        // What it wrote last may still be on the way to the file.
+        void logged.then(() => settle(exitCode, signal));
+      });
+      this.child.once('error', (error) => {
+        this.hasEnded = true;
+        settle(null, error.message);
+      });
     });
-    this.record();
   }
 
   get name(): string {
@@ -120,19 +126,22 @@
     return end;
   }
 
-  private record(): void {
+  /** Resolves once all that the process wrote is in the log, or cannot get there. */
+  private record(): Promise<void> {
     const { stdout, stderr } = this.child;
     const log = createWriteStream(this.options.logFile, { flags: 'a' });
     // A log that cannot be written costs nobody the run.
     log.on('error', () => undefined);
+    const closed = new Promise<void>((resolve) => log.once('close', () => resolve()));
+    this.child.once('close', () => log.end());
     stderr?.on('data', (chunk: Buffer) => log.write(chunk));
-    if (stdout === null) return;
+    if (stdout === null) return closed;
     const lines = createInterface({ input: stdout });
     lines.on('line', (text) => {
       log.write(`${text}\n`);
       const line = parseLine(text);
       if (line !== undefined) for (const listener of [...this.listeners]) listener(line);
     });
-    this.child.once('close', () => log.end());
+    return closed;
   }
 }
