Send no empty frames between controllers, and whom one hears only when it changes

Cause: a link was woken by every report it then left to others, and sent a sign of life each time; each answer to a frame named all controllers heard.

--- a/src/control-stream/controller-exchange.ts
+++ b/src/control-stream/controller-exchange.ts
@@ -29,6 +29,8 @@
 /** A connection over which nothing arrived for this long is closed, at either end. Milliseconds. */
 export const EXCHANGE_SILENCE_MS = 10_000;
 
+const KEEP_ALIVE_FRAME = EXCHANGE_CODEC.encode({ kind: 'keepAlive' });
+
 /** What an exchange is made of. */
 export interface ControllerExchangeParts {
   readonly environment: Environment;
@@ -73,6 +75,7 @@
     const guard = new SilenceGuard(this.parts.environment.clock, connection, EXCHANGE_SILENCE_MS);
     void guard.run();
     this.heard.opened(peer.name);
+    let told: Uint8Array | undefined;
     try {
       for (;;) {
         const frame = await connection.receive();
@@ -80,7 +83,9 @@
         guard.heard();
         this.takeAll(EXCHANGE_CODEC.decodeBatch(frame, peer.name), peer.name);
         // Tells the sender that its frames arrive, and what need not be sent.
-        await connection.send(this.heard.frame());
+        const answer = this.heard.frame();
+        await connection.send(answer === told ? KEEP_ALIVE_FRAME : answer);
+        told = answer;
       }
     } catch (error) {
       if (isProtocolViolation(error)) this.malformedFrames.inc();
--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -29,6 +29,7 @@
   private peerHears: ReadonlySet<string> = NOTHING_HEARD;
   private daemonPosition = 0;
   private signPosition = 0;
+  private sentAt = Number.NEGATIVE_INFINITY;
   private readonly finished: Promise<void>;
 
   constructor(
@@ -87,14 +88,16 @@
     this.peerHears = NOTHING_HEARD;
     this.daemonPosition = 0;
     this.signPosition = 0;
+    this.sentAt = Number.NEGATIVE_INFINITY;
     while (!this.stopped.signal.aborted) {
       const news = this.news.wait(KEEP_ALIVE_INTERVAL_MS);
-      const messages = this.collect();
+      const messages = this.messagesDue();
       this.daemonPosition = daemons.position;
       this.signPosition = signs.position;
       for (let start = 0; start < messages.length; start += MESSAGES_PER_FRAME) {
         const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
         await connection.send(EXCHANGE_CODEC.encodeBatch(batch));
+        this.sentAt = this.parts.environment.clock.now();
       }
       await news;
       await this.pause(BATCH_INTERVAL_MS);
@@ -146,8 +149,15 @@
     const signs = this.parts.signs
       .changedAfter(this.signPosition)
       .map(({ scope, sign }) => ({ kind: 'scopedSign' as const, scope, ...sign }));
-    const messages = this.parts.faults?.withholdReports === true ? [] : [...daemons, ...signs];
-    return messages.length > 0 ? messages : [{ kind: 'keepAlive' }];
+    return this.parts.faults?.withholdReports === true ? [] : [...daemons, ...signs];
+  }
+
+  /** What is new to the other controller; a sign of life when there is nothing, and it is time. */
+  private messagesDue(): ExchangeMessage[] {
+    const messages = this.collect();
+    if (messages.length > 0) return messages;
+    const isSilent = this.parts.environment.clock.now() - this.sentAt >= KEEP_ALIVE_INTERVAL_MS;
+    return isSilent ? [{ kind: 'keepAlive' }] : [];
   }
 
   private async pause(milliseconds: number): Promise<void> {
