Let no simulated client use a connection past its idle time

A request could so meet the server's own close after 5 s, which undici's timer for each connection rules out.

Change: an idle connection past its time is closed, not used.

--- a/lab/simulation/connection-pool.ts
+++ b/lab/simulation/connection-pool.ts
@@ -113,7 +113,12 @@
   }
 
   private findIdle(): PooledConnection | undefined {
-    for (const connection of this.connections) if (connection.idle) return connection;
+    for (const connection of [...this.connections]) {
+      if (!connection.idle) continue;
+      if (connection.idleFor < this.keepAliveTimeout) return connection;
+      // Its time is up though no sweep came by yet; the server may be closing it just now.
+      connection.close();
+    }
     return undefined;
   }
 
