Put a load balancer before the simulated routers, and let answers lack shards

Cause: a caller that opened a connection in the very moment a listener closed was reset by TCP, which no router can prevent; a load balancer that probes readiness can. And the service's required coverage was 1, so that no answer without a shard was ever given and a false statement about one went unseen.

Change: callers go by probes of /readyz; half a service's shards suffice unless the caller asks for all. Two controllers crash together now and then.

--- a/lab/simulate/faults/crashes.ts
+++ b/lab/simulate/faults/crashes.ts
@@ -9,13 +9,13 @@
   random: RandomSource,
   { controllers, routers, backends }: FaultTargets,
 ): readonly string[] {
-  if (chance(random, 0.05)) return controllers;
+  if (chance(random, 0.15)) return controllers.slice(random.nextInteger(0, 1));
   if (chance(random, 0.4)) return [pick(random, controllers)];
   if (chance(random, 0.3)) return [pick(random, routers)];
   return [pick(random, backends)];
 }
 
-/** Draws one crash, now and then of all controllers at once. */
+/** Draws one crash, now and then of two or all controllers at once. */
 export function drawCrash(random: RandomSource, targets: FaultTargets): FaultPlan {
   const victims = drawVictims(random, targets);
   const power = chance(random, 0.3);
--- a/lab/simulate/router-losses.ts
+++ b/lab/simulate/router-losses.ts
@@ -19,11 +19,6 @@
     this.ended.push({ target: router, from, until: this.wallTime() });
   }
 
-  /** When the router was last lost. Wall-clock milliseconds; undefined when it never was. */
-  lastLoss(router: string): number | undefined {
-    return this.open.get(router) ?? this.ended.findLast(({ target }) => target === router)?.from;
-  }
-
   all(): readonly UnplannedLoss[] {
     const until = Infinity;
     const open = [...this.open].map(([target, from]) => ({ target, from, until }));
--- a/lab/simulate/simulated-callers.ts
+++ b/lab/simulate/simulated-callers.ts
@@ -8,20 +8,21 @@
 import type { CallerLedgerEntry } from '../ledger/caller-ledger-entry.js';
 import { CallerLedger } from '../ledger/caller-ledger.js';
 import { Caller, type CallerRequest } from '../load/caller.js';
-import { EPOCH_START } from '../simulation/simulated-clock.js';
 import { seededRandom } from '../simulation/seeded-random.js';
 import type { SimulatedMachine } from '../simulation/simulated-machine.js';
 import { chance, pick } from './fault-plan.js';
 import { OUTSIDE_ZONE } from './fleet-addresses.js';
 import type { Fleet } from './fleet.js';
 import type { ManagedProcess } from './managed-process.js';
+import { ReadinessProbes } from './readiness-probes.js';
 import type { SimulatedRouter } from './simulated-daemons.js';
 import { isRepeatable } from './simulated-deployment.js';
 
 const CONNECTIONS = 64;
 const DEADLINES = [150, 600, 2_000];
 const KEYED_SHARE = 0.15;
-const LOWER_COVERAGE_SHARE = 0.1;
+/** Of requests: content with nothing less than every shard. */
+const FULL_COVERAGE_SHARE = 0.5;
 /** Of requests that must not run twice: sent again while the first is under way. */
 const RACING_SHARE = 0.3;
 const LONGEST_RACE = 120;
@@ -36,6 +37,7 @@
   private readonly random: RandomSource;
   /** By router and life: a connection of an earlier life is not used again. */
   private readonly callers = new Map<string, Caller>();
+  private readonly probes: ReadinessProbes;
   private sent = 0;
 
   constructor(
@@ -43,28 +45,40 @@
     seed: number,
   ) {
     this.machine = fleet.simulation.createMachine('callers', OUTSIDE_ZONE);
+    this.probes = new ReadinessProbes(fleet, this.machine.environment);
     this.random = seededRandom(seed, 'callers');
   }
 
   /** Lays down requests at `rate` a second. Virtual milliseconds. */
   schedule(rate: number, from: number, to: number): void {
+    this.probes.run(to);
     for (const time of drawArrivalTimes(rate, from, to, this.random)) {
       const request = this.drawRequest(pick(this.random, this.fleet.services));
-      const router = pick(this.random, this.fleet.routers);
-      const race = this.random.nextFloat() * LONGEST_RACE;
+      const preferred = pick(this.random, this.fleet.routers);
+      const wait = this.random.nextFloat() * LONGEST_RACE;
       const races = !request.request.repeatable && chance(this.random, RACING_SHARE);
-      this.fleet.simulation.at(time, () => void this.ask(router, request, races));
-      if (races) this.fleet.simulation.at(time + race, () => void this.race(router, request, time));
+      this.fleet.simulation.at(time, () => {
+        const router = this.choose(preferred);
+        if (router === undefined) return;
+        void this.ask(router, request, races);
+        if (races) void this.race(router, request, wait);
+      });
     }
   }
 
+  /** The preferred router, or another while that one says that it is stopping. */
+  private choose(preferred: RouterProcess): RouterProcess | undefined {
+    const usable = this.probes.usable();
+    return usable.includes(preferred) ? preferred : usable[0];
+  }
+
   private drawRequest({ name }: ServiceDefinition): CallerRequest & {
     request: { repeatable: boolean };
   } {
     this.sent += 1;
     const requestId = `request-${this.sent}`;
     const keyed = chance(this.random, KEYED_SHARE);
-    const lower = chance(this.random, LOWER_COVERAGE_SHARE);
+    const full = chance(this.random, FULL_COVERAGE_SHARE);
     return {
       service: name,
       request: {
@@ -73,7 +87,7 @@
         deadlineMs: pick(this.random, DEADLINES),
         repeatable: isRepeatable(name),
         ...(keyed ? { key: requestId } : {}),
-        ...(lower ? { requiredCoverage: 0.5 } : {}),
+        ...(full ? { requiredCoverage: 1 } : {}),
       },
     };
   }
@@ -83,13 +97,12 @@
     const { lifeNumber } = router;
     const entry = await this.send(router, request);
     await this.machine.environment.clock.sleep(RESEND_PAUSE);
-    const others = this.fleet.routers.filter((other) => other !== router);
     if (entry.repeatable) {
-      if (mayDoBetterElsewhere(entry)) await this.send(pick(this.random, others), renew(request));
+      if (mayDoBetterElsewhere(entry)) await this.sendElsewhere(router, renew(request));
       return;
     }
     if (entry.outcome === 'refused_not_run') {
-      if (!races) await this.send(pick(this.random, others), request);
+      if (!races) await this.sendElsewhere(router, request);
       return;
     }
     const asksAgain = entry.outcome === 'outcome_unknown' || entry.outcome === 'timed_out';
@@ -97,11 +110,15 @@
   }
 
   /** The router that took the first sending must still be the one that takes the second. */
-  private async race(router: RouterProcess, request: CallerRequest, sentAt: number): Promise<void> {
-    const loss = this.fleet.routerLosses.lastLoss(router.name);
-    if (loss !== undefined && loss >= EPOCH_START + sentAt) return;
-    if (router.running === undefined) return;
-    await this.send(router, request);
+  private async race(router: RouterProcess, request: CallerRequest, wait: number): Promise<void> {
+    const { lifeNumber } = router;
+    await this.machine.environment.clock.sleep(wait);
+    if (router.lifeNumber === lifeNumber) await this.send(router, request);
+  }
+
+  private async sendElsewhere(router: RouterProcess, request: CallerRequest): Promise<void> {
+    const others = this.probes.usable().filter((other) => other !== router);
+    if (others.length > 0) await this.send(pick(this.random, others), request);
   }
 
   private send(router: RouterProcess, request: CallerRequest): Promise<CallerLedgerEntry> {
--- a/lab/simulate/simulated-operators.ts
+++ b/lab/simulate/simulated-operators.ts
@@ -23,6 +23,9 @@
 /** Of changes: sent twice at once, as by an operator's impatient script. */
 const TWICE_SHARE = 0.3;
 
+/** So that answers without a shard or two are given; callers may ask for more. */
+const REQUIRED_COVERAGE = 0.5;
+
 interface ChangeResult {
   readonly revision: number;
 }
@@ -149,6 +152,7 @@
       [
         { type: 'createRegion', region: deployment, zones: [...zones] },
         ...this.fleet.services.map((service) => ({ type: 'createService' as const, service })),
+        { type: 'set', scope: 'defaults', key: 'requiredCoverage', value: REQUIRED_COVERAGE },
       ],
       SETUP_TIMEOUT,
     );
