--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -4,6 +4,7 @@
  */
 import { createAdministrationHandler } from '../administration/administration-handler.js';
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
+import { NO_FAULTS, type RaftFaults } from '../consensus/raft-faults.js';
 import { RaftNode } from '../consensus/raft-node.js';
 import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
 import {
@@ -64,6 +65,7 @@
     private readonly configuration: ControllerConfiguration,
     private readonly telemetry: Telemetry,
     private readonly faults: ControlStreamFaults,
+    private readonly raftFaults: RaftFaults,
   ) {
     const { memberId, cluster } = configuration;
     this.identity = { clusterId: cluster.id, clusterKey: cluster.key, name: memberId };
@@ -80,8 +82,15 @@
     configuration: ControllerConfiguration,
     telemetry: Telemetry,
     faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
+    raftFaults: RaftFaults = NO_FAULTS,
   ): Promise<ControllerDaemon> {
-    const daemon = new ControllerDaemon(environment, configuration, telemetry, faults);
+    const daemon = new ControllerDaemon(
+      environment,
+      configuration,
+      telemetry,
+      faults,
+      raftFaults,
+    );
     daemon.parts = await daemon.startParts();
     daemon.logger.info('controller started', {
       http: formatAddress(daemon.httpAddress),
@@ -184,6 +193,7 @@
             role: 'consensus',
             connectTimeout: CONNECT_TIMEOUT_MS,
           }),
+        faults: this.raftFaults,
       },
       telemetry,
     );
