--- a/lab/commands/simulate-command.ts
+++ b/lab/commands/simulate-command.ts
@@ -1,12 +1,15 @@
 /** `driftway-lab simulate`: a whole fleet in virtual time under random, seeded faults. */
+import { availableParallelism } from 'node:os';
 import { Command, Option } from 'clipanion';
 import * as typanion from 'typanion';
 import type { DeploymentName } from '../bench/deployment.js';
+import { parseBrokenRule } from '../simulate/broken-rules.js';
 import { BUILT_FAULT_KINDS, parseFaultKinds } from '../simulate/fault-kinds.js';
 import { parseSeedRange, seedsOf, summarise } from '../simulate/seed-batch.js';
 import { formatFailure, formatSeedLine } from '../simulate/seed-report.js';
+import { runSeeds } from '../simulate/seed-pool.js';
 import { hasFailed, type SeedResult } from '../simulate/seed-result.js';
-import { SeedRun } from '../simulate/seed-run.js';
+import { shrinkSeed } from '../simulate/shrink-seed.js';
 import { DEFAULT_SIMULATE_OPTIONS, type SimulateOptions } from '../simulate/simulate-options.js';
 
 const EXIT_FAILED = 1;
@@ -69,7 +72,21 @@
   });
 
   only = Option.String('--only', {
-    description: 'Numbers of the scheduled faults that strike; the others are left out.',
+    description:
+      'Numbers of the scheduled faults that strike; the others are left out; none for none.',
+  });
+
+  break = Option.String('--break', {
+    description: 'Breaks one rule of the daemons, to see that the audit finds it.',
+  });
+
+  workers = Option.String('--workers', String(availableParallelism()), {
+    validator: typanion.cascade(typanion.isNumber(), [typanion.isInteger(), typanion.isAtLeast(1)]),
+    description: 'Threads that run seeds; the digest does not depend on it. All cores when absent.',
+  });
+
+  shrink = Option.Boolean('--shrink', false, {
+    description: 'Search the fewest faults with which the first failing seed still fails.',
   });
 
   timeline = Option.Boolean('--timeline', false, {
@@ -94,11 +111,12 @@
     const options = this.readOptions();
     const seeds = seedsOf(parseSeedRange(this.seeds));
     const results: SeedResult[] = [];
-    for (const seed of seeds) {
-      const result = await new SeedRun(seed, options).run();
+    await runSeeds(seeds, options, this.workers, (result) => {
       this.print(result, options, !results.some(hasFailed));
       results.push(result);
-    }
+    });
+    const firstFailure = results.find(hasFailed);
+    if (this.shrink && firstFailure !== undefined) await this.printShrunk(firstFailure, options);
     const summary = summarise(results);
     if (this.json) this.context.stdout.write(`${JSON.stringify(summary)}\n`);
     return summary.failingSeeds.length > 0 ? EXIT_FAILED : 0;
@@ -110,12 +128,25 @@
     if (minutes <= 0) throw new RangeError('--minutes must be above 0');
     if (rate <= 0) throw new RangeError('--rate must be above 0');
     const faults = parseFaultKinds(this.faults);
-    const only = this.only?.split(',').map(Number);
+    const only = this.only === 'none' ? [] : this.only?.split(',').map(Number);
     if (only?.some((number) => !Number.isInteger(number)) === true) {
       throw new RangeError(`--only "${this.only ?? ''}" is no list of numbers, such as 3,12`);
     }
     const options = { ...DEFAULT_SIMULATE_OPTIONS, deployment, faults, minutes, rate };
-    return only === undefined ? options : { ...options, only };
+    return {
+      ...options,
+      ...(only === undefined ? {} : { only }),
+      ...(this.break === undefined ? {} : { broken: parseBrokenRule(this.break) }),
+    };
+  }
+
+  private async printShrunk(failure: SeedResult, options: SimulateOptions): Promise<void> {
+    const { stdout } = this.context;
+    const { result, options: fewest, runs, minimal } = await shrinkSeed(failure, options);
+    const left = `${result.faults.length} of ${failure.faults.length} faults`;
+    const bound = minimal ? 'each of them needed' : 'not further for lack of runs';
+    stdout.write(`seed ${failure.seed} shrunk to ${left} in ${runs} runs, ${bound}:\n`);
+    stdout.write(`${formatFailure(result, fewest, true)}\n`);
   }
 
   /** The timeline of the first failing seed is enough; the others name their replay. */
--- a/lab/simulate/fault-kinds.ts
+++ b/lab/simulate/fault-kinds.ts
@@ -15,7 +15,7 @@
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
 /** Not built yet; asking for one is an error. */
-const NOT_BUILT: readonly FaultKind[] = ['stragglers', 'repartitions', 'skew'];
+const NOT_BUILT: readonly FaultKind[] = ['repartitions'];
 
 /** The kinds that can be asked for. */
 export const BUILT_FAULT_KINDS = FAULT_KINDS.filter((kind) => !NOT_BUILT.includes(kind));
--- a/lab/simulate/fault-schedule.ts
+++ b/lab/simulate/fault-schedule.ts
@@ -8,6 +8,8 @@
 import { drawDiskFault } from './faults/disks.js';
 import { drawDrain } from './faults/drains.js';
 import { drawPublish } from './faults/publishes.js';
+import { drawSkew } from './faults/skew.js';
+import { drawStraggler } from './faults/stragglers.js';
 
 /** How a kind is drawn, and how often. `operators` strikes through the operators alone. */
 interface KindSchedule {
@@ -20,8 +22,10 @@
   cuts: { draw: drawCut, rate: 0.2 },
   crashes: { draw: drawCrash, rate: 0.15 },
   disks: { draw: drawDiskFault, rate: 0.1 },
+  stragglers: { draw: drawStraggler, rate: 0.2 },
   publishes: { draw: drawPublish, rate: 0.15 },
   drains: { draw: drawDrain, rate: 0.15 },
+  skew: { draw: drawSkew, rate: 0.1 },
 };
 
 /** What a schedule depends on. Virtual milliseconds. */
--- a/lab/simulate/fleet.ts
+++ b/lab/simulate/fleet.ts
@@ -7,7 +7,7 @@
 import { EPOCH_START } from '../simulation/simulated-clock.js';
 import type { SimulatedMachine } from '../simulation/simulated-machine.js';
 import type { Simulation } from '../simulation/simulation.js';
-import type { BrokenRules } from './broken-rules.js';
+import type { BrokenSwitches } from './broken-rules.js';
 import {
   CONTROLLER_HTTP_PORT,
   controllerPlaces,
@@ -61,7 +61,7 @@
     readonly simulation: Simulation,
     deployment: DeploymentName,
     readonly timeline: Timeline,
-    broken: BrokenRules,
+    broken: BrokenSwitches,
   ) {
     const wallTime = (): number => EPOCH_START + simulation.now;
     this.backendLedger = new BackendLedger({ wallTime });
--- a/lab/simulate/seed-batch.ts
+++ b/lab/simulate/seed-batch.ts
@@ -54,7 +54,7 @@
     seeds: ordered.length,
     requests: sum(({ requests }) => requests),
     changes: sum(({ changes }) => changes),
-    faults: sum(({ faults }) => faults),
+    faults: sum(({ faults }) => faults.length),
     violations: sumPromiseCounts(ordered.map(({ counts }) => counts)),
     liveness: sum(({ liveness }) => liveness.length),
     failingSeeds: ordered.filter(hasFailed).map(({ seed }) => seed),
--- a/lab/simulate/seed-report.ts
+++ b/lab/simulate/seed-report.ts
@@ -12,7 +12,7 @@
   const verdict = hasFailed(result)
     ? `FAILED: ${violations.length} violations, ${liveness.length} not come back`
     : 'passed';
-  const sizes = `${requests} requests, ${changes} changes, ${faults} faults`;
+  const sizes = `${requests} requests, ${changes} changes, ${faults.length} faults`;
   return `seed ${seed}: ${sizes}, digest ${digest}: ${verdict}`;
 }
 
--- a/lab/simulate/seed-result.ts
+++ b/lab/simulate/seed-result.ts
@@ -8,7 +8,8 @@
   readonly requests: number;
   /** Changes accepted, as operators were told. */
   readonly changes: number;
-  readonly faults: number;
+  /** Numbers of the scheduled faults that struck. */
+  readonly faults: readonly number[];
   readonly counts: ViolationCounts;
   readonly violations: readonly Violation[];
   /** What had not come back in time; empty when everything had. */
--- a/lab/simulate/seed-run.ts
+++ b/lab/simulate/seed-run.ts
@@ -17,7 +17,9 @@
   checkRouterRevisions,
   FORCE_BOUND,
 } from './check-acknowledged-changes.js';
+import { checkCancellations } from './check-cancellations.js';
 import { checkFullCoverage, checkRest, LIVENESS_BOUND } from './check-liveness.js';
+import { switchesOf } from './broken-rules.js';
 import type { ScheduledFault } from './fault-plan.js';
 import { drawSchedule } from './fault-schedule.js';
 import { Fleet } from './fleet.js';
@@ -48,7 +50,7 @@
   private readonly callers: SimulatedCallers;
   private readonly operatorLedger = new OperatorLedger();
   private readonly operators: SimulatedOperators;
-  private faults = 0;
+  private readonly faults: number[] = [];
 
   constructor(
     private readonly seed: number,
@@ -57,7 +59,7 @@
     const { deployment, broken, faults } = options;
     this.simulation = new Simulation(seed);
     this.timeline = new Timeline(() => this.simulation.now);
-    this.fleet = new Fleet(this.simulation, deployment, this.timeline, broken);
+    this.fleet = new Fleet(this.simulation, deployment, this.timeline, switchesOf(broken));
     this.callers = new SimulatedCallers(this.fleet, seed);
     const operators = faults.includes('operators') ? RACING_OPERATORS : 1;
     this.operators = new SimulatedOperators(this.fleet, seed, this.operatorLedger, operators);
@@ -95,7 +97,7 @@
   }
 
   private scheduleFault(fault: ScheduledFault): void {
-    this.faults += 1;
+    this.faults.push(fault.number);
     const label = `fault ${fault.number} (${fault.kind})`;
     this.simulation.at(fault.at, () => {
       this.timeline.note(`${label}: ${fault.text}`);
@@ -176,6 +178,7 @@
     const acknowledged = this.operatorLedger.acknowledged();
     return [
       ...audit({ backends: this.fleet.backendLedger, callers, terms }).violations,
+      ...checkCancellations(callers),
       ...checkAcknowledgements(this.operatorLedger),
       ...checkForce(acknowledged, callers),
       ...checkHistory(acknowledged, history),
--- a/lab/simulate/simulate-options.ts
+++ b/lab/simulate/simulate-options.ts
@@ -1,6 +1,6 @@
 /** What a simulation run is asked for. */
 import type { DeploymentName } from '../bench/deployment.js';
-import { NO_BROKEN_RULES, type BrokenRules } from './broken-rules.js';
+import type { BrokenRule } from './broken-rules.js';
 import type { FaultKind } from './fault-kinds.js';
 
 /** One seed's run. */
@@ -13,7 +13,8 @@
   readonly rate: number;
   /** Numbers of the scheduled faults that strike; all when absent. */
   readonly only?: readonly number[];
-  readonly broken: BrokenRules;
+  /** The rule that the daemons break; the shipped code, unchanged, when absent. */
+  readonly broken?: BrokenRule;
 }
 
 export const DEFAULT_SIMULATE_OPTIONS: SimulateOptions = {
@@ -21,17 +22,17 @@
   faults: [],
   minutes: 1,
   rate: 20,
-  broken: NO_BROKEN_RULES,
 };
 
 /** The command that runs one seed again with the same options. */
 export function replayCommand(seed: number, options: SimulateOptions): string {
-  const { deployment, faults, minutes, rate, only } = options;
+  const { deployment, faults, minutes, rate, only, broken } = options;
   const kinds = faults.length === 0 ? 'none' : faults.join(',');
   const parts = [
     `driftway-lab simulate --deployment ${deployment} --seeds ${seed}..${seed}`,
     `--faults ${kinds} --minutes ${minutes} --rate ${rate}`,
   ];
-  if (only !== undefined) parts.push(`--only ${only.join(',')}`);
+  if (broken !== undefined) parts.push(`--break ${broken}`);
+  if (only !== undefined) parts.push(`--only ${only.length === 0 ? 'none' : only.join(',')}`);
   return `${parts.join(' ')} --json`;
 }
--- a/lab/simulate/simulated-daemons.ts
+++ b/lab/simulate/simulated-daemons.ts
@@ -10,7 +10,7 @@
 import { hashToken } from '../../src/settings/token-text.js';
 import type { DeploymentName } from '../bench/deployment.js';
 import type { SimulatedMachine } from '../simulation/simulated-machine.js';
-import type { BrokenRules } from './broken-rules.js';
+import type { BrokenSwitches } from './broken-rules.js';
 import {
   CONTROLLER_HTTP_PORT,
   CONTROLLER_MESSAGE_PORT,
@@ -30,7 +30,7 @@
   readonly controllers: readonly SimulatedMachine[];
   readonly platform: SimulatedMachine;
   readonly timeline: Timeline;
-  readonly broken: BrokenRules;
+  readonly broken: BrokenSwitches;
 }
 
 /** A running controller. */
@@ -79,7 +79,14 @@
     platformList: `${context.platform.host}:${PLATFORM_PORT}`,
   });
   const telemetry = { logger: context.timeline.logger(name), registry: new Registry() };
-  const daemon = await ControllerDaemon.start(environment, configuration, telemetry);
+  const { broken } = context;
+  const daemon = await ControllerDaemon.start(
+    environment,
+    configuration,
+    telemetry,
+    broken.controlStream,
+    broken.raft,
+  );
   void daemon.failure.then((cause) => onFailure(cause.message));
   return { daemon, stop: () => daemon.stop() };
 }
--- a/test/lab/simulate/seed-run.test.ts
+++ b/test/lab/simulate/seed-run.test.ts
@@ -24,6 +24,11 @@
     expect(changes).toBeGreaterThan(0);
   });
 
+  it('closes no connection under a request at a planned stop: seed 20 of drains', async () => {
+    const { counts } = await run(20, { faults: ['drains'], minutes: 0.5, rate: 60 });
+    expect(counts.cutInFlight).toBe(0);
+  });
+
   it('gives one digest for a seed run twice, and another for another seed', async () => {
     const first = await run(1);
     const second = await run(1);
@@ -34,7 +39,7 @@
 
   it('strikes with the named faults only', async () => {
     const { faults, timeline } = await run(3, { only: [2] });
-    expect(faults).toBe(1);
+    expect(faults).toEqual([2]);
     const struck = timeline.filter(({ text }) => /^fault \d+ \(\w+\):/.test(text));
     expect(struck.map(({ text }) => text.slice(0, 7))).toEqual(['fault 2']);
   });
--- a/test/lab/simulate/simulate-command.test.ts
+++ b/test/lab/simulate/simulate-command.test.ts
@@ -15,7 +15,8 @@
 describe('driftway-lab simulate', () => {
   it('prints one JSON object as the last line', async () => {
     const short = ['--seeds', '5..6', '--faults', 'cuts', '--minutes', '0.05', '--rate', '5'];
-    const { code, output } = await simulate(...short, '--json');
+    // A worker thread would need a built file.
+    const { code, output } = await simulate(...short, '--workers', '1', '--json');
     const summary: unknown = JSON.parse(output.trimEnd().split('\n').at(-1) ?? '');
     const none = {
       mixedSnapshot: 0,
