--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -32,6 +32,7 @@
   if (error instanceof ResponseTooLargeError) return 'response_too_large';
   if (error instanceof ResponseRejectedError) return 'response_rejected';
   if (error instanceof errors.HTTPParserError) return 'malformed_response';
+  if (error instanceof errors.HeadersOverflowError) return 'malformed_response';
   if (error instanceof errors.ResponseContentLengthMismatchError) return 'malformed_response';
   return headerReceived ? 'response_truncated' : 'connection_lost';
 }
@@ -56,9 +57,12 @@
     request.signal?.addEventListener('abort', this.onSignal, { once: true });
   }
 
-  /** Called by undici immediately before it writes the request to a socket. */
+  /**
+   * Called by undici immediately before it writes the request to a socket. A
+   * second call would be a resend, which no caller has asked for.
+   */
   onConnect(abort: (error?: Error) => void): void {
-    if (this.request.signal?.aborted === true) {
+    if (this.request.signal?.aborted === true || this.requestSent) {
       abort(new Error('aborted'));
       return;
     }
@@ -78,7 +82,8 @@
 
   onData(chunk: Buffer): boolean {
     this.size += chunk.length;
-    if (this.size > this.maximumBytes) {
+    const isAccepted = this.request.acceptBytes?.(chunk.length) ?? true;
+    if (this.size > this.maximumBytes || !isAccepted) {
       this.abort(new ResponseTooLargeError('response too large'));
       return false;
     }
@@ -123,18 +128,18 @@
 
 /** Production {@link HttpClient}. */
 export class NodeHttpClient implements HttpClient {
-  private readonly kept: Pool;
+  /** Made when first needed: an unused pool still costs memory for each peer. */
+  private kept: Pool | undefined;
   /** For requests that must not meet a connection the peer may have closed meanwhile. */
-  private readonly fresh: Pool;
+  private fresh: Pool | undefined;
   private readonly peer: string;
+  private closed = false;
 
   constructor(
     address: Address,
     private readonly options: HttpClientOptions,
   ) {
     this.peer = formatAddress(address);
-    this.kept = this.createPool(ConnectionReuse.OneAtATime);
-    this.fresh = this.createPool(ConnectionReuse.Never);
   }
 
   request(request: HttpClientRequest): Promise<HttpClientResponse> {
@@ -150,7 +155,11 @@
         resolve,
         reject,
       );
-      const pool = request.freshConnection === true ? this.fresh : this.kept;
+      const pool = this.poolFor(request);
+      if (pool === undefined) {
+        handler.onError(new errors.ClientClosedError());
+        return;
+      }
       pool.dispatch(
         {
           method: request.method,
@@ -165,12 +174,24 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.kept.close(), this.fresh.close()]);
+    this.closed = true;
+    await Promise.all([this.kept?.close(), this.fresh?.close()]);
   }
 
   destroy(): void {
-    void this.kept.destroy();
-    void this.fresh.destroy();
+    this.closed = true;
+    void this.kept?.destroy();
+    void this.fresh?.destroy();
+  }
+
+  /** Undefined when it would have to be made after the client was closed. */
+  private poolFor(request: HttpClientRequest): Pool | undefined {
+    if (request.freshConnection === true) {
+      if (!this.closed) this.fresh ??= this.createPool(ConnectionReuse.Never);
+      return this.fresh;
+    }
+    if (!this.closed) this.kept ??= this.createPool(ConnectionReuse.OneAtATime);
+    return this.kept;
   }
 
   private createPool(reuse: ConnectionReuse): Pool {
