--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -84,13 +84,7 @@
     faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
     raftFaults: RaftFaults = NO_FAULTS,
   ): Promise<ControllerDaemon> {
-    const daemon = new ControllerDaemon(
-      environment,
-      configuration,
-      telemetry,
-      faults,
-      raftFaults,
-    );
+    const daemon = new ControllerDaemon(environment, configuration, telemetry, faults, raftFaults);
     daemon.parts = await daemon.startParts();
     daemon.logger.info('controller started', {
       http: formatAddress(daemon.httpAddress),
