Split services anew while the simulated fleet serves them

Change: the last fault kind, repartitions: an operator adds a layout of one shard more or less over the same replicas, the back ends take it up one after the other, and the old layout is dropped once every router must know the new one.

--- a/lab/commands/simulate-command.ts
+++ b/lab/commands/simulate-command.ts
@@ -4,7 +4,7 @@
 import * as typanion from 'typanion';
 import type { DeploymentName } from '../bench/deployment.js';
 import { parseBrokenRule } from '../simulate/broken-rules.js';
-import { BUILT_FAULT_KINDS, parseFaultKinds } from '../simulate/fault-kinds.js';
+import { FAULT_KINDS, parseFaultKinds } from '../simulate/fault-kinds.js';
 import { parseSeedRange, seedsOf, summarise } from '../simulate/seed-batch.js';
 import { formatFailure, formatSeedLine } from '../simulate/seed-report.js';
 import { runSeeds } from '../simulate/seed-pool.js';
@@ -34,7 +34,7 @@
       revision, and queries are answered in full. Exits with 1 when anything of that fails, and
       prints the command that replays the seed, with a timeline.
 
-      Faults: ${BUILT_FAULT_KINDS.map((kind) => `\`${kind}\``).join(', ')}, or \`none\`. What each
+      Faults: ${FAULT_KINDS.map((kind) => `\`${kind}\``).join(', ')}, or \`none\`. What each
       does and how the deployments are scaled down is in docs/design/simulation.md.
     `,
     examples: [
@@ -57,7 +57,7 @@
 
   seeds = Option.String('--seeds', '1..10', { description: 'First and last seed, as A..B.' });
 
-  faults = Option.String('--faults', BUILT_FAULT_KINDS.join(','), {
+  faults = Option.String('--faults', FAULT_KINDS.join(','), {
     description: 'Kinds of faults, separated by commas; none for a calm run. All when absent.',
   });
 
--- a/lab/simulate/fault-plan.ts
+++ b/lab/simulate/fault-plan.ts
@@ -29,6 +29,7 @@
   readonly backends: readonly string[];
   readonly zones: readonly string[];
   readonly services: readonly string[];
+  readonly shardedServices: readonly string[];
 }
 
 /** Draws one fault of a kind. */
--- a/lab/simulate/fault-schedule.ts
+++ b/lab/simulate/fault-schedule.ts
@@ -8,6 +8,7 @@
 import { drawDiskFault } from './faults/disks.js';
 import { drawDrain } from './faults/drains.js';
 import { drawPublish } from './faults/publishes.js';
+import { drawRepartition } from './faults/repartitions.js';
 import { drawSkew } from './faults/skew.js';
 import { drawStraggler } from './faults/stragglers.js';
 
@@ -24,6 +25,7 @@
   disks: { draw: drawDiskFault, rate: 0.1 },
   stragglers: { draw: drawStraggler, rate: 0.2 },
   publishes: { draw: drawPublish, rate: 0.15 },
+  repartitions: { draw: drawRepartition, rate: 0.05 },
   drains: { draw: drawDrain, rate: 0.15 },
   skew: { draw: drawSkew, rate: 0.1 },
 };
--- a/lab/simulate/fleet.ts
+++ b/lab/simulate/fleet.ts
@@ -1,7 +1,7 @@
 /** A whole small fleet of shipped daemons and stand-ins on one simulation. */
 import type { Address } from '../../src/seams/address.js';
-import type { ServiceDefinition } from '../../src/model/service-definition.js';
-import { LAYOUT_EPOCH, type DeploymentName } from '../bench/deployment.js';
+import type { ServiceDefinition, ShardLayout } from '../../src/model/service-definition.js';
+import type { DeploymentName } from '../bench/deployment.js';
 import { BackendLedger } from '../ledger/backend-ledger.js';
 import { PlatformList } from '../platform/platform-list.js';
 import { EPOCH_START } from '../simulation/simulated-clock.js';
@@ -18,6 +18,7 @@
   routerPlaces,
 } from './fleet-addresses.js';
 import { ManagedProcess } from './managed-process.js';
+import type { Repartitioner } from './repartitioner.js';
 import { RouterLosses } from './router-losses.js';
 import { SimulatedBackend } from './simulated-backend.js';
 import {
@@ -54,7 +55,10 @@
   readonly routerLosses: RouterLosses;
   readonly revisions: RevisionInForce[] = [];
   private readonly context: DaemonContext;
+  /** Splits services; set by the operators of the run. */
+  repartitioner: Repartitioner | undefined;
   private readonly newestVersion = new Map<string, number>();
+  private readonly layouts = new Map<string, ShardLayout>();
   private platformList: PlatformList | undefined;
 
   constructor(
@@ -113,18 +117,34 @@
     return { host, port: ROUTER_PORT };
   }
 
+  /** The newest layout of a service that its back ends take up. */
+  layoutOf(service: string): ShardLayout {
+    const layout = this.layouts.get(service);
+    if (layout === undefined) throw new RangeError(`no service ${service}`);
+    return layout;
+  }
+
   /** Makes the next index version of a service and gives it to its replicas over `spread`. */
   publish(service: string, spread: number): void {
     const indexVersion = (this.newestVersion.get(service) ?? 1) + 1;
     this.newestVersion.set(service, indexVersion);
-    const members = [...this.backends.values()].filter((backend) => backend.service === service);
-    members.forEach((backend, index) => {
-      const at = this.simulation.now + (spread * index) / members.length;
-      const snapshot = { layoutEpoch: LAYOUT_EPOCH, indexVersion };
-      this.simulation.at(at, () => backend.publish(snapshot));
+    const { layoutEpoch, shards } = this.layoutOf(service);
+    const holders = shards.flatMap(({ shardId, replicas }) =>
+      replicas.map(({ replicaId }) => ({ replicaId, shardId })),
+    );
+    holders.forEach(({ replicaId, shardId }, index) => {
+      const at = this.simulation.now + (spread * index) / holders.length;
+      const snapshot = { layoutEpoch, indexVersion };
+      this.simulation.at(at, () => this.backends.get(replicaId)?.publish(snapshot, [shardId]));
     });
   }
 
+  /** Gives a service a new layout, which its back ends take up over `spread`. */
+  takeUpLayout(service: string, layout: ShardLayout, spread: number): void {
+    this.layouts.set(service, layout);
+    this.publish(service, spread);
+  }
+
   private manageController(machine: SimulatedMachine): ManagedProcess<SimulatedController> {
     const process: ManagedProcess<SimulatedController> = new ManagedProcess(
       this.simulation,
@@ -170,10 +190,11 @@
       platform: () => this.platformList,
     };
     for (const { name, layouts } of this.services) {
+      for (const layout of layouts) this.layouts.set(name, layout);
       for (const { shardId, replicas } of layouts.flatMap(({ shards }) => shards)) {
         for (const replica of replicas) {
           const machine = this.simulation.machine(replica.replicaId);
-          const backend = new SimulatedBackend(context, machine, name, shardId, replica);
+          const backend = new SimulatedBackend(context, machine, name, [shardId], replica);
           this.backends.set(replica.replicaId, backend);
         }
       }
--- a/lab/simulate/seed-run.ts
+++ b/lab/simulate/seed-run.ts
@@ -83,12 +83,15 @@
 
   private scheduleFaults(from: number, to: number): void {
     const { deployment, faults: kinds, only } = this.options;
+    const { services } = this.fleet;
+    const sharded = services.filter(({ kind }) => kind === 'sharded');
     const targets = {
       controllers: this.fleet.controllers.map(({ name }) => name),
       routers: this.fleet.routers.map(({ name }) => name),
       backends: [...this.fleet.backends.keys()],
       zones: DEPLOYMENTS[deployment].zones,
-      services: this.fleet.services.map(({ name }) => name),
+      services: services.map(({ name }) => name),
+      shardedServices: sharded.map(({ name }) => name),
     };
     const schedule = drawSchedule({ seed: this.seed, kinds, from, to, targets });
     for (const fault of schedule) {
--- a/lab/simulate/simulated-backend.ts
+++ b/lab/simulate/simulated-backend.ts
@@ -6,7 +6,7 @@
 import type { SimulatedMachine } from '../simulation/simulated-machine.js';
 import type { Simulation } from '../simulation/simulation.js';
 import type { ReplicaDefinition } from '../../src/model/service-definition.js';
-import type { Snapshot } from '../../src/model/snapshot.js';
+import { compareSnapshots, type Snapshot } from '../../src/model/snapshot.js';
 import type { DurableEnvironment } from '../../src/seams/environment.js';
 import { BACKEND_PORT } from '../bench/deployment.js';
 import { ManagedProcess, type ProcessObserver } from './managed-process.js';
@@ -33,7 +33,7 @@
     private readonly context: BackendContext,
     readonly machine: SimulatedMachine,
     readonly service: string,
-    readonly shardId: string,
+    private shardIds: readonly string[],
     private readonly replica: ReplicaDefinition,
   ) {
     const { simulation, timeline } = context;
@@ -51,9 +51,12 @@
   }
 
   /** Holds a further snapshot, at once if it runs and otherwise from its next start. */
-  publish(snapshot: Snapshot): void {
-    this.snapshot = snapshot;
-    this.process.running?.backend.publish(snapshot);
+  publish(snapshot: Snapshot, shardIds: readonly string[]): void {
+    if (compareSnapshots(snapshot, this.snapshot) > 0) {
+      this.snapshot = snapshot;
+      this.shardIds = shardIds;
+    }
+    this.process.running?.backend.publish(snapshot, shardIds);
   }
 
   private createObserver(): ProcessObserver {
@@ -92,7 +95,7 @@
       address: { host: this.machine.host, port: BACKEND_PORT },
       replicaId,
       service: this.service,
-      shardIds: [this.shardId],
+      shardIds: this.shardIds,
       snapshot: this.snapshot,
       slots,
       connections,
--- a/test/lab/simulate/seed-run.test.ts
+++ b/test/lab/simulate/seed-run.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { BUILT_FAULT_KINDS } from '../../../lab/simulate/fault-kinds.js';
+import { FAULT_KINDS } from '../../../lab/simulate/fault-kinds.js';
 import type { SeedResult } from '../../../lab/simulate/seed-result.js';
 import { SeedRun } from '../../../lab/simulate/seed-run.js';
 import {
@@ -8,7 +8,7 @@
 } from '../../../lab/simulate/simulate-options.js';
 
 const SEEDS = Array.from({ length: 12 }, (_seed, index) => index + 1);
-const SHORT = { ...DEFAULT_SIMULATE_OPTIONS, faults: BUILT_FAULT_KINDS, minutes: 0.2, rate: 10 };
+const SHORT = { ...DEFAULT_SIMULATE_OPTIONS, faults: FAULT_KINDS, minutes: 0.2, rate: 10 };
 
 function run(seed: number, options: Partial<SimulateOptions> = {}): Promise<SeedResult> {
   return new SeedRun(seed, { ...SHORT, ...options }).run();
