--- a/lab/commands/measure-consensus.ts
+++ b/lab/commands/measure-consensus.ts
@@ -8,6 +8,7 @@
 import { ControllerGroup } from '../measure-consensus/controller-group.js';
 import { measureFailovers } from '../measure-consensus/failover.js';
 import { measureGrowth } from '../measure-consensus/growth.js';
+import { runKillLoop } from '../measure-consensus/kill-loop.js';
 import { runReplacementTrial } from '../measure-consensus/replacement-trial.js';
 import { describeMachine } from '../measure/machine.js';
 
@@ -17,6 +18,7 @@
 const GROWTH_CHANGES = 2_000;
 const GROWTH_STEP = 250;
 const KILLS = 10;
+const LOOP_KILLS = 12;
 
 /** Measures agreement with real controllers. */
 export class MeasureConsensusCommand extends Command {
@@ -29,7 +31,7 @@
       Starts three controllers as processes, and measures: the latency of an
       accepted change against one sync of the same disk, in turn; how the data
       folder grows over 2,000 changes; the time to a new leader after kill -9,
-      ten times; and the replacement of a controller whose folder was wiped,
+      ten times; what is lost over kills of any controller amid changes; and the replacement of a controller whose folder was wiped,
       with a second one killed right after. Takes about two minutes; ends what
       it started and removes its folders.
     `,
@@ -54,9 +56,12 @@
       const growth = await measureGrowth(group, GROWTH_CHANGES, GROWTH_STEP);
       this.progress('failover');
       const failovers = await measureFailovers(group, KILLS);
+      this.progress('kills amid changes');
+      const killLoop = await runKillLoop(group, LOOP_KILLS);
       this.progress('replacement');
       const replacement = await runReplacementTrial(group);
-      return { machine, controllers: CONTROLLERS, latency, growth, failovers, replacement };
+      const measured = { latency, growth, failovers, killLoop, replacement };
+      return { machine, controllers: CONTROLLERS, ...measured };
     } finally {
       await group.close();
     }
--- a/lab/measure-consensus/consensus-report.ts
+++ b/lab/measure-consensus/consensus-report.ts
@@ -5,6 +5,7 @@
 import type { LatencyRound } from './commit-latency.js';
 import type { Failover } from './failover.js';
 import type { FolderSize } from './growth.js';
+import type { KillLoopResult } from './kill-loop.js';
 import type { ReplacementTrial } from './replacement-trial.js';
 
 export interface ConsensusReport {
@@ -13,6 +14,7 @@
   readonly latency: readonly LatencyRound[];
   readonly growth: readonly FolderSize[];
   readonly failovers: readonly Failover[];
+  readonly killLoop: KillLoopResult;
   readonly replacement: ReplacementTrial;
 }
 
@@ -62,6 +64,14 @@
   ].join('\n');
 }
 
+function formatKillLoop(result: KillLoopResult): string {
+  const { kills, acceptedChanges, lostChanges, failedChanges } = result;
+  return (
+    `${kills} kills amid changes without a pause, the last of all at once: ` +
+    `${acceptedChanges} accepted, ${lostChanges} lost, ${failedChanges} given up.`
+  );
+}
+
 export function formatConsensusReport(report: ConsensusReport): string {
   const { machine, controllers } = report;
   return [
@@ -70,6 +80,7 @@
     formatLatency(report.latency),
     formatFailovers(report.failovers),
     formatGrowth(report.growth),
+    formatKillLoop(report.killLoop),
     formatReplacement(report.replacement),
   ].join('\n\n');
 }
--- a/lab/measure-consensus/replacement-trial.ts
+++ b/lab/measure-consensus/replacement-trial.ts
@@ -1,6 +1,6 @@
 /** The session of docs/operators/replace-controller.md with real processes. */
-import type { HistoryReport } from '../../src/administration/response-schemas.js';
 import type { ControllerGroup } from './controller-group.js';
+import { countLostChanges } from './count-lost-changes.js';
 
 const NEW_ID = 'controller-4';
 
@@ -14,7 +14,7 @@
   /** From kill -9 of a second controller to the next accepted change. Milliseconds. */
   readonly acceptedAfterSecondKill: number;
   readonly acceptedChanges: number;
-  /** Accepted changes that the group did not list in the end; of the last that it keeps. */
+  /** Of those, how many the group did not list in the end. */
   readonly lostChanges: number;
 }
 
@@ -46,14 +46,9 @@
   const after = group.operator([group.controller(await group.leader())]);
   await group.accept(after);
   const acceptedAfterSecondKill = performance.now() - killedAt;
-  const { changes } = await after.get<HistoryReport>('/v1/history');
+  const all = Array.from({ length: group.revision }, (_, place) => place + 1);
+  const lostChanges = await countLostChanges(after, all);
   after.close();
-  const listed = new Set(changes.map(({ revision }) => revision));
-  const oldest = Math.min(...listed);
-  let lostChanges = 0;
-  for (let revision = oldest; revision <= group.revision; revision += 1) {
-    if (!listed.has(revision)) lostChanges += 1;
-  }
   return {
     refusedExitCode: exitCode,
     refusedReason: reason,
