--- a/test/consensus/disk-loss.test.ts
+++ b/test/consensus/disk-loss.test.ts
@@ -19,11 +19,11 @@
   const cluster = await RaftCluster.started(1, IDS, { faults });
   const leader = await cluster.leader();
   const [witness = '', behind = ''] = others(leader);
-  cluster.isolate(behind);
+  cluster.links.isolate(behind);
   await cluster.propose(leader, 'accepted');
   cluster.losePower(leader);
   cluster.crash(witness);
-  cluster.heal();
+  cluster.links.heal();
   await cluster.start(witness, WIPED);
   await cluster.runFor(10_000);
   await cluster.start(leader);
@@ -73,10 +73,10 @@
     await cluster.simulation.settle(node.addLearner('d', cluster.addressOf('d')));
     await cluster.simulation.settle(node.promote('d'));
     await cluster.simulation.settle(node.remove(lost));
-    cluster.isolate(behind);
+    cluster.links.isolate(behind);
     await cluster.propose(leader, 'accepted');
     cluster.losePower(leader);
-    cluster.heal();
+    cluster.links.heal();
     expect(await cluster.leader(['d', behind])).toBe('d');
     await cluster.converge(['d', behind]);
     expect(cluster.commandsOf(behind)).toEqual(['accepted']);
--- a/test/consensus/kill-points.test.ts
+++ b/test/consensus/kill-points.test.ts
@@ -35,8 +35,8 @@
   const [other = ''] = IDS.filter((id) => id !== victim);
   for (let number = 0; number < COMMANDS; number += 1) {
     if (stopWithVictim && cluster.member(victim).node === undefined) return;
-    if (number === 6) cluster.isolate(victim);
-    if (number === 16) cluster.heal();
+    if (number === 6) cluster.links.isolate(victim);
+    if (number === 16) cluster.links.heal();
     if (number === 18) await cluster.runFor(2_500);
     const id = cluster.member(other).node?.status().leaderId ?? other;
     await propose(run, id, `command-${number}`);
@@ -45,7 +45,7 @@
 
 /** Everything that was acknowledged is there, at everyone, once all run again. */
 async function checkRecovery({ cluster, acknowledged }: Run): Promise<void> {
-  cluster.heal();
+  cluster.links.heal();
   // A kill that is under way comes first.
   await cluster.runFor(5);
   for (const id of IDS) cluster.member(id).disk.crashAt = Infinity;
--- a/test/consensus/leader-cut.test.ts
+++ b/test/consensus/leader-cut.test.ts
@@ -12,7 +12,7 @@
     const oldLeader = await cluster.leader();
     const others = IDS.filter((id) => id !== oldLeader);
     await cluster.propose(oldLeader, 'before');
-    cluster.isolate(oldLeader);
+    cluster.links.isolate(oldLeader);
     const outcomes: unknown[] = [];
     for (let number = 0; number < 5; number += 1) {
       const proposal = cluster.node(oldLeader).propose(Buffer.from(`cut-off-${number}`));
@@ -32,7 +32,7 @@
     for (const outcome of outcomes) expect(outcome).toBeInstanceOf(ProposalOutcomeUnknownError);
     expect(cluster.node(oldLeader).status().sinceQuorumMs).toBeGreaterThan(3 * MINUTES);
     const termBefore = cluster.node(newLeader).status().term;
-    cluster.heal();
+    cluster.links.heal();
     await cluster.runFor(5_000);
     await cluster.converge();
     // Its absence must not cost the others their leader (pre-vote).
@@ -46,11 +46,11 @@
     const cluster = await RaftCluster.started(4, IDS);
     const oldLeader = await cluster.leader();
     const others = IDS.filter((id) => id !== oldLeader);
-    cluster.isolate(oldLeader);
+    cluster.links.isolate(oldLeader);
     const replaced = cluster.node(oldLeader).propose(Buffer.from('replaced'));
     const newLeader = await cluster.leader(others);
     await cluster.propose(newLeader, 'kept');
-    cluster.heal();
+    cluster.links.heal();
     const { result } = await cluster.simulation.settle(replaced);
     expect(Buffer.from(result).toString()).toBe('2:replaced');
     await cluster.converge();
--- a/test/consensus/losses.test.ts
+++ b/test/consensus/losses.test.ts
@@ -27,7 +27,7 @@
   it.each(['nayoro', 'wakkanai'])('keeps accepting when zone %s is cut off', async (zone) => {
     const cluster = await RaftCluster.started(1, FIVE, { zoneOf: ZONE_OF });
     await cluster.propose('e', 'before');
-    cluster.isolateZone(zone);
+    cluster.links.isolateZone(zone);
     const inside = FIVE.filter((id) => ZONE_OF[id] === zone);
     const outside = FIVE.filter((id) => !inside.includes(id));
     await cluster.runFor(LONG);
@@ -36,7 +36,7 @@
       expect(cluster.node(id).status().role).not.toBe('leader');
     }
     for (const id of outside) expect(await tryToPropose(cluster, id, `outside-${id}`)).toBe(true);
-    cluster.heal();
+    cluster.links.heal();
     await cluster.leader();
     await cluster.converge();
     for (const id of FIVE) {
--- a/test/consensus/old-term-records.test.ts
+++ b/test/consensus/old-term-records.test.ts
@@ -25,14 +25,14 @@
   await prepareDisk(cluster, 'c', 3, shared);
   await prepareDisk(cluster, 'd', 3, shared);
   await prepareDisk(cluster, 'e', 3, [...shared, { term: 3, command: 'other' }]);
-  cluster.cut('a', 'd', false);
+  cluster.links.cut('a', 'd', false);
   for (const id of ['a', 'b', 'c']) await cluster.start(id);
   const copied = await cluster.runUntil(() => cluster.node('c').status().lastIndex === 2, 2_000);
   expect(copied).toBe(true);
   cluster.simulation.cut({ from: { machine: 'a' } });
   await cluster.runFor(100);
   cluster.crash('a');
-  cluster.heal();
+  cluster.links.heal();
   for (const id of ['d', 'e']) await cluster.start(id);
   await cluster.leader(['b', 'c', 'd', 'e']);
   await cluster.converge(['b', 'c', 'd', 'e']);
--- a/test/consensus/support/broken-node-scenarios.ts
+++ b/test/consensus/support/broken-node-scenarios.ts
@@ -54,11 +54,11 @@
 async function lossOfDisk(scene: Scene): Promise<void> {
   const { cluster, leader, others } = scene;
   const [witness, behind] = others;
-  cluster.isolate(behind);
+  cluster.links.isolate(behind);
   await ask(scene, leader, 'change');
   cluster.losePower(leader);
   cluster.crash(witness);
-  cluster.heal();
+  cluster.links.heal();
   await cluster.start(witness, { keepDisk: false });
   await cluster.runFor(PAUSE);
   await cluster.start(leader);
--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -8,6 +8,7 @@
 import { formatAddress } from '../../../src/seams/address.js';
 import type { DurableEnvironment } from '../../../src/seams/environment.js';
 import type { RandomSource } from '../../../src/seams/random-source.js';
+import { ClusterLinks } from './cluster-links.js';
 import type { ClusterOptions, StartOptions } from './cluster-options.js';
 import { CountingDisk } from './counting-disk.js';
 import { HistoryMachine } from './history-machine.js';
@@ -34,6 +35,7 @@
 
 export class RaftCluster {
   readonly simulation: Simulation;
+  readonly links: ClusterLinks;
   readonly members = new Map<string, Member>();
   private readonly watch = new SafetyWatch();
 
@@ -43,6 +45,7 @@
     private readonly options: ClusterOptions = {},
   ) {
     this.simulation = new Simulation(seed);
+    this.links = new ClusterLinks(this.simulation);
     for (const id of initialIds) this.member(id);
   }
 
@@ -146,33 +149,6 @@
     member.node = undefined;
   }
 
-  /** Drops everything between two members from now on. */
-  cut(left: string, right: string, bothWays = true): void {
-    if (left === right) return;
-    this.simulation.cut({ from: { machine: left }, to: { machine: right } });
-    if (bothWays) this.simulation.cut({ from: { machine: right }, to: { machine: left } });
-  }
-
-  /** Cuts one member off from all others. */
-  isolate(id: string): void {
-    this.simulation.cut({ from: { machine: id } });
-    this.simulation.cut({ to: { machine: id } });
-  }
-
-  /** Cuts one zone off from all others. */
-  isolateZone(zone: string): void {
-    const others = new Set([...this.members.keys()].map((id) => this.zoneOf(id)));
-    others.delete(zone);
-    for (const other of others) {
-      this.simulation.cut({ from: { zone }, to: { zone: other } });
-      this.simulation.cut({ from: { zone: other }, to: { zone } });
-    }
-  }
-
-  heal(): void {
-    this.simulation.healAll();
-  }
-
   runFor(milliseconds: number): Promise<void> {
     return this.simulation.runFor(milliseconds);
   }
--- a/test/consensus/support/random-faults.ts
+++ b/test/consensus/support/random-faults.ts
@@ -29,10 +29,10 @@
     const choice = cluster.random.nextInteger(0, 17);
     if (choice <= 1) this.crash(this.anyId());
     else if (choice <= 4) await this.restartOne();
-    else if (choice === 5) cluster.cut(this.anyId(), this.anyId());
-    else if (choice === 6) cluster.cut(this.anyId(), this.anyId(), false);
-    else if (choice === 7) cluster.isolate(this.leaderId() ?? this.anyId());
-    else if (choice === 8) cluster.heal();
+    else if (choice === 5) cluster.links.cut(this.anyId(), this.anyId());
+    else if (choice === 6) cluster.links.cut(this.anyId(), this.anyId(), false);
+    else if (choice === 7) cluster.links.isolate(this.leaderId() ?? this.anyId());
+    else if (choice === 8) cluster.links.heal();
     else if (choice === 9) this.crashSoon();
     else if (choice === 10) this.slowDisk();
     else if (choice === 11) this.freeze();
@@ -50,7 +50,7 @@
   /** Ends all faults and waits until a lost member is replaced. */
   async healAll(): Promise<void> {
     const { cluster } = this;
-    cluster.heal();
+    cluster.links.heal();
     for (const id of this.ids) cluster.member(id).disk.crashAt = Infinity;
     for (const id of this.stopped()) await this.start(id);
     const { replacement } = this;
