--- a/src/settings/service-settings.ts
+++ b/src/settings/service-settings.ts
@@ -15,6 +15,13 @@
   completionPolicy: z
     .enum(['wait_for_all', 'return_when_sufficient'])
     .describe('Whether to wait for every shard to the deadline, or return once coverage suffices.'),
+  leastWaitGain: z
+    .number()
+    .min(0)
+    .max(100)
+    .describe(
+      'With return_when_sufficient: coverage that waiting as long again must be expected to add.',
+    ),
   defaultDeadlineMs: z
     .number()
     .min(1)
@@ -51,6 +58,9 @@
     .min(1)
     .max(10)
     .describe('Most attempts for one shard of one request, hedges included.'),
+  admission: z
+    .enum(['bounded', 'adaptive'])
+    .describe('Whether the number of requests at work is fixed or learned from latency.'),
   maximumInFlight: z
     .int()
     .min(1)
@@ -77,14 +87,16 @@
 export const DEFAULT_SERVICE_SETTINGS: ServiceSettings = {
   requiredCoverage: 1,
   completionPolicy: 'wait_for_all',
+  leastWaitGain: 0.2,
   defaultDeadlineMs: 1_000,
   maximumDeadlineMs: 30_000,
-  replicaSelection: 'power_of_two',
-  hedging: 'none',
+  replicaSelection: 'latency_weighted',
+  hedging: 'quantile',
   hedgeQuantile: 0.95,
   hedgeBudgetPercent: 2,
   retryBudgetPercent: 10,
   maximumAttemptsPerShard: 3,
+  admission: 'adaptive',
   maximumInFlight: 1_000,
   queueLimit: 1_000,
   maximumAnswerBytes: 16_777_216,
--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -34,6 +34,9 @@
   hedgesLeft = 1;
   /** Milliseconds to wait once coverage suffices. */
   furtherWait = Infinity;
+  /** What the completion policy was told. Milliseconds. */
+  readonly replies: number[] = [];
+  readonly unfinished: number[] = [];
   readonly registry: ReplicaRegistry;
   private readonly router: RouterContext;
   private readonly service: ServiceRuntime;
@@ -98,7 +101,11 @@
         hedgeDelay: () => HEDGE_DELAY,
         takeBudget: () => (this.hedgesLeft -= 1) >= 0,
       },
-      completion: { furtherWait: () => this.furtherWait },
+      completion: {
+        recordReply: (sinceAsked) => this.replies.push(sinceAsked),
+        recordUnfinished: (sinceAsked) => this.unfinished.push(sinceAsked),
+        furtherWait: () => this.furtherWait,
+      },
     };
   }
 }
@@ -175,6 +182,8 @@
     expect(ending).toBe('sufficient');
     expect(bench.clock.now()).toBe(50 + latency + bench.furtherWait);
     expect(coverage.missing).toEqual([{ shardId: 'shard-0', reason: 'not_waited_for' }]);
+    expect(bench.replies).toEqual([latency]);
+    expect(bench.unfinished).toEqual([latency + bench.furtherWait]);
     expect(firstBackend(bench).ledger[0]?.cancelled).toBe(true);
   });
 });
