--- a/src/router/shard-execution.ts
+++ b/src/router/shard-execution.ts
@@ -25,8 +25,6 @@
 export class ShardExecution {
   /** Whether any attempt so far may have been run; kept after the end. */
   mayHaveRun = false;
-  /** Whether a replica said that it does not hold the pinned snapshot. */
-  snapshotVanished = false;
   private attempts = 0;
   private readonly candidates: ShardCandidates;
   private readonly running = new Set<AbortController>();
@@ -37,7 +35,12 @@
     private readonly queryTry: QueryTry,
     private readonly shard: ShardView,
   ) {
-    this.candidates = new ShardCandidates(router.registry, shard, queryTry.plan.snapshotText);
+    this.candidates = new ShardCandidates(
+      router.registry,
+      query.service.policies.outliers,
+      shard,
+      queryTry.plan.snapshotText,
+    );
   }
 
   /** Ends with the first verified answer, or when nothing more may be tried. Never throws. */
@@ -54,6 +57,11 @@
     return outcome;
   }
 
+  /** Whether a replica of the shard could answer from another snapshot only. */
+  get isSnapshotLacking(): boolean {
+    return this.candidates.isSnapshotLacking;
+  }
+
   /** Cancels whatever is in flight. */
   cancel(): void {
     for (const controller of this.running) controller.abort();
@@ -110,7 +118,6 @@
 
   private note(outcome: AttemptOutcome): void {
     if (outcome.kind === 'answered' || outcome.mayHaveRun) this.mayHaveRun = true;
-    else if (outcome.reason === 'snapshot_not_held') this.snapshotVanished = true;
   }
 
   private earnBudgets(): void {
--- a/test/router/shard-execution.test.ts
+++ b/test/router/shard-execution.test.ts
@@ -23,6 +23,8 @@
 import { VirtualClock } from './support/virtual-clock.js';
 
 const HEDGE_DELAY = 20;
+/** Node warns of more than ten listeners on one signal unless told of them. */
+const SHARDS_BEYOND_DEFAULT_LISTENERS = 12;
 
 /** One execution over fake back ends, with policies that a test writes itself. */
 class Bench {
@@ -32,6 +34,9 @@
   hedgesLeft = 1;
   /** Milliseconds to wait once coverage suffices. */
   furtherWait = Infinity;
+  /** What the completion policy was told. Milliseconds. */
+  readonly replies: number[] = [];
+  readonly unfinished: number[] = [];
   readonly registry: ReplicaRegistry;
   private readonly router: RouterContext;
   private readonly service: ServiceRuntime;
@@ -96,7 +101,11 @@
         hedgeDelay: () => HEDGE_DELAY,
         takeBudget: () => (this.hedgesLeft -= 1) >= 0,
       },
-      completion: { furtherWait: () => this.furtherWait },
+      completion: {
+        recordReply: (sinceAsked) => this.replies.push(sinceAsked),
+        recordUnfinished: (sinceAsked) => this.unfinished.push(sinceAsked),
+        furtherWait: () => this.furtherWait,
+      },
     };
   }
 }
@@ -173,6 +182,25 @@
     expect(ending).toBe('sufficient');
     expect(bench.clock.now()).toBe(50 + latency + bench.furtherWait);
     expect(coverage.missing).toEqual([{ shardId: 'shard-0', reason: 'not_waited_for' }]);
+    expect(bench.replies).toEqual([latency]);
+    expect(bench.unfinished).toEqual([latency + bench.furtherWait]);
     expect(firstBackend(bench).ledger[0]?.cancelled).toBe(true);
   });
 });
+
+describe('a query of many shards', () => {
+  it('waits for connections without a warning of the runtime', async () => {
+    const warnings: string[] = [];
+    const onWarning = ({ name }: Error): void => void warnings.push(name);
+    process.on('warning', onWarning);
+    const bench = new Bench(SHARDS_BEYOND_DEFAULT_LISTENERS);
+    for (const { replicaId } of bench.backends) {
+      const record = bench.registry.get(replicaId);
+      while (record?.hasRoom === true) record.beginAttempt();
+    }
+    expect((await bench.run()).ending).toBe('deadline');
+    await new Promise((resolve) => setImmediate(resolve));
+    process.off('warning', onWarning);
+    expect(warnings).toEqual([]);
+  });
+});
