--- a/src/policies/service-policies.ts
+++ b/src/policies/service-policies.ts
@@ -2,14 +2,17 @@
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
 import type { ServiceSettings } from '../settings/service-settings.js';
+import { AdaptiveAdmissionPolicy } from './adaptive-admission-policy.js';
 import type { AdmissionPolicy } from './admission-policy.js';
 import { BoundedAdmissionPolicy } from './bounded-admission-policy.js';
 import { BudgetedRetryPolicy } from './budgeted-retry-policy.js';
 import type { CompletionPolicy } from './completion-policy.js';
+import { ExpectedGainPolicy } from './expected-gain-policy.js';
 import type { HedgePolicy } from './hedge-policy.js';
 import { LatencyWeightedReplicaSelector } from './latency-weighted-replica-selector.js';
 import { LeastInFlightReplicaSelector } from './least-in-flight-replica-selector.js';
 import { NoHedgePolicy } from './no-hedge-policy.js';
+import { OutlierEjection } from './outlier-ejection.js';
 import { PowerOfTwoReplicaSelector } from './power-of-two-replica-selector.js';
 import { QuantileHedgePolicy } from './quantile-hedge-policy.js';
 import { RandomReplicaSelector } from './random-replica-selector.js';
@@ -21,6 +24,7 @@
 /** One instance of each decision, shared by all requests of the service in this router. */
 export interface ServicePolicies {
   readonly replicaSelector: ReplicaSelector;
+  readonly outliers: OutlierEjection;
   readonly hedge: HedgePolicy;
   readonly completion: CompletionPolicy;
   readonly retry: RetryPolicy;
@@ -59,6 +63,19 @@
   });
 }
 
+function createCompletionPolicy(settings: ServiceSettings, random: RandomSource): CompletionPolicy {
+  if (settings.completionPolicy === 'wait_for_all') return new WaitForAllPolicy();
+  return new ExpectedGainPolicy(settings.leastWaitGain, random);
+}
+
+function createAdmissionPolicy(settings: ServiceSettings, clock: Clock): AdmissionPolicy {
+  const { maximumInFlight, queueLimit } = settings;
+  const options = { maximumInFlight, queueLimit };
+  return settings.admission === 'bounded'
+    ? new BoundedAdmissionPolicy(options, clock)
+    : new AdaptiveAdmissionPolicy(options, clock);
+}
+
 /** Makes the policies that `settings` ask for. */
 export function createServicePolicies(
   settings: ServiceSettings,
@@ -67,8 +84,9 @@
   const { clock, random } = dependencies;
   return {
     replicaSelector: createReplicaSelector(settings.replicaSelection, random),
+    outliers: new OutlierEjection(clock),
     hedge: createHedgePolicy(settings),
-    completion: new WaitForAllPolicy(),
+    completion: createCompletionPolicy(settings, random),
     retry: new BudgetedRetryPolicy(
       {
         budgetPercent: settings.retryBudgetPercent,
@@ -76,9 +94,6 @@
       },
       random,
     ),
-    admission: new BoundedAdmissionPolicy(
-      { maximumInFlight: settings.maximumInFlight, queueLimit: settings.queueLimit },
-      clock,
-    ),
+    admission: createAdmissionPolicy(settings, clock),
   };
 }
