--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -1,8 +1,9 @@
 /** A whole fleet of real processes on this machine. */
 import { randomBytes } from 'node:crypto';
-import { mkdir, readFile } from 'node:fs/promises';
+import { mkdir, readFile, readdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import { formatAddress, parseAddress, type Address } from '../../src/seams/address.js';
+import type { Clock } from '../../src/seams/clock.js';
 import { createTokenText } from '../../src/settings/token-text.js';
 import type { BackendEvidence } from '../auditor/audit-evidence.js';
 import { dealReplicas, inTurn } from './fleet-layout.js';
@@ -59,9 +60,14 @@
     this.operator = new Operator(addresses, terms.token, signal);
   }
 
-  /** Plans a fleet whose files go to `folder`; nothing runs yet. */
+  /**
+   * Plans a fleet whose files go to `folder`; nothing runs yet.
+   *
+   * @throws RangeError when anything is in the folder: every fleet starts afresh.
+   */
   static async plan(file: FleetFile, folder: string, signal: AbortSignal): Promise<Fleet> {
     await mkdir(folder, { recursive: true });
+    if ((await readdir(folder)).length > 0) throw new RangeError(`${folder} is not empty`);
     const ports = await findFreePorts(2 * file.controllers);
     const controllers = Array.from({ length: file.controllers }, (_, index): ControllerPlace => ({
       memberId: `controller-${index + 1}`,
@@ -127,6 +133,17 @@
     await this.process(name).kill();
   }
 
+  /** Freezes a process for a time. Milliseconds. */
+  async freeze(name: string, duration: number, clock: Clock): Promise<void> {
+    const frozen = this.process(name);
+    frozen.freeze();
+    try {
+      await clock.sleep(duration, this.signal);
+    } finally {
+      frozen.thaw();
+    }
+  }
+
   /** A planned stop of one process. */
   stopOne(name: string): Promise<ProcessEnd> {
     return this.process(name).stop(STOP_PATIENCE);
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -4,6 +4,7 @@
  */
 import { createAdministrationHandler } from '../administration/administration-handler.js';
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
+import { NO_FAULTS, type RaftFaults } from '../consensus/raft-faults.js';
 import { RaftNode } from '../consensus/raft-node.js';
 import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
 import {
@@ -14,7 +15,7 @@
 import { ControllerExchange } from '../control-stream/controller-exchange.js';
 import { DaemonDirectory } from '../control-stream/daemon-directory.js';
 import { SignBoard } from '../control-stream/sign-board.js';
-import { CONNECT_TIMEOUT_MS, QUORUM_LEASE_MS } from '../control-stream/stream-timing.js';
+import { CONNECT_TIMEOUT_MS } from '../control-stream/stream-timing.js';
 import type { DriftwayError } from '../errors/driftway-error.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
@@ -28,11 +29,8 @@
 import type { DurableEnvironment } from '../seams/environment.js';
 import type { HttpListener } from '../seams/http.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
-import {
-  CONTROLLER_HTTP_OPTIONS,
-  createControllerHandler,
-  type Readiness,
-} from './controller-http.js';
+import { CONTROLLER_HTTP_OPTIONS, createControllerHandler } from './controller-http.js';
+import { judgeReadiness, type Readiness } from './controller-readiness.js';
 import { PlatformListPoller } from './platform-list-poller.js';
 
 /** The parts that hold the controller's state. */
@@ -64,6 +62,7 @@
     private readonly configuration: ControllerConfiguration,
     private readonly telemetry: Telemetry,
     private readonly faults: ControlStreamFaults,
+    private readonly raftFaults: RaftFaults,
   ) {
     const { memberId, cluster } = configuration;
     this.identity = { clusterId: cluster.id, clusterKey: cluster.key, name: memberId };
@@ -80,8 +79,9 @@
     configuration: ControllerConfiguration,
     telemetry: Telemetry,
     faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
+    raftFaults: RaftFaults = NO_FAULTS,
   ): Promise<ControllerDaemon> {
-    const daemon = new ControllerDaemon(environment, configuration, telemetry, faults);
+    const daemon = new ControllerDaemon(environment, configuration, telemetry, faults, raftFaults);
     daemon.parts = await daemon.startParts();
     daemon.logger.info('controller started', {
       http: formatAddress(daemon.httpAddress),
@@ -184,6 +184,7 @@
             role: 'consensus',
             connectTimeout: CONNECT_TIMEOUT_MS,
           }),
+        faults: this.raftFaults,
       },
       telemetry,
     );
@@ -202,7 +203,7 @@
     return AuthenticatedListener.listen(environment, messages, identity, routes, registry);
   }
 
-  private listenHttp({ log, machine, daemons }: ControllerCore): Promise<HttpListener> {
+  private listenHttp({ log, machine, daemons, server }: ControllerCore): Promise<HttpListener> {
     const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
     const { bootstrapTokenHash } = configuration.administration;
@@ -215,7 +216,12 @@
       members: log,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
-    const readReadiness = (): Readiness => this.readiness(log);
+    const readReadiness = (): Readiness =>
+      judgeReadiness({
+        stopping: this.stopping,
+        sinceQuorumMs: log.status().sinceQuorumMs,
+        stateAge: server.stateAge,
+      });
     const handler = createControllerHandler(telemetry.registry, readReadiness, administration);
     return network.listenHttp(configuration.listen.http, CONTROLLER_HTTP_OPTIONS, handler);
   }
@@ -230,11 +236,4 @@
     };
     return new PlatformListPoller(this.environment, platformList, signs, onSigns, this.telemetry);
   }
-
-  private readiness(log: RaftNode): Readiness {
-    if (this.stopping) return { ready: false, reason: 'stopping' };
-    const { sinceQuorumMs } = log.status();
-    if (sinceQuorumMs <= QUORUM_LEASE_MS) return { ready: true };
-    return { ready: false, reason: `no quorum heard for ${Math.round(sinceQuorumMs)} ms` };
-  }
 }
