--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -10,6 +10,7 @@
 import { MeasureConsensusCommand } from './measure-consensus.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
+import { ReportCommand } from './report-command.js';
 import { ScaleCommand } from './scale-command.js';
 
 const COMMANDS = [
@@ -23,6 +24,7 @@
   LoadCommand,
   MeasureConsensusCommand,
   MeasureRouterCostCommand,
+  ReportCommand,
   ScaleCommand,
 ];
 
