--- a/lab/auditor/violation.ts
+++ b/lab/auditor/violation.ts
@@ -1,6 +1,6 @@
 /** Breaches of the promises, as the auditor counts them. */
 
-/** One name a promise; see docs/design/auditor.md. */
+/** One name a promise; see docs/operators/lab.md. */
 export const VIOLATION_KINDS = [
   'mixedSnapshot',
   'falseCoverage',
