--- a/lab/commands/scale-command.ts
+++ b/lab/commands/scale-command.ts
@@ -20,7 +20,7 @@
       replicas. Prints a line with residuals for each quantity.
 
       \`--part\` runs one part alone and may be given more than once: growth,
-      daemons, replicas, controllers, registry, letter. Uses loopback only and
+      daemons, replicas, controllers, registry, expected. Uses loopback only and
       ends what it started.
     `,
     examples: [
--- a/lab/scale/scale-configuration.ts
+++ b/lab/scale/scale-configuration.ts
@@ -1,4 +1,4 @@
-/** The configuration of scale runs: services of the letter's shape, up to a number of replicas. */
+/** The configuration of scale runs: services of the expected shape, up to a number of replicas. */
 import type {
   ReplicaDefinition,
   ServiceDefinition,
@@ -7,7 +7,7 @@
 import type { Operation } from '../../src/settings/change.js';
 
 export const SCALE_REGION = 'region-1';
-/** Shards of one service: what each query of the letter is sent to. */
+/** Shards of one service: what each query is sent to at the expected size. */
 export const SHARDS_PER_SERVICE = 240;
 export const REPLICAS_PER_SHARD = 2;
 const REPLICAS_PER_SERVICE = SHARDS_PER_SERVICE * REPLICAS_PER_SHARD;
--- a/lab/scale/scale-options.ts
+++ b/lab/scale/scale-options.ts
@@ -11,7 +11,7 @@
   'replicas',
   'controllers',
   'registry',
-  'letter',
+  'expected',
 ] as const;
 export type ScalePart = (typeof SCALE_PARTS)[number];
 
@@ -27,7 +27,7 @@
   readonly controllers: readonly ControlSize[];
   readonly registry: RegistryOptions;
   /** One run as near as the machine allows to the size expected within two years. */
-  readonly letter: { readonly size: ControlSize; readonly pace: ControlPace };
+  readonly expected: { readonly size: ControlSize; readonly pace: ControlPace };
 }
 
 const REPLICA_COUNTS = [500, 1_500, 3_000, 6_700];
@@ -39,7 +39,7 @@
   replicas: REPLICA_COUNTS.map((replicas) => ({ controllers: 3, daemons: 60, replicas })),
   controllers: [3, 5, 7, 9].map((controllers) => ({ controllers, daemons: 180, replicas: 480 })),
   registry: { replicas: [250, 500, 1_000, 2_000], zones: 9, settle: 6_000, interval: 5_000 },
-  letter: {
+  expected: {
     size: { controllers: 9, daemons: 1_100, replicas: 6_700 },
     // A change is about 15 s of CPU at 1,100 daemons on one machine; it must be over before the next.
     pace: { settle: 20_000, rest: 10_000, changes: 3, changeInterval: 20_000 },
@@ -53,7 +53,7 @@
   replicas: [100, 400, 800].map((replicas) => ({ controllers: 3, daemons: 20, replicas })),
   controllers: [1, 3, 5].map((controllers) => ({ controllers, daemons: 20, replicas: 100 })),
   registry: { replicas: [50, 100, 200], zones: 3, settle: 2_000, interval: 2_000 },
-  letter: {
+  expected: {
     size: { controllers: 5, daemons: 80, replicas: 800 },
     pace: { settle: 5_000, rest: 3_000, changes: 3, changeInterval: 2_000 },
   },
@@ -67,7 +67,7 @@
   replicas: [2, 4, 6].map((replicas) => ({ controllers: 1, daemons: 4, replicas })),
   controllers: [1, 2, 3].map((controllers) => ({ controllers, daemons: 4, replicas: 4 })),
   registry: { replicas: [2, 4, 6], zones: 1, settle: 100, interval: 700 },
-  letter: {
+  expected: {
     size: { controllers: 2, daemons: 4, replicas: 8 },
     pace: { settle: 100, rest: 200, changes: 2, changeInterval: 50 },
   },
--- a/lab/scale/scale-report.ts
+++ b/lab/scale/scale-report.ts
@@ -88,7 +88,7 @@
 
 /** Markdown. */
 export function formatScale(record: ScaleRecord): string {
-  const { machine, loadAverageAtEnd, growth, daemons, replicas, controllers, registry, letter } =
+  const { machine, loadAverageAtEnd, growth, daemons, replicas, controllers, registry, expected } =
     record;
   const series = [daemons, replicas, controllers].filter((one) => one !== undefined);
   const slopes = [
@@ -96,7 +96,7 @@
     ...series.flatMap((one) => one.slopes),
     ...(registry?.slopes ?? []),
   ];
-  const readings = [...series.flatMap((one) => one.readings), ...(letter ? [letter] : [])];
+  const readings = [...series.flatMap((one) => one.readings), ...(expected ? [expected] : [])];
   return [
     `Node ${machine.node}, ${machine.cores} cores (${machine.processor}), load average ` +
       `${formatNumber(machine.loadAverage)} at the start, ${formatNumber(loadAverageAtEnd)} ` +
--- a/lab/scale/scale-run.ts
+++ b/lab/scale/scale-run.ts
@@ -20,7 +20,7 @@
   readonly replicas?: ControlSeries;
   readonly controllers?: ControlSeries;
   readonly registry?: RegistrySeries;
-  readonly letter?: ControlReading;
+  readonly expected?: ControlReading;
 }
 
 /** Results of the parts. */
@@ -41,8 +41,8 @@
       return { [part]: await measureControlSeries(part, options[part], pace, progress) };
     case 'registry':
       return { registry: await measureRegistrySeries(options.registry, progress) };
-    case 'letter':
-      return { letter: await readControl(options.letter.size, options.letter.pace) };
+    case 'expected':
+      return { expected: await readControl(options.expected.size, options.expected.pace) };
   }
 }
 
