--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -39,6 +39,8 @@
   private readonly child: ChildProcess;
   private readonly listeners = new Set<LineListener>();
   private hasEnded = false;
+  /** Why the daemon failed, as it said itself. */
+  private failure: string | undefined;
   private hung = false;
 
   constructor(readonly options: FleetProcessOptions) {
@@ -98,7 +100,8 @@
       };
       const fail = (reason: string): void => {
         finish();
-        reject(new Error(`${name} ${reason} before it said "${message}"; see ${logFile}`));
+        const why = this.failure === undefined ? '' : ` (${this.failure})`;
+        reject(new Error(`${name} ${reason}${why} before it said "${message}"; see ${logFile}`));
       };
       const onAbort = (): void => fail('was interrupted');
       this.listeners.add(onLine);
@@ -149,6 +152,7 @@
     lines.on('line', (text) => {
       log.write(`${text}\n`);
       const line = parseLine(text);
+      if (line?.message === 'daemon failed') this.failure = String(line.context['reason']);
       if (line !== undefined) for (const listener of [...this.listeners]) listener(line);
     });
     return closed;
