Find free ports in one place

The scale runs and the fleets each had their own way; the scale runs keep a loopback address of their own, so that no outgoing connection takes a port between its choice and its use.

--- a/lab/fleet/free-ports.ts
+++ b/lab/fleet/free-ports.ts
@@ -2,13 +2,13 @@
 import { createServer, type AddressInfo, type Server } from 'node:net';
 import type { Address } from '../../src/seams/address.js';
 
-const HOST = '127.0.0.1';
+const LOOPBACK = '127.0.0.1';
 
-function listen(): Promise<Server> {
+function listen(host: string): Promise<Server> {
   return new Promise((resolve, reject) => {
     const server = createServer();
     server.once('error', reject);
-    server.listen(0, HOST, () => resolve(server));
+    server.listen(0, host, () => resolve(server));
   });
 }
 
@@ -16,11 +16,11 @@
   return new Promise((resolve) => server.close(() => resolve()));
 }
 
-/** Finds `count` different free ports; they are held together, then let go. */
-export async function findFreePorts(count: number): Promise<Address[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listen));
+/** Finds `count` different free ports of `host`; they are held together, then let go. */
+export async function findFreePorts(count: number, host = LOOPBACK): Promise<Address[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => listen(host)));
   const addresses = servers.map((server) => ({
-    host: HOST,
+    host,
     port: (server.address() as AddressInfo).port,
   }));
   await Promise.all(servers.map(close));
--- a/lab/scale/cluster-files.ts
+++ b/lab/scale/cluster-files.ts
@@ -1,6 +1,7 @@
 /** Who belongs to the cluster of a scale run, and on which ports of this machine. */
-import { createServer, type AddressInfo } from 'node:net';
+import { formatAddress } from '../../src/seams/address.js';
 import { createTokenText, hashToken } from '../../src/settings/token-text.js';
+import { findFreePorts } from '../fleet/free-ports.js';
 import { SCALE_REGION, zoneName } from './scale-configuration.js';
 
 const BYTE = 256;
@@ -14,7 +15,6 @@
   return `127.2.${high}.${process.pid % BYTE}`;
 }
 
-const HOST = ownHost();
 const CLUSTER = { id: 'scale', key: 'a-key-for-scale-runs' };
 
 /** A controller's settings file, as it would be written in YAML. */
@@ -33,29 +33,14 @@
   readonly token: string;
 }
 
-/** Ports that were free a moment ago, all different. */
-async function pickPorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(0, HOST, resolve);
-    });
-    ports.push((server.address() as AddressInfo).port);
-  }
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
-
 /** Settings files of `count` controllers, one a zone; all vote. */
 export async function createClusterFiles(count: number, folder: string): Promise<ClusterFiles> {
-  const ports = await pickPorts(count * 2);
+  const addresses = (await findFreePorts(count * 2, ownHost())).map(formatAddress);
   const token = createTokenText('bootstrap');
   const endpoints = Array.from({ length: count }, (_, index) => ({
     memberId: `controller-${index + 1}`,
     zone: zoneName(index),
-    address: `${HOST}:${ports[index]}`,
+    address: addresses[index] ?? '',
   }));
   const controllers = endpoints.map(({ memberId, zone, address }, index) => ({
     memberId,
@@ -63,7 +48,7 @@
     zone,
     cluster: CLUSTER,
     dataFolder: `${folder}/${memberId}`,
-    listen: { http: `${HOST}:${ports[count + index]}`, messages: address },
+    listen: { http: addresses[count + index] ?? '', messages: address },
     initialMembers: endpoints,
     administration: { bootstrapTokenHash: hashToken(token) },
   }));
