--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,7 +40,7 @@
 ].flatMap((name) => [name, `node:${name}`]);
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'coverage/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'coverage/'] },
   eslint.configs.recommended,
   ...tseslint.configs.recommendedTypeChecked,
   {
--- a/lab/simulation/simulated-http-listener.ts
+++ b/lab/simulation/simulated-http-listener.ts
@@ -1,11 +1,12 @@
 /** Serves whole requests over simulated sockets, with the bounds and errors of the Node listener. */
 import type { Address } from '../../src/seams/address.js';
-import type {
-  HttpHandler,
-  HttpListenOptions,
-  HttpListener,
-  HttpRequest,
-  HttpResponse,
+import {
+  DEFAULT_IDLE_TIMEOUT,
+  type HttpHandler,
+  type HttpListenOptions,
+  type HttpListener,
+  type HttpRequest,
+  type HttpResponse,
 } from '../../src/seams/http.js';
 import { EventKind, type EventQueue, type ScheduledEvent } from './event-queue.js';
 import {
@@ -22,8 +23,6 @@
 const STATUS_PAYLOAD_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STATUS_INTERNAL_ERROR = 500;
-/** Node's server closes a connection that was idle this long. Milliseconds. */
-const SERVER_KEEP_ALIVE_TIMEOUT = 5_000;
 
 function errorResponse(status: number, code: string, message: string): HttpResponse {
   return {
@@ -100,6 +99,7 @@
       method: request.method,
       path: separator < 0 ? target : target.slice(0, separator),
       query: new URLSearchParams(separator < 0 ? '' : target.slice(separator + 1)),
+      target,
       headers: request.headers,
       body: request.body,
       signal,
@@ -136,7 +136,7 @@
 
   private watchIdle(): void {
     this.idleTimer = this.listener.events.schedule(
-      SERVER_KEEP_ALIVE_TIMEOUT,
+      this.listener.idleTimeout,
       EventKind.Timer,
       this.socket.life,
       0,
@@ -153,6 +153,7 @@
 /** See the module comment. */
 export class SimulatedHttpListener implements HttpListener, PortListener {
   closing = false;
+  idleTimeout: number;
   private readonly connections = new Set<ServerConnection>();
   private onEmpty: (() => void) | undefined;
 
@@ -163,7 +164,13 @@
     readonly address: Address,
     readonly options: HttpListenOptions,
     readonly handler: HttpHandler,
-  ) {}
+  ) {
+    this.idleTimeout = options.idleTimeout ?? DEFAULT_IDLE_TIMEOUT;
+  }
+
+  setIdleTimeout(milliseconds: number): void {
+    this.idleTimeout = milliseconds;
+  }
 
   accept(socket: SimulatedSocket): void {
     if (this.connections.size >= this.options.maximumConnections) {
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -23,12 +23,31 @@
       http: addressSchema,
       /** Peers and daemons. */
       messages: addressSchema,
+      /**
+       * Registrations of replicas and the route document. Not authenticated: only for
+       * networks that nobody else reaches.
+       */
+      registration: addressSchema.optional(),
     })
     .describe("{ http: '127.0.0.1:7400', messages: '127.0.0.1:7500' }"),
   /** Voters of a new cluster, this one included; ignored once the data folder has a history. */
   initialMembers: z.array(controllerEndpointSchema).min(1).describe(CONTROLLERS_EXAMPLE),
   /** Start as a learner that an operator adds to a running cluster. */
   join: z.boolean().default(false),
+  /**
+   * The group looks after its members by itself: controllers find it through the
+   * seeds and are taken in, lost ones are replaced. `memberId`, `initialMembers`
+   * and `join` are not used then.
+   */
+  automaticMembership: z
+    .strictObject({
+      /** Internal addresses of some controllers; a new group begins with exactly these. */
+      seeds: z.array(addressSchema).min(1).describe("['127.0.0.1:7500']"),
+      /** Whether the whole cluster starts for the first time, on empty data folders. */
+      firstStart: z.boolean().default(false),
+    })
+    .optional()
+    .describe("{ seeds: ['127.0.0.1:7500'], firstStart: true }"),
   administration: z
     .strictObject({
       /**
--- /dev/null
+++ b/src/configuration/gateway-configuration.ts
@@ -0,0 +1,49 @@
+/** Settings file of the gateway daemon. */
+import { z } from 'zod';
+import { nameSchema } from '../model/service-definition.js';
+import { addressSchema, clusterSchema, logSchema, placeShape } from './daemon-configuration.js';
+
+/** Bounds of what replicas get beyond the first sending of each request, of the whole fleet. */
+export const secondSendSchema = z
+  .strictObject({
+    /** Further sendings for each request. */
+    ratio: z.number().min(0).max(1).default(0.1),
+    /** Further sendings beyond that, of all gateways together. */
+    slack: z.number().min(0).default(16),
+  })
+  .prefault({})
+  .describe('{ ratio: 0.1, slack: 16 }');
+
+export const gatewayConfigurationSchema = z.strictObject({
+  /** Unique among the daemons of the cluster. */
+  name: nameSchema.describe('gateway-1'),
+  ...placeShape,
+  cluster: clusterSchema,
+  listen: z
+    .strictObject({
+      /** Callers. */
+      http: addressSchema,
+      /** `/readyz`, `/livez` and `/metrics`. */
+      health: addressSchema,
+    })
+    .describe("{ http: '127.0.0.1:7400', health: '127.0.0.1:7401' }"),
+  /** Internal addresses of some controllers; the others are learned from them. */
+  controllers: z.array(addressSchema).min(1).describe("['127.0.0.1:7500']"),
+  secondSends: secondSendSchema,
+  /** From the order to stop until the process must have ended. Milliseconds. */
+  stopGraceMs: z.int().min(1_000).default(10_000),
+  limits: z
+    .strictObject({
+      maximumBodyBytes: z.int().min(1_024).default(1_048_576),
+      maximumHeaderBytes: z.int().min(1_024).default(65_536),
+      maximumConnections: z.int().min(1).default(10_000),
+      /** Bodies of requests in hand and answers not taken yet, all callers together. Bytes. */
+      maximumBufferedBytes: z.int().min(1_048_576).default(67_108_864),
+      /** Longest time that a caller may take to send a request. Milliseconds. */
+      requestTimeout: z.int().min(100).default(10_000),
+    })
+    .prefault({})
+    .describe('{ maximumConnections: 10000 }'),
+  log: logSchema,
+});
+export type GatewayConfiguration = z.infer<typeof gatewayConfigurationSchema>;
--- a/src/consensus/consensus-errors.ts
+++ b/src/consensus/consensus-errors.ts
@@ -48,6 +48,13 @@
   }
 }
 
+/** The group removed this member for good, so its data folder is of no more use. */
+export class MemberRetiredError extends DriftwayError {
+  constructor(memberId: string, peer: string) {
+    super(`member "${memberId}" was removed`, { step: 'join group', peer });
+  }
+}
+
 /** The data folder is whole and another member's; the settings file is wrong. */
 export class ForeignDataFolderError extends DriftwayError {
   constructor(memberId: string, clusterId: string) {
--- a/src/consensus/hello-refusal.ts
+++ b/src/consensus/hello-refusal.ts
@@ -6,6 +6,8 @@
   Identity = 'identity',
   /** The member is known by another data folder. */
   Incarnation = 'incarnation',
-  /** The member was removed; its id is never used again. */
+  /** The member is being removed; that may still come to nothing. */
+  Retiring = 'retiring',
+  /** The member was removed for good; its id is never used again. */
   Retired = 'retired',
 }
--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -29,6 +29,8 @@
   readonly timings: RaftTimings;
   readonly limits: RaftLimits;
   readonly faults: RaftFaults;
+  /** See `RaftOptions.stopWhenRetired`. */
+  readonly stopWhenRetired: boolean;
   readonly stateMachine: StateMachine;
   readonly storage: MemberStorage;
 }
--- a/src/consensus/member-status.ts
+++ b/src/consensus/member-status.ts
@@ -16,7 +16,9 @@
       memberId === state.memberId
         ? log.syncedIndex
         : (leadership.progressOf(memberId)?.matchIndex ?? 0);
-    return { memberId, address, voter, matchIndex };
+    const heardAt = leadership.progressOf(memberId)?.confirmedAt ?? -Infinity;
+    const silentMs = memberId === state.memberId ? 0 : state.dependencies.clock.now() - heardAt;
+    return { memberId, address, voter, matchIndex, silentMs };
   });
 }
 
@@ -34,5 +36,6 @@
     lastIndex: state.log.lastIndex,
     sinceQuorumMs: Math.max(0, state.dependencies.clock.now() - knownAt),
     members: membersOf(state),
+    retiredIds: state.membership.retiredIds,
   };
 }
--- a/src/consensus/peer-link.ts
+++ b/src/consensus/peer-link.ts
@@ -4,7 +4,11 @@
  */
 import { formatAddress } from '../seams/address.js';
 import type { MessageConnection } from '../seams/message-connection.js';
-import { IncarnationMismatchError, PeerRequestError } from './consensus-errors.js';
+import {
+  IncarnationMismatchError,
+  MemberRetiredError,
+  PeerRequestError,
+} from './consensus-errors.js';
 import { HelloRefusal } from './hello-refusal.js';
 import type { MemberEndpoint } from './member-endpoint.js';
 import type { MemberState } from './member-state.js';
@@ -136,6 +140,9 @@
     if (isNewFolder && reason === HelloRefusal.Incarnation.valueOf()) {
       this.state.fail(new IncarnationMismatchError(this.state.memberId, this.peerId));
     }
+    if (this.state.dependencies.stopWhenRetired && reason === HelloRefusal.Retired.valueOf()) {
+      this.state.fail(new MemberRetiredError(this.state.memberId, this.peerId));
+    }
     throw this.notSent('hello', `refused: ${reason}`);
   }
 
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -93,6 +93,7 @@
       timings: { ...DEFAULT_RAFT_TIMINGS, ...options.timings },
       limits,
       faults: options.faults ?? NO_FAULTS,
+      stopWhenRetired: options.stopWhenRetired ?? false,
       stateMachine,
       storage,
     });
--- a/src/consensus/raft-options.ts
+++ b/src/consensus/raft-options.ts
@@ -20,6 +20,8 @@
   /** Wait as a learner until an operator adds this member to a running group. */
   readonly join: boolean;
   readonly stateMachine: StateMachine;
+  /** Stop with a `MemberRetiredError` once the group says that it removed this member. */
+  readonly stopWhenRetired?: boolean;
   /** Opens a connection to another member, handshake included. */
   readonly dial: Dial;
   /** Replaces single defaults of {@link RaftTimings}. */
--- a/src/consensus/replicated-log.ts
+++ b/src/consensus/replicated-log.ts
@@ -34,6 +34,8 @@
   /** How long ago this member last knew of a quorum: 0 to a lease on a leader. Milliseconds. */
   readonly sinceQuorumMs: number;
   readonly members: readonly ReplicatedLogMember[];
+  /** Ids of members that were removed. */
+  readonly retiredIds: readonly string[];
 }
 
 /** One member of the group. */
@@ -44,6 +46,8 @@
   readonly voter: boolean;
   /** Known on the leader only. */
   readonly matchIndex?: number;
+  /** How long ago the leader last heard it; known on the leader only. Milliseconds. */
+  readonly silentMs?: number;
 }
 
 /** One member's handle on the history. */
--- a/src/consensus/request-server.ts
+++ b/src/consensus/request-server.ts
@@ -76,7 +76,11 @@
     const { clusterId, faults } = this.state.dependencies;
     if (hello.clusterId !== clusterId) return HelloRefusal.Cluster;
     if (hello.memberId !== peerId) return HelloRefusal.Identity;
-    if (this.state.membership.retiredIds.includes(peerId)) return HelloRefusal.Retired;
+    if (this.state.membership.retiredIds.includes(peerId)) {
+      const { log, commitIndex } = this.state;
+      const isCommitted = log.memberships.latestIndex <= commitIndex;
+      return isCommitted ? HelloRefusal.Retired : HelloRefusal.Retiring;
+    }
     if (faults.ignoreIncarnation === true) return undefined;
     const known = this.state.membership.find(peerId);
     if (known !== undefined && known.incarnation !== hello.incarnation) {
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -6,7 +6,8 @@
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
 import { NO_FAULTS, type RaftFaults } from '../consensus/raft-faults.js';
 import { RaftNode } from '../consensus/raft-node.js';
-import type { ReplicatedLogMember } from '../consensus/replicated-log.js';
+import type { ReplicatedLogMember, StateMachine } from '../consensus/replicated-log.js';
+import { SectionTag, SectionedStateMachine } from '../consensus/sectioned-state-machine.js';
 import {
   NO_CONTROL_STREAM_FAULTS,
   type ControlStreamFaults,
@@ -30,6 +31,9 @@
 import type { HttpListener } from '../seams/http.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import { CONTROLLER_HTTP_OPTIONS, createControllerHandler } from './controller-http.js';
+import { settleIdentity, type MemberIdentity } from './member-identity.js';
+import { RegistrationPart } from './registration-part.js';
+import { RouteDocumentRegister } from '../routes/route-document-register.js';
 import { judgeReadiness, type Readiness } from './controller-readiness.js';
 import { PlatformListPoller } from './platform-list-poller.js';
 
@@ -41,6 +45,7 @@
   readonly signs: SignBoard;
   readonly server: ControlStreamServer;
   readonly exchange: ControllerExchange;
+  readonly registration: RegistrationPart;
 }
 
 /** All running parts. */
@@ -60,11 +65,13 @@
   private constructor(
     private readonly environment: DurableEnvironment,
     private readonly configuration: ControllerConfiguration,
+    private readonly member: MemberIdentity,
     private readonly telemetry: Telemetry,
     private readonly faults: ControlStreamFaults,
     private readonly raftFaults: RaftFaults,
   ) {
-    const { memberId, cluster } = configuration;
+    const { cluster } = configuration;
+    const { memberId } = member;
     this.identity = { clusterId: cluster.id, clusterKey: cluster.key, name: memberId };
     this.logger = telemetry.logger.child({ component: 'controller', memberId });
   }
@@ -81,7 +88,16 @@
     faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
     raftFaults: RaftFaults = NO_FAULTS,
   ): Promise<ControllerDaemon> {
-    const daemon = new ControllerDaemon(environment, configuration, telemetry, faults, raftFaults);
+    await environment.disk.createDirectory('.');
+    const member = await settleIdentity(environment, configuration);
+    const daemon = new ControllerDaemon(
+      environment,
+      configuration,
+      member,
+      telemetry,
+      faults,
+      raftFaults,
+    );
     daemon.parts = await daemon.startParts();
     daemon.logger.info('controller started', {
       http: formatAddress(daemon.httpAddress),
@@ -114,7 +130,8 @@
   async stop(): Promise<void> {
     if (this.stopping) return;
     this.stopping = true;
-    const { messages, http, platformList } = this.parts;
+    const { messages, http, platformList, registration } = this.parts;
+    await registration.close();
     await http.close();
     await platformList?.stop();
     await this.stopCore(this.parts);
@@ -123,15 +140,18 @@
   }
 
   private async startParts(): Promise<ControllerParts> {
-    await this.environment.disk.createDirectory('.');
     const machine = new ConfigurationStateMachine();
-    const log = await this.startLog(machine);
+    const register = new RouteDocumentRegister();
+    const sections = new Map([[SectionTag.RouteDocument, register]]);
+    const log = await this.startLog(new SectionedStateMachine(machine, sections));
     // Nothing is awaited between the log and what listens to the state machine.
-    const core = this.startCore(log, machine);
+    const core = this.startCore(log, machine, register);
     let messages: AuthenticatedListener | undefined;
     try {
       messages = await this.listenMessages(core);
       const http = await this.listenHttp(core);
+      const { registration: address } = this.configuration.listen;
+      if (address !== undefined) await core.registration.listen(address);
       return { ...core, messages, http, platformList: this.startPlatformList(core) };
     } catch (error) {
       await this.stopCore(core);
@@ -140,7 +160,11 @@
     }
   }
 
-  private startCore(log: RaftNode, machine: ConfigurationStateMachine): ControllerCore {
+  private startCore(
+    log: RaftNode,
+    machine: ConfigurationStateMachine,
+    register: RouteDocumentRegister,
+  ): ControllerCore {
     const { environment, identity, telemetry, faults } = this;
     const { clock } = environment;
     const daemons = new DaemonDirectory(clock, faults);
@@ -156,19 +180,39 @@
       { environment, identity, readMembers, daemons, signs, onSigns, faults },
       telemetry,
     );
-    return { log, machine, daemons, signs, server, exchange };
+    const registration = this.startRegistration(log, register);
+    return { log, machine, daemons, signs, server, exchange, registration };
+  }
+
+  private startRegistration(log: RaftNode, register: RouteDocumentRegister): RegistrationPart {
+    const { environment, identity, configuration, logger } = this;
+    const { automaticMembership, listen, zone } = configuration;
+    return new RegistrationPart({
+      environment,
+      identity,
+      logger,
+      log,
+      register,
+      zone,
+      ownAddress: formatAddress(listen.messages),
+      ...(automaticMembership === undefined
+        ? {}
+        : { seeds: automaticMembership.seeds.map(formatAddress) }),
+    });
   }
 
   /** Leadership is handed over while the daemons already follow other controllers. */
-  private async stopCore({ log, server, exchange }: ControllerCore): Promise<void> {
+  private async stopCore({ log, server, exchange, registration }: ControllerCore): Promise<void> {
+    await registration.stop();
     await server.stop();
     await log.close();
     await exchange.stop();
   }
 
-  private startLog(stateMachine: ConfigurationStateMachine): Promise<RaftNode> {
+  private startLog(stateMachine: StateMachine): Promise<RaftNode> {
     const { environment, configuration, identity, telemetry } = this;
-    const { memberId, listen, initialMembers, join } = configuration;
+    const { listen, automaticMembership } = configuration;
+    const { memberId, initialMembers, join } = this.member;
     return RaftNode.start(
       environment,
       {
@@ -178,6 +222,7 @@
         initialMembers,
         join,
         stateMachine,
+        stopWhenRetired: automaticMembership !== undefined,
         dial: (member) =>
           dial(environment, identity, {
             ...member,
@@ -191,11 +236,13 @@
   }
 
   private listenMessages(core: ControllerCore): Promise<AuthenticatedListener> {
-    const { log, exchange, server } = core;
+    const { log, exchange, server, registration } = core;
     const routes: ConnectionRoutes = {
       consensus: (connection, peer) => log.acceptConnection(connection, peer.name),
       exchange: (connection, peer) => exchange.serve(connection, peer),
       subscriber: (connection, peer) => server.serve(connection, peer),
+      directory: (connection, peer) => registration.serveDirectory(connection, peer),
+      enrolment: (connection) => registration.serveEnrolment(connection),
     };
     const { environment, identity, configuration, telemetry } = this;
     const { messages } = configuration.listen;
--- /dev/null
+++ b/src/control/enrolment.ts
@@ -0,0 +1,96 @@
+/** Takes controllers into the group, and asks to be taken in. */
+import type { RaftNode } from '../consensus/raft-node.js';
+import { SilenceGuard } from '../control-stream/silence-guard.js';
+import type { Logger } from '../observability/logger.js';
+import { dial } from '../protocol/dial.js';
+import type { LocalIdentity } from '../protocol/handshake.js';
+import { parseAddress } from '../seams/address.js';
+import type { Environment } from '../seams/environment.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import { ENROLMENT_CODEC, type EnrolMessage } from './enrolment-messages.js';
+
+const DIAL_TIMEOUT_MS = 600;
+/** Longest wait for the outcome: the learner has to catch up before it gets its vote. */
+const OUTCOME_TIMEOUT_MS = 6_000;
+const RETRY_INTERVAL_MS = 250;
+const MAXIMUM_REASON_LENGTH = 512;
+
+/** Answers one controller that wants to become a member. */
+export async function serveEnrolment(
+  log: RaftNode,
+  connection: MessageConnection,
+  logger: Logger,
+): Promise<void> {
+  const frame = await connection.receive();
+  if (frame === undefined) return;
+  const message = ENROLMENT_CODEC.decode(frame, connection.peer);
+  if (message.kind !== 'enrol') return;
+  const reason = await enrol(log, message);
+  const { memberId, address } = message;
+  logger.info('enrolment asked for', { member: memberId, address, reason });
+  const accepted = reason === '';
+  await connection.send(ENROLMENT_CODEC.encode({ kind: 'enrolled', accepted, reason }));
+}
+
+/** Why the member was not taken in; empty when it was. */
+async function enrol(log: RaftNode, { memberId, address }: EnrolMessage): Promise<string> {
+  try {
+    await log.addLearner(memberId, address);
+    await log.promote(memberId);
+    return '';
+  } catch (error) {
+    return String(error).slice(0, MAXIMUM_REASON_LENGTH);
+  }
+}
+
+/** What a controller that wants to become a member needs. */
+export interface EnrolmentParts {
+  readonly environment: Environment;
+  readonly identity: LocalIdentity;
+  readonly logger: Logger;
+  readonly log: RaftNode;
+  /** `host:port` for internal messages. */
+  readonly address: string;
+  /** Controllers to ask. */
+  readonly controllers: () => readonly string[];
+  readonly stopped: AbortSignal;
+}
+
+/** Asks one controller after the other until this one has a vote. */
+export async function enrolUntilVoter(parts: EnrolmentParts): Promise<void> {
+  const { environment, log, stopped, address } = parts;
+  const { clock } = environment;
+  while (!stopped.aborted && !isVoter(log)) {
+    for (const controller of parts.controllers()) {
+      if (stopped.aborted || isVoter(log)) return;
+      if (controller !== address) await askOne(parts, controller);
+    }
+    await clock.sleep(RETRY_INTERVAL_MS, stopped).catch(() => undefined);
+  }
+}
+
+function isVoter(log: RaftNode): boolean {
+  const { memberId, members } = log.status();
+  return members.some((member) => member.memberId === memberId && member.voter);
+}
+
+async function askOne(parts: EnrolmentParts, controller: string): Promise<void> {
+  const { environment, identity, address, logger } = parts;
+  let connection: MessageConnection | undefined;
+  try {
+    const target = { address: parseAddress(controller), connectTimeout: DIAL_TIMEOUT_MS };
+    connection = await dial(environment, identity, { ...target, role: 'enrolment' });
+    void new SilenceGuard(environment.clock, connection, OUTCOME_TIMEOUT_MS).run();
+    await connection.send(
+      ENROLMENT_CODEC.encode({ kind: 'enrol', memberId: identity.name, address }),
+    );
+    const frame = await connection.receive();
+    if (frame === undefined) return;
+    const answer = ENROLMENT_CODEC.decode(frame, controller);
+    if (answer.kind === 'enrolled') logger.info('enrolment answered', { controller, ...answer });
+  } catch (error) {
+    logger.warn('enrolment failed', { controller, reason: String(error) });
+  } finally {
+    connection?.close();
+  }
+}
--- /dev/null
+++ b/src/control/registration-endpoint.ts
@@ -0,0 +1,187 @@
+/**
+ * The calls of replicas, which register themselves, and of the operator of the
+ * route document. Not authenticated: for networks that only they can reach.
+ */
+import { z } from 'zod';
+import { NotProposedError, ProposalOutcomeUnknownError } from '../consensus/consensus-errors.js';
+import { SectionTag, sectionCommand } from '../consensus/sectioned-state-machine.js';
+import type { ReplicatedLog } from '../consensus/replicated-log.js';
+import type { DirectoryServer } from '../directory/directory-server.js';
+import type { ReplicaDirectory } from '../directory/replica-directory.js';
+import { RegisteredState } from '../directory/replica-entry.js';
+import type { Logger } from '../observability/logger.js';
+import { InvalidRouteDocumentError, readRouteDocument } from '../routes/read-route-document.js';
+import {
+  decodeRouteDocumentOutcome,
+  encodeRouteDocument,
+  type RouteDocumentRegister,
+} from '../routes/route-document-register.js';
+import type { HttpRequest, HttpResponse } from '../seams/http.js';
+
+const REPLICAS_PATH = '/v1/replicas/';
+const ROUTES_PATH = '/v1/routes';
+
+/** Longest wait for a quorum of controllers to hold that a replica leaves. Milliseconds. */
+const LEAVE_QUORUM_TIMEOUT_MS = 800;
+/** Longest further wait for the gateways that are connected here. Milliseconds. */
+const LEAVE_GATEWAYS_TIMEOUT_MS = 150;
+
+/** What a replica says of itself; fields that are not known are ignored. */
+const heartbeatSchema = z.object({
+  service: z.string().min(1).max(255),
+  address: z.string().min(3).max(255),
+  zone: z.string().max(255).default(''),
+  capacity: z.int().min(0).default(1),
+  state: z.enum([RegisteredState.Ready, RegisteredState.Draining]),
+  sequence: z.int().min(0).default(0),
+  warmupRemainingMs: z.number().min(0).default(0),
+});
+
+/** What the endpoint works on. */
+export interface RegistrationParts {
+  readonly log: ReplicatedLog;
+  readonly register: RouteDocumentRegister;
+  readonly directory: ReplicaDirectory;
+  readonly server: DirectoryServer;
+  readonly logger: Logger;
+}
+
+function jsonResponse(status: number, content: object): HttpResponse {
+  return {
+    status,
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(content),
+  };
+}
+
+function errorResponse(status: number, message: string): HttpResponse {
+  return jsonResponse(status, { error: message });
+}
+
+function parseBody(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder().decode(body)) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/** See the module comment. */
+export class RegistrationEndpoint {
+  constructor(private readonly parts: RegistrationParts) {}
+
+  async handle(request: HttpRequest): Promise<HttpResponse> {
+    const { method, path } = request;
+    if (path.startsWith(REPLICAS_PATH)) {
+      const replicaId = decodeURIComponent(path.slice(REPLICAS_PATH.length));
+      if (method === 'PUT') return this.takeHeartbeat(replicaId, request.body);
+      if (method === 'DELETE') return this.takeLeave(replicaId);
+      return errorResponse(405, 'use PUT or DELETE');
+    }
+    if (path !== ROUTES_PATH) return errorResponse(404, 'no such path');
+    if (method === 'PUT') return this.putRoutes(request.body);
+    if (method === 'GET') return this.getRoutes();
+    return errorResponse(405, 'use PUT or GET');
+  }
+
+  private async takeHeartbeat(replicaId: string, body: Uint8Array): Promise<HttpResponse> {
+    const parsed = heartbeatSchema.safeParse(parseBody(body));
+    if (!parsed.success) return errorResponse(400, 'not a heartbeat');
+    const { warmupRemainingMs, ...heartbeat } = parsed.data;
+    const { directory, server, logger } = this.parts;
+    const isNews = directory.report({ ...heartbeat, replicaId, warmupMs: warmupRemainingMs });
+    server.noteHeard(replicaId);
+    if (isNews) {
+      const { service, address, state, sequence } = heartbeat;
+      logger.info('replica registered', { replicaId, service, address, state, sequence });
+    }
+    const isLeaving = directory.find(replicaId)?.state !== RegisteredState.Ready;
+    return isLeaving ? this.acknowledgeLeaving(replicaId) : jsonResponse(200, {});
+  }
+
+  private async takeLeave(replicaId: string): Promise<HttpResponse> {
+    const { directory, logger } = this.parts;
+    const known = directory.find(replicaId)?.state;
+    directory.leave(replicaId);
+    if (known !== RegisteredState.Gone) logger.info('replica left', { replicaId });
+    return this.acknowledgeLeaving(replicaId);
+  }
+
+  /**
+   * Only once a quorum of the controllers holds it: any gateway that is not cut
+   * off hears it from one of them, also when this controller is cut off.
+   */
+  private async acknowledgeLeaving(replicaId: string): Promise<HttpResponse> {
+    const { directory, server, log, logger } = this.parts;
+    const { position } = directory;
+    server.notify();
+    const { members, memberId } = log.status();
+    const voters = members.filter(({ voter }) => voter).map((member) => member.memberId);
+    const quorum = Math.floor(voters.length / 2) + 1;
+    const isHeld = await server.waitConfirmed(
+      position,
+      LEAVE_QUORUM_TIMEOUT_MS,
+      ({ controllers }) =>
+        voters.filter((voter) => voter === memberId || controllers.has(voter)).length >= quorum,
+    );
+    if (!isHeld) {
+      logger.warn('leaving not acknowledged', { replicaId, reason: 'no quorum holds it' });
+      return errorResponse(503, 'no quorum of the controllers holds it yet');
+    }
+    await server.waitConfirmed(
+      position,
+      LEAVE_GATEWAYS_TIMEOUT_MS,
+      ({ gatewaysMissing }) => gatewaysMissing === 0,
+    );
+    return jsonResponse(200, {});
+  }
+
+  /** Invalid documents are refused whatever their version. */
+  private async putRoutes(body: Uint8Array): Promise<HttpResponse> {
+    const { register, log, logger } = this.parts;
+    try {
+      const { version } = readRouteDocument(body);
+      const held = register.current()?.version;
+      if (held !== undefined && version <= held) return jsonResponse(200, { version: held });
+      const command = sectionCommand(
+        SectionTag.RouteDocument,
+        encodeRouteDocument({ version, content: body }),
+      );
+      const { result } = await log.propose(command);
+      const outcome = decodeRouteDocumentOutcome(result);
+      logger.info('route document proposed', {
+        proposed: version,
+        replaced: outcome.replaced,
+        inForce: outcome.version,
+      });
+      return jsonResponse(200, { version: outcome.version });
+    } catch (error) {
+      return this.refusal(error);
+    }
+  }
+
+  private refusal(error: unknown): HttpResponse {
+    this.parts.logger.warn('route document refused', { reason: String(error) });
+    if (error instanceof InvalidRouteDocumentError) return errorResponse(400, error.message);
+    if (error instanceof NotProposedError) return errorResponse(503, error.message);
+    if (error instanceof ProposalOutcomeUnknownError) return errorResponse(504, error.message);
+    throw error;
+  }
+
+  /** The newest that was ever acknowledged, or an error; never an older one. */
+  private async getRoutes(): Promise<HttpResponse> {
+    const { log, register } = this.parts;
+    try {
+      await log.readBarrier();
+    } catch (error) {
+      return errorResponse(503, `cannot be sure of the newest: ${String(error)}`);
+    }
+    const document = register.current();
+    if (document === undefined) return errorResponse(503, 'no route document yet');
+    return {
+      status: 200,
+      headers: { 'content-type': 'application/json' },
+      body: document.content,
+    };
+  }
+}
--- /dev/null
+++ b/src/control/registration-part.ts
@@ -0,0 +1,157 @@
+/**
+ * The part of a controller that knows the replicas and the route document: takes
+ * registrations, tells gateways and the other controllers, and keeps the group's
+ * members when they are looked after automatically.
+ */
+import type { RaftNode } from '../consensus/raft-node.js';
+import { observe } from '../control-stream/observe.js';
+import { DirectoryClient } from '../directory/directory-client.js';
+import { SubscriberKind } from '../directory/directory-messages.js';
+import { DirectoryServer } from '../directory/directory-server.js';
+import { ReplicaDirectory } from '../directory/replica-directory.js';
+import type { Logger } from '../observability/logger.js';
+import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
+import type { RouteDocumentRegister } from '../routes/route-document-register.js';
+import type { Address } from '../seams/address.js';
+import type { DurableEnvironment } from '../seams/environment.js';
+import type { HttpListenOptions, HttpListener } from '../seams/http.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import { enrolUntilVoter, serveEnrolment } from './enrolment.js';
+import { hasSpareVoter, keepMembership } from './membership-keeper.js';
+import { RegistrationEndpoint } from './registration-endpoint.js';
+
+const LISTEN_OPTIONS: HttpListenOptions = {
+  maximumBodyBytes: 1_048_576,
+  maximumHeaderBytes: 16_384,
+  requestTimeout: 10_000,
+  maximumConnections: 2_000,
+  idleTimeout: 20_000,
+};
+/** How often members of the group and silent replicas are looked at. */
+const UPKEEP_INTERVAL_MS = 250;
+/** Longest time that a planned stop waits to be taken out of the group. */
+const LEAVE_GROUP_TIMEOUT_MS = 1_000;
+/** Told as the age while records that are committed are missing here. */
+const UNKNOWN_AGE_MS = 1e9;
+
+/** What the part is made of. */
+export interface RegistrationPartOptions {
+  readonly environment: DurableEnvironment;
+  readonly identity: LocalIdentity;
+  readonly logger: Logger;
+  readonly log: RaftNode;
+  readonly register: RouteDocumentRegister;
+  readonly zone: string;
+  /** `host:port` for internal messages. */
+  readonly ownAddress: string;
+  /** Controllers by which the group is found; absent when members are looked after by hand. */
+  readonly seeds?: readonly string[];
+}
+
+/** See the module comment. */
+export class RegistrationPart {
+  private readonly directory: ReplicaDirectory;
+  private readonly server: DirectoryServer;
+  private readonly client: DirectoryClient;
+  private readonly endpoint: RegistrationEndpoint;
+  private readonly stopped = new AbortController();
+  private listener: HttpListener | undefined;
+
+  constructor(private readonly options: RegistrationPartOptions) {
+    const { environment, identity, logger, log, register, zone, ownAddress } = options;
+    const { clock } = environment;
+    this.directory = new ReplicaDirectory(clock);
+    this.server = new DirectoryServer({
+      clock,
+      directory: this.directory,
+      document: () => register.current(),
+      controllers: () => log.status().members,
+      ageMs: () => this.ageMs(),
+    });
+    this.client = new DirectoryClient({
+      environment,
+      identity,
+      subscriberKind: SubscriberKind.Controller,
+      zone,
+      directory: this.directory,
+      logger,
+      ownAddress,
+    });
+    const { directory, server } = this;
+    this.endpoint = new RegistrationEndpoint({ log, register, directory, server, logger });
+    observe(register.changes, () => server.notify());
+    observe(directory.changes, () => server.notify());
+    void this.keepUp();
+    if (options.seeds !== undefined) this.startMembership(options.seeds);
+  }
+
+  /** @throws ConnectionError when the address cannot be listened on. */
+  async listen(address: Address): Promise<void> {
+    const { network } = this.options.environment;
+    this.listener = await network.listenHttp(address, LISTEN_OPTIONS, (request) =>
+      this.endpoint.handle(request),
+    );
+  }
+
+  serveDirectory(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
+    return this.server.serve(connection, peer);
+  }
+
+  serveEnrolment(connection: MessageConnection): Promise<void> {
+    return serveEnrolment(this.options.log, connection, this.options.logger);
+  }
+
+  /** Planned stop, first half: no more calls, and out of a group that has a successor already. */
+  async close(): Promise<void> {
+    this.server.stop();
+    const { log, environment, seeds } = this.options;
+    if (seeds !== undefined && hasSpareVoter(log.status())) {
+      const leaving = log.remove(log.status().memberId).catch(() => undefined);
+      await Promise.race([leaving, environment.clock.sleep(LEAVE_GROUP_TIMEOUT_MS)]);
+    }
+    await this.listener?.close();
+  }
+
+  /** Planned stop, second half. */
+  async stop(): Promise<void> {
+    this.stopped.abort(new Error('stopped'));
+    await this.client.stop();
+  }
+
+  private startMembership(seeds: readonly string[]): void {
+    const { environment, identity, logger, log, ownAddress } = this.options;
+    const stopped = this.stopped.signal;
+    void keepMembership(environment.clock, log, logger, stopped);
+    void enrolUntilVoter({
+      environment,
+      identity,
+      logger,
+      log,
+      address: ownAddress,
+      controllers: () => [...new Set([...seeds, ...this.memberAddresses()])],
+      stopped,
+    });
+  }
+
+  private memberAddresses(): readonly string[] {
+    return this.options.log.status().members.map(({ address }) => address);
+  }
+
+  /** See `StatusMessage.ageMs`. */
+  private ageMs(): number {
+    const { sinceQuorumMs, knownCommitIndex, appliedIndex } = this.options.log.status();
+    const lacksRecords = appliedIndex < knownCommitIndex;
+    const age = lacksRecords ? UNKNOWN_AGE_MS : sinceQuorumMs;
+    return Math.min(age, UNKNOWN_AGE_MS);
+  }
+
+  private async keepUp(): Promise<void> {
+    const { clock } = this.options.environment;
+    const stopped = this.stopped.signal;
+    while (!stopped.aborted) {
+      this.client.useMembers(this.memberAddresses());
+      this.directory.forgetSilent();
+      await clock.sleep(UPKEEP_INTERVAL_MS, stopped).catch(() => undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/directory/directory-messages.ts
@@ -0,0 +1,117 @@
+/** Messages of the directory stream, from controllers to subscribers and back. */
+import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
+
+/** First message of a subscriber. */
+export interface SubscribeMessage {
+  readonly kind: 'subscribe';
+  /** A `SubscriberKind`. */
+  readonly subscriberKind: string;
+  readonly zone: string;
+}
+
+/** A replica's entry; see `ReplicaEntry`. */
+export interface ReplicaMessage {
+  readonly kind: 'replica';
+  readonly replicaId: string;
+  readonly service: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly capacity: number;
+  readonly state: string;
+  readonly sequence: number;
+  readonly warmupMs: number;
+}
+
+/** The sender heard the replica's heartbeat since its last frame. */
+export interface HeardMessage {
+  readonly kind: 'heard';
+  readonly replicaId: string;
+}
+
+/** The route document in force. */
+export interface DocumentMessage {
+  readonly kind: 'document';
+  readonly version: number;
+  readonly content: Uint8Array;
+}
+
+/** One controller of the group, as its members know it. */
+export interface ControllerMessage {
+  readonly kind: 'controller';
+  readonly memberId: string;
+  /** `host:port` for internal messages. */
+  readonly address: string;
+}
+
+/** Last message of each frame; a frame of it alone is the heartbeat. */
+export interface StatusMessage {
+  readonly kind: 'status';
+  /** Of the sender's directory, up to which the subscriber has now been told. */
+  readonly position: number;
+  /** How long ago the sender last knew of a quorum with everything committed applied. Milliseconds. */
+  readonly ageMs: number;
+  /** Gateways that this sender has seen lately. */
+  readonly gateways: number;
+  /** Whether the sender is about to stop. */
+  readonly stopping: boolean;
+}
+
+/** The subscriber has taken in everything up to a position. */
+export interface ConfirmMessage {
+  readonly kind: 'confirm';
+  readonly position: number;
+  /** Version of the route document in force at the subscriber; {@link NO_DOCUMENT} when none is. */
+  readonly documentVersion: number;
+}
+
+export type DirectoryMessage =
+  | SubscribeMessage
+  | ReplicaMessage
+  | HeardMessage
+  | DocumentMessage
+  | ControllerMessage
+  | StatusMessage
+  | ConfirmMessage;
+
+/** Stands for "no route document yet". */
+export const NO_DOCUMENT = -1;
+
+/** Who subscribes. */
+export enum SubscriberKind {
+  Gateway = 'gateway',
+  Controller = 'controller',
+}
+
+function field(name: string, type: MessageField['type']): MessageField {
+  return { name, type };
+}
+
+export const DIRECTORY_CODEC = new MessageCodec<DirectoryMessage>({
+  subscribe: { tag: 40, fields: [field('subscriberKind', 'string'), field('zone', 'string')] },
+  replica: {
+    tag: 41,
+    fields: [
+      field('replicaId', 'string'),
+      field('service', 'string'),
+      field('address', 'string'),
+      field('zone', 'string'),
+      field('capacity', 'long'),
+      field('state', 'string'),
+      field('sequence', 'long'),
+      field('warmupMs', 'double'),
+    ],
+  },
+  heard: { tag: 42, fields: [field('replicaId', 'string')] },
+  document: { tag: 43, fields: [field('version', 'long'), field('content', 'bytes')] },
+  controller: { tag: 44, fields: [field('memberId', 'string'), field('address', 'string')] },
+  status: {
+    tag: 45,
+    fields: [
+      field('position', 'long'),
+      field('ageMs', 'double'),
+      field('gateways', 'long'),
+      field('stopping', 'boolean'),
+    ],
+  },
+  confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
+});
--- /dev/null
+++ b/src/directory/directory-server.ts
@@ -0,0 +1,253 @@
+/** The controller's end of the directory stream: tells subscribers what changed and hears what they hold. */
+import { Notifier } from '../consensus/notifier.js';
+import { SilenceGuard } from '../control-stream/silence-guard.js';
+import type { RemoteIdentity } from '../protocol/handshake.js';
+import type { StoredRouteDocument } from '../routes/route-document-register.js';
+import type { Clock } from '../seams/clock.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import {
+  DIRECTORY_CODEC,
+  NO_DOCUMENT,
+  SubscriberKind,
+  type DirectoryMessage,
+} from './directory-messages.js';
+import {
+  BATCH_INTERVAL_MS,
+  GATEWAY_REMEMBERED_MS,
+  STATUS_INTERVAL_MS,
+  STREAM_SILENCE_MS,
+} from './directory-timing.js';
+import type { ReplicaDirectory } from './replica-directory.js';
+
+/** Most messages of one frame, which keeps it far below the longest frame. */
+const MESSAGES_PER_FRAME = 2_000;
+
+/** A controller as subscribers are told of it. */
+export interface DirectoryController {
+  readonly memberId: string;
+  readonly address: string;
+}
+
+/** What the server tells. */
+export interface DirectoryServerSources {
+  readonly clock: Clock;
+  readonly directory: ReplicaDirectory;
+  readonly document: () => StoredRouteDocument | undefined;
+  readonly controllers: () => readonly DirectoryController[];
+  /** See `StatusMessage.ageMs`. */
+  readonly ageMs: () => number;
+}
+
+/** One subscriber's stream. */
+interface Session {
+  readonly name: string;
+  readonly kind: SubscriberKind;
+  /** Told up to here. */
+  position: number;
+  documentVersion: number;
+  controllers: string;
+  confirmedPosition: number;
+  /** Heartbeats heard since the last frame; only controllers are told of them. */
+  heard: Set<string>;
+}
+
+/** Who confirmed a position. */
+export interface Confirmation {
+  /** Names of the controllers that hold it, besides this one. */
+  readonly controllers: ReadonlySet<string>;
+  /** Gateways connected here that do not hold it yet. */
+  readonly gatewaysMissing: number;
+}
+
+/** See the module comment. */
+export class DirectoryServer {
+  private readonly sessions = new Set<Session>();
+  private readonly gatewaySeenAt = new Map<string, number>();
+  private readonly news: Notifier;
+  private readonly confirmations: Notifier;
+  private stopping = false;
+
+  constructor(private readonly sources: DirectoryServerSources) {
+    this.news = new Notifier(sources.clock);
+    this.confirmations = new Notifier(sources.clock);
+  }
+
+  /** Something may have changed that subscribers are told. */
+  notify(): void {
+    this.news.notify();
+  }
+
+  /** A replica's heartbeat came to this controller. */
+  noteHeard(replicaId: string): void {
+    for (const session of this.sessions) {
+      if (session.kind === SubscriberKind.Controller) session.heard.add(replicaId);
+    }
+  }
+
+  /** Gateways connected now or a short while ago. */
+  get gateways(): number {
+    const oldest = this.sources.clock.now() - GATEWAY_REMEMBERED_MS;
+    for (const [name, seenAt] of this.gatewaySeenAt) {
+      if (seenAt < oldest) this.gatewaySeenAt.delete(name);
+    }
+    return this.gatewaySeenAt.size;
+  }
+
+  /** Waits until `isEnough` of the confirmations of `position`, or `milliseconds` have passed. */
+  async waitConfirmed(
+    position: number,
+    milliseconds: number,
+    isEnough: (confirmation: Confirmation) => boolean,
+  ): Promise<boolean> {
+    const { clock } = this.sources;
+    const deadline = clock.now() + milliseconds;
+    while (!isEnough(this.confirmation(position))) {
+      const rest = deadline - clock.now();
+      if (rest <= 0) return false;
+      await this.confirmations.wait(rest);
+    }
+    return true;
+  }
+
+  confirmation(position: number): Confirmation {
+    const controllers = new Set<string>();
+    let gatewaysMissing = 0;
+    for (const { name, kind, confirmedPosition } of this.sessions) {
+      const holds = confirmedPosition >= position;
+      if (kind === SubscriberKind.Controller && holds) controllers.add(name);
+      if (kind === SubscriberKind.Gateway && !holds) gatewaysMissing += 1;
+    }
+    return { controllers, gatewaysMissing };
+  }
+
+  /** Serves one subscriber until its connection ends. */
+  async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
+    const session = await this.open(connection, peer.name);
+    if (session === undefined) return;
+    this.sessions.add(session);
+    const guard = new SilenceGuard(this.sources.clock, connection, STREAM_SILENCE_MS);
+    void guard.run();
+    void this.receiveConfirmations(connection, session, guard);
+    try {
+      await this.sendNews(connection, session);
+    } finally {
+      this.sessions.delete(session);
+      this.confirmations.notify();
+    }
+  }
+
+  /** Tells every subscriber that this controller is about to stop. */
+  stop(): void {
+    this.stopping = true;
+    this.news.notify();
+  }
+
+  private async open(connection: MessageConnection, name: string): Promise<Session | undefined> {
+    const frame = await connection.receive();
+    if (frame === undefined) return undefined;
+    const message = DIRECTORY_CODEC.decode(frame, name);
+    if (message.kind !== 'subscribe') return undefined;
+    const isController = message.subscriberKind === SubscriberKind.Controller.valueOf();
+    return {
+      name,
+      kind: isController ? SubscriberKind.Controller : SubscriberKind.Gateway,
+      position: 0,
+      documentVersion: NO_DOCUMENT,
+      controllers: '',
+      confirmedPosition: -1,
+      heard: new Set(),
+    };
+  }
+
+  private async sendNews(connection: MessageConnection, session: Session): Promise<void> {
+    const { clock } = this.sources;
+    let isOpen = true;
+    void connection.closed.then(() => {
+      isOpen = false;
+      this.news.notify();
+    });
+    while (isOpen) {
+      const news = this.news.wait(STATUS_INTERVAL_MS);
+      await this.sendFrames(connection, session);
+      await news;
+      if (isOpen) await clock.sleep(BATCH_INTERVAL_MS);
+    }
+  }
+
+  private async sendFrames(connection: MessageConnection, session: Session): Promise<void> {
+    const { position } = this.sources.directory;
+    const messages = this.newsFor(session);
+    session.position = position;
+    let start = 0;
+    do {
+      const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
+      start += MESSAGES_PER_FRAME;
+      const isLast = start >= messages.length;
+      // Only the last frame says that all is told up to the position.
+      batch.push(this.status(isLast ? position : 0));
+      await connection.send(DIRECTORY_CODEC.encodeBatch(batch));
+    } while (start < messages.length);
+  }
+
+  private newsFor(session: Session): DirectoryMessage[] {
+    const { directory } = this.sources;
+    const messages: DirectoryMessage[] = [];
+    this.addDocument(session, messages);
+    this.addControllers(session, messages);
+    for (const entry of directory.changedAfter(session.position)) {
+      messages.push({ kind: 'replica', ...entry });
+    }
+    for (const replicaId of session.heard) messages.push({ kind: 'heard', replicaId });
+    session.heard.clear();
+    return messages;
+  }
+
+  private addDocument(session: Session, messages: DirectoryMessage[]): void {
+    const document = this.sources.document();
+    if (document === undefined || document.version <= session.documentVersion) return;
+    session.documentVersion = document.version;
+    messages.push({ kind: 'document', ...document });
+  }
+
+  private addControllers(session: Session, messages: DirectoryMessage[]): void {
+    const controllers = this.sources.controllers();
+    const fingerprint = controllers.map(({ address }) => address).join(' ');
+    if (fingerprint === session.controllers) return;
+    session.controllers = fingerprint;
+    for (const { memberId, address } of controllers) {
+      messages.push({ kind: 'controller', memberId, address });
+    }
+  }
+
+  private status(position: number): DirectoryMessage {
+    const { gateways, stopping } = this;
+    return { kind: 'status', position, ageMs: this.sources.ageMs(), gateways, stopping };
+  }
+
+  private async receiveConfirmations(
+    connection: MessageConnection,
+    session: Session,
+    guard: SilenceGuard,
+  ): Promise<void> {
+    try {
+      for (;;) {
+        const frame = await connection.receive();
+        if (frame === undefined) break;
+        guard.heard();
+        this.takeConfirmation(session, DIRECTORY_CODEC.decode(frame, session.name));
+      }
+    } catch {
+      // Broken, or not a confirmation: the stream is no use any more.
+    }
+    connection.close();
+  }
+
+  private takeConfirmation(session: Session, message: DirectoryMessage): void {
+    if (message.kind !== 'confirm') return;
+    session.confirmedPosition = Math.max(session.confirmedPosition, message.position);
+    if (session.kind === SubscriberKind.Gateway) {
+      this.gatewaySeenAt.set(session.name, this.sources.clock.now());
+    }
+    this.confirmations.notify();
+  }
+}
--- /dev/null
+++ b/src/directory/replica-directory.ts
@@ -0,0 +1,104 @@
+/**
+ * Every replica that has registered, as one process knows it. Reports are joined
+ * so that their order does not matter: processes that have heard the same
+ * reports hold the same directory.
+ */
+import { createAdapter } from '@most/adapter';
+import type { Stream } from '@most/types';
+import { VersionedTable } from '../control-stream/versioned-table.js';
+import type { Clock } from '../seams/clock.js';
+import { RegisteredState, joinReports, type ReplicaEntry } from './replica-entry.js';
+
+/** A replica of which nothing was heard for this long is forgotten. Milliseconds. */
+export const FORGET_AFTER_MS = 120_000;
+
+const MAXIMUM_ENTRIES = 200_000;
+
+/** Fields that change with each call and are of no interest to readers by themselves. */
+function isWorthTelling(before: ReplicaEntry | undefined, after: ReplicaEntry): boolean {
+  if (before === undefined) return true;
+  return (
+    before.state !== after.state ||
+    before.address !== after.address ||
+    before.service !== after.service ||
+    before.capacity !== after.capacity
+  );
+}
+
+/** See the module comment. */
+export class ReplicaDirectory {
+  /** Emits each entry that became known or changed. */
+  readonly changes: Stream<ReplicaEntry>;
+  /** Emits the id of each replica that was forgotten. */
+  readonly forgotten: Stream<string>;
+  private readonly entries = new Map<string, ReplicaEntry>();
+  private readonly heardAt = new Map<string, number>();
+  private readonly table = new VersionedTable<ReplicaEntry>(MAXIMUM_ENTRIES);
+  private readonly emitChange: (entry: ReplicaEntry) => void;
+  private readonly emitForgotten: (replicaId: string) => void;
+
+  constructor(private readonly clock: Clock) {
+    [this.emitChange, this.changes] = createAdapter<ReplicaEntry>();
+    [this.emitForgotten, this.forgotten] = createAdapter<string>();
+  }
+
+  /** Position of the newest change, for {@link ReplicaDirectory.changedAfter}. */
+  get position(): number {
+    return this.table.position;
+  }
+
+  find(replicaId: string): ReplicaEntry | undefined {
+    return this.entries.get(replicaId);
+  }
+
+  all(): IterableIterator<ReplicaEntry> {
+    return this.entries.values();
+  }
+
+  changedAfter(position: number): ReplicaEntry[] {
+    return this.table.changedAfter(position);
+  }
+
+  /** When something was last heard of a replica; -Infinity when it never was. */
+  lastHeard(replicaId: string): number {
+    return this.heardAt.get(replicaId) ?? -Infinity;
+  }
+
+  /** Takes a report in; true when it was worth telling others. */
+  report(report: ReplicaEntry): boolean {
+    const known = this.entries.get(report.replicaId);
+    const joined = known === undefined ? report : joinReports(known, report);
+    this.heardAt.set(report.replicaId, this.clock.now());
+    if (joined === known) return false;
+    this.entries.set(report.replicaId, joined);
+    if (!isWorthTelling(known, joined)) return false;
+    this.table.put(report.replicaId, joined);
+    this.emitChange(joined);
+    return true;
+  }
+
+  /** The replica says that it has left; known even when it never registered here. */
+  leave(replicaId: string): void {
+    const known = this.entries.get(replicaId);
+    const sequence = known === undefined ? 0 : known.sequence + 1;
+    const blank = { service: '', address: '', zone: '', capacity: 0, warmupMs: 0 };
+    this.report({ ...blank, ...known, replicaId, sequence, state: RegisteredState.Gone });
+  }
+
+  /** Some process heard the replica's heartbeat. */
+  noteHeard(replicaId: string): void {
+    if (this.entries.has(replicaId)) this.heardAt.set(replicaId, this.clock.now());
+  }
+
+  /** Drops what was not heard of for {@link FORGET_AFTER_MS}. */
+  forgetSilent(): void {
+    const oldest = this.clock.now() - FORGET_AFTER_MS;
+    for (const [replicaId, heardAt] of this.heardAt) {
+      if (heardAt >= oldest) continue;
+      this.heardAt.delete(replicaId);
+      this.entries.delete(replicaId);
+      this.table.remove(replicaId);
+      this.emitForgotten(replicaId);
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/caller-request.ts
@@ -0,0 +1,22 @@
+/** A caller's request as the gateway works on it. */
+import type { Route } from '../routes/route-document.js';
+import type { RouteTable } from '../routes/route-table.js';
+import type { HttpHeaders } from '../seams/http.js';
+
+/** See the module comment. */
+export interface CallerRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly target: string;
+  /** Those that travel with it. */
+  readonly headers: HttpHeaders;
+  readonly body: Uint8Array;
+  /** Aborts when the caller has gone. */
+  readonly signal: AbortSignal;
+  /** The version of the routes that all of it goes by. */
+  readonly table: RouteTable;
+  readonly route: Route;
+  /** Clock readings. Milliseconds. */
+  readonly receivedAt: number;
+  readonly deadline: number;
+}
--- /dev/null
+++ b/src/gateway/exchange-headers.ts
@@ -0,0 +1,32 @@
+/** The headers by which gateway, callers and replicas tell each other about a request. */
+
+/** Names in lower case. The defaults are the product's own; a deployment may speak others. */
+export interface ExchangeHeaders {
+  /** Names a caller's request; every answer to it carries it back. */
+  readonly requestId: string;
+  /** How long the sender waits for the answer. Milliseconds. */
+  readonly deadline: string;
+  /** Proof that a replica made the answer. */
+  readonly signature: string;
+  /** The only replica that may run the request. */
+  readonly targetReplica: string;
+  /** A replica's load: requests running, requests waiting, slots; joined by commas. */
+  readonly load: string;
+  /** The replica did not run the request and never will. */
+  readonly notExecuted: string;
+  /** Signatures of the parts that a merged answer holds, joined by commas. */
+  readonly partSignatures: string;
+  /** How many shards a merged answer lacks. */
+  readonly missingParts: string;
+}
+
+export const DEFAULT_EXCHANGE_HEADERS: ExchangeHeaders = {
+  requestId: 'x-request-id',
+  deadline: 'x-driftway-deadline-ms',
+  signature: 'x-driftway-signature',
+  targetReplica: 'x-driftway-replica',
+  load: 'x-driftway-load',
+  notExecuted: 'x-driftway-not-executed',
+  partSignatures: 'x-driftway-parts',
+  missingParts: 'x-driftway-missing-parts',
+};
--- /dev/null
+++ b/src/gateway/fleet-shares.ts
@@ -0,0 +1,47 @@
+/** This gateway's share of what all gateways together may use: connections and second sends. */
+import type { RouteTable } from '../routes/route-table.js';
+import { SecondSendBudget, type SecondSendLimits } from './second-send-budget.js';
+
+/** Taken as the number of gateways while no controller has said it. */
+const UNKNOWN_GATEWAYS = 16;
+/** Part of a replica's connections that is used; the rest is for gateways not counted yet. */
+const USED_PART = 0.9;
+const DEFAULT_CONNECTIONS = 16;
+
+/** See the module comment. */
+export class FleetShares {
+  private readonly budgets = new Map<string, SecondSendBudget>();
+
+  constructor(
+    private readonly limits: SecondSendLimits,
+    private readonly countGateways: () => number | undefined,
+  ) {}
+
+  /** Most attempts in flight from here to one replica of the service. */
+  connectionsFor(table: RouteTable, service: string): number {
+    const connections = table.service(service)?.maximumConnections ?? DEFAULT_CONNECTIONS;
+    return Math.max(1, Math.floor((connections * USED_PART) / this.gateways));
+  }
+
+  /** A request was sent to the service for the first time. */
+  noteRequest(service: string): void {
+    this.budgetOf(service).noteRequest(this.gateways);
+  }
+
+  /** Takes one further sending to the service; false when there is none left. */
+  takeSecondSend(service: string): boolean {
+    return this.budgetOf(service).take();
+  }
+
+  private get gateways(): number {
+    return Math.max(1, this.countGateways() ?? UNKNOWN_GATEWAYS);
+  }
+
+  private budgetOf(service: string): SecondSendBudget {
+    const known = this.budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = new SecondSendBudget(this.limits);
+    this.budgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/src/gateway/forward-single.ts
@@ -0,0 +1,50 @@
+/** Forwards a request to one replica of its service and gives the answer back unchanged. */
+import type { HttpResponse } from '../seams/http.js';
+import type { CallerRequest } from './caller-request.js';
+import { GatewayRefusal, refuse } from './gateway-answers.js';
+import type { GatewayContext } from './gateway-context.js';
+import { ReplicaRace, type RaceOutcome } from './replica-race.js';
+
+function answerOf(outcome: RaceOutcome, isTimeUp: boolean): HttpResponse {
+  if (outcome.answer !== undefined) return outcome.answer;
+  if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
+  if (!outcome.mayHaveRun) return refuse(GatewayRefusal.NotRun, outcome.reason);
+  return refuse(isTimeUp ? GatewayRefusal.TimedOut : GatewayRefusal.Failed, outcome.reason);
+}
+
+/** Resolves with the final answer, at the request's deadline at the latest. */
+export function forwardSingle(
+  context: GatewayContext,
+  request: CallerRequest,
+  service: string,
+): Promise<HttpResponse> {
+  const { clock } = context.environment;
+  const latency = context.latencies.of(request.route);
+  return new Promise((resolve) => {
+    let isTimeUp = false;
+    const onEnd = (race: ReplicaRace): void => {
+      hedgeTimer.cancel();
+      deadlineTimer.cancel();
+      request.signal.removeEventListener('abort', onGone);
+      const outcome = race.outcome as RaceOutcome;
+      context.decisions.attempted(request, race.service, race.sends, outcome);
+      resolve(answerOf(outcome, isTimeUp));
+    };
+    const race = new ReplicaRace(context, request, service, latency, onEnd);
+    const giveUp = (): void => {
+      if (race.outcome !== undefined) return;
+      race.cancel();
+      onEnd(race);
+    };
+    const onGone = (): void => giveUp();
+    const hedgeTimer = clock.setTimer(latency.hedgeDelay, () => {
+      if (race.hedge()) context.metrics.hedges.inc();
+    });
+    const deadlineTimer = clock.setTimer(request.deadline - clock.now(), () => {
+      isTimeUp = true;
+      giveUp();
+    });
+    request.signal.addEventListener('abort', onGone, { once: true });
+    race.start();
+  });
+}
--- /dev/null
+++ b/src/gateway/forwarded-headers.ts
@@ -0,0 +1,35 @@
+/** Which headers travel with a request and which concern one connection only. */
+import type { HttpHeaders } from '../seams/http.js';
+
+/** Headers of one connection; also `expect`, which the gateway has answered by reading the body. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'content-length',
+  'expect',
+]);
+
+function namedByConnection(headers: HttpHeaders): ReadonlySet<string> {
+  const connection = headers['connection'];
+  if (connection === undefined) return CONNECTION_HEADERS;
+  const named = connection.split(',').map((name) => name.trim().toLowerCase());
+  return new Set([...CONNECTION_HEADERS, ...named]);
+}
+
+/** The headers that go on to the other side. */
+export function endToEndHeaders(headers: HttpHeaders): Record<string, string> {
+  const dropped = namedByConnection(headers);
+  const kept: Record<string, string> = {};
+  for (const name in headers) {
+    const value = headers[name];
+    if (value !== undefined && !dropped.has(name)) kept[name] = value;
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/gateway/gateway-answers.ts
@@ -0,0 +1,49 @@
+/** The answers that the gateway gives by itself. */
+import type { HttpResponse } from '../seams/http.js';
+
+/** Why the gateway itself answers. */
+export enum GatewayRefusal {
+  /** No route document has arrived yet. Not run. */
+  NoRoutes = 'no_routes',
+  /** No route fits the host and path. */
+  NoRoute = 'no_route',
+  /** The request cannot be taken as it is. */
+  BadRequest = 'bad_request',
+  /** The body is longer than the route document allows. */
+  TooLarge = 'too_large',
+  /** No replica could take it in time. Not run. */
+  NotRun = 'not_run',
+  /** A replica may have run it, and no usable answer came. */
+  Failed = 'failed',
+  /** A replica may have run it, and the time is up. */
+  TimedOut = 'timed_out',
+}
+
+const STATUSES: Readonly<Record<GatewayRefusal, number>> = {
+  [GatewayRefusal.NoRoutes]: 503,
+  [GatewayRefusal.NoRoute]: 404,
+  [GatewayRefusal.BadRequest]: 400,
+  [GatewayRefusal.TooLarge]: 413,
+  [GatewayRefusal.NotRun]: 503,
+  [GatewayRefusal.Failed]: 502,
+  [GatewayRefusal.TimedOut]: 504,
+};
+
+/** When a caller whose request was not run may come back. Seconds. */
+const RETRY_AFTER_S: Partial<Record<GatewayRefusal, string>> = {
+  [GatewayRefusal.NoRoutes]: '0.5',
+  [GatewayRefusal.NotRun]: '0.1',
+};
+
+/** The answer for a refusal. */
+export function refuse(refusal: GatewayRefusal, reason: string): HttpResponse {
+  const retryAfter = RETRY_AFTER_S[refusal];
+  return {
+    status: STATUSES[refusal],
+    headers: {
+      'content-type': 'application/json',
+      ...(retryAfter === undefined ? {} : { 'retry-after': retryAfter }),
+    },
+    body: JSON.stringify({ error: { code: refusal, message: reason } }),
+  };
+}
--- /dev/null
+++ b/src/gateway/gateway-context.ts
@@ -0,0 +1,22 @@
+/** What the parts of the gateway share. */
+import type { Environment } from '../seams/environment.js';
+import type { RequestDecisions } from './request-decisions.js';
+import type { ExchangeHeaders } from './exchange-headers.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { FleetShares } from './fleet-shares.js';
+import type { ReplicaChoice } from './replica-choice.js';
+import type { RouteLatencies } from './route-latencies.js';
+import type { AttemptSender } from './send-attempt.js';
+import type { ServiceTargets } from './service-targets.js';
+
+export interface GatewayContext {
+  readonly environment: Environment;
+  readonly headers: ExchangeHeaders;
+  readonly targets: ServiceTargets;
+  readonly choice: ReplicaChoice;
+  readonly sender: AttemptSender;
+  readonly latencies: RouteLatencies;
+  readonly shares: FleetShares;
+  readonly decisions: RequestDecisions;
+  readonly metrics: GatewayMetrics;
+}
--- /dev/null
+++ b/src/gateway/gateway-daemon.ts
@@ -0,0 +1,208 @@
+/**
+ * The gateway daemon: forwards callers' HTTP requests to replicas by the route
+ * document, and merges the answers of those that go to all shards. Holds no disk.
+ */
+import { observe } from '../control-stream/observe.js';
+import type { GatewayConfiguration } from '../configuration/gateway-configuration.js';
+import { DirectoryClient } from '../directory/directory-client.js';
+import { SubscriberKind, type DocumentMessage } from '../directory/directory-messages.js';
+import { ReplicaDirectory } from '../directory/replica-directory.js';
+import { DecisionLog } from '../observability/decision-log.js';
+import type { Logger } from '../observability/logger.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import { readRouteDocument } from '../routes/read-route-document.js';
+import { RouteTable } from '../routes/route-table.js';
+import { formatAddress, type Address } from '../seams/address.js';
+import type { Environment } from '../seams/environment.js';
+import type { HttpListener, HttpRequest, HttpResponse } from '../seams/http.js';
+import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
+import { FleetShares } from './fleet-shares.js';
+import type { GatewayContext } from './gateway-context.js';
+import { GatewayEndpoint } from './gateway-endpoint.js';
+import { GatewayMetrics } from './gateway-metrics.js';
+import { ReplicaChoice } from './replica-choice.js';
+import { RequestDecisions } from './request-decisions.js';
+import { RouteLatencies } from './route-latencies.js';
+import { AttemptSender } from './send-attempt.js';
+import { ServiceTargets } from './service-targets.js';
+
+/** Of the grace for a stop: until new connections end, and until the last answer is given. */
+const ACCEPTING_PART = 0.6;
+const ANSWERING_PART = 0.9;
+const STOP_CHECK_MS = 50;
+/** How often forgotten replicas are looked for. */
+const FORGET_INTERVAL_MS = 5_000;
+
+const HEALTH_OPTIONS = {
+  maximumBodyBytes: 1_024,
+  maximumHeaderBytes: 8_192,
+  requestTimeout: 5_000,
+  maximumConnections: 100,
+};
+
+function textResponse(status: number, body: string): HttpResponse {
+  return { status, headers: { 'content-type': 'text/plain' }, body };
+}
+
+/** A running gateway. */
+export class GatewayDaemon {
+  private readonly logger: Logger;
+  private readonly directory: ReplicaDirectory;
+  private readonly client: DirectoryClient;
+  private readonly context: GatewayContext;
+  private readonly endpoint: GatewayEndpoint;
+  private readonly ended = new AbortController();
+  private isStopping = false;
+  private wasReady = false;
+  private callers: HttpListener | undefined;
+  private health: HttpListener | undefined;
+
+  private constructor(
+    private readonly environment: Environment,
+    private readonly configuration: GatewayConfiguration,
+    private readonly telemetry: Telemetry,
+    headers: ExchangeHeaders,
+  ) {
+    const { name, zone } = configuration;
+    this.logger = telemetry.logger.child({ gateway: name });
+    this.directory = new ReplicaDirectory(environment.clock);
+    this.client = this.createClient();
+    this.context = this.createContext(headers, zone);
+    this.endpoint = new GatewayEndpoint(this.context);
+    observe(this.client.documents, (document) => this.applyDocument(document));
+  }
+
+  /**
+   * Starts a gateway that listens and follows the controllers.
+   *
+   * @throws ConnectionError when an address cannot be listened on.
+   */
+  static async start(
+    environment: Environment,
+    configuration: GatewayConfiguration,
+    telemetry: Telemetry,
+    headers: ExchangeHeaders = DEFAULT_EXCHANGE_HEADERS,
+  ): Promise<GatewayDaemon> {
+    const daemon = new GatewayDaemon(environment, configuration, telemetry, headers);
+    await daemon.open();
+    return daemon;
+  }
+
+  /** Where callers reach it. */
+  get address(): Address {
+    if (this.callers === undefined) throw new Error('the gateway does not listen yet');
+    return this.callers.address;
+  }
+
+  /** Follows other controllers from now on; those that they name are followed too. */
+  useControllers(addresses: readonly Address[]): void {
+    this.client.useSeeds(addresses.map(formatAddress));
+  }
+
+  /**
+   * Planned stop: not ready at once, so that callers are sent elsewhere, while
+   * new requests are still served; then idle connections are closed and the
+   * requests in flight answered.
+   */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const { clock } = this.environment;
+    const begunAt = clock.now();
+    const { stopGraceMs } = this.configuration;
+    this.logger.info('gateway stopping', { inFlight: this.endpoint.inFlight });
+    await clock.sleep(stopGraceMs * ACCEPTING_PART);
+    const closed = this.callers?.close();
+    while (this.endpoint.inFlight > 0 && clock.now() - begunAt < stopGraceMs * ANSWERING_PART) {
+      await clock.sleep(STOP_CHECK_MS);
+    }
+    await Promise.race([closed, clock.sleep(STOP_CHECK_MS)]);
+    this.ended.abort(new Error('stopped'));
+    await this.health?.close();
+    await this.client.stop();
+    this.context.targets.stop();
+    this.logger.info('gateway stopped', { inFlight: this.endpoint.inFlight });
+  }
+
+  private createClient(): DirectoryClient {
+    const { name, zone, cluster, controllers } = this.configuration;
+    const client = new DirectoryClient({
+      environment: this.environment,
+      identity: { clusterId: cluster.id, clusterKey: cluster.key, name },
+      subscriberKind: SubscriberKind.Gateway,
+      zone,
+      directory: this.directory,
+      logger: this.logger,
+    });
+    client.useSeeds(controllers.map(formatAddress));
+    return client;
+  }
+
+  private createContext(headers: ExchangeHeaders, zone: string): GatewayContext {
+    const { clock, random } = this.environment;
+    const decisions = new DecisionLog(clock, this.logger);
+    return {
+      environment: this.environment,
+      headers,
+      targets: new ServiceTargets(this.environment, this.directory),
+      choice: new ReplicaChoice(clock, random, zone),
+      sender: new AttemptSender(clock, headers),
+      latencies: new RouteLatencies(),
+      shares: new FleetShares(this.configuration.secondSends, () => this.client.gateways),
+      decisions: new RequestDecisions(clock, decisions),
+      metrics: new GatewayMetrics(this.telemetry.registry),
+    };
+  }
+
+  private async open(): Promise<void> {
+    const { listen, limits } = this.configuration;
+    const { network } = this.environment;
+    this.callers = await network.listenHttp(listen.http, limits, (request) => this.serve(request));
+    this.health = await network.listenHttp(listen.health, HEALTH_OPTIONS, (request) =>
+      this.serveHealth(request),
+    );
+    void this.forgetSilent();
+    this.logger.info('gateway listening', { http: formatAddress(this.address) });
+  }
+
+  private async serve(request: HttpRequest): Promise<HttpResponse> {
+    const response = await this.endpoint.handle(request);
+    if (!this.isStopping) return response;
+    return { ...response, headers: { ...response.headers, connection: 'close' } };
+  }
+
+  private async serveHealth({ path }: HttpRequest): Promise<HttpResponse> {
+    if (path === '/readyz') return this.readyz();
+    if (path === '/livez') return textResponse(200, 'live\n');
+    if (path === '/metrics') return textResponse(200, await this.telemetry.registry.metrics());
+    return textResponse(404, 'no such path\n');
+  }
+
+  /** Once it was ready, being cut off from the controllers alone does not make it useless. */
+  private readyz(): HttpResponse {
+    if (this.isStopping) return textResponse(503, 'stopping\n');
+    if (this.endpoint.table === undefined) return textResponse(503, 'no route document yet\n');
+    this.wasReady ||= this.client.isFresh;
+    return this.wasReady ? textResponse(200, 'ready\n') : textResponse(503, 'not fresh yet\n');
+  }
+
+  private applyDocument({ version, content }: DocumentMessage): void {
+    try {
+      const table = new RouteTable(readRouteDocument(content));
+      this.endpoint.table = table;
+      this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
+      this.context.metrics.routeVersion.set(version);
+      this.logger.info('route document in force', { version });
+    } catch (error) {
+      this.logger.error('route document not understood', { version, reason: String(error) });
+    }
+  }
+
+  private async forgetSilent(): Promise<void> {
+    const { clock } = this.environment;
+    while (!this.ended.signal.aborted) {
+      await clock.sleep(FORGET_INTERVAL_MS, this.ended.signal).catch(() => undefined);
+      this.directory.forgetSilent();
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-endpoint.ts
@@ -0,0 +1,84 @@
+/** Takes callers' requests: finds the route, pins the version and gets the answer. */
+import { randomUUID } from 'node:crypto';
+import type { Route } from '../routes/route-document.js';
+import type { RouteTable } from '../routes/route-table.js';
+import type { HttpRequest, HttpResponse } from '../seams/http.js';
+import type { CallerRequest } from './caller-request.js';
+import { FanOut } from './fan-out.js';
+import { endToEndHeaders } from './forwarded-headers.js';
+import { forwardSingle } from './forward-single.js';
+import { GatewayRefusal, refuse } from './gateway-answers.js';
+import type { GatewayContext } from './gateway-context.js';
+import { SplitChooser } from './split-chooser.js';
+
+/** Time that the answer needs to get back to the caller before its deadline. Milliseconds. */
+const RETURN_MARGIN_MS = 5;
+
+/** See the module comment. */
+export class GatewayEndpoint {
+  table: RouteTable | undefined;
+  /** Requests that have no answer yet. */
+  inFlight = 0;
+  private readonly splits = new SplitChooser();
+
+  constructor(private readonly context: GatewayContext) {}
+
+  async handle(request: HttpRequest): Promise<HttpResponse> {
+    const { clock } = this.context.environment;
+    const receivedAt = clock.now();
+    this.inFlight += 1;
+    try {
+      const response = await this.route(request, receivedAt);
+      this.context.metrics.requests.inc({ status: String(response.status) });
+      return response;
+    } finally {
+      this.inFlight -= 1;
+      this.context.metrics.latency.observe((clock.now() - receivedAt) / 1_000);
+    }
+  }
+
+  private async route(request: HttpRequest, receivedAt: number): Promise<HttpResponse> {
+    const { table } = this;
+    if (table === undefined) return refuse(GatewayRefusal.NoRoutes, 'no route document yet');
+    const host = request.headers['host'];
+    if (host === undefined) return refuse(GatewayRefusal.BadRequest, 'the Host header is missing');
+    if (request.body.length > table.limits.maximumBodyBytes) {
+      return refuse(GatewayRefusal.TooLarge, 'the body is too long');
+    }
+    const route = table.match(host, request.path);
+    if (route === undefined) return refuse(GatewayRefusal.NoRoute, 'no route fits');
+    return this.forward(this.toCallerRequest(request, table, route, receivedAt));
+  }
+
+  private toCallerRequest(
+    request: HttpRequest,
+    table: RouteTable,
+    route: Route,
+    receivedAt: number,
+  ): CallerRequest {
+    const { requestId, deadline } = this.context.headers;
+    const headers = endToEndHeaders(request.headers);
+    const id = request.headers[requestId] ?? randomUUID();
+    const stated = Number(request.headers[deadline] ?? Infinity);
+    const patience = stated > 0 ? stated - RETURN_MARGIN_MS : Infinity;
+    return {
+      id,
+      method: request.method,
+      target: request.target,
+      headers: { ...headers, [requestId]: id },
+      body: request.body,
+      signal: request.signal,
+      table,
+      route,
+      receivedAt,
+      deadline: receivedAt + Math.max(1, Math.min(route.timeoutMs, patience)),
+    };
+  }
+
+  private forward(request: CallerRequest): Promise<HttpResponse> {
+    const { service, split, shards } = request.route;
+    if (shards !== undefined) return new FanOut(this.context, request, shards).run();
+    const chosen = split === undefined ? service : this.splits.choose(request.route, split);
+    return forwardSingle(this.context, request, chosen ?? '');
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-metrics.ts
@@ -0,0 +1,52 @@
+/** Counters and histograms of the gateway. */
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+
+/** Upper bounds of the latency buckets. Seconds. */
+const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/** See the module comment. */
+export class GatewayMetrics {
+  readonly requests: Counter<'status'>;
+  readonly attempts: Counter<'result'>;
+  readonly hedges: Counter;
+  readonly missingParts: Counter;
+  readonly latency: Histogram;
+  readonly routeVersion: Gauge;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.requests = new Counter({
+      name: 'driftway_gateway_requests_total',
+      help: 'Requests of callers, by the status of their answer.',
+      labelNames: ['status'],
+      registers,
+    });
+    this.attempts = new Counter({
+      name: 'driftway_gateway_attempts_total',
+      help: 'Sendings to replicas, by what became of them.',
+      labelNames: ['result'],
+      registers,
+    });
+    this.hedges = new Counter({
+      name: 'driftway_gateway_hedges_total',
+      help: 'Sendings to a second replica because the first was late.',
+      registers,
+    });
+    this.missingParts = new Counter({
+      name: 'driftway_gateway_missing_parts_total',
+      help: 'Shards that merged answers lacked.',
+      registers,
+    });
+    this.latency = new Histogram({
+      name: 'driftway_gateway_latency_seconds',
+      help: 'Time from a request to its answer.',
+      buckets: LATENCY_BUCKETS,
+      registers,
+    });
+    this.routeVersion = new Gauge({
+      name: 'driftway_gateway_route_version',
+      help: 'Version of the route document in force here.',
+      registers,
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/replica-target.ts
@@ -0,0 +1,96 @@
+/** One replica as this gateway sends to it: its connections and what was observed of it. */
+import type { ReplicaEntry } from '../directory/replica-entry.js';
+import type { HttpClient } from '../seams/http.js';
+
+/** What the replica last said of its load. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Clock reading of the gateway. Milliseconds. */
+  readonly at: number;
+}
+
+/** Weight of a new sample in the average of {@link ReplicaTarget.slownessAt}. */
+const SAMPLE_WEIGHT = 0.35;
+/** What was learned counts half after this long, so that a replica that recovered is found. */
+const HALF_LIFE_MS = 4_000;
+/** First and longest time that a replica which cannot be used is left alone. */
+const FIRST_REST_MS = 150;
+const LONGEST_REST_MS = 4_000;
+
+/** See the module comment. */
+export class ReplicaTarget {
+  load: ReportedLoad | undefined;
+  /** When each attempt in flight was sent. */
+  readonly sentAt = new Map<number, number>();
+  private nextAttempt = 0;
+  private slowness = 1;
+  private sampledAt = -Infinity;
+  private restsUntil = -Infinity;
+  private failures = 0;
+
+  constructor(
+    public entry: ReplicaEntry,
+    readonly client: HttpClient,
+    readonly address: string,
+    /** Until when it is slow from its start. Clock reading. */
+    public warmUntil: number,
+  ) {}
+
+  get inFlight(): number {
+    return this.sentAt.size;
+  }
+
+  /** Notes an attempt and gives the number that {@link ReplicaTarget.end} takes. */
+  begin(now: number): number {
+    this.nextAttempt += 1;
+    this.sentAt.set(this.nextAttempt, now);
+    return this.nextAttempt;
+  }
+
+  end(attempt: number): void {
+    this.sentAt.delete(attempt);
+  }
+
+  /** How long the oldest attempt in flight has been waiting. Milliseconds. */
+  oldestWait(now: number): number {
+    for (const sentAt of this.sentAt.values()) return now - sentAt;
+    return 0;
+  }
+
+  /** Time it takes for a request over what is usual; 1 when nothing is known. */
+  slownessAt(now: number): number {
+    const weight = 0.5 ** ((now - this.sampledAt) / HALF_LIFE_MS);
+    return 1 + (this.slowness - 1) * weight;
+  }
+
+  /** It took `ratio` times the usual time. */
+  noteLatency(ratio: number, now: number): void {
+    const before = this.slownessAt(now);
+    this.slowness = before + (ratio - before) * SAMPLE_WEIGHT;
+    this.sampledAt = now;
+  }
+
+  /** It had not answered after `ratio` times the usual time. */
+  noteUnfinished(ratio: number, now: number): void {
+    if (ratio > this.slownessAt(now)) this.noteLatency(ratio, now);
+  }
+
+  /** It answered: it can be used. */
+  noteUsable(): void {
+    this.failures = 0;
+    this.restsUntil = -Infinity;
+  }
+
+  /** It could not be reached, or what it sent was no answer. */
+  noteFailure(now: number): void {
+    const rest = Math.min(FIRST_REST_MS * 2 ** this.failures, LONGEST_REST_MS);
+    this.failures += 1;
+    this.restsUntil = now + rest;
+  }
+
+  isResting(now: number): boolean {
+    return now < this.restsUntil;
+  }
+}
--- /dev/null
+++ b/src/gateway/send-attempt.ts
@@ -0,0 +1,101 @@
+/** Sends a request to one replica once, and takes nothing for its answer that may be another's. */
+import { HttpClientError } from '../errors/http-client-error.js';
+import type { Clock } from '../seams/clock.js';
+import type { HttpClientResponse, HttpHeaders } from '../seams/http.js';
+import { NotRunReason, type AttemptResult, type ReplicaAnswer } from './attempt-result.js';
+import type { CallerRequest } from './caller-request.js';
+import type { ExchangeHeaders } from './exchange-headers.js';
+import { endToEndHeaders } from './forwarded-headers.js';
+import type { ReplicaTarget, ReportedLoad } from './replica-target.js';
+
+const WRONG_REPLICA_STATUS = 421;
+const EMPTY_BODY_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
+function readLoad(text: string | undefined, at: number): ReportedLoad | undefined {
+  const [running, waiting, slots] = (text ?? '').split(',').map(Number);
+  if (running === undefined || waiting === undefined || slots === undefined) return undefined;
+  const isValid = [running, waiting, slots].every((count) => Number.isFinite(count) && count >= 0);
+  return isValid ? { running, waiting, slots, at } : undefined;
+}
+
+/** See the module comment. */
+export class AttemptSender {
+  constructor(
+    private readonly clock: Clock,
+    private readonly names: ExchangeHeaders,
+  ) {}
+
+  /** Never rejects: every failure is a result. */
+  async send(
+    request: CallerRequest,
+    target: ReplicaTarget,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const left = Math.floor(request.deadline - this.clock.now());
+    if (left < 1) return { kind: 'notRun', reason: NotRunReason.Unreachable };
+    try {
+      const response = await target.client.request({
+        method: request.method,
+        path: request.target,
+        headers: this.headersFor(request, target, left),
+        ...this.bodyOf(request),
+        signal,
+        acceptResponse: (headers) => this.belongsTo(request, headers),
+      });
+      target.load = readLoad(response.headers[this.names.load], this.clock.now()) ?? target.load;
+      return this.judge(request, response);
+    } catch (error) {
+      return this.judgeError(error);
+    }
+  }
+
+  private headersFor(request: CallerRequest, target: ReplicaTarget, left: number): HttpHeaders {
+    const { deadline, targetReplica } = this.names;
+    return {
+      ...request.headers,
+      [deadline]: String(left),
+      [targetReplica]: target.entry.replicaId,
+    };
+  }
+
+  private bodyOf(request: CallerRequest): { readonly body?: Uint8Array } {
+    const isEmpty = request.body.length === 0;
+    if (isEmpty && EMPTY_BODY_METHODS.has(request.method)) return {};
+    return { body: request.body };
+  }
+
+  /** Only a refusal may lack the request's id; an answer with another's is never used. */
+  private belongsTo(request: CallerRequest, headers: HttpHeaders): boolean {
+    const id = headers[this.names.requestId];
+    return id === undefined || id === request.id;
+  }
+
+  private judge(request: CallerRequest, response: HttpClientResponse): AttemptResult {
+    const { status, headers, body } = response;
+    const carriesId = headers[this.names.requestId] === request.id;
+    if (status === WRONG_REPLICA_STATUS)
+      return { kind: 'notRun', reason: NotRunReason.WrongReplica };
+    if (headers[this.names.notExecuted] !== undefined && !isSuccess(status)) {
+      return { kind: 'notRun', reason: NotRunReason.Refused };
+    }
+    if (!carriesId) return { kind: 'broken', reason: 'the answer does not name the request' };
+    if (headers['content-encoding'] !== undefined) {
+      return { kind: 'broken', reason: 'the answer is encoded' };
+    }
+    const isSigned = headers[this.names.signature] !== undefined;
+    if (!isSigned) return { kind: 'broken', reason: 'the answer is not signed' };
+    const answer: ReplicaAnswer = { status, headers: endToEndHeaders(headers), body };
+    return isSuccess(status) ? { kind: 'answered', answer } : { kind: 'failedAnswer', answer };
+  }
+
+  private judgeError(error: unknown): AttemptResult {
+    if (!(error instanceof HttpClientError)) return { kind: 'broken', reason: String(error) };
+    if (error.kind === 'aborted') return { kind: 'cancelled' };
+    if (!error.requestSent) return { kind: 'notRun', reason: NotRunReason.Unreachable };
+    return { kind: 'broken', reason: error.kind };
+  }
+}
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -8,12 +8,13 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { ConnectionError } from '../errors/connection-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
-import type {
-  HttpHandler,
-  HttpListenOptions,
-  HttpListener,
-  HttpRequest,
-  HttpResponse,
+import {
+  DEFAULT_IDLE_TIMEOUT,
+  type HttpHandler,
+  type HttpListenOptions,
+  type HttpListener,
+  type HttpRequest,
+  type HttpResponse,
 } from '../seams/http.js';
 import { ByteBudget } from './byte-budget.js';
 import { CallerConnection } from './caller-connection.js';
@@ -64,6 +65,10 @@
     );
   }
 
+  setIdleTimeout(milliseconds: number): void {
+    this.server.keepAliveTimeout = milliseconds;
+  }
+
   close(): Promise<void> {
     this.closing = true;
     return new Promise((resolve) => {
@@ -214,6 +219,7 @@
     maxHeaderSize: options.maximumHeaderBytes,
     requestTimeout,
     headersTimeout: requestTimeout,
+    keepAliveTimeout: options.idleTimeout ?? DEFAULT_IDLE_TIMEOUT,
     connectionsCheckingInterval: Math.min(CONNECTION_CHECK_INTERVAL, requestTimeout),
     requireHostHeader: false,
     noDelay: true,
--- a/src/node/received-request.ts
+++ b/src/node/received-request.ts
@@ -22,6 +22,7 @@
     method: message.method ?? 'GET',
     path: separator < 0 ? target : target.slice(0, separator),
     query: new URLSearchParams(separator < 0 ? '' : target.slice(separator + 1)),
+    target,
     headers: flattenHeaders(message.headers),
     body,
     remoteAddress: message.socket.remoteAddress ?? '',
--- /dev/null
+++ b/src/observability/decision-log.ts
@@ -0,0 +1,69 @@
+/**
+ * A line for each decision that touches a request, bounded: each kind of
+ * decision has a budget of lines, and a line tells how many of its kind were
+ * left out before it.
+ */
+import type { Clock } from '../seams/clock.js';
+import type { LogFields, Logger } from './logger.js';
+
+/** Lines of one kind that may be written at once... */
+const BURST = 40;
+/** ...and how many a second come to that. */
+const LINES_A_SECOND = 20;
+
+/** Lines left of one kind. */
+interface LineBudget {
+  lines: number;
+  refilledAt: number;
+  omitted: number;
+}
+
+/** Kinds of decisions; uneventful ones come last when lines are short. */
+export enum DecisionKind {
+  Answered = 'request answered',
+  Partial = 'request answered in part',
+  Hedged = 'request answered after more than one sending',
+  Failed = 'request failed',
+  Refused = 'request refused',
+}
+
+/** Uneventful requests get this part of the lines that others get. */
+const UNEVENTFUL_PART = 0.1;
+
+/** See the module comment. */
+export class DecisionLog {
+  private readonly budgets = new Map<DecisionKind, LineBudget>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Writes the line when its kind has any left. `fields` is asked only then. */
+  write(kind: DecisionKind, fields: () => LogFields): void {
+    const part = kind === DecisionKind.Answered ? UNEVENTFUL_PART : 1;
+    const budget = this.refill(kind, part);
+    if (budget.lines < 1) {
+      budget.omitted += 1;
+      return;
+    }
+    budget.lines -= 1;
+    const { omitted } = budget;
+    budget.omitted = 0;
+    this.logger.info(kind, { ...fields(), ...(omitted === 0 ? {} : { omitted }) });
+  }
+
+  private refill(kind: DecisionKind, part: number): LineBudget {
+    const now = this.clock.now();
+    const known = this.budgets.get(kind);
+    if (known === undefined) {
+      const fresh = { lines: BURST * part, refilledAt: now, omitted: 0 };
+      this.budgets.set(kind, fresh);
+      return fresh;
+    }
+    const earned = ((now - known.refilledAt) / 1_000) * LINES_A_SECOND * part;
+    known.lines = Math.min(known.lines + earned, Math.max(1, BURST * part));
+    known.refilledAt = now;
+    return known;
+  }
+}
--- a/src/protocol/authenticated-listener.ts
+++ b/src/protocol/authenticated-listener.ts
@@ -17,8 +17,8 @@
   peer: RemoteIdentity,
 ) => Promise<void>;
 
-/** Who serves which role. */
-export type ConnectionRoutes = Readonly<Record<ConnectionRole, ConnectionHandler>>;
+/** Who serves which role; a connection of any other role is closed. */
+export type ConnectionRoutes = Readonly<Partial<Record<ConnectionRole, ConnectionHandler>>>;
 
 /** A running listener. */
 export class AuthenticatedListener {
@@ -67,7 +67,7 @@
 
   private async accept(connection: MessageConnection): Promise<void> {
     const peer = await this.identify(connection);
-    if (peer !== undefined) await this.routes[peer.role](connection, peer);
+    if (peer !== undefined) await this.routes[peer.role]?.(connection, peer);
   }
 
   private async identify(connection: MessageConnection): Promise<RemoteIdentity | undefined> {
--- a/src/protocol/connection-role.ts
+++ b/src/protocol/connection-role.ts
@@ -7,9 +7,19 @@
   /** A controller, for what daemons reported to it. */
   | 'exchange'
   /** A daemon that follows the configuration. */
-  | 'subscriber';
+  | 'subscriber'
+  /** A gateway or a controller, for replicas' registrations and the route document. */
+  | 'directory'
+  /** A controller that wants to become a member of the group. */
+  | 'enrolment';
 
-export const CONNECTION_ROLES: readonly ConnectionRole[] = ['consensus', 'exchange', 'subscriber'];
+export const CONNECTION_ROLES: readonly ConnectionRole[] = [
+  'consensus',
+  'exchange',
+  'subscriber',
+  'directory',
+  'enrolment',
+];
 
 /** Whether `text`, as received, names a role. */
 export function isConnectionRole(text: string): text is ConnectionRole {
--- /dev/null
+++ b/src/routes/route-document.ts
@@ -0,0 +1,75 @@
+/**
+ * The route document: which requests go to which services. It is one whole with
+ * one version; a change replaces all of it.
+ */
+import { z } from 'zod';
+
+/** Longest route document that is accepted. Bytes. */
+export const MAXIMUM_ROUTE_DOCUMENT_BYTES = 1_000_000;
+
+const nameSchema = z.string().min(1).max(255);
+const durationSchema = z.number().positive().max(86_400_000);
+
+/** Whether a request may be run more than once. */
+export const executionSchema = z.enum(['repeatable', 'atMostOnce']);
+export type Execution = z.infer<typeof executionSchema>;
+
+/** A service's share of a route's requests. */
+const splitPartSchema = z.object({
+  service: nameSchema,
+  weight: z.number().min(0),
+});
+export type SplitPart = z.infer<typeof splitPartSchema>;
+
+const routeSchema = z.object({
+  name: z.string().max(255).default(''),
+  host: nameSchema,
+  /** Begins and ends with a slash. */
+  pathPrefix: z.string().regex(/^\/(?:.*\/)?$/, 'begin and end it with a slash, such as /ledger/'),
+  execution: executionSchema.default('atMostOnce'),
+  /** Longest time that a request may be held. Milliseconds. */
+  timeoutMs: durationSchema,
+  /** Time within which an answer is of full use. Milliseconds. */
+  targetLatencyMs: durationSchema.optional(),
+  /** Rank under overload; 0 is the highest. */
+  priority: z.int().min(0).default(0),
+  /** Most replicas to which one request may be sent (for each shard, when there are shards). */
+  maximumAttempts: z.int().min(1).default(1),
+  /** Exactly one of these three says where requests go. */
+  service: nameSchema.optional(),
+  split: z.array(splitPartSchema).min(1).optional(),
+  shards: z.array(nameSchema).min(1).optional(),
+  /** With `shards`: how many of the greatest records an answer holds. */
+  topRecords: z.int().min(0).optional(),
+  /** With `shards`: least fraction of the shards that an answer must reach. */
+  requiredCoverage: z.number().min(0).max(1).optional(),
+});
+export type Route = z.infer<typeof routeSchema>;
+
+const serviceSchema = z.object({
+  name: nameSchema,
+  /** Path of the replicas' health check. */
+  healthPath: z.string().default('/health'),
+  /** Connections that one replica accepts from all gateways together. */
+  maximumConnections: z.int().min(1).default(64),
+});
+export type RoutedService = z.infer<typeof serviceSchema>;
+
+/** What a caller may send, and how long it may take or rest. Bytes and milliseconds. */
+const limitsSchema = z.object({
+  maximumHeaderBytes: z.int().min(1).default(16_384),
+  maximumBodyBytes: z.int().min(0).default(1_048_576),
+  headerTimeoutMs: z.number().positive().default(10_000),
+  idleTimeoutMs: z.number().positive().default(15_000),
+});
+export type CallerLimits = z.infer<typeof limitsSchema>;
+
+/** Unknown fields are kept out of the parsed form, and in the bytes that are read back. */
+export const routeDocumentSchema = z.object({
+  /** The highest version is in force. */
+  version: z.int().min(0),
+  routes: z.array(routeSchema),
+  services: z.array(serviceSchema),
+  limits: limitsSchema.prefault({}),
+});
+export type RouteDocument = z.infer<typeof routeDocumentSchema>;
--- /dev/null
+++ b/src/routes/route-table.ts
@@ -0,0 +1,50 @@
+/** One version of the routes, ready for look-ups. Immutable: a request keeps the table it began with. */
+import type { CallerLimits, Route, RouteDocument, RoutedService } from './route-document.js';
+
+/** The routes of one host, those with the longest prefix first. */
+type RoutesOfHost = readonly Route[];
+
+function groupByHost(routes: readonly Route[]): Map<string, Route[]> {
+  const groups = new Map<string, Route[]>();
+  for (const route of routes) {
+    const host = route.host.toLowerCase();
+    const group = groups.get(host) ?? [];
+    group.push(route);
+    groups.set(host, group);
+  }
+  return groups;
+}
+
+/** The host without a port, in lower case. */
+export function normalizeHost(hostHeader: string): string {
+  return hostHeader.replace(/:\d+$/, '').toLowerCase();
+}
+
+/** See the module comment. */
+export class RouteTable {
+  readonly version: number;
+  readonly limits: CallerLimits;
+  private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
+  private readonly services: ReadonlyMap<string, RoutedService>;
+
+  constructor(document: RouteDocument) {
+    this.version = document.version;
+    this.limits = document.limits;
+    const groups = groupByHost(document.routes);
+    for (const group of groups.values()) {
+      group.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    }
+    this.byHost = groups;
+    this.services = new Map(document.services.map((service) => [service.name, service]));
+  }
+
+  /** The route of the host with the longest prefix that begins the path. */
+  match(hostHeader: string, path: string): Route | undefined {
+    const routes = this.byHost.get(normalizeHost(hostHeader));
+    return routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  }
+
+  service(name: string): RoutedService | undefined {
+    return this.services.get(name);
+  }
+}
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -13,6 +13,8 @@
   /** Path without the query string, percent-encoding untouched. */
   readonly path: string;
   readonly query: URLSearchParams;
+  /** Path and query string exactly as they were sent. */
+  readonly target: string;
   readonly headers: HttpHeaders;
   readonly body: Uint8Array;
   /** Aborts when the caller closed its connection before the response was written. */
@@ -57,13 +59,21 @@
    * absent.
    */
   readonly maximumBufferedBytes?: number;
+  /** A connection idle for this long is closed. Milliseconds; {@link DEFAULT_IDLE_TIMEOUT} when absent. */
+  readonly idleTimeout?: number;
 }
 
+/** Milliseconds. */
+export const DEFAULT_IDLE_TIMEOUT = 5_000;
+
 /** A running HTTP listener. */
 export interface HttpListener {
   /** The port is the one really bound. */
   readonly address: Address;
 
+  /** Changes how long connections may be idle from now on. Milliseconds. */
+  setIdleTimeout(milliseconds: number): void;
+
   /**
    * Stops accepting, closes idle keep-alive connections, answers what is in
    * flight with `connection: close`, and resolves when the last one is done.
--- a/test/administration/controllers.ts
+++ b/test/administration/controllers.ts
@@ -97,6 +97,7 @@
     const response = await this.handler({
       method,
       path,
+      target,
       query: new URLSearchParams(query),
       headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
       body: new TextEncoder().encode(body),
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -77,6 +77,7 @@
       appliedIndex: this.appliedIndex,
       lastIndex,
       sinceQuorumMs: this.hasQuorum ? 0 : Infinity,
+      retiredIds: [],
       members: this.history.members.map((member) => ({
         memberId: member.memberId,
         address: '127.0.0.1:1',
--- a/test/consensus/support/register-client.ts
+++ b/test/consensus/support/register-client.ts
@@ -121,6 +121,7 @@
       this.handlerAt(id)({
         method,
         path,
+        target: path,
         query: new URLSearchParams(),
         headers: { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' },
         body: Buffer.from(body === undefined ? '' : JSON.stringify(body)),
--- a/test/consensus/vote-handler.test.ts
+++ b/test/consensus/vote-handler.test.ts
@@ -44,6 +44,7 @@
     timings: DEFAULT_RAFT_TIMINGS,
     limits: DEFAULT_RAFT_LIMITS,
     faults,
+    stopWhenRetired: false,
     stateMachine: new HistoryMachine(() => undefined),
     storage,
   });
--- a/test/control-stream/controller-fixture.ts
+++ b/test/control-stream/controller-fixture.ts
@@ -75,6 +75,7 @@
       lastIndex: 0,
       sinceQuorumMs,
       members: this.members,
+      retiredIds: [],
     };
   }
 }
--- a/test/router/support/fake-network.ts
+++ b/test/router/support/fake-network.ts
@@ -64,7 +64,7 @@
     this.handler = handler;
     this.listening = true;
     const close = async (): Promise<void> => void (this.listening = false);
-    return Promise.resolve({ address, close });
+    return Promise.resolve({ address, close, setIdleTimeout: () => undefined });
   }
 
   httpClient(peer: Address): HttpClient {
--- a/test/router/support/router-harness.ts
+++ b/test/router/support/router-harness.ts
@@ -160,7 +160,13 @@
   ): Promise<HttpResponse> {
     if (this.network.handler === undefined) throw new Error('not listening');
     const query = new URLSearchParams();
-    return this.network.handler({ ...request, query, headers: {}, remoteAddress: '10.1.0.1' });
+    return this.network.handler({
+      ...request,
+      target: request.path,
+      query,
+      headers: {},
+      remoteAddress: '10.1.0.1',
+    });
   }
 }
 
