Never take a body without a length whose connection was reset for whole

Ruled out: another request's answer (ids match), a wrong chunk (only answers without a length were short).

--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -12,6 +12,7 @@
   HttpClientRequest,
   HttpClientResponse,
 } from '../seams/http.js';
+import { createResetAwareConnector } from './reset-aware-connector.js';
 
 class ResponseTooLargeError extends Error {}
 
@@ -199,7 +200,7 @@
     return new Pool(`http://${this.peer}`, {
       connections,
       pipelining: reuse,
-      connect: { timeout: connectTimeout },
+      connect: createResetAwareConnector(connectTimeout),
       keepAliveTimeout,
       keepAliveMaxTimeout: keepAliveTimeout,
       headersTimeout: 0,
--- a/test/node/node-http-client.test.ts
+++ b/test/node/node-http-client.test.ts
@@ -183,6 +183,32 @@
     });
   }
 
+  it('takes a body without a length that was reset for truncated, not for whole', async () => {
+    const header = `HTTP/1.1 200 OK\r\nconnection: close${END_OF_HEADER}`;
+    const http = await start((socket) => socket.write(`${header}part`));
+    const acceptBytes = (): boolean => {
+      for (const socket of peer.current.sockets) socket.resetAndDestroy();
+      return true;
+    };
+    const error = await failureOf(http.request({ ...GET, acceptBytes }));
+    expect(error).toMatchObject({ kind: 'response_truncated', requestSent: true });
+  });
+
+  it('takes it for truncated also when the reset is there before the bytes are read', async () => {
+    const header = `HTTP/1.1 200 OK\r\nconnection: close${END_OF_HEADER}`;
+    const http = await start((socket) => {
+      socket.write(`${header}part`, () => socket.resetAndDestroy());
+    });
+    const error = await failureOf(http.request(GET));
+    expect(error.requestSent).toBe(true);
+  });
+
+  it('takes a body without a length that ends with its connection for whole', async () => {
+    const header = `HTTP/1.1 200 OK\r\nconnection: close${END_OF_HEADER}`;
+    const http = await start((socket) => socket.end(`${header}whole`));
+    expect(textOf(await http.request(GET))).toBe('whole');
+  });
+
   it('reports a refused connection as not sent', async () => {
     const http = await start(() => undefined);
     peer.current.stop();
