Give a new learner its time, and let a removed member begin again

The removed member then kept its folder and its retired id, so the next lost disk left one of three. Ruled out: loss of what was committed. Change: silence counts from when the leader first saw the member; a removed member marks its folder discarded and starts again as a new one.

--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -4,6 +4,7 @@
  */
 import { createAdministrationHandler } from '../administration/administration-handler.js';
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
+import { IncarnationMismatchError, MemberRetiredError } from '../consensus/consensus-errors.js';
 import { NO_FAULTS, type RaftFaults } from '../consensus/raft-faults.js';
 import { RaftNode } from '../consensus/raft-node.js';
 import type { ReplicatedLogMember, StateMachine } from '../consensus/replicated-log.js';
@@ -31,6 +32,7 @@
 import type { HttpListener } from '../seams/http.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import { CONTROLLER_HTTP_OPTIONS, createControllerHandler } from './controller-http.js';
+import { markDiscarded } from '../storage/discarded-folder.js';
 import { settleIdentity, type MemberIdentity } from './member-identity.js';
 import { RegistrationPart } from './registration-part.js';
 import { RouteDocumentRegister } from '../routes/route-document-register.js';
@@ -136,9 +138,21 @@
     await platformList?.stop();
     await this.stopCore(this.parts);
     await messages.close();
+    await this.discardIfRemoved();
     this.logger.info('controller stopped');
   }
 
+  /** The next start on the folder of a removed member begins as a new one. */
+  private async discardIfRemoved(): Promise<void> {
+    if (this.configuration.automaticMembership === undefined) return;
+    const cause = await this.parts.log.stopped;
+    const isRemoved =
+      cause instanceof MemberRetiredError || cause instanceof IncarnationMismatchError;
+    if (!isRemoved) return;
+    await markDiscarded(this.environment.disk);
+    this.logger.info('data folder discarded', { reason: cause.message });
+  }
+
   private async startParts(): Promise<ControllerParts> {
     const machine = new ConfigurationStateMachine();
     const register = new RouteDocumentRegister();
--- a/src/control/member-identity.ts
+++ b/src/control/member-identity.ts
@@ -3,6 +3,7 @@
 import type { MemberEndpoint } from '../consensus/member-endpoint.js';
 import type { Address } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
+import { emptyIfDiscarded } from '../storage/discarded-folder.js';
 import { HardStateStore } from '../storage/hard-state-store.js';
 
 const SUFFIX_BYTES = 4;
@@ -45,16 +46,20 @@
     address,
   }));
   const isFounder = founders.some((founder) => founder.memberId === founding);
+  const wasDiscarded = await emptyIfDiscarded(environment.disk);
   const stored = await new HardStateStore(environment.disk).load();
   if (stored !== undefined) {
     // A folder made at the first start may still have to learn that its group began with it.
     const isOfFounder = stored.memberId === founding && isFounder;
     return { memberId: stored.memberId, initialMembers: founders, join: !isOfFounder };
   }
-  if (automaticMembership.firstStart && isFounder) {
-    return { memberId: founding, initialMembers: founders, join: false };
+  if (automaticMembership.firstStart && !wasDiscarded) {
+    return { memberId: founding, initialMembers: founders, join: !isFounder };
   }
   const suffix = environment.random.nextIdentifier(SUFFIX_BYTES);
-  const later = automaticMembership.firstStart ? founding : `${founding}${LATER_MARK}${suffix}`;
-  return { memberId: later, initialMembers: founders, join: true };
+  return {
+    memberId: `${founding}${LATER_MARK}${suffix}`,
+    initialMembers: founders,
+    join: true,
+  };
 }
--- a/src/control/membership-keeper.ts
+++ b/src/control/membership-keeper.ts
@@ -11,9 +11,9 @@
 
 const CHECK_INTERVAL_MS = 250;
 /** A voter that has a successor is removed after this silence. */
-const VOTER_SILENCE_MS = 1_500;
+export const VOTER_SILENCE_MS = 1_500;
 /** A member that never got its vote is removed after this silence. */
-const LEARNER_SILENCE_MS = 10_000;
+export const LEARNER_SILENCE_MS = 10_000;
 
 /** Voters that the group is meant to have: as many as it was founded with. */
 export function intendedVoters({ members, retiredIds }: ReplicatedLogStatus): number {
@@ -26,18 +26,32 @@
   return status.members.filter(({ voter }) => voter).length > intendedVoters(status);
 }
 
-/** The member to remove now, given for how long this controller has led; undefined for none. */
-export function memberToRemove(
-  status: ReplicatedLogStatus,
-  leadingMs: number,
-): ReplicatedLogMember | undefined {
-  const isSpare = hasSpareVoter(status);
-  return status.members.find((member) => {
-    if (member.memberId === status.memberId) return false;
-    const silentMs = Math.min(member.silentMs ?? 0, leadingMs);
-    if (!member.voter) return silentMs > LEARNER_SILENCE_MS;
-    return isSpare && silentMs > VOTER_SILENCE_MS;
-  });
+/**
+ * Tells for how long members have been silent. A member that was never heard is
+ * silent from when this controller, as the leader, first saw it in the group.
+ */
+export class SilenceWatch {
+  private readonly seenAt = new Map<string, number>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** The member to remove now; undefined for none, and while another controller leads. */
+  memberToRemove(status: ReplicatedLogStatus): ReplicatedLogMember | undefined {
+    if (status.role !== 'leader') {
+      this.seenAt.clear();
+      return undefined;
+    }
+    const isSpare = hasSpareVoter(status);
+    const now = this.clock.now();
+    return status.members.find((member) => {
+      const { memberId, voter, silentMs = 0 } = member;
+      const seenAt = this.seenAt.get(memberId) ?? now;
+      this.seenAt.set(memberId, seenAt);
+      if (memberId === status.memberId) return false;
+      const silence = Math.min(silentMs, now - seenAt);
+      return voter ? isSpare && silence > VOTER_SILENCE_MS : silence > LEARNER_SILENCE_MS;
+    });
+  }
 }
 
 /** Runs until stopped. */
@@ -47,26 +61,23 @@
   logger: Logger,
   stopped: AbortSignal,
 ): Promise<void> {
-  let leadingSince: number | undefined;
+  const watch = new SilenceWatch(clock);
   while (!stopped.aborted) {
     await clock.sleep(CHECK_INTERVAL_MS, stopped).catch(() => undefined);
-    const status = log.status();
-    if (status.role !== 'leader') {
-      leadingSince = undefined;
-      continue;
-    }
-    leadingSince ??= clock.now();
-    const member = memberToRemove(status, clock.now() - leadingSince);
+    const member = watch.memberToRemove(log.status());
     if (member !== undefined) await remove(log, member, logger);
   }
 }
 
-async function remove(log: RaftNode, member: ReplicatedLogMember, logger: Logger): Promise<void> {
-  const { memberId, silentMs } = member;
+async function remove(
+  log: RaftNode,
+  { memberId }: ReplicatedLogMember,
+  logger: Logger,
+): Promise<void> {
   try {
     await log.remove(memberId);
-    logger.info('member removed', { member: memberId, silentMs: Math.round(silentMs ?? 0) });
+    logger.info('silent member removed', { member: memberId });
   } catch (error) {
-    logger.warn('member not removed', { member: memberId, reason: String(error) });
+    logger.warn('silent member not removed', { member: memberId, reason: String(error) });
   }
 }
--- /dev/null
+++ b/test/control/automatic-group.ts
@@ -0,0 +1,126 @@
+/** Controllers that look after their group by themselves, in the simulation. */
+import { Registry } from 'prom-client';
+import { expect } from 'vitest';
+import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
+import { ControllerDaemon } from '../../src/control/controller-daemon.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import type { HttpClientResponse } from '../../src/seams/http.js';
+
+export const CLUSTER = { id: 'automatic', key: 'a-long-random-secret' };
+export const MESSAGE_PORT = 7500;
+export const REGISTRATION_PORT = 7600;
+const HTTP_PORT = 7400;
+/** In which a group settles after whatever happened to it. Milliseconds. */
+export const SETTLE_MS = 15_000;
+
+const CLIENT_OPTIONS = {
+  connections: 4,
+  maximumResponseBytes: 2_000_000,
+  connectTimeout: 1_000,
+  keepAliveTimeout: 1_000,
+};
+
+/** The smallest valid route document of a version. */
+export function routeDocument(version: number, host = 'desk.example'): string {
+  return JSON.stringify({
+    version,
+    routes: [
+      {
+        name: 'ledger',
+        host,
+        pathPrefix: '/ledger/',
+        execution: 'repeatable',
+        timeoutMs: 2_000,
+        maximumAttempts: 2,
+        service: 'ledger',
+      },
+    ],
+    services: [{ name: 'ledger' }],
+  });
+}
+
+/** A group of controllers, its machines and an operator. */
+export class AutomaticGroup {
+  readonly simulation: Simulation;
+  readonly operator: SimulatedMachine;
+  readonly machines: SimulatedMachine[] = [];
+  readonly daemons = new Map<SimulatedMachine, ControllerDaemon>();
+  private seeds: readonly string[] = [];
+
+  private constructor(seed: number) {
+    this.simulation = new Simulation(seed);
+    this.operator = this.simulation.createMachine('operator', 'operators');
+  }
+
+  /** Starts `founders` controllers for the first time, of which the first three are the seeds. */
+  static async start(founders: number, seed = 7): Promise<AutomaticGroup> {
+    const group = new AutomaticGroup(seed);
+    for (let index = 0; index < founders; index += 1) group.addMachine();
+    group.seeds = group.machines.slice(0, 3).map(({ host }) => `${host}:${MESSAGE_PORT}`);
+    for (const machine of group.machines) await group.startOn(machine, true);
+    await group.simulation.runFor(SETTLE_MS);
+    return group;
+  }
+
+  addMachine(): SimulatedMachine {
+    const name = `controller-${this.machines.length + 1}`;
+    const machine = this.simulation.createMachine(name, 'nayoro');
+    this.machines.push(machine);
+    return machine;
+  }
+
+  machineAt(index: number): SimulatedMachine {
+    return this.machines[index] ?? expect.fail(`no machine ${index}`);
+  }
+
+  async startOn(machine: SimulatedMachine, firstStart = false): Promise<void> {
+    const { host, zone, environment } = machine;
+    const configuration = controllerConfigurationSchema.parse({
+      memberId: 'unused',
+      region: 'dohoku',
+      zone,
+      cluster: CLUSTER,
+      dataFolder: 'unused',
+      listen: {
+        http: `${host}:${HTTP_PORT}`,
+        messages: `${host}:${MESSAGE_PORT}`,
+        registration: `${host}:${REGISTRATION_PORT}`,
+      },
+      initialMembers: [{ memberId: 'unused', address: '10.0.0.1:1', zone }],
+      automaticMembership: { seeds: this.seeds, firstStart },
+    });
+    const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+    const daemon = ControllerDaemon.start(environment, configuration, telemetry);
+    this.daemons.set(machine, await this.simulation.settle(daemon));
+  }
+
+  /** Kills the process on a machine, with or without its disk, and starts it again. */
+  async restart(machine: SimulatedMachine, keepDisk: boolean): Promise<void> {
+    machine.restart({ keepDisk });
+    await this.startOn(machine);
+  }
+
+  async call(
+    machine: SimulatedMachine,
+    method: string,
+    path: string,
+    body?: string,
+  ): Promise<HttpClientResponse> {
+    const address = { host: machine.host, port: REGISTRATION_PORT };
+    const client = this.operator.environment.network.httpClient(address, CLIENT_OPTIONS);
+    const request = { method, path, headers: {}, ...(body === undefined ? {} : { body }) };
+    return this.simulation.settle(client.request(request));
+  }
+
+  putRoutes(machine: SimulatedMachine, document: string): Promise<HttpClientResponse> {
+    return this.call(machine, 'PUT', '/v1/routes', document);
+  }
+
+  async readRoutes(machine: SimulatedMachine): Promise<string> {
+    const { status, body } = await this.call(machine, 'GET', '/v1/routes');
+    expect(status).toBe(200);
+    return Buffer.from(body).toString('utf8');
+  }
+}
--- /dev/null
+++ b/test/control/membership-keeper.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import type {
+  ReplicatedLogMember,
+  ReplicatedLogStatus,
+} from '../../src/consensus/replicated-log.js';
+import {
+  LEARNER_SILENCE_MS,
+  SilenceWatch,
+  VOTER_SILENCE_MS,
+  intendedVoters,
+} from '../../src/control/membership-keeper.js';
+
+const LEADER = 'm-10-0-0-1-7000';
+
+function member(memberId: string, silentMs: number, voter = true): ReplicatedLogMember {
+  return { memberId, address: `${memberId}:7000`, voter, silentMs };
+}
+
+function statusOf(members: ReplicatedLogMember[], retiredIds: string[] = []): ReplicatedLogStatus {
+  return {
+    memberId: LEADER,
+    role: 'leader',
+    term: 1,
+    leaderId: LEADER,
+    commitIndex: 1,
+    knownCommitIndex: 1,
+    appliedIndex: 1,
+    lastIndex: 1,
+    sinceQuorumMs: 0,
+    members: [member(LEADER, 0), ...members],
+    retiredIds,
+  };
+}
+
+describe('SilenceWatch', () => {
+  const simulation = new Simulation(1);
+  const { clock } = simulation.createMachine('leader', 'a').environment;
+
+  it('gives a learner that was never heard its time, however long the leader has led', async () => {
+    const watch = new SilenceWatch(clock);
+    const before = statusOf([member('m-b', 0), member('m-c', 0)]);
+    expect(watch.memberToRemove(before)).toBeUndefined();
+    await simulation.runFor(LEARNER_SILENCE_MS * 3);
+    const joined = statusOf([
+      member('m-b', 0),
+      member('m-c', 0),
+      member('m-d-x1', Infinity, false),
+    ]);
+    expect(watch.memberToRemove(joined)).toBeUndefined();
+    await simulation.runFor(LEARNER_SILENCE_MS + 1_000);
+    expect(watch.memberToRemove(joined)?.memberId).toBe('m-d-x1');
+  });
+
+  it('removes a silent voter only when a successor has its vote', async () => {
+    const watch = new SilenceWatch(clock);
+    const alone = statusOf([member('m-b', 0), member('m-c', 60_000)]);
+    watch.memberToRemove(alone);
+    await simulation.runFor(60_000);
+    expect(watch.memberToRemove(alone)).toBeUndefined();
+    const replaced = statusOf([member('m-b', 0), member('m-c', 60_000), member('m-d-x1', 0)]);
+    expect(watch.memberToRemove(replaced)?.memberId).toBe('m-c');
+  });
+
+  it('leaves a voter alone that was heard a moment ago', async () => {
+    const watch = new SilenceWatch(clock);
+    const status = statusOf([
+      member('m-b', 0),
+      member('m-c', VOTER_SILENCE_MS / 2),
+      member('m-d-x1', 0),
+    ]);
+    watch.memberToRemove(status);
+    await simulation.runFor(60_000);
+    expect(watch.memberToRemove(status)).toBeUndefined();
+  });
+
+  it('counts the founders, also those that were removed, as the intended size', () => {
+    expect(intendedVoters(statusOf([member('m-b', 0), member('m-d-x1', 0)], ['m-c']))).toBe(3);
+  });
+});
