--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -48,6 +48,16 @@
     })
     .optional()
     .describe("{ seeds: ['127.0.0.1:7500'], firstStart: true }"),
+  consensus: z
+    .strictObject({
+      /**
+       * Shortest silence of the leader after which another stands for election; the longest is
+       * twice that. A small multiple of the slowest sync and of scheduling pauses. Milliseconds.
+       */
+      electionTimeoutMs: z.int().min(200).max(60_000).default(1_000),
+    })
+    .prefault({})
+    .describe('{ electionTimeoutMs: 1000 }'),
   administration: z
     .strictObject({
       /**
--- a/src/consensus/election-task.ts
+++ b/src/consensus/election-task.ts
@@ -9,8 +9,13 @@
 import type { PeerLinks } from './peer-links.js';
 import { stopOnDiskError } from './record-writer.js';
 
+/** Part of an election timeout that is waited for the first time after a start. */
+const FIRST_TIMEOUT_PART = 0.25;
+
 /** The election task of one member. */
 export class ElectionTask {
+  private isFirstWait = true;
+
   constructor(
     private readonly state: MemberState,
     private readonly links: PeerLinks,
@@ -41,12 +46,28 @@
     return state.bootstrapped && isVoter && state.leadership === undefined;
   }
 
+  /**
+   * The first time after a start, a fraction of an election timeout: a member
+   * whose group has a leader gets no pre-vote, and one whose group has just
+   * started as a whole need not wait for a leader that cannot be there.
+   */
+  private nextTimeout(): number {
+    const { random, timings } = this.state.dependencies;
+    const { electionTimeoutMinimum, electionTimeoutMaximum } = timings;
+    const isFirst = this.isFirstWait;
+    this.isFirstWait = false;
+    const part = isFirst ? FIRST_TIMEOUT_PART : 1;
+    return random.nextInteger(
+      Math.floor(electionTimeoutMinimum * part),
+      Math.floor(electionTimeoutMaximum * part),
+    );
+  }
+
   /** Waits out one election timeout of silence. True when the leader asked to stand at once. */
   private async waitForSilence(): Promise<boolean> {
     const { state } = this;
-    const { clock, random, timings } = state.dependencies;
-    const { electionTimeoutMinimum, electionTimeoutMaximum } = timings;
-    const timeout = random.nextInteger(electionTimeoutMinimum, electionTimeoutMaximum);
+    const { clock } = state.dependencies;
+    const timeout = this.nextTimeout();
     for (;;) {
       if (state.transferTerm === state.term) {
         state.transferTerm = undefined;
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -225,7 +225,7 @@
 
   private startLog(stateMachine: StateMachine): Promise<RaftNode> {
     const { environment, configuration, identity, telemetry } = this;
-    const { listen, automaticMembership } = configuration;
+    const { listen, automaticMembership, consensus } = configuration;
     const { memberId, initialMembers, join } = this.member;
     return RaftNode.start(
       environment,
@@ -237,6 +237,10 @@
         join,
         stateMachine,
         stopWhenRetired: automaticMembership !== undefined,
+        timings: {
+          electionTimeoutMinimum: consensus.electionTimeoutMs,
+          electionTimeoutMaximum: 2 * consensus.electionTimeoutMs,
+        },
         dial: (member) =>
           dial(environment, identity, {
             ...member,
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -5,6 +5,7 @@
 import type { HttpResponse } from '../seams/http.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
+import { UNOFFERED_PART } from './forward-single.js';
 import { GatewayRefusal, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { mergeRecords } from './merge-records.js';
@@ -40,6 +41,10 @@
   run(): Promise<HttpResponse> {
     return new Promise((resolve) => {
       this.resolve = resolve;
+      if (this.reachable < this.required) {
+        this.giveUp(GatewayRefusal.NotRun, 'too few shards have a replica');
+        return;
+      }
       this.request.signal.addEventListener('abort', this.onGone, { once: true });
       this.startTimers();
       this.startRaces();
@@ -52,6 +57,11 @@
     return Math.max(1, Math.ceil(coverage * this.shards.length - ROUNDING));
   }
 
+  /** Shards of which any replica is known. */
+  private get reachable(): number {
+    return this.shards.filter((shard) => this.context.targets.of(shard).length > 0).length;
+  }
+
   private startTimers(): void {
     const { clock } = this.context.environment;
     const { receivedAt, deadline, route } = this.request;
@@ -62,6 +72,7 @@
     this.timers.push(
       clock.setTimer(hedgeDelay, () => this.hedge()),
       clock.setTimer(Math.max(0, target - margin - elapsed), () => this.cutOff()),
+      clock.setTimer(target * UNOFFERED_PART, () => this.refuseUnoffered()),
       clock.setTimer(deadline - clock.now(), () => this.timeOut()),
     );
   }
@@ -91,6 +102,11 @@
     this.judge();
   }
 
+  private refuseUnoffered(): void {
+    const isOffered = this.races.some((race) => race.sends > 0);
+    if (!isOffered) this.giveUp(GatewayRefusal.NotRun, 'no replica has room');
+  }
+
   private timeOut(): void {
     if (this.parts.size >= this.required) this.answer();
     else this.giveUp(GatewayRefusal.TimedOut, 'the time is up');
--- a/src/gateway/fleet-shares.ts
+++ b/src/gateway/fleet-shares.ts
@@ -1,26 +1,40 @@
 /** This gateway's share of what all gateways together may use: connections and second sends. */
 import type { RouteTable } from '../routes/route-table.js';
+import type { Clock } from '../seams/clock.js';
 import { SecondSendBudget, type SecondSendLimits } from './second-send-budget.js';
 
 /** Taken as the number of gateways while no controller has said it. */
 const UNKNOWN_GATEWAYS = 16;
 /** Part of a replica's connections that is used; the rest is for gateways not counted yet. */
 const USED_PART = 0.9;
+/**
+ * While young, a gateway leaves room for connections that replicas still hold
+ * from its earlier process: one whose machine lost power closed none of them.
+ */
+const USED_PART_WHILE_YOUNG = 0.4;
+const YOUNG_MS = 12_000;
 const DEFAULT_CONNECTIONS = 16;
 
 /** See the module comment. */
 export class FleetShares {
   private readonly budgets = new Map<string, SecondSendBudget>();
 
+  private readonly startedAt: number;
+
   constructor(
+    private readonly clock: Clock,
     private readonly limits: SecondSendLimits,
     private readonly countGateways: () => number | undefined,
-  ) {}
+  ) {
+    this.startedAt = clock.now();
+  }
 
   /** Most attempts in flight from here to one replica of the service. */
   connectionsFor(table: RouteTable, service: string): number {
     const connections = table.service(service)?.maximumConnections ?? DEFAULT_CONNECTIONS;
-    return Math.max(1, Math.floor((connections * USED_PART) / this.gateways));
+    const isYoung = this.clock.now() - this.startedAt < YOUNG_MS;
+    const part = isYoung ? USED_PART_WHILE_YOUNG : USED_PART;
+    return Math.max(1, Math.floor((connections * part) / this.gateways));
   }
 
   /** A request was sent to the service for the first time. */
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -3,8 +3,12 @@
 import type { CallerRequest } from './caller-request.js';
 import { GatewayRefusal, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
+import { targetLatencyOf } from './route-latencies.js';
 import { ReplicaRace, type RaceOutcome } from './replica-race.js';
 
+/** A request that no replica could take within this part of its target is refused as not run. */
+export const UNOFFERED_PART = 0.2;
+
 function answerOf(outcome: RaceOutcome, isTimeUp: boolean): HttpResponse {
   if (outcome.answer !== undefined) return outcome.answer;
   if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
@@ -23,6 +27,7 @@
   return new Promise((resolve) => {
     let isTimeUp = false;
     const onEnd = (race: ReplicaRace): void => {
+      offerTimer.cancel();
       hedgeTimer.cancel();
       deadlineTimer.cancel();
       request.signal.removeEventListener('abort', onGone);
@@ -37,6 +42,9 @@
       onEnd(race);
     };
     const onGone = (): void => giveUp();
+    const offerTimer = clock.setTimer(targetLatencyOf(request.route) * UNOFFERED_PART, () => {
+      if (race.sends === 0) giveUp();
+    });
     const hedgeTimer = clock.setTimer(latency.hedgeDelay, () => {
       if (race.hedge()) context.metrics.hedges.inc();
     });
--- a/src/gateway/gateway-answers.ts
+++ b/src/gateway/gateway-answers.ts
@@ -31,8 +31,8 @@
 
 /** When a caller whose request was not run may come back. Seconds. */
 const RETRY_AFTER_S: Partial<Record<GatewayRefusal, string>> = {
-  [GatewayRefusal.NoRoutes]: '0.5',
-  [GatewayRefusal.NotRun]: '0.1',
+  [GatewayRefusal.NoRoutes]: '1',
+  [GatewayRefusal.NotRun]: '0.5',
 };
 
 /** The answer for a refusal. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -148,7 +148,7 @@
       choice: new ReplicaChoice(clock, random, zone),
       sender: new AttemptSender(clock, headers),
       latencies: new RouteLatencies(),
-      shares: new FleetShares(this.configuration.secondSends, () => this.client.gateways),
+      shares: new FleetShares(clock, this.configuration.secondSends, () => this.client.gateways),
       decisions: new RequestDecisions(clock, decisions),
       metrics: new GatewayMetrics(this.telemetry.registry),
     };
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -53,10 +53,10 @@
     private readonly onEnd: (race: ReplicaRace) => void,
   ) {}
 
-  /** Sends for the first time. */
+  /** Sends for the first time, or as soon as a replica has room. */
   start(): void {
     this.context.shares.noteRequest(this.service);
-    if (!this.launch()) this.finish(this.failure());
+    if (!this.launch()) this.waitForRoom();
   }
 
   /** Sends to another replica as well, when the budget has room; true when it did. */
@@ -81,6 +81,14 @@
     return this.possibleRuns + this.live.size < this.request.route.maximumAttempts;
   }
 
+  private readonly onRoom = (): void => {
+    if (this.outcome === undefined && this.live.size === 0 && !this.launch()) this.waitForRoom();
+  };
+
+  private waitForRoom(): void {
+    this.context.targets.onceRoom(this.service, this.onRoom);
+  }
+
   private launchAgain(): boolean {
     const { shares } = this.context;
     const target = this.choose();
@@ -118,6 +126,7 @@
       target.end(number);
       this.live.delete(attempt);
       this.take(attempt, result);
+      this.context.targets.notifyRoom(this.service);
     });
   }
 
@@ -194,6 +203,7 @@
   }
 
   private abortLive(): void {
+    this.context.targets.cancelRoom(this.service, this.onRoom);
     for (const { abort } of this.live) abort.abort();
   }
 }
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -18,6 +18,7 @@
 export class ServiceTargets {
   private readonly byId = new Map<string, ReplicaTarget>();
   private readonly byService = new Map<string, ReplicaTarget[]>();
+  private readonly waiting = new Map<string, Set<() => void>>();
 
   constructor(
     private readonly environment: Environment,
@@ -37,6 +38,26 @@
     return this.byId.size;
   }
 
+  /** Calls `callback` once, when a replica of the service has room again or a new one is known. */
+  onceRoom(service: string, callback: () => void): void {
+    const waiting = this.waiting.get(service) ?? new Set();
+    waiting.add(callback);
+    this.waiting.set(service, waiting);
+  }
+
+  /** The callback is no longer wanted. */
+  cancelRoom(service: string, callback: () => void): void {
+    this.waiting.get(service)?.delete(callback);
+  }
+
+  /** A replica of the service has room again: wakes those that wait, in the order they came. */
+  notifyRoom(service: string): void {
+    const waiting = this.waiting.get(service);
+    if (waiting === undefined || waiting.size === 0) return;
+    this.waiting.set(service, new Set());
+    for (const callback of waiting) callback();
+  }
+
   stop(): void {
     for (const target of this.byId.values()) target.client.destroy();
     this.byId.clear();
@@ -61,6 +82,7 @@
     this.byId.set(entry.replicaId, target);
     const group = this.byService.get(entry.service) ?? [];
     this.byService.set(entry.service, [...group, target]);
+    this.notifyRoom(entry.service);
   }
 
   /** Undefined when what was registered is no address. */
