--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -55,6 +55,8 @@
        * twice that. A small multiple of the slowest sync and of scheduling pauses. Milliseconds.
        */
       electionTimeoutMs: z.int().min(200).max(60_000).default(1_000),
+      /** Part of that which is waited for the first time after a start. */
+      firstElectionPart: z.number().min(0.05).max(1).default(1),
     })
     .prefault({})
     .describe('{ electionTimeoutMs: 1000 }'),
--- a/src/consensus/election-task.ts
+++ b/src/consensus/election-task.ts
@@ -9,9 +9,6 @@
 import type { PeerLinks } from './peer-links.js';
 import { stopOnDiskError } from './record-writer.js';
 
-/** Part of an election timeout that is waited for the first time after a start. */
-const FIRST_TIMEOUT_PART = 0.25;
-
 /** The election task of one member. */
 export class ElectionTask {
   private isFirstWait = true;
@@ -47,16 +44,15 @@
   }
 
   /**
-   * The first time after a start, a fraction of an election timeout: a member
+   * The first time after a start, possibly a fraction of an election timeout: a member
    * whose group has a leader gets no pre-vote, and one whose group has just
    * started as a whole need not wait for a leader that cannot be there.
    */
   private nextTimeout(): number {
     const { random, timings } = this.state.dependencies;
-    const { electionTimeoutMinimum, electionTimeoutMaximum } = timings;
-    const isFirst = this.isFirstWait;
+    const { electionTimeoutMinimum, electionTimeoutMaximum, firstElectionPart } = timings;
+    const part = this.isFirstWait ? firstElectionPart : 1;
     this.isFirstWait = false;
-    const part = isFirst ? FIRST_TIMEOUT_PART : 1;
     return random.nextInteger(
       Math.floor(electionTimeoutMinimum * part),
       Math.floor(electionTimeoutMaximum * part),
--- a/src/consensus/raft-timings.ts
+++ b/src/consensus/raft-timings.ts
@@ -12,6 +12,8 @@
   readonly electionTimeoutMinimum: number;
   /** Longest such silence; the spread keeps members from standing at once. */
   readonly electionTimeoutMaximum: number;
+  /** Part of such a silence that is waited for the first time after a start. 0 to 1. */
+  readonly firstElectionPart: number;
   /** Wait before dialling a member again. */
   readonly redialInterval: number;
   /** Longest wait for the answer to records or a snapshot chunk, a slow sync included. */
@@ -30,6 +32,7 @@
   heartbeatInterval: 100,
   electionTimeoutMinimum: 1_000,
   electionTimeoutMaximum: 2_000,
+  firstElectionPart: 1,
   redialInterval: 100,
   replicationTimeout: 5_000,
   proposalTimeout: 10_000,
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -240,6 +240,7 @@
         timings: {
           electionTimeoutMinimum: consensus.electionTimeoutMs,
           electionTimeoutMaximum: 2 * consensus.electionTimeoutMs,
+          firstElectionPart: consensus.firstElectionPart,
         },
         dial: (member) =>
           dial(environment, identity, {
