Merge records by their leading bytes, and sort only those that can be among the greatest

Cause: a profile of a gateway at 30 fan-outs a second gave a fifth of its time to comparing all of 1,250 records in full. Change: keys of six bytes, the least key that counts, full comparison of the rest; fewer allocations for each sending.

--- a/src/gateway/fleet-shares.ts
+++ b/src/gateway/fleet-shares.ts
@@ -14,12 +14,15 @@
 const USED_PART_WHILE_YOUNG = 0.4;
 const YOUNG_MS = 12_000;
 const DEFAULT_CONNECTIONS = 16;
+const COUNT_INTERVAL_MS = 100;
 
 /** See the module comment. */
 export class FleetShares {
   private readonly budgets = new Map<string, SecondSendBudget>();
 
   private readonly startedAt: number;
+  private counted = UNKNOWN_GATEWAYS;
+  private countedAt = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -47,8 +50,14 @@
     return this.budgetOf(service).take();
   }
 
+  /** Counted again now and then: it is asked for with every sending. */
   private get gateways(): number {
-    return Math.max(1, this.countGateways() ?? UNKNOWN_GATEWAYS);
+    const now = this.clock.now();
+    if (now - this.countedAt >= COUNT_INTERVAL_MS) {
+      this.countedAt = now;
+      this.counted = Math.max(1, this.countGateways() ?? UNKNOWN_GATEWAYS);
+    }
+    return this.counted;
   }
 
   private budgetOf(service: string): SecondSendBudget {
--- a/src/gateway/forwarded-headers.ts
+++ b/src/gateway/forwarded-headers.ts
@@ -16,9 +16,13 @@
   'expect',
 ]);
 
+/** Values of `connection` that name no further header. */
+const ORDINARY_CONNECTIONS: ReadonlySet<string> = new Set(['keep-alive', 'close']);
+
 function namedByConnection(headers: HttpHeaders): ReadonlySet<string> {
   const connection = headers['connection'];
   if (connection === undefined) return CONNECTION_HEADERS;
+  if (ORDINARY_CONNECTIONS.has(connection)) return CONNECTION_HEADERS;
   const named = connection.split(',').map((name) => name.trim().toLowerCase());
   return new Set([...CONNECTION_HEADERS, ...named]);
 }
--- a/src/gateway/merge-records.ts
+++ b/src/gateway/merge-records.ts
@@ -2,6 +2,8 @@
 
 /** Size of a record; what is left at the end of a part is no record. Bytes. */
 export const RECORD_BYTES = 16;
+/** Leading bytes of a record that fit a number exactly. */
+const KEY_BYTES = 6;
 
 /** Where a record lies. */
 interface RecordPlace {
@@ -19,17 +21,54 @@
   );
 }
 
+function countRecords(parts: readonly Buffer[]): number {
+  return parts.reduce((sum, part) => sum + Math.floor(part.length / RECORD_BYTES), 0);
+}
+
+/** The leading bytes of every record, as numbers that compare as the bytes do. */
+function readKeys(parts: readonly Buffer[], total: number): Float64Array {
+  const keys = new Float64Array(total);
+  let index = 0;
+  for (const part of parts) {
+    const last = part.length - RECORD_BYTES;
+    for (let offset = 0; offset <= last; offset += RECORD_BYTES) {
+      keys[index] = part.readUIntBE(offset, KEY_BYTES);
+      index += 1;
+    }
+  }
+  return keys;
+}
+
+/** The key that the record of rank `count` has; records below it are not among the greatest. */
+function leastKey(keys: Float64Array, count: number): number {
+  if (keys.length <= count) return 0;
+  return keys.slice().sort()[keys.length - count] ?? 0;
+}
+
+/** The records whose key is `least` or greater. */
+function selectPlaces(parts: readonly Buffer[], keys: Float64Array, least: number): RecordPlace[] {
+  const places: RecordPlace[] = [];
+  let index = 0;
+  for (const part of parts) {
+    const last = part.length - RECORD_BYTES;
+    for (let offset = 0; offset <= last; offset += RECORD_BYTES) {
+      if ((keys[index] ?? 0) >= least) places.push({ part, offset });
+      index += 1;
+    }
+  }
+  return places;
+}
+
 /**
  * The greatest `count` records of all parts, compared byte by byte, falling.
- * Equal records all count.
+ * Equal records all count. Only records that can be among them are compared in
+ * full: parts hold many times as many.
  */
 export function mergeRecords(parts: readonly Uint8Array[], count: number): Uint8Array {
-  const places: RecordPlace[] = [];
-  for (const bytes of parts) {
-    const part = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-    const last = part.length - RECORD_BYTES;
-    for (let offset = 0; offset <= last; offset += RECORD_BYTES) places.push({ part, offset });
-  }
+  if (count === 0) return new Uint8Array(0);
+  const buffers = parts.map((part) => Buffer.from(part.buffer, part.byteOffset, part.byteLength));
+  const keys = readKeys(buffers, countRecords(buffers));
+  const places = selectPlaces(buffers, keys, leastKey(keys, count));
   places.sort(compareFalling);
   const greatest = places.slice(0, count);
   return Buffer.concat(
--- a/src/gateway/send-attempt.ts
+++ b/src/gateway/send-attempt.ts
@@ -9,6 +9,8 @@
 import type { ReplicaTarget, ReportedLoad } from './replica-target.js';
 
 const WRONG_REPLICA_STATUS = 421;
+/** Running, waiting, slots. */
+const LOAD_PATTERN = /^(\d{1,9}),(\d{1,9}),(\d{1,9})$/;
 const EMPTY_BODY_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
 
 function isSuccess(status: number): boolean {
@@ -16,10 +18,9 @@
 }
 
 function readLoad(text: string | undefined, at: number): ReportedLoad | undefined {
-  const [running, waiting, slots] = (text ?? '').split(',').map(Number);
-  if (running === undefined || waiting === undefined || slots === undefined) return undefined;
-  const isValid = [running, waiting, slots].every((count) => Number.isFinite(count) && count >= 0);
-  return isValid ? { running, waiting, slots, at } : undefined;
+  const match = text === undefined ? null : LOAD_PATTERN.exec(text);
+  if (match === null) return undefined;
+  return { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]), at };
 }
 
 /** See the module comment. */
