Keep connections to resting replicas of shards open

Change: a health check opens a connection to a replica that registered, and once more before it would close; none for services of single requests.

--- /dev/null
+++ b/src/gateway/connection-warmer.ts
@@ -0,0 +1,73 @@
+/**
+ * Keeps a connection open to replicas that are used seldom or not yet, so that a
+ * request need not wait for one: a replica that has just registered, or whose
+ * connections would soon be closed because they rest. Replicas in use cost nothing.
+ */
+import type { Clock } from '../seams/clock.js';
+import type { RandomSource } from '../seams/random-source.js';
+import type { ReplicaTarget } from './replica-target.js';
+
+const LOOK_INTERVAL_MS = 250;
+/** A replica that had no request for this long is asked for its health. */
+const REST_MS = 6_000;
+/** Spread of that, so that the gateways do not all ask at once. */
+const REST_SPREAD_MS = 1_500;
+/** A replica that is not used between so many checks is let go. */
+const CHECKS_WITHOUT_USE = 2;
+/** Most replicas that are kept warm; further ones are connected to when they are needed. */
+const MAXIMUM_TARGETS = 256;
+/** Health checks of one look, so that they do not delay requests. */
+const CHECKS_PER_LOOK = 12;
+const CHECK_TIMEOUT_MS = 1_000;
+
+/** What is kept warm. */
+export interface WarmerParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly targets: () => Iterable<ReplicaTarget>;
+  /** Whether requests to the service are so short that a new connection is felt. */
+  readonly isWorthIt: (service: string) => boolean;
+  /** Path of the health check of a service. */
+  readonly healthPath: (service: string) => string;
+  readonly stopped: AbortSignal;
+}
+
+/** Runs until stopped. */
+export async function keepConnectionsWarm(parts: WarmerParts): Promise<void> {
+  const { clock, stopped } = parts;
+  while (!stopped.aborted) {
+    checkResting(parts);
+    await clock.sleep(LOOK_INTERVAL_MS, stopped).catch(() => undefined);
+  }
+}
+
+function checkResting(parts: WarmerParts): void {
+  const now = parts.clock.now();
+  let looked = 0;
+  let checked = 0;
+  for (const target of parts.targets()) {
+    looked += 1;
+    if (looked > MAXIMUM_TARGETS || checked >= CHECKS_PER_LOOK) return;
+    const isDue = now >= target.warmCheckAt && target.warmChecks < CHECKS_WITHOUT_USE;
+    if (!isDue || target.inFlight > 0 || target.isResting(now)) continue;
+    if (!parts.isWorthIt(target.entry.service)) continue;
+    checked += 1;
+    target.warmChecks += 1;
+    target.warmCheckAt = now + REST_MS + parts.random.nextFloat() * REST_SPREAD_MS;
+    void check(parts, target);
+  }
+}
+
+/** The answer itself decides nothing: health lags, and requests show what counts. */
+async function check({ clock, healthPath }: WarmerParts, target: ReplicaTarget): Promise<void> {
+  const abort = new AbortController();
+  const timer = clock.setTimer(CHECK_TIMEOUT_MS, () => abort.abort());
+  const { entry, client, address } = target;
+  const path = healthPath(entry.service);
+  const attempt = target.begin(clock.now());
+  await client
+    .request({ method: 'GET', path, headers: { host: address }, signal: abort.signal })
+    .catch(() => undefined);
+  target.end(attempt);
+  timer.cancel();
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -15,6 +15,7 @@
 import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { HttpListener, HttpRequest, HttpResponse } from '../seams/http.js';
+import { keepConnectionsWarm } from './connection-warmer.js';
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -162,6 +163,7 @@
       this.serveHealth(request),
     );
     void this.forgetSilent();
+    void this.keepWarm();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
@@ -198,6 +200,18 @@
     }
   }
 
+  private keepWarm(): Promise<void> {
+    const { clock, random } = this.environment;
+    return keepConnectionsWarm({
+      clock,
+      random,
+      targets: () => this.context.targets.all(),
+      isWorthIt: (service) => this.endpoint.table?.isShard(service) ?? true,
+      healthPath: (service) => this.endpoint.table?.service(service)?.healthPath ?? '/health',
+      stopped: this.ended.signal,
+    });
+  }
+
   private async forgetSilent(): Promise<void> {
     const { clock } = this.environment;
     while (!this.ended.signal.aborted) {
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -119,6 +119,7 @@
     const sentAt = clock.now();
     const attempt: LiveAttempt = { target, abort: new AbortController(), sentAt };
     const number = target.begin(sentAt);
+    target.warmChecks = 0;
     this.sends += 1;
     this.asked.push(target);
     this.live.add(attempt);
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -15,6 +15,8 @@
 const SAMPLE_WEIGHT = 0.35;
 /** What was learned counts half after this long, so that a replica that recovered is found. */
 const HALF_LIFE_MS = 4_000;
+/** A connection is taken to stay open this long after its last use. */
+const WARM_MS = 6_000;
 /** First and longest time that a replica which cannot be used is left alone. */
 const FIRST_REST_MS = 150;
 const LONGEST_REST_MS = 4_000;
@@ -24,6 +26,10 @@
   load: ReportedLoad | undefined;
   /** When each attempt in flight was sent. */
   readonly sentAt = new Map<number, number>();
+  /** When a connection that rests until then is used once; see `connection-warmer.ts`. */
+  warmCheckAt = -Infinity;
+  /** Health checks since it was last used. */
+  warmChecks = 0;
   private nextAttempt = 0;
   private slowness = 1;
   private sampledAt = -Infinity;
@@ -46,6 +52,7 @@
   begin(now: number): number {
     this.nextAttempt += 1;
     this.sentAt.set(this.nextAttempt, now);
+    this.warmCheckAt = Math.max(this.warmCheckAt, now + WARM_MS);
     return this.nextAttempt;
   }
 
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -33,6 +33,11 @@
     return this.byService.get(service) ?? NO_TARGETS;
   }
 
+  /** All replicas that may get new work. */
+  all(): IterableIterator<ReplicaTarget> {
+    return this.byId.values();
+  }
+
   /** Replicas that may get new work, of all services. */
   get size(): number {
     return this.byId.size;
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -25,6 +25,7 @@
   readonly version: number;
   readonly limits: CallerLimits;
   private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
+  private readonly shards: ReadonlySet<string>;
   private readonly services: ReadonlyMap<string, RoutedService>;
 
   constructor(document: RouteDocument) {
@@ -35,6 +36,7 @@
       group.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
     this.byHost = groups;
+    this.shards = new Set(document.routes.flatMap(({ shards = [] }) => shards));
     this.services = new Map(document.services.map((service) => [service.name, service]));
   }
 
@@ -44,6 +46,11 @@
     return routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
   }
 
+  /** Whether a route asks the service as one shard of several; true for a service of no route yet. */
+  isShard(name: string): boolean {
+    return this.shards.has(name) || !this.services.has(name);
+  }
+
   service(name: string): RoutedService | undefined {
     return this.services.get(name);
   }
