--- /dev/null
+++ b/test/gateway/gateway-harness.ts
@@ -0,0 +1,168 @@
+/** A gateway over stand-in replicas and a group of controllers, in the simulation. */
+import { Registry } from 'prom-client';
+import { expect } from 'vitest';
+import { ExchangeReplica } from '../../lab/exchange/exchange-replica.js';
+import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
+import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
+import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import type { HttpClientResponse } from '../../src/seams/http.js';
+import {
+  AutomaticGroup,
+  CLUSTER,
+  MESSAGE_PORT,
+  REGISTRATION_PORT,
+} from '../control/automatic-group.js';
+
+const CALLER_PORT = 8000;
+const HEALTH_PORT = 8001;
+const REPLICA_PORT = 9000;
+/** In which registrations and route documents reach the gateway. Milliseconds. */
+const SPREAD_MS = 3_000;
+export const HOST = 'desk.example';
+
+const CALLER_OPTIONS = {
+  connections: 50,
+  maximumResponseBytes: 2_000_000,
+  connectTimeout: 1_000,
+  keepAliveTimeout: 1_000,
+};
+
+/** One route of the document that {@link GatewayHarness.putRoutes} writes. */
+export interface TestRoute {
+  readonly pathPrefix: string;
+  readonly execution?: 'repeatable' | 'atMostOnce';
+  readonly timeoutMs?: number;
+  readonly targetLatencyMs?: number;
+  readonly maximumAttempts?: number;
+  readonly service?: string;
+  readonly split?: readonly { service: string; weight: number }[];
+  readonly shards?: readonly string[];
+  readonly topRecords?: number;
+  readonly requiredCoverage?: number;
+}
+
+/** A caller's request. */
+export interface TestCall {
+  readonly path: string;
+  readonly id?: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly deadlineMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** See the module comment. */
+export class GatewayHarness {
+  readonly registry = new Registry();
+  private version = 0;
+  private calls = 0;
+  private replicas = 0;
+
+  private constructor(
+    readonly group: AutomaticGroup,
+    readonly machine: SimulatedMachine,
+    readonly gateway: GatewayDaemon,
+  ) {}
+
+  static async start(seed = 7): Promise<GatewayHarness> {
+    const group = await AutomaticGroup.start(3, seed);
+    const machine = group.simulation.createMachine('gateway-1', 'nayoro');
+    const configuration = gatewayConfigurationSchema.parse({
+      name: 'gateway-1',
+      region: 'dohoku',
+      zone: 'nayoro',
+      cluster: CLUSTER,
+      listen: { http: `${machine.host}:${CALLER_PORT}`, health: `${machine.host}:${HEALTH_PORT}` },
+      controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
+      secondSends: { ratio: 0.2, slack: 56 },
+      stopGraceMs: 6_000,
+    });
+    const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+    const started = GatewayDaemon.start(machine.environment, configuration, telemetry);
+    const gateway = await group.simulation.settle(started);
+    return new GatewayHarness(group, machine, gateway);
+  }
+
+  get simulation(): AutomaticGroup['simulation'] {
+    return this.group.simulation;
+  }
+
+  /** A replica of the service that has registered. */
+  async addReplica(service: string, content = ''): Promise<ExchangeReplica> {
+    this.replicas += 1;
+    const replicaId = `${service}-${this.replicas}`;
+    const machine = this.simulation.createMachine(replicaId, 'nayoro');
+    const replica = new ExchangeReplica(machine.environment, {
+      replicaId,
+      service,
+      address: { host: machine.host, port: REPLICA_PORT },
+      zone: 'nayoro',
+      controllers: this.group.machines.map(({ host }) => ({ host, port: REGISTRATION_PORT })),
+    });
+    replica.content = content;
+    await this.simulation.settle(replica.start());
+    return replica;
+  }
+
+  /** Puts the next version of the routes in force. */
+  async putRoutes(routes: readonly TestRoute[]): Promise<void> {
+    this.version += 1;
+    const services = routes.flatMap(({ service, split = [], shards = [] }) => [
+      ...(service === undefined ? [] : [service]),
+      ...split.map((part) => part.service),
+      ...shards,
+    ]);
+    const document = {
+      version: this.version,
+      routes: routes.map((route, index) => ({
+        name: `route-${index}`,
+        host: HOST,
+        execution: 'repeatable',
+        timeoutMs: 2_000,
+        targetLatencyMs: 200,
+        maximumAttempts: 2,
+        ...route,
+      })),
+      services: [...new Set(services)].map((name) => ({ name, maximumConnections: 26 })),
+    };
+    const sent = await this.group.putRoutes(this.group.machineAt(0), JSON.stringify(document));
+    expect(sent.status).toBe(200);
+    await this.simulation.runFor(SPREAD_MS);
+  }
+
+  /** Sends one request and gives the promise of its answer, not yet settled. */
+  send(call: TestCall): Promise<HttpClientResponse> {
+    this.calls += 1;
+    const { requestId, deadline } = DEFAULT_EXCHANGE_HEADERS;
+    const address = { host: this.machine.host, port: CALLER_PORT };
+    const client = this.group.operator.environment.network.httpClient(address, CALLER_OPTIONS);
+    return client.request({
+      method: call.method ?? 'GET',
+      path: call.path,
+      headers: {
+        host: HOST,
+        [requestId]: call.id ?? `call-${this.calls}`,
+        [deadline]: String(call.deadlineMs ?? 2_000),
+      },
+      ...(call.body === undefined ? {} : { body: call.body }),
+      ...(call.signal === undefined ? {} : { signal: call.signal }),
+    });
+  }
+
+  call(call: TestCall): Promise<HttpClientResponse> {
+    return this.simulation.settle(this.send(call));
+  }
+
+  async readyStatus(): Promise<number> {
+    const address = { host: this.machine.host, port: HEALTH_PORT };
+    const client = this.group.operator.environment.network.httpClient(address, CALLER_OPTIONS);
+    const request = client.request({ method: 'GET', path: '/readyz', headers: {} });
+    return (await this.simulation.settle(request)).status;
+  }
+}
+
+export function textOf({ body }: HttpClientResponse): string {
+  return Buffer.from(body).toString('utf8');
+}
