--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -1,6 +1,7 @@
 /** What the two daemons' processes share: logs, metrics, and a planned stop on a signal. */
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import type { Logger } from '../observability/logger.js';
+import { createOutputLineWriter, type OutputStream } from '../node/output-line-writer.js';
 import { createRoarrLogger } from '../observability/roarr-logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 
@@ -25,13 +26,22 @@
 /** How log lines are written; `auto` is readable on a terminal and JSON otherwise. */
 export type LogFormat = 'auto' | 'json' | 'pretty';
 
-/** Makes the process's logger and metrics registry. */
-export function createTelemetry(format: LogFormat, output: NodeJS.WriteStream): Telemetry {
+/** A process's logger and metrics registry. */
+export interface ProcessTelemetry extends Telemetry {
+  /** Waits a moment for the last lines to leave. */
+  flush(): Promise<void>;
+}
+
+const FLUSH_TIMEOUT_MS = 200;
+
+/** Makes the process's logger and metrics registry; a reader of its lines that stalls costs lines. */
+export function createTelemetry(format: LogFormat, output: OutputStream): ProcessTelemetry {
   const pretty = format === 'pretty' || (format === 'auto' && output.isTTY === true);
-  const logger = createRoarrLogger(pretty, (line) => output.write(`${line}\n`));
+  const writer = createOutputLineWriter(output);
+  const logger = createRoarrLogger(pretty, (line) => writer.write(line));
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
-  return { logger, registry };
+  return { logger, registry, flush: () => writer.drain(FLUSH_TIMEOUT_MS) };
 }
 
 function nextStopSignal(): Promise<NodeJS.Signals> {
