--- a/lab/documentation/daemon-metrics.ts
+++ b/lab/documentation/daemon-metrics.ts
@@ -1,9 +1,11 @@
 /** The metrics that each daemon registers, learnt by starting one of each on the simulator. */
 import { Registry } from 'prom-client';
 import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
+import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
 import { ControllerDaemon } from '../../src/control/controller-daemon.js';
 import { ControlStreamClient } from '../../src/control-stream/control-stream-client.js';
+import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { RouterDaemon } from '../../src/router/router-daemon.js';
 import type { SimulatedMachine } from '../simulation/simulated-machine.js';
@@ -25,6 +27,7 @@
 export interface DaemonMetrics {
   readonly controller: readonly RegisteredMetric[];
   readonly router: readonly RegisteredMetric[];
+  readonly gateway: readonly RegisteredMetric[];
 }
 
 /** What prom-client keeps of a metric besides its public type. */
@@ -85,16 +88,36 @@
   return registry;
 }
 
-/** Starts both daemons in virtual time and reads their registries. */
+async function startGateway(
+  simulation: Simulation,
+  { environment, name, host }: SimulatedMachine,
+  controller: SimulatedMachine,
+): Promise<Registry> {
+  const registry = new Registry();
+  const configuration = gatewayConfigurationSchema.parse({
+    name,
+    ...PLACE,
+    cluster: CLUSTER,
+    listen: { http: `${host}:7400`, health: `${host}:7401` },
+    controllers: [`${controller.host}:7500`],
+  });
+  const telemetry = { logger: SILENT_LOGGER, registry };
+  await simulation.settle(GatewayDaemon.start(environment, configuration, telemetry));
+  return registry;
+}
+
+/** Starts the daemons in virtual time and reads their registries. */
 export async function daemonMetrics(): Promise<DaemonMetrics> {
   const simulation = new Simulation(SEED);
-  const [controller, router] = ['controller-1', 'router-1'].map((name) =>
+  const [controller, router, gateway] = ['controller-1', 'router-1', 'gateway-1'].map((name) =>
     simulation.createMachine(name, PLACE.zone),
-  ) as [SimulatedMachine, SimulatedMachine];
+  ) as [SimulatedMachine, SimulatedMachine, SimulatedMachine];
   const controllerRegistry = await startController(simulation, controller);
+  const gatewayRegistry = await startGateway(simulation, gateway, controller);
   const routerRegistry = await startRouter(simulation, router, controller);
   return {
     controller: await describeMetrics(controllerRegistry),
     router: await describeMetrics(routerRegistry),
+    gateway: await describeMetrics(gatewayRegistry),
   };
 }
--- a/lab/documentation/metrics-reference.ts
+++ b/lab/documentation/metrics-reference.ts
@@ -50,7 +50,7 @@
 
 /** Markdown. */
 export async function metricsReference(): Promise<string> {
-  const { controller, router } = await daemonMetrics();
+  const { controller, router, gateway } = await daemonMetrics();
   const alarms =
     'Thresholds are starting points; none was measured on a real cluster. `for 30s` stands for ' +
     "the `for` of an alerting rule. Put the cluster's name before each where one Prometheus " +
@@ -60,5 +60,6 @@
     `## What to alarm on\n\n${alarms}\n\n${alarmTable()}\n`,
     `## Controller\n\n${metricTable(controller)}\n`,
     `## Router\n\n${metricTable(router)}\n`,
+    `## Gateway\n\nServed on \`listen.health\`.\n\n${metricTable(gateway)}\n`,
   ].join('\n');
 }
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -7,9 +7,9 @@
 export const secondSendSchema = z
   .strictObject({
     /** Further sendings for each request. */
-    ratio: z.number().min(0).max(1).default(0.1),
+    ratio: z.number().min(0).max(1).default(0.1).describe('0.1'),
     /** Further sendings beyond that, of all gateways together. */
-    slack: z.number().min(0).default(16),
+    slack: z.int().min(0).default(16),
   })
   .prefault({})
   .describe('{ ratio: 0.1, slack: 16 }');
--- a/test/configuration/read-configuration.test.ts
+++ b/test/configuration/read-configuration.test.ts
@@ -6,6 +6,7 @@
   readConfiguration,
   type ConfigurationOverride,
 } from '../../src/configuration/read-configuration.js';
+import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
 import { schemaLayers } from '../../src/errors/input-problem.js';
 
@@ -90,6 +91,7 @@
   it.each([
     ['router', routerConfigurationSchema],
     ['controller', controllerConfigurationSchema],
+    ['gateway', gatewayConfigurationSchema],
   ])('says what a good value looks like, for every key of a %s', (_daemon, schema) => {
     const paths = pathsOf(schema);
     expect(paths.length).toBeGreaterThan(10);
--- a/test/documentation/operators-pages.test.ts
+++ b/test/documentation/operators-pages.test.ts
@@ -5,15 +5,17 @@
 import { METRIC_ALARMS } from '../../lab/documentation/metric-alarms.js';
 import { OPERATOR_COMMANDS } from '../../src/commands/operator-commands.js';
 import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
+import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
 import { SOFTWARE_VERSION } from '../../src/software-version.js';
 import { changeFileSchema } from '../../src/operator/change-file.js';
 
-const PAGES = ['install', 'runbooks', 'settings', 'tokens', 'upgrade'];
+const PAGES = ['gateway', 'install', 'runbooks', 'settings', 'tokens', 'upgrade'];
 
 const SCHEMAS: Readonly<Record<string, z.ZodType>> = {
   controller: controllerConfigurationSchema,
   router: routerConfigurationSchema,
+  gateway: gatewayConfigurationSchema,
   change: changeFileSchema,
 };
 
@@ -37,17 +39,20 @@
 });
 
 describe("operators' pages", () => {
-  it.each(['install', 'settings'])('%s shows only files that are accepted', async (name) => {
-    const page = await readPage(name);
-    const files = filesIn(page);
-    expect(files.length).toBe([...page.matchAll(/```yaml/g)].length);
-    expect(files.length).toBeGreaterThan(0);
-    for (const [kind, text] of files) {
-      const result = SCHEMAS[kind]?.safeParse(parse(text));
-      expect(result?.error?.message, kind).toBeUndefined();
-      expect(result?.success, kind).toBe(true);
-    }
-  });
+  it.each(['install', 'settings', 'gateway'])(
+    '%s shows only files that are accepted',
+    async (name) => {
+      const page = await readPage(name);
+      const files = filesIn(page);
+      expect(files.length).toBe([...page.matchAll(/```yaml/g)].length);
+      expect(files.length).toBeGreaterThan(0);
+      for (const [kind, text] of files) {
+        const result = SCHEMAS[kind]?.safeParse(parse(text));
+        expect(result?.error?.message, kind).toBeUndefined();
+        expect(result?.success, kind).toBe(true);
+      }
+    },
+  );
 
   it('have a runbook for every alarm', async () => {
     const headings = (await readPage('runbooks')).match(/^### .*$/gm) ?? [];
@@ -56,7 +61,13 @@
 
   it.each(PAGES)('%s names only commands that there are', async (name) => {
     const paths = OPERATOR_COMMANDS.flatMap(({ paths: known = [] }) => known);
-    const known = [...paths.map((path) => path.join(' ')), 'controller', 'router', '--help'];
+    const known = [
+      ...paths.map((path) => path.join(' ')),
+      'controller',
+      'router',
+      'gateway',
+      '--help',
+    ];
     const lines = (await readPage(name)).matchAll(
       /(?:^\$|^npx|`npx|`) ?driftway ([a-z-]+(?: [a-z-]+)?)/gm,
     );
