--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -45,6 +45,10 @@
         this.giveUp(GatewayRefusal.NotRun, 'too few shards have a replica');
         return;
       }
+      if (!this.context.shedding.admits(this.shards[0] ?? '', this.request.route.priority)) {
+        this.giveUp(GatewayRefusal.NotRun, 'the replicas are overloaded');
+        return;
+      }
       this.request.signal.addEventListener('abort', this.onGone, { once: true });
       this.startTimers();
       this.startRaces();
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -4,6 +4,7 @@
 import type { ExchangeHeaders } from './exchange-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { FleetShares } from './fleet-shares.js';
+import type { OverloadShedding } from './overload-shedding.js';
 import type { ReplicaChoice } from './replica-choice.js';
 import type { RouteLatencies } from './route-latencies.js';
 import type { AttemptSender } from './send-attempt.js';
@@ -17,6 +18,7 @@
   readonly sender: AttemptSender;
   readonly latencies: RouteLatencies;
   readonly shares: FleetShares;
+  readonly shedding: OverloadShedding;
   readonly decisions: RequestDecisions;
   readonly metrics: GatewayMetrics;
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -21,6 +21,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
 import { GatewayMetrics } from './gateway-metrics.js';
+import { OverloadShedding } from './overload-shedding.js';
 import { ReplicaChoice } from './replica-choice.js';
 import { RequestDecisions } from './request-decisions.js';
 import { RouteLatencies } from './route-latencies.js';
@@ -150,6 +151,7 @@
       sender: new AttemptSender(clock, headers),
       latencies: new RouteLatencies(),
       shares: new FleetShares(clock, this.configuration.secondSends, () => this.client.gateways),
+      shedding: new OverloadShedding(random),
       decisions: new RequestDecisions(clock, decisions),
       metrics: new GatewayMetrics(this.telemetry.registry),
     };
--- /dev/null
+++ b/src/gateway/overload-shedding.ts
@@ -0,0 +1,68 @@
+/**
+ * Refuses a part of the fan-outs while the replicas of their shards are
+ * overloaded, so that the others are answered in time. What replicas say of
+ * their queues decides: a few slow replicas are no overload, queues at most of
+ * them are.
+ */
+import type { RandomSource } from '../seams/random-source.js';
+import type { ReportedLoad } from './replica-target.js';
+
+/** Reports after which the admitted part is reckoned afresh. */
+const WINDOW_REPORTS = 100;
+/** Above this share of reports with a long queue the admitted part is multiplied by a factor. */
+const HEAVY_SHARE = 0.6;
+const HEAVY_FACTOR = 0.82;
+/** Below this share the admitted part grows by a step. */
+const LIGHT_SHARE = 0.35;
+const GROWTH_STEP = 0.12;
+const LEAST_ADMITTED = 0.3;
+/** Of two requests the less urgent is refused a little more often for each rank. */
+const RANK_PART = 0.04;
+
+/** Of one set of shards. */
+class SetLoad {
+  admitted = 1;
+  private reports = 0;
+  private longQueues = 0;
+
+  note({ waiting, slots }: ReportedLoad): void {
+    this.reports += 1;
+    if (waiting >= Math.max(1, slots)) this.longQueues += 1;
+    if (this.reports < WINDOW_REPORTS) return;
+    this.adjust(this.longQueues / this.reports);
+    this.reports = 0;
+    this.longQueues = 0;
+  }
+
+  private adjust(share: number): void {
+    if (share > HEAVY_SHARE) this.admitted *= HEAVY_FACTOR;
+    else if (share < LIGHT_SHARE) this.admitted += GROWTH_STEP;
+    this.admitted = Math.min(1, Math.max(LEAST_ADMITTED, this.admitted));
+  }
+}
+
+/** See the module comment. */
+export class OverloadShedding {
+  private readonly sets = new Map<string, SetLoad>();
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** Whether a fan-out over the set that begins with `firstShard` is taken on. */
+  admits(firstShard: string, priority: number): boolean {
+    const admitted = this.sets.get(firstShard)?.admitted ?? 1;
+    if (admitted >= 1) return true;
+    return this.random.nextFloat() < admitted - RANK_PART * priority;
+  }
+
+  /** A replica of the set told its load. */
+  note(firstShard: string, load: ReportedLoad): void {
+    const known = this.sets.get(firstShard);
+    if (known !== undefined) {
+      known.note(load);
+      return;
+    }
+    const set = new SetLoad();
+    this.sets.set(firstShard, set);
+    set.note(load);
+  }
+}
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -147,6 +147,7 @@
     const elapsed = now - sentAt;
     const ratio = elapsed / Math.max(this.latency.usual, 1);
     this.context.metrics.attempts.inc({ result: result.kind });
+    this.noteLoad(target, sentAt);
     switch (result.kind) {
       case 'answered':
         this.latency.addAnswer(elapsed);
@@ -167,6 +168,13 @@
     }
   }
 
+  /** Only what was said in answer to this sending. */
+  private noteLoad({ load }: ReplicaTarget, sentAt: number): void {
+    const [firstShard] = this.request.route.shards ?? [];
+    const isNew = load !== undefined && load.at > sentAt;
+    if (firstShard !== undefined && isNew) this.context.shedding.note(firstShard, load);
+  }
+
   private note(result: Exclude<AttemptResult, { kind: 'answered' }>): void {
     if (result.kind === 'notRun') {
       this.refusals += 1;
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -9,7 +9,7 @@
 /** Lines of one kind that may be written at once... */
 const BURST = 40;
 /** ...and how many a second come to that. */
-const LINES_A_SECOND = 20;
+const LINES_A_SECOND = 8;
 
 /** Lines left of one kind. */
 interface LineBudget {
