Give a service that is new to an old process its whole share of second sends; hedge sooner and once more

An old process cannot have spent any of a new service's share within the window, so all of it is there. Hedges come after 0.38 of the target at the latest, and are tried once more for want of room or budget.

--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -10,6 +10,8 @@
     ratio: z.number().min(0).max(1).default(0.1).describe('0.1'),
     /** Further sendings beyond that, of all gateways together. */
     slack: z.int().min(0).default(16),
+    /** In any span of this length. Milliseconds. */
+    windowMs: z.int().min(1_000).default(10_000),
   })
   .prefault({})
   .describe('{ ratio: 0.1, slack: 16 }');
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -17,6 +17,8 @@
 const ANSWER_MARGIN_MS = 12;
 /** The margin is at most this part of the target. */
 const ANSWER_MARGIN_PART = 0.3;
+/** After this part of the target, late shards are looked at once more. */
+const HEDGE_AGAIN_PART = 0.15;
 /** Absorbs what fractions such as 0.89 lose in binary. */
 const ROUNDING = 1e-9;
 
@@ -75,6 +77,8 @@
     const { hedgeDelay } = this.context.latencies.of(route);
     this.timers.push(
       clock.setTimer(hedgeDelay, () => this.hedge()),
+      // Once more, for those that found no room or no budget the first time.
+      clock.setTimer(hedgeDelay + target * HEDGE_AGAIN_PART, () => this.hedge()),
       clock.setTimer(Math.max(0, target - margin - elapsed), () => this.cutOff()),
       clock.setTimer(target * UNOFFERED_PART, () => this.refuseUnoffered()),
       clock.setTimer(deadline - clock.now(), () => this.timeOut()),
--- a/src/gateway/fleet-shares.ts
+++ b/src/gateway/fleet-shares.ts
@@ -63,7 +63,8 @@
   private budgetOf(service: string): SecondSendBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
-    const budget = new SecondSendBudget(this.limits, this.gateways);
+    const isOld = this.clock.now() - this.startedAt > this.limits.windowMs;
+    const budget = new SecondSendBudget(this.limits, this.gateways, isOld);
     this.budgets.set(service, budget);
     return budget;
   }
--- a/src/gateway/route-latency.ts
+++ b/src/gateway/route-latency.ts
@@ -11,7 +11,7 @@
 /** Parts of the target latency that stand in for what is not known yet, or bound it. */
 const USUAL_PART_OF_TARGET = 0.15;
 const HEDGE_PART_OF_TARGET = 0.3;
-const LONGEST_HEDGE_PART_OF_TARGET = 0.5;
+const LONGEST_HEDGE_PART_OF_TARGET = 0.38;
 const SHORTEST_HEDGE_OVER_USUAL = 1.4;
 
 /** See the module comment. Durations are milliseconds. */
--- a/src/gateway/second-send-budget.ts
+++ b/src/gateway/second-send-budget.ts
@@ -2,8 +2,10 @@
  * Bounds what replicas get beyond the first sending of each request. The bound
  * holds for all gateways together and over any span of time: each spends a
  * fraction of its own requests, and saves up no more than its share of what the
- * fleet may save up. It begins with its share of what is never saved up, so that
- * a fleet that starts again at once stays within the bounds too.
+ * fleet may save up. In a process younger than a window it begins with its share
+ * of what is never saved up, so that a fleet that starts again at once stays
+ * within the bounds too; in an older one all of its share is there, since nothing
+ * of it can have been spent within the window.
  */
 
 /** Bounds of the whole fleet. */
@@ -12,6 +14,8 @@
   readonly ratio: number;
   /** Further sendings beyond that, of all gateways together, in any window. */
   readonly slack: number;
+  /** Length of a window. Milliseconds. */
+  readonly windowMs: number;
 }
 
 /** Part of the bounds that is used, for what is counted differently elsewhere. */
@@ -24,8 +28,10 @@
   constructor(
     private readonly limits: SecondSendLimits,
     gateways: number,
+    isProcessOld: boolean,
   ) {
-    this.saved = (limits.slack * (1 - USED_PART)) / Math.max(1, gateways);
+    const part = isProcessOld ? USED_PART : 1 - USED_PART;
+    this.saved = (limits.slack * part) / Math.max(1, gateways);
   }
 
   /** A request was sent for the first time. */
--- a/test/gateway/second-send-budget.test.ts
+++ b/test/gateway/second-send-budget.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { SecondSendBudget } from '../../src/gateway/second-send-budget.js';
 
-const LIMITS = { ratio: 0.2, slack: 56 };
+const LIMITS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
 const GATEWAYS = 8;
 
 /** Takes all that is left and counts it. */
@@ -12,7 +12,7 @@
 }
 
 function createFleet(): SecondSendBudget[] {
-  return Array.from({ length: GATEWAYS }, () => new SecondSendBudget(LIMITS, GATEWAYS));
+  return Array.from({ length: GATEWAYS }, () => new SecondSendBudget(LIMITS, GATEWAYS, false));
 }
 
 describe('SecondSendBudget', () => {
@@ -26,11 +26,21 @@
   });
 
   it('lets a gateway that has just started recover from one failure', () => {
-    expect(takeAll(new SecondSendBudget(LIMITS, GATEWAYS))).toBe(1);
+    expect(takeAll(new SecondSendBudget(LIMITS, GATEWAYS, false))).toBe(1);
+  });
+
+  it('has all of its share for a service that is new to an old process', () => {
+    const fleet = Array.from(
+      { length: GATEWAYS },
+      () => new SecondSendBudget(LIMITS, GATEWAYS, true),
+    );
+    const spent = fleet.reduce((sum, budget) => sum + takeAll(budget), 0);
+    expect(spent).toBeGreaterThan(LIMITS.slack / 2);
+    expect(spent).toBeLessThanOrEqual(LIMITS.slack);
   });
 
   it('spends no more than its part of its own requests in the long run', () => {
-    const budget = new SecondSendBudget(LIMITS, GATEWAYS);
+    const budget = new SecondSendBudget(LIMITS, GATEWAYS, false);
     takeAll(budget);
     let taken = 0;
     const requests = 10_000;
--- a/test/platform/platform-settings.test.ts
+++ b/test/platform/platform-settings.test.ts
@@ -40,7 +40,7 @@
     ]);
     expect(listen.http).toEqual({ host: '10.1.0.12', port: 8104 });
     expect(listen.health).toEqual({ host: '10.1.0.12', port: 8108 });
-    expect(secondSends).toEqual({ ratio: 0.2, slack: 56 });
+    expect(secondSends).toEqual({ ratio: 0.2, slack: 56, windowMs: 10_000 });
     expect(stopGraceMs).toBe(6_000);
   });
 
