Take a replica that goes on without answers for slow, and one attempt without for a pause

Change: attempts without an answer over more than 300 ms (longer than a pause) set an estimate of twice that bound, which fades as before.

--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -15,6 +15,11 @@
 const SAMPLE_WEIGHT = 0.35;
 /** What was learned counts half after this long, so that a replica that recovered is found. */
 const HALF_LIFE_MS = 4_000;
+/** Replicas pause for moments; longer than this is something else. */
+const LONGEST_PAUSE_MS = 300;
+/** By how much the time that an attempt was waited for is taken to fall short. */
+const UNFINISHED_FACTOR = 2;
+const MAXIMUM_ESTIMATE = 8;
 /** A connection is taken to stay open this long after its last use. */
 const WARM_MS = 6_000;
 /** First and longest time that a replica which cannot be used is left alone. */
@@ -35,6 +40,8 @@
   private sampledAt = -Infinity;
   private restsUntil = -Infinity;
   private failures = 0;
+  /** First of the attempts without an answer, of those since the last answer. */
+  private unfinishedSince: number | undefined;
 
   constructor(
     public entry: ReplicaEntry,
@@ -79,13 +86,27 @@
     this.sampledAt = now;
   }
 
-  /** It had not answered after `ratio` times the usual time. */
+  /**
+   * It had not answered after `ratio` times the usual time. Once may be a pause;
+   * a replica that goes on so for longer than pauses last is slow, by how much is
+   * not known, as nobody waited for its answers.
+   */
   noteUnfinished(ratio: number, now: number): void {
-    if (ratio > this.slownessAt(now)) this.noteLatency(ratio, now);
+    if (this.unfinishedSince === undefined) this.unfinishedSince = now;
+    const isLasting = now - this.unfinishedSince > LONGEST_PAUSE_MS;
+    const before = this.slownessAt(now);
+    if (isLasting) {
+      const estimate = Math.min(ratio * UNFINISHED_FACTOR, MAXIMUM_ESTIMATE);
+      this.slowness = Math.max(before, estimate);
+      this.sampledAt = now;
+    } else if (ratio > before) {
+      this.noteLatency(ratio, now);
+    }
   }
 
   /** It answered: it can be used. */
   noteUsable(): void {
+    this.unfinishedSince = undefined;
     this.failures = 0;
     this.restsUntil = -Infinity;
   }
