--- /dev/null
+++ b/src/control/controller-core.ts
@@ -0,0 +1,137 @@
+/** The parts of a controller that hold its state, started and stopped together. */
+import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
+import type { RaftFaults } from '../consensus/raft-faults.js';
+import { RaftNode } from '../consensus/raft-node.js';
+import type { ReplicatedLogMember, StateMachine } from '../consensus/replicated-log.js';
+import { SectionTag, SectionedStateMachine } from '../consensus/sectioned-state-machine.js';
+import type { ControlStreamFaults } from '../control-stream/control-stream-faults.js';
+import { ControlStreamServer } from '../control-stream/control-stream-server.js';
+import { ControllerExchange } from '../control-stream/controller-exchange.js';
+import { DaemonDirectory } from '../control-stream/daemon-directory.js';
+import { SignBoard } from '../control-stream/sign-board.js';
+import { CONNECT_TIMEOUT_MS } from '../control-stream/stream-timing.js';
+import type { Logger } from '../observability/logger.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import { dial } from '../protocol/dial.js';
+import type { LocalIdentity } from '../protocol/handshake.js';
+import { RouteDocumentRegister } from '../routes/route-document-register.js';
+import { formatAddress } from '../seams/address.js';
+import type { DurableEnvironment } from '../seams/environment.js';
+import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
+import type { MemberIdentity } from './member-identity.js';
+import { RegistrationPart } from './registration-part.js';
+
+/** What a core is started with. */
+export interface ControllerCoreOptions {
+  readonly environment: DurableEnvironment;
+  readonly configuration: ControllerConfiguration;
+  readonly member: MemberIdentity;
+  readonly identity: LocalIdentity;
+  readonly logger: Logger;
+  readonly telemetry: Telemetry;
+  readonly faults: ControlStreamFaults;
+  readonly raftFaults: RaftFaults;
+}
+
+/** The running parts. */
+export interface ControllerCore {
+  readonly log: RaftNode;
+  readonly machine: ConfigurationStateMachine;
+  readonly daemons: DaemonDirectory;
+  readonly signs: SignBoard;
+  readonly server: ControlStreamServer;
+  readonly exchange: ControllerExchange;
+  readonly registration: RegistrationPart;
+}
+
+/** @throws DriftwayError when the data folder cannot be read. */
+export async function startControllerCore(options: ControllerCoreOptions): Promise<ControllerCore> {
+  const machine = new ConfigurationStateMachine();
+  const register = new RouteDocumentRegister();
+  const sections = new Map([[SectionTag.RouteDocument, register]]);
+  const log = await startLog(options, new SectionedStateMachine(machine, sections));
+  // Nothing is awaited between the log and what listens to the state machine.
+  const registration = startRegistration(options, log, register);
+  return { ...startControlStream(options, log, machine), log, machine, registration };
+}
+
+/** Leadership is handed over while the daemons already follow other controllers. */
+export async function stopControllerCore(core: ControllerCore): Promise<void> {
+  const { log, server, exchange, registration } = core;
+  await registration.stop();
+  await server.stop();
+  await log.close();
+  await exchange.stop();
+}
+
+type ControlStreamParts = Pick<ControllerCore, 'daemons' | 'signs' | 'server' | 'exchange'>;
+
+function startControlStream(
+  { environment, identity, telemetry, faults }: ControllerCoreOptions,
+  log: RaftNode,
+  machine: ConfigurationStateMachine,
+): ControlStreamParts {
+  const { clock } = environment;
+  const daemons = new DaemonDirectory(clock, faults);
+  const signs = new SignBoard(faults);
+  const onNews = (): void => exchange.notify();
+  const server = new ControlStreamServer(
+    { clock, memberId: identity.name, feed: machine, log, daemons, signs, onNews, faults },
+    telemetry,
+  );
+  const readMembers = (): readonly ReplicatedLogMember[] => log.status().members;
+  const onSigns = (): void => server.notify();
+  const exchange = new ControllerExchange(
+    { environment, identity, readMembers, daemons, signs, onSigns, faults },
+    telemetry,
+  );
+  return { daemons, signs, server, exchange };
+}
+
+function startRegistration(
+  { environment, identity, configuration, logger }: ControllerCoreOptions,
+  log: RaftNode,
+  register: RouteDocumentRegister,
+): RegistrationPart {
+  const { automaticMembership, listen, zone } = configuration;
+  return new RegistrationPart({
+    environment,
+    identity,
+    logger,
+    log,
+    register,
+    zone,
+    ownAddress: formatAddress(listen.messages),
+    ...(automaticMembership === undefined
+      ? {}
+      : { seeds: automaticMembership.seeds.map(formatAddress) }),
+  });
+}
+
+function startLog(options: ControllerCoreOptions, stateMachine: StateMachine): Promise<RaftNode> {
+  const { environment, configuration, identity, member, telemetry, raftFaults } = options;
+  const { listen, automaticMembership, consensus } = configuration;
+  return RaftNode.start(
+    environment,
+    {
+      clusterId: identity.clusterId,
+      ...member,
+      address: listen.messages,
+      stateMachine,
+      stopWhenRetired: automaticMembership !== undefined,
+      timings: {
+        electionTimeoutMinimum: consensus.electionTimeoutMs,
+        electionTimeoutMaximum: 2 * consensus.electionTimeoutMs,
+        firstElectionPart: consensus.firstElectionPart,
+      },
+      dial: (peer) =>
+        dial(environment, identity, {
+          ...peer,
+          role: 'consensus',
+          connectTimeout: CONNECT_TIMEOUT_MS,
+        }),
+      faults: raftFaults,
+    },
+    telemetry,
+  );
+}
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -2,55 +2,19 @@
 import { Notifier } from '../consensus/notifier.js';
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
-import type { StoredRouteDocument } from '../routes/route-document-register.js';
-import type { Clock } from '../seams/clock.js';
 import type { MessageConnection } from '../seams/message-connection.js';
-import {
-  DIRECTORY_CODEC,
-  NO_DOCUMENT,
-  SubscriberKind,
-  type DirectoryMessage,
-} from './directory-messages.js';
+import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
+import { DirectorySession, type DirectoryServerSources } from './directory-session.js';
 import {
   BATCH_INTERVAL_MS,
   GATEWAY_REMEMBERED_MS,
   STATUS_INTERVAL_MS,
   STREAM_SILENCE_MS,
 } from './directory-timing.js';
-import type { ReplicaDirectory } from './replica-directory.js';
 
 /** Most messages of one frame, which keeps it far below the longest frame. */
 const MESSAGES_PER_FRAME = 2_000;
 
-/** A controller as subscribers are told of it. */
-export interface DirectoryController {
-  readonly memberId: string;
-  readonly address: string;
-}
-
-/** What the server tells. */
-export interface DirectoryServerSources {
-  readonly clock: Clock;
-  readonly directory: ReplicaDirectory;
-  readonly document: () => StoredRouteDocument | undefined;
-  readonly controllers: () => readonly DirectoryController[];
-  /** See `StatusMessage.ageMs`. */
-  readonly ageMs: () => number;
-}
-
-/** One subscriber's stream. */
-interface Session {
-  readonly name: string;
-  readonly kind: SubscriberKind;
-  /** Told up to here. */
-  position: number;
-  documentVersion: number;
-  controllers: string;
-  confirmedPosition: number;
-  /** Heartbeats heard since the last frame; only controllers are told of them. */
-  heard: Set<string>;
-}
-
 /** Who confirmed a position. */
 export interface Confirmation {
   /** Names of the controllers that hold it, besides this one. */
@@ -61,7 +25,7 @@
 
 /** See the module comment. */
 export class DirectoryServer {
-  private readonly sessions = new Set<Session>();
+  private readonly sessions = new Set<DirectorySession>();
   private readonly gatewaySeenAt = new Map<string, number>();
   private readonly news: Notifier;
   private readonly confirmations: Notifier;
@@ -142,24 +106,20 @@
     this.news.notify();
   }
 
-  private async open(connection: MessageConnection, name: string): Promise<Session | undefined> {
+  private async open(
+    connection: MessageConnection,
+    name: string,
+  ): Promise<DirectorySession | undefined> {
     const frame = await connection.receive();
     if (frame === undefined) return undefined;
     const message = DIRECTORY_CODEC.decode(frame, name);
     if (message.kind !== 'subscribe') return undefined;
     const isController = message.subscriberKind === SubscriberKind.Controller.valueOf();
-    return {
-      name,
-      kind: isController ? SubscriberKind.Controller : SubscriberKind.Gateway,
-      position: 0,
-      documentVersion: NO_DOCUMENT,
-      controllers: '',
-      confirmedPosition: -1,
-      heard: new Set(),
-    };
+    const kind = isController ? SubscriberKind.Controller : SubscriberKind.Gateway;
+    return new DirectorySession(name, kind);
   }
 
-  private async sendNews(connection: MessageConnection, session: Session): Promise<void> {
+  private async sendNews(connection: MessageConnection, session: DirectorySession): Promise<void> {
     const { clock } = this.sources;
     let isOpen = true;
     void connection.closed.then(() => {
@@ -174,10 +134,12 @@
     }
   }
 
-  private async sendFrames(connection: MessageConnection, session: Session): Promise<void> {
-    const { position } = this.sources.directory;
-    const messages = this.newsFor(session);
-    session.position = position;
+  private async sendFrames(
+    connection: MessageConnection,
+    session: DirectorySession,
+  ): Promise<void> {
+    const messages = session.takeNews(this.sources);
+    const { position } = session;
     let start = 0;
     do {
       const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
@@ -189,36 +151,6 @@
     } while (start < messages.length);
   }
 
-  private newsFor(session: Session): DirectoryMessage[] {
-    const { directory } = this.sources;
-    const messages: DirectoryMessage[] = [];
-    this.addDocument(session, messages);
-    this.addControllers(session, messages);
-    for (const entry of directory.changedAfter(session.position)) {
-      messages.push({ kind: 'replica', ...entry });
-    }
-    for (const replicaId of session.heard) messages.push({ kind: 'heard', replicaId });
-    session.heard.clear();
-    return messages;
-  }
-
-  private addDocument(session: Session, messages: DirectoryMessage[]): void {
-    const document = this.sources.document();
-    if (document === undefined || document.version <= session.documentVersion) return;
-    session.documentVersion = document.version;
-    messages.push({ kind: 'document', ...document });
-  }
-
-  private addControllers(session: Session, messages: DirectoryMessage[]): void {
-    const controllers = this.sources.controllers();
-    const fingerprint = controllers.map(({ address }) => address).join(' ');
-    if (fingerprint === session.controllers) return;
-    session.controllers = fingerprint;
-    for (const { memberId, address } of controllers) {
-      messages.push({ kind: 'controller', memberId, address });
-    }
-  }
-
   private status(position: number): DirectoryMessage {
     const { gateways, stopping } = this;
     return { kind: 'status', position, ageMs: this.sources.ageMs(), gateways, stopping };
@@ -226,7 +158,7 @@
 
   private async receiveConfirmations(
     connection: MessageConnection,
-    session: Session,
+    session: DirectorySession,
     guard: SilenceGuard,
   ): Promise<void> {
     try {
@@ -242,7 +174,7 @@
     connection.close();
   }
 
-  private takeConfirmation(session: Session, message: DirectoryMessage): void {
+  private takeConfirmation(session: DirectorySession, message: DirectoryMessage): void {
     if (message.kind !== 'confirm') return;
     session.confirmedPosition = Math.max(session.confirmedPosition, message.position);
     if (session.kind === SubscriberKind.Gateway) {
