--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -1,7 +1,7 @@
 /** One subscriber's stream at a controller, and what is new to it. */
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
-import type { SubscriberKind} from './directory-messages.js';
+import type { SubscriberKind } from './directory-messages.js';
 import { NO_DOCUMENT, type DirectoryMessage } from './directory-messages.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
