Believe a refusal only when it names the request

Cause, found by reading: a replica's refusal without the request's id was taken for "not run". Where a late refusal of an earlier request stands in place of an answer, a request that is not repeatable would have been sent on and run twice. Change: any answer that does not name the request counts as one that may have run. The test runs such a replica; it fails before the change and passes after.

--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -35,6 +35,8 @@
   AnswerForOther = 'answerForOther',
   /** Runs it and answers without a signature. */
   Unsigned = 'unsigned',
+  /** Runs it, and a late refusal of an earlier request comes in place of the answer. */
+  RefuseUnnamed = 'refuseUnnamed',
   /** Runs it and answers with a failure of its own. */
   Fail = 'fail',
 }
@@ -144,9 +146,10 @@
     this.arrivals += 1;
     const target = request.headers[this.names.targetReplica];
     const isMine = target === undefined || target === this.options.replicaId;
-    if (!isMine) return { status: 421, body: '' };
+    const named = { [this.names.requestId]: requestId };
+    if (!isMine) return { status: 421, headers: named, body: '' };
     if (this.behaviour === ReplicaBehaviour.Refuse) {
-      return { status: 503, headers: { [this.names.notExecuted]: '1' }, body: '' };
+      return { status: 503, headers: { ...named, [this.names.notExecuted]: '1' }, body: '' };
     }
     this.runs.push({
       requestId,
@@ -161,7 +164,10 @@
   }
 
   private answer(requestId: string): HttpResponse {
-    const { requestId: idName, signature, load } = this.names;
+    const { requestId: idName, signature, load, notExecuted } = this.names;
+    if (this.behaviour === ReplicaBehaviour.RefuseUnnamed) {
+      return { status: 503, headers: { [notExecuted]: '1' }, body: '' };
+    }
     const isOther = this.behaviour === ReplicaBehaviour.AnswerForOther;
     const signed =
       this.behaviour === ReplicaBehaviour.Unsigned
--- a/src/gateway/send-attempt.ts
+++ b/src/gateway/send-attempt.ts
@@ -69,7 +69,7 @@
     return { body: request.body };
   }
 
-  /** Only a refusal may lack the request's id; an answer with another's is never used. */
+  /** Closes the connection at once when the answer names another request. */
   private belongsTo(request: CallerRequest, headers: HttpHeaders): boolean {
     const id = headers[this.names.requestId];
     return id === undefined || id === request.id;
@@ -78,12 +78,13 @@
   private judge(request: CallerRequest, response: HttpClientResponse): AttemptResult {
     const { status, headers, body } = response;
     const carriesId = headers[this.names.requestId] === request.id;
+    // Also a refusal: a late one of an earlier request may stand where this answer is due.
+    if (!carriesId) return { kind: 'broken', reason: 'the answer does not name the request' };
     if (status === WRONG_REPLICA_STATUS)
       return { kind: 'notRun', reason: NotRunReason.WrongReplica };
     if (headers[this.names.notExecuted] !== undefined && !isSuccess(status)) {
       return { kind: 'notRun', reason: NotRunReason.Refused };
     }
-    if (!carriesId) return { kind: 'broken', reason: 'the answer does not name the request' };
     if (headers['content-encoding'] !== undefined) {
       return { kind: 'broken', reason: 'the answer is encoded' };
     }
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -70,6 +70,7 @@
     ReplicaBehaviour.LoseAnswer,
     ReplicaBehaviour.AnswerForOther,
     ReplicaBehaviour.Unsigned,
+    ReplicaBehaviour.RefuseUnnamed,
   ]) {
     it(`never runs what is not repeatable twice after ${behaviour}`, async () => {
       const harness = await GatewayHarness.start();
