Start the platform's daemons from compiled code

A profile of a start shows 39 ms of some 190 in compiling the bundle, and more in functions compiled when first called; reading and parsing were ruled out as small.

Change: the bundle is one script, and the build keeps its compiled code beside it; a start takes it when version and flags of Node fit, and compiles otherwise.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -85,11 +85,20 @@
     },
   },
   {
-    files: ['**/*.js'],
+    files: ['**/*.js', '**/*.cjs'],
     ...tseslint.configs.disableTypeChecked,
     languageOptions: {
       globals: { process: 'readonly', console: 'readonly' },
       parserOptions: { projectService: false },
     },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { require: 'readonly', module: 'writable', __dirname: 'readonly' },
+      parserOptions: { projectService: false },
+    },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
 );
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,11 +1,13 @@
 /**
  * Bundles the daemons for the users' platform, so that a process that starts
- * again soon serves: loading takes most of its start. Each role loads only its
- * own parts.
+ * again soon serves: loading takes most of its start. `write-code-cache.js` then
+ * compiles the bundle once and for all.
  */
-import { rm } from 'node:fs/promises';
+import { copyFile, rm } from 'node:fs/promises';
 import { build } from 'esbuild';
 
+const FOLDER = 'target/driftway';
+
 /** All languages of zod's messages but English are left out. */
 const onlyEnglish = {
   name: 'only-english',
@@ -16,26 +18,24 @@
   },
 };
 
-await rm('target/driftway', { recursive: true, force: true });
+await rm(FOLDER, { recursive: true, force: true });
 await build({
-  entryPoints: { main: 'platform/main.ts' },
-  outdir: 'target/driftway',
-  outExtension: { '.js': '.mjs' },
+  entryPoints: { daemon: 'platform/main.ts' },
+  outdir: FOLDER,
+  outExtension: { '.js': '.cjs' },
   bundle: true,
-  splitting: true,
   // Names stay: errors and their lines in the log carry them.
   minifyWhitespace: true,
   minifySyntax: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
+  // Compiled code can be kept for scripts, not for modules. A role's own parts
+  // are still run only when it is started.
+  format: 'cjs',
   logLevel: 'warning',
   alias: { undici: './scripts/undici-client.js' },
   plugins: [onlyEnglish],
   // Holds a compiled addon, which is loaded from where it is installed.
   external: ['@node-rs/xxhash'],
-  // Some dependencies are CommonJS and call require for Node's own modules.
-  banner: {
-    js: "import { createRequire as bundleRequire } from 'node:module'; const require = bundleRequire(import.meta.url);",
-  },
 });
+await copyFile('scripts/start-bundle.cjs', `${FOLDER}/main.cjs`);
