Keep the replicas on the controllers' disks, and dial a controller again sooner

Half of the gateways had dialled controllers without power and waited 600 ms. Ruled out: election (0.1 s) and the read of the log.

Change: a controller writes the replicas it knows behind its directory and reports them as restored after a start. A restored replica is forgotten unless it is heard of within 3 s, is taken only by young processes, and never outlives word that it leaves. A failing disk delays nothing. Dials begin with 150 ms and come again after 50 ms, both doubled up to what they were.

--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -52,7 +52,9 @@
   const log = await startLog(options, new SectionedStateMachine(machine, sections));
   // Nothing is awaited between the log and what listens to the state machine.
   const registration = startRegistration(options, log, register);
-  return { ...startControlStream(options, log, machine), log, machine, registration };
+  const core = { ...startControlStream(options, log, machine), log, machine, registration };
+  await registration.restore();
+  return core;
 }
 
 /** Leadership is handed over while the daemons already follow other controllers. */
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -9,6 +9,11 @@
 import { SubscriberKind } from '../directory/directory-messages.js';
 import { DirectoryServer } from '../directory/directory-server.js';
 import { ReplicaDirectory } from '../directory/replica-directory.js';
+import {
+  restoreReplicas,
+  storeReplicas,
+  type ReplicaStoreParts,
+} from '../directory/replica-store.js';
 import type { Logger } from '../observability/logger.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import type { RouteDocumentRegister } from '../routes/route-document-register.js';
@@ -85,6 +90,16 @@
     if (options.seeds !== undefined) this.startMembership(options.seeds);
   }
 
+  /** Reads back the replicas known before, and keeps them stored from now on. */
+  async restore(): Promise<void> {
+    const { environment, logger } = this.options;
+    const { clock, disk } = environment;
+    const stopped = this.stopped.signal;
+    const parts: ReplicaStoreParts = { disk, clock, directory: this.directory, logger, stopped };
+    await restoreReplicas(parts);
+    void storeReplicas(parts);
+  }
+
   /** @throws ConnectionError when the address cannot be listened on. */
   async listen(address: Address): Promise<void> {
     const { network } = this.options.environment;
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -10,22 +10,17 @@
 import { DirectoryLink, type DirectoryLinkParts, type LinkNews } from './directory-link.js';
 import {
   NO_DOCUMENT,
+  replicaEntry,
   type DocumentMessage,
   type ReplicaMessage,
   type SubscriberKind,
 } from './directory-messages.js';
-import { FRESH_MS } from './directory-timing.js';
+import { FRESH_MS, TAKES_RESTORED_MS } from './directory-timing.js';
 import type { ReplicaDirectory } from './replica-directory.js';
-import { isRegisteredState, type RegisteredState, type ReplicaEntry } from './replica-entry.js';
 
 /** Most controllers that are followed at once. */
 const MAXIMUM_LINKS = 12;
 
-function entryOf(message: ReplicaMessage, state: RegisteredState): ReplicaEntry {
-  const { replicaId, service, address, zone, capacity, sequence, warmupMs } = message;
-  return { replicaId, service, address, zone, capacity, state, sequence, warmupMs };
-}
-
 /** What a client is started with. */
 export interface DirectoryClientOptions {
   readonly environment: Environment;
@@ -48,11 +43,13 @@
   /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
   private members: readonly string[] = [];
   private documentVersion = NO_DOCUMENT;
+  private readonly startedAt: number;
   private readonly linkParts: DirectoryLinkParts;
 
   constructor(private readonly options: DirectoryClientOptions) {
     [this.emitDocument, this.documents] = createAdapter<DocumentMessage>();
     const { environment, identity, subscriberKind, zone } = options;
+    this.startedAt = environment.clock.now();
     this.linkParts = {
       environment,
       identity,
@@ -106,11 +103,9 @@
   private take(message: LinkNews): void {
     const { directory } = this.options;
     switch (message.kind) {
-      case 'replica': {
-        const { state } = message;
-        if (isRegisteredState(state)) directory.report(entryOf(message, state));
+      case 'replica':
+        this.takeReplica(message);
         return;
-      }
       case 'heard':
         directory.noteHeard(message.replicaId);
         return;
@@ -121,6 +116,18 @@
     }
   }
 
+  private takeReplica(message: ReplicaMessage): void {
+    const entry = replicaEntry(message);
+    if (entry === undefined) return;
+    const isUseful = entry.restored !== true || this.isYoung;
+    if (isUseful) this.options.directory.report(entry);
+  }
+
+  /** Whether this process may still lack replicas that the fleet knew before it started. */
+  private get isYoung(): boolean {
+    return this.options.environment.clock.now() - this.startedAt < TAKES_RESTORED_MS;
+  }
+
   /** An older document never replaces a newer one, whoever sends it. */
   private takeDocument(message: DocumentMessage): void {
     if (message.version <= this.documentVersion) return;
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -12,7 +12,13 @@
   type StatusMessage,
   type SubscriberKind,
 } from './directory-messages.js';
-import { DIAL_TIMEOUT_MS, REDIAL_INTERVAL_MS, STREAM_SILENCE_MS } from './directory-timing.js';
+import {
+  DIAL_TIMEOUT_MS,
+  FIRST_DIAL_TIMEOUT_MS,
+  FIRST_REDIAL_MS,
+  REDIAL_INTERVAL_MS,
+  STREAM_SILENCE_MS,
+} from './directory-timing.js';
 
 /** What a controller tells besides its own state. */
 export type LinkNews = Exclude<DirectoryMessage, StatusMessage | ControllerMessage>;
@@ -37,6 +43,11 @@
   readonly receivedAt: number;
 }
 
+/** `first`, doubled with each failure in a row, at most `longest`. */
+function afterFailures(first: number, longest: number, failures: number): number {
+  return Math.min(first * 2 ** failures, longest);
+}
+
 /** See the module comment. */
 export class DirectoryLink {
   /** The controller's last word on this connection; undefined while there is none. */
@@ -45,6 +56,8 @@
   controllers: readonly string[] = [];
   private readonly stopped = new AbortController();
   private connection: MessageConnection | undefined;
+  /** Dials in a row that opened no stream. */
+  private failures = 0;
   private readonly finished: Promise<void>;
 
   constructor(
@@ -65,7 +78,9 @@
     const { clock, random } = this.parts.environment;
     while (!this.stopped.signal.aborted) {
       await this.connectAndFollow();
-      const pause = REDIAL_INTERVAL_MS * (0.5 + random.nextFloat() / 2);
+      const interval = afterFailures(FIRST_REDIAL_MS, REDIAL_INTERVAL_MS, this.failures);
+      this.failures += 1;
+      const pause = interval * (0.5 + random.nextFloat() / 2);
       await clock.sleep(pause, this.stopped.signal).catch(() => undefined);
     }
   }
@@ -75,12 +90,14 @@
     let wasOpen = false;
     try {
       const address = parseAddress(this.address);
-      const target = { address, role: 'directory', connectTimeout: DIAL_TIMEOUT_MS } as const;
+      const connectTimeout = afterFailures(FIRST_DIAL_TIMEOUT_MS, DIAL_TIMEOUT_MS, this.failures);
+      const target = { address, role: 'directory', connectTimeout } as const;
       const connection = await dial(environment, identity, target);
       this.connection = connection;
       if (this.stopped.signal.aborted) return;
       await connection.send(DIRECTORY_CODEC.encode({ kind: 'subscribe', subscriberKind, zone }));
       wasOpen = true;
+      this.failures = 0;
       onState(this, true);
       await this.follow(connection);
     } catch {
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -1,5 +1,6 @@
 /** Messages of the directory stream, from controllers to subscribers and back. */
 import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
+import { isRegisteredState, type ReplicaEntry } from './replica-entry.js';
 
 /** First message of a subscriber. */
 export interface SubscribeMessage {
@@ -20,6 +21,7 @@
   readonly state: string;
   readonly sequence: number;
   readonly warmupMs: number;
+  readonly restored: boolean;
 }
 
 /** The sender heard the replica's heartbeat since its last frame. */
@@ -99,6 +101,7 @@
       field('state', 'string'),
       field('sequence', 'long'),
       field('warmupMs', 'double'),
+      field('restored', 'boolean'),
     ],
   },
   heard: { tag: 42, fields: [field('replicaId', 'string')] },
@@ -115,3 +118,16 @@
   },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
+
+/** How an entry is sent and stored. */
+export function replicaMessage(entry: ReplicaEntry): ReplicaMessage {
+  return { kind: 'replica', ...entry, restored: entry.restored === true };
+}
+
+/** The entry of a message; undefined when it names a state that is not known here. */
+export function replicaEntry(message: ReplicaMessage): ReplicaEntry | undefined {
+  const { replicaId, service, address, zone, capacity, state, sequence, warmupMs } = message;
+  if (!isRegisteredState(state)) return undefined;
+  const { restored } = message;
+  return { replicaId, service, address, zone, capacity, state, sequence, warmupMs, restored };
+}
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -2,7 +2,7 @@
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
 import type { SubscriberKind } from './directory-messages.js';
-import { NO_DOCUMENT, type DirectoryMessage } from './directory-messages.js';
+import { NO_DOCUMENT, replicaMessage, type DirectoryMessage } from './directory-messages.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** A controller as subscribers are told of it. */
@@ -43,7 +43,7 @@
     this.addDocument(sources, messages);
     this.addControllers(sources, messages);
     for (const entry of sources.directory.changedAfter(this.position)) {
-      messages.push({ kind: 'replica', ...entry });
+      messages.push(replicaMessage(entry));
     }
     for (const replicaId of this.heard) messages.push({ kind: 'heard', replicaId });
     this.heard.clear();
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -6,10 +6,16 @@
 /** Either side closes a stream over which nothing arrived for this long. */
 export const STREAM_SILENCE_MS = 1_600;
 
-/** Longest time to open a connection to a controller. */
+/**
+ * Time to open a connection to a controller: the first time, and at most. A
+ * machine that has no power yet answers nothing, and another dial soon after
+ * finds it; both times double with each failure in a row.
+ */
+export const FIRST_DIAL_TIMEOUT_MS = 150;
 export const DIAL_TIMEOUT_MS = 600;
 
-/** Pause before a controller is dialled again; jittered. */
+/** Pause before a controller is dialled again, the first time and at most; jittered. */
+export const FIRST_REDIAL_MS = 50;
 export const REDIAL_INTERVAL_MS = 300;
 
 /** News within this time goes into one frame. */
@@ -20,3 +26,9 @@
 
 /** What a controller sends is taken as fresh while it knew of a quorum within this time. */
 export const FRESH_MS = 2_500;
+
+/**
+ * For so long after its start a process takes replicas that a controller only
+ * read back from its disk; later it knows better itself.
+ */
+export const TAKES_RESTORED_MS = 8_000;
--- a/src/directory/replica-directory.ts
+++ b/src/directory/replica-directory.ts
@@ -12,8 +12,27 @@
 /** A replica of which nothing was heard for this long is forgotten. Milliseconds. */
 export const FORGET_AFTER_MS = 120_000;
 
+/**
+ * A replica that was read back from a disk is forgotten unless it is heard of
+ * within this time, which holds two of its heartbeats. Milliseconds.
+ */
+export const RESTORED_VALID_MS = 3_000;
+
 const MAXIMUM_ENTRIES = 200_000;
 
+function isRestored({ restored }: ReplicaEntry): boolean {
+  return restored === true;
+}
+
+/**
+ * How long it is kept without being heard of: one that leaves is remembered, so
+ * that a late heartbeat does not bring it back.
+ */
+function keptFor(entry: ReplicaEntry | undefined): number {
+  const isShort = entry !== undefined && isRestored(entry) && entry.state === RegisteredState.Ready;
+  return isShort ? RESTORED_VALID_MS : FORGET_AFTER_MS;
+}
+
 /** Fields that change with each call and are of no interest to readers by themselves. */
 function isWorthTelling(before: ReplicaEntry | undefined, after: ReplicaEntry): boolean {
   if (before === undefined) return true;
@@ -21,7 +40,8 @@
     before.state !== after.state ||
     before.address !== after.address ||
     before.service !== after.service ||
-    before.capacity !== after.capacity
+    before.capacity !== after.capacity ||
+    isRestored(before) !== isRestored(after)
   );
 }
 
@@ -68,7 +88,9 @@
   report(report: ReplicaEntry): boolean {
     const known = this.entries.get(report.replicaId);
     const joined = known === undefined ? report : joinReports(known, report);
-    this.heardAt.set(report.replicaId, this.clock.now());
+    // Told again by another controller, a restored replica is not heard of.
+    const isHeard = known === undefined || !isRestored(report);
+    if (isHeard) this.heardAt.set(report.replicaId, this.clock.now());
     if (joined === known) return false;
     this.entries.set(report.replicaId, joined);
     if (!isWorthTelling(known, joined)) return false;
@@ -82,19 +104,23 @@
     const known = this.entries.get(replicaId);
     const sequence = known === undefined ? 0 : known.sequence + 1;
     const blank = { service: '', address: '', zone: '', capacity: 0, warmupMs: 0 };
-    this.report({ ...blank, ...known, replicaId, sequence, state: RegisteredState.Gone });
+    const state = RegisteredState.Gone;
+    this.report({ ...blank, ...known, replicaId, sequence, state, restored: false });
   }
 
   /** Some process heard the replica's heartbeat. */
   noteHeard(replicaId: string): void {
-    if (this.entries.has(replicaId)) this.heardAt.set(replicaId, this.clock.now());
+    const known = this.entries.get(replicaId);
+    if (known === undefined) return;
+    if (isRestored(known)) this.report({ ...known, restored: false });
+    else this.heardAt.set(replicaId, this.clock.now());
   }
 
-  /** Drops what was not heard of for {@link FORGET_AFTER_MS}. */
+  /** Drops what was not heard of for {@link FORGET_AFTER_MS}, or {@link RESTORED_VALID_MS}. */
   forgetSilent(): void {
-    const oldest = this.clock.now() - FORGET_AFTER_MS;
+    const now = this.clock.now();
     for (const [replicaId, heardAt] of this.heardAt) {
-      if (heardAt >= oldest) continue;
+      if (now - heardAt <= keptFor(this.entries.get(replicaId))) continue;
       this.heardAt.delete(replicaId);
       this.entries.delete(replicaId);
       this.table.remove(replicaId);
--- a/src/directory/replica-entry.ts
+++ b/src/directory/replica-entry.ts
@@ -29,6 +29,8 @@
   readonly sequence: number;
   /** How much longer it is slow from its start, when `sequence` was current. Milliseconds. */
   readonly warmupMs: number;
+  /** Read back from a controller's disk after a start, and not heard of since. */
+  readonly restored?: boolean;
 }
 
 /** Whether `text`, as received, names a state. */
@@ -38,11 +40,15 @@
 
 /**
  * Joins two reports of one replica: the later state of its life holds whatever
- * their order, the rest comes from the report with the higher sequence. Gives
- * back `known` itself when `report` adds nothing.
+ * their order, the rest comes from the report with the higher sequence. An entry
+ * stays restored only while all reports of it are. Gives back `known` itself
+ * when `report` adds nothing.
  */
 export function joinReports(known: ReplicaEntry, report: ReplicaEntry): ReplicaEntry {
   const state = RANKS[report.state] > RANKS[known.state] ? report.state : known.state;
-  if (report.sequence > known.sequence) return { ...report, state };
-  return state === known.state ? known : { ...known, state };
+  const restored = known.restored === true && report.restored === true;
+  const isNewer = report.sequence > known.sequence;
+  const isConfirmed = known.restored === true && !restored;
+  if (!isNewer && !isConfirmed && state === known.state) return known;
+  return { ...(isNewer ? report : known), state, restored };
 }
--- /dev/null
+++ b/src/directory/replica-store.ts
@@ -0,0 +1,81 @@
+/**
+ * Keeps the replicas that a controller knows on its disk, so that after a loss
+ * of all controllers gateways need not wait for every replica's next heartbeat.
+ * What is read back counts only until replicas are due to be heard of again.
+ * Written behind the directory and never waited for: a disk that fails or hangs
+ * delays no registration, and costs what its next start would have gained.
+ */
+import { observe } from '../control-stream/observe.js';
+import type { Logger } from '../observability/logger.js';
+import type { Clock } from '../seams/clock.js';
+import type { Disk } from '../seams/disk.js';
+import { readChecksummedFile, replaceFile } from '../storage/checksummed-file.js';
+import { DIRECTORY_CODEC, replicaEntry, replicaMessage } from './directory-messages.js';
+import type { ReplicaDirectory } from './replica-directory.js';
+import type { ReplicaEntry } from './replica-entry.js';
+
+const FOLDER = '.';
+const FILE = 'replicas';
+/** Changes within this time are written together. */
+const WRITE_INTERVAL_MS = 250;
+/** Pause after a write that failed. */
+const RETRY_INTERVAL_MS = 2_000;
+
+/** What the store works on. */
+export interface ReplicaStoreParts {
+  readonly disk: Disk;
+  readonly clock: Clock;
+  readonly directory: ReplicaDirectory;
+  readonly logger: Logger;
+  readonly stopped: AbortSignal;
+}
+
+/** Replicas as they were stored; none when nothing can be read back. */
+async function readStored({ disk, logger }: ReplicaStoreParts): Promise<ReplicaEntry[]> {
+  try {
+    const content = await readChecksummedFile(disk, FOLDER, FILE);
+    if (content === undefined || content.length === 0) return [];
+    return DIRECTORY_CODEC.decodeBatch(content, FILE).flatMap((message) =>
+      message.kind === 'replica' ? (replicaEntry(message) ?? []) : [],
+    );
+  } catch (error) {
+    logger.warn('stored replicas not read', { reason: String(error) });
+    return [];
+  }
+}
+
+/** Reports what was stored to the directory, as restored. */
+export async function restoreReplicas(parts: ReplicaStoreParts): Promise<void> {
+  const entries = await readStored(parts);
+  for (const entry of entries) {
+    parts.directory.report({ ...entry, warmupMs: 0, restored: true });
+  }
+  if (entries.length > 0) parts.logger.info('replicas restored', { replicas: entries.length });
+}
+
+/** Writes the directory after each change, until stopped. */
+export async function storeReplicas(parts: ReplicaStoreParts): Promise<void> {
+  const { clock, directory, stopped } = parts;
+  let isChanged = false;
+  observe(directory.changes, () => (isChanged = true));
+  observe(directory.forgotten, () => (isChanged = true));
+  while (!stopped.aborted) {
+    await clock.sleep(WRITE_INTERVAL_MS, stopped).catch(() => undefined);
+    if (!isChanged || stopped.aborted) continue;
+    isChanged = false;
+    if (await write(parts)) continue;
+    isChanged = true;
+    await clock.sleep(RETRY_INTERVAL_MS, stopped).catch(() => undefined);
+  }
+}
+
+async function write({ disk, directory, logger }: ReplicaStoreParts): Promise<boolean> {
+  const messages = [...directory.all()].map(replicaMessage);
+  try {
+    await replaceFile(disk, FOLDER, FILE, DIRECTORY_CODEC.encodeBatch(messages));
+    return true;
+  } catch (error) {
+    logger.warn('replicas not stored', { reason: String(error) });
+    return false;
+  }
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -33,7 +33,7 @@
 const ANSWERING_PART = 0.9;
 const STOP_CHECK_MS = 50;
 /** How often forgotten replicas are looked for. */
-const FORGET_INTERVAL_MS = 5_000;
+const FORGET_INTERVAL_MS = 500;
 
 const HEALTH_OPTIONS = {
   maximumBodyBytes: 1_024,
@@ -96,6 +96,11 @@
     return this.callers.address;
   }
 
+  /** Controllers whose stream is open. */
+  get followedControllers(): number {
+    return this.client.openLinks;
+  }
+
   /** Follows other controllers from now on; those that they name are followed too. */
   useControllers(addresses: readonly Address[]): void {
     this.client.useSeeds(addresses.map(formatAddress));
--- /dev/null
+++ b/test/directory/replica-store.test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import { ReplicaDirectory, RESTORED_VALID_MS } from '../../src/directory/replica-directory.js';
+import { RegisteredState, type ReplicaEntry } from '../../src/directory/replica-entry.js';
+import {
+  restoreReplicas,
+  storeReplicas,
+  type ReplicaStoreParts,
+} from '../../src/directory/replica-store.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { GatewayHarness } from '../gateway/gateway-harness.js';
+
+/** Longer than the store takes to write what has changed. */
+const WRITTEN_MS = 1_000;
+
+function entry(replicaId: string, state = RegisteredState.Ready): ReplicaEntry {
+  const place = { service: 'ledger', address: '10.0.0.1:80', zone: 'a' };
+  return { replicaId, ...place, capacity: 2, state, sequence: 3, warmupMs: 900 };
+}
+
+/** Stores `entries` on a disk, loses power, and gives the directory of the next start. */
+async function storedAndRestored(
+  simulation: Simulation,
+  entries: readonly ReplicaEntry[],
+): Promise<ReplicaDirectory> {
+  const machine = simulation.createMachine('controller', 'a');
+  const stopped = new AbortController().signal;
+  const partsOf = (directory: ReplicaDirectory): ReplicaStoreParts => {
+    const { clock, disk } = machine.environment;
+    return { clock, disk, directory, logger: SILENT_LOGGER, stopped };
+  };
+  const before = new ReplicaDirectory(machine.environment.clock);
+  void storeReplicas(partsOf(before));
+  for (const each of entries) before.report(each);
+  await simulation.runFor(WRITTEN_MS);
+  machine.crash({ power: true });
+  machine.restart({ keepDisk: true });
+  const after = new ReplicaDirectory(machine.environment.clock);
+  await simulation.settle(restoreReplicas(partsOf(after)));
+  return after;
+}
+
+describe('replicas on a controller disk', () => {
+  it('are known again after a loss of power, as restored', async () => {
+    const directory = await storedAndRestored(new Simulation(3), [entry('i-1')]);
+    expect(directory.find('i-1')).toMatchObject({ service: 'ledger', restored: true, warmupMs: 0 });
+  });
+
+  it('are forgotten when they are not heard of soon, but not those that leave', async () => {
+    const simulation = new Simulation(3);
+    const leaving = entry('i-2', RegisteredState.Draining);
+    const directory = await storedAndRestored(simulation, [entry('i-1'), leaving, entry('i-3')]);
+    await simulation.runFor(RESTORED_VALID_MS - 100);
+    directory.noteHeard('i-3');
+    await simulation.runFor(200);
+    directory.forgetSilent();
+    expect([...directory.all()].map(({ replicaId }) => replicaId)).toEqual(['i-2', 'i-3']);
+    expect(directory.find('i-3')?.restored).toBe(false);
+  });
+
+  it('never let a late heartbeat bring back one that leaves', async () => {
+    const leaving = entry('i-1', RegisteredState.Gone);
+    const directory = await storedAndRestored(new Simulation(3), [leaving]);
+    directory.report({ ...entry('i-1'), sequence: 9 });
+    expect(directory.find('i-1')?.state).toBe(RegisteredState.Gone);
+  });
+
+  it('let gateways serve before the replicas are heard of again', async () => {
+    const harness = await GatewayHarness.start();
+    await harness.addReplica('ledger', 'whole');
+    await harness.putRoutes([{ pathPrefix: '/ledger/', service: 'ledger' }]);
+    harness.losePower();
+    for (const { name } of harness.group.machines) {
+      harness.simulation.cut({ from: { machine: 'ledger-1' }, to: { machine: name } });
+    }
+    await harness.restartControllers();
+    await harness.restartGateway();
+    await harness.simulation.runFor(2_500);
+    expect((await harness.call({ path: '/ledger/1' })).status).toBe(200);
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -63,12 +63,20 @@
   private constructor(
     readonly group: AutomaticGroup,
     readonly machine: SimulatedMachine,
-    readonly gateway: GatewayDaemon,
+    public gateway: GatewayDaemon,
   ) {}
 
   static async start(seed = 7): Promise<GatewayHarness> {
     const group = await AutomaticGroup.start(3, seed);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
+    const gateway = await GatewayHarness.startGateway(group, machine);
+    return new GatewayHarness(group, machine, gateway);
+  }
+
+  private static startGateway(
+    group: AutomaticGroup,
+    machine: SimulatedMachine,
+  ): Promise<GatewayDaemon> {
     const configuration = gatewayConfigurationSchema.parse({
       name: 'gateway-1',
       region: 'dohoku',
@@ -81,8 +89,23 @@
     });
     const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
     const started = GatewayDaemon.start(machine.environment, configuration, telemetry);
-    const gateway = await group.simulation.settle(started);
-    return new GatewayHarness(group, machine, gateway);
+    return group.simulation.settle(started);
+  }
+
+  /** The gateway's machine and all controllers lose power at once. */
+  losePower(): void {
+    for (const machine of [this.machine, ...this.group.machines]) machine.crash({ power: true });
+  }
+
+  /** Starts a gateway on its machine again. */
+  async restartGateway(): Promise<void> {
+    this.machine.restart({ keepDisk: true });
+    this.gateway = await GatewayHarness.startGateway(this.group, this.machine);
+  }
+
+  /** Starts every controller again, with its disk. */
+  async restartControllers(): Promise<void> {
+    for (const machine of this.group.machines) await this.group.restart(machine, true);
   }
 
   get simulation(): AutomaticGroup['simulation'] {
