Load less at a start of a daemon, and log how long it took

Cause: after the code cache, running the bundle took 48 ms, of which prom-client's push gateway (TLS) 13 ms and zod, bundled whole since its namespace was imported by name, the next most. Change: zod imported as a namespace (813 -> 224 KB in the bundle), push gateway and worker processes left out of the bundle, one line with the time a start took.

--- a/lab/backend/backend-action.ts
+++ b/lab/backend/backend-action.ts
@@ -1,5 +1,5 @@
 /** What the control port can make a stand-in back end do, besides faults. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const backendActionSchema = z.enum([
   /** Rejects new work, finishes the rest, keeps listening. */
--- a/lab/backend/backend-control.ts
+++ b/lab/backend/backend-control.ts
@@ -8,7 +8,7 @@
  * - `POST /replicas/{id}/faults` with a `BackendFault`, `DELETE` to clear them
  * - `POST /replicas/{id}/publish` and `POST /services/{service}/publish` with a snapshot
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { formatAddress, type Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
 import type { HttpListener, HttpRequest, HttpResponse } from '../../src/seams/http.js';
--- a/lab/backend/backend-fault.ts
+++ b/lab/backend/backend-fault.ts
@@ -1,5 +1,5 @@
 /** Faults that can be switched on in a stand-in back end. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const backendFaultKindSchema = z.enum([
   /** Takes the request into a slot and never replies. */
--- a/lab/backend/backend-process-file.ts
+++ b/lab/backend/backend-process-file.ts
@@ -1,5 +1,5 @@
 /** Settings file of `driftway-lab backend`: any number of stand-in replicas in one process. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { addressSchema } from '../../src/configuration/daemon-configuration.js';
 import { nameSchema } from '../../src/model/service-definition.js';
 import type { BackendLedger } from '../ledger/backend-ledger.js';
--- a/lab/backend/service-time.ts
+++ b/lab/backend/service-time.ts
@@ -1,5 +1,5 @@
 /** How long a stand-in back end works on a request. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { RandomSource } from '../../src/seams/random-source.js';
 
 /** Distribution of the usual case. Milliseconds. */
--- a/lab/bench/load-trace.ts
+++ b/lab/bench/load-trace.ts
@@ -2,7 +2,7 @@
 import { readFile } from 'node:fs/promises';
 import { dirname, join } from 'node:path';
 import { parse } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ConfigurationError } from '../../src/configuration/configuration-error.js';
 import { readConfiguration } from '../../src/configuration/read-configuration.js';
 import { traceSchema, type Trace } from './trace.js';
--- a/lab/bench/reply-times.ts
+++ b/lab/bench/reply-times.ts
@@ -4,7 +4,7 @@
  * reply times and the oracle can know them.
  */
 import { xxh64 } from '@node-rs/xxhash';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Log-normal working time of the usual reply. */
 export const usualTimeSchema = z.strictObject({
--- a/lab/bench/stated-outcome.ts
+++ b/lab/bench/stated-outcome.ts
@@ -1,5 +1,5 @@
 /** Outcomes that a trace states and the replay checks. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { BenchFigures, PeriodFigures, ServiceFigures } from './bench-figures.js';
 
 /** Figures that an outcome can bound. */
--- a/lab/bench/trace.ts
+++ b/lab/bench/trace.ts
@@ -3,7 +3,7 @@
  * deployment; the trace adds how long replies take, who asks what when, and
  * what fails when. Times in milliseconds since the start of the run.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../../src/model/service-definition.js';
 import { settingsOverrideSchema } from '../../src/settings/service-settings.js';
 import { stragglersSchema, usualTimeSchema } from './reply-times.js';
--- a/lab/commands/load-command.ts
+++ b/lab/commands/load-command.ts
@@ -2,7 +2,7 @@
 import { writeFile } from 'node:fs/promises';
 import { Command, Option } from 'clipanion';
 import * as typanion from 'typanion';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ExitCode } from '../../src/commands/daemon-process.js';
 import { loadConfiguration } from '../../src/commands/load-configuration.js';
 import { ConfigurationError } from '../../src/configuration/configuration-error.js';
--- a/lab/fleet/fleet-file.ts
+++ b/lab/fleet/fleet-file.ts
@@ -1,5 +1,5 @@
 /** Settings file of `driftway-lab fleet`: a whole fleet on one machine. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema, serviceKindSchema } from '../../src/model/service-definition.js';
 import { settingsOverrideSchema } from '../../src/settings/service-settings.js';
 import { backendBehaviourShape } from '../backend/backend-process-file.js';
--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -2,7 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
 import { createInterface } from 'node:readline';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ProcessEnd } from './process-end.js';
 
 /** How to start a process. */
--- a/lab/load/caller.ts
+++ b/lab/load/caller.ts
@@ -1,5 +1,5 @@
 /** A stand-in caller: sends queries to one router and notes what came back. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { HttpClientError } from '../../src/errors/http-client-error.js';
 import type { QueryAnswer, QueryErrorBody } from '../../src/model/query-answer.js';
 import type { QueryRequest } from '../../src/model/query-request.js';
--- a/lab/load/query-mix.ts
+++ b/lab/load/query-mix.ts
@@ -1,5 +1,5 @@
 /** What a run of stand-in callers asks for. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../../src/model/service-definition.js';
 import type { RandomSource } from '../../src/seams/random-source.js';
 import type { CallerRequest } from './caller.js';
--- a/lab/platform/platform-list.ts
+++ b/lab/platform/platform-list.ts
@@ -3,7 +3,7 @@
  * `GET /machines` gives the list as a JSON array of {@link PlatformMachine};
  * `PUT /machines` takes one machine, as the platform's own agents would.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../../src/model/service-definition.js';
 import type { Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -18,6 +18,16 @@
   },
 };
 
+/** Parts of prom-client that no daemon uses, and that load TLS and worker processes. */
+const withoutUnusedMetricsParts = {
+  name: 'without-unused-metrics-parts',
+  setup(bundle) {
+    bundle.onLoad({ filter: /prom-client\/lib\/(pushgateway|cluster)\.js$/ }, () => ({
+      contents: 'module.exports = undefined;',
+    }));
+  },
+};
+
 await rm(FOLDER, { recursive: true, force: true });
 await build({
   entryPoints: { daemon: 'platform/main.ts' },
@@ -34,7 +44,7 @@
   format: 'cjs',
   logLevel: 'warning',
   alias: { undici: './scripts/undici-client.js' },
-  plugins: [onlyEnglish],
+  plugins: [onlyEnglish, withoutUnusedMetricsParts],
   // Holds a compiled addon, which is loaded from where it is installed.
   external: ['@node-rs/xxhash'],
 });
--- a/src/administration/administration-error.ts
+++ b/src/administration/administration-error.ts
@@ -1,5 +1,5 @@
 /** A request that the administration API turned down, as its caller sees it. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
 
 /** Every error code with its HTTP status. */
--- a/src/administration/change-routes.ts
+++ b/src/administration/change-routes.ts
@@ -1,5 +1,5 @@
 /** Making changes and asking what became of them. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { applyOperations } from '../settings/apply-operations.js';
 import { changeRequestSchema, type ChangeRequest } from '../settings/change.js';
 import { ChangeRejectedError } from '../settings/change-rejected-error.js';
--- a/src/administration/configuration-routes.ts
+++ b/src/administration/configuration-routes.ts
@@ -1,5 +1,5 @@
 /** Reading the configuration and its history. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ConfigurationState } from '../settings/configuration-state.js';
 import type { AdministrationContext } from './administration-context.js';
 import { AdministrationError } from './administration-error.js';
--- a/src/administration/openapi-document.ts
+++ b/src/administration/openapi-document.ts
@@ -1,6 +1,6 @@
 /** The OpenAPI document of the administration API, made from the table of routes. */
 import { stringify } from 'yaml';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   ERROR_STATUS,
   errorBodySchema,
--- a/src/administration/parse-call.ts
+++ b/src/administration/parse-call.ts
@@ -1,5 +1,5 @@
 /** Validates the query string and the body of a request against a route's schemas. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { describeIssues } from '../errors/input-problem.js';
 import type { HttpRequest } from '../seams/http.js';
 import { AdministrationError } from './administration-error.js';
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -1,5 +1,5 @@
 /** What successful responses look like. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema, serviceKindSchema, serviceSchema } from '../model/service-definition.js';
 import { operationSchema } from '../settings/change.js';
 import { serviceSettingsSchema, settingsOverrideSchema } from '../settings/service-settings.js';
--- a/src/administration/service-routes.ts
+++ b/src/administration/service-routes.ts
@@ -1,5 +1,5 @@
 /** Reading services and what is in force for them. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema, type ServiceDefinition } from '../model/service-definition.js';
 import type { ConfigurationState } from '../settings/configuration-state.js';
 import { explainSettings } from '../settings/explain.js';
--- a/src/administration/status-routes.ts
+++ b/src/administration/status-routes.ts
@@ -1,5 +1,5 @@
 /** The state of the controllers and daemons, and changes of the controllers' group. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { MembershipChangeRefusedError } from '../consensus/consensus-errors.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
 import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -72,6 +72,7 @@
   const stopSignal = nextStopSignal();
   try {
     const daemon = await start();
+    logger.info('daemon started', { startupMs: Math.round(process.uptime() * 1_000) });
     const end = await nextEnd(daemon, stopSignal);
     if ('signal' in end) logger.info('stopping', { signal: end.signal });
     else logger.error('stopping', { reason: end.failure.message });
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -1,5 +1,5 @@
 /** Settings file of the control daemon. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 import { tokenHashSchema } from '../settings/access-token.js';
 import {
--- a/src/configuration/daemon-configuration.ts
+++ b/src/configuration/daemon-configuration.ts
@@ -1,5 +1,5 @@
 /** The parts that the settings files of all daemons share. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 import { parseAddress, type Address } from '../seams/address.js';
 
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -1,5 +1,5 @@
 /** Settings file of the gateway daemon. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 import { addressSchema, clusterSchema, logSchema, placeShape } from './daemon-configuration.js';
 
--- a/src/configuration/router-configuration.ts
+++ b/src/configuration/router-configuration.ts
@@ -1,5 +1,5 @@
 /** Settings file of the query daemon. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 import {
   CONTROLLERS_EXAMPLE,
--- a/src/control/platform-list-poller.ts
+++ b/src/control/platform-list-poller.ts
@@ -4,7 +4,7 @@
  * from the list may be one that a lagging or restarted list does not know yet.
  */
 import { Counter } from 'prom-client';
-import { z } from 'zod';
+import * as z from 'zod';
 import { EVERYWHERE, PLATFORM_OBSERVER, type SignBoard } from '../control-stream/sign-board.js';
 import { nameSchema } from '../model/service-definition.js';
 import type { Telemetry } from '../observability/telemetry.js';
--- a/src/control/registration-endpoint.ts
+++ b/src/control/registration-endpoint.ts
@@ -2,7 +2,7 @@
  * The calls of replicas, which register themselves, and of the operator of the
  * route document. Not authenticated: for networks that only they can reach.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { NotProposedError, ProposalOutcomeUnknownError } from '../consensus/consensus-errors.js';
 import { SectionTag, sectionCommand } from '../consensus/sectioned-state-machine.js';
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
--- a/src/membership/report-reader.ts
+++ b/src/membership/report-reader.ts
@@ -1,5 +1,5 @@
 /** Reads a back end's report; it comes over the network and may be anything. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { BackendReport } from '../model/backend-protocol.js';
 import { parseSnapshot } from '../model/snapshot.js';
 
--- a/src/model/query-request.ts
+++ b/src/model/query-request.ts
@@ -1,5 +1,5 @@
 /** A caller's query, as posted to `/v1/services/{service}/query`. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Longest deadline a caller may ask for. Milliseconds. */
 export const MAXIMUM_DEADLINE_MS = 600_000;
--- a/src/model/service-definition.ts
+++ b/src/model/service-definition.ts
@@ -1,5 +1,5 @@
 /** What the control plane knows of a service: its kind, its layouts and its replicas. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Names of services, zones, regions, shards and replicas. */
 export const nameSchema = z
--- a/src/operator/change-file.ts
+++ b/src/operator/change-file.ts
@@ -1,5 +1,5 @@
 /** Files that operators write: changes, services and shards, as YAML or JSON. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { WHOLE_FILE } from '../configuration/configuration-error.js';
 import { parseYaml } from '../configuration/parse-yaml.js';
 import { describeIssues, type InputProblem } from '../errors/input-problem.js';
--- a/src/operator/setting-value.ts
+++ b/src/operator/setting-value.ts
@@ -1,5 +1,5 @@
 /** Reads a setting's key and value from a command line. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { describeValues } from '../settings/setting-shape.js';
 import { serviceSettingsSchema, type ServiceSettingKey } from '../settings/service-settings.js';
 import { usageError } from './operator-error.js';
--- a/src/router/query-reader.ts
+++ b/src/router/query-reader.ts
@@ -1,5 +1,5 @@
 /** Reads a caller's request; it may be anything. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { queryRequestSchema, type QueryRequest } from '../model/query-request.js';
 import { badRequest, QueryError } from './query-error.js';
 
--- a/src/routes/route-document.ts
+++ b/src/routes/route-document.ts
@@ -2,7 +2,7 @@
  * The route document: which requests go to which services. It is one whole with
  * one version; a change replaces all of it.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Longest route document that is accepted. Bytes. */
 export const MAXIMUM_ROUTE_DOCUMENT_BYTES = 1_000_000;
--- a/src/settings/access-token.ts
+++ b/src/settings/access-token.ts
@@ -1,5 +1,5 @@
 /** Bearer tokens of teams, each limited to subtrees of the settings tree. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 import { authorSchema, changeIdSchema, reasonSchema, scopeTextSchema } from './change.js';
 
--- a/src/settings/change.ts
+++ b/src/settings/change.ts
@@ -1,5 +1,5 @@
 /** What an operator asks for: several operations that are accepted together or not at all. */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   nameSchema,
   replicaSchema,
--- a/src/settings/configuration-command.ts
+++ b/src/settings/configuration-command.ts
@@ -2,7 +2,7 @@
  * The commands of the replicated history, written as JSON: the tree they carry
  * is JSON already, they are few, and one schema then serves the API and the log.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { createTokenRequestSchema, revokeTokenRequestSchema } from './access-token.js';
 import { changeRequestSchema } from './change.js';
 import { principalSchema } from './principal.js';
--- a/src/settings/principal.ts
+++ b/src/settings/principal.ts
@@ -1,5 +1,5 @@
 /** Whose credentials a command was made with. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { nameSchema } from '../model/service-definition.js';
 
 /** `bootstrap`: the token of the controller's settings file, which may do anything. */
--- a/src/settings/service-settings.ts
+++ b/src/settings/service-settings.ts
@@ -3,7 +3,7 @@
  * defaults and documentation. Operators override single keys at the levels of
  * the settings tree.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Every key, its bounds and its default. Key names carry their unit. */
 export const serviceSettingsSchema = z.strictObject({
--- a/src/settings/setting-shape.ts
+++ b/src/settings/setting-shape.ts
@@ -1,5 +1,5 @@
 /** The values that a setting takes, in words, from its schema. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { serviceSettingsSchema, type ServiceSettingKey } from './service-settings.js';
 
 /** The parts of a key's JSON schema that people are shown. */
--- a/src/storage/hard-state-store.ts
+++ b/src/storage/hard-state-store.ts
@@ -2,7 +2,7 @@
  * What a member must never forget: who it is, its term and its vote. Written
  * as JSON behind a checksum, so that an operator can read it.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Disk } from '../seams/disk.js';
 import { readChecksummedFile, replaceFile } from './checksummed-file.js';
 import { DamagedStorageError } from './damaged-storage-error.js';
--- a/src/storage/log-manifest.ts
+++ b/src/storage/log-manifest.ts
@@ -1,5 +1,5 @@
 /** Which segments the log consists of; makes a missing one noticed. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Disk } from '../seams/disk.js';
 import { readChecksummedFile, replaceFile } from './checksummed-file.js';
 import { DamagedStorageError } from './damaged-storage-error.js';
