Log every request that is not forwarded, and each attempt with what it went by

Change: a line of its own, bounded like the others, for each request answered without being forwarded; attempts in the lines about the others, each with the replica, the sequence of its registration, what was expected of it, the age of its load, and the result; fan-outs show those of up to four shards they lack.

--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -5,7 +5,7 @@
 import type { HttpResponse } from '../seams/http.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
-import { UNOFFERED_PART } from './forward-single.js';
+import { CALLER_GONE, TIME_UP, UNOFFERED_PART } from './forward-single.js';
 import { GatewayRefusal, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { mergeRecords } from './merge-records.js';
@@ -31,7 +31,7 @@
   private isPastCutOff = false;
   private isDone = false;
   private resolve!: (response: HttpResponse) => void;
-  private readonly onGone = (): void => this.giveUp(GatewayRefusal.Failed, 'the caller has gone');
+  private readonly onGone = (): void => this.giveUp(GatewayRefusal.Failed, CALLER_GONE);
 
   constructor(
     private readonly context: GatewayContext,
@@ -117,7 +117,7 @@
 
   private timeOut(): void {
     if (this.parts.size >= this.required) this.answer();
-    else this.giveUp(GatewayRefusal.TimedOut, 'the time is up');
+    else this.giveUp(GatewayRefusal.TimedOut, TIME_UP);
   }
 
   private take(race: ReplicaRace): void {
@@ -154,28 +154,29 @@
       [partSignatures]: signatures.join(', '),
       [missingParts]: String(missing),
     };
-    this.finish({ status: 200, headers, body }, missing);
+    this.finish({ status: 200, headers, body }, 'enough parts are in');
   }
 
   private giveUp(refusal: GatewayRefusal, reason: string): void {
     if (this.isDone) return;
     const mayRun = this.races.some((race) => race.mayRun || race.outcome?.kind === 'answered');
-    const missing = this.shards.length - this.parts.size;
     const response = mayRun ? refuse(refusal, reason) : refuse(GatewayRefusal.NotRun, reason);
-    this.finish(response, missing);
+    this.finish(response, reason);
   }
 
-  private finish(response: HttpResponse, missing: number): void {
+  private finish(response: HttpResponse, reason: string): void {
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
     this.request.signal.removeEventListener('abort', this.onGone);
-    for (const race of this.races) race.cancel();
-    const sends = this.races.reduce((sum, race) => sum + race.sends, 0);
+    for (const race of this.races) race.cancel(reason);
+    const missing = this.races.filter(({ service }) => !this.parts.has(service));
     this.context.decisions.fannedOut(this.request, {
       status: response.status,
+      reason,
       shards: this.shards.length,
-      missing,
-      sends,
+      missing: this.shards.length - this.parts.size,
+      sends: this.races.reduce((sum, race) => sum + race.sends, 0),
+      missingRaces: missing,
     });
     this.resolve(response);
   }
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -9,6 +9,10 @@
 /** A request that no replica could take within this part of its target is refused as not run. */
 export const UNOFFERED_PART = 0.2;
 
+/** Why a request ends although attempts are in flight. */
+export const TIME_UP = 'the time is up';
+export const CALLER_GONE = 'the caller has gone';
+
 function answerOf(outcome: RaceOutcome, isTimeUp: boolean): HttpResponse {
   if (outcome.answer !== undefined) return outcome.answer;
   if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
@@ -32,25 +36,25 @@
       deadlineTimer.cancel();
       request.signal.removeEventListener('abort', onGone);
       const outcome = race.outcome as RaceOutcome;
-      context.decisions.attempted(request, race.service, race.sends, outcome);
+      context.decisions.attempted(request, race, outcome);
       resolve(answerOf(outcome, isTimeUp));
     };
     const race = new ReplicaRace(context, request, service, latency, onEnd);
-    const giveUp = (): void => {
+    const giveUp = (reason: string): void => {
       if (race.outcome !== undefined) return;
-      race.cancel();
+      race.cancel(reason);
       onEnd(race);
     };
-    const onGone = (): void => giveUp();
+    const onGone = (): void => giveUp(CALLER_GONE);
     const offerTimer = clock.setTimer(targetLatencyOf(request.route) * UNOFFERED_PART, () => {
-      if (race.sends === 0) giveUp();
+      if (race.sends === 0) giveUp('no replica has room');
     });
     const hedgeTimer = clock.setTimer(latency.hedgeDelay, () => {
       if (race.hedge()) context.metrics.hedges.inc();
     });
     const deadlineTimer = clock.setTimer(request.deadline - clock.now(), () => {
       isTimeUp = true;
-      giveUp();
+      giveUp(TIME_UP);
     });
     request.signal.addEventListener('abort', onGone, { once: true });
     race.start();
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -39,17 +39,36 @@
 
   private async route(request: HttpRequest, receivedAt: number): Promise<HttpResponse> {
     const { table } = this;
-    if (table === undefined) return refuse(GatewayRefusal.NoRoutes, 'no route document yet');
+    if (table === undefined) {
+      return this.reject(request, GatewayRefusal.NoRoutes, 'no route document yet');
+    }
     const host = request.headers['host'];
-    if (host === undefined) return refuse(GatewayRefusal.BadRequest, 'the Host header is missing');
+    if (host === undefined) {
+      return this.reject(request, GatewayRefusal.BadRequest, 'the Host header is missing');
+    }
     if (request.body.length > table.limits.maximumBodyBytes) {
-      return refuse(GatewayRefusal.TooLarge, 'the body is too long');
+      return this.reject(request, GatewayRefusal.TooLarge, 'the body is too long');
     }
     const route = table.match(host, request.path);
-    if (route === undefined) return refuse(GatewayRefusal.NoRoute, 'no route fits');
+    if (route === undefined) {
+      return this.reject(request, GatewayRefusal.NoRoute, 'no route fits');
+    }
     return this.forward(this.toCallerRequest(request, table, route, receivedAt));
   }
 
+  private reject(request: HttpRequest, refusal: GatewayRefusal, reason: string): HttpResponse {
+    const response = refuse(refusal, reason);
+    this.context.decisions.notForwarded({
+      request,
+      requestId: request.headers[this.context.headers.requestId],
+      refusal,
+      reason,
+      status: response.status,
+      routeVersion: this.table?.version,
+    });
+    return response;
+  }
+
   private toCallerRequest(
     request: HttpRequest,
     table: RouteTable,
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -3,6 +3,7 @@
  * that fails or is late, and takes the first whole answer. A request that is not
  * repeatable is sent on only when it certainly was not run.
  */
+import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
 import { NotRunReason } from './attempt-result.js';
 import type { CallerRequest } from './caller-request.js';
@@ -17,7 +18,7 @@
 interface LiveAttempt {
   readonly target: ReplicaTarget;
   readonly abort: AbortController;
-  readonly sentAt: number;
+  readonly record: AttemptRecord;
 }
 
 /** How a race ended. */
@@ -35,8 +36,8 @@
 /** See the module comment. */
 export class ReplicaRace {
   outcome: RaceOutcome | undefined;
-  /** Sendings so far. */
-  sends = 0;
+  /** Sendings so far, in their order. */
+  readonly attempts: AttemptRecord[] = [];
   private readonly live = new Set<LiveAttempt>();
   private readonly asked: ReplicaTarget[] = [];
   private mayHaveRun = false;
@@ -66,8 +67,14 @@
     return this.launchAgain();
   }
 
-  /** Ends the race and every attempt that is still in flight. */
-  cancel(): void {
+  /** Sendings so far. */
+  get sends(): number {
+    return this.attempts.length;
+  }
+
+  /** Ends the race and every attempt that is still in flight; `reason` stands where there is none. */
+  cancel(reason: string): void {
+    if (this.live.size > 0) this.reason = reason;
     this.outcome ??= this.failure();
     this.abortLive();
   }
@@ -117,10 +124,12 @@
   private send(target: ReplicaTarget): void {
     const { clock } = this.context.environment;
     const sentAt = clock.now();
-    const attempt: LiveAttempt = { target, abort: new AbortController(), sentAt };
+    const inputs = choiceInputs(target, sentAt);
+    const record: AttemptRecord = { inputs, sentAt, endedAt: undefined, result: undefined };
+    const attempt: LiveAttempt = { target, abort: new AbortController(), record };
     const number = target.begin(sentAt);
     target.warmChecks = 0;
-    this.sends += 1;
+    this.attempts.push(record);
     this.asked.push(target);
     this.live.add(attempt);
     void this.context.sender.send(this.request, target, attempt.abort.signal).then((result) => {
@@ -142,9 +151,12 @@
   }
 
   /** What the result says of the replica. */
-  private observe({ target, sentAt }: LiveAttempt, result: AttemptResult): void {
+  private observe({ target, record }: LiveAttempt, result: AttemptResult): void {
     const now = this.context.environment.clock.now();
+    const { sentAt } = record;
     const elapsed = now - sentAt;
+    record.endedAt = now;
+    record.result = result;
     const ratio = elapsed / Math.max(this.latency.usual, 1);
     this.context.metrics.attempts.inc({ result: result.kind });
     this.noteLoad(target, sentAt);
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -2,19 +2,29 @@
 import { DecisionKind, type DecisionLog } from '../observability/decision-log.js';
 import type { LogFields } from '../observability/logger.js';
 import type { Clock } from '../seams/clock.js';
+import type { HttpRequest } from '../seams/http.js';
+import { attemptFields } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
-import type { RaceOutcome } from './replica-race.js';
+import type { GatewayRefusal } from './gateway-answers.js';
+import type { RaceOutcome, ReplicaRace } from './replica-race.js';
 
 /** How a fan-out ended. */
 export interface FanOutSummary {
   readonly status: number;
+  /** Why it ended then. */
+  readonly reason: string;
   readonly shards: number;
   /** Shards that the answer lacks. */
   readonly missing: number;
   /** Sendings to replicas, of all shards together. */
   readonly sends: number;
+  /** The races of those shards, as far as they were begun. */
+  readonly missingRaces: readonly ReplicaRace[];
 }
 
+/** Most shards without a part whose attempts a line shows. */
+const SHOWN_SHARDS = 4;
+
 const FIRST_FAILURE_STATUS = 300;
 const NOT_RUN_STATUS = 503;
 
@@ -30,6 +40,25 @@
   return outcome.mayHaveRun ? DecisionKind.Failed : DecisionKind.Refused;
 }
 
+/** Longest part of a path that a line shows. */
+const SHOWN_PATH_CHARACTERS = 120;
+
+/** A request that the gateway answered by itself, before any replica was chosen. */
+export interface RejectedRequest {
+  readonly request: HttpRequest;
+  /** Undefined when it named none. */
+  readonly requestId: string | undefined;
+  readonly refusal: GatewayRefusal;
+  readonly reason: string;
+  readonly status: number;
+  /** Of the route document in force; undefined while there is none. */
+  readonly routeVersion: number | undefined;
+}
+
+function attemptsOf(race: ReplicaRace, receivedAt: number): readonly LogFields[] {
+  return race.attempts.map((attempt) => attemptFields(attempt, receivedAt));
+}
+
 /** See the module comment. */
 export class RequestDecisions {
   constructor(
@@ -38,18 +67,42 @@
   ) {}
 
   /** A request to one service ended. */
-  attempted(request: CallerRequest, service: string, sends: number, outcome: RaceOutcome): void {
-    this.log.write(kindOfRace(outcome, sends), () => ({
+  attempted(request: CallerRequest, race: ReplicaRace, outcome: RaceOutcome): void {
+    this.log.write(kindOfRace(outcome, race.sends), () => ({
       ...this.common(request),
-      service,
-      sends,
+      service: race.service,
+      sends: race.sends,
       ...(outcome.kind === 'failed' ? { reason: outcome.reason } : {}),
+      attempts: attemptsOf(race, request.receivedAt),
     }));
   }
 
   /** A request to all shards of a route ended. */
-  fannedOut(request: CallerRequest, summary: FanOutSummary): void {
-    this.log.write(kindOfFanOut(summary), () => ({ ...this.common(request), ...summary }));
+  fannedOut(request: CallerRequest, { missingRaces, ...summary }: FanOutSummary): void {
+    this.log.write(kindOfFanOut({ ...summary, missingRaces }), () => ({
+      ...this.common(request),
+      ...summary,
+      missingAttempts: missingRaces.slice(0, SHOWN_SHARDS).flatMap((race) =>
+        attemptsOf(race, request.receivedAt).map((attempt) => ({
+          service: race.service,
+          ...attempt,
+        })),
+      ),
+    }));
+  }
+
+  /** A request was answered without being forwarded. */
+  notForwarded(rejected: RejectedRequest): void {
+    const { request, requestId, refusal, reason, status, routeVersion } = rejected;
+    this.log.write(DecisionKind.NotForwarded, () => ({
+      requestId,
+      status,
+      refusal,
+      reason,
+      routeVersion,
+      host: request.headers['host'],
+      path: request.path.slice(0, SHOWN_PATH_CHARACTERS),
+    }));
   }
 
   private common(request: CallerRequest): LogFields {
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -25,6 +25,7 @@
   Hedged = 'request answered after more than one sending',
   Failed = 'request failed',
   Refused = 'request refused',
+  NotForwarded = 'request not forwarded',
 }
 
 /** Uneventful requests get this part of the lines that others get. */
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -1,7 +1,12 @@
 /** Structured log lines, written only for changes of state. */
 
-/** Facts of a line, as JSON values. */
-export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
+/** A fact of a line, as a JSON value. */
+export type LogValue = string | number | boolean | null | undefined | readonly LogFields[];
+
+/** Facts of a line. */
+export interface LogFields {
+  readonly [name: string]: LogValue;
+}
 
 /** Writes lines. Implemented over roarr, and by tests and the simulator over an array. */
 export interface Logger {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -6,7 +6,7 @@
 import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
-import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import type { LogFields, Logger } from '../../src/observability/logger.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 import {
   AutomaticGroup,
@@ -29,6 +29,20 @@
   keepAliveTimeout: 1_000,
 };
 
+/** One line that the gateway wrote. */
+export interface LogLine {
+  readonly message: string;
+  readonly fields: LogFields;
+}
+
+function collectLines(lines: LogLine[]): Logger {
+  const write = (message: string, fields: LogFields = {}): void => {
+    lines.push({ message, fields });
+  };
+  const logger: Logger = { info: write, warn: write, error: write, child: () => logger };
+  return logger;
+}
+
 /** One route of the document that {@link GatewayHarness.putRoutes} writes. */
 export interface TestRoute {
   readonly pathPrefix: string;
@@ -64,18 +78,22 @@
     readonly group: AutomaticGroup,
     readonly machine: SimulatedMachine,
     public gateway: GatewayDaemon,
+    /** Lines of the gateway. */
+    readonly lines: LogLine[],
   ) {}
 
   static async start(seed = 7): Promise<GatewayHarness> {
     const group = await AutomaticGroup.start(3, seed);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
-    const gateway = await GatewayHarness.startGateway(group, machine);
-    return new GatewayHarness(group, machine, gateway);
+    const lines: LogLine[] = [];
+    const gateway = await GatewayHarness.startGateway(group, machine, lines);
+    return new GatewayHarness(group, machine, gateway, lines);
   }
 
   private static startGateway(
     group: AutomaticGroup,
     machine: SimulatedMachine,
+    lines: LogLine[],
   ): Promise<GatewayDaemon> {
     const configuration = gatewayConfigurationSchema.parse({
       name: 'gateway-1',
@@ -87,7 +105,7 @@
       secondSends: { ratio: 0.2, slack: 56 },
       stopGraceMs: 6_000,
     });
-    const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+    const telemetry = { logger: collectLines(lines), registry: new Registry() };
     const started = GatewayDaemon.start(machine.environment, configuration, telemetry);
     return group.simulation.settle(started);
   }
@@ -100,7 +118,7 @@
   /** Starts a gateway on its machine again. */
   async restartGateway(): Promise<void> {
     this.machine.restart({ keepDisk: true });
-    this.gateway = await GatewayHarness.startGateway(this.group, this.machine);
+    this.gateway = await GatewayHarness.startGateway(this.group, this.machine, this.lines);
   }
 
   /** Starts every controller again, with its disk. */
@@ -129,6 +147,13 @@
     return replica;
   }
 
+  /** The line about a request; fails when there is not exactly one. */
+  lineOf(requestId: string): LogLine {
+    const [line, ...others] = this.lines.filter(({ fields }) => fields['requestId'] === requestId);
+    if (line === undefined || others.length > 0) return expect.fail(`lines of ${requestId}`);
+    return line;
+  }
+
   /** Puts the next version of the routes in force. */
   async putRoutes(routes: readonly TestRoute[]): Promise<void> {
     this.version += 1;
