Try again what no replica ran, and ask no budget for what never reached one

Change: a race whose replicas did not run it tries them again after 12 ms, 24 ms and so on, up to 0.2 (one service) or 0.6 (fan-out) of the target; an attempt that never reached a replica needs no budget, since no replica counts it; a replica whose address answers as another one is let be for a minute; a replica that fell silent is no longer stored.

--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -29,6 +29,8 @@
   Serve = 'serve',
   /** Says that it did not run the request. */
   Refuse = 'refuse',
+  /** Says that another replica has this address now. */
+  WrongReplica = 'wrongReplica',
   /** Runs it and closes the connection instead of answering. */
   LoseAnswer = 'loseAnswer',
   /** Runs it and answers under another request's id. */
@@ -145,7 +147,8 @@
     if (requestId === undefined) return { status: 200, body: '' };
     this.arrivals += 1;
     const target = request.headers[this.names.targetReplica];
-    const isMine = target === undefined || target === this.options.replicaId;
+    const isNamed = target === undefined || target === this.options.replicaId;
+    const isMine = isNamed && this.behaviour !== ReplicaBehaviour.WrongReplica;
     const named = { [this.names.requestId]: requestId };
     if (!isMine) return { status: 421, headers: named, body: '' };
     if (this.behaviour === ReplicaBehaviour.Refuse) {
--- a/lab/simulate/timeline.ts
+++ b/lab/simulate/timeline.ts
@@ -1,5 +1,5 @@
 /** What happened in one run, for people: faults, changes of state, changes accepted, violations. */
-import type { LogFields, Logger } from '../../src/observability/logger.js';
+import { formatLogValue, type LogFields, type Logger } from '../../src/observability/logger.js';
 
 /** One line. */
 export interface TimelineEntry {
@@ -14,7 +14,7 @@
 function formatFields(fields: LogFields): string {
   return Object.entries(fields)
     .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => `${name}=${String(value)}`)
+    .map(([name, value]) => `${name}=${formatLogValue(value)}`)
     .join(' ');
 }
 
--- a/src/directory/replica-store.ts
+++ b/src/directory/replica-store.ts
@@ -12,12 +12,16 @@
 import { readChecksummedFile, replaceFile } from '../storage/checksummed-file.js';
 import { DIRECTORY_CODEC, replicaEntry, replicaMessage } from './directory-messages.js';
 import type { ReplicaDirectory } from './replica-directory.js';
-import type { ReplicaEntry } from './replica-entry.js';
+import { RegisteredState, type ReplicaEntry } from './replica-entry.js';
 
 const FOLDER = '.';
 const FILE = 'replicas';
 /** Changes within this time are written together. */
 const WRITE_INTERVAL_MS = 250;
+/** A replica that was not heard of for so long is no longer stored, unless it leaves. */
+const STORED_SILENCE_MS = 6_000;
+/** How often those are looked for. */
+const SILENCE_INTERVAL_MS = 2_000;
 /** Pause after a write that failed. */
 const RETRY_INTERVAL_MS = 2_000;
 
@@ -57,22 +61,42 @@
 export async function storeReplicas(parts: ReplicaStoreParts): Promise<void> {
   const { clock, directory, stopped } = parts;
   let isChanged = false;
+  let stored: readonly ReplicaEntry[] = [];
+  let lookedAt = clock.now();
   observe(directory.changes, () => (isChanged = true));
-  observe(directory.forgotten, () => (isChanged = true));
   while (!stopped.aborted) {
     await clock.sleep(WRITE_INTERVAL_MS, stopped).catch(() => undefined);
-    if (!isChanged || stopped.aborted) continue;
+    const isLookDue = clock.now() - lookedAt > SILENCE_INTERVAL_MS;
+    if ((!isChanged && !isLookDue) || stopped.aborted) continue;
+    lookedAt = clock.now();
+    const entries = entriesToStore(parts);
+    if (!isChanged && entries.length === stored.length) continue;
     isChanged = false;
-    if (await write(parts)) continue;
+    if (await write(parts, entries)) {
+      stored = entries;
+      continue;
+    }
     isChanged = true;
     await clock.sleep(RETRY_INTERVAL_MS, stopped).catch(() => undefined);
   }
 }
 
-async function write({ disk, directory, logger }: ReplicaStoreParts): Promise<boolean> {
-  const messages = [...directory.all()].map(replicaMessage);
+/** A replica that crashed says nothing, and is not to be known again after a start. */
+function entriesToStore({ clock, directory }: ReplicaStoreParts): readonly ReplicaEntry[] {
+  const oldest = clock.now() - STORED_SILENCE_MS;
+  return [...directory.all()].filter(
+    ({ replicaId, state }) =>
+      state !== RegisteredState.Ready || directory.lastHeard(replicaId) >= oldest,
+  );
+}
+
+async function write(
+  { disk, logger }: ReplicaStoreParts,
+  entries: readonly ReplicaEntry[],
+): Promise<boolean> {
+  const content = DIRECTORY_CODEC.encodeBatch(entries.map(replicaMessage));
   try {
-    await replaceFile(disk, FOLDER, FILE, DIRECTORY_CODEC.encodeBatch(messages));
+    await replaceFile(disk, FOLDER, FILE, content);
     return true;
   } catch (error) {
     logger.warn('replicas not stored', { reason: String(error) });
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -49,7 +49,8 @@
     looked += 1;
     if (looked > MAXIMUM_TARGETS || checked >= CHECKS_PER_LOOK) return;
     const isDue = now >= target.warmCheckAt && target.warmChecks < CHECKS_WITHOUT_USE;
-    if (!isDue || target.inFlight > 0 || target.isResting(now)) continue;
+    if (!isDue || target.inFlight > 0) continue;
+    if (target.isResting(now) || target.isReplaced(now)) continue;
     if (!parts.isWorthIt(target.entry.service)) continue;
     checked += 1;
     target.warmChecks += 1;
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -19,6 +19,8 @@
 const ANSWER_MARGIN_PART = 0.3;
 /** After this part of the target, late shards are looked at once more. */
 const HEDGE_AGAIN_PART = 0.15;
+/** Shards whose replicas could not take the request are tried again within this part of it. */
+const RETRY_PART = 0.6;
 /** Absorbs what fractions such as 0.89 lose in binary. */
 const ROUNDING = 1e-9;
 
@@ -87,9 +89,12 @@
 
   private startRaces(): void {
     const latency = this.context.latencies.of(this.request.route);
+    const target = targetLatencyOf(this.request.route);
+    const retryUntil = this.request.receivedAt + target * RETRY_PART;
+    const onEnd = (race: ReplicaRace): void => this.take(race);
     for (const shard of this.shards) {
       this.races.push(
-        new ReplicaRace(this.context, this.request, shard, latency, (race) => this.take(race)),
+        new ReplicaRace(this.context, this.request, shard, latency, onEnd, retryUntil),
       );
     }
     for (const race of this.races) {
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -39,7 +39,8 @@
       context.decisions.attempted(request, race, outcome);
       resolve(answerOf(outcome, isTimeUp));
     };
-    const race = new ReplicaRace(context, request, service, latency, onEnd);
+    const offeredBy = request.receivedAt + targetLatencyOf(request.route) * UNOFFERED_PART;
+    const race = new ReplicaRace(context, request, service, latency, onEnd, offeredBy);
     const giveUp = (reason: string): void => {
       if (race.outcome !== undefined) return;
       race.cancel(reason);
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -21,8 +21,8 @@
 /** What a choice goes by. */
 export interface ChoiceQuery {
   readonly targets: readonly ReplicaTarget[];
-  /** Replicas that were asked already. */
-  readonly excluded: readonly ReplicaTarget[];
+  /** Replicas that are not to be asked. */
+  readonly excluded: ReadonlySet<ReplicaTarget>;
   /** Usual time of an answer. Milliseconds. */
   readonly usualLatency: number;
   /** Most attempts in flight from here to one replica. */
@@ -44,7 +44,7 @@
     let bestCost = Infinity;
     let resting: ReplicaTarget | undefined;
     for (const target of query.targets) {
-      if (query.excluded.includes(target)) continue;
+      if (query.excluded.has(target) || target.isReplaced(now)) continue;
       if (target.inFlight >= query.maximumInFlight) continue;
       if (target.isResting(now)) {
         resting ??= target;
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -6,13 +6,17 @@
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
 import { NotRunReason } from './attempt-result.js';
+import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
+import type { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
 import type { RouteLatency } from './route-latency.js';
 
-/** Sendings that no replica ran, beyond the attempts of the route. */
+/** Sendings that replicas refused, beyond the attempts of the route. */
 const MAXIMUM_REFUSALS = 2;
+/** Pause before replicas that could not take it are tried again; doubled each time. Milliseconds. */
+const FIRST_RETRY_PAUSE_MS = 12;
 
 /** One attempt in flight. */
 interface LiveAttempt {
@@ -39,7 +43,11 @@
   /** Sendings so far, in their order. */
   readonly attempts: AttemptRecord[] = [];
   private readonly live = new Set<LiveAttempt>();
-  private readonly asked: ReplicaTarget[] = [];
+  /** Replicas that are not asked again, or not before the next pause. */
+  private readonly asked = new Set<ReplicaTarget>();
+  private readonly notRunBy = new Set<ReplicaTarget>();
+  private retryTimer: Timer | undefined;
+  private pauses = 0;
   private mayHaveRun = false;
   private possibleRuns = 0;
   private refusals = 0;
@@ -52,6 +60,8 @@
     readonly service: string,
     private readonly latency: RouteLatency,
     private readonly onEnd: (race: ReplicaRace) => void,
+    /** Until when replicas that could not take it are tried again. Clock reading. */
+    private readonly retryUntil: number,
   ) {}
 
   /** Sends for the first time, or as soon as a replica has room. */
@@ -64,7 +74,7 @@
   hedge(): boolean {
     const isDone = this.outcome !== undefined;
     if (isDone || this.request.route.execution !== 'repeatable' || !this.mayRunMore) return false;
-    return this.launchAgain();
+    return this.launchAgain(this.context.shares);
   }
 
   /** Sendings so far. */
@@ -96,10 +106,11 @@
     this.context.targets.onceRoom(this.service, this.onRoom);
   }
 
-  private launchAgain(): boolean {
-    const { shares } = this.context;
+  /** Sends to a further replica; `budget` is asked for it unless what came before never arrived. */
+  private launchAgain(budget: FleetShares | undefined): boolean {
     const target = this.choose();
-    if (target === undefined || !shares.takeSecondSend(this.service)) return false;
+    if (target === undefined) return false;
+    if (budget !== undefined && !budget.takeSecondSend(this.service)) return false;
     this.send(target);
     return true;
   }
@@ -130,7 +141,7 @@
     const number = target.begin(sentAt);
     target.warmChecks = 0;
     this.attempts.push(record);
-    this.asked.push(target);
+    this.asked.add(target);
     this.live.add(attempt);
     void this.context.sender.send(this.request, target, attempt.abort.signal).then((result) => {
       target.end(number);
@@ -146,7 +157,7 @@
       if (this.outcome === undefined) this.finish({ kind: 'answered', answer: result.answer });
       return;
     }
-    this.note(result);
+    this.note(attempt.target, result);
     if (this.outcome === undefined) this.goOn(result);
   }
 
@@ -173,7 +184,8 @@
       case 'failedAnswer':
         return;
       case 'notRun':
-        if (result.reason !== NotRunReason.Refused) target.noteFailure(now);
+        if (result.reason === NotRunReason.Unreachable) target.noteFailure(now);
+        if (result.reason === NotRunReason.WrongReplica) target.noteReplaced(now);
         return;
       case 'broken':
         target.noteFailure(now);
@@ -187,10 +199,11 @@
     if (firstShard !== undefined && isNew) this.context.shedding.note(firstShard, load);
   }
 
-  private note(result: Exclude<AttemptResult, { kind: 'answered' }>): void {
+  private note(target: ReplicaTarget, result: Exclude<AttemptResult, { kind: 'answered' }>): void {
     if (result.kind === 'notRun') {
-      this.refusals += 1;
       this.reason = result.reason;
+      if (result.reason !== NotRunReason.Unreachable) this.refusals += 1;
+      if (result.reason !== NotRunReason.WrongReplica) this.notRunBy.add(target);
       return;
     }
     this.mayHaveRun = true;
@@ -201,11 +214,39 @@
 
   /** After an attempt that brought no answer: another one, the wait for those in flight, or the end. */
   private goOn(result: AttemptResult): void {
+    if (this.maySendAfter(result)) {
+      if (this.launchAgain(this.budgetAfter(result))) return;
+      if (this.live.size === 0 && this.retryLater(result)) return;
+    }
+    if (this.live.size === 0) this.finish(this.failure());
+  }
+
+  private maySendAfter(result: AttemptResult): boolean {
     const wasNotRun = result.kind === 'notRun';
     const isRepeatable = this.request.route.execution === 'repeatable';
-    const maySend = wasNotRun ? this.refusals <= MAXIMUM_REFUSALS : isRepeatable;
-    if (maySend && this.mayRunMore && this.launchAgain()) return;
-    if (this.live.size === 0) this.finish(this.failure());
+    const isAllowed = wasNotRun ? this.refusals <= MAXIMUM_REFUSALS : isRepeatable;
+    return isAllowed && this.mayRunMore;
+  }
+
+  /** What never reached a replica costs the replicas nothing when it is sent again. */
+  private budgetAfter(result: AttemptResult): FleetShares | undefined {
+    const neverArrived = result.kind === 'notRun' && result.reason === NotRunReason.Unreachable;
+    return neverArrived ? undefined : this.context.shares;
+  }
+
+  /** Tries the replicas that did not run it once more after a pause; false when it is too late. */
+  private retryLater(result: AttemptResult): boolean {
+    const { clock, random } = this.context.environment;
+    const pause = FIRST_RETRY_PAUSE_MS * 2 ** this.pauses * (0.5 + random.nextFloat());
+    if (clock.now() + pause > this.retryUntil) return false;
+    this.pauses += 1;
+    this.retryTimer = clock.setTimer(pause, () => {
+      if (this.outcome !== undefined || this.live.size > 0) return;
+      for (const target of this.notRunBy) this.asked.delete(target);
+      this.notRunBy.clear();
+      this.goOn(result);
+    });
+    return true;
   }
 
   private failure(): RaceOutcome {
@@ -225,6 +266,7 @@
 
   private abortLive(): void {
     this.context.targets.cancelRoom(this.service, this.onRoom);
+    this.retryTimer?.cancel();
     for (const { abort } of this.live) abort.abort();
   }
 }
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -25,6 +25,8 @@
 /** First and longest time that a replica which cannot be used is left alone. */
 const FIRST_REST_MS = 150;
 const LONGEST_REST_MS = 4_000;
+/** Another replica answered at its address: it has ended, and nobody said so. It is let be for so long. */
+const REPLACED_MS = 60_000;
 
 /** See the module comment. */
 export class ReplicaTarget {
@@ -39,6 +41,7 @@
   private slowness = 1;
   private sampledAt = -Infinity;
   private restsUntil = -Infinity;
+  private replacedUntil = -Infinity;
   private failures = 0;
   /** First of the attempts without an answer, of those since the last answer. */
   private unfinishedSince: number | undefined;
@@ -118,6 +121,15 @@
     this.restsUntil = now + rest;
   }
 
+  /** Another replica has its address now. */
+  noteReplaced(now: number): void {
+    this.replacedUntil = now + REPLACED_MS;
+  }
+
+  isReplaced(now: number): boolean {
+    return now < this.replacedUntil;
+  }
+
   isResting(now: number): boolean {
     return now < this.restsUntil;
   }
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -3,6 +3,11 @@
 /** A fact of a line, as a JSON value. */
 export type LogValue = string | number | boolean | null | undefined | readonly LogFields[];
 
+/** A fact as a person reads it. */
+export function formatLogValue(value: LogValue): string {
+  return typeof value === 'object' ? JSON.stringify(value) : String(value);
+}
+
 /** Facts of a line. */
 export interface LogFields {
   readonly [name: string]: LogValue;
--- a/src/observability/roarr-logger.ts
+++ b/src/observability/roarr-logger.ts
@@ -2,7 +2,7 @@
 import './enable-roarr.js';
 import { Roarr, type Logger as RoarrInstance, type MessageContext } from 'roarr';
 import { ROARR } from 'roarr';
-import type { LogFields, Logger } from './logger.js';
+import { formatLogValue, type LogFields, type LogValue, type Logger } from './logger.js';
 
 /** One roarr message as it reaches the writer. */
 interface RoarrMessage {
@@ -21,7 +21,7 @@
   const { context, message, time } = JSON.parse(line) as RoarrMessage;
   const { logLevel, ...fields } = context;
   const facts = Object.entries(fields)
-    .map(([name, value]) => `${name}=${String(value)}`)
+    .map(([name, value]) => `${name}=${formatLogValue(value as LogValue)}`)
     .join(' ');
   const level = (LEVEL_NAMES.get(logLevel) ?? 'info').padEnd(5);
   return `${new Date(time).toISOString()} ${level} ${message} ${facts}`.trimEnd();
--- a/test/directory/replica-store.test.ts
+++ b/test/directory/replica-store.test.ts
@@ -22,6 +22,7 @@
 async function storedAndRestored(
   simulation: Simulation,
   entries: readonly ReplicaEntry[],
+  storedForMs = WRITTEN_MS,
 ): Promise<ReplicaDirectory> {
   const machine = simulation.createMachine('controller', 'a');
   const stopped = new AbortController().signal;
@@ -32,7 +33,7 @@
   const before = new ReplicaDirectory(machine.environment.clock);
   void storeReplicas(partsOf(before));
   for (const each of entries) before.report(each);
-  await simulation.runFor(WRITTEN_MS);
+  await simulation.runFor(storedForMs);
   machine.crash({ power: true });
   machine.restart({ keepDisk: true });
   const after = new ReplicaDirectory(machine.environment.clock);
@@ -65,6 +66,12 @@
     expect(directory.find('i-1')?.state).toBe(RegisteredState.Gone);
   });
 
+  it('are not stored any more once they fall silent', async () => {
+    const simulation = new Simulation(3);
+    const directory = await storedAndRestored(simulation, [entry('i-1')], 9_000);
+    expect([...directory.all()]).toEqual([]);
+  });
+
   it('let gateways serve before the replicas are heard of again', async () => {
     const harness = await GatewayHarness.start();
     await harness.addReplica('ledger', 'whole');
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -21,6 +21,7 @@
 /** In which registrations and route documents reach the gateway. Milliseconds. */
 const SPREAD_MS = 3_000;
 export const HOST = 'desk.example';
+const SECOND_SENDS = { ratio: 0.2, slack: 56 };
 
 const CALLER_OPTIONS = {
   connections: 50,
@@ -82,11 +83,11 @@
     readonly lines: LogLine[],
   ) {}
 
-  static async start(seed = 7): Promise<GatewayHarness> {
+  static async start(seed = 7, secondSends = SECOND_SENDS): Promise<GatewayHarness> {
     const group = await AutomaticGroup.start(3, seed);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
-    const gateway = await GatewayHarness.startGateway(group, machine, lines);
+    const gateway = await GatewayHarness.startGateway(group, machine, lines, secondSends);
     return new GatewayHarness(group, machine, gateway, lines);
   }
 
@@ -94,6 +95,7 @@
     group: AutomaticGroup,
     machine: SimulatedMachine,
     lines: LogLine[],
+    secondSends = SECOND_SENDS,
   ): Promise<GatewayDaemon> {
     const configuration = gatewayConfigurationSchema.parse({
       name: 'gateway-1',
@@ -102,7 +104,7 @@
       cluster: CLUSTER,
       listen: { http: `${machine.host}:${CALLER_PORT}`, health: `${machine.host}:${HEALTH_PORT}` },
       controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
-      secondSends: { ratio: 0.2, slack: 56 },
+      secondSends,
       stopGraceMs: 6_000,
     });
     const telemetry = { logger: collectLines(lines), registry: new Registry() };
--- /dev/null
+++ b/test/gateway/retries.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, it } from 'vitest';
+import { ReplicaBehaviour, type ExchangeReplica } from '../../lab/exchange/exchange-replica.js';
+import { GatewayHarness } from './gateway-harness.js';
+
+const ROUTE = { pathPrefix: '/ledger/', service: 'ledger', targetLatencyMs: 1_000 };
+/** So long that the other replica is always taken for the better one. */
+const SLOW_MS = 400;
+
+async function harnessWith(
+  count: number,
+  secondSends?: { ratio: number; slack: number },
+): Promise<[GatewayHarness, ExchangeReplica[]]> {
+  const harness = await GatewayHarness.start(7, secondSends);
+  const replicas: ExchangeReplica[] = [];
+  for (let index = 0; index < count; index += 1) replicas.push(await harness.addReplica('ledger'));
+  return [harness, replicas];
+}
+
+describe('a request whose replicas cannot take it', () => {
+  it('is tried again on them a little later, and served', async () => {
+    const [harness, replicas] = await harnessWith(2);
+    await harness.putRoutes([ROUTE]);
+    for (const replica of replicas) replica.behaviour = ReplicaBehaviour.Refuse;
+    const answer = harness.send({ path: '/ledger/1' });
+    await harness.simulation.runFor(10);
+    for (const replica of replicas) replica.behaviour = ReplicaBehaviour.Serve;
+    expect((await harness.simulation.settle(answer)).status).toBe(200);
+  });
+
+  it('is refused as not run while there is time to ask again', async () => {
+    const [harness, replicas] = await harnessWith(2);
+    await harness.putRoutes([ROUTE]);
+    for (const replica of replicas) replica.behaviour = ReplicaBehaviour.Refuse;
+    const { clock } = harness.machine.environment;
+    const sentAt = clock.now();
+    const answer = await harness.call({ path: '/ledger/1' });
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    expect(clock.now() - sentAt).toBeLessThan(ROUTE.targetLatencyMs / 4);
+  });
+
+  it('needs no budget where nothing reached a replica', async () => {
+    const [harness, [first, second]] = await harnessWith(2, { ratio: 0, slack: 0 });
+    await harness.putRoutes([ROUTE]);
+    await first?.stop();
+    if (second !== undefined) second.workMs = SLOW_MS;
+    for (let index = 0; index < 8; index += 1) {
+      const answer = await harness.call({ path: '/ledger/1', id: `call-${index}` });
+      expect(answer.status).toBe(200);
+      // The replica that ended rests after a failure; later it is tried again.
+      await harness.simulation.runFor(4_500);
+    }
+    expect(second?.runs).toHaveLength(8);
+  });
+
+  it('does not try for long a replica whose address another one has', async () => {
+    const [harness, [first, second]] = await harnessWith(2);
+    await harness.putRoutes([ROUTE]);
+    if (first !== undefined) first.behaviour = ReplicaBehaviour.WrongReplica;
+    if (second !== undefined) second.workMs = SLOW_MS;
+    for (let index = 0; index < 30; index += 1) {
+      await harness.call({ path: '/ledger/1' });
+      await harness.simulation.runFor(1_000);
+    }
+    expect(first?.arrivals).toBe(1);
+    expect(second?.runs).toHaveLength(30);
+  });
+});
