Use an open connection to a replica before opening another

Change: a pool of our own over undici's clients. A connection that rests open is used first; one whose request was aborted is opened again at once only where no other rests open.

--- /dev/null
+++ b/src/node/connection-pool.ts
@@ -0,0 +1,126 @@
+/**
+ * Connections to one peer, each with one request at a time. An open connection
+ * that rests is always used before another one is opened, so that there are never
+ * more of them than requests were in flight at once: peers bound how many they
+ * accept, from all callers together.
+ */
+import { Client, type Dispatcher } from 'undici';
+
+/** Handles one request, and tells when its connection is free again. */
+export interface PooledHandler extends Dispatcher.DispatchHandler {
+  /** Called once, after the last event of the request; `isWhole` is false when it failed. */
+  onSettled: ((isWhole: boolean) => void) | undefined;
+}
+
+/** A request that waits for a connection. */
+interface WaitingDispatch {
+  readonly options: Dispatcher.DispatchOptions;
+  readonly handler: PooledHandler;
+}
+
+/** One connection, opened when it is first needed and again after it closed. */
+class PooledConnection {
+  isOpen = false;
+  requests = 0;
+  readonly client: Client;
+
+  constructor(
+    origin: string,
+    options: Client.Options,
+    onUnusable: (self: PooledConnection) => void,
+  ) {
+    this.client = new Client(origin, options);
+    this.client.on('connect', () => (this.isOpen = true));
+    this.client.on('disconnect', () => (this.isOpen = false));
+    this.client.on('connectionError', () => onUnusable(this));
+  }
+
+  get isResting(): boolean {
+    return this.isOpen && this.requests === 0;
+  }
+}
+
+/** See the module comment. */
+export class ConnectionPool {
+  private connections: PooledConnection[] = [];
+  private readonly waiting: WaitingDispatch[] = [];
+
+  constructor(
+    private readonly origin: string,
+    /** Most connections at once; further requests wait. */
+    private readonly maximumConnections: number,
+    private readonly options: Client.Options,
+  ) {}
+
+  dispatch(options: Dispatcher.DispatchOptions, handler: PooledHandler): void {
+    const connection = this.freeConnection();
+    if (connection === undefined) this.waiting.push({ options, handler });
+    else this.dispatchOn(connection, { options, handler });
+  }
+
+  /** Resolves once every request has its answer. */
+  async close(): Promise<void> {
+    this.dispatchWaiting();
+    await Promise.all(this.connections.map(({ client }) => client.close()));
+  }
+
+  /** Cuts off every request. */
+  async destroy(): Promise<void> {
+    this.dispatchWaiting();
+    await Promise.all(this.connections.map(({ client }) => client.destroy()));
+  }
+
+  private freeConnection(): PooledConnection | undefined {
+    const free = this.connections.filter(({ requests }) => requests === 0);
+    const best = free.find(({ isResting }) => isResting) ?? free[0];
+    if (best !== undefined) return best;
+    if (this.connections.length >= this.maximumConnections) return undefined;
+    return this.addConnection();
+  }
+
+  private addConnection(): PooledConnection {
+    const connection = new PooledConnection(this.origin, this.options, (unusable) =>
+      this.remove(unusable),
+    );
+    this.connections.push(connection);
+    return connection;
+  }
+
+  private dispatchOn(connection: PooledConnection, { options, handler }: WaitingDispatch): void {
+    connection.requests += 1;
+    handler.onSettled = (isWhole): void => {
+      connection.requests -= 1;
+      if (!isWhole) this.afterFailure(connection);
+      const next = this.waiting.shift();
+      if (next !== undefined) this.dispatch(next.options, next.handler);
+    };
+    connection.client.dispatch(options, handler);
+  }
+
+  /**
+   * A request failed on it, so it is being closed. When the request was aborted,
+   * undici opens it again at once, which spares the next request the wait; where
+   * another connection rests open, that is not wanted.
+   */
+  private afterFailure(connection: PooledConnection): void {
+    connection.isOpen = false;
+    const another = this.connections.some((other) => other.isResting);
+    if (!another) return;
+    this.remove(connection);
+    // Only when undici is done with the failure.
+    queueMicrotask(() => void connection.client.destroy());
+  }
+
+  /** Takes it out of use; undici itself still fails the requests on it. */
+  private remove(connection: PooledConnection): void {
+    this.connections = this.connections.filter((other) => other !== connection);
+  }
+
+  /** Nothing waits for a connection of a pool that ends. */
+  private dispatchWaiting(): void {
+    const [first] = this.connections;
+    for (const waiting of this.waiting.splice(0)) {
+      if (first !== undefined) this.dispatchOn(first, waiting);
+    }
+  }
+}
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -3,7 +3,7 @@
  * itself never resends: a request that failed after it was written to a socket
  * is reported, not repeated.
  */
-import { Pool, errors, type Dispatcher } from 'undici';
+import { errors, type Client } from 'undici';
 import { HttpClientError, type HttpClientErrorKind } from '../errors/http-client-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type {
@@ -12,6 +12,7 @@
   HttpClientRequest,
   HttpClientResponse,
 } from '../seams/http.js';
+import { ConnectionPool, type PooledHandler } from './connection-pool.js';
 import { createResetAwareConnector } from './reset-aware-connector.js';
 
 class ResponseTooLargeError extends Error {}
@@ -39,7 +40,8 @@
 }
 
 /** Collects one response and settles the caller's promise once. */
-class ResponseCollector implements Dispatcher.DispatchHandler {
+class ResponseCollector implements PooledHandler {
+  onSettled: ((isWhole: boolean) => void) | undefined;
   private requestSent = false;
   private status = 0;
   private headers: Record<string, string> = {};
@@ -97,12 +99,14 @@
     const [only] = this.chunks;
     const body = this.chunks.length === 1 && only !== undefined ? only : Buffer.concat(this.chunks);
     this.resolve({ status: this.status, headers: this.headers, body });
+    this.onSettled?.(true);
   }
 
   onError(error: Error): void {
     this.request.signal?.removeEventListener('abort', this.onSignal);
     const kind = this.kindOf(error);
     this.reject(new HttpClientError(kind, this.requestSent, this.peer, error));
+    this.onSettled?.(false);
   }
 
   private kindOf(error: Error): HttpClientErrorKind {
@@ -130,9 +134,9 @@
 /** Production {@link HttpClient}. */
 export class NodeHttpClient implements HttpClient {
   /** Made when first needed: an unused pool still costs memory for each peer. */
-  private kept: Pool | undefined;
+  private kept: ConnectionPool | undefined;
   /** For requests that must not meet a connection the peer may have closed meanwhile. */
-  private fresh: Pool | undefined;
+  private fresh: ConnectionPool | undefined;
   private readonly peer: string;
   private closed = false;
 
@@ -186,7 +190,7 @@
   }
 
   /** Undefined when it would have to be made after the client was closed. */
-  private poolFor(request: HttpClientRequest): Pool | undefined {
+  private poolFor(request: HttpClientRequest): ConnectionPool | undefined {
     if (request.freshConnection === true) {
       if (!this.closed) this.fresh ??= this.createPool(ConnectionReuse.Never);
       return this.fresh;
@@ -195,16 +199,16 @@
     return this.kept;
   }
 
-  private createPool(reuse: ConnectionReuse): Pool {
+  private createPool(reuse: ConnectionReuse): ConnectionPool {
     const { connections, connectTimeout, keepAliveTimeout } = this.options;
-    return new Pool(`http://${this.peer}`, {
-      connections,
+    const options: Client.Options = {
       pipelining: reuse,
       connect: createResetAwareConnector(connectTimeout),
       keepAliveTimeout,
       keepAliveMaxTimeout: keepAliveTimeout,
       headersTimeout: 0,
       bodyTimeout: 0,
-    });
+    };
+    return new ConnectionPool(`http://${this.peer}`, connections, options);
   }
 }
