--- a/src/commands/driftway.ts
+++ b/src/commands/driftway.ts
@@ -1,6 +1,7 @@
 /** Entry point of the `driftway` command line. */
 import type { BaseContext } from 'clipanion';
 import { ControllerCommand } from './controller-command.js';
+import { ExplainRequestCommand } from './explain-request-command.js';
 import { GatewayCommand } from './gateway-command.js';
 import { OPERATOR_COMMANDS } from './operator-commands.js';
 import { RouterCommand } from './router-command.js';
@@ -11,6 +12,7 @@
   commandLine: readonly string[],
   overrides: Partial<BaseContext> = {},
 ): Promise<number> {
-  const commands = [ControllerCommand, RouterCommand, GatewayCommand, ...OPERATOR_COMMANDS];
+  const daemons = [ControllerCommand, RouterCommand, GatewayCommand];
+  const commands = [...daemons, ExplainRequestCommand, ...OPERATOR_COMMANDS];
   return runCommandLine(createCommandLine('driftway', commands), commandLine, overrides);
 }
--- /dev/null
+++ b/src/commands/explain-request-command.ts
@@ -0,0 +1,52 @@
+/** `driftway explain-request`: from a request's id to its cause, out of daemons' logs. */
+import { text as readStream } from 'node:stream/consumers';
+import { Command, Option } from 'clipanion';
+import { formatStory } from '../explain/format-story.js';
+import { readLogLines } from '../explain/log-line.js';
+import { tellRequest } from '../explain/request-story.js';
+import { readTextFile } from '../node/read-text-file.js';
+import { ExitCode } from './daemon-process.js';
+
+/** Reads log lines and prints one request's story. */
+export class ExplainRequestCommand extends Command {
+  static override paths = [['explain-request']];
+  static override usage = Command.Usage({
+    category: 'Diagnosis',
+    description: 'Tell from log lines what became of a request and why',
+    details: `
+      Reads the JSON lines of one or many daemons from files, or from standard input when none is
+      named, and prints the attempts of the request, what each replica was chosen by, how each
+      ended, and what the gateway had last learned of routes, controllers and those replicas.
+
+      Exits with 1 when no line names the request, or a file cannot be read. Lines are bounded, so
+      a request may be among those left out.
+    `,
+    examples: [
+      ['From the logs of all daemons', 'driftway explain-request 579748de1991367a logs/*.log'],
+      ['From a stream', 'collect-logs | driftway explain-request 579748de1991367a --json'],
+    ],
+  });
+
+  requestId = Option.String({ name: 'ID' });
+  files = Option.Rest({ name: 'FILE' });
+  json = Option.Boolean('--json', false, { description: 'Print the story as JSON' });
+
+  override async execute(): Promise<ExitCode> {
+    const read = await this.readInput().catch((error: unknown) => {
+      this.context.stderr.write(`cannot read the log: ${String(error)}\n`);
+      return undefined;
+    });
+    if (read === undefined) return ExitCode.Failure;
+    const story = tellRequest(this.requestId, readLogLines(read));
+    this.context.stdout.write(
+      this.json ? `${JSON.stringify(story, null, 2)}\n` : formatStory(story),
+    );
+    return story.chapters.length > 0 ? ExitCode.Success : ExitCode.Failure;
+  }
+
+  private async readInput(): Promise<string> {
+    if (this.files.length === 0) return readStream(this.context.stdin);
+    const texts = await Promise.all(this.files.map((file) => readTextFile(file)));
+    return texts.join('\n');
+  }
+}
