--- a/src/explain/request-story.ts
+++ b/src/explain/request-story.ts
@@ -1,9 +1,11 @@
 /** What the lines of all daemons say of one request, in order. */
 import { factOf, type LoggedLine } from './log-line.js';
 
+/** What a process has learned is gone when the next one starts. */
+const START_MESSAGE = 'gateway listening';
 /** Lines by which a gateway's view of the fleet changed. */
 const BELIEF_MESSAGES: ReadonlySet<string> = new Set([
-  'gateway listening',
+  START_MESSAGE,
   'gateway stopping',
   'settings reloaded',
   'route document in force',
@@ -66,11 +68,19 @@
   return [kind, ...SUBJECT_FACTS.map((name) => factOf(line, name) ?? '')].join(' ');
 }
 
+function forgetEarlierProcess(newest: Map<string, LoggedLine>): void {
+  for (const [subject, { message }] of newest) {
+    if (BELIEF_MESSAGES.has(message)) newest.delete(subject);
+  }
+}
+
 function beliefsOf(own: LoggedLine, lines: readonly LoggedLine[]): readonly StoryBelief[] {
   const replicas = new Set(attemptsOf(own).map(({ replicaId }) => String(replicaId)));
   const newest = new Map<string, LoggedLine>();
   for (const line of lines) {
-    if (isBelief(line, own, replicas)) newest.set(subjectOf(line), line);
+    if (!isBelief(line, own, replicas)) continue;
+    if (line.message === START_MESSAGE) forgetEarlierProcess(newest);
+    newest.set(subjectOf(line), line);
   }
   return [...newest.values()]
     .sort((left, right) => left.time - right.time)
--- a/test/explain/explain-request.test.ts
+++ b/test/explain/explain-request.test.ts
@@ -18,6 +18,8 @@
 
 const LOG = [
   'a line of something else',
+  line(900, 'controller lost', { gateway: 'g-1', controller: '10.0.0.4:1' }),
+  line(950, 'gateway listening', { gateway: 'g-1' }),
   line(1_000, 'route document in force', { gateway: 'g-1', version: 6 }),
   line(1_500, 'replica registered', { replicaId: 'i-1', service: 'ledger' }),
   line(1_600, 'replica registered', { replicaId: 'i-other', service: 'desk' }),
@@ -55,13 +57,20 @@
     expect(output).not.toContain('version=8');
     expect(output).not.toContain('version=9');
     expect(output).not.toContain('i-other');
+    // Of the process before.
+    expect(output).not.toContain('controller lost');
   });
 
   it('gives the same as JSON', async () => {
     const { output } = await explain('mine', '--json');
     expect(JSON.parse(output)).toMatchObject({
       requestId: 'mine',
-      chapters: [{ attempts: [ATTEMPT], beliefs: [{ beforeMs: 500 }, { beforeMs: 200 }] }],
+      chapters: [
+        {
+          attempts: [ATTEMPT],
+          beliefs: [{ beforeMs: 1_050 }, { beforeMs: 500 }, { beforeMs: 200 }],
+        },
+      ],
     });
   });
 
