--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -14,7 +14,13 @@
 import { RouteTable } from '../routes/route-table.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
-import type { HttpListener, HttpRequest, HttpResponse } from '../seams/http.js';
+import type {
+  HttpListenOptions,
+  HttpListener,
+  HttpRequest,
+  HttpResponse,
+  RefusedRequest,
+} from '../seams/http.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import { FleetShares } from './fleet-shares.js';
@@ -165,7 +171,11 @@
   private async open(): Promise<void> {
     const { listen, limits } = this.configuration;
     const { network } = this.environment;
-    this.callers = await network.listenHttp(listen.http, limits, (request) => this.serve(request));
+    const options: HttpListenOptions = {
+      ...limits,
+      onRefused: (refused) => this.noteRefused(refused),
+    };
+    this.callers = await network.listenHttp(listen.http, options, (request) => this.serve(request));
     this.health = await network.listenHttp(listen.health, HEALTH_OPTIONS, (request) =>
       this.serveHealth(request),
     );
@@ -174,6 +184,12 @@
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
+  private noteRefused(refused: RefusedRequest): void {
+    const { metrics, decisions } = this.context;
+    metrics.requests.inc({ status: String(refused.status) });
+    decisions.notRead(refused);
+  }
+
   private async serve(request: HttpRequest): Promise<HttpResponse> {
     const response = await this.endpoint.handle(request);
     if (!this.isStopping) return response;
@@ -198,7 +214,7 @@
   private applyDocument({ version, content }: DocumentMessage): void {
     try {
       const table = new RouteTable(readRouteDocument(content));
-      this.endpoint.table = table;
+      this.endpoint.useTable(table);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
       this.logger.info('route document in force', { version });
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -2,7 +2,7 @@
 import { DecisionKind, type DecisionLog } from '../observability/decision-log.js';
 import type { LogFields } from '../observability/logger.js';
 import type { Clock } from '../seams/clock.js';
-import type { HttpRequest } from '../seams/http.js';
+import type { HttpRequest, RefusedRequest } from '../seams/http.js';
 import { attemptFields } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayRefusal } from './gateway-answers.js';
@@ -105,6 +105,11 @@
     }));
   }
 
+  /** The listener refused what it could not read as a request, before it had an id. */
+  notRead({ status, remoteAddress }: RefusedRequest): void {
+    this.log.write(DecisionKind.NotRead, () => ({ status, remoteAddress }));
+  }
+
   private common(request: CallerRequest): LogFields {
     const now = this.clock.now();
     return {
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -151,6 +151,7 @@
     const timer = setTimeout(end, LINGER);
     message.once('close', end);
     message.resume();
+    this.tellRefused(message.socket, content.status);
     const body = Buffer.from(content.body);
     response.writeHead(content.status, { ...content.headers, 'content-length': body.length });
     response.write(body);
@@ -167,11 +168,17 @@
       return;
     }
     connection.isRefused = true;
-    socket.end(writeRawResponse(brokenRequestResponse(code)));
+    const content = brokenRequestResponse(code);
+    this.tellRefused(socket, content.status);
+    socket.end(writeRawResponse(content));
     const timer = setTimeout(() => socket.destroy(), LINGER);
     socket.once('close', () => clearTimeout(timer));
   }
 
+  private tellRefused(socket: Socket, status: number): void {
+    this.options.onRefused?.({ status, remoteAddress: socket.remoteAddress ?? '' });
+  }
+
   private canWrite(socket: Socket, response: ServerResponse): boolean {
     const isRefused = this.connections.get(socket)?.isRefused ?? true;
     return !isRefused && !response.destroyed && !response.headersSent;
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -26,6 +26,7 @@
   Failed = 'request failed',
   Refused = 'request refused',
   NotForwarded = 'request not forwarded',
+  NotRead = 'request not read',
 }
 
 /** Uneventful requests get this part of the lines that others get. */
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -39,6 +39,14 @@
 
 export type HttpHandler = (request: HttpRequest) => Promise<HttpResponse>;
 
+/** A request that broke a bound of the listener, or is no HTTP. */
+export interface RefusedRequest {
+  /** Of the answer that was written. */
+  readonly status: number;
+  /** Empty when the connection is gone. */
+  readonly remoteAddress: string;
+}
+
 /** Bounds that the listener enforces before a handler sees a request. */
 export interface HttpListenOptions {
   /** A longer body is answered 413 and its connection closed. Bytes. */
@@ -59,6 +67,8 @@
    * absent.
    */
   readonly maximumBufferedBytes?: number;
+  /** Told of each request that the listener itself refused, which no handler saw. */
+  readonly onRefused?: (refused: RefusedRequest) => void;
   /** A connection idle for this long is closed. Milliseconds; {@link DEFAULT_IDLE_TIMEOUT} when absent. */
   readonly idleTimeout?: number;
 }
--- a/test/node/broken-requests.test.ts
+++ b/test/node/broken-requests.test.ts
@@ -33,11 +33,13 @@
   };
   for (const [name, [status, bytes]] of Object.entries(refused)) {
     it(`for ${name} gets a typed ${status}, and its connection is closed`, async () => {
-      await fixture.start();
+      const told: number[] = [];
+      await fixture.start(undefined, { onRefused: (each) => told.push(each.status) });
       const caller = await fixture.call(bytes);
       const response = await caller.next();
       expect(response?.status).toBe(status);
       expect(errorOf(response)).toMatchObject({ code: 'bad_request', mayHaveRun: false });
+      expect(told).toEqual([status]);
       await caller.closed;
       expect(fixture.seen).toEqual([]);
     });
