--- a/src/directory/replica-store.ts
+++ b/src/directory/replica-store.ts
@@ -22,6 +22,8 @@
 const STORED_SILENCE_MS = 6_000;
 /** How often those are looked for. */
 const SILENCE_INTERVAL_MS = 2_000;
+/** At least so many times as long as it took to encode them passes before they are written again. */
+const PAUSE_FACTOR = 40;
 /** Pause after a write that failed. */
 const RETRY_INTERVAL_MS = 2_000;
 
@@ -72,12 +74,14 @@
     const entries = entriesToStore(parts);
     if (!isChanged && entries.length === stored.length) continue;
     isChanged = false;
-    if (await write(parts, entries)) {
-      stored = entries;
-      continue;
-    }
-    isChanged = true;
-    await clock.sleep(RETRY_INTERVAL_MS, stopped).catch(() => undefined);
+    const begunAt = clock.now();
+    const content = DIRECTORY_CODEC.encodeBatch(entries.map(replicaMessage));
+    const encodingMs = clock.now() - begunAt;
+    const isStored = await write(parts, content);
+    if (isStored) stored = entries;
+    else isChanged = true;
+    const pause = isStored ? encodingMs * PAUSE_FACTOR : RETRY_INTERVAL_MS;
+    await clock.sleep(pause, stopped).catch(() => undefined);
   }
 }
 
@@ -90,11 +94,7 @@
   );
 }
 
-async function write(
-  { disk, logger }: ReplicaStoreParts,
-  entries: readonly ReplicaEntry[],
-): Promise<boolean> {
-  const content = DIRECTORY_CODEC.encodeBatch(entries.map(replicaMessage));
+async function write({ disk, logger }: ReplicaStoreParts, content: Uint8Array): Promise<boolean> {
   try {
     await replaceFile(disk, FOLDER, FILE, content);
     return true;
