--- /dev/null
+++ b/src/gateway/attempt-observer.ts
@@ -0,0 +1,57 @@
+/** What the end of an attempt says of its replica, of its service's latency, and of the load. */
+import type { Route } from '../routes/route-document.js';
+import type { AttemptRecord } from './attempt-record.js';
+import { NotRunReason, type NotRunAttempt } from './attempt-result.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { ReplicaTarget } from './replica-target.js';
+import type { RouteLatency } from './route-latency.js';
+
+/** Takes in an attempt that has ended; nothing while it is in flight. */
+export function observeAttempt(
+  context: GatewayContext,
+  route: Route,
+  latency: RouteLatency,
+  target: ReplicaTarget,
+  { sentAt, endedAt, result }: AttemptRecord,
+): void {
+  if (endedAt === undefined || result === undefined) return;
+  const elapsed = endedAt - sentAt;
+  const ratio = elapsed / Math.max(latency.usual, 1);
+  context.metrics.attempts.inc({ result: result.kind });
+  noteLoad(context, route, target, sentAt);
+  switch (result.kind) {
+    case 'answered':
+      latency.addAnswer(elapsed);
+      target.noteLatency(ratio, endedAt);
+      target.noteUsable();
+      return;
+    case 'cancelled':
+      latency.addUnfinished(elapsed);
+      target.noteUnfinished(ratio, endedAt);
+      return;
+    case 'failedAnswer':
+      return;
+    case 'notRun':
+      noteNotRun(target, result, endedAt);
+      return;
+    case 'broken':
+      target.noteFailure(endedAt);
+  }
+}
+
+function noteNotRun(target: ReplicaTarget, { reason }: NotRunAttempt, now: number): void {
+  if (reason === NotRunReason.Unreachable) target.noteFailure(now);
+  if (reason === NotRunReason.WrongReplica) target.noteReplaced(now);
+}
+
+/** Only what was said in answer to this sending. */
+function noteLoad(
+  { shedding }: GatewayContext,
+  { shards = [] }: Route,
+  { load }: ReplicaTarget,
+  sentAt: number,
+): void {
+  const [firstShard] = shards;
+  const isNew = load !== undefined && load.at > sentAt;
+  if (firstShard !== undefined && isNew) shedding.note(firstShard, load);
+}
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -3,6 +3,7 @@
  * that fails or is late, and takes the first whole answer. A request that is not
  * repeatable is sent on only when it certainly was not run.
  */
+import { observeAttempt } from './attempt-observer.js';
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
 import { NotRunReason } from './attempt-result.js';
@@ -152,53 +153,18 @@
   }
 
   private take(attempt: LiveAttempt, result: AttemptResult): void {
-    this.observe(attempt, result);
+    const { target, record } = attempt;
+    record.endedAt = this.context.environment.clock.now();
+    record.result = result;
+    observeAttempt(this.context, this.request.route, this.latency, target, record);
     if (result.kind === 'answered') {
       if (this.outcome === undefined) this.finish({ kind: 'answered', answer: result.answer });
       return;
     }
-    this.note(attempt.target, result);
+    this.note(target, result);
     if (this.outcome === undefined) this.goOn(result);
   }
 
-  /** What the result says of the replica. */
-  private observe({ target, record }: LiveAttempt, result: AttemptResult): void {
-    const now = this.context.environment.clock.now();
-    const { sentAt } = record;
-    const elapsed = now - sentAt;
-    record.endedAt = now;
-    record.result = result;
-    const ratio = elapsed / Math.max(this.latency.usual, 1);
-    this.context.metrics.attempts.inc({ result: result.kind });
-    this.noteLoad(target, sentAt);
-    switch (result.kind) {
-      case 'answered':
-        this.latency.addAnswer(elapsed);
-        target.noteLatency(ratio, now);
-        target.noteUsable();
-        return;
-      case 'cancelled':
-        this.latency.addUnfinished(elapsed);
-        target.noteUnfinished(ratio, now);
-        return;
-      case 'failedAnswer':
-        return;
-      case 'notRun':
-        if (result.reason === NotRunReason.Unreachable) target.noteFailure(now);
-        if (result.reason === NotRunReason.WrongReplica) target.noteReplaced(now);
-        return;
-      case 'broken':
-        target.noteFailure(now);
-    }
-  }
-
-  /** Only what was said in answer to this sending. */
-  private noteLoad({ load }: ReplicaTarget, sentAt: number): void {
-    const [firstShard] = this.request.route.shards ?? [];
-    const isNew = load !== undefined && load.at > sentAt;
-    if (firstShard !== undefined && isNew) this.context.shedding.note(firstShard, load);
-  }
-
   private note(target: ReplicaTarget, result: Exclude<AttemptResult, { kind: 'answered' }>): void {
     if (result.kind === 'notRun') {
       this.reason = result.reason;
