End no gateway by a request that waits for a connection that was refused

Ruled out: an error of the replica's answer (no connection was open), two requests on one connection (the pool counts one). Before: both new tests of the pool end with that AssertionError, eight times in nine requests. After: each request fails as not sent, and later ones are served. Change: after a failure a connection counts as in use until undici has returned. Errors that are still thrown outside every task are logged with step and peer, and the daemon then stops as planned.

--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -4,6 +4,7 @@
 import { createOutputLineWriter, type OutputStream } from '../node/output-line-writer.js';
 import { createRoarrLogger } from '../observability/roarr-logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
+import { watchUncaughtErrors, type UncaughtErrorSource } from './uncaught-errors.js';
 
 /** A daemon that can be stopped without cutting off what is in flight. */
 export interface StoppableDaemon {
@@ -54,26 +55,46 @@
 /** What ends a running daemon. */
 type DaemonEnd = { readonly signal: NodeJS.Signals } | { readonly failure: Error };
 
-function nextEnd(daemon: StoppableDaemon, stopSignal: Promise<NodeJS.Signals>): Promise<DaemonEnd> {
-  const ends: Promise<DaemonEnd>[] = [stopSignal.then((signal) => ({ signal }))];
+function nextEnd(
+  daemon: StoppableDaemon,
+  stopSignal: Promise<NodeJS.Signals>,
+  uncaught: Promise<Error>,
+): Promise<DaemonEnd> {
+  const ends: Promise<DaemonEnd>[] = [
+    stopSignal.then((signal) => ({ signal })),
+    uncaught.then((failure) => ({ failure })),
+  ];
   if (daemon.failure !== undefined) ends.push(daemon.failure.then((failure) => ({ failure })));
   return Promise.race(ends);
 }
 
+/** What was thrown outside a task may be what the start waits for. */
+function startOrFail(
+  start: () => Promise<StoppableDaemon>,
+  uncaught: Promise<Error>,
+): Promise<StoppableDaemon> {
+  const failed = uncaught.then((error) => {
+    throw error;
+  });
+  return Promise.race([start(), failed]);
+}
+
 /**
  * Starts a daemon and runs it until SIGTERM or SIGINT, then stops it in the
- * planned way; also when the daemon itself cannot go on. A second signal ends
- * the process at once.
+ * planned way; also when the daemon itself cannot go on, or an error was thrown
+ * outside its tasks. A second signal ends the process at once.
  */
 export async function runDaemon(
   logger: Logger,
   start: () => Promise<StoppableDaemon>,
+  uncaughtErrors: UncaughtErrorSource = process,
 ): Promise<ExitCode> {
   const stopSignal = nextStopSignal();
+  const uncaught = watchUncaughtErrors(logger, uncaughtErrors);
   try {
-    const daemon = await start();
+    const daemon = await startOrFail(start, uncaught);
     logger.info('daemon started', { startupMs: Math.round(process.uptime() * 1_000) });
-    const end = await nextEnd(daemon, stopSignal);
+    const end = await nextEnd(daemon, stopSignal, uncaught);
     if ('signal' in end) logger.info('stopping', { signal: end.signal });
     else logger.error('stopping', { reason: end.failure.message });
     await daemon.stop();
--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -89,26 +89,42 @@
   private dispatchOn(connection: PooledConnection, { options, handler }: WaitingDispatch): void {
     connection.requests += 1;
     handler.onSettled = (isWhole): void => {
-      connection.requests -= 1;
-      if (!isWhole) this.afterFailure(connection);
-      const next = this.waiting.shift();
-      if (next !== undefined) this.dispatch(next.options, next.handler);
+      if (isWhole) this.release(connection);
+      else this.releaseAfterFailure(connection);
     };
     connection.client.dispatch(options, handler);
   }
 
+  /** The connection is free for what waits. */
+  private release(connection: PooledConnection): void {
+    connection.requests -= 1;
+    const next = this.waiting.shift();
+    if (next !== undefined) this.dispatch(next.options, next.handler);
+  }
+
+  /**
+   * undici tells of a failure in the middle of clearing its own queue, and takes
+   * a request that is added meanwhile for an error of its own. So the connection
+   * counts as in use until undici has returned.
+   */
+  private releaseAfterFailure(connection: PooledConnection): void {
+    connection.isOpen = false;
+    queueMicrotask(() => {
+      this.closeIfUnneeded(connection);
+      this.release(connection);
+    });
+  }
+
   /**
    * A request failed on it, so it is being closed. When the request was aborted,
    * undici opens it again at once, which spares the next request the wait; where
    * another connection rests open, that is not wanted.
    */
-  private afterFailure(connection: PooledConnection): void {
-    connection.isOpen = false;
+  private closeIfUnneeded(connection: PooledConnection): void {
     const another = this.connections.some((other) => other.isResting);
     if (!another) return;
     this.remove(connection);
-    // Only when undici is done with the failure.
-    queueMicrotask(() => void connection.client.destroy());
+    void connection.client.destroy();
   }
 
   /** Takes it out of use; undici itself still fails the requests on it. */
--- /dev/null
+++ b/test/commands/daemon-process.test.ts
@@ -0,0 +1,62 @@
+import { EventEmitter } from 'node:events';
+import { expect, it } from 'vitest';
+import { ExitCode, runDaemon } from '../../src/commands/daemon-process.js';
+import { DriftwayError } from '../../src/errors/driftway-error.js';
+import type { LogFields, Logger } from '../../src/observability/logger.js';
+
+/** Keeps the fields of each error line under its message. */
+class RecordingLogger implements Logger {
+  readonly errors = new Map<string, LogFields>();
+  readonly info = (): void => undefined;
+  readonly warn = (): void => undefined;
+
+  error(message: string, fields: LogFields = {}): void {
+    this.errors.set(message, fields);
+  }
+
+  child(): Logger {
+    return this;
+  }
+}
+
+it('stops as planned, once, after errors outside its tasks', async () => {
+  const logger = new RecordingLogger();
+  const uncaught = new EventEmitter();
+  let stops = 0;
+  const stop = (): Promise<void> => {
+    stops += 1;
+    return Promise.resolve();
+  };
+  const ended = runDaemon(logger, () => Promise.resolve({ stop }), uncaught);
+  const error = new DriftwayError('no such state', { step: 'connect', peer: '10.0.0.1:80' });
+  uncaught.emit('uncaughtException', error, 'uncaughtException');
+  uncaught.emit('uncaughtException', 'a second one', 'unhandledRejection');
+  expect(await ended).toBe(ExitCode.Failure);
+  expect(stops).toBe(1);
+  expect(logger.errors.get('error outside a task')).toMatchObject({ reason: 'a second one' });
+  expect(logger.errors.get('stopping')).toMatchObject({ reason: error.message });
+});
+
+it('names the step and peer of an error outside its tasks', async () => {
+  const logger = new RecordingLogger();
+  const uncaught = new EventEmitter();
+  const stop = (): Promise<void> => Promise.resolve();
+  const ended = runDaemon(logger, () => Promise.resolve({ stop }), uncaught);
+  const error = new DriftwayError('no such state', { step: 'connect', peer: '10.0.0.1:80' });
+  uncaught.emit('uncaughtException', error, 'uncaughtException');
+  await ended;
+  expect(logger.errors.get('error outside a task')).toMatchObject({
+    step: 'connect',
+    peer: '10.0.0.1:80',
+    origin: 'uncaughtException',
+  });
+});
+
+it('ends with a failure when such an error comes while it starts', async () => {
+  const logger = new RecordingLogger();
+  const uncaught = new EventEmitter();
+  const ended = runDaemon(logger, () => new Promise(() => undefined), uncaught);
+  uncaught.emit('uncaughtException', new Error('broken'), 'uncaughtException');
+  expect(await ended).toBe(ExitCode.Failure);
+  expect(logger.errors.get('daemon failed')).toMatchObject({ reason: 'broken' });
+});
--- a/test/node/connection-pool.test.ts
+++ b/test/node/connection-pool.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import type { AddressInfo, Socket } from 'node:net';
 import { afterEach, expect, it } from 'vitest';
+import type { HttpClientError } from '../../src/errors/http-client-error.js';
 import { NodeHttpClient } from '../../src/node/node-http-client.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 
@@ -14,16 +15,24 @@
     this.held.push(response);
   });
 
-  async start(connections: number): Promise<NodeHttpClient> {
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Port 0 is any that is free. */
+  async listen(port = 0): Promise<void> {
     this.server.on('connection', (socket: Socket) => {
       this.accepted += 1;
       this.sockets.add(socket);
     });
-    this.server.listen(0, '127.0.0.1');
+    this.server.listen(port, '127.0.0.1');
     await once(this.server, 'listening');
-    const { port } = this.server.address() as AddressInfo;
+  }
+
+  async start(connections: number): Promise<NodeHttpClient> {
+    await this.listen();
     return new NodeHttpClient(
-      { host: '127.0.0.1', port },
+      { host: '127.0.0.1', port: this.port },
       { connections, maximumResponseBytes: 64, connectTimeout: 5_000, keepAliveTimeout: 30_000 },
     );
   }
@@ -136,3 +145,48 @@
   const outcomes = await Promise.allSettled(answers);
   expect(outcomes.map(({ status }) => status)).toEqual(['rejected', 'rejected']);
 });
+
+/** A port of this machine on which nothing listens. */
+async function unusedPort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+it('fails each request when connections are refused while others wait for one', async () => {
+  const client = new NodeHttpClient(
+    { host: '127.0.0.1', port: await unusedPort() },
+    { connections: 2, maximumResponseBytes: 64, connectTimeout: 5_000, keepAliveTimeout: 30_000 },
+  );
+  const outcomes = await Promise.allSettled(Array.from({ length: 9 }, () => get(client)));
+  const kinds = outcomes.map((outcome) =>
+    outcome.status === 'rejected' ? (outcome.reason as HttpClientError).kind : 'answered',
+  );
+  expect(kinds).toEqual(Array.from({ length: 9 }, () => 'connect_failed'));
+  client.destroy();
+});
+
+it('serves what waits once a peer that went away accepts connections again', async () => {
+  const held = peer.current;
+  const client = await held.start(1);
+  const first = get(client);
+  await held.waitHeld(1);
+  const waiting = [get(client), get(client)];
+  const port = held.port;
+  held.stop();
+  const lost = await Promise.allSettled([first, ...waiting]);
+  expect(lost.map(({ status }) => status)).toEqual(['rejected', 'rejected', 'rejected']);
+  const returned = (peer.current = new HeldPeer());
+  await returned.listen(port);
+  const later = [get(client), get(client)];
+  await returned.waitHeld(1);
+  returned.answerAll();
+  await returned.waitHeld(1);
+  returned.answerAll();
+  expect((await Promise.all(later)).map(({ status }) => status)).toEqual([200, 200]);
+  client.destroy();
+});
