Count from log lines what requests lost, and leave a line for each late answer

Cause: an answer that came whole but after its target left a line of the uneventful kind, nine of ten of which are left out, so that a late request could not be told from a good one. No command counted lines by cause. Change: 'request answered late' is a decision of its own; lines carry the target; driftway explain-losses reads the lines of gateways and counts by route and cause what was late, in part, refused, failed or not forwarded, apart for gateways that had just started, and how many lines were left out.

--- a/src/commands/driftway.ts
+++ b/src/commands/driftway.ts
@@ -1,6 +1,7 @@
 /** Entry point of the `driftway` command line. */
 import type { BaseContext } from 'clipanion';
 import { ControllerCommand } from './controller-command.js';
+import { ExplainLossesCommand } from './explain-losses-command.js';
 import { ExplainRequestCommand } from './explain-request-command.js';
 import { GatewayCommand } from './gateway-command.js';
 import { OPERATOR_COMMANDS } from './operator-commands.js';
@@ -13,6 +14,6 @@
   overrides: Partial<BaseContext> = {},
 ): Promise<number> {
   const daemons = [ControllerCommand, RouterCommand, GatewayCommand];
-  const commands = [...daemons, ExplainRequestCommand, ...OPERATOR_COMMANDS];
+  const commands = [...daemons, ExplainLossesCommand, ExplainRequestCommand, ...OPERATOR_COMMANDS];
   return runCommandLine(createCommandLine('driftway', commands), commandLine, overrides);
 }
--- a/src/commands/explain-request-command.ts
+++ b/src/commands/explain-request-command.ts
@@ -1,11 +1,10 @@
 /** `driftway explain-request`: from a request's id to its cause, out of daemons' logs. */
-import { text as readStream } from 'node:stream/consumers';
 import { Command, Option } from 'clipanion';
 import { formatStory } from '../explain/format-story.js';
 import { readLogLines } from '../explain/log-line.js';
 import { tellRequest } from '../explain/request-story.js';
-import { readTextFile } from '../node/read-text-file.js';
 import { ExitCode } from './daemon-process.js';
+import { readLogInput } from './log-input.js';
 
 /** Reads log lines and prints one request's story. */
 export class ExplainRequestCommand extends Command {
@@ -32,7 +31,7 @@
   json = Option.Boolean('--json', false, { description: 'Print the story as JSON' });
 
   override async execute(): Promise<ExitCode> {
-    const read = await this.readInput().catch((error: unknown) => {
+    const read = await readLogInput(this.files, this.context.stdin).catch((error: unknown) => {
       this.context.stderr.write(`cannot read the log: ${String(error)}\n`);
       return undefined;
     });
@@ -43,10 +42,4 @@
     );
     return story.chapters.length > 0 ? ExitCode.Success : ExitCode.Failure;
   }
-
-  private async readInput(): Promise<string> {
-    if (this.files.length === 0) return readStream(this.context.stdin);
-    const texts = await Promise.all(this.files.map((file) => readTextFile(file)));
-    return texts.join('\n');
-  }
 }
--- /dev/null
+++ b/src/explain/loss-cause.ts
@@ -0,0 +1,53 @@
+/** Why a request was not answered whole and in time, from the line about it. */
+import { DecisionKind } from '../observability/decision-log.js';
+import { factOf, type LoggedLine } from './log-line.js';
+
+/** For so long after its start a gateway knows little of its replicas. Milliseconds. */
+export const YOUNG_GATEWAY_MS = 3_000;
+/** Attempts that a replica neither refused nor failed: it was slow, paused, silent or overloaded. */
+const NO_ANSWER_YET: ReadonlySet<string> = new Set(['in flight', 'cancelled']);
+
+/** Lines of requests that lost nothing. */
+const WITHOUT_LOSS: ReadonlySet<string> = new Set([DecisionKind.Answered, DecisionKind.Hedged]);
+const DECISIONS: ReadonlySet<string> = new Set(Object.values(DecisionKind));
+
+function resultsOf({ context }: LoggedLine): readonly string[] {
+  const attempts = context['missingAttempts'] ?? context['attempts'];
+  if (!Array.isArray(attempts)) return [];
+  return attempts.map((attempt: { readonly result?: unknown }) => String(attempt.result));
+}
+
+/** What became of the attempts that brought no answer, the most frequent first. */
+function describeAttempts(line: LoggedLine): string {
+  const counts = new Map<string, number>();
+  for (const result of resultsOf(line)) {
+    const kind = NO_ANSWER_YET.has(result) ? 'no answer yet' : result;
+    if (kind !== 'answered') counts.set(kind, (counts.get(kind) ?? 0) + 1);
+  }
+  const [most] = [...counts].sort(([, left], [, right]) => right - left);
+  return most?.[0] ?? 'not sent';
+}
+
+/** Whether the line tells of a decision about a request. */
+export function isDecision({ message }: LoggedLine): boolean {
+  return DECISIONS.has(message);
+}
+
+/**
+ * The cause in a few words; undefined when nothing was lost. `gatewayAgeMs` is
+ * Infinity where the start of the gateway is not among the lines.
+ */
+export function lossCauseOf(line: LoggedLine, gatewayAgeMs: number): string | undefined {
+  const { message } = line;
+  if (!isDecision(line) || WITHOUT_LOSS.has(message)) return undefined;
+  const age = gatewayAgeMs < YOUNG_GATEWAY_MS ? ', after a start' : '';
+  const reason = factOf(line, 'reason');
+  switch (message) {
+    case DecisionKind.Late.valueOf():
+      return `late${age}`;
+    case DecisionKind.Partial.valueOf():
+      return `parts missing: ${describeAttempts(line)}${age}`;
+    default:
+      return `${message.replace('request ', '')}: ${reason ?? factOf(line, 'status') ?? 'unknown'}${age}`;
+  }
+}
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -7,6 +7,7 @@
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayRefusal } from './gateway-answers.js';
 import type { RaceOutcome, ReplicaRace } from './replica-race.js';
+import { targetLatencyOf } from './route-latencies.js';
 
 /** How a fan-out ended. */
 export interface FanOutSummary {
@@ -28,16 +29,21 @@
 const FIRST_FAILURE_STATUS = 300;
 const NOT_RUN_STATUS = 503;
 
-function kindOfFanOut({ status, missing, sends, shards }: FanOutSummary): DecisionKind {
+function kindOfFanOut(summary: FanOutSummary, isLate: boolean): DecisionKind {
+  const { status, missing, sends, shards } = summary;
   if (status === NOT_RUN_STATUS) return DecisionKind.Refused;
   if (status >= FIRST_FAILURE_STATUS) return DecisionKind.Failed;
   if (missing > 0) return DecisionKind.Partial;
+  if (isLate) return DecisionKind.Late;
   return sends > shards ? DecisionKind.Hedged : DecisionKind.Answered;
 }
 
-function kindOfRace(outcome: RaceOutcome, sends: number): DecisionKind {
-  if (outcome.kind === 'answered') return sends > 1 ? DecisionKind.Hedged : DecisionKind.Answered;
-  return outcome.mayHaveRun ? DecisionKind.Failed : DecisionKind.Refused;
+function kindOfRace(outcome: RaceOutcome, sends: number, isLate: boolean): DecisionKind {
+  if (outcome.kind === 'failed') {
+    return outcome.mayHaveRun ? DecisionKind.Failed : DecisionKind.Refused;
+  }
+  if (isLate) return DecisionKind.Late;
+  return sends > 1 ? DecisionKind.Hedged : DecisionKind.Answered;
 }
 
 /** Longest part of a path that a line shows. */
@@ -68,7 +74,7 @@
 
   /** A request to one service ended. */
   attempted(request: CallerRequest, race: ReplicaRace, outcome: RaceOutcome): void {
-    this.log.write(kindOfRace(outcome, race.sends), () => ({
+    this.log.write(kindOfRace(outcome, race.sends, this.isLate(request)), () => ({
       ...this.common(request),
       service: race.service,
       sends: race.sends,
@@ -79,7 +85,8 @@
 
   /** A request to all shards of a route ended. */
   fannedOut(request: CallerRequest, { missingRaces, ...summary }: FanOutSummary): void {
-    this.log.write(kindOfFanOut({ ...summary, missingRaces }), () => ({
+    const kind = kindOfFanOut({ ...summary, missingRaces }, this.isLate(request));
+    this.log.write(kind, () => ({
       ...this.common(request),
       ...summary,
       missingAttempts: missingRaces.slice(0, SHOWN_SHARDS).flatMap((race) =>
@@ -110,6 +117,10 @@
     this.log.write(DecisionKind.NotRead, () => ({ status, remoteAddress }));
   }
 
+  private isLate({ route, receivedAt }: CallerRequest): boolean {
+    return this.clock.now() - receivedAt > targetLatencyOf(route);
+  }
+
   private common(request: CallerRequest): LogFields {
     const now = this.clock.now();
     return {
@@ -117,6 +128,7 @@
       route: request.route.name,
       routeVersion: request.table.version,
       elapsedMs: Math.round(now - request.receivedAt),
+      targetMs: Math.round(targetLatencyOf(request.route)),
       leftMs: Math.round(request.deadline - now),
     };
   }
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -21,6 +21,8 @@
 /** Kinds of decisions; uneventful ones come last when lines are short. */
 export enum DecisionKind {
   Answered = 'request answered',
+  /** Whole, and after the time within which it is of full use. */
+  Late = 'request answered late',
   Partial = 'request answered in part',
   Hedged = 'request answered after more than one sending',
   Failed = 'request failed',
