Weigh the risk of a late answer against the cost of the way in one measure

Hypothesis: a little more time costs nothing while the target is far, so near replicas can be kept for longer than any factor on the time says. Ruled out: that a zone holds no replica of any shard; each zone holds two thirds of the shards (registrations in the lines), so a third of the sendings must cross and chance alone crosses two thirds.

--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -16,6 +16,18 @@
   .prefault({})
   .describe('{ ratio: 0.1, slack: 16 }');
 
+/** What distance costs when a replica is chosen. */
+export const placementSchema = z
+  .strictObject({
+    /**
+     * Cost of one sending to a replica of another zone, as a part of the worth of
+     * one request that is answered in time; 0 chooses by time alone.
+     */
+    otherZoneCost: z.number().min(0).max(1).default(0.03).describe('0.03'),
+  })
+  .prefault({})
+  .describe('{ otherZoneCost: 0.03 }');
+
 export const gatewayConfigurationSchema = z.strictObject({
   /** Unique among the daemons of the cluster. */
   name: nameSchema.describe('gateway-1'),
@@ -32,6 +44,7 @@
   /** Internal addresses of some controllers; the others are learned from them. */
   controllers: z.array(addressSchema).min(1).describe("['127.0.0.1:7500']"),
   secondSends: secondSendSchema,
+  placement: placementSchema,
   /** From the order to stop until the process must have ended. Milliseconds. */
   stopGraceMs: z.int().min(1_000).default(10_000),
   limits: z
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -158,7 +158,7 @@
       environment: this.environment,
       headers,
       targets: new ServiceTargets(this.environment, this.directory),
-      choice: new ReplicaChoice(clock, random, zone),
+      choice: new ReplicaChoice(clock, random, { zone, ...this.configuration.placement }),
       sender: new AttemptSender(clock, headers),
       latencies: new RouteLatencies(),
       shares: new FleetShares(clock, this.configuration.secondSends, () => this.client.gateways),
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -1,6 +1,7 @@
 /**
- * Which replica of a service gets a request: the one from which the answer is
- * expected first, by what this gateway saw of it and what it said of its load.
+ * Which replica of a service gets a request: the one for which the risk of a late
+ * answer and the cost of the way there are the least together, by what this
+ * gateway saw of it and what it said of its load.
  */
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
@@ -10,21 +11,30 @@
 const LOAD_VALID_MS = 400;
 /** A warming replica takes this many times as long. */
 const WARMUP_FACTOR = 1.6;
-/** Bytes between zones are paid for, and they take a little longer. */
-const OTHER_ZONE_FACTOR = 1.1;
 /** Spread of chance, so that gateways that know the same do not all choose the same. */
 const CHANCE_FACTOR = 0.1;
 /** An attempt in flight that waits longer than this many usual times shows a pause. */
 const STALL_RATIO = 3;
 const STALL_FACTOR = 4;
 
-/** What a choice goes by. */
+/** Where the gateway is, and what distance costs it. */
+export interface PlacementOptions {
+  readonly zone: string;
+  /** Cost of one sending to another zone, as a part of the worth of one request in time. */
+  readonly otherZoneCost: number;
+}
+
+/** What a choice goes by. Durations are milliseconds. */
 export interface ChoiceQuery {
   readonly targets: readonly ReplicaTarget[];
   /** Replicas that are not to be asked. */
   readonly excluded: ReadonlySet<ReplicaTarget>;
-  /** Usual time of an answer. Milliseconds. */
+  /** Usual time of an answer. */
   readonly usualLatency: number;
+  /** Time within which the request is to be answered. */
+  readonly targetLatency: number;
+  /** Part of the request's worth that is lost when this one answer is late; at most 1. */
+  readonly stake: number;
   /** Most attempts in flight from here to one replica. */
   readonly maximumInFlight: number;
 }
@@ -34,7 +44,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly random: RandomSource,
-    private readonly zone: string,
+    private readonly placement: PlacementOptions,
   ) {}
 
   /** The best replica; resting ones only where there is no other; undefined when all are full. */
@@ -50,19 +60,35 @@
         resting ??= target;
         continue;
       }
-      const cost = this.cost(target, query.usualLatency, now);
+      const cost = this.cost(target, query, now);
       if (cost < bestCost) [best, bestCost] = [target, cost];
     }
     return best ?? resting;
   }
 
+  /** As a part of the worth of one request in time. */
+  private cost(target: ReplicaTarget, query: ChoiceQuery, now: number): number {
+    const wayCost = target.entry.zone === this.placement.zone ? 0 : this.placement.otherZoneCost;
+    const chance = 1 + CHANCE_FACTOR * this.random.nextFloat();
+    return this.latenessCost(target, query, now) * chance + wayCost;
+  }
+
+  /**
+   * A little more time matters little while there is plenty left, and ever more
+   * as the expected time comes near the target: it grows with its square.
+   */
+  private latenessCost(target: ReplicaTarget, query: ChoiceQuery, now: number): number {
+    const { usualLatency, targetLatency, stake } = query;
+    const expectedTime = usualLatency * this.expectedFactor(target, usualLatency, now);
+    return stake * (expectedTime / targetLatency) ** 2;
+  }
+
   /** Expected time until the answer, in usual times. */
-  private cost(target: ReplicaTarget, usualLatency: number, now: number): number {
-    let cost = target.slownessAt(now) * this.queueFactor(target, now);
-    if (now < target.warmUntil) cost *= WARMUP_FACTOR;
-    if (target.entry.zone !== this.zone) cost *= OTHER_ZONE_FACTOR;
-    if (target.oldestWait(now) > STALL_RATIO * usualLatency) cost *= STALL_FACTOR;
-    return cost * (1 + CHANCE_FACTOR * this.random.nextFloat());
+  private expectedFactor(target: ReplicaTarget, usualLatency: number, now: number): number {
+    let factor = target.slownessAt(now) * this.queueFactor(target, now);
+    if (now < target.warmUntil) factor *= WARMUP_FACTOR;
+    if (target.oldestWait(now) > STALL_RATIO * usualLatency) factor *= STALL_FACTOR;
+    return factor;
   }
 
   /** How many times as long a request takes because of those before it. */
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -12,6 +12,7 @@
 import type { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
+import { targetLatencyOf } from './route-latencies.js';
 import type { RouteLatency } from './route-latency.js';
 
 /** Sendings that replicas refused, beyond the attempts of the route. */
@@ -123,12 +124,23 @@
     return true;
   }
 
+  /**
+   * Part of the request's worth that rides on this service. A merged answer is
+   * worth the square of the part of the shards that it holds.
+   */
+  private get stake(): number {
+    const { shards } = this.request.route;
+    return shards === undefined ? 1 : Math.min(1, 2 / shards.length);
+  }
+
   private choose(): ReplicaTarget | undefined {
     const { choice, targets, shares } = this.context;
     return choice.choose({
       targets: targets.of(this.service),
       excluded: this.asked,
       usualLatency: this.latency.usual,
+      targetLatency: targetLatencyOf(this.request.route),
+      stake: this.stake,
       maximumInFlight: shares.connectionsFor(this.request.table, this.service),
     });
   }
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -1,6 +1,8 @@
 /** One replica as this gateway sends to it: its connections and what was observed of it. */
 import type { ReplicaEntry } from '../directory/replica-entry.js';
 import type { HttpClient } from '../seams/http.js';
+import { AttemptsInFlight } from './attempts-in-flight.js';
+import { FailureRest } from './failure-rest.js';
 
 /** What the replica last said of its load. */
 export interface ReportedLoad {
@@ -22,27 +24,21 @@
 const MAXIMUM_ESTIMATE = 8;
 /** A connection is taken to stay open this long after its last use. */
 const WARM_MS = 6_000;
-/** First and longest time that a replica which cannot be used is left alone. */
-const FIRST_REST_MS = 150;
-const LONGEST_REST_MS = 4_000;
 /** Another replica answered at its address: it has ended, and nobody said so. It is let be for so long. */
 const REPLACED_MS = 60_000;
 
 /** See the module comment. */
 export class ReplicaTarget {
   load: ReportedLoad | undefined;
-  /** When each attempt in flight was sent. */
-  readonly sentAt = new Map<number, number>();
   /** When a connection that rests until then is used once; see `connection-warmer.ts`. */
   warmCheckAt = -Infinity;
   /** Health checks since it was last used. */
   warmChecks = 0;
-  private nextAttempt = 0;
+  private readonly attempts = new AttemptsInFlight();
+  private readonly rest = new FailureRest();
   private slowness = 1;
   private sampledAt = -Infinity;
-  private restsUntil = -Infinity;
   private replacedUntil = -Infinity;
-  private failures = 0;
   /** First of the attempts without an answer, of those since the last answer. */
   private unfinishedSince: number | undefined;
 
@@ -55,25 +51,22 @@
   ) {}
 
   get inFlight(): number {
-    return this.sentAt.size;
+    return this.attempts.count;
   }
 
   /** Notes an attempt and gives the number that {@link ReplicaTarget.end} takes. */
   begin(now: number): number {
-    this.nextAttempt += 1;
-    this.sentAt.set(this.nextAttempt, now);
     this.warmCheckAt = Math.max(this.warmCheckAt, now + WARM_MS);
-    return this.nextAttempt;
+    return this.attempts.begin(now);
   }
 
   end(attempt: number): void {
-    this.sentAt.delete(attempt);
+    this.attempts.end(attempt);
   }
 
   /** How long the oldest attempt in flight has been waiting. Milliseconds. */
   oldestWait(now: number): number {
-    for (const sentAt of this.sentAt.values()) return now - sentAt;
-    return 0;
+    return this.attempts.oldestWait(now);
   }
 
   /** Time it takes for a request over what is usual; 1 when nothing is known. */
@@ -110,15 +103,12 @@
   /** It answered: it can be used. */
   noteUsable(): void {
     this.unfinishedSince = undefined;
-    this.failures = 0;
-    this.restsUntil = -Infinity;
+    this.rest.noteUsable();
   }
 
   /** It could not be reached, or what it sent was no answer. */
   noteFailure(now: number): void {
-    const rest = Math.min(FIRST_REST_MS * 2 ** this.failures, LONGEST_REST_MS);
-    this.failures += 1;
-    this.restsUntil = now + rest;
+    this.rest.noteFailure(now);
   }
 
   /** Another replica has its address now. */
@@ -131,6 +121,6 @@
   }
 
   isResting(now: number): boolean {
-    return now < this.restsUntil;
+    return this.rest.isResting(now);
   }
 }
--- /dev/null
+++ b/test/gateway/replica-choice.test.ts
@@ -0,0 +1,82 @@
+import { expect, it } from 'vitest';
+import { RegisteredState } from '../../src/directory/replica-entry.js';
+import { ReplicaChoice, type ChoiceQuery } from '../../src/gateway/replica-choice.js';
+import { ReplicaTarget } from '../../src/gateway/replica-target.js';
+import { ManualClock } from '../support/manual-clock.js';
+
+const NEAR_ZONE = 'nayoro';
+const FAR_ZONE = 'wakkanai';
+const NO_CLIENT = {
+  request: () => Promise.reject(new Error('not sent')),
+  close: () => Promise.resolve(),
+  destroy: () => undefined,
+};
+
+function targetIn(zone: string): ReplicaTarget {
+  const entry = {
+    replicaId: `replica-${zone}`,
+    service: 'shard',
+    address: '10.0.0.1:9000',
+    zone,
+    capacity: 2,
+    state: RegisteredState.Ready,
+    sequence: 1,
+    warmupMs: 0,
+  };
+  return new ReplicaTarget(entry, NO_CLIENT, entry.address, -Infinity);
+}
+
+/** A gateway in {@link NEAR_ZONE}, with one replica there and one in {@link FAR_ZONE}. */
+class TwoZones {
+  readonly clock = new ManualClock();
+  readonly near = targetIn(NEAR_ZONE);
+  readonly far = targetIn(FAR_ZONE);
+
+  choose(otherZoneCost: number, query: Partial<ChoiceQuery> = {}): ReplicaTarget | undefined {
+    const random = { nextFloat: () => 0.5, nextInteger: () => 0, nextIdentifier: () => '' };
+    const choice = new ReplicaChoice(this.clock, random, { zone: NEAR_ZONE, otherZoneCost });
+    return choice.choose({
+      targets: [this.far, this.near],
+      excluded: new Set(),
+      usualLatency: 20,
+      targetLatency: 100,
+      stake: 1,
+      maximumInFlight: 8,
+      ...query,
+    });
+  }
+
+  /** Requests that the near replica said it has. */
+  occupyNear(requests: number): void {
+    this.near.load = { running: 2, waiting: requests - 2, slots: 2, at: this.clock.now() };
+  }
+}
+
+it('chooses the near replica while it answers well before the target', () => {
+  const zones = new TwoZones();
+  zones.occupyNear(3);
+  expect(zones.choose(0.2)).toBe(zones.near);
+});
+
+it('goes to the other zone once the near replica would answer near the target', () => {
+  const zones = new TwoZones();
+  zones.occupyNear(8);
+  expect(zones.choose(0.2)).toBe(zones.far);
+});
+
+it('goes by time alone where distance costs nothing', () => {
+  const zones = new TwoZones();
+  zones.occupyNear(3);
+  expect(zones.choose(0)).toBe(zones.far);
+});
+
+it('stays near for longer the less of the request rides on the answer', () => {
+  const zones = new TwoZones();
+  zones.occupyNear(8);
+  expect(zones.choose(0.2, { stake: 0.1 })).toBe(zones.near);
+});
+
+it('goes to the other zone when the near replica is not to be asked', () => {
+  const zones = new TwoZones();
+  expect(zones.choose(1, { excluded: new Set([zones.near]) })).toBe(zones.far);
+});
