Compile what the first requests run when the daemons are built

The lines show first requests with 40 sendings for 20 shards: the gateway was busy compiling for so long that every hedge was due before it read one answer. Hypothesis: the compiled code that the build keeps holds what loading runs, not what requests run; a request then compiles its functions one by one. Change: the build runs three controllers, a gateway and stand-in replicas in its process for a second, and writes the compiled code after that.

--- a/scripts/write-code-cache.js
+++ b/scripts/write-code-cache.js
@@ -1,11 +1,20 @@
 /**
- * Writes the compiled code of the bundle beside it, after what a start runs was
- * compiled. Run it with the flags of Node that the daemons are run with: code
- * that was compiled with others is not used.
+ * Writes the compiled code of the bundle beside it, after what a start and the
+ * first requests run was compiled. Run it with the flags of Node that the daemons
+ * are run with: code that was compiled with others is not used.
  */
-import { writeFileSync } from 'node:fs';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
+import console from 'node:console';
+import process from 'node:process';
 import startBundle from '../target/driftway/main.cjs';
+import { rehearseDaemons } from './rehearse-daemons.js';
 
 const { bundle, script } = startBundle.loadBundle();
-await bundle.loadRoles();
+const sink = openSync('/dev/null', 'w');
+const roles = await bundle.loadRoles();
+// Without it the daemons do the same, and are a little slower at first.
+const statuses = await rehearseDaemons(roles, sink).catch((error) => [String(error)]);
+console.error(`rehearsal: ${statuses.join(', ')}`);
 writeFileSync(startBundle.CODE_CACHE, script.createCachedData());
+closeSync(sink);
+process.exit();
