Let an operator switch off each mechanism of the gateway

So that one can be ruled out as a cause, and measured: load reports, slowness, stalls, resting, hedging, the second hedge, the cut-off, shedding, retries, waiting for room, warm connections and the shares of a young gateway are settings under 'mechanisms', all on by default.

--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -75,6 +75,8 @@
   readonly runs: ReplicaRun[] = [];
   /** Requests that arrived, run or not. */
   arrivals = 0;
+  /** Requests without an id, which are health checks. */
+  healthChecks = 0;
   private state = 'ready';
   private sequence = 0;
   private listener: HttpListener | undefined;
@@ -144,7 +146,10 @@
   private async serve(request: HttpRequest): Promise<HttpResponse> {
     const { clock } = this.environment;
     const requestId = request.headers[this.names.requestId];
-    if (requestId === undefined) return { status: 200, body: '' };
+    if (requestId === undefined) {
+      this.healthChecks += 1;
+      return { status: 200, body: '' };
+    }
     this.arrivals += 1;
     const target = request.headers[this.names.targetReplica];
     const isNamed = target === undefined || target === this.options.replicaId;
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -1,5 +1,6 @@
 /** Settings file of the gateway daemon. */
 import * as z from 'zod';
+import { gatewayMechanismsSchema } from './gateway-mechanisms.js';
 import { nameSchema } from '../model/service-definition.js';
 import { addressSchema, clusterSchema, logSchema, placeShape } from './daemon-configuration.js';
 
@@ -45,6 +46,7 @@
   controllers: z.array(addressSchema).min(1).describe("['127.0.0.1:7500']"),
   secondSends: secondSendSchema,
   placement: placementSchema,
+  mechanisms: gatewayMechanismsSchema,
   /** From the order to stop until the process must have ended. Milliseconds. */
   stopGraceMs: z.int().min(1_000).default(10_000),
   limits: z
--- /dev/null
+++ b/src/configuration/gateway-mechanisms.ts
@@ -0,0 +1,41 @@
+/**
+ * Mechanisms of the gateway that an operator can switch off one by one, to rule
+ * one out as the cause of what is seen. All are on unless a file says otherwise.
+ */
+import * as z from 'zod';
+
+const switchSchema = z.boolean().default(true);
+
+export const gatewayMechanismsSchema = z
+  .strictObject({
+    /** Replicas are chosen by what they say of their load. */
+    loadReports: switchSchema,
+    /** Replicas are chosen by how long their answers took. */
+    slowness: switchSchema,
+    /** A replica with an attempt that has been waiting for long is avoided. */
+    stalls: switchSchema,
+    /** A replica that could not be used is left alone for a while. */
+    resting: switchSchema,
+    /** A second replica is asked when the first one is late. */
+    hedging: switchSchema,
+    /** Late shards are looked at a second time. */
+    secondHedge: switchSchema,
+    /** A merged answer that holds enough leaves before the target, without late shards. */
+    cutOff: switchSchema,
+    /** A part of the requests is refused while most replicas have queues. */
+    shedding: switchSchema,
+    /** Another replica is asked after a failure or refusal. */
+    retries: switchSchema,
+    /** A request that finds all replicas full waits for room instead of being refused. */
+    waitForRoom: switchSchema,
+    /** Connections to replicas that are seldom used are kept open. */
+    warmConnections: switchSchema,
+    /** A young gateway leaves room for the connections of its earlier process. */
+    youngShares: switchSchema,
+  })
+  .prefault({})
+  .describe('{ hedging: true }');
+export type GatewayMechanisms = z.infer<typeof gatewayMechanismsSchema>;
+
+/** All on. */
+export const ALL_MECHANISMS: GatewayMechanisms = gatewayMechanismsSchema.parse({});
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -49,7 +49,7 @@
         this.giveUp(GatewayRefusal.NotRun, 'too few shards have a replica');
         return;
       }
-      if (!this.context.shedding.admits(this.shards[0] ?? '', this.request.route.priority)) {
+      if (!this.isAdmitted) {
         this.giveUp(GatewayRefusal.NotRun, 'the replicas are overloaded');
         return;
       }
@@ -59,6 +59,13 @@
     });
   }
 
+  private get isAdmitted(): boolean {
+    const { mechanisms, shedding } = this.context;
+    return (
+      !mechanisms.shedding || shedding.admits(this.shards[0] ?? '', this.request.route.priority)
+    );
+  }
+
   /** Shards that an answer must hold. */
   private get required(): number {
     const coverage = this.request.route.requiredCoverage ?? 1;
@@ -77,11 +84,18 @@
     const margin = Math.min(ANSWER_MARGIN_MS, target * ANSWER_MARGIN_PART);
     const elapsed = clock.now() - receivedAt;
     const { hedgeDelay } = this.context.latencies.of(route);
+    const { secondHedge, cutOff } = this.context.mechanisms;
+    if (secondHedge) {
+      // For those that found no room or no budget the first time.
+      const delay = hedgeDelay + target * HEDGE_AGAIN_PART;
+      this.timers.push(clock.setTimer(delay, () => this.hedge()));
+    }
+    if (cutOff) {
+      const rest = Math.max(0, target - margin - elapsed);
+      this.timers.push(clock.setTimer(rest, () => this.cutOff()));
+    }
     this.timers.push(
       clock.setTimer(hedgeDelay, () => this.hedge()),
-      // Once more, for those that found no room or no budget the first time.
-      clock.setTimer(hedgeDelay + target * HEDGE_AGAIN_PART, () => this.hedge()),
-      clock.setTimer(Math.max(0, target - margin - elapsed), () => this.cutOff()),
       clock.setTimer(target * UNOFFERED_PART, () => this.refuseUnoffered()),
       clock.setTimer(deadline - clock.now(), () => this.timeOut()),
     );
--- a/src/gateway/fleet-shares.ts
+++ b/src/gateway/fleet-shares.ts
@@ -28,6 +28,8 @@
     private readonly clock: Clock,
     private readonly limits: SecondSendLimits,
     private readonly countGateways: () => number | undefined,
+    /** Whether a young gateway leaves room for connections of its earlier process. */
+    private readonly sparesWhileYoung: boolean,
   ) {
     this.startedAt = clock.now();
   }
@@ -36,7 +38,7 @@
   connectionsFor(table: RouteTable, service: string): number {
     const connections = table.service(service)?.maximumConnections ?? DEFAULT_CONNECTIONS;
     const isYoung = this.clock.now() - this.startedAt < YOUNG_MS;
-    const part = isYoung ? USED_PART_WHILE_YOUNG : USED_PART;
+    const part = isYoung && this.sparesWhileYoung ? USED_PART_WHILE_YOUNG : USED_PART;
     return Math.max(1, Math.floor((connections * part) / this.gateways));
   }
 
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,4 +1,5 @@
 /** What the parts of the gateway share. */
+import type { GatewayMechanisms } from '../configuration/gateway-mechanisms.js';
 import type { Environment } from '../seams/environment.js';
 import type { RequestDecisions } from './request-decisions.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
@@ -13,6 +14,7 @@
 export interface GatewayContext {
   readonly environment: Environment;
   readonly headers: ExchangeHeaders;
+  readonly mechanisms: GatewayMechanisms;
   readonly targets: ServiceTargets;
   readonly choice: ReplicaChoice;
   readonly sender: AttemptSender;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -154,14 +154,21 @@
   private createContext(headers: ExchangeHeaders, zone: string): GatewayContext {
     const { clock, random } = this.environment;
     const decisions = new DecisionLog(clock, this.logger);
+    const { mechanisms, placement, secondSends } = this.configuration;
     return {
       environment: this.environment,
       headers,
+      mechanisms,
       targets: new ServiceTargets(this.environment, this.directory),
-      choice: new ReplicaChoice(clock, random, { zone, ...this.configuration.placement }),
+      choice: new ReplicaChoice(clock, random, { zone, ...placement }, mechanisms),
       sender: new AttemptSender(clock, headers),
       latencies: new RouteLatencies(),
-      shares: new FleetShares(clock, this.configuration.secondSends, () => this.client.gateways),
+      shares: new FleetShares(
+        clock,
+        secondSends,
+        () => this.client.gateways,
+        mechanisms.youngShares,
+      ),
       shedding: new OverloadShedding(random),
       decisions: new RequestDecisions(clock, decisions),
       metrics: new GatewayMetrics(this.telemetry.registry),
@@ -180,7 +187,7 @@
       this.serveHealth(request),
     );
     void this.forgetSilent();
-    void this.keepWarm();
+    if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -3,6 +3,7 @@
  * answer and the cost of the way there are the least together, by what this
  * gateway saw of it and what it said of its load.
  */
+import type { GatewayMechanisms } from '../configuration/gateway-mechanisms.js';
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
 import type { ReplicaTarget } from './replica-target.js';
@@ -45,6 +46,7 @@
     private readonly clock: Clock,
     private readonly random: RandomSource,
     private readonly placement: PlacementOptions,
+    private readonly mechanisms: GatewayMechanisms,
   ) {}
 
   /** The best replica; resting ones only where there is no other; undefined when all are full. */
@@ -56,7 +58,7 @@
     for (const target of query.targets) {
       if (query.excluded.has(target) || target.isReplaced(now)) continue;
       if (target.inFlight >= query.maximumInFlight) continue;
-      if (target.isResting(now)) {
+      if (this.mechanisms.resting && target.isResting(now)) {
         resting ??= target;
         continue;
       }
@@ -85,9 +87,11 @@
 
   /** Expected time until the answer, in usual times. */
   private expectedFactor(target: ReplicaTarget, usualLatency: number, now: number): number {
-    let factor = target.slownessAt(now) * this.queueFactor(target, now);
+    let factor = this.queueFactor(target, now);
+    if (this.mechanisms.slowness) factor *= target.slownessAt(now);
     if (now < target.warmUntil) factor *= WARMUP_FACTOR;
-    if (target.oldestWait(now) > STALL_RATIO * usualLatency) factor *= STALL_FACTOR;
+    const isStalled = target.oldestWait(now) > STALL_RATIO * usualLatency;
+    if (this.mechanisms.stalls && isStalled) factor *= STALL_FACTOR;
     return factor;
   }
 
@@ -95,7 +99,8 @@
   private queueFactor(target: ReplicaTarget, now: number): number {
     const slots = Math.max(1, target.entry.capacity);
     const { load, inFlight } = target;
-    const isCurrent = load !== undefined && now - load.at < LOAD_VALID_MS;
+    const isCurrent =
+      this.mechanisms.loadReports && load !== undefined && now - load.at < LOAD_VALID_MS;
     const reported = isCurrent ? load.running + load.waiting : 0;
     const ahead = Math.max(inFlight, reported);
     return 1 + Math.max(0, ahead + 1 - slots) / slots + (0.15 * Math.min(ahead, slots)) / slots;
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -69,13 +69,15 @@
   /** Sends for the first time, or as soon as a replica has room. */
   start(): void {
     this.context.shares.noteRequest(this.service);
-    if (!this.launch()) this.waitForRoom();
+    if (this.launch()) return;
+    if (this.context.mechanisms.waitForRoom) this.waitForRoom();
+    else this.finish(this.failure());
   }
 
   /** Sends to another replica as well, when the budget has room; true when it did. */
   hedge(): boolean {
-    const isDone = this.outcome !== undefined;
-    if (isDone || this.request.route.execution !== 'repeatable' || !this.mayRunMore) return false;
+    const isOver = this.outcome !== undefined || !this.context.mechanisms.hedging;
+    if (isOver || this.request.route.execution !== 'repeatable' || !this.mayRunMore) return false;
     return this.launchAgain(this.context.shares);
   }
 
@@ -200,6 +202,7 @@
   }
 
   private maySendAfter(result: AttemptResult): boolean {
+    if (!this.context.mechanisms.retries) return false;
     const wasNotRun = result.kind === 'notRun';
     const isRepeatable = this.request.route.execution === 'repeatable';
     const isAllowed = wasNotRun ? this.refusals <= MAXIMUM_REFUSALS : isRepeatable;
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -3,6 +3,7 @@
 import { expect } from 'vitest';
 import { ExchangeReplica } from '../../lab/exchange/exchange-replica.js';
 import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import type { GatewayMechanisms } from '../../src/configuration/gateway-mechanisms.js';
 import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
@@ -23,6 +24,12 @@
 export const HOST = 'desk.example';
 const SECOND_SENDS = { ratio: 0.2, slack: 56 };
 
+/** Settings of the gateway that a test changes. */
+export interface GatewayOverrides {
+  readonly secondSends?: { readonly ratio: number; readonly slack: number };
+  readonly mechanisms?: Partial<GatewayMechanisms>;
+}
+
 const CALLER_OPTIONS = {
   connections: 50,
   maximumResponseBytes: 2_000_000,
@@ -83,11 +90,11 @@
     readonly lines: LogLine[],
   ) {}
 
-  static async start(seed = 7, secondSends = SECOND_SENDS): Promise<GatewayHarness> {
+  static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
     const group = await AutomaticGroup.start(3, seed);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
-    const gateway = await GatewayHarness.startGateway(group, machine, lines, secondSends);
+    const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
     return new GatewayHarness(group, machine, gateway, lines);
   }
 
@@ -95,7 +102,7 @@
     group: AutomaticGroup,
     machine: SimulatedMachine,
     lines: LogLine[],
-    secondSends = SECOND_SENDS,
+    overrides: GatewayOverrides = {},
   ): Promise<GatewayDaemon> {
     const configuration = gatewayConfigurationSchema.parse({
       name: 'gateway-1',
@@ -104,7 +111,8 @@
       cluster: CLUSTER,
       listen: { http: `${machine.host}:${CALLER_PORT}`, health: `${machine.host}:${HEALTH_PORT}` },
       controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
-      secondSends,
+      secondSends: overrides.secondSends ?? SECOND_SENDS,
+      mechanisms: overrides.mechanisms ?? {},
       stopGraceMs: 6_000,
     });
     const telemetry = { logger: collectLines(lines), registry: new Registry() };
--- a/test/gateway/replica-choice.test.ts
+++ b/test/gateway/replica-choice.test.ts
@@ -1,4 +1,5 @@
 import { expect, it } from 'vitest';
+import { ALL_MECHANISMS } from '../../src/configuration/gateway-mechanisms.js';
 import { RegisteredState } from '../../src/directory/replica-entry.js';
 import { ReplicaChoice, type ChoiceQuery } from '../../src/gateway/replica-choice.js';
 import { ReplicaTarget } from '../../src/gateway/replica-target.js';
@@ -29,12 +30,14 @@
 /** A gateway in {@link NEAR_ZONE}, with one replica there and one in {@link FAR_ZONE}. */
 class TwoZones {
   readonly clock = new ManualClock();
+  mechanisms = ALL_MECHANISMS;
   readonly near = targetIn(NEAR_ZONE);
   readonly far = targetIn(FAR_ZONE);
 
   choose(otherZoneCost: number, query: Partial<ChoiceQuery> = {}): ReplicaTarget | undefined {
     const random = { nextFloat: () => 0.5, nextInteger: () => 0, nextIdentifier: () => '' };
-    const choice = new ReplicaChoice(this.clock, random, { zone: NEAR_ZONE, otherZoneCost });
+    const placement = { zone: NEAR_ZONE, otherZoneCost };
+    const choice = new ReplicaChoice(this.clock, random, placement, this.mechanisms);
     return choice.choose({
       targets: [this.far, this.near],
       excluded: new Set(),
@@ -80,3 +83,35 @@
   const zones = new TwoZones();
   expect(zones.choose(1, { excluded: new Set([zones.near]) })).toBe(zones.far);
 });
+
+it('does not go by load reports that are switched off', () => {
+  const zones = new TwoZones();
+  zones.mechanisms = { ...ALL_MECHANISMS, loadReports: false };
+  zones.occupyNear(8);
+  expect(zones.choose(0.2)).toBe(zones.near);
+});
+
+it('goes by how long answers took unless that is switched off', () => {
+  const zones = new TwoZones();
+  for (let sample = 0; sample < 20; sample += 1) zones.near.noteLatency(6, 0);
+  expect(zones.choose(0.2)).toBe(zones.far);
+  zones.mechanisms = { ...ALL_MECHANISMS, slowness: false };
+  expect(zones.choose(0.2)).toBe(zones.near);
+});
+
+it('avoids a replica whose attempt has been waiting for long unless that is switched off', () => {
+  const zones = new TwoZones();
+  zones.near.begin(0);
+  zones.clock.advance(100);
+  expect(zones.choose(0.2)).toBe(zones.far);
+  zones.mechanisms = { ...ALL_MECHANISMS, stalls: false };
+  expect(zones.choose(0.2)).toBe(zones.near);
+});
+
+it('leaves a replica alone that could not be used unless that is switched off', () => {
+  const zones = new TwoZones();
+  zones.near.noteFailure(0);
+  expect(zones.choose(1)).toBe(zones.far);
+  zones.mechanisms = { ...ALL_MECHANISMS, resting: false };
+  expect(zones.choose(1)).toBe(zones.near);
+});
--- a/test/gateway/retries.test.ts
+++ b/test/gateway/retries.test.ts
@@ -10,7 +10,7 @@
   count: number,
   secondSends?: { ratio: number; slack: number },
 ): Promise<[GatewayHarness, ExchangeReplica[]]> {
-  const harness = await GatewayHarness.start(7, secondSends);
+  const harness = await GatewayHarness.start(7, secondSends === undefined ? {} : { secondSends });
   const replicas: ExchangeReplica[] = [];
   for (let index = 0; index < count; index += 1) replicas.push(await harness.addReplica('ledger'));
   return [harness, replicas];
