--- a/src/commands/explain-losses-command.ts
+++ b/src/commands/explain-losses-command.ts
@@ -1,13 +1,12 @@
 /** `driftway explain-losses`: which requests were not answered whole and in time, and why. */
 import { Command, Option } from 'clipanion';
 import { formatLosses } from '../explain/format-losses.js';
-import { readLogLines } from '../explain/log-line.js';
 import { reportLosses } from '../explain/loss-report.js';
 import { ExitCode } from './daemon-process.js';
-import { readLogInput } from './log-input.js';
+import { LogCommand } from './log-command.js';
 
 /** Reads log lines and prints a table of losses. */
-export class ExplainLossesCommand extends Command {
+export class ExplainLossesCommand extends LogCommand {
   static override paths = [['explain-losses']];
   static override usage = Command.Usage({
     category: 'Diagnosis',
@@ -27,15 +26,10 @@
   json = Option.Boolean('--json', false, { description: 'Print the report as JSON' });
 
   override async execute(): Promise<ExitCode> {
-    const read = await readLogInput(this.files, this.context.stdin).catch((error: unknown) => {
-      this.context.stderr.write(`cannot read the log: ${String(error)}\n`);
-      return undefined;
-    });
-    if (read === undefined) return ExitCode.Failure;
-    const report = reportLosses(readLogLines(read));
-    this.context.stdout.write(
-      this.json ? `${JSON.stringify(report, null, 2)}\n` : formatLosses(report),
-    );
+    const lines = await this.readLines(this.files);
+    if (lines === undefined) return ExitCode.Failure;
+    const report = reportLosses(lines);
+    this.print(this.json, report, formatLosses(report));
     return ExitCode.Success;
   }
 }
--- a/src/commands/explain-request-command.ts
+++ b/src/commands/explain-request-command.ts
@@ -1,13 +1,12 @@
 /** `driftway explain-request`: from a request's id to its cause, out of daemons' logs. */
 import { Command, Option } from 'clipanion';
 import { formatStory } from '../explain/format-story.js';
-import { readLogLines } from '../explain/log-line.js';
 import { tellRequest } from '../explain/request-story.js';
 import { ExitCode } from './daemon-process.js';
-import { readLogInput } from './log-input.js';
+import { LogCommand } from './log-command.js';
 
 /** Reads log lines and prints one request's story. */
-export class ExplainRequestCommand extends Command {
+export class ExplainRequestCommand extends LogCommand {
   static override paths = [['explain-request']];
   static override usage = Command.Usage({
     category: 'Diagnosis',
@@ -31,15 +30,10 @@
   json = Option.Boolean('--json', false, { description: 'Print the story as JSON' });
 
   override async execute(): Promise<ExitCode> {
-    const read = await readLogInput(this.files, this.context.stdin).catch((error: unknown) => {
-      this.context.stderr.write(`cannot read the log: ${String(error)}\n`);
-      return undefined;
-    });
-    if (read === undefined) return ExitCode.Failure;
-    const story = tellRequest(this.requestId, readLogLines(read));
-    this.context.stdout.write(
-      this.json ? `${JSON.stringify(story, null, 2)}\n` : formatStory(story),
-    );
+    const lines = await this.readLines(this.files);
+    if (lines === undefined) return ExitCode.Failure;
+    const story = tellRequest(this.requestId, lines);
+    this.print(this.json, story, formatStory(story));
     return story.chapters.length > 0 ? ExitCode.Success : ExitCode.Failure;
   }
 }
