--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -1,5 +1,6 @@
 /** What the two daemons' processes share: logs, metrics, and a planned stop on a signal. */
 import { Registry, collectDefaultMetrics } from 'prom-client';
+import { NodeClock } from '../node/node-clock.js';
 import type { Logger } from '../observability/logger.js';
 import { createOutputLineWriter, type OutputStream } from '../node/output-line-writer.js';
 import { createRoarrLogger } from '../observability/roarr-logger.js';
@@ -34,6 +35,11 @@
 }
 
 const FLUSH_TIMEOUT_MS = 200;
+/**
+ * Longest planned stop of a daemon that failed: what it waits for may be what is
+ * broken, and a process that never ends is never started again. Milliseconds.
+ */
+const FAILED_STOP_TIMEOUT_MS = 15_000;
 
 /** Makes the process's logger and metrics registry; a reader of its lines that stalls costs lines. */
 export function createTelemetry(format: LogFormat, output: OutputStream): ProcessTelemetry {
@@ -97,8 +103,11 @@
     const end = await nextEnd(daemon, stopSignal, uncaught);
     if ('signal' in end) logger.info('stopping', { signal: end.signal });
     else logger.error('stopping', { reason: end.failure.message });
+    if ('failure' in end) {
+      await Promise.race([daemon.stop(), new NodeClock().sleep(FAILED_STOP_TIMEOUT_MS)]);
+      return ExitCode.Failure;
+    }
     await daemon.stop();
-    if ('failure' in end) return ExitCode.Failure;
     logger.info('stopped');
     return ExitCode.Success;
   } catch (error) {
--- a/test/commands/daemon-process.test.ts
+++ b/test/commands/daemon-process.test.ts
@@ -1,5 +1,5 @@
 import { EventEmitter } from 'node:events';
-import { expect, it } from 'vitest';
+import { afterEach, expect, it, vi } from 'vitest';
 import { ExitCode, runDaemon } from '../../src/commands/daemon-process.js';
 import { DriftwayError } from '../../src/errors/driftway-error.js';
 import type { LogFields, Logger } from '../../src/observability/logger.js';
@@ -60,3 +60,18 @@
   expect(await ended).toBe(ExitCode.Failure);
   expect(logger.errors.get('daemon failed')).toMatchObject({ reason: 'broken' });
 });
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+it('ends although what it stops for after such an error never ends', async () => {
+  vi.useFakeTimers();
+  const logger = new RecordingLogger();
+  const uncaught = new EventEmitter();
+  const stop = (): Promise<void> => new Promise(() => undefined);
+  const ended = runDaemon(logger, () => Promise.resolve({ stop }), uncaught);
+  uncaught.emit('uncaughtException', new Error('broken'), 'uncaughtException');
+  await vi.runAllTimersAsync();
+  expect(await ended).toBe(ExitCode.Failure);
+});
