--- a/scripts/rehearse-daemons.js
+++ b/scripts/rehearse-daemons.js
@@ -7,10 +7,11 @@
 import { Buffer } from 'node:buffer';
 import { createServer, request as sendRequest, Agent } from 'node:http';
 import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { clearInterval, setInterval, setTimeout } from 'node:timers';
 
+/** Where the controllers' folders are made and removed again. */
+const FOLDER = 'target';
 const HOST = '127.0.0.1';
 const CONTROLLERS = 3;
 const SHARDS = ['shard-0', 'shard-1', 'shard-2', 'shard-3', 'shard-4', 'shard-5'];
@@ -239,7 +240,7 @@
  * to. Resolves with the statuses of the last requests.
  */
 export async function rehearseDaemons(roles, sink) {
-  const folder = await mkdtemp(join(tmpdir(), 'driftway-rehearsal-'));
+  const folder = await mkdtemp(join(FOLDER, 'rehearsal-'));
   const rehearsal = new Rehearsal(roles, folder);
   try {
     await rehearsal.run(sink);
