--- a/scripts/rehearse-daemons.js
+++ b/scripts/warm-up-daemons.js
@@ -17,7 +17,7 @@
 const SHARDS = ['shard-0', 'shard-1', 'shard-2', 'shard-3', 'shard-4', 'shard-5'];
 const REPLICAS_PER_SHARD = 2;
 const RECORDS = Buffer.alloc(960, 'record');
-const ROUTE_HOST = 'rehearsal.example';
+const ROUTE_HOST = 'warm-up.example';
 /** Rounds of one request of each route, and their pause. */
 const ROUNDS = 30;
 const ROUND_PAUSE_MS = 20;
@@ -107,7 +107,7 @@
   };
 }
 
-class Rehearsal {
+class WarmUp {
   agent = new Agent({ keepAlive: true });
   daemons = [];
   replicas = [];
@@ -150,16 +150,16 @@
       const dataFolder = join(this.folder, `controller-${index}`);
       const configuration = controllerConfigurationSchema.parse({
         memberId: `controller-${index}`,
-        region: 'rehearsal',
-        zone: 'rehearsal',
-        cluster: { id: 'rehearsal', key: 'key-of-the-rehearsal' },
+        region: 'warm-up',
+        zone: 'warm-up',
+        cluster: { id: 'warm-up', key: 'key-of-the-warm-up' },
         dataFolder,
         listen: {
           http: `${HOST}:${http}`,
           messages: `${HOST}:${messages}`,
           registration: `${HOST}:${registration}`,
         },
-        initialMembers: [{ memberId: 'first', address: this.seeds[0], zone: 'rehearsal' }],
+        initialMembers: [{ memberId: 'first', address: this.seeds[0], zone: 'warm-up' }],
         consensus: { electionTimeoutMs: 400, firstElectionPart: 0.25 },
         automaticMembership: { seeds: this.seeds, firstStart: true },
       });
@@ -191,7 +191,7 @@
     return putJson(this.agent, port, `/v1/replicas/${replicaId}`, {
       service,
       address,
-      zone: 'rehearsal',
+      zone: 'warm-up',
       capacity: 2,
       state: 'ready',
       sequence,
@@ -202,9 +202,9 @@
     const { gatewayConfigurationSchema, GatewayDaemon } = this.roles;
     const configuration = gatewayConfigurationSchema.parse({
       name: 'gateway',
-      region: 'rehearsal',
-      zone: 'rehearsal',
-      cluster: { id: 'rehearsal', key: 'key-of-the-rehearsal' },
+      region: 'warm-up',
+      zone: 'warm-up',
+      cluster: { id: 'warm-up', key: 'key-of-the-warm-up' },
       listen: { http: `${HOST}:${callerPort}`, health: `${HOST}:${healthPort}` },
       controllers: this.seeds,
       stopGraceMs: 1_000,
@@ -239,14 +239,14 @@
  * `roles` are the parts of the bundle; `sink` is the descriptor that log lines go
  * to. Resolves with the statuses of the last requests.
  */
-export async function rehearseDaemons(roles, sink) {
-  const folder = await mkdtemp(join(FOLDER, 'rehearsal-'));
-  const rehearsal = new Rehearsal(roles, folder);
+export async function warmUpDaemons(roles, sink) {
+  const folder = await mkdtemp(join(FOLDER, 'warm-up-'));
+  const warmUp = new WarmUp(roles, folder);
   try {
-    await rehearsal.run(sink);
-    return rehearsal.statuses;
+    await warmUp.run(sink);
+    return warmUp.statuses;
   } finally {
-    await rehearsal.stop();
+    await warmUp.stop();
     await rm(folder, { recursive: true, force: true });
   }
 }
--- a/scripts/write-code-cache.js
+++ b/scripts/write-code-cache.js
@@ -8,20 +8,20 @@
 import process from 'node:process';
 import { setTimeout } from 'node:timers/promises';
 import startBundle from '../target/driftway/main.cjs';
-import { rehearseDaemons } from './rehearse-daemons.js';
+import { warmUpDaemons } from './warm-up-daemons.js';
 
-/** A rehearsal that takes longer is left; it takes three seconds. Milliseconds. */
-const LONGEST_REHEARSAL_MS = 60_000;
+/** A warm-up that takes longer is left; it takes three seconds. Milliseconds. */
+const LONGEST_WARM_UP_MS = 60_000;
 
 const { bundle, script } = startBundle.loadBundle();
 const sink = openSync('/dev/null', 'w');
 const roles = await bundle.loadRoles();
 // Without it the daemons do the same, and are a little slower at first.
 const statuses = await Promise.race([
-  rehearseDaemons(roles, sink).catch((error) => [String(error)]),
-  setTimeout(LONGEST_REHEARSAL_MS, ['took too long']),
+  warmUpDaemons(roles, sink).catch((error) => [String(error)]),
+  setTimeout(LONGEST_WARM_UP_MS, ['took too long']),
 ]);
-console.error(`rehearsal: ${statuses.join(', ')}`);
+console.error(`warm-up: ${statuses.join(', ')}`);
 writeFileSync(startBundle.CODE_CACHE, script.createCachedData());
 closeSync(sink);
 process.exit();
