--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -4,7 +4,8 @@
 import { GatewayRefusal, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { targetLatencyOf } from './route-latencies.js';
-import { ReplicaRace, type RaceOutcome } from './replica-race.js';
+import type { RaceOutcome } from './race-outcome.js';
+import { ReplicaRace } from './replica-race.js';
 
 /** A request that no replica could take within this part of its target is refused as not run. */
 export const UNOFFERED_PART = 0.2;
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -1,7 +1,7 @@
 /**
  * Which replica of a service gets a request: the one for which the risk of a late
- * answer and the cost of the way there are the least together, by what this
- * gateway saw of it and what it said of its load.
+ * answer and the cost of traffic between zones are the least together, by what
+ * this gateway saw of it and what it said of its load.
  */
 import type { GatewayMechanisms } from '../configuration/gateway-mechanisms.js';
 import type { Clock } from '../seams/clock.js';
@@ -70,9 +70,10 @@
 
   /** As a part of the worth of one request in time. */
   private cost(target: ReplicaTarget, query: ChoiceQuery, now: number): number {
-    const wayCost = target.entry.zone === this.placement.zone ? 0 : this.placement.otherZoneCost;
+    const distanceCost =
+      target.entry.zone === this.placement.zone ? 0 : this.placement.otherZoneCost;
     const chance = 1 + CHANCE_FACTOR * this.random.nextFloat();
-    return this.latenessCost(target, query, now) * chance + wayCost;
+    return this.latenessCost(target, query, now) * chance + distanceCost;
   }
 
   /**
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -12,6 +12,7 @@
 import type { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
+import type { RaceOutcome } from './race-outcome.js';
 import { targetLatencyOf } from './route-latencies.js';
 import type { RouteLatency } from './route-latency.js';
 
@@ -27,18 +28,6 @@
   readonly record: AttemptRecord;
 }
 
-/** How a race ended. */
-export type RaceOutcome =
-  | { readonly kind: 'answered'; readonly answer: ReplicaAnswer }
-  | {
-      readonly kind: 'failed';
-      /** False only when it is certain that no replica ran it. */
-      readonly mayHaveRun: boolean;
-      /** A replica's own failure, when there is one. */
-      readonly answer: ReplicaAnswer | undefined;
-      readonly reason: string;
-    };
-
 /** See the module comment. */
 export class ReplicaRace {
   outcome: RaceOutcome | undefined;
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -6,7 +6,8 @@
 import { attemptFields } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayRefusal } from './gateway-answers.js';
-import type { RaceOutcome, ReplicaRace } from './replica-race.js';
+import type { RaceOutcome } from './race-outcome.js';
+import type { ReplicaRace } from './replica-race.js';
 import { targetLatencyOf } from './route-latencies.js';
 
 /** How a fan-out ended. */
