--- /dev/null
+++ b/src/aggregation/aggregation.ts
@@ -0,0 +1,161 @@
+/**
+ * The part of a gateway that divides large fan-outs: as a root it gives groups of
+ * shards to leaves, as a leaf it takes such groups from other roots.
+ */
+import type { AggregationSettings } from '../configuration/gateway-configuration.js';
+import type { LeafGateway } from '../directory/leaf-gateway.js';
+import type { CallerRequest } from '../gateway/caller-request.js';
+import { FleetShares } from '../gateway/fleet-shares.js';
+import type { GatewayContext } from '../gateway/gateway-context.js';
+import type { PartListener, PartSource } from '../gateway/part-source.js';
+import type { SecondSendLimits } from '../gateway/second-send-budget.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import { AuthenticatedListener } from '../protocol/authenticated-listener.js';
+import type { LocalIdentity } from '../protocol/handshake.js';
+import type { RouteTable } from '../routes/route-table.js';
+import type { Address } from '../seams/address.js';
+import { GROUP_OWNERS, LeafAssignment } from './leaf-assignment.js';
+import { LeafLatencies } from './leaf-latencies.js';
+import { LeafPool } from './leaf-pool.js';
+import { LeafServer } from './leaf-server.js';
+import { SourcePlanner } from './source-planner.js';
+
+/**
+ * Leaves that share a replica's connections and the second sends of its service:
+ * the owners of its group and as many again, which stand in for them or hold the
+ * connections of a division that has just changed.
+ */
+const SHARING_LEAVES = 3 * GROUP_OWNERS;
+/** How often connections to leaves are looked after. Milliseconds. */
+const KEEP_INTERVAL_MS = 300;
+
+/** What the part is made of. */
+export interface AggregationOptions {
+  readonly context: GatewayContext;
+  readonly identity: LocalIdentity;
+  readonly settings: AggregationSettings;
+  readonly secondSends: SecondSendLimits;
+  readonly telemetry: Telemetry;
+  readonly leaves: () => readonly LeafGateway[];
+  readonly table: () => RouteTable | undefined;
+  readonly stopped: AbortSignal;
+}
+
+/** See the module comment. */
+export class Aggregation {
+  private readonly pool: LeafPool;
+  private readonly assignment: LeafAssignment;
+  private readonly server: LeafServer;
+  private readonly planner: SourcePlanner;
+  private listener: AuthenticatedListener | undefined;
+
+  constructor(private readonly options: AggregationOptions) {
+    const { context, identity, settings, telemetry, leaves, table } = options;
+    const { environment, targets } = context;
+    const { clock, random } = environment;
+    const leafContext = { ...context, shares: this.leafShares() };
+    this.pool = new LeafPool({ environment, identity, logger: telemetry.logger }, random);
+    this.assignment = new LeafAssignment({
+      now: () => clock.now(),
+      targets,
+      leaves,
+      shardsPerGroup: settings.shardsPerGroup,
+    });
+    this.server = new LeafServer({ context: leafContext, logger: telemetry.logger, table });
+    this.planner = new SourcePlanner({
+      rootContext: context,
+      leafContext,
+      ownName: identity.name,
+      pool: this.pool,
+      latencies: new LeafLatencies(),
+      assignment: this.assignment,
+      divideAbove: context.mechanisms.aggregation ? settings.divideAbove : Infinity,
+    });
+  }
+
+  /** @throws ConnectionError when the address cannot be listened on. */
+  async listen(address: Address): Promise<void> {
+    const { context, identity, telemetry } = this.options;
+    this.listener = await AuthenticatedListener.listen(
+      context.environment,
+      address,
+      identity,
+      { aggregation: (connection, peer) => this.server.serve(connection, peer) },
+      telemetry.registry,
+    );
+    void this.keepConnected();
+  }
+
+  /** Gathers in progress here for other gateways. */
+  get inProgress(): number {
+    return this.server.inProgress;
+  }
+
+  /** Who asks the shards of the request. */
+  plan(
+    request: CallerRequest,
+    shards: readonly string[],
+    listener: PartListener,
+  ): readonly PartSource[] {
+    return this.planner.plan(request, shards, listener);
+  }
+
+  /** Whether this gateway asks the service itself, so that connections to its replicas pay. */
+  asksItself(service: string): boolean {
+    const lists = this.options.table()?.shardLists ?? [];
+    const naming = lists.filter((list) => list.has(service));
+    if (naming.length > 0) return naming.some(({ shards }) => this.isOwner(shards, service));
+    // Perhaps a shard of the next version of the routes: of a few it may be asked from here.
+    return !lists.some(({ shards }) => this.planner.isDivided(shards));
+  }
+
+  /** Planned stop, first half: takes no new gathers; those in progress go on. */
+  stopTaking(): void {
+    this.server.stop();
+  }
+
+  /** Planned stop, second half. */
+  async close(): Promise<void> {
+    this.pool.close();
+    await this.listener?.close();
+  }
+
+  private isOwner(shards: readonly string[], service: string): boolean {
+    if (!this.planner.isDivided(shards)) return true;
+    const groups = this.assignment.groupsOf(shards);
+    const { name } = this.options.identity;
+    return groups.some(
+      (group) =>
+        group.leaves.slice(0, GROUP_OWNERS).some((leaf) => leaf.name === name) &&
+        group.shards.includes(service),
+    );
+  }
+
+  private leafShares(): FleetShares {
+    const { context, secondSends } = this.options;
+    const { clock } = context.environment;
+    const { youngShares } = context.mechanisms;
+    return new FleetShares(clock, secondSends, () => SHARING_LEAVES, youngShares);
+  }
+
+  private async keepConnected(): Promise<void> {
+    const { context, stopped, identity } = this.options;
+    const { clock } = context.environment;
+    while (!stopped.aborted) {
+      this.pool.keep(
+        this.dividedGroups().map((group) => ({
+          ...group,
+          leaves: group.leaves.filter(({ name }) => name !== identity.name),
+        })),
+      );
+      await clock.sleep(KEEP_INTERVAL_MS, stopped).catch(() => undefined);
+    }
+  }
+
+  private dividedGroups() {
+    const lists = this.options.table()?.shardLists ?? [];
+    return lists
+      .filter(({ shards }) => this.planner.isDivided(shards))
+      .flatMap(({ shards }) => this.assignment.groupsOf(shards));
+  }
+}
--- /dev/null
+++ b/src/aggregation/group-gather.ts
@@ -0,0 +1,280 @@
+/**
+ * Has one group of shards asked by a leaf; by another leaf when the first one
+ * declines, is lost or does not report in its usual time; from here when no leaf
+ * can be reached. A leaf that may have asked replicas counts: the next one gets
+ * fewer attempts, and each of its sendings takes from the budget of second sends.
+ */
+import type { LogFields } from '../observability/logger.js';
+import type { Timer } from '../seams/clock.js';
+import type { CallerRequest } from '../gateway/caller-request.js';
+import { cutOffDelay } from '../gateway/fan-out.js';
+import type { GatewayContext } from '../gateway/gateway-context.js';
+import type { GatheredParts, PartListener, PartSource } from '../gateway/part-source.js';
+import { targetLatencyOf } from '../gateway/route-latencies.js';
+import { ShardGather } from '../gateway/shard-gather.js';
+import type { PartsMessage } from './aggregation-messages.js';
+import type { LeafGroup } from './leaf-assignment.js';
+import type { LeafLatencies } from './leaf-latencies.js';
+import type { GatherHandle, LeafLink } from './leaf-link.js';
+import type { LeafPool } from './leaf-pool.js';
+
+/** Most leaves that are asked one after the other. */
+const MAXIMUM_LEAVES_ASKED = 3;
+/** Time for a leaf's report to arrive and be merged before the root answers. Milliseconds. */
+const REPORT_MARGIN_MS = 6;
+
+/**
+ * Part of the time after which another leaf is asked within which a leaf has to
+ * report, to be allowed second sendings; the rest is for the ways.
+ */
+const LEASE_PART = 0.6;
+
+/** What all gathers of a root share. */
+export interface GroupGatherParts {
+  /** For shards that are asked from here because no leaf can be reached. */
+  readonly rootContext: GatewayContext;
+  /** For groups of which this gateway is a leaf itself. */
+  readonly leafContext: GatewayContext;
+  readonly ownName: string;
+  readonly pool: LeafPool;
+  readonly latencies: LeafLatencies;
+}
+
+/** One leaf that was asked. */
+interface LeafAttempt {
+  readonly leaf: string;
+  readonly sentAt: number;
+  handle: GatherHandle | undefined;
+  hasReported: boolean;
+  /** Its attempts have been counted: another leaf was asked as well. */
+  isGivenUp: boolean;
+  sends: number;
+  endedAt: number | undefined;
+  result: string;
+}
+
+/** See the module comment. */
+export class GroupGather implements PartSource, PartListener {
+  private readonly missing: Set<string>;
+  private readonly attempts: LeafAttempt[] = [];
+  private readonly asked = new Set<string>();
+  private readonly active = new Set<LeafAttempt>();
+  private local: ShardGather | undefined;
+  private patienceTimer: Timer | undefined;
+  private mayHaveRun = false;
+  /** Replicas of each missing shard that may still be asked, over all leaves together. */
+  private attemptsLeft: number;
+  private isDone = false;
+
+  constructor(
+    private readonly parts: GroupGatherParts,
+    private readonly request: CallerRequest,
+    private readonly group: LeafGroup,
+    private readonly totalShards: number,
+    private readonly listener: PartListener,
+  ) {
+    this.missing = new Set(group.shards);
+    this.attemptsLeft = request.route.maximumAttempts;
+  }
+
+  start(): void {
+    const { ownName, leafContext, latencies } = this.parts;
+    if (this.group.leaves[0]?.name === ownName) {
+      this.askFromHere(leafContext, false);
+      return;
+    }
+    const { clock } = leafContext.environment;
+    const patience = latencies.patience(this.request.route);
+    this.patienceTimer = clock.setTimer(patience, () => this.loseIfSilent());
+    this.askNext();
+  }
+
+  cancel(reason: string): void {
+    this.isDone = true;
+    this.patienceTimer?.cancel();
+    this.local?.cancel(reason);
+    for (const attempt of this.active) attempt.handle?.cancel();
+  }
+
+  get sends(): number {
+    const atLeaves = this.attempts.reduce((sum, { sends }) => sum + sends, 0);
+    return atLeaves + (this.local?.sends ?? 0);
+  }
+
+  get isOffered(): boolean {
+    return this.active.size > 0 || this.sends > 0;
+  }
+
+  get mayRun(): boolean {
+    return this.mayHaveRun || this.active.size > 0 || this.local?.mayRun === true;
+  }
+
+  missingAttempts(receivedAt: number): readonly LogFields[] {
+    if (this.missing.size === 0) return [];
+    const atLeaves = this.attempts.map(({ leaf, sentAt, endedAt, result, sends }) => ({
+      leaf,
+      missing: this.missing.size,
+      sentAtMs: Math.round(sentAt - receivedAt),
+      tookMs: endedAt === undefined ? undefined : Math.round(endedAt - sentAt),
+      sends,
+      result,
+    }));
+    return [...atLeaves, ...(this.local?.missingAttempts(receivedAt) ?? [])];
+  }
+
+  onParts(parts: GatheredParts): void {
+    if (this.isDone) return;
+    for (const shard of parts.shards) this.missing.delete(shard);
+    this.listener.onParts(parts);
+  }
+
+  /** From the shards that are asked from here: nobody else is asked after that. */
+  onFailed(shards: readonly string[]): void {
+    if (this.isDone) return;
+    this.listener.onFailed(shards);
+  }
+
+  /** Asks the next leaf for what is missing. */
+  private askNext(): void {
+    if (this.attemptsLeft < 1) {
+      this.listener.onFailed([...this.missing]);
+      return;
+    }
+    const { pool, rootContext } = this.parts;
+    const link =
+      this.asked.size < MAXIMUM_LEAVES_ASKED ? pool.choose(this.group, this.asked) : undefined;
+    if (link === undefined || !this.askLeaf(link)) this.askFromHere(rootContext, this.mayRun);
+  }
+
+  private askFromHere(context: GatewayContext, isRepeat: boolean): void {
+    if (this.local !== undefined) return;
+    const { totalShards, attemptsLeft } = this;
+    const shards = [...this.missing];
+    const route = { ...this.request.route, maximumAttempts: attemptsLeft };
+    const request = { ...this.request, route };
+    this.local = new ShardGather(context, request, { shards, totalShards, isRepeat }, this);
+    this.local.start();
+  }
+
+  private askLeaf(link: LeafLink): boolean {
+    const { name } = link.leaf;
+    const sentAt = this.now();
+    const attempt: LeafAttempt = {
+      leaf: name,
+      sentAt,
+      handle: undefined,
+      hasReported: false,
+      isGivenUp: false,
+      sends: 0,
+      endedAt: undefined,
+      result: 'in flight',
+    };
+    const message = this.message(sentAt);
+    const shards = [...this.missing];
+    attempt.handle = link.gather(message, shards, {
+      onReport: (parts, report) => this.takeReport(attempt, parts, report),
+      onDeclined: (reason) => this.endAttempt(attempt, `declined: ${reason}`),
+      onLost: () => this.lose(attempt, link),
+    });
+    if (attempt.handle === undefined) return false;
+    this.asked.add(name);
+    this.attempts.push(attempt);
+    this.active.add(attempt);
+    return true;
+  }
+
+  private message(now: number): Parameters<LeafLink['gather']>[0] {
+    const { id, method, target, headers, body, route, table, receivedAt, deadline } = this.request;
+    const isRepeat = this.mayRun;
+    const targetLatencyMs = targetLatencyOf(route);
+    const cutOffAt = receivedAt + cutOffDelay(targetLatencyMs);
+    return {
+      requestId: id,
+      method,
+      target,
+      headers: JSON.stringify(headers),
+      body,
+      totalShards: this.totalShards,
+      routeName: route.name,
+      routeHost: route.host,
+      routePathPrefix: route.pathPrefix,
+      routeVersion: table.version,
+      topRecords: route.topRecords ?? 0,
+      targetLatencyMs,
+      priority: route.priority,
+      maximumAttempts: this.attemptsLeft,
+      elapsedMs: now - receivedAt,
+      leftMs: Math.max(1, deadline - now),
+      reportInMs: Math.max(0, cutOffAt - now - REPORT_MARGIN_MS),
+      leaseMs: this.parts.latencies.patience(route) * LEASE_PART,
+      isRepeat,
+    };
+  }
+
+  private takeReport(attempt: LeafAttempt, parts: GatheredParts, report: PartsMessage): void {
+    this.noteReport(attempt, report);
+    // Parts of several shards cannot be taken apart: all of them are new, or none is used.
+    const isNew = parts.shards.every((shard) => this.missing.has(shard));
+    if (isNew && parts.shards.length > 0) this.onParts(parts);
+    if (!report.isLast) return;
+    this.mayHaveRun ||= report.mayHaveRun;
+    this.active.delete(attempt);
+    attempt.endedAt = this.now();
+    attempt.result = report.reason === '' ? 'reported' : `reported: ${report.reason}`;
+    this.failIfOver();
+  }
+
+  private noteReport(attempt: LeafAttempt, report: PartsMessage): void {
+    const { latencies, rootContext } = this.parts;
+    attempt.sends = report.sends;
+    rootContext.shedding.learn(this.request.route.shards?.[0] ?? '', report.admittedPart);
+    if (attempt.hasReported) return;
+    attempt.hasReported = true;
+    latencies.noteReport(this.request.route, this.now() - attempt.sentAt);
+  }
+
+  /** The last leaf has reported: what is still missing has failed. */
+  private failIfOver(): void {
+    if (this.isDone || this.active.size > 0 || this.local !== undefined) return;
+    if (this.missing.size > 0) this.listener.onFailed([...this.missing]);
+  }
+
+  private lose(attempt: LeafAttempt, link: LeafLink): void {
+    this.mayHaveRun = true;
+    this.parts.pool.avoid(link.leaf);
+    if (!attempt.isGivenUp) this.spendAttempts(attempt);
+    this.endAttempt(attempt, 'lost');
+  }
+
+  /** A leaf that never reported has asked one replica of each shard at most, see `leaseMs`. */
+  private spendAttempts({ hasReported }: LeafAttempt): void {
+    this.attemptsLeft = hasReported ? 0 : this.attemptsLeft - 1;
+  }
+
+  private endAttempt(attempt: LeafAttempt, result: string): void {
+    this.active.delete(attempt);
+    attempt.endedAt = this.now();
+    attempt.result = result;
+    if (this.isDone || this.missing.size === 0 || this.active.size > 0) return;
+    this.askNext();
+  }
+
+  /** A leaf that has not reported in its usual time may be frozen or cut off: another is asked as well. */
+  private loseIfSilent(): void {
+    const { pool, rootContext } = this.parts;
+    const [silent] = [...this.active].filter(({ hasReported }) => !hasReported);
+    if (this.isDone || silent === undefined || this.attemptsLeft < 2) return;
+    const leaf = this.group.leaves.find(({ name }) => name === silent.leaf);
+    if (leaf !== undefined) pool.avoid(leaf);
+    rootContext.metrics.gathersRepeated.inc();
+    const link = pool.choose(this.group, this.asked);
+    if (link === undefined) return;
+    this.spendAttempts(silent);
+    silent.isGivenUp = true;
+    this.askLeaf(link);
+  }
+
+  private now(): number {
+    return this.parts.rootContext.environment.clock.now();
+  }
+}
--- /dev/null
+++ b/src/aggregation/leaf-assignment.ts
@@ -0,0 +1,100 @@
+/**
+ * Divides the shards of a route into groups, and ranks the leaves that may ask
+ * each group. Gateways that know the same replicas and leaves compute the same,
+ * so that few leaves hold connections to a replica and see most of its requests;
+ * where they differ, only those connections are more.
+ */
+import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
+import type { ServiceTargets } from '../gateway/service-targets.js';
+
+/** Computed again at most this often: replicas and leaves come and go. Milliseconds. */
+const REFRESH_MS = 500;
+/** First leaves of a group, which share its gathers; the others stand by. */
+export const GROUP_OWNERS = 2;
+
+/** Shards that are asked by one leaf. */
+export interface LeafGroup {
+  readonly shards: readonly string[];
+  /** Leaves that may ask them, the best first: those of the zone of the replicas, then others. */
+  readonly leaves: readonly LeafGateway[];
+}
+
+interface CachedGroups {
+  readonly computedAt: number;
+  readonly leaves: readonly LeafGateway[];
+  readonly groups: readonly LeafGroup[];
+}
+
+/** What the assignment goes by. */
+export interface LeafAssignmentSources {
+  readonly now: () => number;
+  readonly targets: ServiceTargets;
+  readonly leaves: () => readonly LeafGateway[];
+  /** Most shards of a group. */
+  readonly shardsPerGroup: number;
+}
+
+function nameOf({ name }: LeafGateway): string {
+  return name;
+}
+
+/** Cuts `items` into runs of nearly equal length, none longer than `longest`. */
+function cutEvenly<T>(items: readonly T[], longest: number): T[][] {
+  const count = Math.ceil(items.length / longest);
+  return Array.from({ length: count }, (_, index) =>
+    items.slice(
+      Math.round((index * items.length) / count),
+      Math.round(((index + 1) * items.length) / count),
+    ),
+  );
+}
+
+/** See the module comment. */
+export class LeafAssignment {
+  private readonly cache = new WeakMap<readonly string[], CachedGroups>();
+
+  constructor(private readonly sources: LeafAssignmentSources) {}
+
+  /** Groups of the shards; none while no leaf is known. `shards` is a list of a route document. */
+  groupsOf(shards: readonly string[]): readonly LeafGroup[] {
+    const now = this.sources.now();
+    const leaves = this.sources.leaves();
+    const known = this.cache.get(shards);
+    if (known?.leaves === leaves && now - known.computedAt < REFRESH_MS) return known.groups;
+    const groups = leaves.length === 0 ? [] : this.divide(shards, leaves);
+    this.cache.set(shards, { computedAt: now, leaves, groups });
+    return groups;
+  }
+
+  private divide(shards: readonly string[], leaves: readonly LeafGateway[]): LeafGroup[] {
+    const zones = [...new Set(leaves.map(({ zone }) => zone))];
+    const byZone = new Map<string, string[]>();
+    for (const shard of shards) {
+      const zone = this.homeOf(shard, zones);
+      const others = byZone.get(zone) ?? [];
+      others.push(shard);
+      byZone.set(zone, others);
+    }
+    return [...byZone].flatMap(([zone, group]) =>
+      cutEvenly(group.sort(), this.sources.shardsPerGroup).map((part, index) => ({
+        shards: part,
+        leaves: this.rank(`${zone} ${index}`, zone, leaves),
+      })),
+    );
+  }
+
+  /** A zone with replicas of the shard and with leaves; any with leaves when there is none. */
+  private homeOf(shard: string, zones: readonly string[]): string {
+    const zonesOfReplicas = new Set(this.sources.targets.of(shard).map(({ entry }) => entry.zone));
+    const near = zones.filter((zone) => zonesOfReplicas.has(zone));
+    return rankFor(shard, near.length > 0 ? near : zones, (zone) => zone)[0] ?? '';
+  }
+
+  private rank(subject: string, zone: string, leaves: readonly LeafGateway[]): LeafGateway[] {
+    const ranked = rankFor(subject, leaves, nameOf);
+    return [
+      ...ranked.filter((leaf) => leaf.zone === zone),
+      ...ranked.filter((leaf) => leaf.zone !== zone),
+    ];
+  }
+}
--- /dev/null
+++ b/src/aggregation/leaf-pool.ts
@@ -0,0 +1,94 @@
+/** All connections of a root to leaves, and the choice among them. */
+import type { LeafGateway } from '../directory/leaf-gateway.js';
+import type { RandomSource } from '../seams/random-source.js';
+import type { LeafGroup } from './leaf-assignment.js';
+import { GROUP_OWNERS } from './leaf-assignment.js';
+import { LeafLink, type LeafLinkParts } from './leaf-link.js';
+
+/** Leaves of a group to which connections are kept open: its owners and one that stands by. */
+const KEPT_LEAVES = GROUP_OWNERS + 1;
+/** What a leaf said of its load is used for this long. Milliseconds. */
+const LOAD_VALID_MS = 1_000;
+/** A leaf with so many gathers in progress is passed over while the next one has fewer. */
+const BUSY_GATHERS = 12;
+/** A leaf that was late or lost is passed over for this long. Milliseconds. */
+const AVOIDED_MS = 3_000;
+
+/** See the module comment. */
+export class LeafPool {
+  private readonly links = new Map<string, LeafLink>();
+  private readonly avoidedUntil = new Map<string, number>();
+
+  constructor(
+    private readonly parts: LeafLinkParts,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Connections that are open. */
+  get openLinks(): number {
+    return [...this.links.values()].filter(({ isOpen }) => isOpen).length;
+  }
+
+  /** Opens connections to the leaves of the groups, and closes those that no group needs. */
+  keep(groups: readonly LeafGroup[]): void {
+    const wanted = new Map<string, LeafGateway>();
+    for (const { leaves } of groups) {
+      for (const leaf of leaves.slice(0, KEPT_LEAVES)) wanted.set(leaf.name, leaf);
+    }
+    for (const [name, link] of this.links) {
+      link.checkSilence();
+      const isWanted = wanted.get(name)?.address === link.leaf.address;
+      if (isWanted || link.inProgress > 0) continue;
+      this.links.delete(name);
+      link.close();
+    }
+    for (const leaf of wanted.values()) this.linkTo(leaf).connect();
+  }
+
+  close(): void {
+    for (const link of this.links.values()) link.close();
+    this.links.clear();
+  }
+
+  /** The leaf did not answer in its usual time, or was lost: others are asked for a while. */
+  avoid(leaf: LeafGateway): void {
+    const { clock } = this.parts.environment;
+    this.avoidedUntil.set(leaf.name, clock.now() + AVOIDED_MS);
+  }
+
+  /**
+   * One of the first usable leaves of the group that is not in `excluded`: of
+   * two, the one with fewer gathers. Undefined when no connection is open.
+   */
+  choose(group: LeafGroup, excluded: ReadonlySet<string>): LeafLink | undefined {
+    const open = group.leaves.flatMap(({ name }) => {
+      const link = excluded.has(name) ? undefined : this.links.get(name);
+      return link !== undefined && link.isOpen && !link.isStopping ? [link] : [];
+    });
+    const calm = open.filter((link) => !this.isAvoided(link) && !this.isBusy(link));
+    const [first, second] = calm.length > 0 ? calm : open;
+    if (first === undefined || second === undefined) return first;
+    if (first.inProgress !== second.inProgress) {
+      return first.inProgress < second.inProgress ? first : second;
+    }
+    return this.random.nextFloat() < 0.5 ? first : second;
+  }
+
+  private isAvoided({ leaf }: LeafLink): boolean {
+    const { clock } = this.parts.environment;
+    return clock.now() < (this.avoidedUntil.get(leaf.name) ?? -Infinity);
+  }
+
+  private isBusy({ reportedAt, reportedLoad }: LeafLink): boolean {
+    const { clock } = this.parts.environment;
+    return clock.now() - reportedAt < LOAD_VALID_MS && reportedLoad >= BUSY_GATHERS;
+  }
+
+  private linkTo(leaf: LeafGateway): LeafLink {
+    const known = this.links.get(leaf.name);
+    if (known !== undefined) return known;
+    const link = new LeafLink(this.parts, leaf);
+    this.links.set(leaf.name, link);
+    return link;
+  }
+}
--- /dev/null
+++ b/src/aggregation/leaf-server.ts
@@ -0,0 +1,171 @@
+/** The leaf's end of connections from roots: runs their gathers, one task for each connection. */
+import type { CallerRequest } from '../gateway/caller-request.js';
+import type { GatewayContext } from '../gateway/gateway-context.js';
+import type { Logger } from '../observability/logger.js';
+import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import type { RemoteIdentity } from '../protocol/handshake.js';
+import type { RouteTable } from '../routes/route-table.js';
+import type { HttpHeaders } from '../seams/http.js';
+import type { MessageConnection } from '../seams/message-connection.js';
+import {
+  AGGREGATION_CODEC,
+  type AggregationMessage,
+  type GatherMessage,
+} from './aggregation-messages.js';
+import { readStrings } from './json-list.js';
+import { LeafGather } from './leaf-gather.js';
+
+/** More gathers at once are declined: a leaf that is so far behind helps nobody. */
+const MAXIMUM_GATHERS = 256;
+/** Answers that a root has not taken yet; a connection with more is closed. Bytes. */
+const MAXIMUM_QUEUED_BYTES = 4 * 1024 * 1024;
+
+/** What the server is made of. */
+export interface LeafServerOptions {
+  readonly context: GatewayContext;
+  readonly logger: Logger;
+  /** The route table in force here; undefined before the first. */
+  readonly table: () => RouteTable | undefined;
+}
+
+function readHeaders(text: string, peer: string): HttpHeaders {
+  const value: unknown = JSON.parse(text);
+  const isObject = typeof value === 'object' && value !== null;
+  if (isObject && Object.values(value).every((item) => typeof item === 'string')) {
+    return value as HttpHeaders;
+  }
+  throw new MalformedMessageError('read headers', peer, 'not an object of texts');
+}
+
+/** One root's connection. */
+class RootSession {
+  readonly gathers = new Map<number, LeafGather>();
+
+  constructor(
+    readonly connection: MessageConnection,
+    readonly root: string,
+  ) {}
+
+  send(message: AggregationMessage): void {
+    if (this.connection.queuedBytes > MAXIMUM_QUEUED_BYTES) this.connection.close();
+    // A connection that broke ends its task, which cancels the gathers.
+    this.connection.send(AGGREGATION_CODEC.encode(message)).catch(() => undefined);
+  }
+}
+
+/** See the module comment. */
+export class LeafServer {
+  private readonly sessions = new Set<RootSession>();
+  private isStopping = false;
+
+  constructor(private readonly options: LeafServerOptions) {}
+
+  /** Gathers in progress, for all roots. */
+  get inProgress(): number {
+    let count = 0;
+    for (const { gathers } of this.sessions) count += gathers.size;
+    return count;
+  }
+
+  /** Serves one root until its connection ends; then nobody waits for its gathers any more. */
+  async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
+    const session = new RootSession(connection, peer.name);
+    this.sessions.add(session);
+    if (this.isStopping) session.send({ kind: 'stopping' });
+    try {
+      for (;;) {
+        const frame = await connection.receive();
+        if (frame === undefined) break;
+        this.take(session, AGGREGATION_CODEC.decode(frame, peer.name));
+      }
+    } catch (error) {
+      const reason = String(error);
+      this.options.logger.warn('connection of a root broke', { root: peer.name, reason });
+    } finally {
+      this.sessions.delete(session);
+      for (const gather of [...session.gathers.values()]) gather.cancel('the root has gone');
+    }
+  }
+
+  /** Planned stop: roots send nothing new; gathers in progress go on. */
+  stop(): void {
+    this.isStopping = true;
+    for (const session of this.sessions) session.send({ kind: 'stopping' });
+  }
+
+  private take(session: RootSession, message: AggregationMessage): void {
+    if (message.kind === 'cancel') {
+      session.gathers.get(message.gatherId)?.cancel('the root does not need the rest');
+      return;
+    }
+    if (message.kind !== 'gather') {
+      throw new MalformedMessageError('serve root', session.root, `unexpected ${message.kind}`);
+    }
+    const reason = this.reasonToDecline;
+    if (reason === undefined) this.begin(session, message);
+    else this.decline(session, message.gatherId, reason);
+  }
+
+  private get reasonToDecline(): string | undefined {
+    if (this.isStopping) return 'the leaf is stopping';
+    if (this.options.table() === undefined) return 'the leaf has no route document yet';
+    if (this.inProgress >= MAXIMUM_GATHERS) return 'the leaf has too many gathers';
+    return undefined;
+  }
+
+  private decline(session: RootSession, gatherId: number, reason: string): void {
+    this.options.context.metrics.gathers.inc({ result: 'declined' });
+    session.send({ kind: 'declined', gatherId, reason });
+  }
+
+  private begin(session: RootSession, message: GatherMessage): void {
+    const { gatherId, totalShards, isRepeat, reportInMs, leaseMs } = message;
+    if (session.gathers.has(gatherId)) {
+      throw new MalformedMessageError('serve root', session.root, 'a gather number is used twice');
+    }
+    const shards = readStrings(message.shards, session.root, 'shards');
+    const gather = new LeafGather(this.options.context, {
+      gatherId,
+      request: this.toRequest(message, shards, session.root),
+      shards,
+      totalShards,
+      isRepeat,
+      reportInMs,
+      leaseMs,
+      root: session.root,
+      report: (parts) => session.send(parts),
+      onEnd: () => session.gathers.delete(gatherId),
+      gathersInProgress: () => this.inProgress,
+    });
+    this.options.context.metrics.gathers.inc({ result: 'begun' });
+    session.gathers.set(gatherId, gather);
+    gather.start();
+  }
+
+  private toRequest(message: GatherMessage, shards: string[], root: string): CallerRequest {
+    const now = this.options.context.environment.clock.now();
+    return {
+      id: message.requestId,
+      method: message.method,
+      target: message.target,
+      headers: readHeaders(message.headers, root),
+      body: message.body,
+      signal: new AbortController().signal,
+      table: this.options.table() as RouteTable,
+      route: {
+        name: message.routeName,
+        host: message.routeHost,
+        pathPrefix: message.routePathPrefix,
+        execution: 'repeatable',
+        timeoutMs: message.leftMs,
+        targetLatencyMs: message.targetLatencyMs,
+        priority: message.priority,
+        maximumAttempts: message.maximumAttempts,
+        shards,
+        topRecords: message.topRecords,
+      },
+      receivedAt: now - message.elapsedMs,
+      deadline: now + message.leftMs,
+    };
+  }
+}
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -29,6 +29,21 @@
   .prefault({})
   .describe('{ otherZoneCost: 0.03 }');
 
+/** How requests to many shards are divided among gateways. */
+export const aggregationSchema = z
+  .strictObject({
+    /**
+     * Requests to more shards than this are divided. Asking a shard takes some
+     * 0.3 ms of a core, so 32 of them take 10 ms before the last one is asked.
+     */
+    divideAbove: z.int().min(1).default(32),
+    /** Most shards of a group, which one gateway asks. */
+    shardsPerGroup: z.int().min(1).default(10),
+  })
+  .prefault({})
+  .describe('{ divideAbove: 32, shardsPerGroup: 10 }');
+export type AggregationSettings = z.infer<typeof aggregationSchema>;
+
 export const gatewayConfigurationSchema = z.strictObject({
   /** Unique among the daemons of the cluster. */
   name: nameSchema.describe('gateway-1'),
@@ -40,12 +55,15 @@
       http: addressSchema,
       /** `/readyz`, `/livez` and `/metrics`. */
       health: addressSchema,
+      /** Other gateways, which have some of their shards asked from here; absent: none do. */
+      messages: addressSchema.optional(),
     })
     .describe("{ http: '127.0.0.1:7400', health: '127.0.0.1:7401' }"),
   /** Internal addresses of some controllers; the others are learned from them. */
   controllers: z.array(addressSchema).min(1).describe("['127.0.0.1:7500']"),
   secondSends: secondSendSchema,
   placement: placementSchema,
+  aggregation: aggregationSchema,
   mechanisms: gatewayMechanismsSchema,
   /** From the order to stop until the process must have ended. Milliseconds. */
   stopGraceMs: z.int().min(1_000).default(10_000),
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -32,6 +32,8 @@
     warmConnections: switchSchema,
     /** A young gateway leaves room for the connections of its earlier process. */
     youngShares: switchSchema,
+    /** Requests to many shards are divided among gateways. */
+    aggregation: switchSchema,
   })
   .prefault({})
   .describe('{ hedging: true }');
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -16,6 +16,7 @@
   type SubscriberKind,
 } from './directory-messages.js';
 import { FRESH_MS, TAKES_RESTORED_MS } from './directory-timing.js';
+import type { LeafGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** Most controllers that are followed at once. */
@@ -31,6 +32,8 @@
   readonly logger: Logger;
   /** This process's own address for internal messages, which it does not follow. */
   readonly ownAddress?: string;
+  /** Where it takes gathers of other gateways, `host:port`; absent when it takes none. */
+  readonly gatherAddress?: string;
 }
 
 /** See the module comment. */
@@ -43,19 +46,22 @@
   /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
   private members: readonly string[] = [];
   private documentVersion = NO_DOCUMENT;
+  private joinedLeaves: readonly LeafGateway[] = [];
   private readonly startedAt: number;
   private readonly linkParts: DirectoryLinkParts;
 
   constructor(private readonly options: DirectoryClientOptions) {
     [this.emitDocument, this.documents] = createAdapter<DocumentMessage>();
-    const { environment, identity, subscriberKind, zone } = options;
+    const { environment, identity, subscriberKind, zone, gatherAddress = '' } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
       environment,
       identity,
       subscriberKind,
       zone,
+      gatherAddress,
       take: (message) => this.take(message),
+      onLeaves: () => this.joinLeaves(),
       onControllers: () => this.adjustLinks(),
       documentVersion: () => this.documentVersion,
       onState: (link, isOpen) => this.logState(link, isOpen),
@@ -94,6 +100,14 @@
     return counts.length === 0 ? undefined : Math.max(...counts);
   }
 
+  /**
+   * Gateways that take gathers of others, as any followed controller names them;
+   * those last named while none is followed. A new array whenever it changes.
+   */
+  get leaves(): readonly LeafGateway[] {
+    return this.joinedLeaves;
+  }
+
   async stop(): Promise<void> {
     const links = [...this.links.values()];
     this.links.clear();
@@ -135,6 +149,15 @@
     this.emitDocument(message);
   }
 
+  private joinLeaves(): void {
+    const joined = new Map<string, LeafGateway>();
+    for (const { status, leaves } of this.links.values()) {
+      if (status === undefined) continue;
+      for (const leaf of leaves.values()) joined.set(leaf.name, leaf);
+    }
+    if (joined.size > 0) this.joinedLeaves = [...joined.values()];
+  }
+
   private adjustLinks(): void {
     const told = [...this.links.values()].flatMap(({ controllers }) => controllers);
     // The union: the list of a controller that is cut off may be old.
@@ -154,6 +177,7 @@
   private logState(link: DirectoryLink, isOpen: boolean): void {
     const { logger } = this.options;
     const fields = { controller: link.address };
+    if (!isOpen) this.joinLeaves();
     if (isOpen) logger.info('controller regained', fields);
     else logger.warn('controller lost', fields);
   }
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -9,9 +9,11 @@
   DIRECTORY_CODEC,
   type ControllerMessage,
   type DirectoryMessage,
+  type LeafMessage,
   type StatusMessage,
   type SubscriberKind,
 } from './directory-messages.js';
+import type { LeafGateway } from './leaf-gateway.js';
 import {
   DIAL_TIMEOUT_MS,
   FIRST_DIAL_TIMEOUT_MS,
@@ -21,7 +23,7 @@
 } from './directory-timing.js';
 
 /** What a controller tells besides its own state. */
-export type LinkNews = Exclude<DirectoryMessage, StatusMessage | ControllerMessage>;
+export type LinkNews = Exclude<DirectoryMessage, StatusMessage | ControllerMessage | LeafMessage>;
 
 /** What all links of a process share. */
 export interface DirectoryLinkParts {
@@ -29,7 +31,11 @@
   readonly identity: LocalIdentity;
   readonly subscriberKind: SubscriberKind;
   readonly zone: string;
+  /** See `SubscribeMessage.gatherAddress`. */
+  readonly gatherAddress: string;
   readonly take: (message: LinkNews) => void;
+  /** A controller named gateways that take gathers, or some that do not any more. */
+  readonly onLeaves: () => void;
   /** A controller named the members of its group. */
   readonly onControllers: (link: DirectoryLink) => void;
   /** Version of the route document in force here. */
@@ -54,6 +60,8 @@
   status: LinkStatus | undefined;
   /** Addresses of the group's members, as the controller last named them. */
   controllers: readonly string[] = [];
+  /** Gateways that take gathers, by name, as the controller last named them on this connection. */
+  readonly leaves = new Map<string, LeafGateway>();
   private readonly stopped = new AbortController();
   private connection: MessageConnection | undefined;
   /** Dials in a row that opened no stream. */
@@ -86,7 +94,7 @@
   }
 
   private async connectAndFollow(): Promise<void> {
-    const { environment, identity, subscriberKind, zone, onState } = this.parts;
+    const { environment, identity, onState } = this.parts;
     let wasOpen = false;
     try {
       const address = parseAddress(this.address);
@@ -95,7 +103,8 @@
       const connection = await dial(environment, identity, target);
       this.connection = connection;
       if (this.stopped.signal.aborted) return;
-      await connection.send(DIRECTORY_CODEC.encode({ kind: 'subscribe', subscriberKind, zone }));
+      this.leaves.clear();
+      await connection.send(this.subscription());
       wasOpen = true;
       this.failures = 0;
       onState(this, true);
@@ -110,6 +119,16 @@
     }
   }
 
+  private subscription(): Uint8Array {
+    const { subscriberKind, zone, gatherAddress } = this.parts;
+    return DIRECTORY_CODEC.encode({ kind: 'subscribe', subscriberKind, zone, gatherAddress });
+  }
+
+  private takeLeaf({ name, zone, address, isGone }: LeafMessage): void {
+    if (isGone) this.leaves.delete(name);
+    else this.leaves.set(name, { name, zone, address });
+  }
+
   private async follow(connection: MessageConnection): Promise<void> {
     const { clock } = this.parts.environment;
     const guard = new SilenceGuard(clock, connection, STREAM_SILENCE_MS);
@@ -128,16 +147,21 @@
   private takeFrame(frame: Uint8Array): number {
     let position = 0;
     const controllers: string[] = [];
+    let hasLeaves = false;
     for (const message of DIRECTORY_CODEC.decodeBatch(frame, this.address)) {
       if (message.kind === 'status') {
         position = message.position;
         this.status = { ...message, receivedAt: this.parts.environment.clock.now() };
       } else if (message.kind === 'controller') {
         controllers.push(message.address);
+      } else if (message.kind === 'leaf') {
+        this.takeLeaf(message);
+        hasLeaves = true;
       } else {
         this.parts.take(message);
       }
     }
+    if (hasLeaves) this.parts.onLeaves();
     if (controllers.length > 0) {
       this.controllers = controllers;
       this.parts.onControllers(this);
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -8,6 +8,8 @@
   /** A `SubscriberKind`. */
   readonly subscriberKind: string;
   readonly zone: string;
+  /** Where other gateways reach it, `host:port`; empty when it takes no gathers. */
+  readonly gatherAddress: string;
 }
 
 /** A replica's entry; see `ReplicaEntry`. */
@@ -45,6 +47,16 @@
   readonly address: string;
 }
 
+/** A gateway that takes gathers of others, or does not any more; told to gateways. */
+export interface LeafMessage {
+  readonly kind: 'leaf';
+  readonly name: string;
+  readonly zone: string;
+  /** `host:port`. */
+  readonly address: string;
+  readonly isGone: boolean;
+}
+
 /** Last message of each frame; a frame of it alone is the heartbeat. */
 export interface StatusMessage {
   readonly kind: 'status';
@@ -72,6 +84,7 @@
   | HeardMessage
   | DocumentMessage
   | ControllerMessage
+  | LeafMessage
   | StatusMessage
   | ConfirmMessage;
 
@@ -89,7 +102,14 @@
 }
 
 export const DIRECTORY_CODEC = new MessageCodec<DirectoryMessage>({
-  subscribe: { tag: 40, fields: [field('subscriberKind', 'string'), field('zone', 'string')] },
+  subscribe: {
+    tag: 40,
+    fields: [
+      field('subscriberKind', 'string'),
+      field('zone', 'string'),
+      field('gatherAddress', 'string'),
+    ],
+  },
   replica: {
     tag: 41,
     fields: [
@@ -116,6 +136,15 @@
       field('stopping', 'boolean'),
     ],
   },
+  leaf: {
+    tag: 47,
+    fields: [
+      field('name', 'string'),
+      field('zone', 'string'),
+      field('address', 'string'),
+      field('isGone', 'boolean'),
+    ],
+  },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
 
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -4,10 +4,12 @@
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
-import { DirectorySession, type DirectoryServerSources } from './directory-session.js';
+import { DirectorySession, type DirectorySessionSources } from './directory-session.js';
+import { chooseLeaves, type LeafGateway } from './leaf-gateway.js';
 import {
   BATCH_INTERVAL_MS,
   GATEWAY_REMEMBERED_MS,
+  LEAVES_INTERVAL_MS,
   STATUS_INTERVAL_MS,
   STREAM_SILENCE_MS,
 } from './directory-timing.js';
@@ -15,6 +17,9 @@
 /** Most messages of one frame, which keeps it far below the longest frame. */
 const MESSAGES_PER_FRAME = 2_000;
 
+/** What subscribers are told, besides which gateways there are. */
+export type DirectoryServerSources = Omit<DirectorySessionSources, 'leaves'>;
+
 /** Who confirmed a position. */
 export interface Confirmation {
   /** Names of the controllers that hold it, besides this one. */
@@ -29,9 +34,13 @@
   private readonly gatewaySeenAt = new Map<string, number>();
   private readonly news: Notifier;
   private readonly confirmations: Notifier;
+  private readonly sessionSources: DirectorySessionSources;
+  private leaves: readonly LeafGateway[] = [];
+  private leavesChosenAt = -Infinity;
   private stopping = false;
 
   constructor(private readonly sources: DirectoryServerSources) {
+    this.sessionSources = { ...sources, leaves: () => this.currentLeaves() };
     this.news = new Notifier(sources.clock);
     this.confirmations = new Notifier(sources.clock);
   }
@@ -116,7 +125,22 @@
     if (message.kind !== 'subscribe') return undefined;
     const isController = message.subscriberKind === SubscriberKind.Controller.valueOf();
     const kind = isController ? SubscriberKind.Controller : SubscriberKind.Gateway;
-    return new DirectorySession(name, kind);
+    const { zone, gatherAddress: address } = message;
+    const leaf = address === '' ? undefined : { name, zone, address };
+    return new DirectorySession(name, kind, leaf);
+  }
+
+  /** Chosen anew now and then: when a fleet starts, gateways connect one after the other. */
+  private currentLeaves(): readonly LeafGateway[] {
+    const now = this.sources.clock.now();
+    if (now - this.leavesChosenAt < LEAVES_INTERVAL_MS) return this.leaves;
+    this.leavesChosenAt = now;
+    const byName = new Map<string, LeafGateway>();
+    for (const { leaf } of this.sessions) {
+      if (leaf !== undefined) byName.set(leaf.name, leaf);
+    }
+    this.leaves = chooseLeaves([...byName.values()]);
+    return this.leaves;
   }
 
   private async sendNews(connection: MessageConnection, session: DirectorySession): Promise<void> {
@@ -138,7 +162,7 @@
     connection: MessageConnection,
     session: DirectorySession,
   ): Promise<void> {
-    const messages = session.takeNews(this.sources);
+    const messages = session.takeNews(this.sessionSources);
     const { position } = session;
     let start = 0;
     do {
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -1,8 +1,13 @@
 /** One subscriber's stream at a controller, and what is new to it. */
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
-import type { SubscriberKind } from './directory-messages.js';
-import { NO_DOCUMENT, replicaMessage, type DirectoryMessage } from './directory-messages.js';
+import {
+  NO_DOCUMENT,
+  SubscriberKind,
+  replicaMessage,
+  type DirectoryMessage,
+} from './directory-messages.js';
+import type { LeafGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** A controller as subscribers are told of it. */
@@ -12,13 +17,15 @@
 }
 
 /** What subscribers are told. */
-export interface DirectoryServerSources {
+export interface DirectorySessionSources {
   readonly clock: Clock;
   readonly directory: ReplicaDirectory;
   readonly document: () => StoredRouteDocument | undefined;
   readonly controllers: () => readonly DirectoryController[];
   /** See `StatusMessage.ageMs`. */
   readonly ageMs: () => number;
+  /** Gateways that take gathers of others. */
+  readonly leaves: () => readonly LeafGateway[];
 }
 
 /** See the module comment. */
@@ -32,16 +39,21 @@
   private documentVersion = NO_DOCUMENT;
   private controllers = '';
 
+  private readonly toldLeaves = new Map<string, LeafGateway>();
+
   constructor(
     readonly name: string,
     readonly kind: SubscriberKind,
+    /** The subscriber itself; undefined when it takes no gathers. */
+    readonly leaf: LeafGateway | undefined,
   ) {}
 
   /** Everything that the subscriber was not told yet. */
-  takeNews(sources: DirectoryServerSources): DirectoryMessage[] {
+  takeNews(sources: DirectorySessionSources): DirectoryMessage[] {
     const messages: DirectoryMessage[] = [];
     this.addDocument(sources, messages);
     this.addControllers(sources, messages);
+    if (this.kind === SubscriberKind.Gateway) this.addLeaves(sources, messages);
     for (const entry of sources.directory.changedAfter(this.position)) {
       messages.push(replicaMessage(entry));
     }
@@ -51,14 +63,29 @@
     return messages;
   }
 
-  private addDocument(sources: DirectoryServerSources, messages: DirectoryMessage[]): void {
+  private addDocument(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const document = sources.document();
     if (document === undefined || document.version <= this.documentVersion) return;
     this.documentVersion = document.version;
     messages.push({ kind: 'document', ...document });
   }
 
-  private addControllers(sources: DirectoryServerSources, messages: DirectoryMessage[]): void {
+  /** What changed in the list since it was told. */
+  private addLeaves(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
+    const gone = new Map(this.toldLeaves);
+    for (const leaf of sources.leaves()) {
+      gone.delete(leaf.name);
+      if (this.toldLeaves.get(leaf.name)?.address === leaf.address) continue;
+      this.toldLeaves.set(leaf.name, leaf);
+      messages.push({ kind: 'leaf', ...leaf, isGone: false });
+    }
+    for (const leaf of gone.values()) {
+      this.toldLeaves.delete(leaf.name);
+      messages.push({ kind: 'leaf', ...leaf, isGone: true });
+    }
+  }
+
+  private addControllers(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const controllers = sources.controllers();
     const fingerprint = controllers.map(({ address }) => address).join(' ');
     if (fingerprint === this.controllers) return;
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -21,6 +21,9 @@
 /** News within this time goes into one frame. */
 export const BATCH_INTERVAL_MS = 5;
 
+/** A controller chooses the gateways that take gathers of others this often. */
+export const LEAVES_INTERVAL_MS = 400;
+
 /** A gateway counts for shares of budgets this long after it was last connected. */
 export const GATEWAY_REMEMBERED_MS = 15_000;
 
--- a/src/explain/loss-cause.ts
+++ b/src/explain/loss-cause.ts
@@ -9,7 +9,10 @@
 
 /** Lines of requests that lost nothing. */
 const WITHOUT_LOSS: ReadonlySet<string> = new Set([DecisionKind.Answered, DecisionKind.Hedged]);
-const DECISIONS: ReadonlySet<string> = new Set(Object.values(DecisionKind));
+/** The gateway that the caller reached says what became of the request. */
+const DECISIONS: ReadonlySet<string> = new Set(
+  Object.values(DecisionKind).filter((kind) => kind !== DecisionKind.Gathered),
+);
 
 function resultsOf({ context }: LoggedLine): readonly string[] {
   const attempts = context['missingAttempts'] ?? context['attempts'];
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -25,7 +25,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly targets: () => Iterable<ReplicaTarget>;
-  /** Whether requests to the service are so short that a new connection is felt. */
+  /** Whether the service is asked from here, by requests so short that a new connection is felt. */
   readonly isWorthIt: (service: string) => boolean;
   /** Path of the health check of a service. */
   readonly healthPath: (service: string) => string;
@@ -46,12 +46,12 @@
   let looked = 0;
   let checked = 0;
   for (const target of parts.targets()) {
+    if (!parts.isWorthIt(target.entry.service)) continue;
     looked += 1;
     if (looked > MAXIMUM_TARGETS || checked >= CHECKS_PER_LOOK) return;
     const isDue = now >= target.warmCheckAt && target.warmChecks < CHECKS_WITHOUT_USE;
     if (!isDue || target.inFlight > 0) continue;
     if (target.isResting(now) || target.isReplaced(now)) continue;
-    if (!parts.isWorthIt(target.entry.service)) continue;
     checked += 1;
     target.warmChecks += 1;
     target.warmCheckAt = now + REST_MS + parts.random.nextFloat() * REST_SPREAD_MS;
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -9,27 +9,35 @@
 import { GatewayRefusal, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { mergeRecords } from './merge-records.js';
-import type { ReplicaAnswer } from './attempt-result.js';
-import { ReplicaRace } from './replica-race.js';
+import type { GatheredParts, PartListener, PartSource } from './part-source.js';
 import { targetLatencyOf } from './route-latencies.js';
 
 /** Time before the target at which an answer must leave, to arrive within it. Milliseconds. */
 const ANSWER_MARGIN_MS = 12;
 /** The margin is at most this part of the target. */
 const ANSWER_MARGIN_PART = 0.3;
-/** After this part of the target, late shards are looked at once more. */
-const HEDGE_AGAIN_PART = 0.15;
-/** Shards whose replicas could not take the request are tried again within this part of it. */
-const RETRY_PART = 0.6;
 /** Absorbs what fractions such as 0.89 lose in binary. */
 const ROUNDING = 1e-9;
 
+/** Longest time from a request until an answer that is good enough leaves. Milliseconds. */
+export function cutOffDelay(targetLatency: number): number {
+  return targetLatency - Math.min(ANSWER_MARGIN_MS, targetLatency * ANSWER_MARGIN_PART);
+}
+
+/** Decides who asks the shards of a request; the sources report to `listener`. */
+export type PlanSources = (
+  request: CallerRequest,
+  shards: readonly string[],
+  listener: PartListener,
+) => readonly PartSource[];
+
 /** One fan-out in progress. */
-export class FanOut {
-  private readonly races: ReplicaRace[] = [];
-  private readonly parts = new Map<string, ReplicaAnswer>();
+export class FanOut implements PartListener {
+  private sources: readonly PartSource[] = [];
+  private readonly parts: GatheredParts[] = [];
+  private readonly answered = new Set<string>();
+  private readonly failed = new Set<string>();
   private readonly timers: Timer[] = [];
-  private failed = 0;
   private isPastCutOff = false;
   private isDone = false;
   private resolve!: (response: HttpResponse) => void;
@@ -39,6 +47,7 @@
     private readonly context: GatewayContext,
     private readonly request: CallerRequest,
     private readonly shards: readonly string[],
+    private readonly planSources: PlanSources,
   ) {}
 
   /** Resolves with the final answer, at the request's deadline at the latest. */
@@ -55,10 +64,23 @@
       }
       this.request.signal.addEventListener('abort', this.onGone, { once: true });
       this.startTimers();
-      this.startRaces();
+      this.startSources();
     });
   }
 
+  onParts(parts: GatheredParts): void {
+    if (this.isDone) return;
+    this.parts.push(parts);
+    for (const shard of parts.shards) this.answered.add(shard);
+    this.judge();
+  }
+
+  onFailed(shards: readonly string[]): void {
+    if (this.isDone) return;
+    for (const shard of shards) this.failed.add(shard);
+    this.judge();
+  }
+
   private get isAdmitted(): boolean {
     const { mechanisms, shedding } = this.context;
     return (
@@ -81,45 +103,21 @@
     const { clock } = this.context.environment;
     const { receivedAt, deadline, route } = this.request;
     const target = targetLatencyOf(route);
-    const margin = Math.min(ANSWER_MARGIN_MS, target * ANSWER_MARGIN_PART);
-    const elapsed = clock.now() - receivedAt;
-    const { hedgeDelay } = this.context.latencies.of(route);
-    const { secondHedge, cutOff } = this.context.mechanisms;
-    if (secondHedge) {
-      // For those that found no room or no budget the first time.
-      const delay = hedgeDelay + target * HEDGE_AGAIN_PART;
-      this.timers.push(clock.setTimer(delay, () => this.hedge()));
-    }
-    if (cutOff) {
-      const rest = Math.max(0, target - margin - elapsed);
+    if (this.context.mechanisms.cutOff) {
+      const rest = Math.max(0, receivedAt + cutOffDelay(target) - clock.now());
       this.timers.push(clock.setTimer(rest, () => this.cutOff()));
     }
     this.timers.push(
-      clock.setTimer(hedgeDelay, () => this.hedge()),
       clock.setTimer(target * UNOFFERED_PART, () => this.refuseUnoffered()),
       clock.setTimer(deadline - clock.now(), () => this.timeOut()),
     );
   }
 
-  private startRaces(): void {
-    const latency = this.context.latencies.of(this.request.route);
-    const target = targetLatencyOf(this.request.route);
-    const retryUntil = this.request.receivedAt + target * RETRY_PART;
-    const onEnd = (race: ReplicaRace): void => this.take(race);
-    for (const shard of this.shards) {
-      this.races.push(
-        new ReplicaRace(this.context, this.request, shard, latency, onEnd, retryUntil),
-      );
-    }
-    for (const race of this.races) {
+  private startSources(): void {
+    this.sources = this.planSources(this.request, this.shards, this);
+    for (const source of this.sources) {
       if (this.isDone) return;
-      race.start();
-    }
-  }
-
-  private hedge(): void {
-    for (const race of this.races) {
-      if (race.hedge()) this.context.metrics.hedges.inc();
+      source.start();
     }
   }
 
@@ -130,55 +128,46 @@
   }
 
   private refuseUnoffered(): void {
-    const isOffered = this.races.some((race) => race.sends > 0);
+    const isOffered = this.sources.some((source) => source.isOffered);
     if (!isOffered) this.giveUp(GatewayRefusal.NotRun, 'no replica has room');
   }
 
   private timeOut(): void {
-    if (this.parts.size >= this.required) this.answer();
+    if (this.answered.size >= this.required) this.answer();
     else this.giveUp(GatewayRefusal.TimedOut, TIME_UP);
   }
 
-  private take(race: ReplicaRace): void {
-    if (this.isDone || race.outcome === undefined) return;
-    if (race.outcome.kind === 'answered') this.parts.set(race.service, race.outcome.answer);
-    else this.failed += 1;
-    this.judge();
-  }
-
   private judge(): void {
     if (this.isDone) return;
     const total = this.shards.length;
-    const isEnough = this.parts.size >= this.required;
-    const isComplete = this.parts.size + this.failed === total;
+    const isEnough = this.answered.size >= this.required;
+    const isComplete = this.answered.size + this.failed.size === total;
     if (isEnough && (isComplete || this.isPastCutOff)) this.answer();
-    else if (total - this.failed < this.required) {
+    else if (total - this.failed.size < this.required) {
       this.giveUp(GatewayRefusal.Failed, 'too many shards failed');
     }
   }
 
   private answer(): void {
-    const { partSignatures, missingParts, requestId, signature } = this.context.headers;
-    const answers = [...this.parts.values()];
-    const missing = this.shards.length - answers.length;
-    const signatures = answers.map(({ headers }) => headers[signature] ?? '');
+    const { partSignatures, missingParts, requestId } = this.context.headers;
+    const signatures = this.parts.flatMap((part) => part.signatures);
     const { topRecords = 0 } = this.request.route;
     const body = mergeRecords(
-      answers.map((answer) => answer.body),
+      this.parts.map(({ records }) => records),
       topRecords,
     );
     const headers = {
       'content-type': 'application/octet-stream',
       [requestId]: this.request.id,
       [partSignatures]: signatures.join(', '),
-      [missingParts]: String(missing),
+      [missingParts]: String(this.shards.length - this.answered.size),
     };
     this.finish({ status: 200, headers, body }, 'enough parts are in');
   }
 
   private giveUp(refusal: GatewayRefusal, reason: string): void {
     if (this.isDone) return;
-    const mayRun = this.races.some((race) => race.mayRun || race.outcome?.kind === 'answered');
+    const mayRun = this.answered.size > 0 || this.sources.some((source) => source.mayRun);
     const response = mayRun ? refuse(refusal, reason) : refuse(GatewayRefusal.NotRun, reason);
     this.finish(response, reason);
   }
@@ -187,15 +176,14 @@
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
     this.request.signal.removeEventListener('abort', this.onGone);
-    for (const race of this.races) race.cancel(reason);
-    const missing = this.races.filter(({ service }) => !this.parts.has(service));
+    for (const source of this.sources) source.cancel(reason);
     this.context.decisions.fannedOut(this.request, {
       status: response.status,
       reason,
       shards: this.shards.length,
-      missing: this.shards.length - this.parts.size,
-      sends: this.races.reduce((sum, race) => sum + race.sends, 0),
-      missingRaces: missing,
+      missing: this.shards.length - this.answered.size,
+      sends: this.sources.reduce((sum, source) => sum + source.sends, 0),
+      sources: this.sources,
     });
     this.resolve(response);
   }
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -41,7 +41,14 @@
       resolve(answerOf(outcome, isTimeUp));
     };
     const offeredBy = request.receivedAt + targetLatencyOf(request.route) * UNOFFERED_PART;
-    const race = new ReplicaRace(context, request, service, latency, onEnd, offeredBy);
+    const race = new ReplicaRace(context, request, {
+      service,
+      latency,
+      stake: 1,
+      isRepeat: false,
+      retryUntil: offeredBy,
+      onEnd,
+    });
     const giveUp = (reason: string): void => {
       if (race.outcome !== undefined) return;
       race.cancel(reason);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,6 +2,7 @@
  * The gateway daemon: forwards callers' HTTP requests to replicas by the route
  * document, and merges the answers of those that go to all shards. Holds no disk.
  */
+import { Aggregation } from '../aggregation/aggregation.js';
 import { observe } from '../control-stream/observe.js';
 import type { GatewayConfiguration } from '../configuration/gateway-configuration.js';
 import { DirectoryClient } from '../directory/directory-client.js';
@@ -10,6 +11,7 @@
 import { DecisionLog } from '../observability/decision-log.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
+import type { LocalIdentity } from '../protocol/handshake.js';
 import { readRouteDocument } from '../routes/read-route-document.js';
 import { RouteTable } from '../routes/route-table.js';
 import { formatAddress, type Address } from '../seams/address.js';
@@ -59,6 +61,7 @@
   private readonly client: DirectoryClient;
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
+  private readonly aggregation: Aggregation;
   private readonly ended = new AbortController();
   private isStopping = false;
   private wasReady = false;
@@ -76,7 +79,10 @@
     this.directory = new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges);
     this.client = this.createClient();
     this.context = this.createContext(headers, zone);
-    this.endpoint = new GatewayEndpoint(this.context);
+    this.aggregation = this.createAggregation();
+    this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
+      this.aggregation.plan(request, shards, listener),
+    );
     observe(this.client.documents, (document) => this.applyDocument(document));
   }
 
@@ -123,25 +129,51 @@
     const { clock } = this.environment;
     const begunAt = clock.now();
     const { stopGraceMs } = this.configuration;
-    this.logger.info('gateway stopping', { inFlight: this.endpoint.inFlight });
+    this.logger.info('gateway stopping', { inFlight: this.inFlight });
+    this.aggregation.stopTaking();
     await clock.sleep(stopGraceMs * ACCEPTING_PART);
     const closed = this.callers?.close();
-    while (this.endpoint.inFlight > 0 && clock.now() - begunAt < stopGraceMs * ANSWERING_PART) {
+    while (this.inFlight > 0 && clock.now() - begunAt < stopGraceMs * ANSWERING_PART) {
       await clock.sleep(STOP_CHECK_MS);
     }
     await Promise.race([closed, clock.sleep(STOP_CHECK_MS)]);
     this.ended.abort(new Error('stopped'));
     await this.health?.close();
     await this.client.stop();
+    await this.aggregation.close();
     this.context.targets.stop();
-    this.logger.info('gateway stopped', { inFlight: this.endpoint.inFlight });
+    this.logger.info('gateway stopped', { inFlight: this.inFlight });
+  }
+
+  /** Requests of callers, and of other gateways, that have no answer yet. */
+  private get inFlight(): number {
+    return this.endpoint.inFlight + this.aggregation.inProgress;
+  }
+
+  private get identity(): LocalIdentity {
+    const { name, cluster } = this.configuration;
+    return { clusterId: cluster.id, clusterKey: cluster.key, name };
+  }
+
+  private createAggregation(): Aggregation {
+    return new Aggregation({
+      context: this.context,
+      identity: this.identity,
+      settings: this.configuration.aggregation,
+      secondSends: this.configuration.secondSends,
+      telemetry: { ...this.telemetry, logger: this.logger },
+      leaves: () => this.client.leaves,
+      table: () => this.endpoint.table,
+      stopped: this.ended.signal,
+    });
   }
 
   private createClient(): DirectoryClient {
-    const { name, zone, cluster, controllers } = this.configuration;
+    const { zone, controllers, listen } = this.configuration;
     const client = new DirectoryClient({
       environment: this.environment,
-      identity: { clusterId: cluster.id, clusterKey: cluster.key, name },
+      identity: this.identity,
+      ...(listen.messages === undefined ? {} : { gatherAddress: formatAddress(listen.messages) }),
       subscriberKind: SubscriberKind.Gateway,
       zone,
       directory: this.directory,
@@ -178,6 +210,7 @@
   private async open(): Promise<void> {
     const { listen, limits } = this.configuration;
     const { network } = this.environment;
+    if (listen.messages !== undefined) await this.aggregation.listen(listen.messages);
     const options: HttpListenOptions = {
       ...limits,
       onRefused: (refused) => this.noteRefused(refused),
@@ -230,13 +263,18 @@
     }
   }
 
+  private isAskedOften(service: string): boolean {
+    const { table } = this.endpoint;
+    return table?.isShard(service) === true && this.aggregation.asksItself(service);
+  }
+
   private keepWarm(): Promise<void> {
     const { clock, random } = this.environment;
     return keepConnectionsWarm({
       clock,
       random,
       targets: () => this.context.targets.all(),
-      isWorthIt: (service) => this.endpoint.table?.isShard(service) ?? true,
+      isWorthIt: (service) => this.isAskedOften(service),
       healthPath: (service) => this.endpoint.table?.service(service)?.healthPath ?? '/health',
       stopped: this.ended.signal,
     });
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -4,7 +4,7 @@
 import type { RouteTable } from '../routes/route-table.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
 import type { CallerRequest } from './caller-request.js';
-import { FanOut } from './fan-out.js';
+import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
 import { forwardSingle } from './forward-single.js';
 import { GatewayRefusal, refuse } from './gateway-answers.js';
@@ -22,7 +22,10 @@
   inFlight = 0;
   private readonly splits = new SplitChooser();
 
-  constructor(private readonly context: GatewayContext) {
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly planSources: PlanSources,
+  ) {
     this.tables = new TableInForce(context.environment.clock);
   }
 
@@ -117,7 +120,9 @@
 
   private forward(request: CallerRequest): Promise<HttpResponse> {
     const { service, split, shards } = request.route;
-    if (shards !== undefined) return new FanOut(this.context, request, shards).run();
+    if (shards !== undefined) {
+      return new FanOut(this.context, request, shards, this.planSources).run();
+    }
     const chosen = split === undefined ? service : this.splits.choose(request.route, split);
     return forwardSingle(this.context, request, chosen ?? '');
   }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -10,6 +10,8 @@
   readonly attempts: Counter<'result'>;
   readonly hedges: Counter;
   readonly missingParts: Counter;
+  readonly gathers: Counter<'result'>;
+  readonly gathersRepeated: Counter;
   readonly latency: Histogram;
   readonly routeVersion: Gauge;
 
@@ -37,6 +39,17 @@
       help: 'Shards that merged answers lacked.',
       registers,
     });
+    this.gathers = new Counter({
+      name: 'driftway_gateway_gathers_total',
+      help: 'Groups of shards that other gateways asked for, by whether they were begun.',
+      labelNames: ['result'],
+      registers,
+    });
+    this.gathersRepeated = new Counter({
+      name: 'driftway_gateway_gathers_repeated_total',
+      help: 'Groups of shards that another gateway was asked for because the first was silent.',
+      registers,
+    });
     this.latency = new Histogram({
       name: 'driftway_gateway_latency_seconds',
       help: 'Time from a request to its answer.',
--- a/src/gateway/overload-shedding.ts
+++ b/src/gateway/overload-shedding.ts
@@ -19,12 +19,20 @@
 /** Of two requests the less urgent is refused a little more often for each rank. */
 const RANK_PART = 0.04;
 
+/** Weight of one leaf's word: each speaks for a part of the shards. */
+const LEARNED_WEIGHT = 0.15;
+
 /** Of one set of shards. */
 class SetLoad {
   admitted = 1;
   private reports = 0;
   private longQueues = 0;
 
+  /** What a leaf admits for some of the shards moves the whole set by a part. */
+  learn(admitted: number): void {
+    this.admitted += (admitted - this.admitted) * LEARNED_WEIGHT;
+  }
+
   note({ waiting, slots }: ReportedLoad): void {
     this.reports += 1;
     if (waiting >= Math.max(1, slots)) this.longQueues += 1;
@@ -49,20 +57,31 @@
 
   /** Whether a fan-out over the set that begins with `firstShard` is taken on. */
   admits(firstShard: string, priority: number): boolean {
-    const admitted = this.sets.get(firstShard)?.admitted ?? 1;
+    const admitted = this.admittedPart(firstShard);
     if (admitted >= 1) return true;
     return this.random.nextFloat() < admitted - RANK_PART * priority;
   }
 
   /** A replica of the set told its load. */
   note(firstShard: string, load: ReportedLoad): void {
+    this.setOf(firstShard).note(load);
+  }
+
+  /** Part of the requests to the set that is taken on. */
+  admittedPart(firstShard: string): number {
+    return this.sets.get(firstShard)?.admitted ?? 1;
+  }
+
+  /** Another gateway, which asks some shards of the set, takes on this part. */
+  learn(firstShard: string, admittedPart: number): void {
+    this.setOf(firstShard).learn(Math.min(1, Math.max(LEAST_ADMITTED, admittedPart)));
+  }
+
+  private setOf(firstShard: string): SetLoad {
     const known = this.sets.get(firstShard);
-    if (known !== undefined) {
-      known.note(load);
-      return;
-    }
+    if (known !== undefined) return known;
     const set = new SetLoad();
     this.sets.set(firstShard, set);
-    set.note(load);
+    return set;
   }
 }
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -28,6 +28,21 @@
   readonly record: AttemptRecord;
 }
 
+/** What is asked, and how. */
+export interface ReplicaRaceOptions {
+  readonly service: string;
+  readonly latency: RouteLatency;
+  /** Part of the request's worth that is lost when this service does not answer in time; at most 1. */
+  readonly stake: number;
+  /** The request may have been sent to the service by another gateway: the budget is asked first. */
+  readonly isRepeat: boolean;
+  /** Until when replicas that could not take it are tried again. Clock reading. */
+  readonly retryUntil: number;
+  /** Asked before a further sending beside or after one that may have run; absent: always allowed. */
+  readonly maySendAgain?: (() => boolean) | undefined;
+  readonly onEnd: (race: ReplicaRace) => void;
+}
+
 /** See the module comment. */
 export class ReplicaRace {
   outcome: RaceOutcome | undefined;
@@ -48,15 +63,20 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly request: CallerRequest,
-    readonly service: string,
-    private readonly latency: RouteLatency,
-    private readonly onEnd: (race: ReplicaRace) => void,
-    /** Until when replicas that could not take it are tried again. Clock reading. */
-    private readonly retryUntil: number,
+    private readonly options: ReplicaRaceOptions,
   ) {}
 
+  /** The service that is asked. */
+  get service(): string {
+    return this.options.service;
+  }
+
   /** Sends for the first time, or as soon as a replica has room. */
   start(): void {
+    if (this.options.isRepeat) {
+      if (!this.launchAgain(this.context.shares)) this.finish(this.failure());
+      return;
+    }
     this.context.shares.noteRequest(this.service);
     if (this.launch()) return;
     if (this.context.mechanisms.waitForRoom) this.waitForRoom();
@@ -102,12 +122,17 @@
   /** Sends to a further replica; `budget` is asked for it unless what came before never arrived. */
   private launchAgain(budget: FleetShares | undefined): boolean {
     const target = this.choose();
-    if (target === undefined) return false;
+    if (target === undefined || !this.isFurtherSendAllowed) return false;
     if (budget !== undefined && !budget.takeSecondSend(this.service)) return false;
     this.send(target);
     return true;
   }
 
+  private get isFurtherSendAllowed(): boolean {
+    const isFirst = this.possibleRuns + this.live.size === 0;
+    return isFirst || this.options.maySendAgain?.() !== false;
+  }
+
   private launch(): boolean {
     const target = this.choose();
     if (target === undefined) return false;
@@ -115,23 +140,14 @@
     return true;
   }
 
-  /**
-   * Part of the request's worth that rides on this service. A merged answer is
-   * worth the square of the part of the shards that it holds.
-   */
-  private get stake(): number {
-    const { shards } = this.request.route;
-    return shards === undefined ? 1 : Math.min(1, 2 / shards.length);
-  }
-
   private choose(): ReplicaTarget | undefined {
     const { choice, targets, shares } = this.context;
     return choice.choose({
       targets: targets.of(this.service),
       excluded: this.asked,
-      usualLatency: this.latency.usual,
+      usualLatency: this.options.latency.usual,
       targetLatency: targetLatencyOf(this.request.route),
-      stake: this.stake,
+      stake: this.options.stake,
       maximumInFlight: shares.connectionsFor(this.request.table, this.service),
     });
   }
@@ -159,7 +175,7 @@
     const { target, record } = attempt;
     record.endedAt = this.context.environment.clock.now();
     record.result = result;
-    observeAttempt(this.context, this.request.route, this.latency, target, record);
+    observeAttempt(this.context, this.request.route, this.options.latency, target, record);
     if (result.kind === 'answered') {
       if (this.outcome === undefined) this.finish({ kind: 'answered', answer: result.answer });
       return;
@@ -208,7 +224,7 @@
   private retryLater(result: AttemptResult): boolean {
     const { clock, random } = this.context.environment;
     const pause = FIRST_RETRY_PAUSE_MS * 2 ** this.pauses * (0.5 + random.nextFloat());
-    if (clock.now() + pause > this.retryUntil) return false;
+    if (clock.now() + pause > this.options.retryUntil) return false;
     this.pauses += 1;
     this.retryTimer = clock.setTimer(pause, () => {
       if (this.outcome !== undefined || this.live.size > 0) return;
@@ -231,7 +247,7 @@
   private finish(outcome: RaceOutcome): void {
     this.outcome = outcome;
     this.abortLive();
-    this.onEnd(this);
+    this.options.onEnd(this);
   }
 
   private abortLive(): void {
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -6,6 +6,7 @@
 import { attemptFields } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayRefusal } from './gateway-answers.js';
+import type { PartSource } from './part-source.js';
 import type { RaceOutcome } from './race-outcome.js';
 import type { ReplicaRace } from './replica-race.js';
 import { targetLatencyOf } from './route-latencies.js';
@@ -20,17 +21,28 @@
   readonly missing: number;
   /** Sendings to replicas, of all shards together. */
   readonly sends: number;
-  /** The races of those shards, as far as they were begun. */
-  readonly missingRaces: readonly ReplicaRace[];
+  /** Who asked the shards. */
+  readonly sources: readonly PartSource[];
 }
 
-/** Most shards without a part whose attempts a line shows. */
-const SHOWN_SHARDS = 4;
+/** How a gather for another gateway ended. */
+export interface GatherSummary {
+  /** The gateway that asked for it. */
+  readonly root: string;
+  readonly shards: number;
+  readonly missing: number;
+  readonly sends: number;
+  /** Why it ended. */
+  readonly reason: string;
+}
+
+/** Most attempts that brought no part that a line shows. */
+const SHOWN_ATTEMPTS = 8;
 
 const FIRST_FAILURE_STATUS = 300;
 const NOT_RUN_STATUS = 503;
 
-function kindOfFanOut(summary: FanOutSummary, isLate: boolean): DecisionKind {
+function kindOfFanOut(summary: Omit<FanOutSummary, 'sources'>, isLate: boolean): DecisionKind {
   const { status, missing, sends, shards } = summary;
   if (status === NOT_RUN_STATUS) return DecisionKind.Refused;
   if (status >= FIRST_FAILURE_STATUS) return DecisionKind.Failed;
@@ -85,17 +97,23 @@
   }
 
   /** A request to all shards of a route ended. */
-  fannedOut(request: CallerRequest, { missingRaces, ...summary }: FanOutSummary): void {
-    const kind = kindOfFanOut({ ...summary, missingRaces }, this.isLate(request));
+  fannedOut(request: CallerRequest, { sources, ...summary }: FanOutSummary): void {
+    const kind = kindOfFanOut(summary, this.isLate(request));
     this.log.write(kind, () => ({
       ...this.common(request),
       ...summary,
-      missingAttempts: missingRaces.slice(0, SHOWN_SHARDS).flatMap((race) =>
-        attemptsOf(race, request.receivedAt).map((attempt) => ({
-          service: race.service,
-          ...attempt,
-        })),
-      ),
+      missingAttempts: sources
+        .flatMap((source) => source.missingAttempts(request.receivedAt))
+        .slice(0, SHOWN_ATTEMPTS),
+    }));
+  }
+
+  /** Shards were asked for another gateway, and not all of them answered at the first sending. */
+  gathered(request: CallerRequest, source: PartSource, summary: GatherSummary): void {
+    this.log.write(DecisionKind.Gathered, () => ({
+      ...this.common(request),
+      ...summary,
+      missingAttempts: source.missingAttempts(request.receivedAt).slice(0, SHOWN_ATTEMPTS),
     }));
   }
 
--- /dev/null
+++ b/src/gateway/shard-gather.ts
@@ -0,0 +1,125 @@
+/** Asks one replica of each of some shards, and further ones of those that are late or fail. */
+import type { LogFields } from '../observability/logger.js';
+import type { Timer } from '../seams/clock.js';
+import { attemptFields } from './attempt-record.js';
+import type { CallerRequest } from './caller-request.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { PartListener, PartSource } from './part-source.js';
+import { ReplicaRace, type ReplicaRaceOptions } from './replica-race.js';
+import { targetLatencyOf } from './route-latencies.js';
+
+/** After this part of the target, late shards are looked at once more. */
+const HEDGE_AGAIN_PART = 0.15;
+/** Shards whose replicas could not take the request are tried again within this part of it. */
+const RETRY_PART = 0.6;
+/** A merged answer is worth the square of the share of its shards, so each shard weighs twice its share. */
+const COVERAGE_EXPONENT = 2;
+
+/** What is asked. */
+export interface ShardGatherOptions {
+  readonly shards: readonly string[];
+  /** Shards of the whole request; more than `shards` where other gateways ask the rest. */
+  readonly totalShards: number;
+  /** Another gateway may have sent the request to these shards: every sending counts as a further one. */
+  readonly isRepeat: boolean;
+  /** Of each shard's race. */
+  readonly maySendAgain?: ReplicaRaceOptions['maySendAgain'];
+}
+
+/** See the module comment. */
+export class ShardGather implements PartSource {
+  private readonly races: ReplicaRace[] = [];
+  private readonly timers: Timer[] = [];
+  private isCancelled = false;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly request: CallerRequest,
+    private readonly options: ShardGatherOptions,
+    private readonly listener: PartListener,
+  ) {}
+
+  start(): void {
+    this.startTimers();
+    this.startRaces();
+  }
+
+  cancel(reason: string): void {
+    this.isCancelled = true;
+    for (const timer of this.timers) timer.cancel();
+    for (const race of this.races) race.cancel(reason);
+  }
+
+  get sends(): number {
+    return this.races.reduce((sum, race) => sum + race.sends, 0);
+  }
+
+  get isOffered(): boolean {
+    return this.races.some((race) => race.sends > 0);
+  }
+
+  get mayRun(): boolean {
+    return this.races.some((race) => race.mayRun || race.outcome?.kind === 'answered');
+  }
+
+  missingAttempts(receivedAt: number): readonly LogFields[] {
+    return this.races
+      .filter(({ outcome }) => outcome?.kind !== 'answered')
+      .flatMap(({ service, attempts }) =>
+        attempts.map((attempt) => ({ service, ...attemptFields(attempt, receivedAt) })),
+      );
+  }
+
+  private startTimers(): void {
+    const { clock } = this.context.environment;
+    const { route } = this.request;
+    const { hedgeDelay } = this.context.latencies.of(route);
+    this.timers.push(clock.setTimer(hedgeDelay, () => this.hedge()));
+    if (!this.context.mechanisms.secondHedge) return;
+    // For those that found no room or no budget the first time.
+    const again = hedgeDelay + targetLatencyOf(route) * HEDGE_AGAIN_PART;
+    this.timers.push(clock.setTimer(again, () => this.hedge()));
+  }
+
+  private startRaces(): void {
+    const { shards, totalShards, isRepeat, maySendAgain } = this.options;
+    const { receivedAt, route } = this.request;
+    const latency = this.context.latencies.of(route);
+    const retryUntil = receivedAt + targetLatencyOf(route) * RETRY_PART;
+    const stake = Math.min(1, COVERAGE_EXPONENT / totalShards);
+    for (const service of shards) {
+      this.races.push(
+        new ReplicaRace(this.context, this.request, {
+          service,
+          latency,
+          stake,
+          isRepeat,
+          retryUntil,
+          maySendAgain,
+          onEnd: (race) => this.take(race),
+        }),
+      );
+    }
+    for (const race of this.races) {
+      if (this.isCancelled) return;
+      race.start();
+    }
+  }
+
+  private hedge(): void {
+    for (const race of this.races) {
+      if (race.hedge()) this.context.metrics.hedges.inc();
+    }
+  }
+
+  private take({ service, outcome }: ReplicaRace): void {
+    if (this.isCancelled || outcome === undefined) return;
+    if (outcome.kind === 'failed') {
+      this.listener.onFailed([service]);
+      return;
+    }
+    const { headers, body } = outcome.answer;
+    const signature = headers[this.context.headers.signature] ?? '';
+    this.listener.onParts({ shards: [service], signatures: [signature], records: body });
+  }
+}
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -25,6 +25,8 @@
   Late = 'request answered late',
   Partial = 'request answered in part',
   Hedged = 'request answered after more than one sending',
+  /** Shards that were asked for another gateway. */
+  Gathered = 'shards gathered for another gateway',
   Failed = 'request failed',
   Refused = 'request refused',
   NotForwarded = 'request not forwarded',
--- a/src/protocol/connection-role.ts
+++ b/src/protocol/connection-role.ts
@@ -10,6 +10,8 @@
   | 'subscriber'
   /** A gateway or a controller, for replicas' registrations and the route document. */
   | 'directory'
+  /** A gateway, for the shards that another gateway asks for it. */
+  | 'aggregation'
   /** A controller that wants to become a member of the group. */
   | 'enrolment';
 
@@ -18,6 +20,7 @@
   'exchange',
   'subscriber',
   'directory',
+  'aggregation',
   'enrolment',
 ];
 
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -4,6 +4,30 @@
 /** The routes of one host, those with the longest prefix first. */
 type RoutesOfHost = readonly Route[];
 
+/** The shards of one or more routes. */
+export class ShardList {
+  private readonly names: ReadonlySet<string>;
+
+  constructor(readonly shards: readonly string[]) {
+    this.names = new Set(shards);
+  }
+
+  has(service: string): boolean {
+    return this.names.has(service);
+  }
+}
+
+/** Each list once, also where several routes name it. */
+function distinctLists(routes: readonly Route[]): ShardList[] {
+  const lists = new Map<string, ShardList>();
+  for (const { shards } of routes) {
+    if (shards === undefined) continue;
+    const key = JSON.stringify(shards);
+    if (!lists.has(key)) lists.set(key, new ShardList(shards));
+  }
+  return [...lists.values()];
+}
+
 function groupByHost(routes: readonly Route[]): Map<string, Route[]> {
   const groups = new Map<string, Route[]>();
   for (const route of routes) {
@@ -24,6 +48,8 @@
 export class RouteTable {
   readonly version: number;
   readonly limits: CallerLimits;
+  /** The different lists of shards that routes name. */
+  readonly shardLists: readonly ShardList[];
   private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
   private readonly shards: ReadonlySet<string>;
   private readonly services: ReadonlyMap<string, RoutedService>;
@@ -36,6 +62,7 @@
       group.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
     this.byHost = groups;
+    this.shardLists = distinctLists(document.routes);
     this.shards = new Set(document.routes.flatMap(({ shards = [] }) => shards));
     this.services = new Map(document.services.map((service) => [service.name, service]));
   }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -18,6 +18,7 @@
 
 const CALLER_PORT = 8000;
 const HEALTH_PORT = 8001;
+const GATHER_PORT = 8002;
 const REPLICA_PORT = 9000;
 /** In which registrations and route documents reach the gateway. Milliseconds. */
 const SPREAD_MS = 3_000;
@@ -28,6 +29,17 @@
 export interface GatewayOverrides {
   readonly secondSends?: { readonly ratio: number; readonly slack: number };
   readonly mechanisms?: Partial<GatewayMechanisms>;
+  readonly aggregation?: { readonly divideAbove: number; readonly shardsPerGroup: number };
+  /** Gateways besides the one that callers reach. */
+  readonly others?: number;
+}
+
+/** A gateway besides the one that callers reach. */
+export interface OtherGateway {
+  readonly machine: SimulatedMachine;
+  readonly daemon: GatewayDaemon;
+  readonly lines: LogLine[];
+  readonly registry: Registry;
 }
 
 const CALLER_OPTIONS = {
@@ -88,6 +100,8 @@
     public gateway: GatewayDaemon,
     /** Lines of the gateway. */
     readonly lines: LogLine[],
+    readonly others: readonly OtherGateway[],
+    private readonly overrides: GatewayOverrides,
   ) {}
 
   static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
@@ -95,7 +109,23 @@
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
     const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
-    return new GatewayHarness(group, machine, gateway, lines);
+    const others: OtherGateway[] = [];
+    for (let index = 0; index < (overrides.others ?? 0); index += 1) {
+      others.push(await GatewayHarness.startOther(group, `gateway-${index + 2}`, overrides));
+    }
+    return new GatewayHarness(group, machine, gateway, lines, others, overrides);
+  }
+
+  private static async startOther(
+    group: AutomaticGroup,
+    name: string,
+    overrides: GatewayOverrides,
+  ): Promise<OtherGateway> {
+    const machine = group.simulation.createMachine(name, 'nayoro');
+    const lines: LogLine[] = [];
+    const registry = new Registry();
+    const daemon = await GatewayHarness.startGateway(group, machine, lines, overrides, registry);
+    return { machine, daemon, lines, registry };
   }
 
   private static startGateway(
@@ -103,19 +133,25 @@
     machine: SimulatedMachine,
     lines: LogLine[],
     overrides: GatewayOverrides = {},
+    registry = new Registry(),
   ): Promise<GatewayDaemon> {
     const configuration = gatewayConfigurationSchema.parse({
-      name: 'gateway-1',
+      name: machine.name,
       region: 'dohoku',
       zone: 'nayoro',
       cluster: CLUSTER,
-      listen: { http: `${machine.host}:${CALLER_PORT}`, health: `${machine.host}:${HEALTH_PORT}` },
+      listen: {
+        http: `${machine.host}:${CALLER_PORT}`,
+        health: `${machine.host}:${HEALTH_PORT}`,
+        messages: `${machine.host}:${GATHER_PORT}`,
+      },
       controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
       secondSends: overrides.secondSends ?? SECOND_SENDS,
       mechanisms: overrides.mechanisms ?? {},
+      ...(overrides.aggregation === undefined ? {} : { aggregation: overrides.aggregation }),
       stopGraceMs: 6_000,
     });
-    const telemetry = { logger: collectLines(lines), registry: new Registry() };
+    const telemetry = { logger: collectLines(lines), registry };
     const started = GatewayDaemon.start(machine.environment, configuration, telemetry);
     return group.simulation.settle(started);
   }
@@ -128,7 +164,8 @@
   /** Starts a gateway on its machine again. */
   async restartGateway(): Promise<void> {
     this.machine.restart({ keepDisk: true });
-    this.gateway = await GatewayHarness.startGateway(this.group, this.machine, this.lines);
+    const { group, machine, lines, overrides } = this;
+    this.gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
   }
 
   /** Starts every controller again, with its disk. */
