--- a/scripts/warm-up-daemons.js
+++ b/scripts/warm-up-daemons.js
@@ -1,7 +1,7 @@
 /**
  * Runs a small fleet of the bundle's daemons for a moment, so that the functions
  * that a start and the first requests run are compiled when the compiled code is
- * written. Three controllers, a gateway, stand-in replicas and a caller, all in
+ * written. Three controllers, two gateways, stand-in replicas and a caller, all in
  * this process and on loopback.
  */
 import { Buffer } from 'node:buffer';
@@ -10,6 +10,13 @@
 import { join } from 'node:path';
 import { clearInterval, setInterval, setTimeout } from 'node:timers';
 
+/** One sends to all shards by itself, the other divides them among both. */
+const GATEWAYS = [
+  { name: 'gateway-1', aggregation: {} },
+  { name: 'gateway-2', aggregation: { divideAbove: 3, shardsPerGroup: 2 } },
+];
+/** In which the gateways are told of each other and connect. */
+const CONNECT_MS = 1_200;
 /** Where the controllers' folders are made and removed again. */
 const FOLDER = 'target';
 const HOST = '127.0.0.1';
@@ -123,14 +130,21 @@
 
   async run(sink) {
     this.sink = sink;
-    const ports = await freePorts(CONTROLLERS * 3 + 2);
+    const ports = await freePorts(CONTROLLERS * 3 + GATEWAYS.length * 3);
     const registrationPorts = await this.startControllers(ports.splice(0, CONTROLLERS * 3));
     await this.startReplicas(registrationPorts);
-    const [callerPort, healthPort] = ports;
-    await this.startGateway(callerPort, healthPort);
+    const gatewayPorts = GATEWAYS.map((_, index) => ports.slice(index * 3, index * 3 + 3));
+    for (const [index, settings] of GATEWAYS.entries()) {
+      await this.startGateway(settings, gatewayPorts[index]);
+    }
     await this.putRoutes(registrationPorts[0]);
-    for (let round = 0; round < ROUNDS; round += 1) await this.playRound(callerPort, round);
-    await call(this.agent, healthPort, 'GET', '/readyz', {});
+    await pause(CONNECT_MS);
+    for (let round = 0; round < ROUNDS; round += 1) {
+      for (const [callerPort] of gatewayPorts) await this.playRound(callerPort, round);
+    }
+    for (const [, healthPort] of gatewayPorts) {
+      await call(this.agent, healthPort, 'GET', '/readyz', {});
+    }
     await call(this.agent, registrationPorts[0], 'GET', '/v1/routes', {});
   }
 
@@ -198,14 +212,19 @@
     });
   }
 
-  async startGateway(callerPort, healthPort) {
+  async startGateway({ name, aggregation }, [callerPort, healthPort, messagesPort]) {
     const { gatewayConfigurationSchema, GatewayDaemon } = this.roles;
     const configuration = gatewayConfigurationSchema.parse({
-      name: 'gateway',
+      name,
       region: 'warm-up',
       zone: 'warm-up',
       cluster: { id: 'warm-up', key: 'key-of-the-warm-up' },
-      listen: { http: `${HOST}:${callerPort}`, health: `${HOST}:${healthPort}` },
+      listen: {
+        http: `${HOST}:${callerPort}`,
+        health: `${HOST}:${healthPort}`,
+        messages: `${HOST}:${messagesPort}`,
+      },
+      aggregation,
       controllers: this.seeds,
       stopGraceMs: 1_000,
     });
--- a/src/aggregation/aggregation-messages.ts
+++ b/src/aggregation/aggregation-messages.ts
@@ -5,11 +5,9 @@
  */
 import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
 
-/** Root to leaf: ask these shards. */
-export interface GatherMessage {
-  readonly kind: 'gather';
-  /** Unique on its connection. */
-  readonly gatherId: number;
+/** First in a frame with a gather: the caller's request, the same for all leaves. */
+export interface RequestMessage {
+  readonly kind: 'request';
   readonly requestId: string;
   readonly method: string;
   /** Path and query string. */
@@ -17,8 +15,6 @@
   /** The caller's end-to-end headers, a JSON object. */
   readonly headers: string;
   readonly body: Uint8Array;
-  /** Names of the services to ask, a JSON array. */
-  readonly shards: string;
   /** Shards that the whole request asks, at all leaves together. */
   readonly totalShards: number;
   readonly routeName: string;
@@ -30,6 +26,15 @@
   readonly topRecords: number;
   readonly targetLatencyMs: number;
   readonly priority: number;
+}
+
+/** Root to leaf: ask these shards. */
+export interface GatherMessage {
+  readonly kind: 'gather';
+  /** Unique on its connection. */
+  readonly gatherId: number;
+  /** Names of the services to ask, a JSON array. */
+  readonly shards: string;
   /** Replicas of each shard that this leaf may ask. */
   readonly maximumAttempts: number;
   /** Since the root received the request. Milliseconds. */
@@ -38,11 +43,6 @@
   readonly leftMs: number;
   /** Until the root has to answer with what it has; parts that are in by then are sent. Milliseconds. */
   readonly reportInMs: number;
-  /**
-   * A leaf that has not reported within this time makes no second sendings: the
-   * root may take it for dead and have given them to another leaf. Milliseconds.
-   */
-  readonly leaseMs: number;
   /** Another leaf was given these shards before and may have asked replicas. */
   readonly isRepeat: boolean;
 }
@@ -53,6 +53,15 @@
   readonly gatherId: number;
 }
 
+/**
+ * Root to leaf: it may ask a second replica of a shard. After this the root gives
+ * the shards to no other leaf, so that all together keep to the attempts of the route.
+ */
+export interface GrantMessage {
+  readonly kind: 'grant';
+  readonly gatherId: number;
+}
+
 /** Leaf to root: parts that are in since the last such message of the gather, merged. */
 export interface PartsMessage {
   readonly kind: 'parts';
@@ -65,6 +74,8 @@
   readonly records: Uint8Array;
   /** Nothing more follows: shards not named in any message of the gather have failed. */
   readonly isLast: boolean;
+  /** The leaf wants to ask second replicas and needs the root's grant for it. */
+  readonly wantsGrant: boolean;
   /** Whether a replica of a shard without a part may have run the request. */
   readonly mayHaveRun: boolean;
   /** Requests to replicas so far. */
@@ -90,7 +101,13 @@
 }
 
 export type AggregationMessage =
-  GatherMessage | CancelMessage | PartsMessage | DeclinedMessage | StoppingMessage;
+  | RequestMessage
+  | GatherMessage
+  | CancelMessage
+  | GrantMessage
+  | PartsMessage
+  | DeclinedMessage
+  | StoppingMessage;
 
 function field(name: string, type: MessageField['type']): MessageField {
   return { name, type };
@@ -101,12 +118,22 @@
     tag: 60,
     fields: [
       field('gatherId', 'long'),
+      field('shards', 'string'),
+      field('maximumAttempts', 'long'),
+      field('elapsedMs', 'double'),
+      field('leftMs', 'double'),
+      field('reportInMs', 'double'),
+      field('isRepeat', 'boolean'),
+    ],
+  },
+  request: {
+    tag: 66,
+    fields: [
       field('requestId', 'string'),
       field('method', 'string'),
       field('target', 'string'),
       field('headers', 'string'),
       field('body', 'bytes'),
-      field('shards', 'string'),
       field('totalShards', 'long'),
       field('routeName', 'string'),
       field('routeHost', 'string'),
@@ -115,12 +142,6 @@
       field('topRecords', 'long'),
       field('targetLatencyMs', 'double'),
       field('priority', 'long'),
-      field('maximumAttempts', 'long'),
-      field('elapsedMs', 'double'),
-      field('leftMs', 'double'),
-      field('reportInMs', 'double'),
-      field('leaseMs', 'double'),
-      field('isRepeat', 'boolean'),
     ],
   },
   cancel: { tag: 61, fields: [field('gatherId', 'long')] },
@@ -132,6 +153,7 @@
       field('signatures', 'string'),
       field('records', 'bytes'),
       field('isLast', 'boolean'),
+      field('wantsGrant', 'boolean'),
       field('mayHaveRun', 'boolean'),
       field('sends', 'long'),
       field('reason', 'string'),
@@ -141,4 +163,5 @@
   },
   declined: { tag: 63, fields: [field('gatherId', 'long'), field('reason', 'string')] },
   stopping: { tag: 64, fields: [] },
+  grant: { tag: 65, fields: [field('gatherId', 'long')] },
 });
--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -15,7 +15,7 @@
 import type { PartsMessage } from './aggregation-messages.js';
 import type { LeafGroup } from './leaf-assignment.js';
 import type { LeafLatencies } from './leaf-latencies.js';
-import type { GatherHandle, LeafLink } from './leaf-link.js';
+import type { GatherCall, GatherHandle, LeafLink } from './leaf-link.js';
 import type { LeafPool } from './leaf-pool.js';
 
 /** Most leaves that are asked one after the other. */
@@ -23,12 +23,6 @@
 /** Time for a leaf's report to arrive and be merged before the root answers. Milliseconds. */
 const REPORT_MARGIN_MS = 6;
 
-/**
- * Part of the time after which another leaf is asked within which a leaf has to
- * report, to be allowed second sendings; the rest is for the ways.
- */
-const LEASE_PART = 0.6;
-
 /** What all gathers of a root share. */
 export interface GroupGatherParts {
   /** For shards that are asked from here because no leaf can be reached. */
@@ -40,12 +34,23 @@
   readonly latencies: LeafLatencies;
 }
 
+/** What is asked. */
+export interface GroupGatherOptions {
+  readonly group: LeafGroup;
+  /** Shards of the whole request. */
+  readonly totalShards: number;
+  /** An encoded `RequestMessage`. */
+  readonly encodedRequest: Uint8Array;
+}
+
 /** One leaf that was asked. */
 interface LeafAttempt {
   readonly leaf: string;
   readonly sentAt: number;
   handle: GatherHandle | undefined;
   hasReported: boolean;
+  /** It may ask second replicas. */
+  isGranted: boolean;
   /** Its attempts have been counted: another leaf was asked as well. */
   isGivenUp: boolean;
   sends: number;
@@ -69,14 +74,17 @@
   constructor(
     private readonly parts: GroupGatherParts,
     private readonly request: CallerRequest,
-    private readonly group: LeafGroup,
-    private readonly totalShards: number,
+    private readonly options: GroupGatherOptions,
     private readonly listener: PartListener,
   ) {
-    this.missing = new Set(group.shards);
+    this.missing = new Set(options.group.shards);
     this.attemptsLeft = request.route.maximumAttempts;
   }
 
+  private get group(): LeafGroup {
+    return this.options.group;
+  }
+
   start(): void {
     const { ownName, leafContext, latencies } = this.parts;
     if (this.group.leaves[0]?.name === ownName) {
@@ -148,7 +156,8 @@
 
   private askFromHere(context: GatewayContext, isRepeat: boolean): void {
     if (this.local !== undefined) return;
-    const { totalShards, attemptsLeft } = this;
+    const { attemptsLeft } = this;
+    const { totalShards } = this.options;
     const shards = [...this.missing];
     const route = { ...this.request.route, maximumAttempts: attemptsLeft };
     const request = { ...this.request, route };
@@ -164,14 +173,13 @@
       sentAt,
       handle: undefined,
       hasReported: false,
+      isGranted: false,
       isGivenUp: false,
       sends: 0,
       endedAt: undefined,
       result: 'in flight',
     };
-    const message = this.message(sentAt);
-    const shards = [...this.missing];
-    attempt.handle = link.gather(message, shards, {
+    attempt.handle = link.gather(this.call(sentAt), {
       onReport: (parts, report) => this.takeReport(attempt, parts, report),
       onDeclined: (reason) => this.endAttempt(attempt, `declined: ${reason}`),
       onLost: () => this.lose(attempt, link),
@@ -183,31 +191,18 @@
     return true;
   }
 
-  private message(now: number): Parameters<LeafLink['gather']>[0] {
-    const { id, method, target, headers, body, route, table, receivedAt, deadline } = this.request;
-    const isRepeat = this.mayRun;
-    const targetLatencyMs = targetLatencyOf(route);
-    const cutOffAt = receivedAt + cutOffDelay(targetLatencyMs);
+  private call(now: number): GatherCall {
+    const { route, receivedAt, deadline } = this.request;
+    const cutOffAt = receivedAt + cutOffDelay(targetLatencyOf(route));
     return {
-      requestId: id,
-      method,
-      target,
-      headers: JSON.stringify(headers),
-      body,
-      totalShards: this.totalShards,
-      routeName: route.name,
-      routeHost: route.host,
-      routePathPrefix: route.pathPrefix,
-      routeVersion: table.version,
+      request: this.options.encodedRequest,
+      shards: [...this.missing],
       topRecords: route.topRecords ?? 0,
-      targetLatencyMs,
-      priority: route.priority,
       maximumAttempts: this.attemptsLeft,
       elapsedMs: now - receivedAt,
       leftMs: Math.max(1, deadline - now),
       reportInMs: Math.max(0, cutOffAt - now - REPORT_MARGIN_MS),
-      leaseMs: this.parts.latencies.patience(route) * LEASE_PART,
-      isRepeat,
+      isRepeat: this.mayRun,
     };
   }
 
@@ -216,6 +211,7 @@
     // Parts of several shards cannot be taken apart: all of them are new, or none is used.
     const isNew = parts.shards.every((shard) => this.missing.has(shard));
     if (isNew && parts.shards.length > 0) this.onParts(parts);
+    if (report.wantsGrant) this.grantTo(attempt);
     if (!report.isLast) return;
     this.mayHaveRun ||= report.mayHaveRun;
     this.active.delete(attempt);
@@ -224,6 +220,12 @@
     this.failIfOver();
   }
 
+  private grantTo(attempt: LeafAttempt): void {
+    if (this.isDone || attempt.isGivenUp || this.attemptsLeft < 2) return;
+    attempt.isGranted = true;
+    attempt.handle?.grant();
+  }
+
   private noteReport(attempt: LeafAttempt, report: PartsMessage): void {
     const { latencies, rootContext } = this.parts;
     attempt.sends = report.sends;
@@ -246,9 +248,9 @@
     this.endAttempt(attempt, 'lost');
   }
 
-  /** A leaf that never reported has asked one replica of each shard at most, see `leaseMs`. */
-  private spendAttempts({ hasReported }: LeafAttempt): void {
-    this.attemptsLeft = hasReported ? 0 : this.attemptsLeft - 1;
+  /** Without a grant a leaf asks one replica of each shard. */
+  private spendAttempts({ isGranted }: LeafAttempt): void {
+    this.attemptsLeft = isGranted ? 0 : this.attemptsLeft - 1;
   }
 
   private endAttempt(attempt: LeafAttempt, result: string): void {
--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -15,8 +15,8 @@
 import { UNOFFERED_PART } from '../gateway/forward-single.js';
 import type { PartsMessage } from './aggregation-messages.js';
 
-/** The first report leaves at the latest after this part of the lease. */
-const FIRST_REPORT_PART = 0.85;
+/** The grant is asked for at this part of the hedge delay, to be there when it is needed. */
+const GRANT_PART = 0.7;
 
 /** What a leaf was asked to do. */
 export interface LeafGatherOptions {
@@ -27,8 +27,6 @@
   readonly isRepeat: boolean;
   /** Milliseconds from now. */
   readonly reportInMs: number;
-  /** See `GatherMessage.leaseMs`. Milliseconds from now. */
-  readonly leaseMs: number;
   /** Name of the gateway that asks. */
   readonly root: string;
   readonly report: (message: PartsMessage) => void;
@@ -37,6 +35,13 @@
   readonly gathersInProgress: () => number;
 }
 
+interface ReportOptions {
+  readonly isLast: boolean;
+  readonly wantsGrant: boolean;
+  /** Why the gather ends. */
+  readonly reason: string;
+}
+
 /** See the module comment. */
 export class LeafGather implements PartListener {
   private readonly gather: ShardGather;
@@ -46,9 +51,10 @@
   private answered = 0;
   private failed = 0;
   private isPastReport = false;
-  private startedAt = 0;
-  /** The root knows that this leaf lives, and asks no other. */
-  private holdsLease = false;
+  private hasAskedForGrant = false;
+  private isGranted = false;
+  /** A second sending was due before the grant came. */
+  private isHedgeDue = false;
   private isDone = false;
 
   constructor(
@@ -58,19 +64,18 @@
     const { request, shards } = options;
     this.positions = new Map(shards.map((shard, index) => [shard, index]));
     const { totalShards, isRepeat } = options;
-    const maySendAgain = (): boolean => this.takeLease();
+    const maySendAgain = (): boolean => this.maySendAgain();
     const gatherOptions = { shards, totalShards, isRepeat, maySendAgain };
     this.gather = new ShardGather(context, request, gatherOptions, this);
   }
 
   start(): void {
     const { clock } = this.context.environment;
-    const { request, reportInMs, leaseMs } = this.options;
-    this.startedAt = clock.now();
+    const { request, reportInMs } = this.options;
     const { route, deadline } = request;
     const { hedgeDelay } = this.context.latencies.of(route);
     this.timers.push(
-      clock.setTimer(Math.min(hedgeDelay, leaseMs * FIRST_REPORT_PART), () => this.takeLease()),
+      clock.setTimer(hedgeDelay * GRANT_PART, () => this.askForGrant()),
       clock.setTimer(Math.max(0, reportInMs), () => this.passReport()),
       clock.setTimer(targetLatencyOf(route) * UNOFFERED_PART, () => this.endUnoffered()),
       clock.setTimer(Math.max(0, deadline - clock.now()), () => this.end(TIME_UP)),
@@ -97,24 +102,34 @@
     this.finish(reason);
   }
 
-  /** Reports for the first time, when that is still in time; whether second sendings are allowed. */
-  private takeLease(): boolean {
-    if (this.holdsLease || this.isDone) return this.holdsLease;
-    const elapsed = this.context.environment.clock.now() - this.startedAt;
-    if (elapsed > this.options.leaseMs) return false;
-    this.holdsLease = true;
-    this.report(false);
-    return true;
+  /** The root has given the shards to no other leaf, and will not. */
+  grant(): void {
+    this.isGranted = true;
+    if (this.isHedgeDue && !this.isDone) this.gather.hedge();
+  }
+
+  private maySendAgain(): boolean {
+    if (this.isGranted) return true;
+    this.isHedgeDue = true;
+    this.askForGrant();
+    return false;
+  }
+
+  /** Also shows the root that this leaf lives. */
+  private askForGrant(): void {
+    if (this.hasAskedForGrant || this.isDone) return;
+    this.hasAskedForGrant = true;
+    this.report({ wantsGrant: true });
   }
 
   private goOn(): void {
     if (this.answered + this.failed === this.options.shards.length) this.end('all have ended');
-    else if (this.isPastReport) this.report(false);
+    else if (this.isPastReport) this.report({});
   }
 
   private passReport(): void {
     this.isPastReport = true;
-    this.report(false);
+    this.report({});
   }
 
   private endUnoffered(): void {
@@ -124,10 +139,14 @@
   private end(reason: string): void {
     if (this.isDone) return;
     this.finish(reason);
-    this.report(true, reason);
+    this.report({ isLast: true, reason });
   }
 
-  private report(isLast: boolean, reason = ''): void {
+  private report({
+    isLast = false,
+    wantsGrant = false,
+    reason = '',
+  }: Partial<ReportOptions>): void {
     const { gatherId, request, gathersInProgress } = this.options;
     const parts = this.unreported;
     this.unreported = [];
@@ -144,6 +163,7 @@
         topRecords,
       ),
       isLast,
+      wantsGrant,
       mayHaveRun: this.gather.mayRun,
       sends: this.gather.sends,
       reason: this.failed > 0 || this.isCutShort ? reason : '',
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -43,6 +43,15 @@
   readonly logger: Logger;
 }
 
+/** What a leaf is asked to do. */
+export interface GatherCall extends Omit<GatherMessage, 'kind' | 'gatherId' | 'shards'> {
+  /** An encoded `RequestMessage`. */
+  readonly request: Uint8Array;
+  readonly shards: readonly string[];
+  /** Greatest records that a report may hold. */
+  readonly topRecords: number;
+}
+
 interface OpenGather {
   readonly shards: readonly string[];
   readonly topRecords: number;
@@ -52,6 +61,8 @@
 
 /** A gather in progress. */
 export interface GatherHandle {
+  /** Allows the leaf second sendings; see `GrantMessage`. */
+  grant(): void;
   /** The result is not wanted any more; the listener hears nothing further. */
   cancel(): void;
 }
@@ -108,24 +119,21 @@
   }
 
   /** Sends a gather; undefined while the connection is not open. */
-  gather(
-    message: Omit<GatherMessage, 'kind' | 'gatherId' | 'shards'>,
-    shards: readonly string[],
-    listener: GatherListener,
-  ): GatherHandle | undefined {
+  gather(call: GatherCall, listener: GatherListener): GatherHandle | undefined {
     const { connection } = this;
     if (connection === undefined) return undefined;
     const gatherId = this.nextGatherId;
     this.nextGatherId += 1;
+    const { request, shards, topRecords, ...terms } = call;
     const startedAt = this.parts.environment.clock.now();
-    this.gathers.set(gatherId, { shards, topRecords: message.topRecords, startedAt, listener });
-    this.send(connection, {
-      ...message,
-      kind: 'gather',
-      gatherId,
-      shards: JSON.stringify(shards),
-    });
-    return { cancel: () => this.cancel(connection, gatherId) };
+    this.gathers.set(gatherId, { shards, topRecords, startedAt, listener });
+    const text = JSON.stringify(shards);
+    const gather = AGGREGATION_CODEC.encode({ kind: 'gather', gatherId, shards: text, ...terms });
+    this.sendFrame(connection, Buffer.concat([request, gather]));
+    return {
+      grant: () => this.send(connection, { kind: 'grant', gatherId }),
+      cancel: () => this.cancel(connection, gatherId),
+    };
   }
 
   private cancel(connection: MessageConnection, gatherId: number): void {
@@ -133,8 +141,12 @@
   }
 
   private send(connection: MessageConnection, message: AggregationMessage): void {
+    this.sendFrame(connection, AGGREGATION_CODEC.encode(message));
+  }
+
+  private sendFrame(connection: MessageConnection, frame: Uint8Array): void {
     // A connection that broke ends the task that reads it, which ends its gathers.
-    connection.send(AGGREGATION_CODEC.encode(message)).catch(() => undefined);
+    connection.send(frame).catch(() => undefined);
   }
 
   private async run(): Promise<void> {
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -11,6 +11,7 @@
   AGGREGATION_CODEC,
   type AggregationMessage,
   type GatherMessage,
+  type RequestMessage,
 } from './aggregation-messages.js';
 import { readStrings } from './json-list.js';
 import { LeafGather } from './leaf-gather.js';
@@ -76,7 +77,7 @@
       for (;;) {
         const frame = await connection.receive();
         if (frame === undefined) break;
-        this.take(session, AGGREGATION_CODEC.decode(frame, peer.name));
+        this.takeFrame(session, AGGREGATION_CODEC.decodeBatch(frame, peer.name));
       }
     } catch (error) {
       const reason = String(error);
@@ -93,17 +94,27 @@
     for (const session of this.sessions) session.send({ kind: 'stopping' });
   }
 
+  private takeFrame(session: RootSession, messages: readonly AggregationMessage[]): void {
+    const [first, second] = messages;
+    if (first?.kind === 'request' && second?.kind === 'gather' && messages.length === 2) {
+      const reason = this.reasonToDecline;
+      if (reason === undefined) this.begin(session, first, second);
+      else this.decline(session, second.gatherId, reason);
+      return;
+    }
+    for (const message of messages) this.take(session, message);
+  }
+
   private take(session: RootSession, message: AggregationMessage): void {
     if (message.kind === 'cancel') {
       session.gathers.get(message.gatherId)?.cancel('the root does not need the rest');
       return;
     }
-    if (message.kind !== 'gather') {
-      throw new MalformedMessageError('serve root', session.root, `unexpected ${message.kind}`);
+    if (message.kind === 'grant') {
+      session.gathers.get(message.gatherId)?.grant();
+      return;
     }
-    const reason = this.reasonToDecline;
-    if (reason === undefined) this.begin(session, message);
-    else this.decline(session, message.gatherId, reason);
+    throw new MalformedMessageError('serve root', session.root, `unexpected ${message.kind}`);
   }
 
   private get reasonToDecline(): string | undefined {
@@ -118,20 +129,20 @@
     session.send({ kind: 'declined', gatherId, reason });
   }
 
-  private begin(session: RootSession, message: GatherMessage): void {
-    const { gatherId, totalShards, isRepeat, reportInMs, leaseMs } = message;
+  private begin(session: RootSession, request: RequestMessage, message: GatherMessage): void {
+    const { gatherId, isRepeat, reportInMs } = message;
+    const { totalShards } = request;
     if (session.gathers.has(gatherId)) {
       throw new MalformedMessageError('serve root', session.root, 'a gather number is used twice');
     }
     const shards = readStrings(message.shards, session.root, 'shards');
     const gather = new LeafGather(this.options.context, {
       gatherId,
-      request: this.toRequest(message, shards, session.root),
+      request: this.toRequest(request, message, shards, session.root),
       shards,
       totalShards,
       isRepeat,
       reportInMs,
-      leaseMs,
       root: session.root,
       report: (parts) => session.send(parts),
       onEnd: () => session.gathers.delete(gatherId),
@@ -142,30 +153,35 @@
     gather.start();
   }
 
-  private toRequest(message: GatherMessage, shards: string[], root: string): CallerRequest {
+  private toRequest(
+    request: RequestMessage,
+    { leftMs, elapsedMs, maximumAttempts }: GatherMessage,
+    shards: string[],
+    root: string,
+  ): CallerRequest {
     const now = this.options.context.environment.clock.now();
     return {
-      id: message.requestId,
-      method: message.method,
-      target: message.target,
-      headers: readHeaders(message.headers, root),
-      body: message.body,
+      id: request.requestId,
+      method: request.method,
+      target: request.target,
+      headers: readHeaders(request.headers, root),
+      body: request.body,
       signal: new AbortController().signal,
       table: this.options.table() as RouteTable,
       route: {
-        name: message.routeName,
-        host: message.routeHost,
-        pathPrefix: message.routePathPrefix,
+        name: request.routeName,
+        host: request.routeHost,
+        pathPrefix: request.routePathPrefix,
         execution: 'repeatable',
-        timeoutMs: message.leftMs,
-        targetLatencyMs: message.targetLatencyMs,
-        priority: message.priority,
-        maximumAttempts: message.maximumAttempts,
+        timeoutMs: leftMs,
+        targetLatencyMs: request.targetLatencyMs,
+        priority: request.priority,
+        maximumAttempts,
         shards,
-        topRecords: message.topRecords,
+        topRecords: request.topRecords,
       },
-      receivedAt: now - message.elapsedMs,
-      deadline: now + message.leftMs,
+      receivedAt: now - elapsedMs,
+      deadline: now + leftMs,
     };
   }
 }
--- a/src/aggregation/source-planner.ts
+++ b/src/aggregation/source-planner.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from '../gateway/caller-request.js';
 import type { PartListener, PartSource } from '../gateway/part-source.js';
 import { ShardGather } from '../gateway/shard-gather.js';
+import { encodeRequest } from './encode-request.js';
 import { GroupGather, type GroupGatherParts } from './group-gather.js';
 import type { LeafAssignment } from './leaf-assignment.js';
 
@@ -39,8 +40,10 @@
       const options = { shards, totalShards, isRepeat: false };
       return [new ShardGather(rootContext, request, options, listener)];
     }
+    const encodedRequest = encodeRequest(request, totalShards);
     return groups.map(
-      (group) => new GroupGather(this.options, request, group, totalShards, listener),
+      (group) =>
+        new GroupGather(this.options, request, { group, totalShards, encodedRequest }, listener),
     );
   }
 }
--- a/src/control/registration-endpoint.ts
+++ b/src/control/registration-endpoint.ts
@@ -131,7 +131,7 @@
     await server.waitConfirmed(
       position,
       LEAVE_GATEWAYS_TIMEOUT_MS,
-      ({ gatewaysMissing }) => gatewaysMissing === 0,
+      ({ gatewaysMissing, relaysMissing }) => gatewaysMissing === 0 && relaysMissing === 0,
     );
     return jsonResponse(200, {});
   }
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -36,6 +36,8 @@
 const UPKEEP_INTERVAL_MS = 250;
 /** Longest time that a planned stop waits to be taken out of the group. */
 const LEAVE_GROUP_TIMEOUT_MS = 1_000;
+/** A gateway that confirms later is cut off or overloaded, and its connection is closed soon. */
+const RELAY_TIMEOUT_MS = 2_000;
 /** Told as the age while records that are committed are missing here. */
 const UNKNOWN_AGE_MS = 1e9;
 
@@ -70,7 +72,10 @@
       clock,
       directory: this.directory,
       document: () => register.current(),
-      controllers: () => log.status().members,
+      members: () => log.status().members,
+      ownName: identity.name,
+      ownZone: zone,
+      otherGateways: () => this.client.knownGateways,
       ageMs: () => this.ageMs(),
     });
     this.client = new DirectoryClient({
@@ -81,6 +86,7 @@
       directory: this.directory,
       logger,
       ownAddress,
+      relay: () => this.relay(),
     });
     const { directory, server } = this;
     this.endpoint = new RegistrationEndpoint({ log, register, directory, server, logger });
@@ -152,6 +158,15 @@
     return this.options.log.status().members.map(({ address }) => address);
   }
 
+  /** Waits until the gateways that follow this controller hold what it knows now. */
+  private relay(): Promise<boolean> {
+    return this.server.waitConfirmed(
+      this.directory.position,
+      RELAY_TIMEOUT_MS,
+      ({ gatewaysMissing }) => gatewaysMissing === 0,
+    );
+  }
+
   /** See `StatusMessage.ageMs`. */
   private ageMs(): number {
     const { sinceQuorumMs, knownCommitIndex, appliedIndex } = this.options.log.status();
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -1,12 +1,14 @@
 /**
- * Follows every known controller at once and joins what they say, so that the
- * loss or silence of one of them delays nothing.
+ * Follows several controllers at once and joins what they say, so that the loss
+ * or silence of one of them delays nothing. Controllers follow all others;
+ * gateways follow few, as what controllers send grows with their followers.
  */
 import { createAdapter } from '@most/adapter';
 import type { Stream } from '@most/types';
 import type { Logger } from '../observability/logger.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
+import { chooseControllers, FollowState, type KnownController } from './controller-choice.js';
 import { DirectoryLink, type DirectoryLinkParts, type LinkNews } from './directory-link.js';
 import {
   NO_DOCUMENT,
@@ -15,8 +17,14 @@
   type ReplicaMessage,
   type SubscriberKind,
 } from './directory-messages.js';
-import { FRESH_MS, TAKES_RESTORED_MS } from './directory-timing.js';
-import type { LeafGateway } from './leaf-gateway.js';
+import {
+  DIALLED_MS,
+  FOLLOWED_FRESH_MS,
+  FOLLOW_INTERVAL_MS,
+  FRESH_MS,
+  TAKES_RESTORED_MS,
+} from './directory-timing.js';
+import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** Most controllers that are followed at once. */
@@ -32,6 +40,10 @@
   readonly logger: Logger;
   /** This process's own address for internal messages, which it does not follow. */
   readonly ownAddress?: string;
+  /** See `DirectoryLinkParts.relay`. */
+  readonly relay?: () => Promise<boolean>;
+  /** Controllers that are followed at once; absent: all. */
+  readonly followed?: number;
   /** Where it takes gathers of other gateways, `host:port`; absent when it takes none. */
   readonly gatherAddress?: string;
 }
@@ -46,13 +58,14 @@
   /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
   private members: readonly string[] = [];
   private documentVersion = NO_DOCUMENT;
-  private joinedLeaves: readonly LeafGateway[] = [];
+  private joinedGateways: readonly KnownGateway[] = [];
   private readonly startedAt: number;
   private readonly linkParts: DirectoryLinkParts;
+  private readonly stopped = new AbortController();
 
   constructor(private readonly options: DirectoryClientOptions) {
     [this.emitDocument, this.documents] = createAdapter<DocumentMessage>();
-    const { environment, identity, subscriberKind, zone, gatherAddress = '' } = options;
+    const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
       environment,
@@ -60,12 +73,14 @@
       subscriberKind,
       zone,
       gatherAddress,
+      relay,
       take: (message) => this.take(message),
-      onLeaves: () => this.joinLeaves(),
+      onGateways: () => this.joinGateways(),
       onControllers: () => this.adjustLinks(),
       documentVersion: () => this.documentVersion,
       onState: (link, isOpen) => this.logState(link, isOpen),
     };
+    if (options.followed !== undefined) void this.keepFollowing();
   }
 
   /** Replaces the addresses to begin with, `host:port` each. */
@@ -101,14 +116,15 @@
   }
 
   /**
-   * Gateways that take gathers of others, as any followed controller names them;
-   * those last named while none is followed. A new array whenever it changes.
+   * Gateways as any followed controller names them, see `GatewayMessage`; those
+   * last named while none is followed. A new array whenever it changes.
    */
-  get leaves(): readonly LeafGateway[] {
-    return this.joinedLeaves;
+  get knownGateways(): readonly KnownGateway[] {
+    return this.joinedGateways;
   }
 
   async stop(): Promise<void> {
+    this.stopped.abort(new Error('stopped'));
     const links = [...this.links.values()];
     this.links.clear();
     await Promise.all(links.map((link) => link.stop()));
@@ -149,20 +165,17 @@
     this.emitDocument(message);
   }
 
-  private joinLeaves(): void {
-    const joined = new Map<string, LeafGateway>();
-    for (const { status, leaves } of this.links.values()) {
+  private joinGateways(): void {
+    const joined = new Map<string, KnownGateway>();
+    for (const { status, gateways } of this.links.values()) {
       if (status === undefined) continue;
-      for (const leaf of leaves.values()) joined.set(leaf.name, leaf);
+      for (const gateway of gateways.values()) joined.set(gateway.name, gateway);
     }
-    if (joined.size > 0) this.joinedLeaves = [...joined.values()];
+    if (joined.size > 0) this.joinedGateways = [...joined.values()];
   }
 
   private adjustLinks(): void {
-    const told = [...this.links.values()].flatMap(({ controllers }) => controllers);
-    // The union: the list of a controller that is cut off may be old.
-    const wanted = new Set([...this.members, ...this.seeds, ...told]);
-    if (this.options.ownAddress !== undefined) wanted.delete(this.options.ownAddress);
+    const wanted = new Set(this.wantedAddresses());
     for (const [address, link] of this.links) {
       if (wanted.has(address)) continue;
       this.links.delete(address);
@@ -174,10 +187,53 @@
     }
   }
 
+  private wantedAddresses(): readonly string[] {
+    const { ownAddress, followed, identity, zone } = this.options;
+    const known = this.knownControllers().filter(({ address }) => address !== ownAddress);
+    if (followed === undefined) return known.map(({ address }) => address);
+    const options = { ownName: identity.name, ownZone: zone, count: followed };
+    return chooseControllers(known, options, (address) => this.followStateOf(address));
+  }
+
+  /** The union: the list of a controller that is cut off may be old. */
+  private knownControllers(): readonly KnownController[] {
+    const known = new Map<string, KnownController>();
+    for (const address of [...this.members, ...this.seeds]) {
+      known.set(address, { address, zone: '' });
+    }
+    for (const { controllers } of this.links.values()) {
+      for (const controller of controllers) {
+        const zone = controller.zone === '' ? known.get(controller.address)?.zone : controller.zone;
+        known.set(controller.address, { address: controller.address, zone: zone ?? '' });
+      }
+    }
+    return [...known.values()];
+  }
+
+  private followStateOf(address: string): FollowState {
+    const link = this.links.get(address);
+    if (link === undefined) return FollowState.Unusable;
+    const now = this.options.environment.clock.now();
+    const { status, startedAt } = link;
+    const age = status === undefined ? Infinity : now - status.receivedAt + status.ageMs;
+    if (age < FOLLOWED_FRESH_MS && status?.stopping !== true) return FollowState.Fresh;
+    return now - startedAt < DIALLED_MS ? FollowState.Pending : FollowState.Unusable;
+  }
+
+  /** Replaces followed controllers that are not fresh any more. */
+  private async keepFollowing(): Promise<void> {
+    const { clock } = this.options.environment;
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      this.adjustLinks();
+      await clock.sleep(FOLLOW_INTERVAL_MS, signal).catch(() => undefined);
+    }
+  }
+
   private logState(link: DirectoryLink, isOpen: boolean): void {
     const { logger } = this.options;
     const fields = { controller: link.address };
-    if (!isOpen) this.joinLeaves();
+    if (!isOpen) this.joinGateways();
     if (isOpen) logger.info('controller regained', fields);
     else logger.warn('controller lost', fields);
   }
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -9,11 +9,12 @@
   DIRECTORY_CODEC,
   type ControllerMessage,
   type DirectoryMessage,
-  type LeafMessage,
+  type GatewayMessage,
   type StatusMessage,
   type SubscriberKind,
 } from './directory-messages.js';
-import type { LeafGateway } from './leaf-gateway.js';
+import type { KnownController } from './controller-choice.js';
+import type { KnownGateway } from './leaf-gateway.js';
 import {
   DIAL_TIMEOUT_MS,
   FIRST_DIAL_TIMEOUT_MS,
@@ -23,7 +24,10 @@
 } from './directory-timing.js';
 
 /** What a controller tells besides its own state. */
-export type LinkNews = Exclude<DirectoryMessage, StatusMessage | ControllerMessage | LeafMessage>;
+export type LinkNews = Exclude<
+  DirectoryMessage,
+  StatusMessage | ControllerMessage | GatewayMessage
+>;
 
 /** What all links of a process share. */
 export interface DirectoryLinkParts {
@@ -34,12 +38,17 @@
   /** See `SubscribeMessage.gatherAddress`. */
   readonly gatherAddress: string;
   readonly take: (message: LinkNews) => void;
-  /** A controller named gateways that take gathers, or some that do not any more. */
-  readonly onLeaves: () => void;
+  /** A controller named gateways that joined or went. */
+  readonly onGateways: () => void;
   /** A controller named the members of its group. */
   readonly onControllers: (link: DirectoryLink) => void;
   /** Version of the route document in force here. */
   readonly documentVersion: () => number;
+  /**
+   * Resolves once all gateways that follow this process hold what it knows now;
+   * false when that takes too long. Absent at gateways, which nobody follows.
+   */
+  readonly relay?: (() => Promise<boolean>) | undefined;
   /** The link was opened or lost. */
   readonly onState: (link: DirectoryLink, isOpen: boolean) => void;
 }
@@ -49,6 +58,14 @@
   readonly receivedAt: number;
 }
 
+/** What a frame brought. */
+interface TakenFrame {
+  /** Of the controller's directory. */
+  readonly position: number;
+  /** Whether it told of a replica. */
+  readonly hasReplicas: boolean;
+}
+
 /** `first`, doubled with each failure in a row, at most `longest`. */
 function afterFailures(first: number, longest: number, failures: number): number {
   return Math.min(first * 2 ** failures, longest);
@@ -58,12 +75,16 @@
 export class DirectoryLink {
   /** The controller's last word on this connection; undefined while there is none. */
   status: LinkStatus | undefined;
-  /** Addresses of the group's members, as the controller last named them. */
-  controllers: readonly string[] = [];
-  /** Gateways that take gathers, by name, as the controller last named them on this connection. */
-  readonly leaves = new Map<string, LeafGateway>();
+  /** The group's members, as the controller last named them. */
+  controllers: readonly KnownController[] = [];
+  /** When the first connection was tried. Clock reading. */
+  readonly startedAt: number;
+  /** Gateways by name, as the controller last named them on this connection. */
+  readonly gateways = new Map<string, KnownGateway>();
   private readonly stopped = new AbortController();
   private connection: MessageConnection | undefined;
+  /** Newest position that the gateways behind this process have yet to confirm. */
+  private unrelayedPosition: number | undefined;
   /** Dials in a row that opened no stream. */
   private failures = 0;
   private readonly finished: Promise<void>;
@@ -73,6 +94,7 @@
     /** `host:port` of the controller. */
     readonly address: string,
   ) {
+    this.startedAt = parts.environment.clock.now();
     this.finished = this.run();
   }
 
@@ -103,7 +125,7 @@
       const connection = await dial(environment, identity, target);
       this.connection = connection;
       if (this.stopped.signal.aborted) return;
-      this.leaves.clear();
+      this.gateways.clear();
       await connection.send(this.subscription());
       wasOpen = true;
       this.failures = 0;
@@ -124,9 +146,9 @@
     return DIRECTORY_CODEC.encode({ kind: 'subscribe', subscriberKind, zone, gatherAddress });
   }
 
-  private takeLeaf({ name, zone, address, isGone }: LeafMessage): void {
-    if (isGone) this.leaves.delete(name);
-    else this.leaves.set(name, { name, zone, address });
+  private takeGateway({ name, zone, address, isGone }: GatewayMessage): void {
+    if (isGone) this.gateways.delete(name);
+    else this.gateways.set(name, { name, zone, address });
   }
 
   private async follow(connection: MessageConnection): Promise<void> {
@@ -137,35 +159,56 @@
       const frame = await connection.receive();
       if (frame === undefined) return;
       guard.heard();
-      const position = this.takeFrame(frame);
+      const { position, hasReplicas } = this.takeFrame(frame);
       const documentVersion = this.parts.documentVersion();
       await connection.send(DIRECTORY_CODEC.encode({ kind: 'confirm', position, documentVersion }));
+      if (hasReplicas) void this.confirmRelayed(position);
+    }
+  }
+
+  /** One wait at a time: what comes meanwhile is confirmed together by the next one. */
+  private async confirmRelayed(position: number): Promise<void> {
+    const { relay } = this.parts;
+    const isWaiting = this.unrelayedPosition !== undefined;
+    this.unrelayedPosition = position;
+    if (relay === undefined || isWaiting) return;
+    while (this.unrelayedPosition !== undefined) {
+      const current: number = this.unrelayedPosition;
+      const isRelayed = await relay();
+      if (this.unrelayedPosition === current) this.unrelayedPosition = undefined;
+      if (!isRelayed) continue;
+      // A connection that broke is noticed by the task that reads it.
+      await this.connection
+        ?.send(DIRECTORY_CODEC.encode({ kind: 'relayed', position: current }))
+        .catch(() => undefined);
     }
   }
 
-  /** Takes a whole frame in and gives the position that it reached. */
-  private takeFrame(frame: Uint8Array): number {
+  /** Takes a whole frame in. */
+  private takeFrame(frame: Uint8Array): TakenFrame {
     let position = 0;
-    const controllers: string[] = [];
-    let hasLeaves = false;
+    const controllers: KnownController[] = [];
+    let hasGateways = false;
+    let hasReplicas = false;
     for (const message of DIRECTORY_CODEC.decodeBatch(frame, this.address)) {
       if (message.kind === 'status') {
         position = message.position;
         this.status = { ...message, receivedAt: this.parts.environment.clock.now() };
       } else if (message.kind === 'controller') {
-        controllers.push(message.address);
-      } else if (message.kind === 'leaf') {
-        this.takeLeaf(message);
-        hasLeaves = true;
+        controllers.push(message);
+      } else if (message.kind === 'gateway') {
+        this.takeGateway(message);
+        hasGateways = true;
       } else {
         this.parts.take(message);
+        hasReplicas ||= message.kind === 'replica';
       }
     }
-    if (hasLeaves) this.parts.onLeaves();
+    if (hasGateways) this.parts.onGateways();
     if (controllers.length > 0) {
       this.controllers = controllers;
       this.parts.onControllers(this);
     }
-    return position;
+    return { position, hasReplicas };
   }
 }
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -45,14 +45,19 @@
   readonly memberId: string;
   /** `host:port` for internal messages. */
   readonly address: string;
+  /** Empty while the sender does not know it. */
+  readonly zone: string;
 }
 
-/** A gateway that takes gathers of others, or does not any more; told to gateways. */
-export interface LeafMessage {
-  readonly kind: 'leaf';
+/**
+ * A gateway that joined or went. Controllers are told of those that follow the
+ * sender, gateways of those that take gathers of others.
+ */
+export interface GatewayMessage {
+  readonly kind: 'gateway';
   readonly name: string;
   readonly zone: string;
-  /** `host:port`. */
+  /** See `SubscribeMessage.gatherAddress`. */
   readonly address: string;
   readonly isGone: boolean;
 }
@@ -78,15 +83,22 @@
   readonly documentVersion: number;
 }
 
+/** All gateways that follow the subscribing controller have taken in everything up to a position. */
+export interface RelayedMessage {
+  readonly kind: 'relayed';
+  readonly position: number;
+}
+
 export type DirectoryMessage =
   | SubscribeMessage
   | ReplicaMessage
   | HeardMessage
   | DocumentMessage
   | ControllerMessage
-  | LeafMessage
+  | GatewayMessage
   | StatusMessage
-  | ConfirmMessage;
+  | ConfirmMessage
+  | RelayedMessage;
 
 /** Stands for "no route document yet". */
 export const NO_DOCUMENT = -1;
@@ -126,7 +138,10 @@
   },
   heard: { tag: 42, fields: [field('replicaId', 'string')] },
   document: { tag: 43, fields: [field('version', 'long'), field('content', 'bytes')] },
-  controller: { tag: 44, fields: [field('memberId', 'string'), field('address', 'string')] },
+  controller: {
+    tag: 44,
+    fields: [field('memberId', 'string'), field('address', 'string'), field('zone', 'string')],
+  },
   status: {
     tag: 45,
     fields: [
@@ -136,7 +151,7 @@
       field('stopping', 'boolean'),
     ],
   },
-  leaf: {
+  gateway: {
     tag: 47,
     fields: [
       field('name', 'string'),
@@ -145,6 +160,7 @@
       field('isGone', 'boolean'),
     ],
   },
+  relayed: { tag: 48, fields: [field('position', 'long')] },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
 
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -4,8 +4,12 @@
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
-import { DirectorySession, type DirectorySessionSources } from './directory-session.js';
-import { chooseLeaves, type LeafGateway } from './leaf-gateway.js';
+import {
+  DirectorySession,
+  type DirectoryController,
+  type DirectorySessionSources,
+} from './directory-session.js';
+import { chooseLeaves, type KnownGateway, type LeafGateway } from './leaf-gateway.js';
 import {
   BATCH_INTERVAL_MS,
   GATEWAY_REMEMBERED_MS,
@@ -17,15 +21,34 @@
 /** Most messages of one frame, which keeps it far below the longest frame. */
 const MESSAGES_PER_FRAME = 2_000;
 
-/** What subscribers are told, besides which gateways there are. */
-export type DirectoryServerSources = Omit<DirectorySessionSources, 'leaves'>;
+/** A member of the controllers' group. */
+export interface DirectoryMember {
+  readonly memberId: string;
+  /** `host:port` for internal messages. */
+  readonly address: string;
+}
+
+/** What subscribers are told, besides what the server knows of them. */
+export interface DirectoryServerSources extends Pick<
+  DirectorySessionSources,
+  'clock' | 'directory' | 'document' | 'ageMs'
+> {
+  readonly members: () => readonly DirectoryMember[];
+  /** This controller. */
+  readonly ownName: string;
+  readonly ownZone: string;
+  /** Gateways that follow other controllers, as those say. */
+  readonly otherGateways: () => readonly KnownGateway[];
+}
 
 /** Who confirmed a position. */
 export interface Confirmation {
   /** Names of the controllers that hold it, besides this one. */
   readonly controllers: ReadonlySet<string>;
-  /** Gateways connected here that do not hold it yet. */
+  /** Gateways that follow this controller and do not hold it yet. */
   readonly gatewaysMissing: number;
+  /** Controllers that follow this one and whose gateways do not all hold it yet. */
+  readonly relaysMissing: number;
 }
 
 /** See the module comment. */
@@ -40,7 +63,12 @@
   private stopping = false;
 
   constructor(private readonly sources: DirectoryServerSources) {
-    this.sessionSources = { ...sources, leaves: () => this.currentLeaves() };
+    this.sessionSources = {
+      ...sources,
+      controllers: () => this.controllers(),
+      gatewaysFor: (kind) =>
+        kind === SubscriberKind.Controller ? this.ownGateways() : this.currentLeaves(),
+    };
     this.news = new Notifier(sources.clock);
     this.confirmations = new Notifier(sources.clock);
   }
@@ -57,9 +85,11 @@
     }
   }
 
-  /** Gateways connected now or a short while ago. */
+  /** Gateways that follow any controller now or did a short while ago. */
   get gateways(): number {
-    const oldest = this.sources.clock.now() - GATEWAY_REMEMBERED_MS;
+    const now = this.sources.clock.now();
+    for (const { name } of this.sources.otherGateways()) this.gatewaySeenAt.set(name, now);
+    const oldest = now - GATEWAY_REMEMBERED_MS;
     for (const [name, seenAt] of this.gatewaySeenAt) {
       if (seenAt < oldest) this.gatewaySeenAt.delete(name);
     }
@@ -85,12 +115,14 @@
   confirmation(position: number): Confirmation {
     const controllers = new Set<string>();
     let gatewaysMissing = 0;
-    for (const { name, kind, confirmedPosition } of this.sessions) {
+    let relaysMissing = 0;
+    for (const { name, kind, confirmedPosition, relayedPosition } of this.sessions) {
       const holds = confirmedPosition >= position;
       if (kind === SubscriberKind.Controller && holds) controllers.add(name);
       if (kind === SubscriberKind.Gateway && !holds) gatewaysMissing += 1;
+      if (kind === SubscriberKind.Controller && relayedPosition < position) relaysMissing += 1;
     }
-    return { controllers, gatewaysMissing };
+    return { controllers, gatewaysMissing, relaysMissing };
   }
 
   /** Serves one subscriber until its connection ends. */
@@ -98,6 +130,7 @@
     const session = await this.open(connection, peer.name);
     if (session === undefined) return;
     this.sessions.add(session);
+    this.news.notify();
     const guard = new SilenceGuard(this.sources.clock, connection, STREAM_SILENCE_MS);
     void guard.run();
     void this.receiveConfirmations(connection, session, guard);
@@ -105,6 +138,7 @@
       await this.sendNews(connection, session);
     } finally {
       this.sessions.delete(session);
+      this.news.notify();
       this.confirmations.notify();
     }
   }
@@ -126,8 +160,27 @@
     const isController = message.subscriberKind === SubscriberKind.Controller.valueOf();
     const kind = isController ? SubscriberKind.Controller : SubscriberKind.Gateway;
     const { zone, gatherAddress: address } = message;
-    const leaf = address === '' ? undefined : { name, zone, address };
-    return new DirectorySession(name, kind, leaf);
+    return new DirectorySession(kind, { name, zone, address });
+  }
+
+  /** Gateways that follow this controller; the newest connection of each counts. */
+  private ownGateways(): Iterable<KnownGateway> {
+    const byName = new Map<string, KnownGateway>();
+    for (const { kind, subscriber } of this.sessions) {
+      if (kind === SubscriberKind.Gateway) byName.set(subscriber.name, subscriber);
+    }
+    return byName.values();
+  }
+
+  /** The group's members, with the zones of those that follow this controller. */
+  private controllers(): readonly DirectoryController[] {
+    const zones = new Map([[this.sources.ownName, this.sources.ownZone]]);
+    for (const { kind, subscriber } of this.sessions) {
+      if (kind === SubscriberKind.Controller) zones.set(subscriber.name, subscriber.zone);
+    }
+    return this.sources
+      .members()
+      .map(({ memberId, address }) => ({ memberId, address, zone: zones.get(memberId) ?? '' }));
   }
 
   /** Chosen anew now and then: when a fleet starts, gateways connect one after the other. */
@@ -135,11 +188,9 @@
     const now = this.sources.clock.now();
     if (now - this.leavesChosenAt < LEAVES_INTERVAL_MS) return this.leaves;
     this.leavesChosenAt = now;
-    const byName = new Map<string, LeafGateway>();
-    for (const { leaf } of this.sessions) {
-      if (leaf !== undefined) byName.set(leaf.name, leaf);
-    }
-    this.leaves = chooseLeaves([...byName.values()]);
+    const gateways = new Map(this.sources.otherGateways().map((other) => [other.name, other]));
+    for (const gateway of this.ownGateways()) gateways.set(gateway.name, gateway);
+    this.leaves = chooseLeaves(gateways.values());
     return this.leaves;
   }
 
@@ -199,6 +250,10 @@
   }
 
   private takeConfirmation(session: DirectorySession, message: DirectoryMessage): void {
+    if (message.kind === 'relayed') {
+      session.relayedPosition = Math.max(session.relayedPosition, message.position);
+      this.confirmations.notify();
+    }
     if (message.kind !== 'confirm') return;
     session.confirmedPosition = Math.max(session.confirmedPosition, message.position);
     if (session.kind === SubscriberKind.Gateway) {
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -3,17 +3,19 @@
 import type { Clock } from '../seams/clock.js';
 import {
   NO_DOCUMENT,
-  SubscriberKind,
+  type SubscriberKind,
   replicaMessage,
   type DirectoryMessage,
 } from './directory-messages.js';
-import type { LeafGateway } from './leaf-gateway.js';
+import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** A controller as subscribers are told of it. */
 export interface DirectoryController {
   readonly memberId: string;
   readonly address: string;
+  /** Empty while it is not known. */
+  readonly zone: string;
 }
 
 /** What subscribers are told. */
@@ -24,8 +26,8 @@
   readonly controllers: () => readonly DirectoryController[];
   /** See `StatusMessage.ageMs`. */
   readonly ageMs: () => number;
-  /** Gateways that take gathers of others. */
-  readonly leaves: () => readonly LeafGateway[];
+  /** Gateways that a subscriber of the kind is told of; see `GatewayMessage`. */
+  readonly gatewaysFor: (kind: SubscriberKind) => Iterable<KnownGateway>;
 }
 
 /** See the module comment. */
@@ -34,26 +36,31 @@
   position = 0;
   /** The subscriber has taken in everything up to here. */
   confirmedPosition = -1;
+  /** All gateways that follow the subscriber, a controller, have taken in everything up to here. */
+  relayedPosition = -1;
   /** Heartbeats heard since the last frame; only controllers are told of them. */
   readonly heard = new Set<string>();
   private documentVersion = NO_DOCUMENT;
   private controllers = '';
 
-  private readonly toldLeaves = new Map<string, LeafGateway>();
+  private readonly toldGateways = new Map<string, KnownGateway>();
 
   constructor(
-    readonly name: string,
     readonly kind: SubscriberKind,
-    /** The subscriber itself; undefined when it takes no gathers. */
-    readonly leaf: LeafGateway | undefined,
+    /** The subscriber itself. */
+    readonly subscriber: KnownGateway,
   ) {}
 
+  get name(): string {
+    return this.subscriber.name;
+  }
+
   /** Everything that the subscriber was not told yet. */
   takeNews(sources: DirectorySessionSources): DirectoryMessage[] {
     const messages: DirectoryMessage[] = [];
     this.addDocument(sources, messages);
     this.addControllers(sources, messages);
-    if (this.kind === SubscriberKind.Gateway) this.addLeaves(sources, messages);
+    this.addGateways(sources, messages);
     for (const entry of sources.directory.changedAfter(this.position)) {
       messages.push(replicaMessage(entry));
     }
@@ -71,27 +78,27 @@
   }
 
   /** What changed in the list since it was told. */
-  private addLeaves(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
-    const gone = new Map(this.toldLeaves);
-    for (const leaf of sources.leaves()) {
-      gone.delete(leaf.name);
-      if (this.toldLeaves.get(leaf.name)?.address === leaf.address) continue;
-      this.toldLeaves.set(leaf.name, leaf);
-      messages.push({ kind: 'leaf', ...leaf, isGone: false });
+  private addGateways(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
+    const gone = new Map(this.toldGateways);
+    for (const gateway of sources.gatewaysFor(this.kind)) {
+      gone.delete(gateway.name);
+      if (this.toldGateways.get(gateway.name)?.address === gateway.address) continue;
+      this.toldGateways.set(gateway.name, gateway);
+      messages.push({ kind: 'gateway', ...gateway, isGone: false });
     }
-    for (const leaf of gone.values()) {
-      this.toldLeaves.delete(leaf.name);
-      messages.push({ kind: 'leaf', ...leaf, isGone: true });
+    for (const gateway of gone.values()) {
+      this.toldGateways.delete(gateway.name);
+      messages.push({ kind: 'gateway', ...gateway, isGone: true });
     }
   }
 
   private addControllers(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const controllers = sources.controllers();
-    const fingerprint = controllers.map(({ address }) => address).join(' ');
+    const fingerprint = controllers.map(({ address, zone }) => `${address} ${zone}`).join(' ');
     if (fingerprint === this.controllers) return;
     this.controllers = fingerprint;
-    for (const { memberId, address } of controllers) {
-      messages.push({ kind: 'controller', memberId, address });
+    for (const { memberId, address, zone } of controllers) {
+      messages.push({ kind: 'controller', memberId, address, zone });
     }
   }
 }
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -24,6 +24,19 @@
 /** A controller chooses the gateways that take gathers of others this often. */
 export const LEAVES_INTERVAL_MS = 400;
 
+/** How often a gateway looks whether the controllers that it follows are fresh. */
+export const FOLLOW_INTERVAL_MS = 250;
+
+/**
+ * A controller is followed no longer alone when what it knows is older: three of
+ * its statuses. Together with a dial that is well below the seconds within which
+ * a change has to be in force.
+ */
+export const FOLLOWED_FRESH_MS = 1_200;
+
+/** For so long after the first dial a controller counts as one that will be fresh. */
+export const DIALLED_MS = 1_000;
+
 /** A gateway counts for shares of budgets this long after it was last connected. */
 export const GATEWAY_REMEMBERED_MS = 15_000;
 
--- a/src/directory/leaf-gateway.ts
+++ b/src/directory/leaf-gateway.ts
@@ -5,14 +5,17 @@
  */
 import { xxh64 } from '@node-rs/xxhash';
 
-/** A gateway that takes gathers of others. */
-export interface LeafGateway {
+/** A gateway as controllers know it. */
+export interface KnownGateway {
   readonly name: string;
   readonly zone: string;
-  /** `host:port` for internal messages. */
+  /** Where other gateways reach it, `host:port`; empty when it takes no gathers. */
   readonly address: string;
 }
 
+/** One that takes gathers of others: its address is not empty. */
+export type LeafGateway = KnownGateway;
+
 /**
  * Most leaves of a zone. A gateway of a third of a core carries some 250 requests
  * to replicas a second at a quarter of its time, so eight carry 2,000 a zone.
@@ -37,9 +40,10 @@
 }
 
 /** At most {@link MAXIMUM_LEAVES_PER_ZONE} of each zone; one that joins or goes changes no other's rank. */
-export function chooseLeaves(gateways: readonly LeafGateway[]): LeafGateway[] {
+export function chooseLeaves(gateways: Iterable<KnownGateway>): LeafGateway[] {
   const byZone = new Map<string, LeafGateway[]>();
   for (const gateway of gateways) {
+    if (gateway.address === '') continue;
     const others = byZone.get(gateway.zone) ?? [];
     others.push(gateway);
     byZone.set(gateway.zone, others);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -40,6 +40,8 @@
 const ACCEPTING_PART = 0.6;
 const ANSWERING_PART = 0.9;
 const STOP_CHECK_MS = 50;
+/** Controllers that a gateway follows: one near, and one in case that it is lost. */
+const FOLLOWED_CONTROLLERS = 2;
 /** How often forgotten replicas are looked for. */
 const FORGET_INTERVAL_MS = 500;
 
@@ -162,7 +164,7 @@
       settings: this.configuration.aggregation,
       secondSends: this.configuration.secondSends,
       telemetry: { ...this.telemetry, logger: this.logger },
-      leaves: () => this.client.leaves,
+      leaves: () => this.client.knownGateways,
       table: () => this.endpoint.table,
       stopped: this.ended.signal,
     });
@@ -173,6 +175,7 @@
     const client = new DirectoryClient({
       environment: this.environment,
       identity: this.identity,
+      followed: FOLLOWED_CONTROLLERS,
       ...(listen.messages === undefined ? {} : { gatherAddress: formatAddress(listen.messages) }),
       subscriberKind: SubscriberKind.Gateway,
       zone,
--- a/src/gateway/shard-gather.ts
+++ b/src/gateway/shard-gather.ts
@@ -106,7 +106,8 @@
     }
   }
 
-  private hedge(): void {
+  /** Asks a second replica of each shard that has not answered yet. */
+  hedge(): void {
     for (const race of this.races) {
       if (race.hedge()) this.context.metrics.hedges.inc();
     }
