Spread the groups of a fan-out over more leaves, and compile code before callers come

Ruled out: the root (1 to 5 ms for all its gathers). Change: three owners a group, at most eight shards, owners of one group own another only where leaves are fewer; a gateway sends fan-outs to itself after its start until the first request comes.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -25,7 +25,7 @@
  * the owners of its group and as many again, which stand in for them or hold the
  * connections of a division that has just changed.
  */
-const SHARING_LEAVES = 3 * GROUP_OWNERS;
+const SHARING_LEAVES = 2 * GROUP_OWNERS;
 /** How often connections to leaves are looked after. Milliseconds. */
 const KEEP_INTERVAL_MS = 300;
 
@@ -91,6 +91,11 @@
     return this.server.inProgress;
   }
 
+  /** Whether any gather of another gateway has come. */
+  get hasServed(): boolean {
+    return this.server.hasServed;
+  }
+
   /** Who asks the shards of the request. */
   plan(
     request: CallerRequest,
--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -9,8 +9,11 @@
 
 /** Computed again at most this often: replicas and leaves come and go. Milliseconds. */
 const REFRESH_MS = 500;
-/** First leaves of a group, which share its gathers; the others stand by. */
-export const GROUP_OWNERS = 2;
+/**
+ * First leaves of a group, which share its gathers; the others stand by. More of
+ * them wait less for each other, and each sees less of what it could learn from.
+ */
+export const GROUP_OWNERS = 3;
 
 /** Shards that are asked by one leaf. */
 export interface LeafGroup {
@@ -75,12 +78,26 @@
       others.push(shard);
       byZone.set(zone, others);
     }
-    return [...byZone].flatMap(([zone, group]) =>
-      cutEvenly(group.sort(), this.sources.shardsPerGroup).map((part, index) => ({
-        shards: part,
-        leaves: this.rank(`${zone} ${index}`, zone, leaves),
-      })),
-    );
+    return [...byZone].flatMap(([zone, group]) => this.divideZone(zone, group, leaves));
+  }
+
+  /** Owners of one group own another one only where there are fewer leaves than that takes. */
+  private divideZone(
+    zone: string,
+    shards: readonly string[],
+    leaves: readonly LeafGateway[],
+  ): LeafGroup[] {
+    const parts = cutEvenly([...shards].sort(), this.sources.shardsPerGroup);
+    const owned = new Map<string, number>();
+    return parts.map((part, index) => {
+      const ranked = rankFor(`${zone} ${index}`, leaves, nameOf);
+      const groupsOf = ({ name }: LeafGateway): number => owned.get(name) ?? 0;
+      // The sort is stable: among leaves that own as many groups the rank decides.
+      const near = ranked.filter((leaf) => leaf.zone === zone);
+      near.sort((left, right) => groupsOf(left) - groupsOf(right));
+      for (const leaf of near.slice(0, GROUP_OWNERS)) owned.set(leaf.name, groupsOf(leaf) + 1);
+      return { shards: part, leaves: [...near, ...ranked.filter((leaf) => leaf.zone !== zone)] };
+    });
   }
 
   /** A zone with replicas of the shard and with leaves; any with leaves when there is none. */
@@ -89,12 +106,4 @@
     const near = zones.filter((zone) => zonesOfReplicas.has(zone));
     return rankFor(shard, near.length > 0 ? near : zones, (zone) => zone)[0] ?? '';
   }
-
-  private rank(subject: string, zone: string, leaves: readonly LeafGateway[]): LeafGateway[] {
-    const ranked = rankFor(subject, leaves, nameOf);
-    return [
-      ...ranked.filter((leaf) => leaf.zone === zone),
-      ...ranked.filter((leaf) => leaf.zone !== zone),
-    ];
-  }
 }
--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -58,7 +58,8 @@
 
   /**
    * One of the first usable leaves of the group that is not in `excluded`: of
-   * two, the one with fewer gathers. Undefined when no connection is open.
+   * two drawn by chance, the one with fewer gathers from here. Undefined when no
+   * connection is open.
    */
   choose(group: LeafGroup, excluded: ReadonlySet<string>): LeafLink | undefined {
     const open = group.leaves.flatMap(({ name }) => {
@@ -66,12 +67,11 @@
       return link !== undefined && link.isOpen && !link.isStopping ? [link] : [];
     });
     const calm = open.filter((link) => !this.isAvoided(link) && !this.isBusy(link));
-    const [first, second] = calm.length > 0 ? calm : open;
+    const usable = (calm.length > 0 ? calm : open).slice(0, GROUP_OWNERS);
+    const first = usable[Math.floor(this.random.nextFloat() * usable.length)];
+    const second = usable[Math.floor(this.random.nextFloat() * usable.length)];
     if (first === undefined || second === undefined) return first;
-    if (first.inProgress !== second.inProgress) {
-      return first.inProgress < second.inProgress ? first : second;
-    }
-    return this.random.nextFloat() < 0.5 ? first : second;
+    return first.inProgress <= second.inProgress ? first : second;
   }
 
   private isAvoided({ leaf }: LeafLink): boolean {
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -38,10 +38,10 @@
      */
     divideAbove: z.int().min(1).default(32),
     /** Most shards of a group, which one gateway asks. */
-    shardsPerGroup: z.int().min(1).default(10),
+    shardsPerGroup: z.int().min(1).default(8),
   })
   .prefault({})
-  .describe('{ divideAbove: 32, shardsPerGroup: 10 }');
+  .describe('{ divideAbove: 32, shardsPerGroup: 8 }');
 export type AggregationSettings = z.infer<typeof aggregationSchema>;
 
 export const gatewayConfigurationSchema = z.strictObject({
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -34,6 +34,8 @@
     youngShares: switchSchema,
     /** Requests to many shards are divided among gateways. */
     aggregation: switchSchema,
+    /** After its start the gateway sends requests to itself until its code is compiled. */
+    codeWarmUp: switchSchema,
   })
   .prefault({})
   .describe('{ hedging: true }');
--- a/src/directory/leaf-gateway.ts
+++ b/src/directory/leaf-gateway.ts
@@ -18,9 +18,9 @@
 
 /**
  * Most leaves of a zone. A gateway of a third of a core carries some 250 requests
- * to replicas a second at a quarter of its time, so eight carry 2,000 a zone.
+ * to replicas a second at a quarter of its time, so twelve carry 3,000 a zone.
  */
-export const MAXIMUM_LEAVES_PER_ZONE = 8;
+export const MAXIMUM_LEAVES_PER_ZONE = 12;
 
 /** Rank of `candidate` for `subject` by rendezvous hashing: the highest come first. */
 export function rendezvousRank(subject: string, candidate: string): bigint {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -34,6 +34,8 @@
 import { RequestDecisions } from './request-decisions.js';
 import { RouteLatencies } from './route-latencies.js';
 import { AttemptSender } from './send-attempt.js';
+import { warmUpCode } from './startup/code-warm-up.js';
+import { answerAsReplica, WARM_UP_PATH } from './startup/stand-in-replica.js';
 import { ServiceTargets } from './service-targets.js';
 
 /** Of the grace for a stop: until new connections end, and until the last answer is given. */
@@ -224,6 +226,7 @@
     );
     void this.forgetSilent();
     if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
+    if (this.configuration.mechanisms.codeWarmUp) void this.warmUpCode(this.health.address);
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
@@ -239,7 +242,9 @@
     return { ...response, headers: { ...response.headers, connection: 'close' } };
   }
 
-  private async serveHealth({ path }: HttpRequest): Promise<HttpResponse> {
+  private async serveHealth(request: HttpRequest): Promise<HttpResponse> {
+    const { path } = request;
+    if (path === WARM_UP_PATH) return answerAsReplica(request, this.context.headers);
     if (path === '/readyz') return this.readyz();
     if (path === '/livez') return textResponse(200, 'live\n');
     if (path === '/metrics') return textResponse(200, await this.telemetry.registry.metrics());
@@ -271,6 +276,18 @@
     return table?.isShard(service) === true && this.aggregation.asksItself(service);
   }
 
+  private async warmUpCode(address: Address): Promise<void> {
+    const { environment, endpoint, aggregation } = this;
+    const { headers } = this.context;
+    const isIdle = (): boolean => !this.isStopping && !endpoint.hasServed && !aggregation.hasServed;
+    try {
+      await warmUpCode({ environment, headers, address, isIdle });
+    } catch (error) {
+      // Requests are served without it, only slower at first.
+      this.logger.warn('code not warmed up', { reason: String(error) });
+    }
+  }
+
   private keepWarm(): Promise<void> {
     const { clock, random } = this.environment;
     return keepConnectionsWarm({
