--- /dev/null
+++ b/test/aggregation/leaf-assignment.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from 'vitest';
+import { GROUP_OWNERS, LeafAssignment } from '../../src/aggregation/leaf-assignment.js';
+import type { LeafGateway } from '../../src/directory/leaf-gateway.js';
+import type { ServiceTargets } from '../../src/gateway/service-targets.js';
+
+const ZONES = ['a', 'b', 'c'];
+const SHARDS = Array.from({ length: 60 }, (_, index) => `shard-${index}`);
+const LEAVES = ZONES.flatMap((zone) =>
+  Array.from({ length: 9 }, (_, index): LeafGateway => ({
+    name: `${zone}-${index}`,
+    zone,
+    address: `10.0.0.${index}:1`,
+  })),
+);
+
+/** Replicas of shard n in the zones n and n + 1. */
+function zonesOf(shard: string): string[] {
+  const number = Number(shard.split('-')[1]);
+  return [ZONES[number % 3] ?? '', ZONES[(number + 1) % 3] ?? ''];
+}
+
+function createAssignment(leaves: readonly LeafGateway[], shardsPerGroup = 8): LeafAssignment {
+  const of = (shard: string): unknown => zonesOf(shard).map((zone) => ({ entry: { zone } }));
+  const targets = { of } as ServiceTargets;
+  return new LeafAssignment({ now: () => 0, targets, leaves: () => leaves, shardsPerGroup });
+}
+
+function ownersOf(leaves: readonly LeafGateway[]): string[] {
+  return createAssignment(leaves)
+    .groupsOf(SHARDS)
+    .flatMap((group) => group.leaves.slice(0, GROUP_OWNERS).map(({ name }) => name));
+}
+
+describe('the division of shards among leaves', () => {
+  it('puts every shard into one group, none longer than allowed', () => {
+    const groups = createAssignment(LEAVES).groupsOf(SHARDS);
+    expect(groups.flatMap(({ shards }) => shards).sort()).toEqual([...SHARDS].sort());
+    for (const { shards } of groups) expect(shards.length).toBeLessThanOrEqual(8);
+  });
+
+  it('gives a group to leaves of a zone with replicas of each of its shards', () => {
+    for (const { shards, leaves } of createAssignment(LEAVES).groupsOf(SHARDS)) {
+      for (const { zone } of leaves.slice(0, GROUP_OWNERS)) {
+        for (const shard of shards) expect(zonesOf(shard)).toContain(zone);
+      }
+    }
+  });
+
+  it('gives no leaf two groups while there are enough leaves', () => {
+    const owners = ownersOf(LEAVES);
+    expect(new Set(owners).size).toBe(owners.length);
+  });
+
+  it('is the same at gateways that are told of the leaves in another order', () => {
+    const other = [...LEAVES].reverse();
+    expect(createAssignment(other).groupsOf(SHARDS)).toEqual(
+      createAssignment(LEAVES).groupsOf(SHARDS),
+    );
+  });
+
+  it('moves few groups when a leaf goes', () => {
+    const before = ownersOf(LEAVES);
+    const [gone] = before;
+    const after = ownersOf(LEAVES.filter(({ name }) => name !== gone));
+    expect(before.filter((name) => !after.includes(name))).toEqual([gone]);
+  });
+
+  it('uses leaves of other zones where a zone with replicas has none', () => {
+    const far = LEAVES.filter(({ zone }) => zone === 'c');
+    const groups = createAssignment(far).groupsOf(SHARDS);
+    expect(groups.flatMap(({ shards }) => shards)).toHaveLength(SHARDS.length);
+  });
+
+  it('has no groups while no leaf is known', () => {
+    expect(createAssignment([]).groupsOf(SHARDS)).toEqual([]);
+  });
+});
