Send a route document over zones only where it does not arrive otherwise

Change: the controller of another zone sends it only to a gateway that has none, or lacks this version for a second.

--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -31,12 +31,11 @@
 /** What subscribers are told, besides what the server knows of them. */
 export interface DirectoryServerSources extends Pick<
   DirectorySessionSources,
-  'clock' | 'directory' | 'document' | 'ageMs'
+  'clock' | 'directory' | 'document' | 'ageMs' | 'ownZone'
 > {
   readonly members: () => readonly DirectoryMember[];
   /** This controller. */
   readonly ownName: string;
-  readonly ownZone: string;
   /** Gateways that follow other controllers, as those say. */
   readonly otherGateways: () => readonly KnownGateway[];
 }
@@ -256,6 +255,7 @@
     }
     if (message.kind !== 'confirm') return;
     session.confirmedPosition = Math.max(session.confirmedPosition, message.position);
+    session.confirmedDocumentVersion = message.documentVersion;
     if (session.kind === SubscriberKind.Gateway) {
       this.gatewaySeenAt.set(session.name, this.sources.clock.now());
     }
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -3,10 +3,11 @@
 import type { Clock } from '../seams/clock.js';
 import {
   NO_DOCUMENT,
-  type SubscriberKind,
+  SubscriberKind,
   replicaMessage,
   type DirectoryMessage,
 } from './directory-messages.js';
+import { FAR_DOCUMENT_DELAY_MS } from './directory-timing.js';
 import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
@@ -26,6 +27,7 @@
   readonly controllers: () => readonly DirectoryController[];
   /** See `StatusMessage.ageMs`. */
   readonly ageMs: () => number;
+  readonly ownZone: string;
   /** Gateways that a subscriber of the kind is told of; see `GatewayMessage`. */
   readonly gatewaysFor: (kind: SubscriberKind) => Iterable<KnownGateway>;
 }
@@ -40,7 +42,11 @@
   relayedPosition = -1;
   /** Heartbeats heard since the last frame; only controllers are told of them. */
   readonly heard = new Set<string>();
+  /** Version of the route document that the subscriber last said it has in force. */
+  confirmedDocumentVersion = NO_DOCUMENT;
   private documentVersion = NO_DOCUMENT;
+  /** The newest document that the subscriber lacked, and since when. */
+  private lacking = { version: NO_DOCUMENT, since: -Infinity };
   private controllers = '';
 
   private readonly toldGateways = new Map<string, KnownGateway>();
@@ -72,11 +78,24 @@
 
   private addDocument(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const document = sources.document();
-    if (document === undefined || document.version <= this.documentVersion) return;
+    const told = Math.max(this.documentVersion, this.confirmedDocumentVersion);
+    if (document === undefined || document.version <= told) return;
+    if (this.isLeftToOthers(sources, document.version)) return;
     this.documentVersion = document.version;
     messages.push({ kind: 'document', ...document });
   }
 
+  /**
+   * A gateway of another zone also follows a controller of its own: it is sent a
+   * document over the longer way only when it does not get it there.
+   */
+  private isLeftToOthers({ clock, ownZone }: DirectorySessionSources, version: number): boolean {
+    const isFar = this.kind === SubscriberKind.Gateway && this.subscriber.zone !== ownZone;
+    if (!isFar || this.confirmedDocumentVersion === NO_DOCUMENT) return false;
+    if (this.lacking.version !== version) this.lacking = { version, since: clock.now() };
+    return clock.now() - this.lacking.since < FAR_DOCUMENT_DELAY_MS;
+  }
+
   /** What changed in the list since it was told. */
   private addGateways(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const gone = new Map(this.toldGateways);
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -37,6 +37,12 @@
 /** For so long after the first dial a controller counts as one that will be fresh. */
 export const DIALLED_MS = 1_000;
 
+/**
+ * A controller of another zone sends a gateway a new route document this much
+ * later, which is two statuses: by then it has said whether it has it.
+ */
+export const FAR_DOCUMENT_DELAY_MS = 1_000;
+
 /** A gateway counts for shares of budgets this long after it was last connected. */
 export const GATEWAY_REMEMBERED_MS = 15_000;
 
