Make a gateway's shared parts in one place, and connect to few replicas before the first routes

Since the division a gateway opened no connections to replicas before it had routes, also in a small fleet. Ruled out: the division itself, which is not used with 20 shards. Change: of at most 128 known replicas all are connected to, as before.

--- /dev/null
+++ b/src/gateway/create-gateway-context.ts
@@ -0,0 +1,49 @@
+/** Makes what the parts of a gateway share. */
+import type { GatewayMechanisms } from '../configuration/gateway-mechanisms.js';
+import type { ReplicaDirectory } from '../directory/replica-directory.js';
+import { DecisionLog } from '../observability/decision-log.js';
+import type { Telemetry } from '../observability/telemetry.js';
+import type { Environment } from '../seams/environment.js';
+import type { ExchangeHeaders } from './exchange-headers.js';
+import { FleetShares } from './fleet-shares.js';
+import type { GatewayContext } from './gateway-context.js';
+import { GatewayMetrics } from './gateway-metrics.js';
+import { OverloadShedding } from './overload-shedding.js';
+import { ReplicaChoice, type PlacementOptions } from './replica-choice.js';
+import { RequestDecisions } from './request-decisions.js';
+import { RouteLatencies } from './route-latencies.js';
+import type { SecondSendLimits } from './second-send-budget.js';
+import { AttemptSender } from './send-attempt.js';
+import { ServiceTargets } from './service-targets.js';
+
+/** What a gateway is set to, and where it looks. */
+export interface GatewayContextOptions {
+  readonly environment: Environment;
+  readonly headers: ExchangeHeaders;
+  readonly telemetry: Telemetry;
+  readonly directory: ReplicaDirectory;
+  readonly mechanisms: GatewayMechanisms;
+  readonly placement: PlacementOptions;
+  readonly secondSends: SecondSendLimits;
+  /** Gateways of the fleet; undefined while no controller has said it. */
+  readonly countGateways: () => number | undefined;
+}
+
+export function createGatewayContext(options: GatewayContextOptions): GatewayContext {
+  const { environment, headers, telemetry, directory, mechanisms, placement } = options;
+  const { secondSends, countGateways } = options;
+  const { clock, random } = environment;
+  return {
+    environment,
+    headers,
+    mechanisms,
+    targets: new ServiceTargets(environment, directory),
+    choice: new ReplicaChoice(clock, random, placement, mechanisms),
+    sender: new AttemptSender(clock, headers),
+    latencies: new RouteLatencies(),
+    shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
+    shedding: new OverloadShedding(random),
+    decisions: new RequestDecisions(clock, new DecisionLog(clock, telemetry.logger)),
+    metrics: new GatewayMetrics(telemetry.registry),
+  };
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,7 +8,6 @@
 import { DirectoryClient } from '../directory/directory-client.js';
 import { SubscriberKind, type DocumentMessage } from '../directory/directory-messages.js';
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
-import { DecisionLog } from '../observability/decision-log.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
@@ -24,19 +23,12 @@
   RefusedRequest,
 } from '../seams/http.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
+import { createGatewayContext } from './create-gateway-context.js';
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
-import { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
-import { GatewayMetrics } from './gateway-metrics.js';
-import { OverloadShedding } from './overload-shedding.js';
-import { ReplicaChoice } from './replica-choice.js';
-import { RequestDecisions } from './request-decisions.js';
-import { RouteLatencies } from './route-latencies.js';
-import { AttemptSender } from './send-attempt.js';
 import { warmUpCode } from './startup/code-warm-up.js';
 import { answerAsReplica, WARM_UP_PATH } from './startup/stand-in-replica.js';
-import { ServiceTargets } from './service-targets.js';
 
 /** Of the grace for a stop: until new connections end, and until the last answer is given. */
 const ACCEPTING_PART = 0.6;
@@ -44,6 +36,8 @@
 const STOP_CHECK_MS = 50;
 /** Controllers that a gateway follows: one near, and one in case that it is lost. */
 const FOLLOWED_CONTROLLERS = 2;
+/** So few replicas are connected to before the first routes say which are asked from here. */
+const FEW_REPLICAS = 128;
 /** How often forgotten replicas are looked for. */
 const FORGET_INTERVAL_MS = 500;
 
@@ -78,11 +72,11 @@
     private readonly telemetry: Telemetry,
     headers: ExchangeHeaders,
   ) {
-    const { name, zone } = configuration;
+    const { name } = configuration;
     this.logger = telemetry.logger.child({ gateway: name });
     this.directory = new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges);
     this.client = this.createClient();
-    this.context = this.createContext(headers, zone);
+    this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
     this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
       this.aggregation.plan(request, shards, listener),
@@ -188,28 +182,18 @@
     return client;
   }
 
-  private createContext(headers: ExchangeHeaders, zone: string): GatewayContext {
-    const { clock, random } = this.environment;
-    const decisions = new DecisionLog(clock, this.logger);
-    const { mechanisms, placement, secondSends } = this.configuration;
-    return {
+  private createContext(headers: ExchangeHeaders): GatewayContext {
+    const { mechanisms, placement, secondSends, zone } = this.configuration;
+    return createGatewayContext({
       environment: this.environment,
       headers,
+      telemetry: { ...this.telemetry, logger: this.logger },
+      directory: this.directory,
       mechanisms,
-      targets: new ServiceTargets(this.environment, this.directory),
-      choice: new ReplicaChoice(clock, random, { zone, ...placement }, mechanisms),
-      sender: new AttemptSender(clock, headers),
-      latencies: new RouteLatencies(),
-      shares: new FleetShares(
-        clock,
-        secondSends,
-        () => this.client.gateways,
-        mechanisms.youngShares,
-      ),
-      shedding: new OverloadShedding(random),
-      decisions: new RequestDecisions(clock, decisions),
-      metrics: new GatewayMetrics(this.telemetry.registry),
-    };
+      placement: { zone, ...placement },
+      secondSends,
+      countGateways: () => this.client.gateways,
+    });
   }
 
   private async open(): Promise<void> {
@@ -273,7 +257,8 @@
 
   private isAskedOften(service: string): boolean {
     const { table } = this.endpoint;
-    return table?.isShard(service) === true && this.aggregation.asksItself(service);
+    if (table === undefined) return this.context.targets.size <= FEW_REPLICAS;
+    return table.isShard(service) && this.aggregation.asksItself(service);
   }
 
   private async warmUpCode(address: Address): Promise<void> {
--- a/src/gateway/startup/code-warm-up.ts
+++ b/src/gateway/startup/code-warm-up.ts
@@ -11,24 +11,16 @@
 import { ALL_MECHANISMS } from '../../configuration/gateway-mechanisms.js';
 import { DirectoryKind, ReplicaDirectory } from '../../directory/replica-directory.js';
 import { RegisteredState } from '../../directory/replica-entry.js';
-import { DecisionLog } from '../../observability/decision-log.js';
 import { SILENT_LOGGER } from '../../observability/logger.js';
 import { RouteTable } from '../../routes/route-table.js';
 import { routeDocumentSchema } from '../../routes/route-document.js';
 import { formatAddress, type Address } from '../../seams/address.js';
 import type { Environment } from '../../seams/environment.js';
 import type { CallerRequest } from '../caller-request.js';
+import { createGatewayContext } from '../create-gateway-context.js';
 import type { ExchangeHeaders } from '../exchange-headers.js';
 import { FanOut } from '../fan-out.js';
-import { FleetShares } from '../fleet-shares.js';
 import type { GatewayContext } from '../gateway-context.js';
-import { GatewayMetrics } from '../gateway-metrics.js';
-import { OverloadShedding } from '../overload-shedding.js';
-import { ReplicaChoice } from '../replica-choice.js';
-import { RequestDecisions } from '../request-decisions.js';
-import { RouteLatencies } from '../route-latencies.js';
-import { AttemptSender } from '../send-attempt.js';
-import { ServiceTargets } from '../service-targets.js';
 import { ShardGather } from '../shard-gather.js';
 import { InMemoryConnection } from './in-memory-connection.js';
 import { WARM_UP_PATH } from './stand-in-replica.js';
@@ -46,6 +38,7 @@
 const ROUND_PAUSE_MS = 10;
 const REQUEST_TIMEOUT_MS = 2_000;
 const TOP_RECORDS = 50;
+const ZONE = 'warm-up';
 
 /** What the warm-up needs of the gateway. */
 export interface CodeWarmUpOptions {
@@ -57,41 +50,6 @@
   readonly isIdle: () => boolean;
 }
 
-/** A gateway's parts around replicas that are the gateway itself. */
-function createContext({ environment, headers, address }: CodeWarmUpOptions): GatewayContext {
-  const { clock, random } = environment;
-  const directory = new ReplicaDirectory(clock, DirectoryKind.HearsChanges);
-  const targets = new ServiceTargets(environment, directory);
-  for (const service of SHARDS) {
-    for (let copy = 0; copy < REPLICAS_PER_SHARD; copy += 1) {
-      directory.report({
-        replicaId: `${service}-${copy}`,
-        service,
-        address: formatAddress(address),
-        zone: 'warm-up',
-        capacity: 2,
-        state: RegisteredState.Ready,
-        sequence: 1,
-        warmupMs: 0,
-      });
-    }
-  }
-  const limits = { ratio: 0, slack: 0, windowMs: 1_000 };
-  return {
-    environment,
-    headers,
-    mechanisms: ALL_MECHANISMS,
-    targets,
-    choice: new ReplicaChoice(clock, random, { zone: 'warm-up', otherZoneCost: 0 }, ALL_MECHANISMS),
-    sender: new AttemptSender(clock, headers),
-    latencies: new RouteLatencies(),
-    shares: new FleetShares(clock, limits, () => 1, false),
-    shedding: new OverloadShedding(random),
-    decisions: new RequestDecisions(clock, new DecisionLog(clock, SILENT_LOGGER)),
-    metrics: new GatewayMetrics(new Registry()),
-  };
-}
-
 function createTable(): RouteTable {
   const route = {
     host: 'warm-up',
@@ -109,11 +67,24 @@
 
 class CodeWarmUp {
   private readonly context: GatewayContext;
+  private readonly directory: ReplicaDirectory;
   private readonly table = createTable();
   private round = 0;
 
   constructor(private readonly options: CodeWarmUpOptions) {
-    this.context = createContext(options);
+    const { environment, headers } = options;
+    this.directory = new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges);
+    this.context = createGatewayContext({
+      environment,
+      headers,
+      telemetry: { logger: SILENT_LOGGER, registry: new Registry() },
+      directory: this.directory,
+      mechanisms: ALL_MECHANISMS,
+      placement: { zone: ZONE, otherZoneCost: 0 },
+      secondSends: { ratio: 0, slack: 0, windowMs: 1_000 },
+      countGateways: () => 1,
+    });
+    this.registerReplicas();
   }
 
   async run(): Promise<void> {
@@ -128,6 +99,18 @@
     this.context.targets.stop();
   }
 
+  /** Replicas of every shard that are the gateway itself. */
+  private registerReplicas(): void {
+    const address = formatAddress(this.options.address);
+    const common = { address, zone: ZONE, capacity: 2, sequence: 1, warmupMs: 0 };
+    for (const service of SHARDS) {
+      for (let copy = 0; copy < REPLICAS_PER_SHARD; copy += 1) {
+        const replicaId = `${service}-${copy}`;
+        this.directory.report({ ...common, replicaId, service, state: RegisteredState.Ready });
+      }
+    }
+  }
+
   private createRequest(): CallerRequest {
     const now = this.options.environment.clock.now();
     const route = this.table.match('warm-up', WARM_UP_PATH);
