--- a/src/explain/format-story.ts
+++ b/src/explain/format-story.ts
@@ -23,7 +23,17 @@
     .join(' ');
 }
 
+/** A group of shards that another gateway was asked for. */
+function formatGather(attempt: StoryAttempt): string {
+  const { leaf, missing, sentAtMs, tookMs, result, ...facts } = attempt;
+  const took = tookMs === undefined ? '' : ` after ${formatFact(tookMs)} ms`;
+  const head = `sent at ${formatFact(sentAtMs)} ms to gateway ${formatFact(leaf)}`;
+  const lacking = `${formatFact(missing)} shards of the group are missing`;
+  return `  ${head}: ${formatFact(result)}${took}, ${lacking}\n    ${formatFacts(facts)}\n`;
+}
+
 function formatAttempt(attempt: StoryAttempt): string {
+  if (attempt['leaf'] !== undefined) return formatGather(attempt);
   const { replicaId, service, sentAtMs, tookMs, result, ...inputs } = attempt;
   const shard = service === undefined ? '' : ` of ${formatFact(service)}`;
   const took = tookMs === undefined ? '' : ` after ${formatFact(tookMs)} ms`;
--- a/test/explain/explain-request.test.ts
+++ b/test/explain/explain-request.test.ts
@@ -28,6 +28,14 @@
   `g-1  ${line(2_000, 'request failed', { gateway: 'g-1', requestId: 'mine', status: 502, attempts: [ATTEMPT] })}`,
   line(1_800, 'route document in force', { gateway: 'g-1', version: 7 }),
   line(2_500, 'route document in force', { gateway: 'g-1', version: 9 }),
+  line(2_550, 'request answered in part', {
+    gateway: 'g-1',
+    requestId: 'divided',
+    missingAttempts: [
+      { leaf: 'g-2', missing: 3, sentAtMs: 1, tookMs: 7, sends: 8, result: 'lost' },
+    ],
+  }),
+  line(2_540, 'shards gathered for another gateway', { gateway: 'g-2', requestId: 'divided' }),
   line(2_600, 'request refused', { gateway: 'g-1', requestId: 'other', omitted: 12 }),
   '{"broken',
 ].join('\n');
@@ -85,4 +93,11 @@
   it('says which file it cannot read', async () => {
     expect((await explain('mine', '/nowhere/at.log')).code).toBe(1);
   });
+
+  it('tells which gateways were asked for groups of shards, and what these say', async () => {
+    const { output } = await explain('divided');
+    expect(output).toContain('sent at 1 ms to gateway g-2: lost after 7 ms, 3 shards');
+    expect(output).toContain('shards gathered for another gateway at gateway g-2');
+    expect(output).not.toContain('undefined');
+  });
 });
