Divide shards anew only when leaves or replicas have changed

Change: when the leaves or the number of replicas have changed, at most once a second, and every ten seconds. Not measured before the landing.

--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -7,8 +7,12 @@
 import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { ServiceTargets } from '../gateway/service-targets.js';
 
-/** Computed again at most this often: replicas and leaves come and go. Milliseconds. */
-const REFRESH_MS = 500;
+/**
+ * Computed again when the leaves have changed, when the number of replicas has, at
+ * most this often, and after the longest time anyway. It takes some milliseconds.
+ */
+const SHORTEST_REFRESH_MS = 1_000;
+const LONGEST_REFRESH_MS = 10_000;
 /**
  * First leaves of a group, which share its gathers; the others stand by. More of
  * them wait less for each other, and each sees less of what it could learn from.
@@ -24,6 +28,8 @@
 
 interface CachedGroups {
   readonly computedAt: number;
+  /** Replicas that were known. */
+  readonly replicas: number;
   readonly leaves: readonly LeafGateway[];
   readonly groups: readonly LeafGroup[];
 }
@@ -63,12 +69,19 @@
     const now = this.sources.now();
     const leaves = this.sources.leaves();
     const known = this.cache.get(shards);
-    if (known?.leaves === leaves && now - known.computedAt < REFRESH_MS) return known.groups;
+    if (known !== undefined && this.isCurrent(known, now, leaves)) return known.groups;
     const groups = leaves.length === 0 ? [] : this.divide(shards, leaves);
-    this.cache.set(shards, { computedAt: now, leaves, groups });
+    const replicas = this.sources.targets.size;
+    this.cache.set(shards, { computedAt: now, replicas, leaves, groups });
     return groups;
   }
 
+  private isCurrent(known: CachedGroups, now: number, leaves: readonly LeafGateway[]): boolean {
+    if (known.leaves !== leaves) return false;
+    const isSame = known.replicas === this.sources.targets.size;
+    return now - known.computedAt < (isSame ? LONGEST_REFRESH_MS : SHORTEST_REFRESH_MS);
+  }
+
   private divide(shards: readonly string[], leaves: readonly LeafGateway[]): LeafGroup[] {
     const zones = [...new Set(leaves.map(({ zone }) => zone))];
     const byZone = new Map<string, string[]>();
--- a/test/aggregation/leaf-assignment.test.ts
+++ b/test/aggregation/leaf-assignment.test.ts
@@ -21,7 +21,7 @@
 
 function createAssignment(leaves: readonly LeafGateway[], shardsPerGroup = 8): LeafAssignment {
   const of = (shard: string): unknown => zonesOf(shard).map((zone) => ({ entry: { zone } }));
-  const targets = { of } as ServiceTargets;
+  const targets = { of, size: 2 * SHARDS.length } as unknown as ServiceTargets;
   return new LeafAssignment({ now: () => 0, targets, leaves: () => leaves, shardsPerGroup });
 }
 
