--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -91,11 +91,6 @@
     return this.server.inProgress;
   }
 
-  /** Whether any gather of another gateway has come. */
-  get hasServed(): boolean {
-    return this.server.hasServed;
-  }
-
   /** Who asks the shards of the request. */
   plan(
     request: CallerRequest,
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -58,8 +58,6 @@
 export class LeafServer {
   private readonly sessions = new Set<RootSession>();
   private isStopping = false;
-  /** Whether any gather has come. */
-  hasServed = false;
 
   constructor(private readonly options: LeafServerOptions) {}
 
@@ -98,7 +96,6 @@
 
   private takeFrame(session: RootSession, messages: readonly AggregationMessage[]): void {
     const [first, second] = messages;
-    this.hasServed = true;
     if (first?.kind === 'request' && second?.kind === 'gather' && messages.length === 2) {
       const reason = this.reasonToDecline;
       if (reason === undefined) this.begin(session, first, second);
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -34,8 +34,6 @@
     youngShares: switchSchema,
     /** Requests to many shards are divided among gateways. */
     aggregation: switchSchema,
-    /** After its start the gateway sends requests to itself until its code is compiled. */
-    codeWarmUp: switchSchema,
   })
   .prefault({})
   .describe('{ hedging: true }');
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -27,8 +27,6 @@
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
-import { warmUpCode } from './startup/code-warm-up.js';
-import { answerAsReplica, WARM_UP_PATH } from './startup/stand-in-replica.js';
 
 /** Of the grace for a stop: until new connections end, and until the last answer is given. */
 const ACCEPTING_PART = 0.6;
@@ -210,7 +208,6 @@
     );
     void this.forgetSilent();
     if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
-    if (this.configuration.mechanisms.codeWarmUp) void this.warmUpCode(this.health.address);
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
@@ -226,9 +223,7 @@
     return { ...response, headers: { ...response.headers, connection: 'close' } };
   }
 
-  private async serveHealth(request: HttpRequest): Promise<HttpResponse> {
-    const { path } = request;
-    if (path === WARM_UP_PATH) return answerAsReplica(request, this.context.headers);
+  private async serveHealth({ path }: HttpRequest): Promise<HttpResponse> {
     if (path === '/readyz') return this.readyz();
     if (path === '/livez') return textResponse(200, 'live\n');
     if (path === '/metrics') return textResponse(200, await this.telemetry.registry.metrics());
@@ -261,18 +256,6 @@
     return table.isShard(service) && this.aggregation.asksItself(service);
   }
 
-  private async warmUpCode(address: Address): Promise<void> {
-    const { environment, endpoint, aggregation } = this;
-    const { headers } = this.context;
-    const isIdle = (): boolean => !this.isStopping && !endpoint.hasServed && !aggregation.hasServed;
-    try {
-      await warmUpCode({ environment, headers, address, isIdle });
-    } catch (error) {
-      // Requests are served without it, only slower at first.
-      this.logger.warn('code not warmed up', { reason: String(error) });
-    }
-  }
-
   private keepWarm(): Promise<void> {
     const { clock, random } = this.environment;
     return keepConnectionsWarm({
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -20,8 +20,6 @@
   private readonly tables: TableInForce;
   /** Requests that have no answer yet. */
   inFlight = 0;
-  /** Whether any request has come. */
-  hasServed = false;
   private readonly splits = new SplitChooser();
 
   constructor(
@@ -45,7 +43,6 @@
     const { clock } = this.context.environment;
     const receivedAt = clock.now();
     this.inFlight += 1;
-    this.hasServed = true;
     try {
       const response = await this.route(request, receivedAt);
       this.context.metrics.requests.inc({ status: String(response.status) });
--- a/src/gateway/startup/in-memory-connection.ts
+++ b/test/aggregation/in-memory-connection.ts
@@ -1,5 +1,5 @@
 /** Two ends of a message connection within one process. */
-import type { MessageConnection } from '../../seams/message-connection.js';
+import type { MessageConnection } from '../../src/seams/message-connection.js';
 
 /** One end; frames that are sent arrive at the other one. */
 export class InMemoryConnection implements MessageConnection {
--- a/test/aggregation/leaf-server.test.ts
+++ b/test/aggregation/leaf-server.test.ts
@@ -8,8 +8,8 @@
 import { LeafServer } from '../../src/aggregation/leaf-server.js';
 import type { GatewayContext } from '../../src/gateway/gateway-context.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
-import { InMemoryConnection } from '../../src/gateway/startup/in-memory-connection.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { InMemoryConnection } from './in-memory-connection.js';
 
 const PEER = { role: 'aggregation', name: 'root', protocolVersion: 1 } as const;
 const GATHER: GatherMessage = {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -147,8 +147,7 @@
       },
       controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
       secondSends: overrides.secondSends ?? SECOND_SENDS,
-      // Requests of its own after the start would be among what tests count.
-      mechanisms: { codeWarmUp: false, ...overrides.mechanisms },
+      mechanisms: overrides.mechanisms ?? {},
       ...(overrides.aggregation === undefined ? {} : { aggregation: overrides.aggregation }),
       stopGraceMs: 6_000,
     });
