--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -14,7 +14,7 @@
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Address } from '../seams/address.js';
-import { GROUP_OWNERS, LeafAssignment } from './leaf-assignment.js';
+import { GROUP_OWNERS, LeafAssignment, type LeafGroup } from './leaf-assignment.js';
 import { LeafLatencies } from './leaf-latencies.js';
 import { LeafPool } from './leaf-pool.js';
 import { LeafServer } from './leaf-server.js';
@@ -83,6 +83,10 @@
       { aggregation: (connection, peer) => this.server.serve(connection, peer) },
       telemetry.registry,
     );
+  }
+
+  /** Keeps connections to leaves open until the gateway stops. */
+  start(): void {
     void this.keepConnected();
   }
 
@@ -152,7 +156,7 @@
     }
   }
 
-  private dividedGroups() {
+  private dividedGroups(): readonly LeafGroup[] {
     const lists = this.options.table()?.shardLists ?? [];
     return lists
       .filter(({ shards }) => this.planner.isDivided(shards))
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -166,15 +166,17 @@
   }
 
   private joinGateways(): void {
+    const followed = [...this.links.values()].filter(({ status }) => status !== undefined);
+    if (followed.length === 0) return;
     const joined = new Map<string, KnownGateway>();
-    for (const { status, gateways } of this.links.values()) {
-      if (status === undefined) continue;
+    for (const { gateways } of followed) {
       for (const gateway of gateways.values()) joined.set(gateway.name, gateway);
     }
-    if (joined.size > 0) this.joinedGateways = [...joined.values()];
+    this.joinedGateways = [...joined.values()];
   }
 
   private adjustLinks(): void {
+    if (this.stopped.signal.aborted) return;
     const wanted = new Set(this.wantedAddresses());
     for (const [address, link] of this.links) {
       if (wanted.has(address)) continue;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -198,6 +198,7 @@
     const { listen, limits } = this.configuration;
     const { network } = this.environment;
     if (listen.messages !== undefined) await this.aggregation.listen(listen.messages);
+    this.aggregation.start();
     const options: HttpListenOptions = {
       ...limits,
       onRefused: (refused) => this.noteRefused(refused),
--- a/test/aggregation/fan-out-tree.test.ts
+++ b/test/aggregation/fan-out-tree.test.ts
@@ -30,15 +30,18 @@
   readonly others?: number;
   readonly replicasPerShard?: number;
   readonly aggregation?: boolean;
+  readonly takesGathers?: boolean;
 }
 
 async function start({
   others = 3,
   replicasPerShard = 3,
   aggregation = true,
+  takesGathers = true,
 }: TreeOptions = {}): Promise<Tree> {
   const harness = await GatewayHarness.start(7, {
     others,
+    takesGathers,
     aggregation: AGGREGATION,
     mechanisms: { aggregation },
   });
@@ -97,6 +100,13 @@
     expect(attempts.reduce((sum, count) => sum + count, 0)).toBeGreaterThan(sends / 2);
   });
 
+  it('is divided also by a gateway that takes no gathers itself', async () => {
+    const { harness } = await start({ takesGathers: false });
+    expectWhole(await harness.call({ path: '/q/1', id: 'mine' }), 'mine');
+    const attempts = await Promise.all(harness.others.map(attemptsOf));
+    expect(attempts.reduce((sum, count) => sum + count, 0)).toBe(SHARDS.length);
+  });
+
   it('tells replicas no more time than the caller has left', async () => {
     const { harness, replicas } = await start();
     await harness.call({ path: '/q/1', deadlineMs: 700 });
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -30,6 +30,8 @@
   readonly secondSends?: { readonly ratio: number; readonly slack: number };
   readonly mechanisms?: Partial<GatewayMechanisms>;
   readonly aggregation?: { readonly divideAbove: number; readonly shardsPerGroup: number };
+  /** Whether the gateway that callers reach takes gathers of others; true when absent. */
+  readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
   readonly others?: number;
 }
@@ -143,7 +145,9 @@
       listen: {
         http: `${machine.host}:${CALLER_PORT}`,
         health: `${machine.host}:${HEALTH_PORT}`,
-        messages: `${machine.host}:${GATHER_PORT}`,
+        ...(overrides.takesGathers === false && machine.name === 'gateway-1'
+          ? {}
+          : { messages: `${machine.host}:${GATHER_PORT}` }),
       },
       controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
       secondSends: overrides.secondSends ?? SECOND_SENDS,
