Begin the round of a split at a random place at each gateway

Cause: every gateway, and every version of the routes, began the weighted round at the heaviest service. With many gateways that see few requests each, all of them send their first to it.

Kept: the round that stood, begun at random and carried over versions that leave the split alone.

--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -20,13 +20,14 @@
   private readonly tables: TableInForce;
   /** Requests that have no answer yet. */
   inFlight = 0;
-  private readonly splits = new SplitChooser();
+  private readonly splits: SplitChooser;
 
   constructor(
     private readonly context: GatewayContext,
     private readonly planSources: PlanSources,
   ) {
     this.tables = new TableInForce(context.environment.clock);
+    this.splits = new SplitChooser(context.environment.random);
   }
 
   /** The route table in force; undefined before the first. */
