Read load reports whole, with the time that work takes there at the moment

Cause: replicas of some services append a fourth figure, how long work takes there now in percent.

Change: three figures or more are read. The fourth multiplies the expected time of an answer, half as much every 200 ms, and is taken out of what is learned of the replica itself. What cannot be read is counted and leaves a bounded line. mechanisms.workReports switches the use of the fourth figure off.

--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -72,6 +72,8 @@
   workMs = 10;
   /** What a served request gets, before the signature. */
   content = '';
+  /** What its answers say of its load. */
+  loadReport = '1,0,2';
   readonly runs: ReplicaRun[] = [];
   /** Requests that arrived, run or not. */
   arrivals = 0;
@@ -181,7 +183,7 @@
       this.behaviour === ReplicaBehaviour.Unsigned
         ? {}
         : { [signature]: `${this.options.replicaId}.${requestId}` };
-    const headers = { [idName]: isOther ? 'another' : requestId, ...signed, [load]: '1,0,2' };
+    const headers = { [idName]: isOther ? 'another' : requestId, ...signed, [load]: this.loadReport };
     const status = this.behaviour === ReplicaBehaviour.Fail ? 500 : 200;
     const isLost = this.behaviour === ReplicaBehaviour.LoseAnswer;
     return { status, headers, body: this.content, ...(isLost ? { closeAfterBytes: 0 } : {}) };
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -10,6 +10,8 @@
   .strictObject({
     /** Replicas are chosen by what they say of their load. */
     loadReports: switchSchema,
+    /** Replicas are chosen by how long they say that work takes there at the moment. */
+    workReports: switchSchema,
     /** Replicas are chosen by how long their answers took. */
     slowness: switchSchema,
     /** A replica with an attempt that has been waiting for long is avoided. */
--- a/src/gateway/attempt-observer.ts
+++ b/src/gateway/attempt-observer.ts
@@ -6,6 +6,9 @@
 import type { ReplicaTarget } from './replica-target.js';
 import type { RouteLatency } from './route-latency.js';
 
+/** Reports below this are taken as this, so that none makes a replica seem endlessly slow. */
+const LEAST_WORK_FACTOR = 0.2;
+
 /** Takes in an attempt that has ended; nothing while it is in flight. */
 export function observeAttempt(
   context: GatewayContext,
@@ -22,7 +25,7 @@
   switch (result.kind) {
     case 'answered':
       latency.addAnswer(elapsed);
-      target.noteLatency(ratio, endedAt);
+      target.noteLatency(ratio / workFactorOf(context, target, sentAt), endedAt);
       target.noteUsable();
       return;
     case 'cancelled':
@@ -39,6 +42,16 @@
   }
 }
 
+/** What the replica said with this answer of the time that work took: not a property of the replica. */
+function workFactorOf(
+  { mechanisms }: GatewayContext,
+  { load }: ReplicaTarget,
+  sentAt: number,
+): number {
+  const isReported = mechanisms.workReports && load !== undefined && load.at > sentAt;
+  return isReported ? Math.max(load.workFactor, LEAST_WORK_FACTOR) : 1;
+}
+
 function noteNotRun(target: ReplicaTarget, { reason }: NotRunAttempt, now: number): void {
   if (reason === NotRunReason.Unreachable) target.noteFailure(now);
   if (reason === NotRunReason.WrongReplica) target.noteReplaced(now);
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -13,7 +13,7 @@
 import { RequestDecisions } from './request-decisions.js';
 import { RouteLatencies } from './route-latencies.js';
 import type { SecondSendLimits } from './second-send-budget.js';
-import { AttemptSender } from './send-attempt.js';
+import { AttemptSender, type UnreadableReport } from './send-attempt.js';
 import { ServiceTargets } from './service-targets.js';
 
 /** What a gateway is set to, and where it looks. */
@@ -33,17 +33,23 @@
   const { environment, headers, telemetry, directory, mechanisms, placement } = options;
   const { secondSends, countGateways } = options;
   const { clock, random } = environment;
+  const decisions = new RequestDecisions(clock, new DecisionLog(clock, telemetry.logger));
+  const metrics = new GatewayMetrics(telemetry.registry);
+  const noteUnreadable = (report: UnreadableReport): void => {
+    metrics.unreadableReports.inc();
+    decisions.unreadableReport(report);
+  };
   return {
     environment,
     headers,
     mechanisms,
     targets: new ServiceTargets(environment, directory),
     choice: new ReplicaChoice(clock, random, placement, mechanisms),
-    sender: new AttemptSender(clock, headers),
+    sender: new AttemptSender(clock, headers, noteUnreadable),
     latencies: new RouteLatencies(),
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
     shedding: new OverloadShedding(random),
-    decisions: new RequestDecisions(clock, new DecisionLog(clock, telemetry.logger)),
-    metrics: new GatewayMetrics(telemetry.registry),
+    decisions,
+    metrics,
   };
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -12,6 +12,7 @@
   readonly missingParts: Counter;
   readonly gathers: Counter<'result'>;
   readonly gathersRepeated: Counter;
+  readonly unreadableReports: Counter;
   readonly latency: Histogram;
   readonly routeVersion: Gauge;
 
@@ -50,6 +51,11 @@
       help: 'Groups of shards that another gateway was asked for because the first was silent.',
       registers,
     });
+    this.unreadableReports = new Counter({
+      name: 'driftway_gateway_unreadable_load_reports_total',
+      help: 'Load reports of replicas that were not in a known form.',
+      registers,
+    });
     this.latency = new Histogram({
       name: 'driftway_gateway_latency_seconds',
       help: 'Time from a request to its answer.',
--- a/src/gateway/overload-shedding.ts
+++ b/src/gateway/overload-shedding.ts
@@ -5,7 +5,7 @@
  * them are.
  */
 import type { RandomSource } from '../seams/random-source.js';
-import type { ReportedLoad } from './replica-target.js';
+import type { ReportedLoad } from './reported-load.js';
 
 /** Reports after which the admitted part is reckoned afresh. */
 const WINDOW_REPORTS = 100;
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -10,6 +10,11 @@
 
 /** What a replica said of its load is used for this long. */
 const LOAD_VALID_MS = 400;
+/**
+ * What a replica says of the time that work takes changes several times a second:
+ * it counts half after this long.
+ */
+const WORK_HALF_LIFE_MS = 200;
 /** A warming replica takes this many times as long. */
 const WARMUP_FACTOR = 1.6;
 /** Spread of chance, so that gateways that know the same do not all choose the same. */
@@ -40,6 +45,13 @@
   readonly maximumInFlight: number;
 }
 
+/** How long work takes at the replica over what is usual there, as far as its last word still holds. */
+function reportedWorkFactor({ load }: ReplicaTarget, now: number): number {
+  if (load === undefined) return 1;
+  const weight = 0.5 ** ((now - load.at) / WORK_HALF_LIFE_MS);
+  return 1 + (load.workFactor - 1) * weight;
+}
+
 /** See the module comment. */
 export class ReplicaChoice {
   constructor(
@@ -89,6 +101,7 @@
   /** Expected time until the answer, in usual times. */
   private expectedFactor(target: ReplicaTarget, usualLatency: number, now: number): number {
     let factor = this.queueFactor(target, now);
+    if (this.mechanisms.workReports) factor *= reportedWorkFactor(target, now);
     if (this.mechanisms.slowness) factor *= target.slownessAt(now);
     if (now < target.warmUntil) factor *= WARMUP_FACTOR;
     const isStalled = target.oldestWait(now) > STALL_RATIO * usualLatency;
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -3,15 +3,7 @@
 import type { HttpClient } from '../seams/http.js';
 import { AttemptsInFlight } from './attempts-in-flight.js';
 import { FailureRest } from './failure-rest.js';
-
-/** What the replica last said of its load. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-  /** Clock reading of the gateway. Milliseconds. */
-  readonly at: number;
-}
+import type { ReportedLoad } from './reported-load.js';
 
 /** Weight of a new sample in the average of {@link ReplicaTarget.slownessAt}. */
 const SAMPLE_WEIGHT = 0.35;
@@ -29,6 +21,7 @@
 
 /** See the module comment. */
 export class ReplicaTarget {
+  /** What it last said of its load. */
   load: ReportedLoad | undefined;
   /** When a connection that rests until then is used once; see `connection-warmer.ts`. */
   warmCheckAt = -Infinity;
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -10,6 +10,7 @@
 import type { RaceOutcome } from './race-outcome.js';
 import type { ReplicaRace } from './replica-race.js';
 import { targetLatencyOf } from './route-latencies.js';
+import type { UnreadableReport } from './send-attempt.js';
 
 /** How a fan-out ended. */
 export interface FanOutSummary {
@@ -61,6 +62,8 @@
   return sends > 1 ? DecisionKind.Hedged : DecisionKind.Answered;
 }
 
+/** Longest part of a load report that a line shows. */
+const SHOWN_REPORT_CHARACTERS = 60;
 /** Longest part of a path that a line shows. */
 const SHOWN_PATH_CHARACTERS = 120;
 
@@ -138,6 +141,14 @@
     this.log.write(DecisionKind.NotRead, () => ({ status, remoteAddress }));
   }
 
+  /** A replica said of its load what is not understood here; it is chosen as if it had said nothing. */
+  unreadableReport({ replicaId, text }: UnreadableReport): void {
+    this.log.write(DecisionKind.UnreadableReport, () => ({
+      replicaId,
+      report: text.slice(0, SHOWN_REPORT_CHARACTERS),
+    }));
+  }
+
   private isLate({ route, receivedAt }: CallerRequest): boolean {
     return this.clock.now() - receivedAt > targetLatencyOf(route);
   }
--- a/src/gateway/send-attempt.ts
+++ b/src/gateway/send-attempt.ts
@@ -6,21 +6,20 @@
 import type { CallerRequest } from './caller-request.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
 import { endToEndHeaders } from './forwarded-headers.js';
-import type { ReplicaTarget, ReportedLoad } from './replica-target.js';
+import type { ReplicaTarget } from './replica-target.js';
+import { readReportedLoad } from './reported-load.js';
 
 const WRONG_REPLICA_STATUS = 421;
-/** Running, waiting, slots. */
-const LOAD_PATTERN = /^(\d{1,9}),(\d{1,9}),(\d{1,9})$/;
 const EMPTY_BODY_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD']);
 
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
 
-function readLoad(text: string | undefined, at: number): ReportedLoad | undefined {
-  const match = text === undefined ? null : LOAD_PATTERN.exec(text);
-  if (match === null) return undefined;
-  return { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]), at };
+/** A load report that is not in a form known here. */
+export interface UnreadableReport {
+  readonly replicaId: string;
+  readonly text: string;
 }
 
 /** See the module comment. */
@@ -28,6 +27,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly names: ExchangeHeaders,
+    /** Told of each load report that cannot be read. */
+    private readonly onUnreadableReport: (report: UnreadableReport) => void,
   ) {}
 
   /** Never rejects: every failure is a result. */
@@ -47,13 +48,20 @@
         signal,
         acceptResponse: (headers) => this.belongsTo(request, headers),
       });
-      target.load = readLoad(response.headers[this.names.load], this.clock.now()) ?? target.load;
+      this.takeLoad(target, response.headers[this.names.load]);
       return this.judge(request, response);
     } catch (error) {
       return this.judgeError(error);
     }
   }
 
+  private takeLoad(target: ReplicaTarget, text: string | undefined): void {
+    if (text === undefined) return;
+    const load = readReportedLoad(text, this.clock.now());
+    if (load === undefined) this.onUnreadableReport({ replicaId: target.entry.replicaId, text });
+    else target.load = load;
+  }
+
   private headersFor(request: CallerRequest, target: ReplicaTarget, left: number): HttpHeaders {
     const { deadline, targetReplica } = this.names;
     return {
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -31,6 +31,7 @@
   Refused = 'request refused',
   NotForwarded = 'request not forwarded',
   NotRead = 'request not read',
+  UnreadableReport = 'load report not understood',
 }
 
 /** Uneventful requests get this part of the lines that others get. */
--- a/test/gateway/overload-shedding.test.ts
+++ b/test/gateway/overload-shedding.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { seededRandom } from '../../lab/simulation/seeded-random.js';
 import { OverloadShedding } from '../../src/gateway/overload-shedding.js';
-import type { ReportedLoad } from '../../src/gateway/replica-target.js';
+import type { ReportedLoad } from '../../src/gateway/reported-load.js';
 
 const SET = 'shard-a';
-const BUSY: ReportedLoad = { running: 2, waiting: 6, slots: 2, at: 0 };
-const CALM: ReportedLoad = { running: 1, waiting: 0, slots: 2, at: 0 };
+const BUSY: ReportedLoad = { running: 2, waiting: 6, slots: 2, workFactor: 1, at: 0 };
+const CALM: ReportedLoad = { running: 1, waiting: 0, slots: 2, workFactor: 1, at: 0 };
 
 function create(): OverloadShedding {
   return new OverloadShedding(seededRandom(5, 'shedding'));
--- a/test/gateway/replica-choice.test.ts
+++ b/test/gateway/replica-choice.test.ts
@@ -51,7 +51,12 @@
 
   /** Requests that the near replica said it has. */
   occupyNear(requests: number): void {
-    this.near.load = { running: 2, waiting: requests - 2, slots: 2, at: this.clock.now() };
+    this.reportNear(requests - 2, 1);
+  }
+
+  /** What the near replica said of its queue and of the time that work takes there. */
+  reportNear(waiting: number, workFactor: number): void {
+    this.near.load = { running: 2, waiting, slots: 2, workFactor, at: this.clock.now() };
   }
 }
 
@@ -115,3 +120,18 @@
   zones.mechanisms = { ...ALL_MECHANISMS, resting: false };
   expect(zones.choose(1)).toBe(zones.near);
 });
+
+it('leaves a replica while it says that work takes far longer there', () => {
+  const zones = new TwoZones();
+  zones.reportNear(0, 4);
+  expect(zones.choose(0.2)).toBe(zones.far);
+  zones.clock.advance(2_000);
+  expect(zones.choose(0.2)).toBe(zones.near);
+});
+
+it('does not go by the time that work takes where that is switched off', () => {
+  const zones = new TwoZones();
+  zones.mechanisms = { ...ALL_MECHANISMS, workReports: false };
+  zones.reportNear(0, 4);
+  expect(zones.choose(0.2)).toBe(zones.near);
+});
