--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -74,6 +74,8 @@
   content = '';
   /** What its answers say of its load. */
   loadReport = '1,0,2';
+  /** How much longer it says that it stays cold. Milliseconds. */
+  warmupMs = 0;
   readonly runs: ReplicaRun[] = [];
   /** Requests that arrived, run or not. */
   arrivals = 0;
@@ -129,7 +131,7 @@
       capacity: 2,
       state: this.state,
       sequence: this.sequence,
-      warmupRemainingMs: 0,
+      warmupRemainingMs: this.warmupMs,
     });
     for (const controller of controllers) {
       const client = this.environment.network.httpClient(controller, CALL_OPTIONS);
@@ -150,7 +152,7 @@
     const requestId = request.headers[this.names.requestId];
     if (requestId === undefined) {
       this.healthChecks += 1;
-      return { status: 200, body: '' };
+      return { status: 200, headers: { [this.names.warmup]: String(this.warmupMs) }, body: '' };
     }
     this.arrivals += 1;
     const target = request.headers[this.names.targetReplica];
--- a/src/administration/administration-dependencies.ts
+++ b/src/administration/administration-dependencies.ts
@@ -1,6 +1,7 @@
 /** What the administration API works with. */
 import type { Registry } from 'prom-client';
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
+import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { Logger } from '../observability/logger.js';
 import type { Clock } from '../seams/clock.js';
 import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
@@ -21,6 +22,8 @@
   readonly forces?: ForceTracker;
   /** Without one, members cannot be changed. */
   readonly members?: MemberAdministration;
+  /** Without them, zones cannot be evacuated. */
+  readonly evacuations?: EvacuationOrders;
   /** A longer body is refused. Bytes. {@link MAXIMUM_COMMAND_BYTES} when absent. */
   readonly maximumBodyBytes?: number;
 }
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -151,6 +151,11 @@
 });
 export type DoneResult = z.infer<typeof doneSchema>;
 
+export const evacuationListSchema = z.strictObject({
+  zones: z.array(z.string()).describe('To whose replicas gateways send nothing new; in order.'),
+});
+export type EvacuationList = z.infer<typeof evacuationListSchema>;
+
 export const tokenListSchema = z.strictObject({
   tokens: z.array(
     z.strictObject({
--- a/src/administration/routes.ts
+++ b/src/administration/routes.ts
@@ -1,6 +1,7 @@
 /** Every endpoint of the administration API. */
 import { CHANGE_ROUTES } from './change-routes.js';
 import { CONFIGURATION_ROUTES } from './configuration-routes.js';
+import { EVACUATION_ROUTES } from './evacuation-routes.js';
 import type { Route } from './route.js';
 import { SERVICE_ROUTES } from './service-routes.js';
 import { STATUS_ROUTES } from './status-routes.js';
@@ -9,6 +10,7 @@
 export const ROUTES: readonly Route[] = [
   ...CHANGE_ROUTES,
   ...CONFIGURATION_ROUTES,
+  ...EVACUATION_ROUTES,
   ...SERVICE_ROUTES,
   ...STATUS_ROUTES,
   ...TOKEN_ROUTES,
--- a/src/aggregation/source-planner.ts
+++ b/src/aggregation/source-planner.ts
@@ -34,7 +34,10 @@
     const { rootContext, assignment } = this.options;
     const totalShards = shards.length;
     // Only what may run twice may be given to a leaf that can be lost.
-    const mayDivide = request.route.execution === 'repeatable' && this.isDivided(shards);
+    const mayRunTwice = request.route.execution === 'repeatable';
+    // A leaf of another region must not see a request that is to stay in some.
+    const mayGoAnywhere = !rootContext.regions.restricts(request.route);
+    const mayDivide = mayRunTwice && mayGoAnywhere && this.isDivided(shards);
     const groups = mayDivide ? assignment.groupsOf(shards) : [];
     if (groups.length === 0) {
       const options = { shards, totalShards, isRepeat: false };
--- a/src/commands/operator-commands.ts
+++ b/src/commands/operator-commands.ts
@@ -1,6 +1,11 @@
 /** Every command that talks to the administration API. */
 import type { CommandClass } from 'clipanion';
 import { ChangesShowCommand } from './operator-changes-show.js';
+import {
+  EvacuationsEndCommand,
+  EvacuationsListCommand,
+  EvacuationsStartCommand,
+} from './operator-evacuations.js';
 import {
   MembersAddCommand,
   MembersPromoteCommand,
@@ -32,6 +37,9 @@
   MembersAddCommand,
   MembersPromoteCommand,
   MembersRemoveCommand,
+  EvacuationsStartCommand,
+  EvacuationsEndCommand,
+  EvacuationsListCommand,
   SettingsExplainCommand,
   SettingsSetCommand,
   SettingsUnsetCommand,
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -9,12 +9,15 @@
   controllerEndpointSchema,
   logSchema,
   placeShape,
+  zonesSchema,
 } from './daemon-configuration.js';
 
 export const controllerConfigurationSchema = z.strictObject({
   /** Unique among the controllers of the cluster, and never used again after its disk was lost. */
   memberId: nameSchema.describe('controller-1'),
   ...placeShape,
+  /** Orders about other zones are refused; when it is empty, orders about any zone are taken. */
+  zones: zonesSchema,
   cluster: clusterSchema,
   dataFolder: z.string().min(1).describe('./data/controller-1'),
   listen: z
--- a/src/configuration/daemon-configuration.ts
+++ b/src/configuration/daemon-configuration.ts
@@ -48,6 +48,12 @@
   zone: nameSchema.describe('asahikawa-a'),
 };
 
+/** Regions of the deployment's zones, by the name of the zone. */
+export const zonesSchema = z
+  .record(z.string(), z.string())
+  .default({})
+  .describe('{ asahikawa-a: dohoku, nayoro: dohoku }');
+
 export const logSchema = z
   .strictObject({
     /** `auto`: readable on a terminal, JSON lines otherwise. */
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -2,7 +2,13 @@
 import * as z from 'zod';
 import { gatewayMechanismsSchema } from './gateway-mechanisms.js';
 import { nameSchema } from '../model/service-definition.js';
-import { addressSchema, clusterSchema, logSchema, placeShape } from './daemon-configuration.js';
+import {
+  addressSchema,
+  clusterSchema,
+  logSchema,
+  placeShape,
+  zonesSchema,
+} from './daemon-configuration.js';
 
 /** Bounds of what replicas get beyond the first sending of each request, of the whole fleet. */
 export const secondSendSchema = z
@@ -48,6 +54,8 @@
   /** Unique among the daemons of the cluster. */
   name: nameSchema.describe('gateway-1'),
   ...placeShape,
+  /** Needed where routes name the regions that their requests may go to. */
+  zones: zonesSchema,
   cluster: clusterSchema,
   listen: z
     .strictObject({
--- a/src/consensus/sectioned-state-machine.ts
+++ b/src/consensus/sectioned-state-machine.ts
@@ -21,6 +21,7 @@
 /** First byte of the commands of the sections beside the main one. */
 export enum SectionTag {
   RouteDocument = 1,
+  Evacuations = 2,
 }
 
 /** A command of the section `tag`. */
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -10,6 +10,8 @@
 import { DaemonDirectory } from '../control-stream/daemon-directory.js';
 import { SignBoard } from '../control-stream/sign-board.js';
 import { CONNECT_TIMEOUT_MS } from '../control-stream/stream-timing.js';
+import { EvacuationOrders } from '../evacuations/evacuation-orders.js';
+import { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import { dial } from '../protocol/dial.js';
@@ -19,7 +21,7 @@
 import type { DurableEnvironment } from '../seams/environment.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { MemberIdentity } from './member-identity.js';
-import { RegistrationPart } from './registration-part.js';
+import { RegistrationPart, type RegistrationPartOptions } from './registration-part.js';
 
 /** What a core is started with. */
 export interface ControllerCoreOptions {
@@ -42,17 +44,25 @@
   readonly server: ControlStreamServer;
   readonly exchange: ControllerExchange;
   readonly registration: RegistrationPart;
+  readonly evacuationOrders: EvacuationOrders;
 }
 
 /** @throws DriftwayError when the data folder cannot be read. */
 export async function startControllerCore(options: ControllerCoreOptions): Promise<ControllerCore> {
   const machine = new ConfigurationStateMachine();
   const register = new RouteDocumentRegister();
-  const sections = new Map([[SectionTag.RouteDocument, register]]);
+  const evacuations = new EvacuationRegister();
+  const sections = new Map<SectionTag, StateMachine>([
+    [SectionTag.RouteDocument, register],
+    [SectionTag.Evacuations, evacuations],
+  ]);
   const log = await startLog(options, new SectionedStateMachine(machine, sections));
   // Nothing is awaited between the log and what listens to the state machine.
-  const registration = startRegistration(options, log, register);
-  const core = { ...startControlStream(options, log, machine), log, machine, registration };
+  const evacuationOrders = createEvacuationOrders(options, log, evacuations);
+  const registered = { log, register, evacuations, evacuationOrders };
+  const registration = startRegistration(options, registered);
+  const stream = startControlStream(options, log, machine);
+  const core = { ...stream, log, machine, registration, evacuationOrders };
   await registration.restore();
   return core;
 }
@@ -90,18 +100,31 @@
   return { daemons, signs, server, exchange };
 }
 
+function createEvacuationOrders(
+  { configuration, logger }: ControllerCoreOptions,
+  log: RaftNode,
+  register: EvacuationRegister,
+): EvacuationOrders {
+  const knownZones = new Set(Object.keys(configuration.zones));
+  return new EvacuationOrders({ log, register, knownZones, logger });
+}
+
+/** The replicated state that registrations go with. */
+type ReplicatedParts = Pick<
+  RegistrationPartOptions,
+  'log' | 'register' | 'evacuations' | 'evacuationOrders'
+>;
+
 function startRegistration(
   { environment, identity, configuration, logger }: ControllerCoreOptions,
-  log: RaftNode,
-  register: RouteDocumentRegister,
+  state: ReplicatedParts,
 ): RegistrationPart {
   const { automaticMembership, listen, zone } = configuration;
   return new RegistrationPart({
     environment,
     identity,
     logger,
-    log,
-    register,
+    ...state,
     zone,
     ownAddress: formatAddress(listen.messages),
     ...(automaticMembership === undefined
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -161,7 +161,8 @@
     return AuthenticatedListener.listen(environment, messages, identity, routes, registry);
   }
 
-  private listenHttp({ log, machine, daemons, server }: ControllerCore): Promise<HttpListener> {
+  private listenHttp(core: ControllerCore): Promise<HttpListener> {
+    const { log, machine, daemons, server, evacuationOrders } = core;
     const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
     const { bootstrapTokenHash } = configuration.administration;
@@ -172,6 +173,7 @@
       clock,
       forces: daemons,
       members: log,
+      evacuations: evacuationOrders,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
     const readReadiness = (): Readiness =>
--- /dev/null
+++ b/src/control/evacuation-endpoint.ts
@@ -0,0 +1,58 @@
+/** The calls by which an operator of the platform has zones evacuated: `/v1/evacuations/{zone}`. */
+import { EvacuationRefusedError, type EvacuationOrders } from '../evacuations/evacuation-orders.js';
+import type { HttpRequest, HttpResponse } from '../seams/http.js';
+import { errorResponse, jsonResponse, proposalErrorResponse } from './json-response.js';
+
+export const EVACUATIONS_PATH = '/v1/evacuations';
+
+/** By the method of the call, whether the zone is evacuated after it. */
+const ORDERS: Readonly<Record<string, boolean>> = { PUT: true, DELETE: false };
+
+function answerTo(error: unknown): HttpResponse {
+  if (error instanceof EvacuationRefusedError) return errorResponse(404, error.message);
+  const answer = proposalErrorResponse(error);
+  if (answer === undefined) throw error;
+  return answer;
+}
+
+function zoneOf(path: string): string | undefined {
+  try {
+    return decodeURIComponent(path.slice(EVACUATIONS_PATH.length + 1));
+  } catch {
+    // Not a valid escape: no zone is named so.
+    return undefined;
+  }
+}
+
+/** See the module comment. */
+export class EvacuationEndpoint {
+  constructor(private readonly orders: EvacuationOrders) {}
+
+  async handle({ method, path }: HttpRequest): Promise<HttpResponse> {
+    if (path === EVACUATIONS_PATH) {
+      return method === 'GET' ? this.list() : errorResponse(405, 'use GET');
+    }
+    const zone = zoneOf(path);
+    const isEvacuated = ORDERS[method];
+    if (zone === undefined) return errorResponse(400, 'the name of the zone cannot be read');
+    if (isEvacuated === undefined) return errorResponse(405, 'use PUT or DELETE');
+    return this.give(zone, isEvacuated);
+  }
+
+  private async give(zone: string, isEvacuated: boolean): Promise<HttpResponse> {
+    try {
+      const { status, revision } = await this.orders.give({ zone, isEvacuated });
+      return jsonResponse(200, { zone, evacuated: isEvacuated, status, revision });
+    } catch (error) {
+      return answerTo(error);
+    }
+  }
+
+  private async list(): Promise<HttpResponse> {
+    try {
+      return jsonResponse(200, { zones: await this.orders.read() });
+    } catch (error) {
+      return errorResponse(503, `cannot be sure of the newest: ${String(error)}`);
+    }
+  }
+}
--- a/src/control/registration-endpoint.ts
+++ b/src/control/registration-endpoint.ts
@@ -3,7 +3,6 @@
  * route document. Not authenticated: for networks that only they can reach.
  */
 import * as z from 'zod';
-import { NotProposedError, ProposalOutcomeUnknownError } from '../consensus/consensus-errors.js';
 import { SectionTag, sectionCommand } from '../consensus/sectioned-state-machine.js';
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
 import type { DirectoryServer } from '../directory/directory-server.js';
@@ -17,6 +16,8 @@
   type RouteDocumentRegister,
 } from '../routes/route-document-register.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
+import { EVACUATIONS_PATH, type EvacuationEndpoint } from './evacuation-endpoint.js';
+import { errorResponse, jsonResponse, proposalErrorResponse } from './json-response.js';
 
 const REPLICAS_PATH = '/v1/replicas/';
 const ROUTES_PATH = '/v1/routes';
@@ -43,21 +44,10 @@
   readonly register: RouteDocumentRegister;
   readonly directory: ReplicaDirectory;
   readonly server: DirectoryServer;
+  readonly evacuations: EvacuationEndpoint;
   readonly logger: Logger;
 }
 
-function jsonResponse(status: number, content: object): HttpResponse {
-  return {
-    status,
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify(content),
-  };
-}
-
-function errorResponse(status: number, message: string): HttpResponse {
-  return jsonResponse(status, { error: message });
-}
-
 function parseBody(body: Uint8Array): unknown {
   try {
     return JSON.parse(new TextDecoder().decode(body)) as unknown;
@@ -78,6 +68,9 @@
       if (method === 'DELETE') return this.takeLeave(replicaId);
       return errorResponse(405, 'use PUT or DELETE');
     }
+    if (path === EVACUATIONS_PATH || path.startsWith(`${EVACUATIONS_PATH}/`)) {
+      return this.parts.evacuations.handle(request);
+    }
     if (path !== ROUTES_PATH) return errorResponse(404, 'no such path');
     if (method === 'PUT') return this.putRoutes(request.body);
     if (method === 'GET') return this.getRoutes();
@@ -163,9 +156,9 @@
   private refusal(error: unknown): HttpResponse {
     this.parts.logger.warn('route document refused', { reason: String(error) });
     if (error instanceof InvalidRouteDocumentError) return errorResponse(400, error.message);
-    if (error instanceof NotProposedError) return errorResponse(503, error.message);
-    if (error instanceof ProposalOutcomeUnknownError) return errorResponse(504, error.message);
-    throw error;
+    const answer = proposalErrorResponse(error);
+    if (answer === undefined) throw error;
+    return answer;
   }
 
   /** The newest that was ever acknowledged, or an error; never an older one. */
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -14,6 +14,8 @@
   storeReplicas,
   type ReplicaStoreParts,
 } from '../directory/replica-store.js';
+import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
+import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import type { RouteDocumentRegister } from '../routes/route-document-register.js';
@@ -22,6 +24,7 @@
 import type { HttpListenOptions, HttpListener } from '../seams/http.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { enrolUntilVoter, serveEnrolment } from './enrolment.js';
+import { EvacuationEndpoint } from './evacuation-endpoint.js';
 import { hasSpareVoter, keepMembership } from './membership-keeper.js';
 import { RegistrationEndpoint } from './registration-endpoint.js';
 
@@ -48,6 +51,8 @@
   readonly logger: Logger;
   readonly log: RaftNode;
   readonly register: RouteDocumentRegister;
+  readonly evacuations: EvacuationRegister;
+  readonly evacuationOrders: EvacuationOrders;
   readonly zone: string;
   /** `host:port` for internal messages. */
   readonly ownAddress: string;
@@ -66,12 +71,14 @@
 
   constructor(private readonly options: RegistrationPartOptions) {
     const { environment, identity, logger, log, register, zone, ownAddress } = options;
+    const { evacuations, evacuationOrders } = options;
     const { clock } = environment;
     this.directory = new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats);
     this.server = new DirectoryServer({
       clock,
       directory: this.directory,
       document: () => register.current(),
+      evacuations: () => evacuations.all(),
       members: () => log.status().members,
       ownName: identity.name,
       ownZone: zone,
@@ -89,8 +96,16 @@
       relay: () => this.relay(),
     });
     const { directory, server } = this;
-    this.endpoint = new RegistrationEndpoint({ log, register, directory, server, logger });
+    this.endpoint = new RegistrationEndpoint({
+      log,
+      register,
+      directory,
+      server,
+      evacuations: new EvacuationEndpoint(evacuationOrders),
+      logger,
+    });
     observe(register.changes, () => server.notify());
+    observe(evacuations.changes, () => server.notify());
     observe(directory.changes, () => server.notify());
     void this.keepUp();
     if (options.seeds !== undefined) this.startMembership(options.seeds);
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -5,6 +5,7 @@
  */
 import { createAdapter } from '@most/adapter';
 import type { Stream } from '@most/types';
+import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
 import type { Logger } from '../observability/logger.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
@@ -52,6 +53,9 @@
 export class DirectoryClient {
   /** Emits each route document that is newer than all before it. */
   readonly documents: Stream<DocumentMessage>;
+  /** Emits each order about a zone that a controller tells of, in the order in which they come. */
+  readonly evacuations: Stream<ZoneEvacuation>;
+  private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: DocumentMessage) => void;
   private readonly links = new Map<string, DirectoryLink>();
   private seeds: readonly string[] = [];
@@ -65,6 +69,7 @@
 
   constructor(private readonly options: DirectoryClientOptions) {
     [this.emitDocument, this.documents] = createAdapter<DocumentMessage>();
+    [this.emitEvacuation, this.evacuations] = createAdapter<ZoneEvacuation>();
     const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
@@ -142,6 +147,9 @@
       case 'document':
         this.takeDocument(message);
         return;
+      case 'evacuation':
+        this.emitEvacuation(message);
+        return;
       default:
     }
   }
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -1,5 +1,6 @@
 /** Messages of the directory stream, from controllers to subscribers and back. */
 import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
+import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
 import { isRegisteredState, type ReplicaEntry } from './replica-entry.js';
 
 /** First message of a subscriber. */
@@ -39,6 +40,11 @@
   readonly content: Uint8Array;
 }
 
+/** The last order about a zone; see `ZoneEvacuation`. */
+export interface EvacuationMessage extends ZoneEvacuation {
+  readonly kind: 'evacuation';
+}
+
 /** One controller of the group, as its members know it. */
 export interface ControllerMessage {
   readonly kind: 'controller';
@@ -94,6 +100,7 @@
   | ReplicaMessage
   | HeardMessage
   | DocumentMessage
+  | EvacuationMessage
   | ControllerMessage
   | GatewayMessage
   | StatusMessage
@@ -160,6 +167,10 @@
       field('isGone', 'boolean'),
     ],
   },
+  evacuation: {
+    tag: 49,
+    fields: [field('zone', 'string'), field('isEvacuated', 'boolean'), field('revision', 'long')],
+  },
   relayed: { tag: 48, fields: [field('position', 'long')] },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -26,7 +26,7 @@
 /** What subscribers are told, besides what the server knows of them. */
 export interface DirectoryServerSources extends Pick<
   DirectorySessionSources,
-  'clock' | 'directory' | 'document' | 'ageMs' | 'ownZone'
+  'clock' | 'directory' | 'document' | 'evacuations' | 'ageMs' | 'ownZone'
 > {
   readonly members: () => readonly DirectoryMember[];
   /** This controller. */
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -1,4 +1,5 @@
 /** One subscriber's stream at a controller, and what is new to it. */
+import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
 import {
@@ -24,6 +25,8 @@
   readonly clock: Clock;
   readonly directory: ReplicaDirectory;
   readonly document: () => StoredRouteDocument | undefined;
+  /** Orders about zones; gateways are told of them. */
+  readonly evacuations: () => Iterable<ZoneEvacuation>;
   readonly controllers: () => readonly DirectoryController[];
   /** See `StatusMessage.ageMs`. */
   readonly ageMs: () => number;
@@ -49,6 +52,8 @@
   private lacking = { version: NO_DOCUMENT, since: -Infinity };
   private controllers = '';
 
+  /** By zone, the revision of the last order that was told. */
+  private readonly toldEvacuations = new Map<string, number>();
   private readonly toldGateways = new Map<string, KnownGateway>();
 
   constructor(
@@ -64,6 +69,8 @@
   /** Everything that the subscriber was not told yet. */
   takeNews(sources: DirectorySessionSources): DirectoryMessage[] {
     const messages: DirectoryMessage[] = [];
+    // Before the routes: a gateway without routes sends nothing yet.
+    this.addEvacuations(sources, messages);
     this.addDocument(sources, messages);
     this.addControllers(sources, messages);
     this.addGateways(sources, messages);
@@ -76,6 +83,16 @@
     return messages;
   }
 
+  private addEvacuations(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
+    if (this.kind !== SubscriberKind.Gateway) return;
+    for (const evacuation of sources.evacuations()) {
+      const { zone, revision } = evacuation;
+      if (this.toldEvacuations.get(zone) === revision) continue;
+      this.toldEvacuations.set(zone, revision);
+      messages.push({ kind: 'evacuation', ...evacuation });
+    }
+  }
+
   private addDocument(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const document = sources.document();
     const told = Math.max(this.documentVersion, this.confirmedDocumentVersion);
--- a/src/directory/replica-directory.ts
+++ b/src/directory/replica-directory.ts
@@ -41,7 +41,10 @@
   return kind === DirectoryKind.HearsChanges ? Infinity : FORGET_AFTER_MS;
 }
 
-/** Fields that change with each call and are of no interest to readers by themselves. */
+/**
+ * Fields that change with each call are of no interest to readers by themselves. The time that
+ * a replica stays cold falls with each call; when it rises, the replica has turned cold again.
+ */
 function isWorthTelling(before: ReplicaEntry | undefined, after: ReplicaEntry): boolean {
   if (before === undefined) return true;
   return (
@@ -49,6 +52,7 @@
     before.address !== after.address ||
     before.service !== after.service ||
     before.capacity !== after.capacity ||
+    after.warmupMs > before.warmupMs ||
     isRestored(before) !== isRestored(after)
   );
 }
--- a/src/gateway/attempt-observer.ts
+++ b/src/gateway/attempt-observer.ts
@@ -35,7 +35,7 @@
     case 'failedAnswer':
       return;
     case 'notRun':
-      noteNotRun(target, result, endedAt);
+      noteNotRun(context, target, result, endedAt);
       return;
     case 'broken':
       target.noteFailure(endedAt);
@@ -52,9 +52,14 @@
   return isReported ? Math.max(load.workFactor, LEAST_WORK_FACTOR) : 1;
 }
 
-function noteNotRun(target: ReplicaTarget, { reason }: NotRunAttempt, now: number): void {
+function noteNotRun(
+  { targets }: GatewayContext,
+  target: ReplicaTarget,
+  { reason }: NotRunAttempt,
+  now: number,
+): void {
   if (reason === NotRunReason.Unreachable) target.noteFailure(now);
-  if (reason === NotRunReason.WrongReplica) target.noteReplaced(now);
+  if (reason === NotRunReason.WrongReplica) targets.noteReplaced(target);
 }
 
 /** Only what was said in answer to this sending. */
--- /dev/null
+++ b/src/gateway/cold-send-slots.ts
@@ -0,0 +1,42 @@
+/**
+ * When this gateway may send to a replica that has just started, or turned cold again,
+ * and bears only so many requests a second from all gateways together. Time is cut into
+ * slots as long as the gateway's share takes; it may send once in each, and only in the
+ * first moments of it. Slots begin at another time at each gateway, so the sum keeps to
+ * the bound also when many gateways that sent nothing for long want to at the same moment.
+ */
+
+/**
+ * Longest part of a slot in which the gateway may send. All whose slots begin within a
+ * second and this time may meet in one second. Milliseconds.
+ */
+const LONGEST_OPEN_MS = 500;
+/** Part of the bound that is shared out; the rest is for chance in where slots begin. */
+const USED_PART = 0.6;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Length of a slot. Milliseconds. */
+export function coldSlotLength(requestsPerSecond: number, gateways: number): number {
+  return (MILLISECONDS_PER_SECOND * gateways) / (requestsPerSecond * USED_PART);
+}
+
+/** See the module comment. */
+export class ColdSendSlots {
+  private usedSlot: number | undefined;
+
+  constructor(
+    /** Where slots begin, as a part of their length. From 0 to below 1. */
+    private readonly phase: number,
+  ) {}
+
+  isOpen(now: number, slotLength: number): boolean {
+    const place = now / slotLength + this.phase;
+    const sinceBegin = (place % 1) * slotLength;
+    return sinceBegin < LONGEST_OPEN_MS && Math.floor(place) !== this.usedSlot;
+  }
+
+  /** A request was sent. */
+  use(now: number, slotLength: number): void {
+    this.usedSlot = Math.floor(now / slotLength + this.phase);
+  }
+}
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -29,6 +29,8 @@
   readonly isWorthIt: (service: string) => boolean;
   /** Path of the health check of a service. */
   readonly healthPath: (service: string) => string;
+  /** Name of the header by which a replica says how long it stays cold. */
+  readonly warmupHeader: string;
   readonly stopped: AbortSignal;
 }
 
@@ -59,16 +61,22 @@
   }
 }
 
-/** The answer itself decides nothing: health lags, and requests show what counts. */
-async function check({ clock, healthPath }: WarmerParts, target: ReplicaTarget): Promise<void> {
+/**
+ * Whether the replica says that it is healthy decides nothing: that lags, and requests
+ * show what counts. How long it stays cold is taken from the answer.
+ */
+async function check(parts: WarmerParts, target: ReplicaTarget): Promise<void> {
+  const { clock, healthPath, warmupHeader } = parts;
   const abort = new AbortController();
   const timer = clock.setTimer(CHECK_TIMEOUT_MS, () => abort.abort());
   const { entry, client, address } = target;
   const path = healthPath(entry.service);
   const attempt = target.begin(clock.now());
-  await client
+  const response = await client
     .request({ method: 'GET', path, headers: { host: address }, signal: abort.signal })
     .catch(() => undefined);
+  const warmupMs = Number(response?.headers[warmupHeader] ?? 0);
+  if (Number.isFinite(warmupMs)) target.noteWarmup(warmupMs, clock.now());
   target.end(attempt);
   timer.cancel();
 }
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -15,6 +15,7 @@
 import type { SecondSendLimits } from './second-send-budget.js';
 import { AttemptSender, type UnreadableReport } from './send-attempt.js';
 import { ServiceTargets } from './service-targets.js';
+import type { ZoneRegions } from './zone-regions.js';
 
 /** What a gateway is set to, and where it looks. */
 export interface GatewayContextOptions {
@@ -24,6 +25,7 @@
   readonly directory: ReplicaDirectory;
   readonly mechanisms: GatewayMechanisms;
   readonly placement: PlacementOptions;
+  readonly regions: ZoneRegions;
   readonly secondSends: SecondSendLimits;
   /** Gateways of the fleet; undefined while no controller has said it. */
   readonly countGateways: () => number | undefined;
@@ -31,7 +33,7 @@
 
 export function createGatewayContext(options: GatewayContextOptions): GatewayContext {
   const { environment, headers, telemetry, directory, mechanisms, placement } = options;
-  const { secondSends, countGateways } = options;
+  const { regions, secondSends, countGateways } = options;
   const { clock, random } = environment;
   const decisions = new RequestDecisions(clock, new DecisionLog(clock, telemetry.logger));
   const metrics = new GatewayMetrics(telemetry.registry);
@@ -44,6 +46,7 @@
     headers,
     mechanisms,
     targets: new ServiceTargets(environment, directory),
+    regions,
     choice: new ReplicaChoice(clock, random, placement, mechanisms),
     sender: new AttemptSender(clock, headers, noteUnreadable),
     latencies: new RouteLatencies(),
--- a/src/gateway/exchange-headers.ts
+++ b/src/gateway/exchange-headers.ts
@@ -12,6 +12,8 @@
   readonly targetReplica: string;
   /** A replica's load: requests running, requests waiting, slots; joined by commas. */
   readonly load: string;
+  /** In health answers: how long the replica stays cold. Milliseconds. */
+  readonly warmup: string;
   /** The replica did not run the request and never will. */
   readonly notExecuted: string;
   /** Signatures of the parts that a merged answer holds, joined by commas. */
@@ -26,6 +28,7 @@
   signature: 'x-driftway-signature',
   targetReplica: 'x-driftway-replica',
   load: 'x-driftway-load',
+  warmup: 'x-driftway-warmup-ms',
   notExecuted: 'x-driftway-not-executed',
   partSignatures: 'x-driftway-parts',
   missingParts: 'x-driftway-missing-parts',
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -96,7 +96,10 @@
 
   /** Shards of which any replica is known. */
   private get reachable(): number {
-    return this.shards.filter((shard) => this.context.targets.of(shard).length > 0).length;
+    const { regions, targets } = this.context;
+    const { route } = this.request;
+    return this.shards.filter((shard) => regions.permitted(route, targets.of(shard)).length > 0)
+      .length;
   }
 
   private startTimers(): void {
--- a/src/gateway/fleet-shares.ts
+++ b/src/gateway/fleet-shares.ts
@@ -1,6 +1,7 @@
 /** This gateway's share of what all gateways together may use: connections and second sends. */
 import type { RouteTable } from '../routes/route-table.js';
 import type { Clock } from '../seams/clock.js';
+import { coldSlotLength } from './cold-send-slots.js';
 import { SecondSendBudget, type SecondSendLimits } from './second-send-budget.js';
 
 /** Taken as the number of gateways while no controller has said it. */
@@ -42,6 +43,12 @@
     return Math.max(1, Math.floor((connections * part) / this.gateways));
   }
 
+  /** See `ColdSendSlots`; Infinity where cold replicas get as many requests as others. */
+  coldSlotLength(table: RouteTable, service: string): number {
+    const perSecond = table.service(service)?.coldRequestsPerSecond ?? 0;
+    return perSecond > 0 ? coldSlotLength(perSecond, this.gateways) : Infinity;
+  }
+
   /** A request was sent to the service for the first time. */
   noteRequest(service: string): void {
     this.budgetOf(service).noteRequest(this.gateways);
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -10,12 +10,14 @@
 import type { RouteLatencies } from './route-latencies.js';
 import type { AttemptSender } from './send-attempt.js';
 import type { ServiceTargets } from './service-targets.js';
+import type { ZoneRegions } from './zone-regions.js';
 
 export interface GatewayContext {
   readonly environment: Environment;
   readonly headers: ExchangeHeaders;
   readonly mechanisms: GatewayMechanisms;
   readonly targets: ServiceTargets;
+  readonly regions: ZoneRegions;
   readonly choice: ReplicaChoice;
   readonly sender: AttemptSender;
   readonly latencies: RouteLatencies;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,6 +8,8 @@
 import { DirectoryClient } from '../directory/directory-client.js';
 import { SubscriberKind, type DocumentMessage } from '../directory/directory-messages.js';
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
+import { EvacuatedZones } from '../evacuations/evacuated-zones.js';
+import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
@@ -27,6 +29,7 @@
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
+import { ZoneRegions } from './zone-regions.js';
 
 /** Of the grace for a stop: until new connections end, and until the last answer is given. */
 const ACCEPTING_PART = 0.6;
@@ -58,6 +61,7 @@
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
   private readonly aggregation: Aggregation;
+  private readonly evacuatedZones = new EvacuatedZones();
   private readonly ended = new AbortController();
   private isStopping = false;
   private wasReady = false;
@@ -80,6 +84,7 @@
       this.aggregation.plan(request, shards, listener),
     );
     observe(this.client.documents, (document) => this.applyDocument(document));
+    observe(this.client.evacuations, (evacuation) => this.applyEvacuation(evacuation));
   }
 
   /**
@@ -181,7 +186,7 @@
   }
 
   private createContext(headers: ExchangeHeaders): GatewayContext {
-    const { mechanisms, placement, secondSends, zone } = this.configuration;
+    const { mechanisms, placement, secondSends, zone, region, zones } = this.configuration;
     return createGatewayContext({
       environment: this.environment,
       headers,
@@ -189,6 +194,7 @@
       directory: this.directory,
       mechanisms,
       placement: { zone, ...placement },
+      regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
       countGateways: () => this.client.gateways,
     });
@@ -251,6 +257,15 @@
     }
   }
 
+  private applyEvacuation(evacuation: ZoneEvacuation): void {
+    if (!this.evacuatedZones.take(evacuation)) return;
+    const { zones } = this.evacuatedZones;
+    this.context.targets.useEvacuatedZones(zones);
+    this.context.metrics.evacuatedZones.set(zones.size);
+    const { zone, isEvacuated, revision } = evacuation;
+    this.logger.info('evacuation in force', { zone, isEvacuated, revision });
+  }
+
   private isAskedOften(service: string): boolean {
     const { table } = this.endpoint;
     if (table === undefined) return this.context.targets.size <= FEW_REPLICAS;
@@ -264,6 +279,7 @@
       random,
       targets: () => this.context.targets.all(),
       isWorthIt: (service) => this.isAskedOften(service),
+      warmupHeader: this.context.headers.warmup,
       healthPath: (service) => this.endpoint.table?.service(service)?.healthPath ?? '/health',
       stopped: this.ended.signal,
     });
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -15,6 +15,7 @@
   readonly unreadableReports: Counter;
   readonly latency: Histogram;
   readonly routeVersion: Gauge;
+  readonly evacuatedZones: Gauge;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -62,6 +63,11 @@
       buckets: LATENCY_BUCKETS,
       registers,
     });
+    this.evacuatedZones = new Gauge({
+      name: 'driftway_gateway_evacuated_zones',
+      help: 'Zones to whose replicas nothing new is sent.',
+      registers,
+    });
     this.routeVersion = new Gauge({
       name: 'driftway_gateway_route_version',
       help: 'Version of the route document in force here.',
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -43,6 +43,8 @@
   readonly stake: number;
   /** Most attempts in flight from here to one replica. */
   readonly maximumInFlight: number;
+  /** See `ColdSendSlots`; Infinity where cold replicas get as many requests as others. */
+  readonly coldSlotLength: number;
 }
 
 /** How long work takes at the replica over what is usual there, as far as its last word still holds. */
@@ -70,6 +72,7 @@
     for (const target of query.targets) {
       if (query.excluded.has(target) || target.isReplaced(now)) continue;
       if (target.inFlight >= query.maximumInFlight) continue;
+      if (this.isClosedWhileCold(target, query, now)) continue;
       if (this.mechanisms.resting && target.isResting(now)) {
         resting ??= target;
         continue;
@@ -80,6 +83,15 @@
     return best ?? resting;
   }
 
+  private isClosedWhileCold(
+    { warmUntil, coldSends }: ReplicaTarget,
+    { coldSlotLength }: ChoiceQuery,
+    now: number,
+  ): boolean {
+    const isBounded = now < warmUntil && Number.isFinite(coldSlotLength);
+    return isBounded && !coldSends.isOpen(now, coldSlotLength);
+  }
+
   /** As a part of the worth of one request in time. */
   private cost(target: ReplicaTarget, query: ChoiceQuery, now: number): number {
     const distanceCost =
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -141,14 +141,16 @@
   }
 
   private choose(): ReplicaTarget | undefined {
-    const { choice, targets, shares } = this.context;
+    const { choice, targets, regions, shares } = this.context;
+    const { table, route } = this.request;
     return choice.choose({
-      targets: targets.of(this.service),
+      targets: regions.permitted(route, targets.of(this.service)),
       excluded: this.asked,
       usualLatency: this.options.latency.usual,
-      targetLatency: targetLatencyOf(this.request.route),
+      targetLatency: targetLatencyOf(route),
       stake: this.options.stake,
-      maximumInFlight: shares.connectionsFor(this.request.table, this.service),
+      maximumInFlight: shares.connectionsFor(table, this.service),
+      coldSlotLength: shares.coldSlotLength(table, this.service),
     });
   }
 
@@ -159,6 +161,10 @@
     const record: AttemptRecord = { inputs, sentAt, endedAt: undefined, result: undefined };
     const attempt: LiveAttempt = { target, abort: new AbortController(), record };
     const number = target.begin(sentAt);
+    target.coldSends.use(
+      sentAt,
+      this.context.shares.coldSlotLength(this.request.table, this.service),
+    );
     target.warmChecks = 0;
     this.attempts.push(record);
     this.asked.add(target);
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -1,6 +1,7 @@
 /** One replica as this gateway sends to it: its connections and what was observed of it. */
 import type { ReplicaEntry } from '../directory/replica-entry.js';
 import type { HttpClient } from '../seams/http.js';
+import type { ColdSendSlots } from './cold-send-slots.js';
 import { AttemptsInFlight } from './attempts-in-flight.js';
 import { FailureRest } from './failure-rest.js';
 import type { ReportedLoad } from './reported-load.js';
@@ -27,6 +28,10 @@
   warmCheckAt = -Infinity;
   /** Health checks since it was last used. */
   warmChecks = 0;
+  /** The replica that registered at its address later; undefined while none has. */
+  successor: ReplicaTarget | undefined;
+  /** The replica that had its address before, if it was not said to have left. */
+  predecessor: ReplicaTarget | undefined;
   private readonly attempts = new AttemptsInFlight();
   private readonly rest = new FailureRest();
   private slowness = 1;
@@ -39,8 +44,10 @@
     public entry: ReplicaEntry,
     readonly client: HttpClient,
     readonly address: string,
-    /** Until when it is slow from its start. Clock reading. */
+    /** Until when it is slow from its start, or has turned cold again. Clock reading. */
     public warmUntil: number,
+    /** When it may be sent to while it is cold. */
+    readonly coldSends: ColdSendSlots,
   ) {}
 
   get inFlight(): number {
@@ -104,6 +111,11 @@
     this.rest.noteFailure(now);
   }
 
+  /** It says that it is cold for `warmupMs` more; 0 when it is not, which may also be old word. */
+  noteWarmup(warmupMs: number, now: number): void {
+    if (warmupMs > 0) this.warmUntil = Math.max(this.warmUntil, now + warmupMs);
+  }
+
   /** Another replica has its address now. */
   noteReplaced(now: number): void {
     this.replacedUntil = now + REPLACED_MS;
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -1,9 +1,14 @@
-/** The replicas of every service, kept in step with the directory. */
+/**
+ * The replicas of every service, kept in step with the directory, and which of them
+ * may get new work: not those of an evacuated zone, nor one at whose address another
+ * replica has registered since.
+ */
 import { observe } from '../control-stream/observe.js';
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import { RegisteredState, type ReplicaEntry } from '../directory/replica-entry.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
+import { ColdSendSlots } from './cold-send-slots.js';
 import { ReplicaTarget } from './replica-target.js';
 
 /** Most connections of this gateway to one replica, whatever the shares say. */
@@ -14,11 +19,21 @@
 
 const NO_TARGETS: readonly ReplicaTarget[] = [];
 
+/** The replicas of one service. */
+interface ServiceGroup {
+  readonly all: readonly ReplicaTarget[];
+  /** Those that may get new work. */
+  readonly usable: readonly ReplicaTarget[];
+}
+
 /** See the module comment. */
 export class ServiceTargets {
   private readonly byId = new Map<string, ReplicaTarget>();
-  private readonly byService = new Map<string, ReplicaTarget[]>();
+  private readonly byAddress = new Map<string, ReplicaTarget>();
+  private readonly groups = new Map<string, ServiceGroup>();
   private readonly waiting = new Map<string, Set<() => void>>();
+  private evacuatedZones: ReadonlySet<string> = new Set();
+  private usableCount = 0;
 
   constructor(
     private readonly environment: Environment,
@@ -30,17 +45,26 @@
 
   /** Replicas of the service that may get new work. */
   of(service: string): readonly ReplicaTarget[] {
-    return this.byService.get(service) ?? NO_TARGETS;
+    return this.groups.get(service)?.usable ?? NO_TARGETS;
   }
 
   /** All replicas that may get new work. */
-  all(): IterableIterator<ReplicaTarget> {
-    return this.byId.values();
+  *all(): IterableIterator<ReplicaTarget> {
+    for (const { usable } of this.groups.values()) yield* usable;
   }
 
   /** Replicas that may get new work, of all services. */
   get size(): number {
-    return this.byId.size;
+    return this.usableCount;
+  }
+
+  /** Sends nothing new to replicas of these zones; requests in flight go on to their end. */
+  useEvacuatedZones(zones: ReadonlySet<string>): void {
+    this.evacuatedZones = zones;
+    for (const [service, { all }] of this.groups) {
+      this.setGroup(service, all);
+      this.notifyRoom(service);
+    }
   }
 
   /** Calls `callback` once, when a replica of the service has room again or a new one is known. */
@@ -66,7 +90,9 @@
   stop(): void {
     for (const target of this.byId.values()) target.client.destroy();
     this.byId.clear();
-    this.byService.clear();
+    this.byAddress.clear();
+    this.groups.clear();
+    this.usableCount = 0;
   }
 
   private apply(entry: ReplicaEntry): void {
@@ -76,23 +102,57 @@
       return;
     }
     const sameplace = known?.address === entry.address && known.entry.service === entry.service;
-    if (known !== undefined && sameplace) known.entry = entry;
+    if (known !== undefined && sameplace) this.update(known, entry);
     else this.replace(entry);
   }
 
+  private update(target: ReplicaTarget, entry: ReplicaEntry): void {
+    target.entry = entry;
+    target.noteWarmup(entry.warmupMs, this.environment.clock.now());
+  }
+
   private replace(entry: ReplicaEntry): void {
     this.remove(entry.replicaId);
     const target = this.create(entry);
     if (target === undefined) return;
     this.byId.set(entry.replicaId, target);
-    const group = this.byService.get(entry.service) ?? [];
-    this.byService.set(entry.service, [...group, target]);
+    this.supersede(target);
+    const { all = NO_TARGETS } = this.groups.get(entry.service) ?? {};
+    this.setGroup(entry.service, [...all, target]);
     this.notifyRoom(entry.service);
   }
 
+  /**
+   * A process that crashed may still be known, or be told of by a heartbeat that was
+   * delayed, when another one has its address: the one that registered there last has it.
+   */
+  private supersede(target: ReplicaTarget): void {
+    const earlier = this.byAddress.get(target.address);
+    this.byAddress.set(target.address, target);
+    if (earlier === undefined) return;
+    earlier.successor = target;
+    earlier.predecessor = undefined;
+    target.predecessor = earlier;
+    this.refreshGroup(earlier.entry.service);
+  }
+
+  /**
+   * Another replica answered at the target's address. Where the target was told of later
+   * than that replica, its word was old, and the address is the other one's again.
+   */
+  noteReplaced(target: ReplicaTarget): void {
+    target.noteReplaced(this.environment.clock.now());
+    const { predecessor, address } = target;
+    if (predecessor === undefined) return;
+    target.predecessor = undefined;
+    predecessor.successor = undefined;
+    this.byAddress.set(address, predecessor);
+    this.refreshGroup(predecessor.entry.service);
+  }
+
   /** Undefined when what was registered is no address. */
   private create(entry: ReplicaEntry): ReplicaTarget | undefined {
-    const { clock, network } = this.environment;
+    const { clock, network, random } = this.environment;
     try {
       const client = network.httpClient(parseAddress(entry.address), {
         connections: MAXIMUM_CONNECTIONS,
@@ -100,7 +160,9 @@
         connectTimeout: CONNECT_TIMEOUT_MS,
         keepAliveTimeout: KEEP_ALIVE_MS,
       });
-      return new ReplicaTarget(entry, client, entry.address, clock.now() + entry.warmupMs);
+      const coldSends = new ColdSendSlots(random.nextFloat());
+      const warmUntil = clock.now() + entry.warmupMs;
+      return new ReplicaTarget(entry, client, entry.address, warmUntil, coldSends);
     } catch {
       return undefined;
     }
@@ -111,10 +173,30 @@
     const target = this.byId.get(replicaId);
     if (target === undefined) return;
     this.byId.delete(replicaId);
+    if (this.byAddress.get(target.address) === target) this.byAddress.delete(target.address);
+    if (target.successor !== undefined) target.successor.predecessor = undefined;
     const { service } = target.entry;
-    const group = (this.byService.get(service) ?? []).filter((other) => other !== target);
-    if (group.length === 0) this.byService.delete(service);
-    else this.byService.set(service, group);
+    const { all = NO_TARGETS } = this.groups.get(service) ?? {};
+    this.setGroup(
+      service,
+      all.filter((other) => other !== target),
+    );
     void target.client.close();
   }
+
+  private refreshGroup(service: string): void {
+    const group = this.groups.get(service);
+    if (group !== undefined) this.setGroup(service, group.all);
+  }
+
+  private setGroup(service: string, all: readonly ReplicaTarget[]): void {
+    const usable = all.filter((target) => this.isUsable(target));
+    this.usableCount += usable.length - this.of(service).length;
+    if (all.length === 0) this.groups.delete(service);
+    else this.groups.set(service, { all, usable });
+  }
+
+  private isUsable({ entry, successor }: ReplicaTarget): boolean {
+    return successor === undefined && !this.evacuatedZones.has(entry.zone);
+  }
 }
--- a/src/routes/route-document.ts
+++ b/src/routes/route-document.ts
@@ -35,6 +35,8 @@
   priority: z.int().min(0).default(0),
   /** Most replicas to which one request may be sent (for each shard, when there are shards). */
   maximumAttempts: z.int().min(1).default(1),
+  /** Regions whose replicas may get requests of the route; absent: all. */
+  allowedRegions: z.array(nameSchema).min(1).optional(),
   /** Exactly one of these three says where requests go. */
   service: nameSchema.optional(),
   split: z.array(splitPartSchema).min(1).optional(),
@@ -52,6 +54,11 @@
   healthPath: z.string().default('/health'),
   /** Connections that one replica accepts from all gateways together. */
   maximumConnections: z.int().min(1).default(64),
+  /**
+   * Requests a second that a cold replica bears from all gateways together; 0 when that
+   * is not bounded.
+   */
+  coldRequestsPerSecond: z.number().min(0).default(0),
 });
 export type RoutedService = z.infer<typeof serviceSchema>;
 
--- a/test/administration/controllers.ts
+++ b/test/administration/controllers.ts
@@ -78,6 +78,7 @@
     this.handler = createAdministrationHandler({
       log,
       machine: log.machine,
+      evacuations: log.evacuationOrders,
       clock: this.clock,
       logger: SILENT_LOGGER,
       registry: this.registry,
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -5,7 +5,11 @@
   ReplicatedLog,
   ReplicatedLogStatus,
 } from '../../src/consensus/replicated-log.js';
+import { SectionTag, SectionedStateMachine } from '../../src/consensus/sectioned-state-machine.js';
 import { DriftwayError, ErrorLabel } from '../../src/errors/driftway-error.js';
+import { EvacuationOrders } from '../../src/evacuations/evacuation-orders.js';
+import { EvacuationRegister } from '../../src/evacuations/evacuation-register.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { ConfigurationStateMachine } from '../../src/settings/configuration-state-machine.js';
 
 /** What happens to the next proposal. */
@@ -31,6 +35,13 @@
 /** One member. Applies lazily, so that it lags until it proposes or is asked for a barrier. */
 export class MemoryLog implements ReplicatedLog {
   readonly machine = new ConfigurationStateMachine();
+  readonly evacuations = new EvacuationRegister();
+  /** Orders about zones, as a controller of two zones takes them. */
+  readonly evacuationOrders: EvacuationOrders;
+  private readonly state = new SectionedStateMachine(
+    this.machine,
+    new Map([[SectionTag.Evacuations, this.evacuations]]),
+  );
   readonly applied = empty();
   nextFault: ProposalFault | undefined;
   hasQuorum = true;
@@ -39,7 +50,14 @@
   constructor(
     private readonly memberId: string,
     private readonly history: MemoryHistory,
-  ) {}
+  ) {
+    this.evacuationOrders = new EvacuationOrders({
+      log: this,
+      register: this.evacuations,
+      knownZones: new Set(['nayoro', 'wakkanai']),
+      logger: SILENT_LOGGER,
+    });
+  }
 
   async propose(command: Uint8Array): Promise<CommittedCommand> {
     const fault = this.nextFault;
@@ -95,7 +113,7 @@
       const command = this.history.commands[this.appliedIndex];
       this.appliedIndex += 1;
       if (command !== undefined) {
-        result = new Uint8Array(this.machine.apply(command, this.appliedIndex));
+        result = new Uint8Array(this.state.apply(command, this.appliedIndex));
       }
     }
     return result;
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -88,6 +88,7 @@
         messages: `${host}:${MESSAGE_PORT}`,
         registration: `${host}:${REGISTRATION_PORT}`,
       },
+      zones: { nayoro: 'dohoku', wakkanai: 'dohoku', 'asahikawa-a': 'dohoku' },
       initialMembers: [{ memberId: 'unused', address: '10.0.0.1:1', zone }],
       automaticMembership: { seeds: this.seeds, firstStart },
     });
@@ -107,11 +108,21 @@
     method: string,
     path: string,
     body?: string,
+  ): Promise<HttpClientResponse> {
+    return this.simulation.settle(this.send(machine, method, path, body));
+  }
+
+  /** As {@link AutomaticGroup.call}, not yet settled. */
+  send(
+    machine: SimulatedMachine,
+    method: string,
+    path: string,
+    body?: string,
   ): Promise<HttpClientResponse> {
     const address = { host: machine.host, port: REGISTRATION_PORT };
     const client = this.operator.environment.network.httpClient(address, CLIENT_OPTIONS);
     const request = { method, path, headers: {}, ...(body === undefined ? {} : { body }) };
-    return this.simulation.settle(client.request(request));
+    return client.request(request);
   }
 
   putRoutes(machine: SimulatedMachine, document: string): Promise<HttpClientResponse> {
--- a/test/directory/directory-session.test.ts
+++ b/test/directory/directory-session.test.ts
@@ -24,6 +24,7 @@
     clock,
     directory: new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats),
     document: () => ({ version: parts.version, content: new Uint8Array(0) }),
+    evacuations: () => [],
     controllers: () => [],
     ageMs: () => 0,
     ownZone: 'a',
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -34,6 +34,8 @@
   readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
   readonly others?: number;
+  /** Regions by zone. */
+  readonly zones?: Readonly<Record<string, string>>;
 }
 
 /** A gateway besides the one that callers reach. */
@@ -77,6 +79,7 @@
   readonly shards?: readonly string[];
   readonly topRecords?: number;
   readonly requiredCoverage?: number;
+  readonly allowedRegions?: readonly string[];
 }
 
 /** A caller's request. */
@@ -152,6 +155,7 @@
       controllers: group.machines.map(({ host }) => `${host}:${MESSAGE_PORT}`),
       secondSends: overrides.secondSends ?? SECOND_SENDS,
       mechanisms: overrides.mechanisms ?? {},
+      zones: overrides.zones ?? {},
       ...(overrides.aggregation === undefined ? {} : { aggregation: overrides.aggregation }),
       stopGraceMs: 6_000,
     });
@@ -160,6 +164,14 @@
     return group.simulation.settle(started);
   }
 
+  /** Evacuates a zone, or ends that, at the controller of the index. */
+  async evacuate(zone: string, isEvacuated: boolean, controller = 0): Promise<number> {
+    const method = isEvacuated ? 'PUT' : 'DELETE';
+    const machine = this.group.machineAt(controller);
+    const answer = await this.group.call(machine, method, `/v1/evacuations/${zone}`);
+    return answer.status;
+  }
+
   /** The gateway's machine and all controllers lose power at once. */
   losePower(): void {
     for (const machine of [this.machine, ...this.group.machines]) machine.crash({ power: true });
@@ -182,15 +194,15 @@
   }
 
   /** A replica of the service that has registered. */
-  async addReplica(service: string, content = ''): Promise<ExchangeReplica> {
+  async addReplica(service: string, content = '', zone = 'nayoro'): Promise<ExchangeReplica> {
     this.replicas += 1;
     const replicaId = `${service}-${this.replicas}`;
-    const machine = this.simulation.createMachine(replicaId, 'nayoro');
+    const machine = this.simulation.createMachine(replicaId, zone);
     const replica = new ExchangeReplica(machine.environment, {
       replicaId,
       service,
       address: { host: machine.host, port: REPLICA_PORT },
-      zone: 'nayoro',
+      zone,
       controllers: this.group.machines.map(({ host }) => ({ host, port: REGISTRATION_PORT })),
     });
     replica.content = content;
--- a/test/gateway/replica-choice.test.ts
+++ b/test/gateway/replica-choice.test.ts
@@ -1,6 +1,7 @@
 import { expect, it } from 'vitest';
 import { ALL_MECHANISMS } from '../../src/configuration/gateway-mechanisms.js';
 import { RegisteredState } from '../../src/directory/replica-entry.js';
+import { ColdSendSlots } from '../../src/gateway/cold-send-slots.js';
 import { ReplicaChoice, type ChoiceQuery } from '../../src/gateway/replica-choice.js';
 import { ReplicaTarget } from '../../src/gateway/replica-target.js';
 import { ManualClock } from '../support/manual-clock.js';
@@ -24,7 +25,7 @@
     sequence: 1,
     warmupMs: 0,
   };
-  return new ReplicaTarget(entry, NO_CLIENT, entry.address, -Infinity);
+  return new ReplicaTarget(entry, NO_CLIENT, entry.address, -Infinity, new ColdSendSlots(0));
 }
 
 /** A gateway in {@link NEAR_ZONE}, with one replica there and one in {@link FAR_ZONE}. */
@@ -45,6 +46,7 @@
       targetLatency: 100,
       stake: 1,
       maximumInFlight: 8,
+      coldSlotLength: Infinity,
       ...query,
     });
   }
--- a/test/gateway/replica-target.test.ts
+++ b/test/gateway/replica-target.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { RegisteredState } from '../../src/directory/replica-entry.js';
+import { ColdSendSlots } from '../../src/gateway/cold-send-slots.js';
 import { ReplicaTarget } from '../../src/gateway/replica-target.js';
 import type { HttpClient } from '../../src/seams/http.js';
 
@@ -20,7 +21,7 @@
     sequence: 1,
     warmupMs: 0,
   };
-  return new ReplicaTarget(entry, CLIENT, entry.address, 0);
+  return new ReplicaTarget(entry, CLIENT, entry.address, 0, new ColdSendSlots(0));
 }
 
 describe('ReplicaTarget', () => {
--- /dev/null
+++ b/test/gateway/service-targets.test.ts
@@ -0,0 +1,90 @@
+import { describe, expect, it } from 'vitest';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import { DirectoryKind, ReplicaDirectory } from '../../src/directory/replica-directory.js';
+import { RegisteredState, type ReplicaEntry } from '../../src/directory/replica-entry.js';
+import { ServiceTargets } from '../../src/gateway/service-targets.js';
+
+const ADDRESS = '10.0.0.1:80';
+
+function entry(replicaId: string, changes: Partial<ReplicaEntry> = {}): ReplicaEntry {
+  return {
+    replicaId,
+    service: 'ledger',
+    address: ADDRESS,
+    zone: 'a',
+    capacity: 2,
+    state: RegisteredState.Ready,
+    sequence: 1,
+    warmupMs: 0,
+    ...changes,
+  };
+}
+
+function create(): {
+  directory: ReplicaDirectory;
+  targets: ServiceTargets;
+  simulation: Simulation;
+  now: () => number;
+} {
+  const simulation = new Simulation(3);
+  const { environment } = simulation.createMachine('gateway', 'a');
+  const directory = new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges);
+  return {
+    directory,
+    targets: new ServiceTargets(environment, directory),
+    simulation,
+    now: () => environment.clock.now(),
+  };
+}
+
+function idsOf(targets: ServiceTargets, service = 'ledger'): string[] {
+  return targets.of(service).map((target) => target.entry.replicaId);
+}
+
+describe('an address that another replica takes', () => {
+  it('belongs to the one that registered last, whatever is heard of the other', () => {
+    const { directory, targets } = create();
+    directory.report(entry('old'));
+    directory.report(entry('new'));
+    expect(idsOf(targets)).toEqual(['new']);
+    directory.report(entry('old', { sequence: 9, capacity: 3 }));
+    expect(idsOf(targets)).toEqual(['new']);
+    expect(targets.size).toBe(1);
+  });
+
+  it('is given back when the replica there says that it is the other one', () => {
+    const { directory, targets } = create();
+    directory.report(entry('alive'));
+    directory.report(entry('late word of a dead one', { service: 'other' }));
+    expect(idsOf(targets)).toEqual([]);
+    const [dead] = targets.of('other');
+    if (dead === undefined) return expect.fail('no target');
+    targets.noteReplaced(dead);
+    expect(idsOf(targets)).toEqual(['alive']);
+  });
+
+  it('stays with the later one when the earlier one is forgotten or leaves', () => {
+    const { directory, targets } = create();
+    directory.report(entry('old'));
+    directory.report(entry('new'));
+    directory.leave('old');
+    expect(idsOf(targets)).toEqual(['new']);
+    directory.leave('new');
+    expect(idsOf(targets)).toEqual([]);
+    expect(targets.size).toBe(0);
+  });
+});
+
+describe('a replica that says that it is cold', () => {
+  it('counts as cold from its start, and again when it turns cold later', async () => {
+    const { directory, targets, simulation, now } = create();
+    const startedAt = now();
+    directory.report(entry('i', { warmupMs: 2_000 }));
+    const [target] = targets.of('ledger');
+    expect(target?.warmUntil).toBe(startedAt + 2_000);
+    await simulation.runFor(5_000);
+    directory.report(entry('i', { sequence: 2, warmupMs: 0 }));
+    directory.report(entry('i', { sequence: 3, warmupMs: 3_000 }));
+    expect(target?.warmUntil).toBe(startedAt + 8_000);
+  });
+});
--- a/test/operator/operator-commands.test.ts
+++ b/test/operator/operator-commands.test.ts
@@ -144,4 +144,27 @@
     const list = await fixture.run('services', 'list');
     expect(list.stdout).toMatch(/kifu-audit +sharded +dohoku +2 \(1 shards, 0 replicas\)/);
   });
+
+  it('evacuate a zone, list it and end that', async () => {
+    const start = await fixture.run('evacuations', 'start', 'nayoro');
+    expect(start).toMatchObject({ code: 0, stdout: 'Evacuated: nayoro.\n' });
+    const again = await fixture.run('evacuations', 'start', 'nayoro');
+    expect(again.stdout).toBe('Evacuated: nayoro.\n');
+    const list = await fixture.run('evacuations', 'list', '--json');
+    expect(JSON.parse(list.stdout)).toEqual({ zones: ['nayoro'] });
+    const end = await fixture.run('evacuations', 'end', 'nayoro');
+    expect(end.stdout).toBe('No zone is evacuated.\n');
+  });
+
+  it('evacuate no zone that there is not', async () => {
+    const { code, stderr } = await fixture.run('evacuations', 'start', 'elsewhere');
+    expect(code).not.toBe(OperatorExitCode.Success);
+    expect(stderr).toMatch(/there is no zone "elsewhere"[^]*Nothing was changed/);
+  });
+
+  it('send an order to evacuate again when the answer is lost', async () => {
+    fixture.failNextAtFirst('answer_lost');
+    const { code, stdout } = await fixture.run('evacuations', 'start', 'wakkanai');
+    expect([code, stdout]).toEqual([0, 'Evacuated: wakkanai.\n']);
+  });
 });
--- a/test/operator/operator-fixture.ts
+++ b/test/operator/operator-fixture.ts
@@ -134,6 +134,7 @@
     const handler = createAdministrationHandler({
       log,
       machine: log.machine,
+      evacuations: log.evacuationOrders,
       clock: new NodeClock(),
       logger: SILENT_LOGGER,
       registry: new Registry(),
