--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -185,7 +185,11 @@
       this.behaviour === ReplicaBehaviour.Unsigned
         ? {}
         : { [signature]: `${this.options.replicaId}.${requestId}` };
-    const headers = { [idName]: isOther ? 'another' : requestId, ...signed, [load]: this.loadReport };
+    const headers = {
+      [idName]: isOther ? 'another' : requestId,
+      ...signed,
+      [load]: this.loadReport,
+    };
     const status = this.behaviour === ReplicaBehaviour.Fail ? 500 : 200;
     const isLost = this.behaviour === ReplicaBehaviour.LoseAnswer;
     return { status, headers, body: this.content, ...(isLost ? { closeAfterBytes: 0 } : {}) };
