--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -7,7 +7,6 @@
 import type { LogFields } from '../observability/logger.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from '../gateway/caller-request.js';
-import { cutOffDelay } from '../gateway/fan-out.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
 import type { GatheredParts, PartListener, PartSource } from '../gateway/part-source.js';
 import { targetLatencyOf } from '../gateway/route-latencies.js';
@@ -193,7 +192,8 @@
 
   private call(now: number): GatherCall {
     const { route, receivedAt, deadline } = this.request;
-    const cutOffAt = receivedAt + cutOffDelay(targetLatencyOf(route));
+    const { answerMargin } = this.parts.rootContext;
+    const cutOffAt = receivedAt + answerMargin.cutOffDelay(targetLatencyOf(route));
     return {
       request: this.options.encodedRequest,
       shards: [...this.missing],
--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -72,18 +72,30 @@
 
   start(): void {
     const { clock } = this.context.environment;
-    const { request, reportInMs } = this.options;
+    const { request } = this.options;
     const { route, deadline } = request;
     const { hedgeDelay } = this.context.latencies.of(route);
     this.timers.push(
       clock.setTimer(hedgeDelay * GRANT_PART, () => this.askForGrant()),
-      clock.setTimer(Math.max(0, reportInMs), () => this.passReport()),
+      this.reportTimer(),
       clock.setTimer(targetLatencyOf(route) * UNOFFERED_PART, () => this.endUnoffered()),
       clock.setTimer(Math.max(0, deadline - clock.now()), () => this.end(TIME_UP)),
     );
     this.gather.start();
   }
 
+  /** Reports by the time that the root wants it, earlier where timers run late here. */
+  private reportTimer(): Timer {
+    const { environment, answerMargin } = this.context;
+    const { clock } = environment;
+    const rest = Math.max(0, this.options.reportInMs - answerMargin.lag);
+    const dueAt = clock.now() + rest;
+    return clock.setTimer(rest, () => {
+      answerMargin.noteTimer(clock.now() - dueAt);
+      this.passReport();
+    });
+  }
+
   onParts(parts: GatheredParts): void {
     if (this.isDone) return;
     this.unreported.push(parts);
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -24,6 +24,10 @@
     secondHedge: switchSchema,
     /** A merged answer that holds enough leaves before the target, without late shards. */
     cutOff: switchSchema,
+    /** That answer leaves the earlier the later timers run here. */
+    learnedMargin: switchSchema,
+    /** An attempt whose answer is not wanted any more may end by itself for a moment. */
+    lingering: switchSchema,
     /** A part of the requests is refused while most replicas have queues. */
     shedding: switchSchema,
     /** Another replica is asked after a failure or refusal. */
--- /dev/null
+++ b/src/gateway/answer-margin.ts
@@ -0,0 +1,51 @@
+/**
+ * How long before a route's target a merged answer has to leave to arrive within it.
+ * A process that is short of processor time runs its timers late, and reads a request
+ * some time after it came; how late its timers ran lately stands for both.
+ */
+import { LatencyDigest } from '../policies/latency-digest.js';
+
+/**
+ * The way to the caller and back and a merge, where nothing is late: 6 ms at the median
+ * of played days with 1 ms to callers, 12 ms with 3 ms. Milliseconds.
+ */
+const WAY_MS = 12;
+/** The margin is at most this part of the target. */
+const LONGEST_PART = 0.3;
+/** Timers that are remembered: the load of a process changes within seconds. */
+const WINDOW = 60;
+/** An answer that is late is worth a tenth; a part that is left out a few hundredths. */
+const LAG_QUANTILE = 0.9;
+const REFRESH_EVERY = 6;
+
+/** See the module comment. Milliseconds. */
+export class AnswerMargin {
+  private readonly lags = new LatencyDigest(WINDOW);
+  private sinceRefresh = 0;
+  private learnedLag = 0;
+
+  constructor(
+    /** Whether the lateness of timers is added. */
+    private readonly learns: boolean,
+  ) {}
+
+  /** A timer ran `lag` after it was due. */
+  noteTimer(lag: number): void {
+    if (!this.learns) return;
+    this.lags.addReply(Math.max(0, lag));
+    this.sinceRefresh += 1;
+    if (this.sinceRefresh < REFRESH_EVERY) return;
+    this.sinceRefresh = 0;
+    this.learnedLag = this.lags.quantile(LAG_QUANTILE);
+  }
+
+  /** By how much timers run late here, in nine of ten cases at most. */
+  get lag(): number {
+    return this.learnedLag;
+  }
+
+  /** Longest time from a request until an answer that is good enough leaves. */
+  cutOffDelay(targetLatency: number): number {
+    return targetLatency - Math.min(WAY_MS + this.learnedLag, targetLatency * LONGEST_PART);
+  }
+}
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -4,6 +4,7 @@
 import { DecisionLog } from '../observability/decision-log.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { Environment } from '../seams/environment.js';
+import { AnswerMargin } from './answer-margin.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
 import { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -52,6 +53,7 @@
     latencies: new RouteLatencies(),
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
     shedding: new OverloadShedding(random),
+    answerMargin: new AnswerMargin(mechanisms.learnedMargin),
     decisions,
     metrics,
   };
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -12,18 +12,9 @@
 import type { GatheredParts, PartListener, PartSource } from './part-source.js';
 import { targetLatencyOf } from './route-latencies.js';
 
-/** Time before the target at which an answer must leave, to arrive within it. Milliseconds. */
-const ANSWER_MARGIN_MS = 12;
-/** The margin is at most this part of the target. */
-const ANSWER_MARGIN_PART = 0.3;
 /** Absorbs what fractions such as 0.89 lose in binary. */
 const ROUNDING = 1e-9;
 
-/** Longest time from a request until an answer that is good enough leaves. Milliseconds. */
-export function cutOffDelay(targetLatency: number): number {
-  return targetLatency - Math.min(ANSWER_MARGIN_MS, targetLatency * ANSWER_MARGIN_PART);
-}
-
 /** Decides who asks the shards of a request; the sources report to `listener`. */
 export type PlanSources = (
   request: CallerRequest,
@@ -103,12 +94,13 @@
   }
 
   private startTimers(): void {
-    const { clock } = this.context.environment;
+    const { environment, mechanisms, answerMargin } = this.context;
+    const { clock } = environment;
     const { receivedAt, deadline, route } = this.request;
     const target = targetLatencyOf(route);
-    if (this.context.mechanisms.cutOff) {
-      const rest = Math.max(0, receivedAt + cutOffDelay(target) - clock.now());
-      this.timers.push(clock.setTimer(rest, () => this.cutOff()));
+    if (mechanisms.cutOff) {
+      const cutOffAt = Math.max(clock.now(), receivedAt + answerMargin.cutOffDelay(target));
+      this.timers.push(clock.setTimer(cutOffAt - clock.now(), () => this.cutOff(cutOffAt)));
     }
     this.timers.push(
       clock.setTimer(target * UNOFFERED_PART, () => this.refuseUnoffered()),
@@ -125,7 +117,8 @@
   }
 
   /** From here on an answer that is good enough is worth more than the wait for the rest. */
-  private cutOff(): void {
+  private cutOff(dueAt: number): void {
+    this.context.answerMargin.noteTimer(this.context.environment.clock.now() - dueAt);
     this.isPastCutOff = true;
     this.judge();
   }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,6 +1,7 @@
 /** What the parts of the gateway share. */
 import type { GatewayMechanisms } from '../configuration/gateway-mechanisms.js';
 import type { Environment } from '../seams/environment.js';
+import type { AnswerMargin } from './answer-margin.js';
 import type { RequestDecisions } from './request-decisions.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -23,6 +24,7 @@
   readonly latencies: RouteLatencies;
   readonly shares: FleetShares;
   readonly shedding: OverloadShedding;
+  readonly answerMargin: AnswerMargin;
   readonly decisions: RequestDecisions;
   readonly metrics: GatewayMetrics;
 }
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -21,6 +21,11 @@
 /** Pause before replicas that could not take it are tried again; doubled each time. Milliseconds. */
 const FIRST_RETRY_PAUSE_MS = 12;
 
+/**
+ * Longest time that an attempt goes on after its answer is not wanted any more: a pause of a
+ * replica, and far less than the half second in which a caller's leaving has to reach it. Milliseconds.
+ */
+const LINGER_MS = 200;
 /** Why attempts are aborted. One for all: an error made for each would cost more than the abort. */
 const NOT_WANTED = new Error('the answer is not wanted any more');
 
@@ -262,6 +267,20 @@
   private abortLive(): void {
     this.context.targets.cancelRoom(this.service, this.onRoom);
     this.retryTimer?.cancel();
-    for (const { abort } of this.live) abort.abort(NOT_WANTED);
+    for (const attempt of this.live) this.letGo(attempt);
+  }
+
+  /**
+   * Closing its connection ends an attempt at once, and costs the next request a new
+   * connection. A replica without a queue is left to answer for a moment instead.
+   */
+  private letGo({ target, abort }: LiveAttempt): void {
+    const hasQueue = target.load !== undefined && target.load.waiting > 0;
+    if (!this.context.mechanisms.lingering || hasQueue) {
+      abort.abort(NOT_WANTED);
+      return;
+    }
+    const { clock } = this.context.environment;
+    clock.setTimer(LINGER_MS, () => abort.abort(NOT_WANTED));
   }
 }
