--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -247,7 +247,7 @@
 
   private applyDocument({ version, content }: DocumentMessage): void {
     try {
-      const table = new RouteTable(readRouteDocument(content));
+      const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -8,7 +8,7 @@
 export class ShardList {
   private readonly names: ReadonlySet<string>;
 
-  constructor(readonly shards: readonly string[]) {
+  constructor(readonly shards: string[]) {
     this.names = new Set(shards);
   }
 
@@ -17,15 +17,29 @@
   }
 }
 
-/** Each list once, also where several routes name it. */
-function distinctLists(routes: readonly Route[]): ShardList[] {
+/** The lists of shards by their names; see {@link RouteTable.shardLists}. */
+type ShardListsByName = ReadonlyMap<string, ShardList>;
+
+function keyOf(shards: readonly string[]): string {
+  return shards.join('\n');
+}
+
+/** Each list once, also where several routes name it; the one of `before` where it is the same. */
+function distinctLists(routes: readonly Route[], before: ShardListsByName): ShardListsByName {
   const lists = new Map<string, ShardList>();
   for (const { shards } of routes) {
     if (shards === undefined) continue;
-    const key = JSON.stringify(shards);
-    if (!lists.has(key)) lists.set(key, new ShardList(shards));
+    const key = keyOf(shards);
+    if (!lists.has(key)) lists.set(key, before.get(key) ?? new ShardList(shards));
   }
-  return [...lists.values()];
+  return lists;
+}
+
+/** The route with the array of its list of shards, so that what is kept by that array is found. */
+function withListOf(route: Route, lists: ShardListsByName): Route {
+  if (route.shards === undefined) return route;
+  const list = lists.get(keyOf(route.shards));
+  return list === undefined ? route : { ...route, shards: list.shards };
 }
 
 function groupByHost(routes: readonly Route[]): Map<string, Route[]> {
@@ -48,21 +62,27 @@
 export class RouteTable {
   readonly version: number;
   readonly limits: CallerLimits;
-  /** The different lists of shards that routes name. */
+  /**
+   * The different lists of shards that routes name. A list that the table before had is the
+   * same object, with the same array, here and in its routes.
+   */
   readonly shardLists: readonly ShardList[];
+  private readonly listsByName: ShardListsByName;
   private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
   private readonly shards: ReadonlySet<string>;
   private readonly services: ReadonlyMap<string, RoutedService>;
 
-  constructor(document: RouteDocument) {
+  constructor(document: RouteDocument, before?: RouteTable) {
     this.version = document.version;
     this.limits = document.limits;
-    const groups = groupByHost(document.routes);
+    this.listsByName = distinctLists(document.routes, before?.listsByName ?? new Map());
+    this.shardLists = [...this.listsByName.values()];
+    const routes = document.routes.map((route) => withListOf(route, this.listsByName));
+    const groups = groupByHost(routes);
     for (const group of groups.values()) {
       group.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
     this.byHost = groups;
-    this.shardLists = distinctLists(document.routes);
     this.shards = new Set(document.routes.flatMap(({ shards = [] }) => shards));
     this.services = new Map(document.services.map((service) => [service.name, service]));
   }
--- /dev/null
+++ b/test/routes/route-table.test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, it } from 'vitest';
+import { routeDocumentSchema, type RouteDocument } from '../../src/routes/route-document.js';
+import { RouteTable } from '../../src/routes/route-table.js';
+
+function documentOf(version: number, ...lists: (readonly string[])[]): RouteDocument {
+  const names = [...new Set(lists.flat())];
+  return routeDocumentSchema.parse({
+    version,
+    routes: lists.map((shards, index) => ({
+      host: 'desk.example',
+      pathPrefix: `/${index}/`,
+      timeoutMs: 1_000,
+      shards: [...shards],
+    })),
+    services: names.map((name) => ({ name })),
+  });
+}
+
+describe('the lists of shards of a route table', () => {
+  it('are one where several routes name the same, and stay over versions', () => {
+    const first = new RouteTable(documentOf(1, ['a', 'b'], ['a', 'b'], ['b']));
+    expect(first.shardLists.map(({ shards }) => shards)).toEqual([['a', 'b'], ['b']]);
+    const second = new RouteTable(documentOf(2, ['b'], ['a', 'b'], ['c']), first);
+    const kept = first.match('desk.example', '/0/x')?.shards;
+    expect(first.match('desk.example', '/1/x')?.shards).toBe(kept);
+    expect(second.match('desk.example', '/1/x')?.shards).toBe(kept);
+    expect(second.shardLists[1]).toBe(first.shardLists[0]);
+    expect(second.match('desk.example', '/2/x')?.shards).toEqual(['c']);
+  });
+
+  it('differ where their order does', () => {
+    const table = new RouteTable(documentOf(1, ['a', 'b'], ['b', 'a']));
+    expect(table.shardLists).toHaveLength(2);
+  });
+});
