Let a fleet that starts as a whole divide its first requests

Until 2.1 s roots asked 90 shards by themselves, 90 to 268 sendings and 300 to 970 ms a request, and so had no processor time to get any further; 9 of 40 requests of the window were answered in time. Each gateway dialled six controllers at once, and each of those sent it all replicas.

Ruled out: waiting for the election (0.68 s) is not what binds.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -16,7 +16,8 @@
 import type { Address } from '../seams/address.js';
 import { GROUP_OWNERS, LeafAssignment, type LeafGroup } from './leaf-assignment.js';
 import { LeafLatencies } from './leaf-latencies.js';
-import { LeafPool } from './leaf-pool.js';
+import { KEPT_LEAVES, LeafPool, YOUNG_KEPT_LEAVES } from './leaf-pool.js';
+import { LeafReadiness } from './leaf-readiness.js';
 import { LeafServer } from './leaf-server.js';
 import { SourcePlanner } from './source-planner.js';
 
@@ -26,8 +27,9 @@
  * connections of a division that has just changed.
  */
 const SHARING_LEAVES = 2 * GROUP_OWNERS;
-/** How often connections to leaves are looked after. Milliseconds. */
+/** How often connections to leaves are looked after; also while the gateway is young. Milliseconds. */
 const KEEP_INTERVAL_MS = 300;
+const YOUNG_KEEP_INTERVAL_MS = 40;
 
 /** What the part is made of. */
 export interface AggregationOptions {
@@ -47,6 +49,7 @@
   private readonly assignment: LeafAssignment;
   private readonly server: LeafServer;
   private readonly planner: SourcePlanner;
+  private readonly readiness: LeafReadiness;
   private listener: AuthenticatedListener | undefined;
   private readonly owned = new WeakMap<readonly LeafGroup[], ReadonlySet<string>>();
 
@@ -62,6 +65,7 @@
       leaves,
       shardsPerGroup: settings.shardsPerGroup,
     });
+    this.readiness = new LeafReadiness(clock, (shards) => this.isConnected(shards));
     this.server = new LeafServer({ context: leafContext, logger: telemetry.logger, table });
     this.planner = new SourcePlanner({
       rootContext: context,
@@ -96,6 +100,11 @@
     return this.server.inProgress;
   }
 
+  /** Waits for the leaves of the shards for `longestMs` at most, if this gateway has just started. */
+  async whenConnected(shards: readonly string[], longestMs: number): Promise<void> {
+    if (this.planner.isDivided(shards)) await this.readiness.wait(shards, longestMs);
+  }
+
   /** Who asks the shards of the request. */
   plan(
     request: CallerRequest,
@@ -129,6 +138,18 @@
     await this.listener?.close();
   }
 
+  /** Whether no more shards would be asked from here than of a request that is not divided. */
+  private isConnected(shards: readonly string[]): boolean {
+    const groups = this.assignment.groupsOf(shards);
+    if (groups.length === 0) return false;
+    const { name } = this.options.identity;
+    const unconnected = groups.filter(
+      (group) => group.leaves[0]?.name !== name && !this.pool.hasOpenLink(group),
+    );
+    const left = unconnected.reduce((sum, group) => sum + group.shards.length, 0);
+    return left <= this.options.settings.divideAbove;
+  }
+
   private isOwner(shards: readonly string[], service: string): boolean {
     if (!this.planner.isDivided(shards)) return true;
     return this.ownedShards(this.assignment.groupsOf(shards)).has(service);
@@ -158,13 +179,17 @@
     const { context, stopped, identity } = this.options;
     const { clock } = context.environment;
     while (!stopped.aborted) {
+      const { isYoung } = this.readiness;
       this.pool.keep(
         this.dividedGroups().map((group) => ({
           ...group,
           leaves: group.leaves.filter(({ name }) => name !== identity.name),
         })),
+        isYoung ? YOUNG_KEPT_LEAVES : KEPT_LEAVES,
       );
-      await clock.sleep(KEEP_INTERVAL_MS, stopped).catch(() => undefined);
+      this.readiness.check();
+      const interval = isYoung ? YOUNG_KEEP_INTERVAL_MS : KEEP_INTERVAL_MS;
+      await clock.sleep(interval, stopped).catch(() => undefined);
     }
   }
 
--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -6,7 +6,9 @@
 import { LeafLink, type LeafLinkParts } from './leaf-link.js';
 
 /** Leaves of a group to which connections are kept open: its owners and one that stands by. */
-const KEPT_LEAVES = GROUP_OWNERS + 1;
+export const KEPT_LEAVES = GROUP_OWNERS + 1;
+/** The same while the gateway has just started: those that serve the first requests. */
+export const YOUNG_KEPT_LEAVES = 2;
 /** What a leaf said of its load is used for this long. Milliseconds. */
 const LOAD_VALID_MS = 1_000;
 /** A leaf with so many gathers in progress is passed over while the next one has fewer. */
@@ -29,11 +31,19 @@
     return [...this.links.values()].filter(({ isOpen }) => isOpen).length;
   }
 
-  /** Opens connections to the leaves of the groups, and closes those that no group needs. */
-  keep(groups: readonly LeafGroup[]): void {
+  /** Whether some leaf of the group can be asked. */
+  hasOpenLink({ leaves }: LeafGroup): boolean {
+    return leaves.some(({ name }) => this.usableLink(name) !== undefined);
+  }
+
+  /**
+   * Opens connections to the first `leavesPerGroup` leaves of each group, and closes those that
+   * no group needs.
+   */
+  keep(groups: readonly LeafGroup[], leavesPerGroup: number): void {
     const wanted = new Map<string, LeafGateway>();
     for (const { leaves } of groups) {
-      for (const leaf of leaves.slice(0, KEPT_LEAVES)) wanted.set(leaf.name, leaf);
+      for (const leaf of leaves.slice(0, leavesPerGroup)) wanted.set(leaf.name, leaf);
     }
     for (const [name, link] of this.links) {
       link.checkSilence();
@@ -62,10 +72,9 @@
    * connection is open.
    */
   choose(group: LeafGroup, excluded: ReadonlySet<string>): LeafLink | undefined {
-    const open = group.leaves.flatMap(({ name }) => {
-      const link = excluded.has(name) ? undefined : this.links.get(name);
-      return link !== undefined && link.isOpen && !link.isStopping ? [link] : [];
-    });
+    const open = group.leaves.flatMap(({ name }) =>
+      excluded.has(name) ? [] : (this.usableLink(name) ?? []),
+    );
     const calm = open.filter((link) => !this.isAvoided(link) && !this.isBusy(link));
     const usable = (calm.length > 0 ? calm : open).slice(0, GROUP_OWNERS);
     const first = usable[Math.floor(this.random.nextFloat() * usable.length)];
@@ -74,6 +83,11 @@
     return first.inProgress <= second.inProgress ? first : second;
   }
 
+  private usableLink(name: string): LeafLink | undefined {
+    const link = this.links.get(name);
+    return link !== undefined && link.isOpen && !link.isStopping ? link : undefined;
+  }
+
   private isAvoided({ leaf }: LeafLink): boolean {
     const { clock } = this.parts.environment;
     return clock.now() < (this.avoidedUntil.get(leaf.name) ?? -Infinity);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -80,8 +80,10 @@
     this.client = this.createClient();
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
-    this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
-      this.aggregation.plan(request, shards, listener),
+    this.endpoint = new GatewayEndpoint(
+      this.context,
+      (request, shards, listener) => this.aggregation.plan(request, shards, listener),
+      (shards, longestMs) => this.aggregation.whenConnected(shards, longestMs),
     );
     observe(this.client.documents, (document) => this.applyDocument(document));
     observe(this.client.evacuations, (evacuation) => this.applyEvacuation(evacuation));
