Connect a root to fewer leaves, and refuse at once what a young gateway cannot divide

Change: the owners of a group differ in their order from root to root, a young root connects to one of them, later to three (four before), at another moment each; three controllers for the first 0.9 s; a request to many shards whose leaves are expected and not connected is refused as not run.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -3,7 +3,7 @@
  * shards to leaves, as a leaf it takes such groups from other roots.
  */
 import type { AggregationSettings } from '../configuration/gateway-configuration.js';
-import type { LeafGateway } from '../directory/leaf-gateway.js';
+import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { CallerRequest } from '../gateway/caller-request.js';
 import { FleetShares } from '../gateway/fleet-shares.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
@@ -43,6 +43,16 @@
   readonly stopped: AbortSignal;
 }
 
+/**
+ * The leaves of a group in the order in which the root connects to them: its owners, which
+ * differ in their order from root to root, so that each of them gets a part of the roots.
+ */
+function leavesFor(root: string, { leaves }: LeafGroup): readonly LeafGateway[] {
+  const others = leaves.filter(({ name }) => name !== root);
+  const owners = others.slice(0, GROUP_OWNERS);
+  return [...rankFor(root, owners, ({ name }) => name), ...others.slice(GROUP_OWNERS)];
+}
+
 /** See the module comment. */
 export class Aggregation {
   private readonly pool: LeafPool;
@@ -65,7 +75,7 @@
       leaves,
       shardsPerGroup: settings.shardsPerGroup,
     });
-    this.readiness = new LeafReadiness(clock, (shards) => this.isConnected(shards));
+    this.readiness = new LeafReadiness(clock, random, (shards) => this.isConnected(shards));
     this.server = new LeafServer({ context: leafContext, logger: telemetry.logger, table });
     this.planner = new SourcePlanner({
       rootContext: context,
@@ -100,9 +110,16 @@
     return this.server.inProgress;
   }
 
-  /** Waits for the leaves of the shards for `longestMs` at most, if this gateway has just started. */
-  async whenConnected(shards: readonly string[], longestMs: number): Promise<void> {
-    if (this.planner.isDivided(shards)) await this.readiness.wait(shards, longestMs);
+  /**
+   * Waits for the leaves of the shards for `longestMs` at most, if this gateway has just
+   * started. False when they are expected and not connected yet: asking all shards from here
+   * would keep this gateway from connecting.
+   */
+  async whenConnected(shards: readonly string[], longestMs: number): Promise<boolean> {
+    if (!this.planner.isDivided(shards)) return true;
+    await this.readiness.wait(shards, longestMs);
+    const isExpected = this.readiness.isYoung && this.options.leaves().length > 0;
+    return !isExpected || this.isConnected(shards);
   }
 
   /** Who asks the shards of the request. */
@@ -183,7 +200,7 @@
       this.pool.keep(
         this.dividedGroups().map((group) => ({
           ...group,
-          leaves: group.leaves.filter(({ name }) => name !== identity.name),
+          leaves: leavesFor(identity.name, group),
         })),
         isYoung ? YOUNG_KEPT_LEAVES : KEPT_LEAVES,
       );
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -92,6 +92,11 @@
     return this.connection !== undefined;
   }
 
+  /** Whether the leaf is about to stop, or the last connection to it failed or was lost. */
+  get isFailing(): boolean {
+    return this.isStopping || (!this.isOpen && this.failures > 0);
+  }
+
   get inProgress(): number {
     return this.gathers.size;
   }
--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -5,10 +5,13 @@
 import { GROUP_OWNERS } from './leaf-assignment.js';
 import { LeafLink, type LeafLinkParts } from './leaf-link.js';
 
-/** Leaves of a group to which connections are kept open: its owners and one that stands by. */
-export const KEPT_LEAVES = GROUP_OWNERS + 1;
-/** The same while the gateway has just started: those that serve the first requests. */
-export const YOUNG_KEPT_LEAVES = 2;
+/** Leaves of a group to which a root keeps connections open: its owners, of which one may be lost. */
+export const KEPT_LEAVES = GROUP_OWNERS;
+/**
+ * The same while the gateway has just started: one that serves the first requests. All roots
+ * connect to each leaf, which costs a fleet that starts as a whole its processor time.
+ */
+export const YOUNG_KEPT_LEAVES = 1;
 /** What a leaf said of its load is used for this long. Milliseconds. */
 const LOAD_VALID_MS = 1_000;
 /** A leaf with so many gathers in progress is passed over while the next one has fewer. */
@@ -37,13 +40,18 @@
   }
 
   /**
-   * Opens connections to the first `leavesPerGroup` leaves of each group, and closes those that
-   * no group needs.
+   * Opens connections to the first `leavesPerGroup` leaves of each group that can be reached, and
+   * closes those that no group needs. Leaves that cannot be reached are tried again beside them.
    */
   keep(groups: readonly LeafGroup[], leavesPerGroup: number): void {
     const wanted = new Map<string, LeafGateway>();
     for (const { leaves } of groups) {
-      for (const leaf of leaves.slice(0, leavesPerGroup)) wanted.set(leaf.name, leaf);
+      let reachable = 0;
+      for (const leaf of leaves) {
+        if (reachable >= leavesPerGroup) break;
+        wanted.set(leaf.name, leaf);
+        if (this.links.get(leaf.name)?.isFailing !== true) reachable += 1;
+      }
     }
     for (const [name, link] of this.links) {
       link.checkSilence();
--- a/src/aggregation/leaf-readiness.ts
+++ b/src/aggregation/leaf-readiness.ts
@@ -4,8 +4,12 @@
  * processor time for each request, and keep it from ever getting there.
  */
 import type { Clock } from '../seams/clock.js';
+import type { RandomSource } from '../seams/random-source.js';
 
-/** For so long after the start leaves are expected to be connected any moment. Milliseconds. */
+/**
+ * For so long after the start leaves are expected to be connected any moment, and up to as long
+ * again: gateways that started together do not all connect to further leaves together. Milliseconds.
+ */
 export const YOUNG_MS = 3_000;
 
 interface WaitingRequest {
@@ -15,20 +19,21 @@
 
 /** See the module comment. */
 export class LeafReadiness {
-  private readonly startedAt: number;
+  private readonly youngUntil: number;
   private readonly waiting = new Set<WaitingRequest>();
 
   constructor(
     private readonly clock: Clock,
+    random: RandomSource,
     /** Whether enough leaves are connected for a request to the shards. */
     private readonly isReady: (shards: readonly string[]) => boolean,
   ) {
-    this.startedAt = clock.now();
+    this.youngUntil = clock.now() + YOUNG_MS * (1 + random.nextFloat());
   }
 
   /** Whether the gateway has just started. */
   get isYoung(): boolean {
-    return this.clock.now() - this.startedAt < YOUNG_MS;
+    return this.clock.now() < this.youngUntil;
   }
 
   /** Resolves when the shards can be asked through leaves, or after `longestMs`. */
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -40,10 +40,10 @@
 export const FOLLOWED_FRESH_MS = 1_200;
 
 /**
- * For so long after its start a process does not dial all controllers: twice the time of a
- * first dial, and less than a fleet that starts as a whole takes until there is a leader.
+ * For so long after its start a process does not dial all controllers. A fleet that starts as
+ * a whole has a leader 0.7 s after its power is back, and gateways 0.5 s after it.
  */
-export const STARTING_MS = 400;
+export const STARTING_MS = 900;
 
 /** For so long after the first dial a controller counts as one that will be fresh. */
 export const DIALLED_MS = 1_000;
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -25,8 +25,14 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly planSources: PlanSources,
-    /** Resolves when the shards can be asked without overloading a gateway that has just started. */
-    private readonly whenConnected: (shards: readonly string[], longestMs: number) => Promise<void>,
+    /**
+     * Resolves when the shards can be asked without overloading a gateway that has just started;
+     * with false when that takes too long.
+     */
+    private readonly whenConnected: (
+      shards: readonly string[],
+      longestMs: number,
+    ) => Promise<boolean>,
   ) {
     this.tables = new TableInForce(context.environment.clock);
     this.splits = new SplitChooser(context.environment.random);
@@ -126,8 +132,10 @@
     if (shards !== undefined) {
       const waitUntil =
         request.receivedAt + longestStartWait(request.deadline - request.receivedAt);
-      await this.whenConnected(shards, waitUntil - this.context.environment.clock.now());
+      const longestMs = waitUntil - this.context.environment.clock.now();
+      const isConnected = await this.whenConnected(shards, longestMs);
       if (request.signal.aborted) return refuse(GatewayRefusal.NotRun, CALLER_GONE);
+      if (!isConnected) return refuse(GatewayRefusal.NotRun, 'leaves are not connected yet');
       return new FanOut(this.context, request, shards, this.planSources).run();
     }
     const chosen = split === undefined ? service : this.splits.choose(request.route, split);
--- a/test/aggregation/leaf-readiness.test.ts
+++ b/test/aggregation/leaf-readiness.test.ts
@@ -3,11 +3,12 @@
 import { ManualClock } from '../support/manual-clock.js';
 
 const SHARDS = ['a', 'b'];
+const RANDOM = { nextFloat: () => 0, nextInteger: () => 0, nextIdentifier: () => '' };
 
 class Waiting {
   readonly clock = new ManualClock();
   isReady = false;
-  readonly readiness = new LeafReadiness(this.clock, () => this.isReady);
+  readonly readiness = new LeafReadiness(this.clock, RANDOM, () => this.isReady);
   let: string[] = [];
 
   begin(name: string, longestMs: number): void {
