--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -29,6 +29,7 @@
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
+import { HEALTH_OPTIONS, HealthEndpoint } from './health-endpoint.js';
 import { ZoneRegions } from './zone-regions.js';
 
 /** Of the grace for a stop: until new connections end, and until the last answer is given. */
@@ -42,17 +43,6 @@
 /** How often forgotten replicas are looked for. */
 const FORGET_INTERVAL_MS = 500;
 
-const HEALTH_OPTIONS = {
-  maximumBodyBytes: 1_024,
-  maximumHeaderBytes: 8_192,
-  requestTimeout: 5_000,
-  maximumConnections: 100,
-};
-
-function textResponse(status: number, body: string): HttpResponse {
-  return { status, headers: { 'content-type': 'text/plain' }, body };
-}
-
 /** A running gateway. */
 export class GatewayDaemon {
   private readonly logger: Logger;
@@ -64,7 +54,6 @@
   private readonly evacuatedZones = new EvacuatedZones();
   private readonly ended = new AbortController();
   private isStopping = false;
-  private wasReady = false;
   private callers: HttpListener | undefined;
   private health: HttpListener | undefined;
 
@@ -212,14 +201,24 @@
       onRefused: (refused) => this.noteRefused(refused),
     };
     this.callers = await network.listenHttp(listen.http, options, (request) => this.serve(request));
+    const health = this.createHealthEndpoint();
     this.health = await network.listenHttp(listen.health, HEALTH_OPTIONS, (request) =>
-      this.serveHealth(request),
+      health.handle(request),
     );
     void this.forgetSilent();
     if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
+  private createHealthEndpoint(): HealthEndpoint {
+    return new HealthEndpoint({
+      registry: this.telemetry.registry,
+      isStopping: () => this.isStopping,
+      hasRoutes: () => this.endpoint.table !== undefined,
+      isFresh: () => this.client.isFresh,
+    });
+  }
+
   private noteRefused(refused: RefusedRequest): void {
     const { metrics, decisions } = this.context;
     metrics.requests.inc({ status: String(refused.status) });
@@ -232,21 +231,6 @@
     return { ...response, headers: { ...response.headers, connection: 'close' } };
   }
 
-  private async serveHealth({ path }: HttpRequest): Promise<HttpResponse> {
-    if (path === '/readyz') return this.readyz();
-    if (path === '/livez') return textResponse(200, 'live\n');
-    if (path === '/metrics') return textResponse(200, await this.telemetry.registry.metrics());
-    return textResponse(404, 'no such path\n');
-  }
-
-  /** Once it was ready, being cut off from the controllers alone does not make it useless. */
-  private readyz(): HttpResponse {
-    if (this.isStopping) return textResponse(503, 'stopping\n');
-    if (this.endpoint.table === undefined) return textResponse(503, 'no route document yet\n');
-    this.wasReady ||= this.client.isFresh;
-    return this.wasReady ? textResponse(200, 'ready\n') : textResponse(503, 'not fresh yet\n');
-  }
-
   private applyDocument({ version, content }: DocumentMessage): void {
     try {
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
