Refuse a request at once whose service has no replica that may get it

Cause: it waited a fifth of its target for room at replicas that are not there, and was refused then. A gateway in its first three seconds still waits: it may hear of one. Test: gateway/evacuation (fails before by 40 ms of waiting).

--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -87,7 +87,8 @@
     }
     this.context.shares.noteRequest(this.service);
     if (this.launch()) return;
-    if (this.context.mechanisms.waitForRoom) this.waitForRoom();
+    const mayFindRoom = this.context.mechanisms.waitForRoom && this.mayHaveReplicas;
+    if (mayFindRoom) this.waitForRoom();
     else this.finish(this.failure());
   }
 
@@ -148,11 +149,22 @@
     return true;
   }
 
+  /** Replicas that may get the request. */
+  private get permitted(): readonly ReplicaTarget[] {
+    const { targets, regions } = this.context;
+    return regions.permitted(this.request.route, targets.of(this.service));
+  }
+
+  /** Where none is known, none will have room; only a gateway that has just started may learn of one. */
+  private get mayHaveReplicas(): boolean {
+    return this.permitted.length > 0 || this.context.targets.isLearning;
+  }
+
   private choose(): ReplicaTarget | undefined {
-    const { choice, targets, regions, shares } = this.context;
+    const { choice, shares } = this.context;
     const { table, route } = this.request;
     return choice.choose({
-      targets: regions.permitted(route, targets.of(this.service)),
+      targets: this.permitted,
       excluded: this.asked,
       usualLatency: this.options.latency.usual,
       targetLatency: targetLatencyOf(route),
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -17,6 +17,9 @@
 const KEEP_ALIVE_MS = 30_000;
 const MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+/** In which a gateway that starts hears of the replicas: two of their heartbeats. Milliseconds. */
+const LEARNING_MS = 3_000;
+
 const NO_TARGETS: readonly ReplicaTarget[] = [];
 
 /** The replicas of one service. */
@@ -34,11 +37,13 @@
   private readonly waiting = new Map<string, Set<() => void>>();
   private evacuatedZones: ReadonlySet<string> = new Set();
   private usableCount = 0;
+  private readonly startedAt: number;
 
   constructor(
     private readonly environment: Environment,
     directory: ReplicaDirectory,
   ) {
+    this.startedAt = environment.clock.now();
     observe(directory.changes, (entry) => this.apply(entry));
     observe(directory.forgotten, (replicaId) => this.remove(replicaId));
   }
@@ -67,6 +72,11 @@
     }
   }
 
+  /** Whether the gateway has just started, and may hear of replicas any moment. */
+  get isLearning(): boolean {
+    return this.environment.clock.now() - this.startedAt < LEARNING_MS;
+  }
+
   /** Calls `callback` once, when a replica of the service has room again or a new one is known. */
   onceRoom(service: string, callback: () => void): void {
     const waiting = this.waiting.get(service) ?? new Set();
--- a/test/gateway/evacuation.test.ts
+++ b/test/gateway/evacuation.test.ts
@@ -5,6 +5,8 @@
 /** Time in which an order is in force at every gateway: far below the five seconds allowed. */
 const IN_FORCE_MS = 1_500;
 const REST_MS = 12_000;
+/** The way to the gateway and back; waiting for room would take 40 ms more. */
+const AT_ONCE_MS = 30;
 
 interface TwoZones {
   readonly harness: GatewayHarness;
@@ -82,8 +84,11 @@
     await harness.evacuate('nayoro', true);
     await harness.evacuate('wakkanai', true);
     await harness.simulation.runFor(IN_FORCE_MS);
+    const { clock } = harness.machine.environment;
+    const sentAt = clock.now();
     const answer = await harness.call({ path: '/ledger/1' });
     expect(answer.status).toBe(503);
+    expect(clock.now() - sentAt).toBeLessThan(AT_ONCE_MS);
     expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
     expect([near.arrivals, far.arrivals]).toEqual([0, 0]);
   });
