Ask no second replica before the usual time, and leave a late near replica of one of many shards

Cause (lines after a loss of all power): leaves took 14 to 16 sendings for seven or eight shards, 0.2 to 0.7 s each: where every attempt takes longer than the latest moment for a second one (0.38 of the target), every one was doubled.

Change: never before 1.4 usual times; learned from 16 samples on, not 30. Distance counts for 0.3 of the stake at most; on 20 shards that is the 0.03 that was measured there. Two leaves of a group while young, not one.

--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -8,10 +8,10 @@
 /** Leaves of a group to which a root keeps connections open: its owners, of which one may be lost. */
 export const KEPT_LEAVES = GROUP_OWNERS;
 /**
- * The same while the gateway has just started: one that serves the first requests. All roots
+ * The same while the gateway has just started: one that is asked and one beside it. All roots
  * connect to each leaf, which costs a fleet that starts as a whole its processor time.
  */
-export const YOUNG_KEPT_LEAVES = 1;
+export const YOUNG_KEPT_LEAVES = 2;
 /** What a leaf said of its load is used for this long. Milliseconds. */
 const LOAD_VALID_MS = 1_000;
 /** A leaf with so many gathers in progress is passed over while the next one has fewer. */
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -15,6 +15,11 @@
  * it counts half after this long.
  */
 const WORK_HALF_LIFE_MS = 200;
+/**
+ * Most that a sending to another zone counts for, as a part of what is lost when the answer is
+ * late: a near replica that is expected to take more than half of the target is left for it.
+ */
+const DISTANCE_PART_OF_STAKE = 0.3;
 /** A warming replica takes this many times as long. */
 const WARMUP_FACTOR = 1.6;
 /** Spread of chance, so that gateways that know the same do not all choose the same. */
@@ -94,12 +99,17 @@
 
   /** As a part of the worth of one request in time. */
   private cost(target: ReplicaTarget, query: ChoiceQuery, now: number): number {
-    const distanceCost =
-      target.entry.zone === this.placement.zone ? 0 : this.placement.otherZoneCost;
+    const isNear = target.entry.zone === this.placement.zone;
+    const distanceCost = isNear ? 0 : this.distanceCost(query);
     const chance = 1 + CHANCE_FACTOR * this.random.nextFloat();
     return this.latenessCost(target, query, now) * chance + distanceCost;
   }
 
+  /** Of one shard of many little is lost when its answer is late, and still more than the way costs. */
+  private distanceCost({ stake }: ChoiceQuery): number {
+    return Math.min(this.placement.otherZoneCost, stake * DISTANCE_PART_OF_STAKE);
+  }
+
   /**
    * A little more time matters little while there is plenty left, and ever more
    * as the expected time comes near the target: it grows with its square.
--- a/src/gateway/route-latency.ts
+++ b/src/gateway/route-latency.ts
@@ -2,9 +2,9 @@
 import { LatencyDigest } from '../policies/latency-digest.js';
 
 const WINDOW = 400;
-/** Below this many samples the route's target stands in. */
-const LEAST_SAMPLES = 30;
-const REFRESH_EVERY = 20;
+/** Below this many samples the route's target stands in: two gathers of a leaf. */
+const LEAST_SAMPLES = 16;
+const REFRESH_EVERY = 16;
 const USUAL_QUANTILE = 0.5;
 const HEDGE_QUANTILE = 0.9;
 
@@ -54,6 +54,7 @@
     const late = this.digest.quantile(HEDGE_QUANTILE);
     const longest = this.target * LONGEST_HEDGE_PART_OF_TARGET;
     const shortest = this.usualTime * SHORTEST_HEDGE_OVER_USUAL;
-    this.hedgeTime = Math.min(Math.max(late, shortest), longest);
+    // Where all attempts take long, none of them is late, and a second one makes them longer.
+    this.hedgeTime = Math.max(Math.min(late, longest), shortest);
   }
 }
