--- /dev/null
+++ b/src/gateway/create-directory-client.ts
@@ -0,0 +1,35 @@
+/** Makes the client by which a gateway follows controllers. */
+import type { GatewayConfiguration } from '../configuration/gateway-configuration.js';
+import { DirectoryClient } from '../directory/directory-client.js';
+import { SubscriberKind } from '../directory/directory-messages.js';
+import type { ReplicaDirectory } from '../directory/replica-directory.js';
+import type { Logger } from '../observability/logger.js';
+import type { LocalIdentity } from '../protocol/handshake.js';
+import { formatAddress } from '../seams/address.js';
+import type { Environment } from '../seams/environment.js';
+
+/** Controllers that a gateway follows: one near, and one in case that it is lost. */
+const FOLLOWED_CONTROLLERS = 2;
+
+/** What the client is made of. */
+export interface GatewayDirectoryOptions {
+  readonly environment: Environment;
+  readonly configuration: GatewayConfiguration;
+  readonly identity: LocalIdentity;
+  readonly directory: ReplicaDirectory;
+  readonly logger: Logger;
+}
+
+export function createDirectoryClient(options: GatewayDirectoryOptions): DirectoryClient {
+  const { configuration, ...parts } = options;
+  const { zone, controllers, listen } = configuration;
+  const client = new DirectoryClient({
+    ...parts,
+    followed: FOLLOWED_CONTROLLERS,
+    ...(listen.messages === undefined ? {} : { gatherAddress: formatAddress(listen.messages) }),
+    subscriberKind: SubscriberKind.Gateway,
+    zone,
+  });
+  client.useSeeds(controllers.map(formatAddress));
+  return client;
+}
--- /dev/null
+++ b/src/gateway/evacuations-in-force.ts
@@ -0,0 +1,25 @@
+/** Puts orders to evacuate zones in force at this gateway. */
+import { EvacuatedZones } from '../evacuations/evacuated-zones.js';
+import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
+import type { Logger } from '../observability/logger.js';
+import type { GatewayContext } from './gateway-context.js';
+
+/** See the module comment. */
+export class EvacuationsInForce {
+  private readonly known = new EvacuatedZones();
+
+  constructor(
+    private readonly context: Pick<GatewayContext, 'targets' | 'metrics'>,
+    private readonly logger: Logger,
+  ) {}
+
+  /** A controller told of the last order about a zone; older word than is known changes nothing. */
+  take(evacuation: ZoneEvacuation): void {
+    if (!this.known.take(evacuation)) return;
+    const { zones } = this.known;
+    this.context.targets.useEvacuatedZones(zones);
+    this.context.metrics.evacuatedZones.set(zones.size);
+    const { zone, isEvacuated, revision } = evacuation;
+    this.logger.info('evacuation in force', { zone, isEvacuated, revision });
+  }
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -5,11 +5,9 @@
 import { Aggregation } from '../aggregation/aggregation.js';
 import { observe } from '../control-stream/observe.js';
 import type { GatewayConfiguration } from '../configuration/gateway-configuration.js';
-import { DirectoryClient } from '../directory/directory-client.js';
-import { SubscriberKind, type DocumentMessage } from '../directory/directory-messages.js';
+import type { DirectoryClient } from '../directory/directory-client.js';
+import type { DocumentMessage } from '../directory/directory-messages.js';
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
-import { EvacuatedZones } from '../evacuations/evacuated-zones.js';
-import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
@@ -25,8 +23,10 @@
   RefusedRequest,
 } from '../seams/http.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
+import { createDirectoryClient } from './create-directory-client.js';
 import { createGatewayContext } from './create-gateway-context.js';
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
+import { EvacuationsInForce } from './evacuations-in-force.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
 import { HEALTH_OPTIONS, HealthEndpoint } from './health-endpoint.js';
@@ -36,8 +36,6 @@
 const ACCEPTING_PART = 0.6;
 const ANSWERING_PART = 0.9;
 const STOP_CHECK_MS = 50;
-/** Controllers that a gateway follows: one near, and one in case that it is lost. */
-const FOLLOWED_CONTROLLERS = 2;
 /** So few replicas are connected to before the first routes say which are asked from here. */
 const FEW_REPLICAS = 128;
 /** How often forgotten replicas are looked for. */
@@ -51,7 +49,6 @@
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
   private readonly aggregation: Aggregation;
-  private readonly evacuatedZones = new EvacuatedZones();
   private readonly ended = new AbortController();
   private isStopping = false;
   private callers: HttpListener | undefined;
@@ -66,7 +63,14 @@
     const { name } = configuration;
     this.logger = telemetry.logger.child({ gateway: name });
     this.directory = new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges);
-    this.client = this.createClient();
+    const { directory, logger, identity } = this;
+    this.client = createDirectoryClient({
+      environment,
+      configuration,
+      identity,
+      directory,
+      logger,
+    });
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
     this.endpoint = new GatewayEndpoint(
@@ -75,7 +79,8 @@
       (shards, longestMs) => this.aggregation.whenConnected(shards, longestMs),
     );
     observe(this.client.documents, (document) => this.applyDocument(document));
-    observe(this.client.evacuations, (evacuation) => this.applyEvacuation(evacuation));
+    const evacuations = new EvacuationsInForce(this.context, this.logger);
+    observe(this.client.evacuations, (evacuation) => evacuations.take(evacuation));
   }
 
   /**
@@ -160,22 +165,6 @@
     });
   }
 
-  private createClient(): DirectoryClient {
-    const { zone, controllers, listen } = this.configuration;
-    const client = new DirectoryClient({
-      environment: this.environment,
-      identity: this.identity,
-      followed: FOLLOWED_CONTROLLERS,
-      ...(listen.messages === undefined ? {} : { gatherAddress: formatAddress(listen.messages) }),
-      subscriberKind: SubscriberKind.Gateway,
-      zone,
-      directory: this.directory,
-      logger: this.logger,
-    });
-    client.useSeeds(controllers.map(formatAddress));
-    return client;
-  }
-
   private createContext(headers: ExchangeHeaders): GatewayContext {
     const { mechanisms, placement, secondSends, zone, region, zones } = this.configuration;
     return createGatewayContext({
@@ -243,15 +232,6 @@
     }
   }
 
-  private applyEvacuation(evacuation: ZoneEvacuation): void {
-    if (!this.evacuatedZones.take(evacuation)) return;
-    const { zones } = this.evacuatedZones;
-    this.context.targets.useEvacuatedZones(zones);
-    this.context.metrics.evacuatedZones.set(zones.size);
-    const { zone, isEvacuated, revision } = evacuation;
-    this.logger.info('evacuation in force', { zone, isEvacuated, revision });
-  }
-
   private isAskedOften(service: string): boolean {
     const { table } = this.endpoint;
     if (table === undefined) return this.context.targets.size <= FEW_REPLICAS;
