Take the new way of starting a fleet out again

Reverts whole, with the tests of what they brought: the wait for leaves, restored gateways, three controllers at first, links in another order, messages encoded once.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -3,7 +3,7 @@
  * shards to leaves, as a leaf it takes such groups from other roots.
  */
 import type { AggregationSettings } from '../configuration/gateway-configuration.js';
-import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
+import type { LeafGateway } from '../directory/leaf-gateway.js';
 import type { CallerRequest } from '../gateway/caller-request.js';
 import { FleetShares } from '../gateway/fleet-shares.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
@@ -16,8 +16,7 @@
 import type { Address } from '../seams/address.js';
 import { GROUP_OWNERS, LeafAssignment, type LeafGroup } from './leaf-assignment.js';
 import { LeafLatencies } from './leaf-latencies.js';
-import { KEPT_LEAVES, LeafPool, YOUNG_KEPT_LEAVES } from './leaf-pool.js';
-import { LeafReadiness } from './leaf-readiness.js';
+import { LeafPool } from './leaf-pool.js';
 import { LeafServer } from './leaf-server.js';
 import { SourcePlanner } from './source-planner.js';
 
@@ -27,9 +26,8 @@
  * connections of a division that has just changed.
  */
 const SHARING_LEAVES = 2 * GROUP_OWNERS;
-/** How often connections to leaves are looked after; also while the gateway is young. Milliseconds. */
+/** How often connections to leaves are looked after. Milliseconds. */
 const KEEP_INTERVAL_MS = 300;
-const YOUNG_KEEP_INTERVAL_MS = 40;
 
 /** What the part is made of. */
 export interface AggregationOptions {
@@ -43,23 +41,12 @@
   readonly stopped: AbortSignal;
 }
 
-/**
- * The leaves of a group in the order in which the root connects to them: its owners, which
- * differ in their order from root to root, so that each of them gets a part of the roots.
- */
-function leavesFor(root: string, { leaves }: LeafGroup): readonly LeafGateway[] {
-  const others = leaves.filter(({ name }) => name !== root);
-  const owners = others.slice(0, GROUP_OWNERS);
-  return [...rankFor(root, owners, ({ name }) => name), ...others.slice(GROUP_OWNERS)];
-}
-
 /** See the module comment. */
 export class Aggregation {
   private readonly pool: LeafPool;
   private readonly assignment: LeafAssignment;
   private readonly server: LeafServer;
   private readonly planner: SourcePlanner;
-  private readonly readiness: LeafReadiness;
   private listener: AuthenticatedListener | undefined;
   private readonly owned = new WeakMap<readonly LeafGroup[], ReadonlySet<string>>();
 
@@ -75,7 +62,6 @@
       leaves,
       shardsPerGroup: settings.shardsPerGroup,
     });
-    this.readiness = new LeafReadiness(clock, random, (shards) => this.isConnected(shards));
     this.server = new LeafServer({ context: leafContext, logger: telemetry.logger, table });
     this.planner = new SourcePlanner({
       rootContext: context,
@@ -110,18 +96,6 @@
     return this.server.inProgress;
   }
 
-  /**
-   * Waits for the leaves of the shards for `longestMs` at most, if this gateway has just
-   * started. False when they are expected and not connected yet: asking all shards from here
-   * would keep this gateway from connecting.
-   */
-  async whenConnected(shards: readonly string[], longestMs: number): Promise<boolean> {
-    if (!this.planner.isDivided(shards)) return true;
-    await this.readiness.wait(shards, longestMs);
-    const isExpected = this.readiness.isYoung && this.options.leaves().length > 0;
-    return !isExpected || this.isConnected(shards);
-  }
-
   /** Who asks the shards of the request. */
   plan(
     request: CallerRequest,
@@ -155,18 +129,6 @@
     await this.listener?.close();
   }
 
-  /** Whether no more shards would be asked from here than of a request that is not divided. */
-  private isConnected(shards: readonly string[]): boolean {
-    const groups = this.assignment.groupsOf(shards);
-    if (groups.length === 0) return false;
-    const { name } = this.options.identity;
-    const unconnected = groups.filter(
-      (group) => group.leaves[0]?.name !== name && !this.pool.hasOpenLink(group),
-    );
-    const left = unconnected.reduce((sum, group) => sum + group.shards.length, 0);
-    return left <= this.options.settings.divideAbove;
-  }
-
   private isOwner(shards: readonly string[], service: string): boolean {
     if (!this.planner.isDivided(shards)) return true;
     return this.ownedShards(this.assignment.groupsOf(shards)).has(service);
@@ -196,17 +158,13 @@
     const { context, stopped, identity } = this.options;
     const { clock } = context.environment;
     while (!stopped.aborted) {
-      const { isYoung } = this.readiness;
       this.pool.keep(
         this.dividedGroups().map((group) => ({
           ...group,
-          leaves: leavesFor(identity.name, group),
+          leaves: group.leaves.filter(({ name }) => name !== identity.name),
         })),
-        isYoung ? YOUNG_KEPT_LEAVES : KEPT_LEAVES,
       );
-      this.readiness.check();
-      const interval = isYoung ? YOUNG_KEEP_INTERVAL_MS : KEEP_INTERVAL_MS;
-      await clock.sleep(interval, stopped).catch(() => undefined);
+      await clock.sleep(KEEP_INTERVAL_MS, stopped).catch(() => undefined);
     }
   }
 
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -23,7 +23,7 @@
 /** Longest time to open a connection; a leaf without power answers nothing. Milliseconds. */
 const DIAL_TIMEOUT_MS = 300;
 /** Pause before a leaf that could not be reached is dialled again; doubled each time, up to the most. Milliseconds. */
-const FIRST_REDIAL_MS = 60;
+const FIRST_REDIAL_MS = 200;
 const LONGEST_REDIAL_MS = 3_000;
 /** A leaf that had this long for a gather and said nothing is cut off or frozen. Milliseconds. */
 export const LONGEST_SILENCE_MS = 1_000;
@@ -92,11 +92,6 @@
     return this.connection !== undefined;
   }
 
-  /** Whether the leaf is about to stop, or the last connection to it failed or was lost. */
-  get isFailing(): boolean {
-    return this.isStopping || (!this.isOpen && this.failures > 0);
-  }
-
   get inProgress(): number {
     return this.gathers.size;
   }
--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -5,13 +5,8 @@
 import { GROUP_OWNERS } from './leaf-assignment.js';
 import { LeafLink, type LeafLinkParts } from './leaf-link.js';
 
-/** Leaves of a group to which a root keeps connections open: its owners, of which one may be lost. */
-export const KEPT_LEAVES = GROUP_OWNERS;
-/**
- * The same while the gateway has just started: one that is asked and one beside it. All roots
- * connect to each leaf, which costs a fleet that starts as a whole its processor time.
- */
-export const YOUNG_KEPT_LEAVES = 2;
+/** Leaves of a group to which connections are kept open: its owners and one that stands by. */
+const KEPT_LEAVES = GROUP_OWNERS + 1;
 /** What a leaf said of its load is used for this long. Milliseconds. */
 const LOAD_VALID_MS = 1_000;
 /** A leaf with so many gathers in progress is passed over while the next one has fewer. */
@@ -34,24 +29,11 @@
     return [...this.links.values()].filter(({ isOpen }) => isOpen).length;
   }
 
-  /** Whether some leaf of the group can be asked. */
-  hasOpenLink({ leaves }: LeafGroup): boolean {
-    return leaves.some(({ name }) => this.usableLink(name) !== undefined);
-  }
-
-  /**
-   * Opens connections to the first `leavesPerGroup` leaves of each group that can be reached, and
-   * closes those that no group needs. Leaves that cannot be reached are tried again beside them.
-   */
-  keep(groups: readonly LeafGroup[], leavesPerGroup: number): void {
+  /** Opens connections to the leaves of the groups, and closes those that no group needs. */
+  keep(groups: readonly LeafGroup[]): void {
     const wanted = new Map<string, LeafGateway>();
     for (const { leaves } of groups) {
-      let reachable = 0;
-      for (const leaf of leaves) {
-        if (reachable >= leavesPerGroup) break;
-        wanted.set(leaf.name, leaf);
-        if (this.links.get(leaf.name)?.isFailing !== true) reachable += 1;
-      }
+      for (const leaf of leaves.slice(0, KEPT_LEAVES)) wanted.set(leaf.name, leaf);
     }
     for (const [name, link] of this.links) {
       link.checkSilence();
@@ -80,9 +62,10 @@
    * connection is open.
    */
   choose(group: LeafGroup, excluded: ReadonlySet<string>): LeafLink | undefined {
-    const open = group.leaves.flatMap(({ name }) =>
-      excluded.has(name) ? [] : (this.usableLink(name) ?? []),
-    );
+    const open = group.leaves.flatMap(({ name }) => {
+      const link = excluded.has(name) ? undefined : this.links.get(name);
+      return link !== undefined && link.isOpen && !link.isStopping ? [link] : [];
+    });
     const calm = open.filter((link) => !this.isAvoided(link) && !this.isBusy(link));
     const usable = (calm.length > 0 ? calm : open).slice(0, GROUP_OWNERS);
     const first = usable[Math.floor(this.random.nextFloat() * usable.length)];
@@ -91,11 +74,6 @@
     return first.inProgress <= second.inProgress ? first : second;
   }
 
-  private usableLink(name: string): LeafLink | undefined {
-    const link = this.links.get(name);
-    return link !== undefined && link.isOpen && !link.isStopping ? link : undefined;
-  }
-
   private isAvoided({ leaf }: LeafLink): boolean {
     const { clock } = this.parts.environment;
     return clock.now() < (this.avoidedUntil.get(leaf.name) ?? -Infinity);
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -116,15 +116,8 @@
     const { environment, logger } = this.options;
     const { clock, disk } = environment;
     const stopped = this.stopped.signal;
-    const parts: ReplicaStoreParts = {
-      disk,
-      clock,
-      directory: this.directory,
-      gateways: () => this.server.gateways,
-      logger,
-      stopped,
-    };
-    this.server.useRestoredGateways(await restoreReplicas(parts));
+    const parts: ReplicaStoreParts = { disk, clock, directory: this.directory, logger, stopped };
+    await restoreReplicas(parts);
     void storeReplicas(parts);
   }
 
--- a/src/directory/controller-choice.ts
+++ b/src/directory/controller-choice.ts
@@ -19,11 +19,6 @@
   readonly ownZone: string;
   /** Controllers that are followed at once. */
   readonly count: number;
-  /**
-   * The process has just started: a controller that is asked may well answer. Each one tells
-   * everything it knows, which takes longer than to wait for one that does not answer.
-   */
-  readonly isStarting: boolean;
 }
 
 /** How a controller that may be followed does. */
@@ -50,7 +45,7 @@
 
 /**
  * Addresses to follow: the first ones until enough of them are fresh or were
- * just dialled. While none is fresh, one more at the start of the process, then all.
+ * just dialled. All while none is fresh: nothing can be lost by asking everybody.
  */
 export function chooseControllers(
   controllers: readonly KnownController[],
@@ -58,9 +53,7 @@
   stateOf: (address: string) => FollowState,
 ): string[] {
   const ranked = rankControllers(controllers, options).map(({ address }) => address);
-  if (!ranked.some((address) => stateOf(address) === FollowState.Fresh)) {
-    return options.isStarting ? ranked.slice(0, options.count + 1) : ranked;
-  }
+  if (!ranked.some((address) => stateOf(address) === FollowState.Fresh)) return ranked;
   const chosen: string[] = [];
   let usable = 0;
   for (const address of ranked) {
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -23,7 +23,6 @@
   FOLLOWED_FRESH_MS,
   FOLLOW_INTERVAL_MS,
   FRESH_MS,
-  STARTING_MS,
   TAKES_RESTORED_MS,
 } from './directory-timing.js';
 import type { KnownGateway } from './leaf-gateway.js';
@@ -202,9 +201,7 @@
     const { ownAddress, followed, identity, zone } = this.options;
     const known = this.knownControllers().filter(({ address }) => address !== ownAddress);
     if (followed === undefined) return known.map(({ address }) => address);
-    const age = this.options.environment.clock.now() - this.startedAt;
-    const isStarting = age < STARTING_MS;
-    const options = { ownName: identity.name, ownZone: zone, count: followed, isStarting };
+    const options = { ownName: identity.name, ownZone: zone, count: followed };
     return chooseControllers(known, options, (address) => this.followStateOf(address));
   }
 
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -175,35 +175,9 @@
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
 
-/** Messages of entries that were sent before: each subscriber gets the same. */
-const replicaMessages = new WeakMap<ReplicaEntry, ReplicaMessage>();
-const encodedReplicas = new WeakMap<DirectoryMessage, Uint8Array>();
-
 /** How an entry is sent and stored. */
 export function replicaMessage(entry: ReplicaEntry): ReplicaMessage {
-  const known = replicaMessages.get(entry);
-  if (known !== undefined) return known;
-  const message: ReplicaMessage = {
-    kind: 'replica',
-    ...entry,
-    restored: entry.restored === true,
-  };
-  replicaMessages.set(entry, message);
-  return message;
-}
-
-function encodeOnce(message: DirectoryMessage): Uint8Array {
-  if (message.kind !== 'replica') return DIRECTORY_CODEC.encode(message);
-  const known = encodedReplicas.get(message);
-  if (known !== undefined) return known;
-  const bytes = DIRECTORY_CODEC.encode(message);
-  encodedReplicas.set(message, bytes);
-  return bytes;
-}
-
-/** One frame of several messages; those of replicas are encoded once for all subscribers. */
-export function encodeDirectoryFrame(messages: readonly DirectoryMessage[]): Uint8Array {
-  return Buffer.concat(messages.map(encodeOnce));
+  return { kind: 'replica', ...entry, restored: entry.restored === true };
 }
 
 /** The entry of a message; undefined when it names a state that is not known here. */
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -3,12 +3,7 @@
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
-import {
-  DIRECTORY_CODEC,
-  SubscriberKind,
-  encodeDirectoryFrame,
-  type DirectoryMessage,
-} from './directory-messages.js';
+import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
 import {
   DirectorySession,
   type DirectoryController,
@@ -80,16 +75,6 @@
     this.news.notify();
   }
 
-  /** Gateways that follow any controller. */
-  get gateways(): readonly KnownGateway[] {
-    return this.roster.all;
-  }
-
-  /** Gateways that were known before this controller started. */
-  useRestoredGateways(gateways: readonly KnownGateway[]): void {
-    this.roster.useRestored(gateways);
-  }
-
   /** A replica's heartbeat came to this controller. */
   noteHeard(replicaId: string): void {
     for (const session of this.sessions) {
@@ -207,7 +192,7 @@
       const isLast = start >= messages.length;
       // Only the last frame says that all is told up to the position.
       batch.push(this.status(isLast ? position : 0));
-      await connection.send(encodeDirectoryFrame(batch));
+      await connection.send(DIRECTORY_CODEC.encodeBatch(batch));
     } while (start < messages.length);
   }
 
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -26,8 +26,6 @@
  * take gathers of others: when a fleet starts, they come one after the other.
  */
 export const ROSTER_INTERVAL_MS = 400;
-/** The same while the controller is young, and each gateway that comes is waited for. */
-export const YOUNG_ROSTER_INTERVAL_MS = 40;
 
 /** How often a gateway looks whether the controllers that it follows are fresh. */
 export const FOLLOW_INTERVAL_MS = 250;
@@ -39,12 +37,6 @@
  */
 export const FOLLOWED_FRESH_MS = 1_200;
 
-/**
- * For so long after its start a process does not dial all controllers. A fleet that starts as
- * a whole has a leader 0.7 s after its power is back, and gateways 0.5 s after it.
- */
-export const STARTING_MS = 900;
-
 /** For so long after the first dial a controller counts as one that will be fresh. */
 export const DIALLED_MS = 1_000;
 
@@ -54,9 +46,6 @@
  */
 export const FAR_DOCUMENT_DELAY_MS = 1_000;
 
-/** Gateways that a controller read back from its disk count for so long after its start. */
-export const RESTORED_GATEWAYS_MS = 3_000;
-
 /** A gateway counts for shares of budgets this long after it was last connected. */
 export const GATEWAY_REMEMBERED_MS = 15_000;
 
--- a/src/directory/replica-store.ts
+++ b/src/directory/replica-store.ts
@@ -1,7 +1,6 @@
 /**
- * Keeps the replicas and gateways that a controller knows on its disk, so that after a
- * loss of all controllers gateways need not wait for every replica's next heartbeat, nor
- * for each other.
+ * Keeps the replicas that a controller knows on its disk, so that after a loss
+ * of all controllers gateways need not wait for every replica's next heartbeat.
  * What is read back counts only until replicas are due to be heard of again.
  * Written behind the directory and never waited for: a disk that fails or hangs
  * delays no registration, and costs what its next start would have gained.
@@ -12,7 +11,6 @@
 import type { Disk } from '../seams/disk.js';
 import { readChecksummedFile, replaceFile } from '../storage/checksummed-file.js';
 import { DIRECTORY_CODEC, replicaEntry, replicaMessage } from './directory-messages.js';
-import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 import { RegisteredState, type ReplicaEntry } from './replica-entry.js';
 
@@ -34,76 +32,38 @@
   readonly disk: Disk;
   readonly clock: Clock;
   readonly directory: ReplicaDirectory;
-  /** Gateways that are known now. */
-  readonly gateways: () => readonly KnownGateway[];
   readonly logger: Logger;
   readonly stopped: AbortSignal;
 }
 
-/** What was stored. */
-interface StoredDirectory {
-  readonly replicas: readonly ReplicaEntry[];
-  readonly gateways: readonly KnownGateway[];
-}
-
-const NOTHING_STORED: StoredDirectory = { replicas: [], gateways: [] };
-
-/** As it was stored; nothing when it cannot be read back. */
-async function readStored({ disk, logger }: ReplicaStoreParts): Promise<StoredDirectory> {
+/** Replicas as they were stored; none when nothing can be read back. */
+async function readStored({ disk, logger }: ReplicaStoreParts): Promise<ReplicaEntry[]> {
   try {
     const content = await readChecksummedFile(disk, FOLDER, FILE);
-    if (content === undefined || content.length === 0) return NOTHING_STORED;
-    const messages = DIRECTORY_CODEC.decodeBatch(content, FILE);
-    return {
-      replicas: messages.flatMap((message) =>
-        message.kind === 'replica' ? (replicaEntry(message) ?? []) : [],
-      ),
-      gateways: messages.flatMap((message) =>
-        message.kind === 'gateway'
-          ? [{ name: message.name, zone: message.zone, address: message.address }]
-          : [],
-      ),
-    };
+    if (content === undefined || content.length === 0) return [];
+    return DIRECTORY_CODEC.decodeBatch(content, FILE).flatMap((message) =>
+      message.kind === 'replica' ? (replicaEntry(message) ?? []) : [],
+    );
   } catch (error) {
     logger.warn('stored replicas not read', { reason: String(error) });
-    return NOTHING_STORED;
+    return [];
   }
 }
 
-/** Reports the stored replicas to the directory, as restored, and gives the stored gateways. */
-export async function restoreReplicas(parts: ReplicaStoreParts): Promise<readonly KnownGateway[]> {
-  const { replicas, gateways } = await readStored(parts);
-  for (const entry of replicas) {
+/** Reports what was stored to the directory, as restored. */
+export async function restoreReplicas(parts: ReplicaStoreParts): Promise<void> {
+  const entries = await readStored(parts);
+  for (const entry of entries) {
     parts.directory.report({ ...entry, warmupMs: 0, restored: true });
   }
-  if (replicas.length > 0) {
-    parts.logger.info('replicas restored', {
-      replicas: replicas.length,
-      gateways: gateways.length,
-    });
-  }
-  return gateways;
-}
-
-/** Whether both hold the same gateways, in whatever order. */
-function areSame(left: readonly KnownGateway[], right: readonly KnownGateway[]): boolean {
-  if (left.length !== right.length) return false;
-  const addresses = new Map(left.map(({ name, address }) => [name, address]));
-  return right.every(({ name, address }) => addresses.get(name) === address);
-}
-
-function encode(replicas: readonly ReplicaEntry[], gateways: readonly KnownGateway[]): Uint8Array {
-  return DIRECTORY_CODEC.encodeBatch([
-    ...replicas.map(replicaMessage),
-    ...gateways.map((gateway) => ({ kind: 'gateway' as const, ...gateway, isGone: false })),
-  ]);
+  if (entries.length > 0) parts.logger.info('replicas restored', { replicas: entries.length });
 }
 
 /** Writes the directory after each change, until stopped. */
 export async function storeReplicas(parts: ReplicaStoreParts): Promise<void> {
   const { clock, directory, stopped } = parts;
   let isChanged = false;
-  let stored: StoredDirectory = NOTHING_STORED;
+  let stored: readonly ReplicaEntry[] = [];
   let lookedAt = clock.now();
   observe(directory.changes, () => (isChanged = true));
   while (!stopped.aborted) {
@@ -111,16 +71,14 @@
     const isLookDue = clock.now() - lookedAt > SILENCE_INTERVAL_MS;
     if ((!isChanged && !isLookDue) || stopped.aborted) continue;
     lookedAt = clock.now();
-    const replicas = entriesToStore(parts);
-    const gateways = parts.gateways();
-    const hasMoved = !areSame(gateways, stored.gateways);
-    if (!isChanged && !hasMoved && replicas.length === stored.replicas.length) continue;
+    const entries = entriesToStore(parts);
+    if (!isChanged && entries.length === stored.length) continue;
     isChanged = false;
     const begunAt = clock.now();
-    const content = encode(replicas, gateways);
+    const content = DIRECTORY_CODEC.encodeBatch(entries.map(replicaMessage));
     const encodingMs = clock.now() - begunAt;
     const isStored = await write(parts, content);
-    if (isStored) stored = { replicas, gateways };
+    if (isStored) stored = entries;
     else isChanged = true;
     const pause = isStored ? encodingMs * PAUSE_FACTOR : RETRY_INTERVAL_MS;
     await clock.sleep(pause, stopped).catch(() => undefined);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -73,10 +73,8 @@
     });
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
-    this.endpoint = new GatewayEndpoint(
-      this.context,
-      (request, shards, listener) => this.aggregation.plan(request, shards, listener),
-      (shards, longestMs) => this.aggregation.whenConnected(shards, longestMs),
+    this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
+      this.aggregation.plan(request, shards, listener),
     );
     observe(this.client.documents, (document) => this.applyDocument(document));
     const evacuations = new EvacuationsInForce(this.context, this.logger);
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -6,11 +6,11 @@
 import type { CallerRequest } from './caller-request.js';
 import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
-import { CALLER_GONE, forwardSingle } from './forward-single.js';
+import { forwardSingle } from './forward-single.js';
 import { GatewayRefusal, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { SplitChooser } from './split-chooser.js';
-import { TableInForce, longestStartWait } from './table-in-force.js';
+import { TableInForce } from './table-in-force.js';
 
 /** Time that the answer needs to get back to the caller before its deadline. Milliseconds. */
 const RETURN_MARGIN_MS = 5;
@@ -25,14 +25,6 @@
   constructor(
     private readonly context: GatewayContext,
     private readonly planSources: PlanSources,
-    /**
-     * Resolves when the shards can be asked without overloading a gateway that has just started;
-     * with false when that takes too long.
-     */
-    private readonly whenConnected: (
-      shards: readonly string[],
-      longestMs: number,
-    ) => Promise<boolean>,
   ) {
     this.tables = new TableInForce(context.environment.clock);
     this.splits = new SplitChooser(context.environment.random);
@@ -127,15 +119,9 @@
     return stated > 0 ? stated : Infinity;
   }
 
-  private async forward(request: CallerRequest): Promise<HttpResponse> {
+  private forward(request: CallerRequest): Promise<HttpResponse> {
     const { service, split, shards } = request.route;
     if (shards !== undefined) {
-      const waitUntil =
-        request.receivedAt + longestStartWait(request.deadline - request.receivedAt);
-      const longestMs = waitUntil - this.context.environment.clock.now();
-      const isConnected = await this.whenConnected(shards, longestMs);
-      if (request.signal.aborted) return refuse(GatewayRefusal.NotRun, CALLER_GONE);
-      if (!isConnected) return refuse(GatewayRefusal.NotRun, 'leaves are not connected yet');
       return new FanOut(this.context, request, shards, this.planSources).run();
     }
     const chosen = split === undefined ? service : this.splits.choose(request.route, split);
--- a/src/gateway/table-in-force.ts
+++ b/src/gateway/table-in-force.ts
@@ -15,11 +15,6 @@
 /** Requests that may wait at once; further ones are refused at once. */
 const MAXIMUM_WAITING = 500;
 
-/** How long a request may wait for a gateway that has just started. Milliseconds. */
-export function longestStartWait(patienceMs: number): number {
-  return Math.min(LONGEST_WAIT_MS, patienceMs * LONGEST_WAIT_PART);
-}
-
 /** See the module comment. */
 export class TableInForce {
   current: RouteTable | undefined;
@@ -40,7 +35,7 @@
   wait(patienceMs: number): Promise<RouteTable | undefined> {
     const isYoung = this.clock.now() - this.startedAt < YOUNG_MS;
     if (!isYoung || this.waiting.size >= MAXIMUM_WAITING) return Promise.resolve(undefined);
-    const longest = longestStartWait(patienceMs);
+    const longest = Math.min(LONGEST_WAIT_MS, patienceMs * LONGEST_WAIT_PART);
     return new Promise((resolve) => {
       const onTable = (table: RouteTable): void => {
         timer.cancel();
