Show in the log which requests ask the same, and under which a connection was lost

Lines about a request named its id and route only, and each sending of a caller has another id: nobody could see that one request came again, or which requests a replica had when it ended. Lines now carry a fingerprint of method, host, target, caller and body, and each attempt whose connection ends without an answer leaves a line, also after the race has ended.

--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../observability/logger.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
+import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { HttpHeaders } from '../seams/http.js';
 import type { MessageConnection } from '../seams/message-connection.js';
@@ -161,12 +162,15 @@
     root: string,
   ): CallerRequest {
     const now = this.options.context.environment.clock.now();
+    const { method, target, body } = request;
+    const headers = readHeaders(request.headers, root);
     return {
       id: request.requestId,
-      method: request.method,
-      target: request.target,
-      headers: readHeaders(request.headers, root),
-      body: request.body,
+      method,
+      target,
+      headers,
+      body,
+      fingerprint: fingerprintOf({ method, target, headers, body }),
       signal: new AbortController().signal,
       table: this.options.table() as RouteTable,
       route: {
--- a/src/gateway/attempt-result.ts
+++ b/src/gateway/attempt-result.ts
@@ -33,6 +33,9 @@
   readonly reason: string;
 }
 
+/** Reason of a {@link BrokenAttempt} whose connection ended before any part of an answer. */
+export const CONNECTION_LOST = 'connection_lost';
+
 /** Given up by the gateway; the request may have run. */
 export interface CancelledAttempt {
   readonly kind: 'cancelled';
@@ -50,3 +53,8 @@
   /** No connection came about. */
   Unreachable = 'unreachable',
 }
+
+/** Whether the replica may have ended under the attempt. */
+export function isConnectionLost(result: AttemptResult): boolean {
+  return result.kind === 'broken' && result.reason === CONNECTION_LOST;
+}
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -11,6 +11,8 @@
   /** Those that travel with it. */
   readonly headers: HttpHeaders;
   readonly body: Uint8Array;
+  /** Of what it asks; see `fingerprintOf`. */
+  readonly fingerprint: string;
   /** Aborts when the caller has gone. */
   readonly signal: AbortSignal;
   /** The version of the routes that all of it goes by. */
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -1,5 +1,6 @@
 /** Takes callers' requests: finds the route, pins the version and gets the answer. */
 import { randomUUID } from 'node:crypto';
+import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import type { Route } from '../routes/route-document.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
@@ -105,6 +106,7 @@
       target: request.target,
       headers: { ...headers, [requestId]: id },
       body: request.body,
+      fingerprint: fingerprintOf(request),
       signal: request.signal,
       table,
       route,
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -6,7 +6,7 @@
 import { observeAttempt } from './attempt-observer.js';
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
-import { NotRunReason } from './attempt-result.js';
+import { NotRunReason, isConnectionLost } from './attempt-result.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
 import type { FleetShares } from './fleet-shares.js';
@@ -202,6 +202,9 @@
     record.endedAt = this.context.environment.clock.now();
     record.result = result;
     observeAttempt(this.context, this.request.route, this.options.latency, target, record);
+    if (isConnectionLost(result)) {
+      this.context.decisions.connectionLost(this.request, this.service, record);
+    }
     if (result.kind === 'answered') {
       if (this.outcome === undefined) this.finish({ kind: 'answered', answer: result.answer });
       return;
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -3,7 +3,7 @@
 import type { LogFields } from '../observability/logger.js';
 import type { Clock } from '../seams/clock.js';
 import type { HttpRequest, RefusedRequest } from '../seams/http.js';
-import { attemptFields } from './attempt-record.js';
+import { attemptFields, type AttemptRecord } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayRefusal } from './gateway-answers.js';
 import type { PartSource } from './part-source.js';
@@ -122,6 +122,16 @@
     }));
   }
 
+  /** The connection to a replica ended without an answer while it had the request. */
+  connectionLost(request: CallerRequest, service: string, attempt: AttemptRecord): void {
+    this.log.write(DecisionKind.ConnectionLost, () => ({
+      requestId: request.id,
+      fingerprint: request.fingerprint,
+      service,
+      ...attemptFields(attempt, request.receivedAt),
+    }));
+  }
+
   /** A request was answered without being forwarded. */
   notForwarded(rejected: RejectedRequest): void {
     const { request, requestId, refusal, reason, status, routeVersion } = rejected;
@@ -157,6 +167,7 @@
     const now = this.clock.now();
     return {
       requestId: request.id,
+      fingerprint: request.fingerprint,
       route: request.route.name,
       routeVersion: request.table.version,
       elapsedMs: Math.round(now - request.receivedAt),
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -31,6 +31,8 @@
   Refused = 'request refused',
   NotForwarded = 'request not forwarded',
   NotRead = 'request not read',
+  /** A replica may have ended under it; also when its answer was not wanted any more. */
+  ConnectionLost = 'connection lost under a request',
   UnreadableReport = 'load report not understood',
 }
 
