--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -76,6 +76,12 @@
   loadReport = '1,0,2';
   /** How much longer it says that it stays cold. Milliseconds. */
   warmupMs = 0;
+  /** Ends the replica's process; called when it has worked on a request to {@link crashesOn}. */
+  crash: ((run: ReplicaRun) => void) | undefined;
+  /** Target of requests under which it crashes; undefined when there are none. */
+  crashesOn: string | undefined;
+  /** Whether it stops work on a request whose connection was closed. */
+  dropsAbandoned = true;
   readonly runs: ReplicaRun[] = [];
   /** Requests that arrived, run or not. */
   arrivals = 0;
@@ -163,15 +169,17 @@
     if (this.behaviour === ReplicaBehaviour.Refuse) {
       return { status: 503, headers: { ...named, [this.names.notExecuted]: '1' }, body: '' };
     }
-    this.runs.push({
+    const run: ReplicaRun = {
       requestId,
       method: request.method,
       target: request.target,
       body: Buffer.from(request.body).toString('utf8'),
       deadlineMs: Number(request.headers[this.names.deadline]),
       at: clock.now(),
-    });
-    await clock.sleep(this.workMs, request.signal);
+    };
+    this.runs.push(run);
+    await clock.sleep(this.workMs, this.dropsAbandoned ? request.signal : undefined);
+    if (request.target === this.crashesOn) this.crash?.(run);
     return this.answer(requestId);
   }
 
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -98,6 +98,7 @@
   private version = 0;
   private calls = 0;
   private replicas = 0;
+  private readonly machines = new Map<ExchangeReplica, SimulatedMachine>();
 
   private constructor(
     readonly group: AutomaticGroup,
@@ -196,17 +197,42 @@
   /** A replica of the service that has registered. */
   async addReplica(service: string, content = '', zone = 'nayoro'): Promise<ExchangeReplica> {
     this.replicas += 1;
-    const replicaId = `${service}-${this.replicas}`;
-    const machine = this.simulation.createMachine(replicaId, zone);
+    const machine = this.simulation.createMachine(`${service}-${this.replicas}`, zone);
+    const replica = this.createReplica(machine, service, zone);
+    replica.content = content;
+    await this.simulation.settle(replica.start());
+    return replica;
+  }
+
+  /** The machine that the replica runs on. */
+  machineOf(replica: ExchangeReplica): SimulatedMachine {
+    const machine = this.machines.get(replica);
+    if (machine === undefined) throw new Error('not a replica of this harness');
+    return machine;
+  }
+
+  /** Starts a replica's machine again: another replica of the service, at the same address. */
+  restartReplica(ended: ExchangeReplica): ExchangeReplica {
+    const machine = this.machineOf(ended);
+    machine.restart({ keepDisk: true });
+    this.replicas += 1;
+    const { service, zone } = ended.options;
+    const replica = this.createReplica(machine, service, zone);
+    replica.content = ended.content;
+    replica.workMs = ended.workMs;
+    void replica.start();
+    return replica;
+  }
+
+  private createReplica(machine: SimulatedMachine, service: string, zone: string): ExchangeReplica {
     const replica = new ExchangeReplica(machine.environment, {
-      replicaId,
+      replicaId: `${service}-${this.replicas}`,
       service,
       address: { host: machine.host, port: REPLICA_PORT },
       zone,
       controllers: this.group.machines.map(({ host }) => ({ host, port: REGISTRATION_PORT })),
     });
-    replica.content = content;
-    await this.simulation.settle(replica.start());
+    this.machines.set(replica, machine);
     return replica;
   }
 
@@ -243,11 +269,11 @@
     await this.simulation.runFor(SPREAD_MS);
   }
 
-  /** Sends one request and gives the promise of its answer, not yet settled. */
-  send(call: TestCall): Promise<HttpClientResponse> {
+  /** Sends one request, to the first gateway if no other is named; not yet settled. */
+  send(call: TestCall, machine = this.machine): Promise<HttpClientResponse> {
     this.calls += 1;
     const { requestId, deadline } = DEFAULT_EXCHANGE_HEADERS;
-    const address = { host: this.machine.host, port: CALLER_PORT };
+    const address = { host: machine.host, port: CALLER_PORT };
     const client = this.group.operator.environment.network.httpClient(address, CALLER_OPTIONS);
     return client.request({
       method: call.method ?? 'GET',
