--- a/src/administration/administration-dependencies.ts
+++ b/src/administration/administration-dependencies.ts
@@ -3,6 +3,7 @@
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
 import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { Logger } from '../observability/logger.js';
+import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
 import type { Clock } from '../seams/clock.js';
 import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { ForceTracker } from './force-tracker.js';
@@ -24,6 +25,8 @@
   readonly members?: MemberAdministration;
   /** Without them, zones cannot be evacuated. */
   readonly evacuations?: EvacuationOrders;
+  /** Without them, nothing is known of requests under which replicas end. */
+  readonly quarantine?: QuarantineOrders;
   /** A longer body is refused. Bytes. {@link MAXIMUM_COMMAND_BYTES} when absent. */
   readonly maximumBodyBytes?: number;
 }
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -156,6 +156,20 @@
 });
 export type EvacuationList = z.infer<typeof evacuationListSchema>;
 
+export const quarantineListSchema = z.strictObject({
+  requests: z.array(
+    z.strictObject({
+      fingerprint: z.string().describe('Of method, host, target, caller and body.'),
+      description: z.string().describe('Method, host and path.'),
+      state: z.string().describe('`suspected`: tried on one replica; `quarantined`: refused.'),
+      revision: z.int().describe('Of the last change; the latest comes first.'),
+      ended: z.array(z.string()).describe('Replicas that ended under it, eight at most.'),
+      endedInTrial: z.array(z.string()).describe('Those of them that ended in a trial.'),
+    }),
+  ),
+});
+export type QuarantineList = z.infer<typeof quarantineListSchema>;
+
 export const tokenListSchema = z.strictObject({
   tokens: z.array(
     z.strictObject({
--- a/src/administration/routes.ts
+++ b/src/administration/routes.ts
@@ -2,6 +2,7 @@
 import { CHANGE_ROUTES } from './change-routes.js';
 import { CONFIGURATION_ROUTES } from './configuration-routes.js';
 import { EVACUATION_ROUTES } from './evacuation-routes.js';
+import { QUARANTINE_ROUTES } from './quarantine-routes.js';
 import type { Route } from './route.js';
 import { SERVICE_ROUTES } from './service-routes.js';
 import { STATUS_ROUTES } from './status-routes.js';
@@ -11,6 +12,7 @@
   ...CHANGE_ROUTES,
   ...CONFIGURATION_ROUTES,
   ...EVACUATION_ROUTES,
+  ...QUARANTINE_ROUTES,
   ...SERVICE_ROUTES,
   ...STATUS_ROUTES,
   ...TOKEN_ROUTES,
--- a/src/aggregation/source-planner.ts
+++ b/src/aggregation/source-planner.ts
@@ -37,7 +37,9 @@
     const mayRunTwice = request.route.execution === 'repeatable';
     // A leaf of another region must not see a request that is to stay in some.
     const mayGoAnywhere = !rootContext.regions.restricts(request.route);
-    const mayDivide = mayRunTwice && mayGoAnywhere && this.isDivided(shards);
+    // Where it is tried on one replica alone, one gateway has to see what becomes of it.
+    const isSuspected = rootContext.crashGuard.isSuspected(request.fingerprint);
+    const mayDivide = mayRunTwice && mayGoAnywhere && !isSuspected && this.isDivided(shards);
     const groups = mayDivide ? assignment.groupsOf(shards) : [];
     if (groups.length === 0) {
       const options = { shards, totalShards, isRepeat: false };
--- a/src/commands/operator-commands.ts
+++ b/src/commands/operator-commands.ts
@@ -11,6 +11,7 @@
   MembersPromoteCommand,
   MembersRemoveCommand,
 } from './operator-members.js';
+import { QuarantineLiftCommand, QuarantineListCommand } from './operator-quarantine.js';
 import { ServicesCreateCommand } from './operator-services-create.js';
 import { ServicesListCommand } from './operator-services-list.js';
 import { ServicesRemoveCommand } from './operator-services-remove.js';
@@ -40,6 +41,8 @@
   EvacuationsStartCommand,
   EvacuationsEndCommand,
   EvacuationsListCommand,
+  QuarantineListCommand,
+  QuarantineLiftCommand,
   SettingsExplainCommand,
   SettingsSetCommand,
   SettingsUnsetCommand,
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -38,6 +38,10 @@
     warmConnections: switchSchema,
     /** A young gateway leaves room for the connections of its earlier process. */
     youngShares: switchSchema,
+    /** Requests under which replicas end are refused. */
+    quarantine: switchSchema,
+    /** Such a request is tried on one replica alone before it is refused. */
+    crashTrials: switchSchema,
     /** Requests to many shards are divided among gateways. */
     aggregation: switchSchema,
   })
--- a/src/consensus/sectioned-state-machine.ts
+++ b/src/consensus/sectioned-state-machine.ts
@@ -22,6 +22,7 @@
 export enum SectionTag {
   RouteDocument = 1,
   Evacuations = 2,
+  Quarantine = 3,
 }
 
 /** A command of the section `tag`. */
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -16,6 +16,8 @@
 import type { Telemetry } from '../observability/telemetry.js';
 import { dial } from '../protocol/dial.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
+import { QuarantineOrders } from '../quarantine/quarantine-orders.js';
+import { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import { RouteDocumentRegister } from '../routes/route-document-register.js';
 import { formatAddress } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
@@ -45,6 +47,7 @@
   readonly exchange: ControllerExchange;
   readonly registration: RegistrationPart;
   readonly evacuationOrders: EvacuationOrders;
+  readonly quarantineOrders: QuarantineOrders;
 }
 
 /** @throws DriftwayError when the data folder cannot be read. */
@@ -52,17 +55,22 @@
   const machine = new ConfigurationStateMachine();
   const register = new RouteDocumentRegister();
   const evacuations = new EvacuationRegister();
+  const quarantine = new QuarantineRegister();
   const sections = new Map<SectionTag, StateMachine>([
     [SectionTag.RouteDocument, register],
     [SectionTag.Evacuations, evacuations],
+    [SectionTag.Quarantine, quarantine],
   ]);
   const log = await startLog(options, new SectionedStateMachine(machine, sections));
   // Nothing is awaited between the log and what listens to the state machine.
   const evacuationOrders = createEvacuationOrders(options, log, evacuations);
-  const registered = { log, register, evacuations, evacuationOrders };
+  const { logger } = options;
+  const quarantineOrders = new QuarantineOrders({ log, register: quarantine, logger });
+  const replicated = { register, evacuations, evacuationOrders, quarantine, quarantineOrders };
+  const registered = { log, ...replicated };
   const registration = startRegistration(options, registered);
   const stream = startControlStream(options, log, machine);
-  const core = { ...stream, log, machine, registration, evacuationOrders };
+  const core = { ...stream, log, machine, registration, evacuationOrders, quarantineOrders };
   await registration.restore();
   return core;
 }
@@ -112,7 +120,7 @@
 /** The replicated state that registrations go with. */
 type ReplicatedParts = Pick<
   RegistrationPartOptions,
-  'log' | 'register' | 'evacuations' | 'evacuationOrders'
+  'log' | 'register' | 'evacuations' | 'evacuationOrders' | 'quarantine' | 'quarantineOrders'
 >;
 
 function startRegistration(
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -162,7 +162,7 @@
   }
 
   private listenHttp(core: ControllerCore): Promise<HttpListener> {
-    const { log, machine, daemons, server, evacuationOrders } = core;
+    const { log, machine, daemons, server, evacuationOrders, quarantineOrders } = core;
     const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
     const { bootstrapTokenHash } = configuration.administration;
@@ -174,6 +174,7 @@
       forces: daemons,
       members: log,
       evacuations: evacuationOrders,
+      quarantine: quarantineOrders,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
     const readReadiness = (): Readiness =>
--- a/src/control/json-response.ts
+++ b/src/control/json-response.ts
@@ -1,5 +1,9 @@
 /** Answers of the calls of replicas and of operators that controllers take without a token. */
-import { NotProposedError, ProposalOutcomeUnknownError } from '../consensus/consensus-errors.js';
+import {
+  NoQuorumError,
+  NotProposedError,
+  ProposalOutcomeUnknownError,
+} from '../consensus/consensus-errors.js';
 import type { HttpResponse } from '../seams/http.js';
 
 export function jsonResponse(status: number, content: object): HttpResponse {
@@ -14,9 +18,10 @@
   return jsonResponse(status, { error: message });
 }
 
-/** The answer to a proposal that failed; undefined for any other error. */
+/** The answer to a proposal, or to a read before it, that failed; undefined for any other error. */
 export function proposalErrorResponse(error: unknown): HttpResponse | undefined {
-  if (error instanceof NotProposedError) return errorResponse(503, error.message);
+  const isNotProposed = error instanceof NotProposedError || error instanceof NoQuorumError;
+  if (isNotProposed) return errorResponse(503, error.message);
   if (error instanceof ProposalOutcomeUnknownError) return errorResponse(504, error.message);
   return undefined;
 }
--- /dev/null
+++ b/src/control/quarantine-endpoint.ts
@@ -0,0 +1,42 @@
+/**
+ * The calls by which an operator of the platform sees which requests are suspected or refused
+ * because replicas end under them, and lifts that: `/v1/quarantine`, `/v1/quarantine/{fingerprint}`.
+ */
+import { UnknownFingerprintError, type QuarantineOrders } from '../quarantine/quarantine-orders.js';
+import type { HttpRequest, HttpResponse } from '../seams/http.js';
+import { errorResponse, jsonResponse, proposalErrorResponse } from './json-response.js';
+
+export const QUARANTINE_PATH = '/v1/quarantine';
+
+/** See the module comment. */
+export class QuarantineEndpoint {
+  constructor(private readonly orders: QuarantineOrders) {}
+
+  async handle({ method, path }: HttpRequest): Promise<HttpResponse> {
+    if (path === QUARANTINE_PATH) {
+      return method === 'GET' ? this.list() : errorResponse(405, 'use GET');
+    }
+    if (method !== 'DELETE') return errorResponse(405, 'use DELETE');
+    return this.lift(path.slice(QUARANTINE_PATH.length + 1));
+  }
+
+  private async lift(fingerprint: string): Promise<HttpResponse> {
+    try {
+      await this.orders.lift(fingerprint);
+      return jsonResponse(200, { fingerprint, lifted: true });
+    } catch (error) {
+      if (error instanceof UnknownFingerprintError) return errorResponse(404, error.message);
+      const answer = proposalErrorResponse(error);
+      if (answer === undefined) throw error;
+      return answer;
+    }
+  }
+
+  private async list(): Promise<HttpResponse> {
+    try {
+      return jsonResponse(200, { requests: await this.orders.read() });
+    } catch (error) {
+      return errorResponse(503, `cannot be sure of the newest: ${String(error)}`);
+    }
+  }
+}
--- a/src/control/registration-endpoint.ts
+++ b/src/control/registration-endpoint.ts
@@ -17,6 +17,7 @@
 } from '../routes/route-document-register.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
 import { EVACUATIONS_PATH, type EvacuationEndpoint } from './evacuation-endpoint.js';
+import { QUARANTINE_PATH, type QuarantineEndpoint } from './quarantine-endpoint.js';
 import { errorResponse, jsonResponse, proposalErrorResponse } from './json-response.js';
 
 const REPLICAS_PATH = '/v1/replicas/';
@@ -45,6 +46,7 @@
   readonly directory: ReplicaDirectory;
   readonly server: DirectoryServer;
   readonly evacuations: EvacuationEndpoint;
+  readonly quarantine: QuarantineEndpoint;
   readonly logger: Logger;
 }
 
@@ -71,6 +73,9 @@
     if (path === EVACUATIONS_PATH || path.startsWith(`${EVACUATIONS_PATH}/`)) {
       return this.parts.evacuations.handle(request);
     }
+    if (path === QUARANTINE_PATH || path.startsWith(`${QUARANTINE_PATH}/`)) {
+      return this.parts.quarantine.handle(request);
+    }
     if (path !== ROUTES_PATH) return errorResponse(404, 'no such path');
     if (method === 'PUT') return this.putRoutes(request.body);
     if (method === 'GET') return this.getRoutes();
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -18,6 +18,9 @@
 import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
+import { EvidenceIntake } from '../quarantine/evidence-intake.js';
+import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
+import type { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import type { RouteDocumentRegister } from '../routes/route-document-register.js';
 import type { Address } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
@@ -26,6 +29,7 @@
 import { enrolUntilVoter, serveEnrolment } from './enrolment.js';
 import { EvacuationEndpoint } from './evacuation-endpoint.js';
 import { hasSpareVoter, keepMembership } from './membership-keeper.js';
+import { QuarantineEndpoint } from './quarantine-endpoint.js';
 import { RegistrationEndpoint } from './registration-endpoint.js';
 
 const LISTEN_OPTIONS: HttpListenOptions = {
@@ -53,6 +57,8 @@
   readonly register: RouteDocumentRegister;
   readonly evacuations: EvacuationRegister;
   readonly evacuationOrders: EvacuationOrders;
+  readonly quarantine: QuarantineRegister;
+  readonly quarantineOrders: QuarantineOrders;
   readonly zone: string;
   /** `host:port` for internal messages. */
   readonly ownAddress: string;
@@ -71,14 +77,21 @@
 
   constructor(private readonly options: RegistrationPartOptions) {
     const { environment, identity, logger, log, register, zone, ownAddress } = options;
-    const { evacuations, evacuationOrders } = options;
+    const { evacuations, evacuationOrders, quarantine, quarantineOrders } = options;
     const { clock } = environment;
     this.directory = new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats);
+    const intake = new EvidenceIntake({
+      orders: quarantineOrders,
+      register: quarantine,
+      logger,
+    });
     this.server = new DirectoryServer({
       clock,
       directory: this.directory,
       document: () => register.current(),
       evacuations: () => evacuations.all(),
+      quarantine,
+      onCrashEvidence: (change) => intake.take(change),
       members: () => log.status().members,
       ownName: identity.name,
       ownZone: zone,
@@ -102,10 +115,12 @@
       directory,
       server,
       evacuations: new EvacuationEndpoint(evacuationOrders),
+      quarantine: new QuarantineEndpoint(quarantineOrders),
       logger,
     });
     observe(register.changes, () => server.notify());
     observe(evacuations.changes, () => server.notify());
+    observe(quarantine.changes, () => server.notify());
     observe(directory.changes, () => server.notify());
     void this.keepUp();
     if (options.seeds !== undefined) this.startMembership(options.seeds);
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -6,6 +6,8 @@
 import { createAdapter } from '@most/adapter';
 import type { Stream } from '@most/types';
 import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
+import type { QuarantineEntry } from '../quarantine/quarantine-entry.js';
+import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import type { Logger } from '../observability/logger.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
@@ -13,6 +15,8 @@
 import { DirectoryLink, type DirectoryLinkParts, type LinkNews } from './directory-link.js';
 import {
   NO_DOCUMENT,
+  crashEvidenceMessage,
+  quarantineEntry,
   replicaEntry,
   type DocumentMessage,
   type ReplicaMessage,
@@ -55,6 +59,9 @@
   readonly documents: Stream<DocumentMessage>;
   /** Emits each order about a zone that a controller tells of, in the order in which they come. */
   readonly evacuations: Stream<ZoneEvacuation>;
+  /** Emits each word about a request under which replicas ended. */
+  readonly quarantine: Stream<QuarantineEntry>;
+  private readonly emitQuarantine: (entry: QuarantineEntry) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: DocumentMessage) => void;
   private readonly links = new Map<string, DirectoryLink>();
@@ -70,6 +77,7 @@
   constructor(private readonly options: DirectoryClientOptions) {
     [this.emitDocument, this.documents] = createAdapter<DocumentMessage>();
     [this.emitEvacuation, this.evacuations] = createAdapter<ZoneEvacuation>();
+    [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
     const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
@@ -128,6 +136,15 @@
     return this.joinedGateways;
   }
 
+  /** Tells one of the followed controllers, the freshest first; false while none is followed. */
+  reportEvidence(change: QuarantineChange): boolean {
+    const links = [...this.links.values()]
+      .filter(({ status }) => status !== undefined && !status.stopping)
+      .sort((left, right) => (left.status?.ageMs ?? 0) - (right.status?.ageMs ?? 0));
+    const message = crashEvidenceMessage(change);
+    return links.some((link) => link.send(message));
+  }
+
   async stop(): Promise<void> {
     this.stopped.abort(new Error('stopped'));
     const links = [...this.links.values()];
@@ -150,6 +167,9 @@
       case 'evacuation':
         this.emitEvacuation(message);
         return;
+      case 'quarantine':
+        this.emitQuarantine(quarantineEntry(message));
+        return;
       default:
     }
   }
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -98,6 +98,14 @@
     this.finished = this.run();
   }
 
+  /** Sends a message when the stream is open; false when it is not. */
+  send(message: DirectoryMessage): boolean {
+    if (this.connection === undefined || this.status === undefined) return false;
+    // A connection that broke is noticed by the task that reads it.
+    void this.connection.send(DIRECTORY_CODEC.encode(message)).catch(() => undefined);
+    return true;
+  }
+
   async stop(): Promise<void> {
     this.stopped.abort(new Error('stopped'));
     this.connection?.close();
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -1,6 +1,13 @@
 /** Messages of the directory stream, from controllers to subscribers and back. */
 import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
 import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
+import {
+  joinIds,
+  splitIds,
+  type QuarantineChange,
+  type QuarantineChangeKind,
+} from '../quarantine/quarantine-register.js';
+import type { QuarantineEntry, QuarantineState } from '../quarantine/quarantine-entry.js';
 import { isRegisteredState, type ReplicaEntry } from './replica-entry.js';
 
 /** First message of a subscriber. */
@@ -45,6 +52,31 @@
   readonly kind: 'evacuation';
 }
 
+/** What the controllers agreed on about a request under which replicas ended; see `QuarantineEntry`. */
+export interface QuarantineMessage {
+  readonly kind: 'quarantine';
+  /** A `QuarantineState`. */
+  readonly state: string;
+  readonly revision: number;
+  readonly fingerprint: string;
+  readonly description: string;
+  /** See `joinIds`. */
+  readonly ended: string;
+  readonly endedInTrial: string;
+}
+
+/** What a gateway saw of such a request; see `QuarantineChange`. */
+export interface CrashEvidenceMessage {
+  readonly kind: 'crashEvidence';
+  /** A `QuarantineChangeKind`. */
+  readonly change: string;
+  readonly fingerprint: string;
+  readonly description: string;
+  /** See `joinIds`. */
+  readonly ended: string;
+  readonly endedInTrial: string;
+}
+
 /** One controller of the group, as its members know it. */
 export interface ControllerMessage {
   readonly kind: 'controller';
@@ -101,6 +133,8 @@
   | HeardMessage
   | DocumentMessage
   | EvacuationMessage
+  | QuarantineMessage
+  | CrashEvidenceMessage
   | ControllerMessage
   | GatewayMessage
   | StatusMessage
@@ -171,6 +205,27 @@
     tag: 49,
     fields: [field('zone', 'string'), field('isEvacuated', 'boolean'), field('revision', 'long')],
   },
+  quarantine: {
+    tag: 50,
+    fields: [
+      field('state', 'string'),
+      field('revision', 'long'),
+      field('fingerprint', 'string'),
+      field('description', 'string'),
+      field('ended', 'string'),
+      field('endedInTrial', 'string'),
+    ],
+  },
+  crashEvidence: {
+    tag: 51,
+    fields: [
+      field('change', 'string'),
+      field('fingerprint', 'string'),
+      field('description', 'string'),
+      field('ended', 'string'),
+      field('endedInTrial', 'string'),
+    ],
+  },
   relayed: { tag: 48, fields: [field('position', 'long')] },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
@@ -187,3 +242,51 @@
   const { restored } = message;
   return { replicaId, service, address, zone, capacity, state, sequence, warmupMs, restored };
 }
+
+/** How an entry of the quarantine is sent. */
+export function quarantineMessage(entry: QuarantineEntry): QuarantineMessage {
+  const { ended, endedInTrial, ...rest } = entry;
+  return {
+    kind: 'quarantine',
+    ...rest,
+    ended: joinIds(ended),
+    endedInTrial: joinIds(endedInTrial),
+  };
+}
+
+/** The entry of a message. */
+export function quarantineEntry(message: QuarantineMessage): QuarantineEntry {
+  const { state, revision, fingerprint, description, ended, endedInTrial } = message;
+  return {
+    state: state as QuarantineState,
+    revision,
+    fingerprint,
+    description,
+    ended: splitIds(ended),
+    endedInTrial: splitIds(endedInTrial),
+  };
+}
+
+/** How what a gateway saw is sent. */
+export function crashEvidenceMessage(change: QuarantineChange): CrashEvidenceMessage {
+  const { kind, ended, endedInTrial, ...rest } = change;
+  return {
+    kind: 'crashEvidence',
+    change: kind,
+    ...rest,
+    ended: joinIds(ended),
+    endedInTrial: joinIds(endedInTrial),
+  };
+}
+
+/** The change that a message tells of. */
+export function quarantineChange(message: CrashEvidenceMessage): QuarantineChange {
+  const { change, fingerprint, description, ended, endedInTrial } = message;
+  return {
+    kind: change as QuarantineChangeKind,
+    fingerprint,
+    description,
+    ended: splitIds(ended),
+    endedInTrial: splitIds(endedInTrial),
+  };
+}
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -3,7 +3,13 @@
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
-import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
+import type { QuarantineChange } from '../quarantine/quarantine-register.js';
+import {
+  DIRECTORY_CODEC,
+  SubscriberKind,
+  quarantineChange,
+  type DirectoryMessage,
+} from './directory-messages.js';
 import {
   DirectorySession,
   type DirectoryController,
@@ -26,13 +32,15 @@
 /** What subscribers are told, besides what the server knows of them. */
 export interface DirectoryServerSources extends Pick<
   DirectorySessionSources,
-  'clock' | 'directory' | 'document' | 'evacuations' | 'ageMs' | 'ownZone'
+  'clock' | 'directory' | 'document' | 'evacuations' | 'quarantine' | 'ageMs' | 'ownZone'
 > {
   readonly members: () => readonly DirectoryMember[];
   /** This controller. */
   readonly ownName: string;
   /** Gateways that follow other controllers, as those say. */
   readonly otherGateways: () => readonly KnownGateway[];
+  /** A gateway saw replicas end under a request, or an answer to it. */
+  readonly onCrashEvidence: (change: QuarantineChange) => void;
 }
 
 /** Who confirmed a position. */
@@ -221,6 +229,7 @@
   }
 
   private takeConfirmation(session: DirectorySession, message: DirectoryMessage): void {
+    if (message.kind === 'crashEvidence') this.sources.onCrashEvidence(quarantineChange(message));
     if (message.kind === 'relayed') {
       session.relayedPosition = Math.max(session.relayedPosition, message.position);
       this.confirmations.notify();
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -1,10 +1,13 @@
 /** One subscriber's stream at a controller, and what is new to it. */
 import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
+import { QuarantineState } from '../quarantine/quarantine-entry.js';
+import type { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
 import {
   NO_DOCUMENT,
   SubscriberKind,
+  quarantineMessage,
   replicaMessage,
   type DirectoryMessage,
 } from './directory-messages.js';
@@ -27,6 +30,8 @@
   readonly document: () => StoredRouteDocument | undefined;
   /** Orders about zones; gateways are told of them. */
   readonly evacuations: () => Iterable<ZoneEvacuation>;
+  /** Requests under which replicas ended; gateways are told of those that are suspected. */
+  readonly quarantine: Pick<QuarantineRegister, 'position' | 'changedAfter'>;
   readonly controllers: () => readonly DirectoryController[];
   /** See `StatusMessage.ageMs`. */
   readonly ageMs: () => number;
@@ -51,6 +56,8 @@
   /** The newest document that the subscriber lacked, and since when. */
   private lacking = { version: NO_DOCUMENT, since: -Infinity };
   private controllers = '';
+  /** Of the quarantine, up to which the subscriber was told. */
+  private quarantinePosition = 0;
 
   /** By zone, the revision of the last order that was told. */
   private readonly toldEvacuations = new Map<string, number>();
@@ -71,6 +78,7 @@
     const messages: DirectoryMessage[] = [];
     // Before the routes: a gateway without routes sends nothing yet.
     this.addEvacuations(sources, messages);
+    this.addQuarantine(sources, messages);
     this.addDocument(sources, messages);
     this.addControllers(sources, messages);
     this.addGateways(sources, messages);
@@ -93,6 +101,18 @@
     }
   }
 
+  private addQuarantine(
+    { quarantine }: DirectorySessionSources,
+    messages: DirectoryMessage[],
+  ): void {
+    if (this.kind !== SubscriberKind.Gateway) return;
+    for (const entry of quarantine.changedAfter(this.quarantinePosition)) {
+      const isTold = entry.state !== QuarantineState.Observed;
+      if (isTold) messages.push(quarantineMessage(entry));
+    }
+    this.quarantinePosition = quarantine.position;
+  }
+
   private addDocument(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const document = sources.document();
     const told = Math.max(this.documentVersion, this.confirmedDocumentVersion);
--- /dev/null
+++ b/src/gateway/attempt-evidence.ts
@@ -0,0 +1,86 @@
+/**
+ * What the end of an attempt says of the request: whether it may be what ends the replicas
+ * that run it.
+ */
+import { HttpClientError } from '../errors/http-client-error.js';
+import { describeRequest } from '../quarantine/quarantine-entry.js';
+import { TrialResult } from '../quarantine/quarantine-metrics.js';
+import type { WatchedRequest } from '../quarantine/abandoned-attempts.js';
+import { NotRunReason, isConnectionLost, type AttemptResult } from './attempt-result.js';
+import type { CallerRequest } from './caller-request.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { ReplicaTarget } from './replica-target.js';
+
+/** A process that ended refuses connections at once; longer than a connection takes. Milliseconds. */
+const CONFIRM_TIMEOUT_MS = 500;
+const DEFAULT_HEALTH_PATH = '/health';
+
+/** An attempt that has ended. */
+export interface EndedAttempt {
+  readonly request: CallerRequest;
+  readonly target: ReplicaTarget;
+  readonly result: AttemptResult;
+  /** It was the only sending of a suspected request. */
+  readonly isTrial: boolean;
+}
+
+function watched({ fingerprint, method, headers, target }: CallerRequest): WatchedRequest {
+  const description = describeRequest(method, headers['host'] ?? '', target);
+  return { fingerprint, description };
+}
+
+/** Takes in an attempt that has ended, also when its answer was not wanted any more. */
+export function noteEvidence(context: GatewayContext, attempt: EndedAttempt): void {
+  const { crashGuard, environment } = context;
+  const { request, target, result, isTrial } = attempt;
+  const { replicaId } = target.entry;
+  if (isConnectionLost(result)) {
+    crashGuard.noteReplicaLost(replicaId);
+    if (isTrial) void endLostTrial(context, attempt);
+    else crashGuard.noteEnded(watched(request), replicaId, false);
+    return;
+  }
+  const isAnswer = result.kind === 'answered' || result.kind === 'failedAnswer';
+  if (isAnswer) crashGuard.noteAnswer(request.fingerprint);
+  if (result.kind === 'cancelled') {
+    const leftMs = request.deadline - environment.clock.now();
+    crashGuard.noteAbandoned(replicaId, { request: watched(request), isTrial }, leftMs);
+  }
+  const isUnreachable = result.kind === 'notRun' && result.reason === NotRunReason.Unreachable;
+  if (isUnreachable) crashGuard.noteReplicaLost(replicaId);
+  if (!isTrial) return;
+  const trialResult = isAnswer ? TrialResult.Answered : TrialResult.Undecided;
+  crashGuard.endTrial(request.fingerprint, trialResult);
+}
+
+/** A connection that was reset under a trial counts against the request only when the replica has ended. */
+async function endLostTrial(
+  context: GatewayContext,
+  { request, target }: EndedAttempt,
+): Promise<void> {
+  const { crashGuard } = context;
+  const hasEnded = await refusesConnections(context, request, target);
+  crashGuard.noteEnded(watched(request), target.entry.replicaId, hasEnded);
+  const result = hasEnded ? TrialResult.ReplicaEnded : TrialResult.Undecided;
+  crashGuard.endTrial(request.fingerprint, result);
+}
+
+async function refusesConnections(
+  { environment }: GatewayContext,
+  { table }: CallerRequest,
+  { client, entry, address }: ReplicaTarget,
+): Promise<boolean> {
+  const abort = new AbortController();
+  const timer = environment.clock.setTimer(CONFIRM_TIMEOUT_MS, () => abort.abort());
+  const path = table.service(entry.service)?.healthPath ?? DEFAULT_HEALTH_PATH;
+  try {
+    const headers = { host: address };
+    const { signal } = abort;
+    await client.request({ method: 'GET', path, headers, signal, freshConnection: true });
+    return false;
+  } catch (error) {
+    return error instanceof HttpClientError && error.kind === 'connect_failed';
+  } finally {
+    timer.cancel();
+  }
+}
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -4,6 +4,9 @@
 import { DecisionLog } from '../observability/decision-log.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { Environment } from '../seams/environment.js';
+import { CrashGuard } from '../quarantine/crash-guard.js';
+import { QuarantineMetrics } from '../quarantine/quarantine-metrics.js';
+import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import { AnswerMargin } from './answer-margin.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
 import { FleetShares } from './fleet-shares.js';
@@ -30,6 +33,8 @@
   readonly secondSends: SecondSendLimits;
   /** Gateways of the fleet; undefined while no controller has said it. */
   readonly countGateways: () => number | undefined;
+  /** Tells a controller what was seen of a request under which replicas end; false while none is followed. */
+  readonly reportEvidence: (change: QuarantineChange) => boolean;
 }
 
 export function createGatewayContext(options: GatewayContextOptions): GatewayContext {
@@ -42,6 +47,14 @@
     metrics.unreadableReports.inc();
     decisions.unreadableReport(report);
   };
+  const crashGuard = new CrashGuard({
+    clock,
+    logger: telemetry.logger,
+    metrics: new QuarantineMetrics(telemetry.registry),
+    send: options.reportEvidence,
+    isOn: mechanisms.quarantine,
+    hasTrials: mechanisms.crashTrials,
+  });
   return {
     environment,
     headers,
@@ -54,6 +67,7 @@
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
     shedding: new OverloadShedding(random),
     answerMargin: new AnswerMargin(mechanisms.learnedMargin),
+    crashGuard,
     decisions,
     metrics,
   };
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -6,7 +6,7 @@
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
 import { CALLER_GONE, TIME_UP, UNOFFERED_PART } from './forward-single.js';
-import { GatewayRefusal, refuse } from './gateway-answers.js';
+import { GatewayRefusal, QUARANTINED, refuse, refuseNotRun } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { mergeRecords } from './merge-records.js';
 import type { GatheredParts, PartListener, PartSource } from './part-source.js';
@@ -164,8 +164,11 @@
   private giveUp(refusal: GatewayRefusal, reason: string): void {
     if (this.isDone) return;
     const mayRun = this.answered.size > 0 || this.sources.some((source) => source.mayRun);
-    const response = mayRun ? refuse(refusal, reason) : refuse(GatewayRefusal.NotRun, reason);
-    this.finish(response, reason);
+    const { crashGuard } = this.context;
+    const isQuarantined = crashGuard.isQuarantined(this.request.fingerprint);
+    const cause = isQuarantined ? QUARANTINED : reason;
+    const response = mayRun ? refuse(refusal, cause) : refuseNotRun(cause);
+    this.finish(response, cause);
   }
 
   private finish(response: HttpResponse, reason: string): void {
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -1,7 +1,7 @@
 /** Forwards a request to one replica of its service and gives the answer back unchanged. */
 import type { HttpResponse } from '../seams/http.js';
 import type { CallerRequest } from './caller-request.js';
-import { GatewayRefusal, refuse } from './gateway-answers.js';
+import { GatewayRefusal, refuse, refuseNotRun } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { targetLatencyOf } from './route-latencies.js';
 import type { RaceOutcome } from './race-outcome.js';
@@ -17,7 +17,7 @@
 function answerOf(outcome: RaceOutcome, isTimeUp: boolean): HttpResponse {
   if (outcome.answer !== undefined) return outcome.answer;
   if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
-  if (!outcome.mayHaveRun) return refuse(GatewayRefusal.NotRun, outcome.reason);
+  if (!outcome.mayHaveRun) return refuseNotRun(outcome.reason);
   return refuse(isTimeUp ? GatewayRefusal.TimedOut : GatewayRefusal.Failed, outcome.reason);
 }
 
--- a/src/gateway/gateway-answers.ts
+++ b/src/gateway/gateway-answers.ts
@@ -13,6 +13,8 @@
   TooLarge = 'too_large',
   /** No replica could take it in time. Not run. */
   NotRun = 'not_run',
+  /** Replicas end under it: it is sent to none. Not run. */
+  Quarantined = 'quarantined',
   /** A replica may have run it, and no usable answer came. */
   Failed = 'failed',
   /** A replica may have run it, and the time is up. */
@@ -25,6 +27,8 @@
   [GatewayRefusal.BadRequest]: 400,
   [GatewayRefusal.TooLarge]: 413,
   [GatewayRefusal.NotRun]: 503,
+  // Of this request alone: a 503 would speak against the gateway or the service.
+  [GatewayRefusal.Quarantined]: 429,
   [GatewayRefusal.Failed]: 502,
   [GatewayRefusal.TimedOut]: 504,
 };
@@ -33,8 +37,13 @@
 const RETRY_AFTER_S: Partial<Record<GatewayRefusal, string>> = {
   [GatewayRefusal.NoRoutes]: '1',
   [GatewayRefusal.NotRun]: '0.5',
+  // An operator has to look at it first.
+  [GatewayRefusal.Quarantined]: '60',
 };
 
+/** Reason of a refusal by the quarantine; operators find the request by it and its fingerprint. */
+export const QUARANTINED = 'replicas end under this request';
+
 /** The answer for a refusal. */
 export function refuse(refusal: GatewayRefusal, reason: string): HttpResponse {
   const retryAfter = RETRY_AFTER_S[refusal];
@@ -47,3 +56,9 @@
     body: JSON.stringify({ error: { code: refusal, message: reason } }),
   };
 }
+
+/** The answer to a request that no replica has run or will run, by why it was given up. */
+export function refuseNotRun(reason: string): HttpResponse {
+  const isQuarantined = reason === QUARANTINED;
+  return refuse(isQuarantined ? GatewayRefusal.Quarantined : GatewayRefusal.NotRun, reason);
+}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -7,6 +7,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { FleetShares } from './fleet-shares.js';
 import type { OverloadShedding } from './overload-shedding.js';
+import type { CrashGuard } from '../quarantine/crash-guard.js';
 import type { ReplicaChoice } from './replica-choice.js';
 import type { RouteLatencies } from './route-latencies.js';
 import type { AttemptSender } from './send-attempt.js';
@@ -25,6 +26,7 @@
   readonly shares: FleetShares;
   readonly shedding: OverloadShedding;
   readonly answerMargin: AnswerMargin;
+  readonly crashGuard: CrashGuard;
   readonly decisions: RequestDecisions;
   readonly metrics: GatewayMetrics;
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -79,6 +79,7 @@
     observe(this.client.documents, (document) => this.applyDocument(document));
     const evacuations = new EvacuationsInForce(this.context, this.logger);
     observe(this.client.evacuations, (evacuation) => evacuations.take(evacuation));
+    observe(this.client.quarantine, (entry) => this.context.crashGuard.take(entry));
   }
 
   /**
@@ -175,6 +176,7 @@
       regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
       countGateways: () => this.client.gateways,
+      reportEvidence: (change) => this.client.reportEvidence(change),
     });
   }
 
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -8,7 +8,7 @@
 import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
 import { forwardSingle } from './forward-single.js';
-import { GatewayRefusal, refuse } from './gateway-answers.js';
+import { GatewayRefusal, QUARANTINED, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { SplitChooser } from './split-chooser.js';
 import { TableInForce } from './table-in-force.js';
@@ -74,14 +74,26 @@
     if (route === undefined) {
       return this.reject(request, GatewayRefusal.NoRoute, 'no route fits');
     }
-    return this.forward(this.toCallerRequest(request, table, route, receivedAt));
+    const callerRequest = this.toCallerRequest(request, table, route, receivedAt);
+    const { fingerprint } = callerRequest;
+    if (this.context.crashGuard.isQuarantined(fingerprint)) {
+      this.context.crashGuard.noteRefusal();
+      return this.reject(request, GatewayRefusal.Quarantined, QUARANTINED, fingerprint);
+    }
+    return this.forward(callerRequest);
   }
 
-  private reject(request: HttpRequest, refusal: GatewayRefusal, reason: string): HttpResponse {
+  private reject(
+    request: HttpRequest,
+    refusal: GatewayRefusal,
+    reason: string,
+    fingerprint?: string,
+  ): HttpResponse {
     const response = refuse(refusal, reason);
     this.context.decisions.notForwarded({
       request,
       requestId: request.headers[this.context.headers.requestId],
+      fingerprint,
       refusal,
       reason,
       status: response.status,
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -3,6 +3,8 @@
  * that fails or is late, and takes the first whole answer. A request that is not
  * repeatable is sent on only when it certainly was not run.
  */
+import { Admission } from '../quarantine/crash-guard.js';
+import { noteEvidence } from './attempt-evidence.js';
 import { observeAttempt } from './attempt-observer.js';
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
@@ -10,6 +12,7 @@
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
 import type { FleetShares } from './fleet-shares.js';
+import { QUARANTINED } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
 import type { RaceOutcome } from './race-outcome.js';
@@ -34,6 +37,8 @@
   readonly target: ReplicaTarget;
   readonly abort: AbortController;
   readonly record: AttemptRecord;
+  /** The only sending of a suspected request from here. */
+  readonly isTrial: boolean;
 }
 
 /** What is asked, and how. */
@@ -67,6 +72,7 @@
   private refusals = 0;
   private failedAnswer: ReplicaAnswer | undefined;
   private reason = 'no replica can take it';
+  private lastResult: AttemptResult | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -81,11 +87,15 @@
 
   /** Sends for the first time, or as soon as a replica has room. */
   start(): void {
+    if (!this.options.isRepeat) this.context.shares.noteRequest(this.service);
+    this.begin();
+  }
+
+  private begin(): void {
     if (this.options.isRepeat) {
       if (!this.launchAgain(this.context.shares)) this.finish(this.failure());
       return;
     }
-    this.context.shares.noteRequest(this.service);
     if (this.launch()) return;
     const mayFindRoom = this.context.mechanisms.waitForRoom && this.mayHaveReplicas;
     if (mayFindRoom) this.waitForRoom();
@@ -96,6 +106,7 @@
   hedge(): boolean {
     const isOver = this.outcome !== undefined || !this.context.mechanisms.hedging;
     if (isOver || this.request.route.execution !== 'repeatable' || !this.mayRunMore) return false;
+    if (this.context.crashGuard.isSuspected(this.request.fingerprint)) return false;
     return this.launchAgain(this.context.shares);
   }
 
@@ -128,13 +139,14 @@
     this.context.targets.onceRoom(this.service, this.onRoom);
   }
 
-  /** Sends to a further replica; `budget` is asked for it unless what came before never arrived. */
+  /**
+   * Sends to a further replica; `budget` is asked for it unless what came before never arrived.
+   * True when it was sent, waits for a trial of the request, or is refused for good.
+   */
   private launchAgain(budget: FleetShares | undefined): boolean {
     const target = this.choose();
     if (target === undefined || !this.isFurtherSendAllowed) return false;
-    if (budget !== undefined && !budget.takeSecondSend(this.service)) return false;
-    this.send(target);
-    return true;
+    return this.sendAdmitted(target, budget);
   }
 
   private get isFurtherSendAllowed(): boolean {
@@ -142,13 +154,54 @@
     return isFirst || this.options.maySendAgain?.() !== false;
   }
 
+  /** For the first time; as {@link ReplicaRace.launchAgain}. */
   private launch(): boolean {
     const target = this.choose();
-    if (target === undefined) return false;
-    this.send(target);
-    return true;
+    return target !== undefined && this.sendAdmitted(target, undefined);
   }
 
+  private sendAdmitted(target: ReplicaTarget, budget: FleetShares | undefined): boolean {
+    const { crashGuard } = this.context;
+    const { fingerprint } = this.request;
+    const admission = crashGuard.admit(fingerprint, this.onNews);
+    if (admission === Admission.Wait) return true;
+    if (admission === Admission.Refused) {
+      this.giveUpQuarantined();
+      return true;
+    }
+    const isTrial = admission === Admission.Trial;
+    const isPaid = budget === undefined || budget.takeSecondSend(this.service);
+    if (isPaid) this.send(isTrial ? this.chooseForTrial(target) : target, isTrial);
+    else if (isTrial) crashGuard.returnTrial(fingerprint, this.onNews);
+    return isPaid;
+  }
+
+  /** What is in flight ends at once: a replica that drops it in time does not end under it. */
+  private giveUpQuarantined(): void {
+    this.reason = QUARANTINED;
+    const outcome = this.failure();
+    for (const { abort } of this.live) abort.abort(NOT_WANTED);
+    this.finish(outcome);
+  }
+
+  /** Two requests that are tried on one replica would both be blamed when it ends. */
+  private chooseForTrial(target: ReplicaTarget): ReplicaTarget {
+    if (target.trials === 0) return target;
+    const onTrial = this.permitted.filter(({ trials }) => trials > 0);
+    return this.choose(new Set([...this.asked, ...onTrial])) ?? target;
+  }
+
+  /** A trial of the request has ended, or it was cleared or quarantined. */
+  private readonly onNews = (): void => {
+    if (this.outcome !== undefined) return;
+    const { crashGuard } = this.context;
+    const { fingerprint } = this.request;
+    if (crashGuard.isQuarantined(fingerprint)) this.giveUpQuarantined();
+    else if (this.live.size > 0) crashGuard.onceNews(fingerprint, this.onNews);
+    else if (this.lastResult === undefined) this.begin();
+    else this.goOn(this.lastResult);
+  };
+
   /** Replicas that may get the request. */
   private get permitted(): readonly ReplicaTarget[] {
     const { targets, regions } = this.context;
@@ -160,12 +213,12 @@
     return this.permitted.length > 0 || this.context.targets.isLearning;
   }
 
-  private choose(): ReplicaTarget | undefined {
+  private choose(excluded: ReadonlySet<ReplicaTarget> = this.asked): ReplicaTarget | undefined {
     const { choice, shares } = this.context;
     const { table, route } = this.request;
     return choice.choose({
       targets: this.permitted,
-      excluded: this.asked,
+      excluded,
       usualLatency: this.options.latency.usual,
       targetLatency: targetLatencyOf(route),
       stake: this.options.stake,
@@ -174,23 +227,25 @@
     });
   }
 
-  private send(target: ReplicaTarget): void {
+  private send(target: ReplicaTarget, isTrial: boolean): void {
     const { clock } = this.context.environment;
     const sentAt = clock.now();
     const inputs = choiceInputs(target, sentAt);
     const record: AttemptRecord = { inputs, sentAt, endedAt: undefined, result: undefined };
-    const attempt: LiveAttempt = { target, abort: new AbortController(), record };
+    const attempt: LiveAttempt = { target, abort: new AbortController(), record, isTrial };
     const number = target.begin(sentAt);
     target.coldSends.use(
       sentAt,
       this.context.shares.coldSlotLength(this.request.table, this.service),
     );
     target.warmChecks = 0;
+    if (isTrial) target.trials += 1;
     this.attempts.push(record);
     this.asked.add(target);
     this.live.add(attempt);
     void this.context.sender.send(this.request, target, attempt.abort.signal).then((result) => {
       target.end(number);
+      if (isTrial) target.trials -= 1;
       this.live.delete(attempt);
       this.take(attempt, result);
       this.context.targets.notifyRoom(this.service);
@@ -198,13 +253,17 @@
   }
 
   private take(attempt: LiveAttempt, result: AttemptResult): void {
-    const { target, record } = attempt;
+    const { target, record, isTrial } = attempt;
+    this.lastResult = result;
     record.endedAt = this.context.environment.clock.now();
     record.result = result;
     observeAttempt(this.context, this.request.route, this.options.latency, target, record);
     if (isConnectionLost(result)) {
       this.context.decisions.connectionLost(this.request, this.service, record);
     }
+    // Its own result is no news to it: woken for it, it would go on before it has taken it.
+    if (isTrial) this.context.crashGuard.cancelNews(this.request.fingerprint, this.onNews);
+    noteEvidence(this.context, { request: this.request, target, result, isTrial });
     if (result.kind === 'answered') {
       if (this.outcome === undefined) this.finish({ kind: 'answered', answer: result.answer });
       return;
@@ -281,6 +340,7 @@
 
   private abortLive(): void {
     this.context.targets.cancelRoom(this.service, this.onRoom);
+    this.context.crashGuard.cancelNews(this.request.fingerprint, this.onNews);
     this.retryTimer?.cancel();
     for (const attempt of this.live) this.letGo(attempt);
   }
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -26,6 +26,8 @@
   load: ReportedLoad | undefined;
   /** When a connection that rests until then is used once; see `connection-warmer.ts`. */
   warmCheckAt = -Infinity;
+  /** Suspected requests that are being tried on it. */
+  trials = 0;
   /** Health checks since it was last used. */
   warmChecks = 0;
   /** The replica that registered at its address later; undefined while none has. */
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -72,6 +72,8 @@
   readonly request: HttpRequest;
   /** Undefined when it named none. */
   readonly requestId: string | undefined;
+  /** Of what it asks; undefined where it was refused before that was looked at. */
+  readonly fingerprint: string | undefined;
   readonly refusal: GatewayRefusal;
   readonly reason: string;
   readonly status: number;
@@ -134,9 +136,10 @@
 
   /** A request was answered without being forwarded. */
   notForwarded(rejected: RejectedRequest): void {
-    const { request, requestId, refusal, reason, status, routeVersion } = rejected;
+    const { request, requestId, fingerprint, refusal, reason, status, routeVersion } = rejected;
     this.log.write(DecisionKind.NotForwarded, () => ({
       requestId,
+      fingerprint,
       status,
       refusal,
       reason,
--- /dev/null
+++ b/src/quarantine/evidence-intake.ts
@@ -0,0 +1,76 @@
+/**
+ * Takes the gateways' evidence in at a controller and proposes what is news: at once, and what
+ * comes while a proposal is under way together. Bounded: while more comes than the group can agree on, evidence of trials goes
+ * first and the rest is dropped and counted; gateways send what matters again.
+ */
+import type { Logger } from '../observability/logger.js';
+import { MAXIMUM_FINGERPRINT_LENGTH } from './quarantine-entry.js';
+import type { QuarantineOrders } from './quarantine-orders.js';
+import {
+  MAXIMUM_CHANGES,
+  QuarantineChangeKind,
+  type QuarantineChange,
+  type QuarantineRegister,
+} from './quarantine-register.js';
+
+/** Changes that wait to be proposed. */
+const MAXIMUM_WAITING = 256;
+/** What the intake works on. */
+export interface EvidenceIntakeParts {
+  readonly orders: QuarantineOrders;
+  readonly register: QuarantineRegister;
+  readonly logger: Logger;
+}
+
+function isUrgent({ kind, endedInTrial }: QuarantineChange): boolean {
+  return kind === QuarantineChangeKind.Answer || endedInTrial.length > 0;
+}
+
+/** See the module comment. */
+export class EvidenceIntake {
+  private waiting: QuarantineChange[] = [];
+  private isProposing = false;
+  private dropped = 0;
+
+  constructor(private readonly parts: EvidenceIntakeParts) {}
+
+  /** Takes a gateway's word. */
+  take(change: QuarantineChange): void {
+    const isNamed =
+      change.fingerprint.length > 0 && change.fingerprint.length <= MAXIMUM_FINGERPRINT_LENGTH;
+    if (!isNamed || !this.parts.register.isNews(change)) return;
+    if (this.waiting.length >= MAXIMUM_WAITING && !this.makeRoom(change)) return;
+    this.waiting.push(change);
+    if (!this.isProposing) void this.propose();
+  }
+
+  private makeRoom(change: QuarantineChange): boolean {
+    this.dropped += 1;
+    const index = this.waiting.findIndex((other) => !isUrgent(other));
+    if (index < 0 || !isUrgent(change)) return false;
+    this.waiting.splice(index, 1);
+    return true;
+  }
+
+  private async propose(): Promise<void> {
+    const { orders, register, logger } = this.parts;
+    this.isProposing = true;
+    while (this.waiting.length > 0) {
+      const batch = this.waiting.splice(0, MAXIMUM_CHANGES);
+      const news = batch.filter((change) => register.isNews(change));
+      if (news.length === 0) continue;
+      try {
+        await orders.propose(news);
+        logger.info('crash evidence recorded', { changes: news.length, dropped: this.dropped });
+      } catch (error) {
+        // Gateways send what matters again, to another controller if this one is cut off.
+        logger.warn('crash evidence not recorded', {
+          changes: news.length,
+          reason: String(error),
+        });
+      }
+      this.dropped = 0;
+    }
+    this.isProposing = false;
+  }
+}
--- /dev/null
+++ b/src/quarantine/quarantine-register.ts
@@ -0,0 +1,236 @@
+/**
+ * The replicated register of requests under which replicas ended. A state machine section:
+ * every controller holds the same, and it outlives the loss of all power. Bounded: the entry
+ * unchanged for longest goes first, and quarantined ones go last.
+ */
+import { createAdapter } from '@most/adapter';
+import type { Stream } from '@most/types';
+import { MessageType } from '../consensus/message-type.js';
+import type { StateMachine } from '../consensus/replicated-log.js';
+import { VersionedTable } from '../control-stream/versioned-table.js';
+import {
+  MAXIMUM_ENTRIES,
+  QuarantineState,
+  isHeldAgainst,
+  joinReplicas,
+  judge,
+  type CrashEvidence,
+  type QuarantineEntry,
+} from './quarantine-entry.js';
+
+/** Most changes of one command. */
+export const MAXIMUM_CHANGES = 64;
+
+/** What a change says. */
+export enum QuarantineChangeKind {
+  /** Replicas ended under the request. */
+  Evidence = 'evidence',
+  /** A replica answered it. */
+  Answer = 'answer',
+  /** An operator wants it to be sent again. */
+  Lift = 'lift',
+}
+
+/** One change of the register. */
+export interface QuarantineChange extends CrashEvidence {
+  readonly kind: QuarantineChangeKind;
+}
+
+const REPLICA_SEPARATOR = '\n';
+
+const changeType = new MessageType('QuarantineChange', {
+  kind: 'string',
+  fingerprint: 'string',
+  description: 'string',
+  ended: 'string',
+  endedInTrial: 'string',
+});
+
+const entryType = new MessageType('QuarantineEntry', {
+  state: 'string',
+  revision: 'long',
+  fingerprint: 'string',
+  description: 'string',
+  ended: 'string',
+  endedInTrial: 'string',
+});
+
+const outcomeType = new MessageType('QuarantineOutcome', { changed: 'long' });
+
+function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
+
+/** Replica ids as one text; ids hold no line breaks, as they are parts of paths. */
+export function joinIds(ids: readonly string[]): string {
+  return ids.join(REPLICA_SEPARATOR);
+}
+
+/** What {@link joinIds} joined. */
+export function splitIds(text: string): string[] {
+  return text === '' ? [] : text.split(REPLICA_SEPARATOR);
+}
+
+/** The bytes of a command that makes the changes, in their order. */
+export function encodeQuarantineChanges(changes: readonly QuarantineChange[]): Uint8Array {
+  return changeType.encodeAll(
+    changes.map(({ ended, endedInTrial, ...change }) => ({
+      ...change,
+      ended: joinIds(ended),
+      endedInTrial: joinIds(endedInTrial),
+    })),
+  );
+}
+
+/** Reads what {@link QuarantineRegister.apply} returned: entries that were changed. */
+export function decodeQuarantineOutcome(result: Uint8Array): number {
+  return outcomeType.decode(asBuffer(result)).changed;
+}
+
+/** See the module comment. */
+export class QuarantineRegister implements StateMachine {
+  /** Emits after each change. */
+  readonly changes: Stream<void>;
+  private entries = new Map<string, QuarantineEntry>();
+  /** For subscribers, which each remember how far they have read. */
+  private readonly table = new VersionedTable<QuarantineEntry>(MAXIMUM_ENTRIES + 1);
+  private lastRevision = 0;
+  private readonly emit: (value: void) => void;
+
+  constructor() {
+    [this.emit, this.changes] = createAdapter<void>();
+  }
+
+  /** Position of the newest change, for {@link QuarantineRegister.changedAfter}. */
+  get position(): number {
+    return this.table.position;
+  }
+
+  changedAfter(position: number): QuarantineEntry[] {
+    return this.table.changedAfter(position);
+  }
+
+  find(fingerprint: string): QuarantineEntry | undefined {
+    return this.entries.get(fingerprint);
+  }
+
+  /** All that is remembered, the latest change last. */
+  all(): QuarantineEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** Whether the change would change anything; most repetitions need not be proposed. */
+  isNews(change: QuarantineChange): boolean {
+    return this.after(change) !== undefined;
+  }
+
+  apply(command: Uint8Array): Uint8Array {
+    let changed = 0;
+    for (const stored of changeType.decodeAll(asBuffer(command), MAXIMUM_CHANGES)) {
+      const change = {
+        ...stored,
+        kind: stored.kind as QuarantineChangeKind,
+        ended: splitIds(stored.ended),
+        endedInTrial: splitIds(stored.endedInTrial),
+      };
+      const after = this.after(change);
+      if (after === undefined) continue;
+      this.put(after);
+      changed += 1;
+    }
+    if (changed > 0) this.emit();
+    return outcomeType.encode({ changed });
+  }
+
+  snapshot(): Uint8Array {
+    const stored = this.all().map(({ ended, endedInTrial, ...entry }) => ({
+      ...entry,
+      ended: joinIds(ended),
+      endedInTrial: joinIds(endedInTrial),
+    }));
+    return entryType.encodeAll(stored);
+  }
+
+  restore(snapshot: Uint8Array): void {
+    this.entries = new Map();
+    this.lastRevision = 0;
+    for (const stored of entryType.decodeAll(asBuffer(snapshot), MAXIMUM_ENTRIES)) {
+      const entry = {
+        ...stored,
+        state: stored.state as QuarantineState,
+        ended: splitIds(stored.ended),
+        endedInTrial: splitIds(stored.endedInTrial),
+      };
+      this.entries.set(entry.fingerprint, entry);
+      this.table.put(entry.fingerprint, entry);
+      this.lastRevision = Math.max(this.lastRevision, entry.revision);
+    }
+    this.emit();
+  }
+
+  /** The entry after a change, without its revision; undefined when nothing changes. */
+  private after(change: QuarantineChange): Omit<QuarantineEntry, 'revision'> | undefined {
+    const known = this.entries.get(change.fingerprint);
+    switch (change.kind) {
+      case QuarantineChangeKind.Evidence:
+        return this.afterEvidence(change, known);
+      case QuarantineChangeKind.Answer:
+        return this.afterEnd(known, QuarantineState.Answered);
+      case QuarantineChangeKind.Lift:
+        return this.afterEnd(known, QuarantineState.Lifted);
+      default:
+        // Of a later version: it changes nothing here.
+        return undefined;
+    }
+  }
+
+  private afterEvidence(
+    { fingerprint, description, ended, endedInTrial }: QuarantineChange,
+    known: QuarantineEntry | undefined,
+  ): Omit<QuarantineEntry, 'revision'> | undefined {
+    const isNew = known === undefined || !isHeldAgainst(known.state);
+    // Told again, what was held against it before its end counts no more.
+    const excused = isNew ? (known?.ended ?? []) : [];
+    const before = isNew ? { ended: [], endedInTrial: [] } : known;
+    const fresh = ended.filter((id) => !excused.includes(id));
+    const freshInTrial = endedInTrial.filter((id) => !excused.includes(id));
+    const after = {
+      fingerprint,
+      description,
+      ended: joinReplicas(before.ended, fresh),
+      endedInTrial: joinReplicas(before.endedInTrial, freshInTrial),
+    };
+    const isMore =
+      after.ended.length > before.ended.length ||
+      after.endedInTrial.length > before.endedInTrial.length;
+    if (!isMore) return undefined;
+    return { ...after, state: judge(after.ended.length, after.endedInTrial.length) };
+  }
+
+  private afterEnd(
+    known: QuarantineEntry | undefined,
+    state: QuarantineState.Answered | QuarantineState.Lifted,
+  ): Omit<QuarantineEntry, 'revision'> | undefined {
+    if (known === undefined || !isHeldAgainst(known.state)) return undefined;
+    return { ...known, state };
+  }
+
+  private put(changed: Omit<QuarantineEntry, 'revision'>): void {
+    this.lastRevision += 1;
+    const entry = { ...changed, revision: this.lastRevision };
+    // Removed first, so that the map stays in the order of the changes.
+    this.entries.delete(entry.fingerprint);
+    this.entries.set(entry.fingerprint, entry);
+    this.table.put(entry.fingerprint, entry);
+    if (this.entries.size > MAXIMUM_ENTRIES) this.dropOldest();
+  }
+
+  private dropOldest(): void {
+    const entries = this.all();
+    const isSpared = ({ state }: QuarantineEntry): boolean => state === QuarantineState.Quarantined;
+    const oldest = entries.find((entry) => !isSpared(entry)) ?? entries[0];
+    if (oldest === undefined) return;
+    this.entries.delete(oldest.fingerprint);
+    this.table.remove(oldest.fingerprint);
+  }
+}
--- /dev/null
+++ b/src/quarantine/recent-map.ts
@@ -0,0 +1,33 @@
+/** A map of bounded size: past it, the entry that was set longest ago is dropped. */
+
+/** See the module comment. */
+export class RecentMap<K, V> {
+  private readonly entries = new Map<K, V>();
+
+  constructor(private readonly maximumEntries: number) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  get(key: K): V | undefined {
+    return this.entries.get(key);
+  }
+
+  set(key: K, value: V): void {
+    // Removed first, so that the map stays in the order of the calls.
+    this.entries.delete(key);
+    this.entries.set(key, value);
+    if (this.entries.size <= this.maximumEntries) return;
+    const [oldest] = this.entries.keys();
+    if (oldest !== undefined) this.entries.delete(oldest);
+  }
+
+  delete(key: K): void {
+    this.entries.delete(key);
+  }
+
+  values(): IterableIterator<V> {
+    return this.entries.values();
+  }
+}
--- a/test/administration/controllers.ts
+++ b/test/administration/controllers.ts
@@ -79,6 +79,7 @@
       log,
       machine: log.machine,
       evacuations: log.evacuationOrders,
+      quarantine: log.quarantineOrders,
       clock: this.clock,
       logger: SILENT_LOGGER,
       registry: this.registry,
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -4,11 +4,14 @@
   CommittedCommand,
   ReplicatedLog,
   ReplicatedLogStatus,
+  StateMachine,
 } from '../../src/consensus/replicated-log.js';
 import { SectionTag, SectionedStateMachine } from '../../src/consensus/sectioned-state-machine.js';
 import { DriftwayError, ErrorLabel } from '../../src/errors/driftway-error.js';
 import { EvacuationOrders } from '../../src/evacuations/evacuation-orders.js';
 import { EvacuationRegister } from '../../src/evacuations/evacuation-register.js';
+import { QuarantineOrders } from '../../src/quarantine/quarantine-orders.js';
+import { QuarantineRegister } from '../../src/quarantine/quarantine-register.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { ConfigurationStateMachine } from '../../src/settings/configuration-state-machine.js';
 
@@ -36,11 +39,16 @@
 export class MemoryLog implements ReplicatedLog {
   readonly machine = new ConfigurationStateMachine();
   readonly evacuations = new EvacuationRegister();
+  readonly quarantine = new QuarantineRegister();
+  readonly quarantineOrders: QuarantineOrders;
   /** Orders about zones, as a controller of two zones takes them. */
   readonly evacuationOrders: EvacuationOrders;
   private readonly state = new SectionedStateMachine(
     this.machine,
-    new Map([[SectionTag.Evacuations, this.evacuations]]),
+    new Map<SectionTag, StateMachine>([
+      [SectionTag.Evacuations, this.evacuations],
+      [SectionTag.Quarantine, this.quarantine],
+    ]),
   );
   readonly applied = empty();
   nextFault: ProposalFault | undefined;
@@ -51,6 +59,11 @@
     private readonly memberId: string,
     private readonly history: MemoryHistory,
   ) {
+    this.quarantineOrders = new QuarantineOrders({
+      log: this,
+      register: this.quarantine,
+      logger: SILENT_LOGGER,
+    });
     this.evacuationOrders = new EvacuationOrders({
       log: this,
       register: this.evacuations,
--- a/test/directory/directory-session.test.ts
+++ b/test/directory/directory-session.test.ts
@@ -7,6 +7,7 @@
 } from '../../src/directory/directory-session.js';
 import { FAR_DOCUMENT_DELAY_MS } from '../../src/directory/directory-timing.js';
 import { DirectoryKind, ReplicaDirectory } from '../../src/directory/replica-directory.js';
+import { QuarantineRegister } from '../../src/quarantine/quarantine-register.js';
 
 interface Parts {
   readonly simulation: Simulation;
@@ -25,6 +26,7 @@
     directory: new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats),
     document: () => ({ version: parts.version, content: new Uint8Array(0) }),
     evacuations: () => [],
+    quarantine: new QuarantineRegister(),
     controllers: () => [],
     ageMs: () => 0,
     ownZone: 'a',
--- a/test/operator/operator-commands.test.ts
+++ b/test/operator/operator-commands.test.ts
@@ -167,4 +167,27 @@
     const { code, stdout } = await fixture.run('evacuations', 'start', 'wakkanai');
     expect([code, stdout]).toEqual([0, 'Evacuated: wakkanai.\n']);
   });
+
+  it('list requests that are refused because replicas end under them, and lift that', async () => {
+    const none = await fixture.run('quarantine', 'list');
+    expect(none.stdout).toBe('No request is suspected or refused.\n');
+    await fixture.quarantine({
+      fingerprint: '3d60',
+      description: 'GET desk.example/q',
+      ended: ['a', 'b', 'c'],
+      endedInTrial: ['b', 'c'],
+    });
+    const list = await fixture.run('quarantine', 'list');
+    expect(list.stdout).toMatch(/3d60 +quarantined +3 +2 +GET desk.example\/q +a b c/);
+    const lifted = await fixture.run('quarantine', 'lift', '3d60');
+    expect(lifted).toMatchObject({ code: 0, stdout: 'No request is suspected or refused.\n' });
+    const again = await fixture.run('quarantine', 'lift', '3d60');
+    expect(again.code).toBe(OperatorExitCode.Success);
+  });
+
+  it('lift no request that is not known', async () => {
+    const { code, stderr } = await fixture.run('quarantine', 'lift', 'unknown');
+    expect(code).not.toBe(OperatorExitCode.Success);
+    expect(stderr).toMatch(/no request "unknown" is known[^]*Nothing was changed/);
+  });
 });
--- a/test/operator/operator-fixture.ts
+++ b/test/operator/operator-fixture.ts
@@ -19,6 +19,8 @@
 import type { Operation } from '../../src/settings/change.js';
 import { hashToken } from '../../src/settings/token-text.js';
 import { BOOTSTRAP_TOKEN } from '../administration/controllers.js';
+import type { CrashEvidence } from '../../src/quarantine/quarantine-entry.js';
+import { QuarantineChangeKind } from '../../src/quarantine/quarantine-register.js';
 import { MemoryHistory, type MemoryLog, type ProposalFault } from '../administration/memory-log.js';
 import { DOHOKU } from '../settings/fixtures.js';
 
@@ -130,11 +132,18 @@
     expect(code).toBe(OperatorExitCode.Success);
   }
 
+  /** Records replicas that ended under a request. */
+  async quarantine(evidence: CrashEvidence): Promise<void> {
+    const [log] = this.history.members;
+    await log?.quarantineOrders.propose([{ kind: QuarantineChangeKind.Evidence, ...evidence }]);
+  }
+
   private listen(log: MemoryLog): Promise<HttpListener> {
     const handler = createAdministrationHandler({
       log,
       machine: log.machine,
       evacuations: log.evacuationOrders,
+      quarantine: log.quarantineOrders,
       clock: new NodeClock(),
       logger: SILENT_LOGGER,
       registry: new Registry(),
--- a/test/quarantine/crashing-fleet.ts
+++ b/test/quarantine/crashing-fleet.ts
@@ -34,6 +34,9 @@
   /** Whether replicas stop work on a request whose connection was closed. */
   readonly dropsAbandoned?: boolean;
   readonly workMs?: number;
+  readonly seed?: number;
+  /** Of the replicas of a service, in turn. */
+  readonly zones?: readonly string[];
 }
 
 /** See the module comment. */
@@ -51,11 +54,14 @@
 
   /** A fleet whose replicas crash when they run a request to `target`. */
   static async start(target: string, options: CrashingFleetOptions): Promise<CrashingFleet> {
-    const harness = await GatewayHarness.start(7, options.gateways);
+    const harness = await GatewayHarness.start(options.seed ?? 7, options.gateways);
     const fleet = new CrashingFleet(harness, target, options);
     for (const service of options.services) {
       for (let copy = 0; copy < options.replicasPerService; copy += 1) {
-        fleet.adopt(await harness.addReplica(service, `${service} high`.padEnd(16, '.')));
+        const { zones = ['nayoro'] } = options;
+        const zone = zones[copy % zones.length];
+        const content = `${service} high`.padEnd(16, '.');
+        fleet.adopt(await harness.addReplica(service, content, zone));
       }
     }
     await harness.putRoutes([options.route]);
@@ -102,6 +108,13 @@
     return late;
   }
 
+  /** Ends the running replicas for which it holds, whatever they do; they come back as others. */
+  endReplicas(holds: (replica: ExchangeReplica) => boolean): void {
+    for (const replica of [...this.replicas.keys()]) {
+      if (this.harness.machineOf(replica).running && holds(replica)) this.end(replica);
+    }
+  }
+
   /** Lets a replica crash on the request, and come back as another one. */
   private adopt(replica: ExchangeReplica): void {
     replica.crashesOn = this.target;
@@ -113,9 +126,13 @@
   }
 
   private crash(replica: ExchangeReplica, { requestId }: ReplicaRun): void {
-    const { clock } = this.harness.group.operator.environment;
     const { replicaId } = replica.options;
     this.crashes.push({ requestId, replicaId, at: this.harness.simulation.now });
+    this.end(replica);
+  }
+
+  private end(replica: ExchangeReplica): void {
+    const { clock } = this.harness.group.operator.environment;
     this.harness.machineOf(replica).crash();
     clock.setTimer(RESTART_MS, () => this.adopt(this.harness.restartReplica(replica)));
   }
