Count the time for which a machine was suspended in every lease, deadline and age

Cause: the clock seam read the steady clock, which stands still while a machine is suspended, and so did the timers of the runtime: after a sleep of ten seconds a lease, a deadline or an age held for ten seconds too long. Reading the boot clock each time would cost system calls; a shift between the time of day and the steady clock tells when to look, and the boot clock tells whether the time of day was set instead. Overdue timers are set anew.

Ruled out: a clock by the time of day alone, which steps.

--- a/src/node/node-clock.ts
+++ b/src/node/node-clock.ts
@@ -1,19 +1,55 @@
-/** The clock of the operating system. */
+/**
+ * The clock of the operating system. Time for which the machine was suspended counts: in
+ * `now`, and for timers, which are set anew once it shows that some of them are overdue.
+ */
 import type { Clock, Timer } from '../seams/clock.js';
+import { SYSTEM_READINGS, SuspensionMeter, type ClockReadings } from './suspension-meter.js';
+
+/** How often the clock looks for a suspension while timers wait and nobody reads it. Milliseconds. */
+const WATCH_INTERVAL_MS = 250;
+
+/** A timer that has not run yet. */
+interface PendingTimer {
+  /** Reading of the clock. */
+  readonly dueAt: number;
+  readonly callback: () => void;
+  handle: NodeJS.Timeout;
+}
 
 /** Production {@link Clock}. */
 export class NodeClock implements Clock {
+  private readonly meter: SuspensionMeter;
+  private readonly pending = new Set<PendingTimer>();
+  private suspended = 0;
+  private watch: NodeJS.Timeout | undefined;
+
+  constructor(private readonly readings: ClockReadings = SYSTEM_READINGS) {
+    this.meter = new SuspensionMeter(readings);
+  }
+
   now(): number {
-    return performance.now();
+    const steady = this.readings.steady();
+    const suspended = this.meter.suspendedAt(steady);
+    if (suspended !== this.suspended) {
+      this.suspended = suspended;
+      this.resetTimers(steady + suspended);
+    }
+    return steady + suspended;
   }
 
   wallTime(): number {
-    return Date.now();
+    return this.readings.wall();
   }
 
   setTimer(milliseconds: number, callback: () => void): Timer {
-    const handle = setTimeout(callback, milliseconds);
-    return { cancel: () => clearTimeout(handle) };
+    this.startWatch();
+    const timer: PendingTimer = {
+      dueAt: this.now() + milliseconds,
+      callback,
+      handle: setTimeout(() => this.run(timer), milliseconds),
+    };
+    this.pending.add(timer);
+    return { cancel: () => this.cancel(timer) };
   }
 
   sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
@@ -23,14 +59,37 @@
         return;
       }
       const onAbort = (): void => {
-        clearTimeout(handle);
+        timer.cancel();
         reject(signal?.reason as Error);
       };
-      const handle = setTimeout(() => {
+      const timer = this.setTimer(milliseconds, () => {
         signal?.removeEventListener('abort', onAbort);
         resolve();
-      }, milliseconds);
+      });
       signal?.addEventListener('abort', onAbort, { once: true });
     });
   }
+
+  private run(timer: PendingTimer): void {
+    this.pending.delete(timer);
+    timer.callback();
+  }
+
+  private cancel(timer: PendingTimer): void {
+    this.pending.delete(timer);
+    clearTimeout(timer.handle);
+  }
+
+  /** The machine was suspended: timers of the runtime wait for that much too long. */
+  private resetTimers(now: number): void {
+    for (const timer of this.pending) {
+      clearTimeout(timer.handle);
+      const rest = Math.max(0, timer.dueAt - now);
+      timer.handle = setTimeout(() => this.run(timer), rest);
+    }
+  }
+
+  private startWatch(): void {
+    this.watch ??= setInterval(() => this.now(), WATCH_INTERVAL_MS).unref();
+  }
 }
