--- a/src/gateway/attempt-evidence.ts
+++ b/src/gateway/attempt-evidence.ts
@@ -31,10 +31,11 @@
 
 /** Takes in an attempt that has ended, also when its answer was not wanted any more. */
 export function noteEvidence(context: GatewayContext, attempt: EndedAttempt): void {
-  const { crashGuard, environment } = context;
+  const { crashGuard, environment, targets } = context;
   const { request, target, result, isTrial } = attempt;
   const { replicaId } = target.entry;
-  if (isConnectionLost(result)) {
+  // One that has said that it leaves ends on purpose.
+  if (isConnectionLost(result) && targets.isRegistered(target)) {
     crashGuard.noteReplicaLost(replicaId);
     if (isTrial) void endLostTrial(context, attempt);
     else crashGuard.noteEnded(watched(request), replicaId, false);
--- a/src/gateway/attempt-result.ts
+++ b/src/gateway/attempt-result.ts
@@ -33,8 +33,8 @@
   readonly reason: string;
 }
 
-/** Reason of a {@link BrokenAttempt} whose connection ended before any part of an answer. */
-export const CONNECTION_LOST = 'connection_lost';
+/** Reasons of a {@link BrokenAttempt} whose connection ended before the answer was whole. */
+const CONNECTION_ENDED: ReadonlySet<string> = new Set(['connection_lost', 'response_truncated']);
 
 /** Given up by the gateway; the request may have run. */
 export interface CancelledAttempt {
@@ -56,5 +56,5 @@
 
 /** Whether the replica may have ended under the attempt. */
 export function isConnectionLost(result: AttemptResult): boolean {
-  return result.kind === 'broken' && result.reason === CONNECTION_LOST;
+  return result.kind === 'broken' && CONNECTION_ENDED.has(result.reason);
 }
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -5,7 +5,6 @@
 import type { Telemetry } from '../observability/telemetry.js';
 import type { Environment } from '../seams/environment.js';
 import { CrashGuard } from '../quarantine/crash-guard.js';
-import { QuarantineMetrics } from '../quarantine/quarantine-metrics.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import { AnswerMargin } from './answer-margin.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
@@ -41,7 +40,8 @@
   const { environment, headers, telemetry, directory, mechanisms, placement } = options;
   const { regions, secondSends, countGateways } = options;
   const { clock, random } = environment;
-  const decisions = new RequestDecisions(clock, new DecisionLog(clock, telemetry.logger));
+  const decisionLog = new DecisionLog(clock, telemetry.logger);
+  const decisions = new RequestDecisions(clock, decisionLog);
   const metrics = new GatewayMetrics(telemetry.registry);
   const noteUnreadable = (report: UnreadableReport): void => {
     metrics.unreadableReports.inc();
@@ -49,8 +49,8 @@
   };
   const crashGuard = new CrashGuard({
     clock,
-    logger: telemetry.logger,
-    metrics: new QuarantineMetrics(telemetry.registry),
+    log: decisionLog,
+    registry: telemetry.registry,
     send: options.reportEvidence,
     isOn: mechanisms.quarantine,
     hasTrials: mechanisms.crashTrials,
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -58,6 +58,11 @@
     for (const { usable } of this.groups.values()) yield* usable;
   }
 
+  /** Whether the replica is registered and has not said that it leaves; one that crashed says nothing. */
+  isRegistered({ entry }: ReplicaTarget): boolean {
+    return this.byId.has(entry.replicaId);
+  }
+
   /** Replicas that may get new work, of all services. */
   get size(): number {
     return this.usableCount;
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -33,6 +33,8 @@
   NotRead = 'request not read',
   /** A replica may have ended under it; also when its answer was not wanted any more. */
   ConnectionLost = 'connection lost under a request',
+  /** A request is suspected to end replicas, refused for it, or not any more. */
+  QuarantineChanged = 'quarantine of a request changed',
   UnreadableReport = 'load report not understood',
 }
 
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -5,7 +5,8 @@
  * suspected, and sent to one replica at a time. An answer clears it; when replicas end under
  * it in such trials as well, every gateway refuses it until an operator lifts that.
  */
-import type { Logger } from '../observability/logger.js';
+import type { Registry } from 'prom-client';
+import { DecisionKind, type DecisionLog } from '../observability/decision-log.js';
 import type { Clock } from '../seams/clock.js';
 import {
   AbandonedAttempts,
@@ -23,7 +24,11 @@
   type CrashEvidence,
   type QuarantineEntry,
 } from './quarantine-entry.js';
-import type { QuarantineMetrics, TrialResult } from './quarantine-metrics.js';
+import {
+  QuarantineMetrics,
+  type QuarantineCounts,
+  type TrialResult,
+} from './quarantine-metrics.js';
 import { QuarantineChangeKind } from './quarantine-register.js';
 import { RecentMap } from './recent-map.js';
 import { TrialTurns } from './trial-turns.js';
@@ -52,8 +57,8 @@
 /** What the guard works with. */
 export interface CrashGuardParts extends EvidenceReporterParts {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: QuarantineMetrics;
+  readonly log: DecisionLog;
+  readonly registry: Registry;
   /** False lets every request pass. */
   readonly isOn: boolean;
   /** False quarantines a request as soon as it is suspected, without a trial. */
@@ -70,10 +75,12 @@
   private readonly abandoned: AbandonedAttempts;
   private readonly turns = new TrialTurns();
   private readonly reporter: EvidenceReporter;
+  private readonly metrics: QuarantineMetrics;
 
   constructor(private readonly parts: CrashGuardParts) {
     this.abandoned = new AbandonedAttempts(parts.clock);
     this.reporter = new EvidenceReporter(parts);
+    this.metrics = new QuarantineMetrics(parts.registry, () => this.count());
   }
 
   /** What is known of a request: suspected, quarantined, or neither, which is `Observed`. */
@@ -131,13 +138,13 @@
 
   /** A trial is over. What ended under it is told before, by {@link CrashGuard.noteEnded}. */
   endTrial(fingerprint: string, result: TrialResult): void {
-    this.parts.metrics.trials.inc({ result });
+    this.metrics.trials.inc({ result });
     this.turns.end(fingerprint);
   }
 
   /** A quarantined request came, and was refused. */
   noteRefusal(): void {
-    this.parts.metrics.refused.inc();
+    this.metrics.refused.inc();
   }
 
   /** A trial that was admitted was not sent, and whoever it was does not wait for news. */
@@ -153,7 +160,6 @@
     const isHeld = agreed !== undefined && isHeldAgainst(agreed.state);
     if (!isHeld && this.seen.get(fingerprint) === undefined) return;
     this.clear(fingerprint);
-    this.refreshGauges();
     this.turns.wake(fingerprint);
   }
 
@@ -241,27 +247,27 @@
   private logChange(before: QuarantineState, { fingerprint, ...evidence }: CrashEvidence): void {
     const after = this.stateOf(fingerprint);
     if (after === before) return;
-    this.refreshGauges();
     const { description, ended, endedInTrial } = evidence;
-    this.parts.logger.info('quarantine of a request changed', {
+    this.parts.log.write(DecisionKind.QuarantineChanged, () => ({
       fingerprint,
       request: description,
       before,
       after,
       ended: ended.join(' '),
       endedInTrial: endedInTrial.join(' '),
-    });
+    }));
   }
 
-  private refreshGauges(): void {
-    const { metrics } = this.parts;
+  private count(): QuarantineCounts {
     const known = new Set<string>();
     for (const { fingerprint } of this.seen.values()) known.add(fingerprint);
     for (const { fingerprint } of this.agreed.values()) known.add(fingerprint);
     const states = [...known].map((fingerprint) => this.stateOf(fingerprint));
-    const count = (wanted: QuarantineState): number =>
+    const countOf = (wanted: QuarantineState): number =>
       states.filter((state) => state === wanted).length;
-    metrics.suspected.set(count(QuarantineState.Suspected));
-    metrics.quarantined.set(count(QuarantineState.Quarantined));
+    return {
+      suspected: countOf(QuarantineState.Suspected),
+      quarantined: countOf(QuarantineState.Quarantined),
+    };
   }
 }
--- a/src/quarantine/quarantine-metrics.ts
+++ b/src/quarantine/quarantine-metrics.ts
@@ -9,14 +9,19 @@
   Undecided = 'undecided',
 }
 
+/** Requests that are held against at the moment. */
+export interface QuarantineCounts {
+  readonly suspected: number;
+  readonly quarantined: number;
+}
+
 /** See the module comment. */
 export class QuarantineMetrics {
   readonly refused: Counter;
   readonly trials: Counter<'result'>;
-  readonly suspected: Gauge;
-  readonly quarantined: Gauge;
 
-  constructor(registry: Registry) {
+  /** `count` is asked when the figures are read, as it looks at all requests that are remembered. */
+  constructor(registry: Registry, count: () => QuarantineCounts) {
     const registers = [registry];
     this.refused = new Counter({
       name: 'driftway_gateway_quarantine_refusals_total',
@@ -29,15 +34,21 @@
       labelNames: ['result'],
       registers,
     });
-    this.suspected = new Gauge({
+    new Gauge({
       name: 'driftway_gateway_suspected_requests',
       help: 'Requests that are tried on one replica alone before others get them.',
       registers,
+      collect() {
+        this.set(count().suspected);
+      },
     });
-    this.quarantined = new Gauge({
+    new Gauge({
       name: 'driftway_gateway_quarantined_requests',
       help: 'Requests that are refused because replicas end under them.',
       registers,
+      collect() {
+        this.set(count().quarantined);
+      },
     });
   }
 }
--- a/test/quarantine/crash-guard.test.ts
+++ b/test/quarantine/crash-guard.test.ts
@@ -1,9 +1,10 @@
 import { Registry } from 'prom-client';
 import { describe, expect, it, vi } from 'vitest';
+import { DecisionLog } from '../../src/observability/decision-log.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { Admission, CrashGuard } from '../../src/quarantine/crash-guard.js';
 import { QuarantineState, type QuarantineEntry } from '../../src/quarantine/quarantine-entry.js';
-import { QuarantineMetrics, TrialResult } from '../../src/quarantine/quarantine-metrics.js';
+import { TrialResult } from '../../src/quarantine/quarantine-metrics.js';
 import {
   QuarantineChangeKind,
   type QuarantineChange,
@@ -24,8 +25,8 @@
   const sent: QuarantineChange[] = [];
   const guard = new CrashGuard({
     clock,
-    logger: SILENT_LOGGER,
-    metrics: new QuarantineMetrics(new Registry()),
+    log: new DecisionLog(clock, SILENT_LOGGER),
+    registry: new Registry(),
     send: (change) => {
       if (isFollowed) sent.push(change);
       return isFollowed;
--- a/test/quarantine/crashing-fleet.ts
+++ b/test/quarantine/crashing-fleet.ts
@@ -44,6 +44,7 @@
   readonly crashes: Crash[] = [];
   /** Those that ended, and those that run, with what to add to their clocks for the simulation's time. */
   readonly replicas = new Map<ExchangeReplica, number>();
+  private readonly ended = new Set<ExchangeReplica>();
   private calls = 0;
 
   private constructor(
@@ -108,10 +109,15 @@
     return late;
   }
 
+  /** Replicas that have not ended. */
+  running(): ExchangeReplica[] {
+    return [...this.replicas.keys()].filter((replica) => !this.ended.has(replica));
+  }
+
   /** Ends the running replicas for which it holds, whatever they do; they come back as others. */
   endReplicas(holds: (replica: ExchangeReplica) => boolean): void {
-    for (const replica of [...this.replicas.keys()]) {
-      if (this.harness.machineOf(replica).running && holds(replica)) this.end(replica);
+    for (const replica of this.running()) {
+      if (holds(replica)) this.end(replica);
     }
   }
 
@@ -133,6 +139,7 @@
 
   private end(replica: ExchangeReplica): void {
     const { clock } = this.harness.group.operator.environment;
+    this.ended.add(replica);
     this.harness.machineOf(replica).crash();
     clock.setTimer(RESTART_MS, () => this.adopt(this.harness.restartReplica(replica)));
   }
--- a/test/quarantine/innocent-requests.test.ts
+++ b/test/quarantine/innocent-requests.test.ts
@@ -140,6 +140,22 @@
     }
   });
 
+  it('are not suspected when replicas that leave end with them in flight', async () => {
+    const fleet = await CrashingFleet.start('/q/crash', { ...options, workMs: 3_000 });
+    for (let round = 0; round < 4; round += 1) {
+      const sent = fleet.send({ path: '/q/same', deadlineMs: 2_000 });
+      await fleet.harness.simulation.runFor(10);
+      const busy = fleet.running().filter(({ runs }) => runs.length > 0);
+      await fleet.harness.simulation.settle(Promise.all(busy.map((replica) => replica.drain())));
+      fleet.endReplicas((replica) => busy.includes(replica));
+      expect((await fleet.harness.simulation.settle(sent)).status).not.toBe(QUARANTINED);
+      await fleet.harness.simulation.runFor(BACK_MS);
+    }
+    const { group } = fleet.harness;
+    const { body } = await group.call(group.machineAt(0), 'GET', '/v1/quarantine');
+    expect(Buffer.from(body).toString('utf8')).toBe('{"requests":[]}');
+  });
+
   it('are served again at once after all their connections were lost for a while', async () => {
     const fleet = await CrashingFleet.start('/q/crash', options);
     for (const replica of fleet.replicas.keys()) replica.behaviour = ReplicaBehaviour.LoseAnswer;
