--- a/src/explain/request-story.ts
+++ b/src/explain/request-story.ts
@@ -15,8 +15,13 @@
 ]);
 /** Lines of controllers about a replica. */
 const REPLICA_MESSAGES: ReadonlySet<string> = new Set(['replica registered', 'replica left']);
+/** Lines of gateways about a request under which replicas ended. */
+const QUARANTINE_MESSAGES: ReadonlySet<string> = new Set([
+  'quarantine of a request changed',
+  'connection lost under a request',
+]);
 /** Facts that tell lines of one kind about different things apart. */
-const SUBJECT_FACTS = ['controller', 'replicaId'] as const;
+const SUBJECT_FACTS = ['controller', 'replicaId', 'fingerprint'] as const;
 const ATTEMPT_LISTS = ['attempts', 'missingAttempts'] as const;
 
 /** One sending of the request, as the line about it shows it. */
@@ -60,6 +65,10 @@
 function isBelief(line: LoggedLine, own: LoggedLine, replicas: ReadonlySet<string>): boolean {
   if (line.time > own.time) return false;
   if (BELIEF_MESSAGES.has(line.message)) return line.context['gateway'] === own.context['gateway'];
+  if (QUARANTINE_MESSAGES.has(line.message)) {
+    const fingerprint = factOf(own, 'fingerprint');
+    return fingerprint !== undefined && factOf(line, 'fingerprint') === fingerprint;
+  }
   return REPLICA_MESSAGES.has(line.message) && replicas.has(factOf(line, 'replicaId') ?? '');
 }
 
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -73,12 +73,13 @@
   private readonly agreed = new RecentMap<string, QuarantineEntry>(MAXIMUM_ENTRIES);
   private readonly answeredAt = new RecentMap<string, number>(MAXIMUM_ANSWERS);
   private readonly abandoned: AbandonedAttempts;
-  private readonly turns = new TrialTurns();
+  private readonly turns: TrialTurns;
   private readonly reporter: EvidenceReporter;
   private readonly metrics: QuarantineMetrics;
 
   constructor(private readonly parts: CrashGuardParts) {
     this.abandoned = new AbandonedAttempts(parts.clock);
+    this.turns = new TrialTurns(parts.clock);
     this.reporter = new EvidenceReporter(parts);
     this.metrics = new QuarantineMetrics(parts.registry, () => this.count());
   }
--- a/test/explain/explain-request.test.ts
+++ b/test/explain/explain-request.test.ts
@@ -37,6 +37,30 @@
   }),
   line(2_540, 'shards gathered for another gateway', { gateway: 'g-2', requestId: 'divided' }),
   line(2_600, 'request refused', { gateway: 'g-1', requestId: 'other', omitted: 12 }),
+  line(2_610, 'connection lost under a request', {
+    gateway: 'g-2',
+    requestId: 'earlier',
+    fingerprint: '3d60',
+    replicaId: 'i-7',
+  }),
+  line(2_620, 'quarantine of a request changed', {
+    gateway: 'g-1',
+    fingerprint: '3d60',
+    after: 'quarantined',
+    ended: 'i-7 i-8 i-9',
+  }),
+  line(2_630, 'quarantine of a request changed', {
+    gateway: 'g-1',
+    fingerprint: 'other',
+    after: 'suspected',
+  }),
+  line(2_700, 'request not forwarded', {
+    gateway: 'g-1',
+    requestId: 'refused',
+    fingerprint: '3d60',
+    refusal: 'quarantined',
+    status: 429,
+  }),
   '{"broken',
 ].join('\n');
 
@@ -69,6 +93,14 @@
     expect(output).not.toContain('controller lost');
   });
 
+  it('tells under which sendings of the same request replicas ended', async () => {
+    const { output } = await explain('refused');
+    expect(output).toContain('status=429');
+    expect(output).toMatch(/80 ms before: quarantine of a request changed .*after=quarantined/);
+    expect(output).toMatch(/90 ms before: connection lost under a request .*replicaId=i-7/);
+    expect(output).not.toContain('after=suspected');
+  });
+
   it('gives the same as JSON', async () => {
     const { output } = await explain('mine', '--json');
     expect(JSON.parse(output)).toMatchObject({
--- a/test/quarantine/innocent-requests.test.ts
+++ b/test/quarantine/innocent-requests.test.ts
@@ -156,6 +156,18 @@
     expect(Buffer.from(body).toString('utf8')).toBe('{"requests":[]}');
   });
 
+  it('do not wait for long behind one that hangs after a loss', async () => {
+    const fleet = await CrashingFleet.start('/q/crash', options);
+    const [hanging] = fleet.running();
+    const sent = fleet.send({ path: '/q/same' });
+    await fleet.harness.simulation.runFor(10);
+    fleet.endReplicas((replica) => replica !== hanging && replica.runs.length > 0);
+    if (hanging !== undefined) hanging.workMs = 10_000;
+    await fleet.harness.simulation.settle(sent);
+    const statuses = await statusesOf(fleet, Array<string>(8).fill('/q/same'));
+    expect(countOf(statuses, 200)).toBe(statuses.length);
+  });
+
   it('are served again at once after all their connections were lost for a while', async () => {
     const fleet = await CrashingFleet.start('/q/crash', options);
     for (const replica of fleet.replicas.keys()) replica.behaviour = ReplicaBehaviour.LoseAnswer;
