--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -14,33 +14,17 @@
   type WatchedRequest,
 } from './abandoned-attempts.js';
 import { EvidenceReporter, type EvidenceReporterParts } from './evidence-reporter.js';
+import { CrashKnowledge } from './crash-knowledge.js';
 import {
-  MAXIMUM_ENTRIES,
   QuarantineState,
   isHeldAgainst,
-  joinReplicas,
-  judge,
-  judgeWithoutTrials,
   type CrashEvidence,
   type QuarantineEntry,
 } from './quarantine-entry.js';
-import {
-  QuarantineMetrics,
-  type QuarantineCounts,
-  type TrialResult,
-} from './quarantine-metrics.js';
+import { QuarantineMetrics, type TrialResult } from './quarantine-metrics.js';
 import { QuarantineChangeKind } from './quarantine-register.js';
-import { RecentMap } from './recent-map.js';
 import { TrialTurns } from './trial-turns.js';
 
-/**
- * An answer so long ago still speaks for the request: the parts of one request to many shards
- * end within this time of each other. Milliseconds.
- */
-const ANSWER_COUNTS_MS = 2_000;
-/** Answers that are remembered. */
-const MAXIMUM_ANSWERS = 4_096;
-
 /** Evidence that names no replica. */
 const NO_EVIDENCE = { description: '', ended: [], endedInTrial: [] };
 
@@ -67,40 +51,23 @@
 
 /** See the module comment. */
 export class CrashGuard {
-  /** What this gateway saw and the controllers have not confirmed. */
-  private readonly seen = new RecentMap<string, CrashEvidence>(MAXIMUM_ENTRIES);
-  /** What the controllers agreed on. */
-  private readonly agreed = new RecentMap<string, QuarantineEntry>(MAXIMUM_ENTRIES);
-  private readonly answeredAt = new RecentMap<string, number>(MAXIMUM_ANSWERS);
+  private readonly knowledge: CrashKnowledge;
   private readonly abandoned: AbandonedAttempts;
   private readonly turns: TrialTurns;
   private readonly reporter: EvidenceReporter;
   private readonly metrics: QuarantineMetrics;
 
   constructor(private readonly parts: CrashGuardParts) {
+    this.knowledge = new CrashKnowledge(parts.clock, parts.hasTrials);
     this.abandoned = new AbandonedAttempts(parts.clock);
     this.turns = new TrialTurns(parts.clock);
     this.reporter = new EvidenceReporter(parts);
-    this.metrics = new QuarantineMetrics(parts.registry, () => this.count());
+    this.metrics = new QuarantineMetrics(parts.registry, () => this.knowledge.count());
   }
 
   /** What is known of a request: suspected, quarantined, or neither, which is `Observed`. */
   stateOf(fingerprint: string): QuarantineState {
-    const seen = this.seen.get(fingerprint);
-    const agreed = this.agreed.get(fingerprint);
-    if (!this.parts.isOn || (seen === undefined && agreed === undefined)) {
-      return QuarantineState.Observed;
-    }
-    const isAgreed = agreed !== undefined && isHeldAgainst(agreed.state);
-    if (isAgreed && agreed.state === QuarantineState.Quarantined) return agreed.state;
-    const known = isAgreed ? agreed : undefined;
-    const state = this.judge(
-      joinReplicas(known?.ended ?? [], seen?.ended ?? []).length,
-      joinReplicas(known?.endedInTrial ?? [], seen?.endedInTrial ?? []).length,
-    );
-    // A trial costs a request that is tried again nothing, so here the first loss is enough.
-    const isSeen = seen !== undefined && this.parts.hasTrials;
-    return isSeen && state === QuarantineState.Observed ? QuarantineState.Suspected : state;
+    return this.parts.isOn ? this.knowledge.stateOf(fingerprint) : QuarantineState.Observed;
   }
 
   isQuarantined(fingerprint: string): boolean {
@@ -156,28 +123,19 @@
 
   /** A replica ran the request and answered: it does not crash each replica that runs it. */
   noteAnswer(fingerprint: string): void {
-    this.answeredAt.set(fingerprint, this.parts.clock.now());
-    const agreed = this.agreed.get(fingerprint);
-    const isHeld = agreed !== undefined && isHeldAgainst(agreed.state);
-    if (!isHeld && this.seen.get(fingerprint) === undefined) return;
+    this.knowledge.noteAnswer(fingerprint);
+    if (!this.knowledge.has(fingerprint)) return;
     this.clear(fingerprint);
     this.turns.wake(fingerprint);
   }
 
   /** The replica ended, or may have, while it had the request. */
   noteEnded(request: WatchedRequest, replicaId: string, isTrial: boolean): void {
-    const { fingerprint, description } = request;
-    if (!this.parts.isOn || this.hasRecentAnswer(fingerprint)) return;
+    const { fingerprint } = request;
+    if (!this.parts.isOn || this.knowledge.hasRecentAnswer(fingerprint)) return;
     const before = this.stateOf(fingerprint);
-    const seen = this.seen.get(fingerprint);
-    const evidence = {
-      fingerprint,
-      description,
-      ended: joinReplicas(seen?.ended ?? [], [replicaId]),
-      endedInTrial: joinReplicas(seen?.endedInTrial ?? [], isTrial ? [replicaId] : []),
-    };
-    this.seen.set(fingerprint, evidence);
-    this.report(QuarantineChangeKind.Evidence, evidence);
+    const evidence = this.knowledge.noteEnded(request, replicaId, isTrial);
+    this.reporter.report({ kind: QuarantineChangeKind.Evidence, ...evidence });
     this.logChange(before, evidence);
   }
 
@@ -195,54 +153,23 @@
 
   /** Takes what the controllers agreed on; older word than is known changes nothing. */
   take(entry: QuarantineEntry): void {
-    const { fingerprint, state, revision } = entry;
-    const known = this.agreed.get(fingerprint);
-    if (known !== undefined && known.revision >= revision) return;
+    const { fingerprint, state } = entry;
     const before = this.stateOf(fingerprint);
-    this.agreed.set(fingerprint, entry);
-    if (!isHeldAgainst(state)) {
-      this.seen.delete(fingerprint);
-      this.reporter.settle(fingerprint);
-    } else if (this.hasRecentAnswer(fingerprint)) {
-      this.clear(fingerprint);
-    } else if (this.holdsAllSeen(entry)) {
-      this.reporter.settle(fingerprint);
-    }
+    if (!this.knowledge.take(entry)) return;
+    const isSettled = !isHeldAgainst(state) || this.knowledge.isAllAgreed(fingerprint);
+    if (isSettled) this.reporter.settle(fingerprint);
+    if (this.knowledge.hasRecentAnswer(fingerprint)) this.clear(fingerprint);
     this.logChange(before, entry);
     this.turns.wake(fingerprint);
   }
 
-  private hasRecentAnswer(fingerprint: string): boolean {
-    const answeredAt = this.answeredAt.get(fingerprint) ?? -Infinity;
-    return this.parts.clock.now() - answeredAt < ANSWER_COUNTS_MS;
-  }
-
   /** Nothing is held against the request any more; controllers are told if they may know of it. */
   private clear(fingerprint: string): void {
-    const agreed = this.agreed.get(fingerprint);
-    const isHeld = agreed !== undefined && isHeldAgainst(agreed.state);
-    const wasTold = isHeld || this.reporter.hasTold(fingerprint);
-    this.seen.delete(fingerprint);
+    const wasTold = this.knowledge.isAgreed(fingerprint) || this.reporter.hasTold(fingerprint);
+    this.knowledge.clear(fingerprint);
     this.reporter.settle(fingerprint);
-    if (isHeld) this.agreed.set(fingerprint, { ...agreed, state: QuarantineState.Answered });
-    if (wasTold) this.report(QuarantineChangeKind.Answer, { ...NO_EVIDENCE, fingerprint });
-  }
-
-  private judge(ended: number, endedInTrial: number): QuarantineState {
-    return this.parts.hasTrials ? judge(ended, endedInTrial) : judgeWithoutTrials(ended);
-  }
-
-  private holdsAllSeen(entry: QuarantineEntry): boolean {
-    const seen = this.seen.get(entry.fingerprint);
-    if (seen === undefined) return true;
-    return (
-      joinReplicas(entry.ended, seen.ended).length === entry.ended.length &&
-      joinReplicas(entry.endedInTrial, seen.endedInTrial).length === entry.endedInTrial.length
-    );
-  }
-
-  private report(kind: QuarantineChangeKind, evidence: CrashEvidence): void {
-    this.reporter.report({ kind, ...evidence });
+    if (!wasTold) return;
+    this.reporter.report({ kind: QuarantineChangeKind.Answer, fingerprint, ...NO_EVIDENCE });
   }
 
   private logChange(before: QuarantineState, { fingerprint, ...evidence }: CrashEvidence): void {
@@ -258,17 +185,4 @@
       endedInTrial: endedInTrial.join(' '),
     }));
   }
-
-  private count(): QuarantineCounts {
-    const known = new Set<string>();
-    for (const { fingerprint } of this.seen.values()) known.add(fingerprint);
-    for (const { fingerprint } of this.agreed.values()) known.add(fingerprint);
-    const states = [...known].map((fingerprint) => this.stateOf(fingerprint));
-    const countOf = (wanted: QuarantineState): number =>
-      states.filter((state) => state === wanted).length;
-    return {
-      suspected: countOf(QuarantineState.Suspected),
-      quarantined: countOf(QuarantineState.Quarantined),
-    };
-  }
 }
