Rely on the boot clock only where it goes like the steady one

Ruled out: reading the boot clock only when the time of day shifts (that is when it did harm).

The two clocks are compared every second. One that goes at another rate is not read again, and suspension is then not counted; one that agreed five times is believed also against a time of day that was set meanwhile.

--- a/src/node/suspension-meter.ts
+++ b/src/node/suspension-meter.ts
@@ -29,45 +29,76 @@
  * machine was suspended, and the boot clock tells which. Milliseconds.
  */
 const SUSPICIOUS_SHIFT_MS = 20;
-/** The boot clock counts in hundredths of a second; less than a few of them is no suspension. Milliseconds. */
-const SHORTEST_SUSPENSION_MS = 40;
+/** The boot clock counts in hundredths of a second; less than a few of them is no shift. Milliseconds. */
+const RESOLUTION_MS = 40;
+/**
+ * How often the boot clock is compared with the steady one, to know whether it can be relied
+ * on: under emulation it may be another machine's. Milliseconds.
+ */
+const COMPARE_INTERVAL_MS = 1_000;
+/** Comparisons in which both went alike before the boot clock is believed against the time of day. */
+const COMPARISONS_TO_TRUST = 5;
 /** Readings between which the process did not run for so long are taken again. Milliseconds. */
 const LONGEST_READING_MS = 5;
 const MAXIMUM_READINGS = 5;
 
+/** How far the other clocks are from the steady one. */
+interface Offsets {
+  readonly steady: number;
+  readonly wall: number;
+  readonly boot: number;
+}
+
 /** See the module comment. */
 export class SuspensionMeter {
   private suspended = 0;
-  /** Time of day over the steady clock when they were last compared. */
-  private wallOffset: number;
-  /** Boot clock over the steady clock at the start. */
-  private readonly bootOffset: number;
+  private last: Offsets;
+  /** Comparisons in a row in which the boot clock went like the steady one. */
+  private agreements = 0;
+  private isBootClockUsable = true;
 
   constructor(private readonly readings: ClockReadings) {
-    this.wallOffset = readings.wall() - readings.steady();
-    this.bootOffset = this.readBootOffset();
+    this.last = this.readOffsets();
   }
 
   /** Suspended since the start, as far as it shows at the reading `steady` of the steady clock. Never shrinks. */
   suspendedAt(steady: number): number {
-    const wallOffset = this.readings.wall() - steady;
-    if (Math.abs(wallOffset - this.wallOffset) < SUSPICIOUS_SHIFT_MS) return this.suspended;
-    this.wallOffset = wallOffset;
-    const measured = this.readBootOffset() - this.bootOffset;
-    if (measured - this.suspended > SHORTEST_SUSPENSION_MS) this.suspended = measured;
+    if (!this.isBootClockUsable) return this.suspended;
+    const wallShift = this.readings.wall() - steady - this.last.wall;
+    const isSuspicious = Math.abs(wallShift) > SUSPICIOUS_SHIFT_MS;
+    const isDue = steady - this.last.steady > COMPARE_INTERVAL_MS;
+    if (isSuspicious || isDue) this.compare();
     return this.suspended;
   }
 
-  /** The smallest of a few: a process that does not run between two readings makes it greater. */
-  private readBootOffset(): number {
+  private compare(): void {
+    const before = this.last;
+    this.last = this.readOffsets();
+    const bootShift = this.last.boot - before.boot;
+    const wallShift = this.last.wall - before.wall;
+    if (Math.abs(bootShift) <= RESOLUTION_MS) {
+      const isWhole = this.last.steady - before.steady > COMPARE_INTERVAL_MS;
+      if (isWhole) this.agreements += 1;
+      return;
+    }
+    const isSeenTwice = Math.abs(bootShift - wallShift) <= RESOLUTION_MS;
+    const wasSet = Math.abs(wallShift) > RESOLUTION_MS;
+    const isTrusted = this.agreements >= COMPARISONS_TO_TRUST;
+    // The time of day saw the same, or was itself set while a trusted boot clock went on.
+    if (bootShift > 0 && (isSeenTwice || (wasSet && isTrusted))) this.suspended += bootShift;
+    else this.isBootClockUsable = false;
+  }
+
+  /** Those of the reading of the boot clock that was held up the least. */
+  private readOffsets(): Offsets {
     const { readings } = this;
-    let smallest = Infinity;
+    let boot = Infinity;
     for (let reading = 0; reading < MAXIMUM_READINGS; reading += 1) {
       const before = readings.steady();
-      const offset = readings.boot() - before;
-      smallest = Math.min(smallest, offset);
+      boot = Math.min(boot, readings.boot() - before);
       if (readings.steady() - before < LONGEST_READING_MS) break;
     }
-    return smallest;
+    const steady = readings.steady();
+    return { steady, wall: readings.wall() - steady, boot };
   }
 }
--- a/test/node/node-clock.test.ts
+++ b/test/node/node-clock.test.ts
@@ -10,6 +10,8 @@
   private steadyMs = 5;
   private wallMs = 1_000_000;
   private bootMs = 70_000;
+  /** Milliseconds that the boot clock counts in one. */
+  bootRate = 1;
 
   steady(): number {
     return this.steadyMs;
@@ -31,7 +33,7 @@
 
   suspend(milliseconds: number): void {
     this.wallMs += milliseconds;
-    this.bootMs += milliseconds;
+    this.bootMs += milliseconds * this.bootRate;
   }
 
   setWall(milliseconds: number): void {
@@ -80,6 +82,10 @@
 
   it('counts a suspension during which the time of day was set', () => {
     const { clock, readings } = createClock();
+    for (let second = 0; second < 10; second += 1) {
+      readings.pass(1_100);
+      clock.now();
+    }
     const before = clock.now();
     readings.suspend(4_000);
     readings.setWall(-9_000);
@@ -99,6 +105,22 @@
     }
   });
 
+  it.each([
+    ['another machine', 1.7],
+    ['a slower one', 0.4],
+    ['one that stands still', 0],
+  ])('does not follow the uptime of %s, whatever the time of day does', (_, rate) => {
+    const { clock, readings } = createClock();
+    readings.bootRate = rate;
+    const before = clock.now();
+    for (let second = 0; second < 20; second += 1) {
+      readings.pass(900);
+      readings.setWall(second % 4 === 0 ? 2_000 : -500);
+      clock.now();
+    }
+    expect(clock.now() - before).toBeCloseTo(20 * 900);
+  });
+
   it('runs timers that fell due meanwhile, once', async () => {
     const { clock, readings } = createClock();
     const slept = clock.sleep(LONG_MS);
