--- a/src/node/node-clock.ts
+++ b/src/node/node-clock.ts
@@ -71,13 +71,13 @@
   }
 
   private run(timer: PendingTimer): void {
-    this.pending.delete(timer);
+    this.remove(timer);
     timer.callback();
   }
 
   private cancel(timer: PendingTimer): void {
-    this.pending.delete(timer);
     clearTimeout(timer.handle);
+    this.remove(timer);
   }
 
   /** The machine was suspended: timers of the runtime wait for that much too long. */
@@ -89,6 +89,13 @@
     }
   }
 
+  private remove(timer: PendingTimer): void {
+    this.pending.delete(timer);
+    if (this.pending.size > 0) return;
+    clearInterval(this.watch);
+    this.watch = undefined;
+  }
+
   private startWatch(): void {
     this.watch ??= setInterval(() => this.now(), WATCH_INTERVAL_MS).unref();
   }
