--- a/src/gateway/attempt-evidence.ts
+++ b/src/gateway/attempt-evidence.ts
@@ -59,9 +59,12 @@
   context: GatewayContext,
   { request, target }: EndedAttempt,
 ): Promise<void> {
-  const { crashGuard } = context;
-  const hasEnded = await refusesConnections(context, request, target);
-  crashGuard.noteEnded(watched(request), target.entry.replicaId, hasEnded);
+  const { crashGuard, targets } = context;
+  const isRefusing = await refusesConnections(context, request, target);
+  // Its supervisor may have started it again already, as another replica at the same address.
+  const hasEnded = isRefusing || target.successor !== undefined;
+  const hasLeft = !targets.isRegistered(target);
+  if (!hasLeft) crashGuard.noteEnded(watched(request), target.entry.replicaId, hasEnded);
   const result = hasEnded ? TrialResult.ReplicaEnded : TrialResult.Undecided;
   crashGuard.endTrial(request.fingerprint, result);
 }
--- a/src/quarantine/evidence-intake.ts
+++ b/src/quarantine/evidence-intake.ts
@@ -1,20 +1,22 @@
 /**
  * Takes the gateways' evidence in at a controller and proposes what is news: at once, and what
- * comes while a proposal is under way together. Bounded: while more comes than the group can agree on, evidence of trials goes
- * first and the rest is dropped and counted; gateways send what matters again.
+ * comes while a proposal is under way together. Bounded: while more comes than the group can
+ * agree on, evidence of trials goes first, and the rest is dropped and counted in the next line;
+ * gateways send what matters again.
  */
 import type { Logger } from '../observability/logger.js';
 import { MAXIMUM_FINGERPRINT_LENGTH } from './quarantine-entry.js';
 import type { QuarantineOrders } from './quarantine-orders.js';
 import {
   MAXIMUM_CHANGES,
-  QuarantineChangeKind,
+  isUrgent,
   type QuarantineChange,
   type QuarantineRegister,
 } from './quarantine-register.js';
 
 /** Changes that wait to be proposed. */
 const MAXIMUM_WAITING = 256;
+
 /** What the intake works on. */
 export interface EvidenceIntakeParts {
   readonly orders: QuarantineOrders;
@@ -22,10 +24,6 @@
   readonly logger: Logger;
 }
 
-function isUrgent({ kind, endedInTrial }: QuarantineChange): boolean {
-  return kind === QuarantineChangeKind.Answer || endedInTrial.length > 0;
-}
-
 /** See the module comment. */
 export class EvidenceIntake {
   private waiting: QuarantineChange[] = [];
--- a/src/quarantine/evidence-reporter.ts
+++ b/src/quarantine/evidence-reporter.ts
@@ -1,12 +1,13 @@
 /**
  * Tells the controllers what this gateway has seen of requests under which replicas ended: of a
- * trial and of an answer at once, since another gateway may get the request any moment, otherwise a moment later, as most such requests are answered by another replica meanwhile,
+ * trial and of an answer at once, since another gateway may get the request any moment;
+ * otherwise a moment later, as most such requests are answered by another replica meanwhile,
  * and then there is nothing to tell. Bounded in what it keeps and in what it sends a second.
  */
 import type { Clock } from '../seams/clock.js';
 import { RecentMap } from './recent-map.js';
 import { MAXIMUM_ENTRIES } from './quarantine-entry.js';
-import { QuarantineChangeKind, type QuarantineChange } from './quarantine-register.js';
+import { isUrgent, type QuarantineChange } from './quarantine-register.js';
 
 /** From the first evidence to its report, and between reports. Longer than most answers take. Milliseconds. */
 const REPORT_INTERVAL_MS = 100;
@@ -30,10 +31,6 @@
   readonly send: (change: QuarantineChange) => boolean;
 }
 
-function isUrgent({ kind, endedInTrial }: QuarantineChange): boolean {
-  return kind === QuarantineChangeKind.Answer || endedInTrial.length > 0;
-}
-
 /** See the module comment. */
 export class EvidenceReporter {
   private readonly pending = new RecentMap<string, PendingReport>(MAXIMUM_ENTRIES);
--- a/src/quarantine/quarantine-register.ts
+++ b/src/quarantine/quarantine-register.ts
@@ -36,6 +36,11 @@
   readonly kind: QuarantineChangeKind;
 }
 
+/** Whether it goes before others: a trial's end or an answer decides what becomes of a request. */
+export function isUrgent({ kind, endedInTrial }: QuarantineChange): boolean {
+  return kind === QuarantineChangeKind.Answer || endedInTrial.length > 0;
+}
+
 const REPLICA_SEPARATOR = '\n';
 
 const changeType = new MessageType('QuarantineChange', {
