Let one gateway at a time try a request that all of them suspect

Ruled out: that the word of the controllers came too late (the next sending was refused everywhere).

The replicated register gives the permission for a trial to one holder at a time.

--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -162,6 +162,7 @@
       fingerprint: z.string().describe('Of method, host, target, caller and body.'),
       description: z.string().describe('Method, host and path.'),
       state: z.string().describe('`suspected`: tried on one replica; `quarantined`: refused.'),
+      trialHolder: z.string().describe('The gateway that tries it now, and its trial; or empty.'),
       revision: z.int().describe('Of the last change; the latest comes first.'),
       ended: z.array(z.string()).describe('Replicas that ended under it, eight at most.'),
       endedInTrial: z.array(z.string()).describe('Those of them that ended in a trial.'),
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -57,6 +57,7 @@
   readonly kind: 'quarantine';
   /** A `QuarantineState`. */
   readonly state: string;
+  readonly trialHolder: string;
   readonly revision: number;
   readonly fingerprint: string;
   readonly description: string;
@@ -70,6 +71,8 @@
   readonly kind: 'crashEvidence';
   /** A `QuarantineChangeKind`. */
   readonly change: string;
+  readonly holder: string;
+  readonly replaces: string;
   readonly fingerprint: string;
   readonly description: string;
   /** See `joinIds`. */
@@ -209,6 +212,7 @@
     tag: 50,
     fields: [
       field('state', 'string'),
+      field('trialHolder', 'string'),
       field('revision', 'long'),
       field('fingerprint', 'string'),
       field('description', 'string'),
@@ -220,6 +224,8 @@
     tag: 51,
     fields: [
       field('change', 'string'),
+      field('holder', 'string'),
+      field('replaces', 'string'),
       field('fingerprint', 'string'),
       field('description', 'string'),
       field('ended', 'string'),
@@ -256,9 +262,11 @@
 
 /** The entry of a message. */
 export function quarantineEntry(message: QuarantineMessage): QuarantineEntry {
-  const { state, revision, fingerprint, description, ended, endedInTrial } = message;
+  const { state, trialHolder, revision, fingerprint, description } = message;
+  const { ended, endedInTrial } = message;
   return {
     state: state as QuarantineState,
+    trialHolder,
     revision,
     fingerprint,
     description,
@@ -281,9 +289,11 @@
 
 /** The change that a message tells of. */
 export function quarantineChange(message: CrashEvidenceMessage): QuarantineChange {
-  const { change, fingerprint, description, ended, endedInTrial } = message;
+  const { change, holder, replaces, fingerprint, description, ended, endedInTrial } = message;
   return {
     kind: change as QuarantineChangeKind,
+    holder,
+    replaces,
     fingerprint,
     description,
     ended: splitIds(ended),
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -22,6 +22,8 @@
 
 /** What a gateway is set to, and where it looks. */
 export interface GatewayContextOptions {
+  /** Of the gateway. */
+  readonly name: string;
   readonly environment: Environment;
   readonly headers: ExchangeHeaders;
   readonly telemetry: Telemetry;
@@ -51,6 +53,7 @@
     clock,
     log: decisionLog,
     registry: telemetry.registry,
+    gateway: options.name,
     send: options.reportEvidence,
     isOn: mechanisms.quarantine,
     hasTrials: mechanisms.crashTrials,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -167,6 +167,7 @@
   private createContext(headers: ExchangeHeaders): GatewayContext {
     const { mechanisms, placement, secondSends, zone, region, zones } = this.configuration;
     return createGatewayContext({
+      name: this.configuration.name,
       environment: this.environment,
       headers,
       telemetry: { ...this.telemetry, logger: this.logger },
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -22,12 +22,10 @@
   type QuarantineEntry,
 } from './quarantine-entry.js';
 import { QuarantineMetrics, type TrialResult } from './quarantine-metrics.js';
-import { QuarantineChangeKind } from './quarantine-register.js';
+import { NO_EVIDENCE, QuarantineChangeKind } from './quarantine-register.js';
+import { TrialGrants } from './trial-grants.js';
 import { TrialTurns } from './trial-turns.js';
 
-/** Evidence that names no replica. */
-const NO_EVIDENCE = { description: '', ended: [], endedInTrial: [] };
-
 /** Whether a request may be sent to a replica now. */
 export enum Admission {
   Free = 'free',
@@ -43,6 +41,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly registry: Registry;
+  /** Name of this gateway. */
+  readonly gateway: string;
   /** False lets every request pass. */
   readonly isOn: boolean;
   /** False quarantines a request as soon as it is suspected, without a trial. */
@@ -54,6 +54,7 @@
   private readonly knowledge: CrashKnowledge;
   private readonly abandoned: AbandonedAttempts;
   private readonly turns: TrialTurns;
+  private readonly grants: TrialGrants;
   private readonly reporter: EvidenceReporter;
   private readonly metrics: QuarantineMetrics;
 
@@ -61,6 +62,9 @@
     this.knowledge = new CrashKnowledge(parts.clock, parts.hasTrials);
     this.abandoned = new AbandonedAttempts(parts.clock);
     this.turns = new TrialTurns(parts.clock);
+    const { clock, gateway, send } = parts;
+    const onNews = (fingerprint: string): void => this.offerGrant(fingerprint);
+    this.grants = new TrialGrants({ clock, gateway, send, onNews });
     this.reporter = new EvidenceReporter(parts);
     this.metrics = new QuarantineMetrics(parts.registry, () => this.knowledge.count());
   }
@@ -88,7 +92,7 @@
         return Admission.Refused;
       case QuarantineState.Suspected:
         this.turns.wait(fingerprint, onNews);
-        return this.turns.take(fingerprint) ? Admission.Trial : Admission.Wait;
+        return this.mayTry(fingerprint) ? Admission.Trial : Admission.Wait;
       default:
         return Admission.Free;
     }
@@ -107,6 +111,7 @@
   /** A trial is over. What ended under it is told before, by {@link CrashGuard.noteEnded}. */
   endTrial(fingerprint: string, result: TrialResult): void {
     this.metrics.trials.inc({ result });
+    this.grants.release(fingerprint);
     this.turns.end(fingerprint);
   }
 
@@ -118,6 +123,7 @@
   /** A trial that was admitted was not sent, and whoever it was does not wait for news. */
   returnTrial(fingerprint: string, onNews: () => void): void {
     this.turns.cancel(fingerprint, onNews);
+    this.grants.release(fingerprint);
     this.turns.end(fingerprint);
   }
 
@@ -135,7 +141,7 @@
     if (!this.parts.isOn || this.knowledge.hasRecentAnswer(fingerprint)) return;
     const before = this.stateOf(fingerprint);
     const evidence = this.knowledge.noteEnded(request, replicaId, isTrial);
-    this.reporter.report({ kind: QuarantineChangeKind.Evidence, ...evidence });
+    this.reporter.report({ ...NO_EVIDENCE, kind: QuarantineChangeKind.Evidence, ...evidence });
     this.logChange(before, evidence);
   }
 
@@ -160,7 +166,22 @@
     if (isSettled) this.reporter.settle(fingerprint);
     if (this.knowledge.hasRecentAnswer(fingerprint)) this.clear(fingerprint);
     this.logChange(before, entry);
+    this.grants.take(entry);
+    this.turns.wake(fingerprint);
+  }
+
+  /** What all gateways suspect is tried by one of them at a time, the rest by each for itself. */
+  private mayTry(fingerprint: string): boolean {
+    if (!this.turns.isFree(fingerprint)) return false;
+    const agreed = this.knowledge.agreedSuspicion(fingerprint);
+    const isPermitted = agreed === undefined || this.grants.use(agreed);
+    return isPermitted && this.turns.take(fingerprint);
+  }
+
+  /** Whoever waits takes the permission; when nobody does any more, it is given back. */
+  private offerGrant(fingerprint: string): void {
     this.turns.wake(fingerprint);
+    if (this.turns.isFree(fingerprint)) this.grants.release(fingerprint);
   }
 
   /** Nothing is held against the request any more; controllers are told if they may know of it. */
@@ -169,7 +190,7 @@
     this.knowledge.clear(fingerprint);
     this.reporter.settle(fingerprint);
     if (!wasTold) return;
-    this.reporter.report({ kind: QuarantineChangeKind.Answer, fingerprint, ...NO_EVIDENCE });
+    this.reporter.report({ ...NO_EVIDENCE, kind: QuarantineChangeKind.Answer, fingerprint });
   }
 
   private logChange(before: QuarantineState, { fingerprint, ...evidence }: CrashEvidence): void {
--- a/src/quarantine/crash-knowledge.ts
+++ b/src/quarantine/crash-knowledge.ts
@@ -57,6 +57,12 @@
     return this.seen.get(fingerprint) !== undefined || this.isAgreed(fingerprint);
   }
 
+  /** What the controllers agreed on, where it is that the request is to be tried. */
+  agreedSuspicion(fingerprint: string): QuarantineEntry | undefined {
+    const agreed = this.heldAgainst(fingerprint);
+    return agreed?.state === QuarantineState.Suspected ? agreed : undefined;
+  }
+
   /** Whether the controllers hold something against the request. */
   isAgreed(fingerprint: string): boolean {
     return this.heldAgainst(fingerprint) !== undefined;
--- a/src/quarantine/quarantine-entry.ts
+++ b/src/quarantine/quarantine-entry.ts
@@ -48,6 +48,8 @@
 /** A request as the controllers agree on it. */
 export interface QuarantineEntry extends CrashEvidence {
   readonly state: QuarantineState;
+  /** Who may try it now; empty while nobody may. */
+  readonly trialHolder: string;
   /** Grows with each change of any entry; of two words about a request the higher one is the later. */
   readonly revision: number;
 }
--- a/src/quarantine/quarantine-orders.ts
+++ b/src/quarantine/quarantine-orders.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../observability/logger.js';
 import { QuarantineState, isHeldAgainst, type QuarantineEntry } from './quarantine-entry.js';
 import {
+  NO_EVIDENCE,
   QuarantineChangeKind,
   decodeQuarantineOutcome,
   encodeQuarantineChanges,
@@ -44,10 +45,8 @@
     const { log, register, logger } = this.options;
     await log.readBarrier();
     if (register.find(fingerprint) === undefined) throw new UnknownFingerprintError(fingerprint);
-    const nothing = { description: '', ended: [], endedInTrial: [] };
-    const changed = await this.propose([
-      { kind: QuarantineChangeKind.Lift, fingerprint, ...nothing },
-    ]);
+    const lift = { ...NO_EVIDENCE, kind: QuarantineChangeKind.Lift, fingerprint };
+    const changed = await this.propose([lift]);
     logger.info('quarantine lifted', { fingerprint, changed: changed > 0 });
   }
 
--- a/src/quarantine/quarantine-register.ts
+++ b/src/quarantine/quarantine-register.ts
@@ -29,18 +29,36 @@
   Answer = 'answer',
   /** An operator wants it to be sent again. */
   Lift = 'lift',
+  /** A gateway wants to try it. */
+  Trial = 'trial',
+  /** That trial is over. */
+  TrialEnd = 'trialEnd',
 }
 
 /** One change of the register. */
 export interface QuarantineChange extends CrashEvidence {
   readonly kind: QuarantineChangeKind;
+  /** Who wants to try the request, or did; empty in other changes. */
+  readonly holder: string;
+  /** The holder that is not heard of any more, whom it may follow; empty when there is none. */
+  readonly replaces: string;
 }
 
-/** Whether it goes before others: a trial's end or an answer decides what becomes of a request. */
+/** What a change that tells of no replica says of them, and of no trial. */
+export const NO_EVIDENCE = {
+  description: '',
+  ended: [],
+  endedInTrial: [],
+  holder: '',
+  replaces: '',
+} as const;
+
+/** Whether it goes before others: only losses outside of trials decide nothing by themselves. */
 export function isUrgent({ kind, endedInTrial }: QuarantineChange): boolean {
-  return kind === QuarantineChangeKind.Answer || endedInTrial.length > 0;
+  return kind !== QuarantineChangeKind.Evidence || endedInTrial.length > 0;
 }
 
+const NO_HOLDER = '';
 const REPLICA_SEPARATOR = '\n';
 
 const changeType = new MessageType('QuarantineChange', {
@@ -49,11 +67,14 @@
   description: 'string',
   ended: 'string',
   endedInTrial: 'string',
+  holder: 'string',
+  replaces: 'string',
 });
 
 const entryType = new MessageType('QuarantineEntry', {
   state: 'string',
   revision: 'long',
+  trialHolder: 'string',
   fingerprint: 'string',
   description: 'string',
   ended: 'string',
@@ -183,6 +204,10 @@
         return this.afterEnd(known, QuarantineState.Answered);
       case QuarantineChangeKind.Lift:
         return this.afterEnd(known, QuarantineState.Lifted);
+      case QuarantineChangeKind.Trial:
+        return this.afterTrial(change, known);
+      case QuarantineChangeKind.TrialEnd:
+        return this.afterTrialEnd(change, known);
       default:
         // Of a later version: it changes nothing here.
         return undefined;
@@ -196,7 +221,7 @@
     const isNew = known === undefined || !isHeldAgainst(known.state);
     // Told again, what was held against it before its end counts no more.
     const excused = isNew ? (known?.ended ?? []) : [];
-    const before = isNew ? { ended: [], endedInTrial: [] } : known;
+    const before = isNew ? { ended: [], endedInTrial: [], trialHolder: NO_HOLDER } : known;
     const fresh = ended.filter((id) => !excused.includes(id));
     const freshInTrial = endedInTrial.filter((id) => !excused.includes(id));
     const after = {
@@ -209,7 +234,29 @@
       after.ended.length > before.ended.length ||
       after.endedInTrial.length > before.endedInTrial.length;
     if (!isMore) return undefined;
-    return { ...after, state: judge(after.ended.length, after.endedInTrial.length) };
+    const isTrialOver = after.endedInTrial.length > before.endedInTrial.length;
+    const trialHolder = isTrialOver ? NO_HOLDER : before.trialHolder;
+    return { ...after, trialHolder, state: judge(after.ended.length, after.endedInTrial.length) };
+  }
+
+  /** One holder at a time, unless the one before is not heard of any more. */
+  private afterTrial(
+    { holder, replaces }: QuarantineChange,
+    known: QuarantineEntry | undefined,
+  ): Omit<QuarantineEntry, 'revision'> | undefined {
+    if (known?.state !== QuarantineState.Suspected || holder === NO_HOLDER) return undefined;
+    const isFree = known.trialHolder === NO_HOLDER || known.trialHolder === replaces;
+    return isFree && known.trialHolder !== holder ? { ...known, trialHolder: holder } : undefined;
+  }
+
+  private afterTrialEnd(
+    { holder }: QuarantineChange,
+    known: QuarantineEntry | undefined,
+  ): Omit<QuarantineEntry, 'revision'> | undefined {
+    if (known === undefined || holder === NO_HOLDER || known.trialHolder !== holder) {
+      return undefined;
+    }
+    return { ...known, trialHolder: NO_HOLDER };
   }
 
   private afterEnd(
@@ -217,7 +264,7 @@
     state: QuarantineState.Answered | QuarantineState.Lifted,
   ): Omit<QuarantineEntry, 'revision'> | undefined {
     if (known === undefined || !isHeldAgainst(known.state)) return undefined;
-    return { ...known, state };
+    return { ...known, state, trialHolder: NO_HOLDER };
   }
 
   private put(changed: Omit<QuarantineEntry, 'revision'>): void {
--- a/src/quarantine/trial-turns.ts
+++ b/src/quarantine/trial-turns.ts
@@ -27,6 +27,11 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** Whether the next trial may begin. */
+  isFree(fingerprint: string): boolean {
+    return this.byFingerprint.get(fingerprint)?.isFree !== false;
+  }
+
   /** True when the caller may try the request, until {@link TrialTurns.end}. */
   take(fingerprint: string): boolean {
     const turns = this.turnsOf(fingerprint);
--- a/test/operator/operator-fixture.ts
+++ b/test/operator/operator-fixture.ts
@@ -20,7 +20,7 @@
 import { hashToken } from '../../src/settings/token-text.js';
 import { BOOTSTRAP_TOKEN } from '../administration/controllers.js';
 import type { CrashEvidence } from '../../src/quarantine/quarantine-entry.js';
-import { QuarantineChangeKind } from '../../src/quarantine/quarantine-register.js';
+import { NO_EVIDENCE, QuarantineChangeKind } from '../../src/quarantine/quarantine-register.js';
 import { MemoryHistory, type MemoryLog, type ProposalFault } from '../administration/memory-log.js';
 import { DOHOKU } from '../settings/fixtures.js';
 
@@ -135,7 +135,9 @@
   /** Records replicas that ended under a request. */
   async quarantine(evidence: CrashEvidence): Promise<void> {
     const [log] = this.history.members;
-    await log?.quarantineOrders.propose([{ kind: QuarantineChangeKind.Evidence, ...evidence }]);
+    await log?.quarantineOrders.propose([
+      { ...NO_EVIDENCE, kind: QuarantineChangeKind.Evidence, ...evidence },
+    ]);
   }
 
   private listen(log: MemoryLog): Promise<HttpListener> {
--- a/test/quarantine/crash-guard.test.ts
+++ b/test/quarantine/crash-guard.test.ts
@@ -27,6 +27,7 @@
     clock,
     log: new DecisionLog(clock, SILENT_LOGGER),
     registry: new Registry(),
+    gateway: 'gateway-1',
     send: (change) => {
       if (isFollowed) sent.push(change);
       return isFollowed;
@@ -38,7 +39,7 @@
 }
 
 function agreed(state: QuarantineState, revision: number): QuarantineEntry {
-  return { ...REQUEST, state, revision, ended: ['a', 'b', 'c'], endedInTrial: [] };
+  return { ...REQUEST, state, revision, trialHolder: '', ended: ['a', 'b', 'c'], endedInTrial: [] };
 }
 
 describe('the guard against requests that crash replicas', () => {
--- a/test/quarantine/crashing-request.test.ts
+++ b/test/quarantine/crashing-request.test.ts
@@ -150,6 +150,28 @@
     expect(statuses).toEqual([502, 429, 429]);
   });
 
+  it.each([
+    ['all shards', FAN_OUT_FLEET, '/q/crash'],
+    ['one service', LOOK_UP_FLEET, '/one/crash'],
+    [
+      'one service once',
+      { ...LOOK_UP_FLEET, route: { ...LOOK_UP, execution: 'atMostOnce' as const } },
+      '/one/crash',
+    ],
+  ])(
+    'to %s is tried by one gateway at a time when it comes to all at once',
+    async (_, fleetOptions, path) => {
+      const fleet = await CrashingFleet.start(path, { ...fleetOptions, gateways: { others: 9 } });
+      for (let round = 0; round < 6; round += 1) {
+        const sent = fleet.gateways.map(() => fleet.send({ path }));
+        await fleet.harness.simulation.settle(Promise.all(sent));
+        await fleet.harness.simulation.runFor(LONG_PAUSE_MS);
+      }
+      expect(fleet.lateSendings().size).toBeLessThanOrEqual(TOLERATED_RETRIES);
+      expect((await fleet.call({ path })).status).toBe(429);
+    },
+  );
+
   it('stays refused after a loss of all power', async () => {
     const fleet = await CrashingFleet.start('/q/crash', FAN_OUT_FLEET);
     const { harness } = fleet;
--- a/test/quarantine/quarantine-register.test.ts
+++ b/test/quarantine/quarantine-register.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { MAXIMUM_ENTRIES, QuarantineState } from '../../src/quarantine/quarantine-entry.js';
 import {
+  NO_EVIDENCE,
   QuarantineChangeKind,
   QuarantineRegister,
   decodeQuarantineOutcome,
@@ -10,6 +11,7 @@
 
 function evidence(fingerprint: string, ended: string[], endedInTrial: string[] = []) {
   return {
+    ...NO_EVIDENCE,
     kind: QuarantineChangeKind.Evidence,
     fingerprint,
     description: 'GET desk.example/q',
@@ -19,7 +21,12 @@
 }
 
 function end(kind: QuarantineChangeKind, fingerprint: string): QuarantineChange {
-  return { kind, fingerprint, description: '', ended: [], endedInTrial: [] };
+  return { ...NO_EVIDENCE, kind, fingerprint };
+}
+
+function trial(holder: string, replaces = ''): QuarantineChange {
+  const fingerprint = 'f';
+  return { ...NO_EVIDENCE, kind: QuarantineChangeKind.Trial, fingerprint, holder, replaces };
 }
 
 function applyTo(register: QuarantineRegister, ...changes: QuarantineChange[]): number {
@@ -80,6 +87,30 @@
     expect(applyTo(register, change)).toBe(0);
   });
 
+  it('lets one holder at a time try a suspected request', () => {
+    const register = new QuarantineRegister();
+    applyTo(register, trial('first'));
+    expect(register.find('f')).toBeUndefined();
+    applyTo(register, evidence('f', ['a', 'b', 'c']), trial('first'));
+    expect(applyTo(register, trial('second'), trial('first'))).toBe(0);
+    expect(register.find('f')?.trialHolder).toBe('first');
+    applyTo(register, trial('second', 'first'));
+    expect(register.find('f')?.trialHolder).toBe('second');
+    expect(applyTo(register, { ...trial('first'), kind: QuarantineChangeKind.TrialEnd })).toBe(0);
+    applyTo(register, { ...trial('second'), kind: QuarantineChangeKind.TrialEnd });
+    expect(register.find('f')?.trialHolder).toBe('');
+  });
+
+  it('has the trial over once a replica ended in it, or was the request cleared', () => {
+    const register = new QuarantineRegister();
+    applyTo(register, evidence('f', ['a', 'b', 'c']), trial('first'));
+    applyTo(register, evidence('f', ['d'], ['d']));
+    expect(register.find('f')?.trialHolder).toBe('');
+    applyTo(register, trial('second'), end(QuarantineChangeKind.Answer, 'f'));
+    expect(register.find('f')?.trialHolder).toBe('');
+    expect(applyTo(register, trial('third'))).toBe(0);
+  });
+
   it('keeps to its bound, and quarantined requests longest', () => {
     const register = new QuarantineRegister();
     applyTo(register, evidence('kept', ['a', 'b', 'c'], ['b', 'c']));
