Show which routes are in force at each gateway, for how long it has lacked newer ones, and who owes them

Lines told which version came in force at a gateway, and nothing of those that did not. Now each controller knows when versions became known to it (VersionHistory), compares that with what the gateways that follow it confirm, and shows it: driftway status, /v1/status, metrics, a line while gateways are late. The line of a version in force names the controller that sent it. Controllers count the route documents that they send to their own and to other zones. No change in what is sent when.

--- a/lab/documentation/metric-alarms.ts
+++ b/lab/documentation/metric-alarms.ts
@@ -36,6 +36,11 @@
     meaning: 'A daemon has not put the newest revision in force, or is silent.',
     runbook: 'A change is not in force everywhere',
   },
+  {
+    expression: 'max(driftway_controller_routes_lacking_seconds) > 5',
+    meaning: 'A gateway has not put an accepted route document in force.',
+    runbook: 'A gateway lacks the newest routes',
+  },
   {
     expression: 'driftway_configuration_fresh == 0',
     meaning: 'This router cannot prove its settings fresh; staleSettings decides what it does.',
--- a/src/administration/administration-dependencies.ts
+++ b/src/administration/administration-dependencies.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { ForceTracker } from './force-tracker.js';
 import type { MemberAdministration } from './member-administration.js';
+import type { RouteTracker } from './route-tracker.js';
 
 /** Parts of one controller. */
 export interface AdministrationDependencies {
@@ -21,6 +22,8 @@
   readonly bootstrapTokenHash?: string;
   /** Without one, answers say nothing of daemons. */
   readonly forces?: ForceTracker;
+  /** Without one, answers say nothing of gateways. */
+  readonly routes?: RouteTracker;
   /** Without one, members cannot be changed. */
   readonly members?: MemberAdministration;
   /** Without them, zones cannot be evacuated. */
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -51,6 +51,22 @@
 });
 export type Force = z.infer<typeof forceSchema>;
 
+const gatewayRoutesSchema = z.strictObject({
+  version: z.int().nullable().describe('Newest accepted route document; null before the first.'),
+  gateways: z.array(
+    z.strictObject({
+      gateway: z.string(),
+      zone: z.string(),
+      version: z.int().min(-1).describe('In force there when it last spoke; -1 before the first.'),
+      lackingMs: z
+        .number()
+        .nullable()
+        .describe('For how long it has lacked a newer one; null where it lacks none.'),
+      owedBy: z.array(z.string()).describe('Controllers that are to send it newer ones.'),
+    }),
+  ),
+});
+
 export const changeReportSchema = z.strictObject({
   changeId: z.string(),
   outcome: z.enum(['accepted', 'done', 'conflict', 'rejected']),
@@ -141,6 +157,7 @@
   ),
   force: forceSchema.nullable().describe('Of the newest revision; null where no one keeps track.'),
   daemons: z.array(daemonSchema),
+  routes: gatewayRoutesSchema,
 });
 export type StatusReport = z.infer<typeof statusSchema>;
 
--- a/src/administration/status-routes.ts
+++ b/src/administration/status-routes.ts
@@ -16,6 +16,7 @@
   type StatusReport,
 } from './response-schemas.js';
 import { defineRoute, type Route } from './route.js';
+import type { RouteTracker } from './route-tracker.js';
 
 function describeMembers({ members, lastIndex }: ReplicatedLogStatus): StatusReport['members'] {
   return members.map(({ memberId, address, voter, matchIndex }) => ({
@@ -26,6 +27,20 @@
   }));
 }
 
+function describeRoutes(routes: RouteTracker | undefined): StatusReport['routes'] {
+  const gateways = routes?.gatewayRoutes() ?? [];
+  return {
+    version: routes?.routeVersion ?? null,
+    gateways: gateways.map(({ gateway, zone, version, lackingMs, owedBy }) => ({
+      gateway,
+      zone,
+      version,
+      lackingMs: lackingMs ?? null,
+      owedBy: [...owedBy],
+    })),
+  };
+}
+
 /** What this controller itself knows; needs no quorum, so that it answers in an emergency too. */
 function describeStatus({ machine, dependencies }: AdministrationContext): StatusReport {
   const status = dependencies.log.status();
@@ -45,6 +60,7 @@
     members: describeMembers(status),
     force: describeForce(dependencies.forces, revision) ?? null,
     daemons: [...(dependencies.forces?.inForce(revision).daemons ?? [])],
+    routes: describeRoutes(dependencies.routes),
   };
 }
 
@@ -106,7 +122,7 @@
     method: 'GET',
     path: '/v1/status',
     operationId: 'getStatus',
-    summary: 'Leader, lag, members and daemons as this controller knows them.',
+    summary: 'Leader, lag, members, daemons and gateways as this controller knows them.',
     access: 'any_token',
     response: statusSchema,
     errors: [],
--- a/src/commands/operator-status.ts
+++ b/src/commands/operator-status.ts
@@ -2,6 +2,7 @@
 import { Command } from 'clipanion';
 import type { StatusReport } from '../administration/response-schemas.js';
 import { formatStatus, type ClusterStatus } from '../operator/format-status.js';
+import { joinGatewayRoutes } from '../operator/join-gateway-routes.js';
 import { noController } from '../operator/failure-record.js';
 import { OperatorError } from '../operator/operator-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
@@ -11,11 +12,12 @@
   static override paths = [['status']];
   static override usage = Command.Usage({
     category: 'Cluster',
-    description: 'Show the leader, the controllers and their lag, and the daemons',
+    description: 'Show the leader, the controllers and their lag, the daemons and the gateways',
     details: `
       Asks every controller that is named, and shows what the leader knows; without one, what
       the controller of the newest term knows, also when it cannot hear a quorum. Controllers
-      that do not answer are listed. How far each is behind is known to the leader only.
+      that do not answer are listed. Gateways are those that follow any of them, with the version
+      of their routes, for how long they have lacked a newer one, and who owes it. How far each is behind is known to the leader only.
     `,
     examples: [
       ['The cluster', 'driftway status'],
@@ -39,7 +41,8 @@
       if (isReport(answer) || address === undefined) return [];
       return [{ controller: formatAddress(address), reason: answer.error.message }];
     });
-    return { ...best, unanswered };
+    const routes = joinGatewayRoutes(reports.map((report) => report.routes));
+    return { ...best, routes, unanswered };
   }
 
   protected override format(answer: unknown): string {
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -124,7 +124,7 @@
 >;
 
 function startRegistration(
-  { environment, identity, configuration, logger }: ControllerCoreOptions,
+  { environment, identity, configuration, logger, telemetry }: ControllerCoreOptions,
   state: ReplicatedParts,
 ): RegistrationPart {
   const { automaticMembership, listen, zone } = configuration;
@@ -132,6 +132,7 @@
     environment,
     identity,
     logger,
+    registry: telemetry.registry,
     ...state,
     zone,
     ownAddress: formatAddress(listen.messages),
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -163,6 +163,7 @@
 
   private listenHttp(core: ControllerCore): Promise<HttpListener> {
     const { log, machine, daemons, server, evacuationOrders, quarantineOrders } = core;
+    const { registration: routes } = core;
     const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
     const { bootstrapTokenHash } = configuration.administration;
@@ -172,6 +173,7 @@
       machine,
       clock,
       forces: daemons,
+      routes,
       members: log,
       evacuations: evacuationOrders,
       quarantine: quarantineOrders,
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -3,17 +3,21 @@
  * registrations, tells gateways and the other controllers, and keeps the group's
  * members when they are looked after automatically.
  */
+import type { Registry } from 'prom-client';
+import type { RouteTracker } from '../administration/route-tracker.js';
 import type { RaftNode } from '../consensus/raft-node.js';
 import { observe } from '../control-stream/observe.js';
 import { DirectoryClient } from '../directory/directory-client.js';
 import { SubscriberKind } from '../directory/directory-messages.js';
 import { DirectoryServer } from '../directory/directory-server.js';
+import type { GatewayRoutes } from '../directory/gateway-routes.js';
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
 import {
   restoreReplicas,
   storeReplicas,
   type ReplicaStoreParts,
 } from '../directory/replica-store.js';
+import { RouteLagWatch } from '../directory/route-lag-watch.js';
 import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
@@ -22,6 +26,7 @@
 import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
 import type { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import type { RouteDocumentRegister } from '../routes/route-document-register.js';
+import { VersionHistory } from '../routes/version-history.js';
 import type { Address } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
 import type { HttpListenOptions, HttpListener } from '../seams/http.js';
@@ -53,6 +58,7 @@
   readonly environment: DurableEnvironment;
   readonly identity: LocalIdentity;
   readonly logger: Logger;
+  readonly registry: Registry;
   readonly log: RaftNode;
   readonly register: RouteDocumentRegister;
   readonly evacuations: EvacuationRegister;
@@ -67,11 +73,13 @@
 }
 
 /** See the module comment. */
-export class RegistrationPart {
+export class RegistrationPart implements RouteTracker {
   private readonly directory: ReplicaDirectory;
   private readonly server: DirectoryServer;
   private readonly client: DirectoryClient;
   private readonly endpoint: RegistrationEndpoint;
+  private readonly routeHistory = new VersionHistory();
+  private readonly routeLag: RouteLagWatch;
   private readonly stopped = new AbortController();
   private listener: HttpListener | undefined;
 
@@ -95,6 +103,8 @@
       members: () => log.status().members,
       ownName: identity.name,
       ownZone: zone,
+      routeHistory: this.routeHistory,
+      registry: options.registry,
       otherGateways: () => this.client.knownGateways,
       ageMs: () => this.ageMs(),
     });
@@ -118,7 +128,17 @@
       quarantine: new QuarantineEndpoint(quarantineOrders),
       logger,
     });
-    observe(register.changes, () => server.notify());
+    this.routeLag = new RouteLagWatch({
+      clock,
+      logger,
+      gateways: () => server.gatewayRoutes(),
+      version: () => this.routeVersion,
+    });
+    this.noteRoutes();
+    observe(register.changes, () => {
+      this.noteRoutes();
+      server.notify();
+    });
     observe(evacuations.changes, () => server.notify());
     observe(quarantine.changes, () => server.notify());
     observe(directory.changes, () => server.notify());
@@ -197,6 +217,20 @@
     );
   }
 
+  get routeVersion(): number | undefined {
+    return this.options.register.current()?.version;
+  }
+
+  gatewayRoutes(): readonly GatewayRoutes[] {
+    return this.server.gatewayRoutes();
+  }
+
+  private noteRoutes(): void {
+    const document = this.options.register.current();
+    if (document === undefined) return;
+    this.routeHistory.note(document.version, this.options.environment.clock.now());
+  }
+
   /** See `StatusMessage.ageMs`. */
   private ageMs(): number {
     const { sinceQuorumMs, knownCommitIndex, appliedIndex } = this.options.log.status();
@@ -211,6 +245,7 @@
     while (!stopped.aborted) {
       this.client.useMembers(this.memberAddresses());
       this.directory.forgetSilent();
+      this.routeLag.look();
       await clock.sleep(UPKEEP_INTERVAL_MS, stopped).catch(() => undefined);
     }
   }
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -32,6 +32,12 @@
 import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
+/** A route document, and who sent it. */
+export interface ReceivedDocument extends DocumentMessage {
+  /** `host:port` of the controller. */
+  readonly controller: string;
+}
+
 /** Most controllers that are followed at once. */
 const MAXIMUM_LINKS = 12;
 
@@ -56,14 +62,14 @@
 /** See the module comment. */
 export class DirectoryClient {
   /** Emits each route document that is newer than all before it. */
-  readonly documents: Stream<DocumentMessage>;
+  readonly documents: Stream<ReceivedDocument>;
   /** Emits each order about a zone that a controller tells of, in the order in which they come. */
   readonly evacuations: Stream<ZoneEvacuation>;
   /** Emits each word about a request under which replicas ended. */
   readonly quarantine: Stream<QuarantineEntry>;
   private readonly emitQuarantine: (entry: QuarantineEntry) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
-  private readonly emitDocument: (document: DocumentMessage) => void;
+  private readonly emitDocument: (document: ReceivedDocument) => void;
   private readonly links = new Map<string, DirectoryLink>();
   private seeds: readonly string[] = [];
   /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
@@ -75,7 +81,7 @@
   private readonly stopped = new AbortController();
 
   constructor(private readonly options: DirectoryClientOptions) {
-    [this.emitDocument, this.documents] = createAdapter<DocumentMessage>();
+    [this.emitDocument, this.documents] = createAdapter<ReceivedDocument>();
     [this.emitEvacuation, this.evacuations] = createAdapter<ZoneEvacuation>();
     [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
     const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
@@ -87,7 +93,7 @@
       zone,
       gatherAddress,
       relay,
-      take: (message) => this.take(message),
+      take: (message, link) => this.take(message, link),
       onGateways: () => this.joinGateways(),
       onControllers: () => this.adjustLinks(),
       documentVersion: () => this.documentVersion,
@@ -152,7 +158,7 @@
     await Promise.all(links.map((link) => link.stop()));
   }
 
-  private take(message: LinkNews): void {
+  private take(message: LinkNews, link: DirectoryLink): void {
     const { directory } = this.options;
     switch (message.kind) {
       case 'replica':
@@ -162,7 +168,7 @@
         directory.noteHeard(message.replicaId);
         return;
       case 'document':
-        this.takeDocument(message);
+        this.takeDocument({ ...message, controller: link.address });
         return;
       case 'evacuation':
         this.emitEvacuation(message);
@@ -187,10 +193,10 @@
   }
 
   /** An older document never replaces a newer one, whoever sends it. */
-  private takeDocument(message: DocumentMessage): void {
-    if (message.version <= this.documentVersion) return;
-    this.documentVersion = message.version;
-    this.emitDocument(message);
+  private takeDocument(document: ReceivedDocument): void {
+    if (document.version <= this.documentVersion) return;
+    this.documentVersion = document.version;
+    this.emitDocument(document);
   }
 
   private joinGateways(): void {
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -37,7 +37,7 @@
   readonly zone: string;
   /** See `SubscribeMessage.gatherAddress`. */
   readonly gatherAddress: string;
-  readonly take: (message: LinkNews) => void;
+  readonly take: (message: LinkNews, link: DirectoryLink) => void;
   /** A controller named gateways that joined or went. */
   readonly onGateways: () => void;
   /** A controller named the members of its group. */
@@ -208,7 +208,7 @@
         this.takeGateway(message);
         hasGateways = true;
       } else {
-        this.parts.take(message);
+        this.parts.take(message, this);
         hasReplicas ||= message.kind === 'replica';
       }
     }
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -1,9 +1,11 @@
 /** The controller's end of the directory stream: tells subscribers what changed and hears what they hold. */
+import type { Registry } from 'prom-client';
 import { Notifier } from '../consensus/notifier.js';
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
+import type { VersionHistory } from '../routes/version-history.js';
 import {
   DIRECTORY_CODEC,
   SubscriberKind,
@@ -15,7 +17,9 @@
   type DirectoryController,
   type DirectorySessionSources,
 } from './directory-session.js';
+import { DirectoryMetrics, SubscriberPlace } from './directory-metrics.js';
 import { GatewayRoster } from './gateway-roster.js';
+import type { GatewayRoutes } from './gateway-routes.js';
 import type { KnownGateway } from './leaf-gateway.js';
 import { BATCH_INTERVAL_MS, STATUS_INTERVAL_MS, STREAM_SILENCE_MS } from './directory-timing.js';
 
@@ -37,6 +41,9 @@
   readonly members: () => readonly DirectoryMember[];
   /** This controller. */
   readonly ownName: string;
+  /** Versions of the route document, as they became known here. */
+  readonly routeHistory: VersionHistory;
+  readonly registry: Registry;
   /** Gateways that follow other controllers, as those say. */
   readonly otherGateways: () => readonly KnownGateway[];
   /** A gateway saw replicas end under a request, or an answer to it. */
@@ -60,6 +67,9 @@
   private readonly news: Notifier;
   private readonly confirmations: Notifier;
   private readonly sessionSources: DirectorySessionSources;
+  private readonly metrics: DirectoryMetrics;
+  /** Zones of controllers by name, also of those whose stream is lost at the moment. */
+  private readonly controllerZones = new Map<string, string>();
   private stopping = false;
 
   constructor(private readonly sources: DirectoryServerSources) {
@@ -74,8 +84,24 @@
       gatewaysFor: (kind) =>
         kind === SubscriberKind.Controller ? this.roster.own : this.roster.leaves,
     };
+    this.controllerZones.set(sources.ownName, sources.ownZone);
     this.news = new Notifier(sources.clock);
     this.confirmations = new Notifier(sources.clock);
+    this.metrics = new DirectoryMetrics(sources.registry, {
+      routeVersion: () => sources.document()?.version,
+      lackingMs: () => this.gatewayRoutes().flatMap(({ lackingMs }) => lackingMs ?? []),
+    });
+  }
+
+  /** How far the gateways that follow this controller are with its route document. */
+  gatewayRoutes(): GatewayRoutes[] {
+    const byGateway = new Map<string, GatewayRoutes>();
+    // Of two streams of a gateway the later one counts: the other is about to be closed.
+    for (const session of this.sessions) {
+      if (session.kind !== SubscriberKind.Gateway) continue;
+      byGateway.set(session.name, this.routesOf(session));
+    }
+    return [...byGateway.values()];
   }
 
   /** Something may have changed that subscribers are told. */
@@ -152,24 +178,53 @@
     const isController = message.subscriberKind === SubscriberKind.Controller.valueOf();
     const kind = isController ? SubscriberKind.Controller : SubscriberKind.Gateway;
     const { zone, gatherAddress: address } = message;
+    if (isController) this.noteControllerZone(name, zone);
     return new DirectorySession(kind, { name, zone, address });
   }
 
+  /** Those of controllers that are neither members nor connected any more are forgotten. */
+  private noteControllerZone(controller: string, zone: string): void {
+    this.controllerZones.set(controller, zone);
+    const known = new Set(this.sources.members().map(({ memberId }) => memberId));
+    for (const { name } of this.subscribersOf(SubscriberKind.Controller)) known.add(name);
+    known.add(this.sources.ownName).add(controller);
+    for (const name of this.controllerZones.keys()) {
+      if (!known.has(name)) this.controllerZones.delete(name);
+    }
+  }
+
   private subscribersOf(wanted: SubscriberKind): readonly KnownGateway[] {
     return [...this.sessions]
       .filter(({ kind }) => kind === wanted)
       .map(({ subscriber }) => subscriber);
   }
 
-  /** The group's members, with the zones of those that follow this controller. */
+  private routesOf({
+    subscriber,
+    confirmedDocumentVersion: version,
+  }: DirectorySession): GatewayRoutes {
+    const { clock, routeHistory } = this.sources;
+    const { name: gateway, zone } = subscriber;
+    const since = routeHistory.newerSince(version);
+    const lackingMs = since === undefined ? undefined : clock.now() - since;
+    return { gateway, zone, version, lackingMs, owedBy: this.controllersFor(zone) };
+  }
+
+  /** Those of the zone, and this one where there is none. */
+  private controllersFor(zone: string): readonly string[] {
+    const near = this.controllers().filter((controller) => controller.zone === zone);
+    return near.length === 0 ? [this.sources.ownName] : near.map(({ memberId }) => memberId);
+  }
+
+  /** The group's members, with the zones of those that follow this controller or did. */
   private controllers(): readonly DirectoryController[] {
-    const zones = new Map([[this.sources.ownName, this.sources.ownZone]]);
-    for (const { name, zone } of this.subscribersOf(SubscriberKind.Controller)) {
-      zones.set(name, zone);
-    }
-    return this.sources
-      .members()
-      .map(({ memberId, address }) => ({ memberId, address, zone: zones.get(memberId) ?? '' }));
+    const zones = this.controllerZones;
+    const members = this.sources.members();
+    return members.map(({ memberId, address }) => ({
+      memberId,
+      address,
+      zone: zones.get(memberId) ?? '',
+    }));
   }
 
   private async sendNews(connection: MessageConnection, session: DirectorySession): Promise<void> {
@@ -192,6 +247,7 @@
     session: DirectorySession,
   ): Promise<void> {
     const messages = session.takeNews(this.sessionSources);
+    this.countDocuments(session, messages);
     const { position } = session;
     let start = 0;
     do {
@@ -204,6 +260,19 @@
     } while (start < messages.length);
   }
 
+  private countDocuments(
+    { subscriber }: DirectorySession,
+    messages: readonly DirectoryMessage[],
+  ): void {
+    const isNear = subscriber.zone === this.sources.ownZone;
+    const place = isNear ? SubscriberPlace.OwnZone : SubscriberPlace.OtherZone;
+    for (const message of messages) {
+      if (message.kind !== 'document') continue;
+      this.metrics.documents.inc({ place });
+      this.metrics.documentBytes.inc({ place }, message.content.length);
+    }
+  }
+
   private status(position: number): DirectoryMessage {
     const { stopping, roster } = this;
     const { count: gateways } = roster;
--- /dev/null
+++ b/src/directory/route-lag-watch.ts
@@ -0,0 +1,69 @@
+/**
+ * Writes a line when gateways that follow this controller lack its route document for longer
+ * than an orderly change takes, and when all have caught up.
+ */
+import type { Logger } from '../observability/logger.js';
+import type { Clock } from '../seams/clock.js';
+import type { GatewayRoutes } from './gateway-routes.js';
+
+/**
+ * An orderly change is in force sooner, also at a gateway whose near controller is lost, and the
+ * stream of a gateway that is gone itself has been closed by then. Milliseconds.
+ */
+const LATE_MS = 2_000;
+/** While gateways go on lacking it, a line is written this often. Milliseconds. */
+const LINE_INTERVAL_MS = 5_000;
+/** Gateways that a line names. */
+const NAMED_GATEWAYS = 3;
+
+/** What the watch looks at. */
+export interface RouteLagWatchParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Gateways that follow this controller. */
+  readonly gateways: () => readonly GatewayRoutes[];
+  /** Version of the route document here; undefined before the first. */
+  readonly version: () => number | undefined;
+}
+
+function isLate({ lackingMs }: GatewayRoutes): boolean {
+  return lackingMs !== undefined && lackingMs > LATE_MS;
+}
+
+/** See the module comment. */
+export class RouteLagWatch {
+  private lastLineAt: number | undefined;
+
+  constructor(private readonly parts: RouteLagWatchParts) {}
+
+  /** Looks once; call it a few times a second. */
+  look(): void {
+    const late = this.parts.gateways().filter(isLate);
+    if (late.length === 0) this.noteCaughtUp();
+    else this.noteLate(late);
+  }
+
+  private noteLate(late: readonly GatewayRoutes[]): void {
+    const { clock, logger, version } = this.parts;
+    const now = clock.now();
+    if (this.lastLineAt !== undefined && now - this.lastLineAt < LINE_INTERVAL_MS) return;
+    this.lastLineAt = now;
+    const longest = [...late].sort((left, right) => (right.lackingMs ?? 0) - (left.lackingMs ?? 0));
+    logger.warn('gateways lack the route document', {
+      version: version(),
+      gateways: late.length,
+      longest: longest.slice(0, NAMED_GATEWAYS).map((routes) => ({
+        gateway: routes.gateway,
+        inForce: routes.version,
+        lackingMs: Math.round(routes.lackingMs ?? 0),
+        owedBy: routes.owedBy.join(','),
+      })),
+    });
+  }
+
+  private noteCaughtUp(): void {
+    if (this.lastLineAt === undefined) return;
+    this.lastLineAt = undefined;
+    this.parts.logger.info('gateways have the route document', { version: this.parts.version() });
+  }
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -5,8 +5,7 @@
 import { Aggregation } from '../aggregation/aggregation.js';
 import { observe } from '../control-stream/observe.js';
 import type { GatewayConfiguration } from '../configuration/gateway-configuration.js';
-import type { DirectoryClient } from '../directory/directory-client.js';
-import type { DocumentMessage } from '../directory/directory-messages.js';
+import type { DirectoryClient, ReceivedDocument } from '../directory/directory-client.js';
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
@@ -221,13 +220,13 @@
     return { ...response, headers: { ...response.headers, connection: 'close' } };
   }
 
-  private applyDocument({ version, content }: DocumentMessage): void {
+  private applyDocument({ version, content, controller }: ReceivedDocument): void {
     try {
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
-      this.logger.info('route document in force', { version });
+      this.logger.info('route document in force', { version, controller });
     } catch (error) {
       this.logger.error('route document not understood', { version, reason: String(error) });
     }
--- a/src/operator/format-status.ts
+++ b/src/operator/format-status.ts
@@ -52,6 +52,27 @@
   return `${summary}${formatTable(['DAEMON', 'ZONE', 'VERSION', 'REVISION', 'HEARD'], rows)}`;
 }
 
+function formatLack({ lackingMs }: StatusReport['routes']['gateways'][number]): string {
+  return lackingMs === null ? '' : `for ${formatDuration(lackingMs)}`;
+}
+
+/** Gateways, and which of them lack the newest routes; nothing where there are none. */
+function formatGateways({ routes }: StatusReport): string {
+  const { version, gateways } = routes;
+  if (gateways.length === 0) return '';
+  const lacking = gateways.filter(({ lackingMs }) => lackingMs !== null);
+  const inForce = gateways.length - lacking.length;
+  const summary = `Routes ${version ?? 'none'} are in force at ${inForce} of ${gateways.length} gateways.\n`;
+  const rows = gateways.map((gateway) => [
+    gateway.gateway,
+    gateway.zone,
+    gateway.version < 0 ? 'none' : String(gateway.version),
+    formatLack(gateway),
+    gateway.lackingMs === null ? '' : gateway.owedBy.join(', '),
+  ]);
+  return `\n${summary}${formatTable(['GATEWAY', 'ZONE', 'ROUTES', 'LACKS NEWER', 'OWED BY'], rows)}`;
+}
+
 /** What the command learnt of the cluster. */
 export interface ClusterStatus extends StatusReport {
   /** Controllers that were asked and gave no answer. */
@@ -73,5 +94,5 @@
     `Log there: ${status.lastIndex} entries, ${status.commitIndex} committed, ${status.appliedIndex} applied.`,
   ].join('\n');
   const warning = hearsNoQuorum(status) ? '\nNo quorum: nothing can be changed now.' : '';
-  return `${head}${warning}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}${formatUnanswered(status)}`;
+  return `${head}${warning}\n\n${formatMembers(status.members, status.leaderId, unknownLag)}\n${formatDaemons(status)}${formatGateways(status)}${formatUnanswered(status)}`;
 }
