Add failing tests: routes that follow each other while a controller is dark

A rollout simulation (driftway-lab rollout) puts one route document after the other while one controller at a time loses power, restarts, is cut off or freezes, and gateways restart; it checks that each accepted document, or a later one, is in force at every gateway within 3 s, and that none goes back.

--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -11,6 +11,7 @@
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
 import { RecoveryCommand } from './recovery-command.js';
 import { ReportCommand } from './report-command.js';
+import { RolloutCommand } from './rollout-command.js';
 import { ScaleCommand } from './scale-command.js';
 
 const COMMANDS = [
@@ -25,6 +26,7 @@
   MeasureConsensusCommand,
   MeasureRouterCostCommand,
   ReportCommand,
+  RolloutCommand,
   ScaleCommand,
 ];
 
