Count the wait for a near controller from the oldest version that a gateway lacks

Cause: a controller leaves a document to the controller of the gateway's own zone for a second, and each newer version began that second anew, looked at only each 405 ms. So changes at most 1.2 s apart never reached a gateway whose near controller was dark. Ruled out: gateways without a live source (their second stream told nine versions a second of the status alone), settings read again, young processes, tables of leaves (the 404s are refused where the caller asked). Change: the time counts from when the first version that the gateway lacks became known here (VersionHistory, shared by all sessions), and the session wakes when it is over.

--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -5,7 +5,6 @@
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
-import type { VersionHistory } from '../routes/version-history.js';
 import {
   DIRECTORY_CODEC,
   SubscriberKind,
@@ -36,13 +35,18 @@
 /** What subscribers are told, besides what the server knows of them. */
 export interface DirectoryServerSources extends Pick<
   DirectorySessionSources,
-  'clock' | 'directory' | 'document' | 'evacuations' | 'quarantine' | 'ageMs' | 'ownZone'
+  | 'clock'
+  | 'directory'
+  | 'document'
+  | 'routeHistory'
+  | 'evacuations'
+  | 'quarantine'
+  | 'ageMs'
+  | 'ownZone'
 > {
   readonly members: () => readonly DirectoryMember[];
   /** This controller. */
   readonly ownName: string;
-  /** Versions of the route document, as they became known here. */
-  readonly routeHistory: VersionHistory;
   readonly registry: Registry;
   /** Gateways that follow other controllers, as those say. */
   readonly otherGateways: () => readonly KnownGateway[];
@@ -235,20 +239,27 @@
       this.news.notify();
     });
     while (isOpen) {
-      const news = this.news.wait(STATUS_INTERVAL_MS);
-      await this.sendFrames(connection, session);
+      const messages = this.takeNews(session);
+      const documentDueInMs = session.documentDueInMs(this.sessionSources);
+      const news = this.news.wait(Math.min(STATUS_INTERVAL_MS, documentDueInMs));
+      await this.sendFrames(connection, messages, session.position);
       await news;
       if (isOpen) await clock.sleep(BATCH_INTERVAL_MS);
     }
   }
 
+  private takeNews(session: DirectorySession): DirectoryMessage[] {
+    const messages = session.takeNews(this.sessionSources);
+    this.countDocuments(session, messages);
+    return messages;
+  }
+
+  /** `position` is the one up to which the messages tell. */
   private async sendFrames(
     connection: MessageConnection,
-    session: DirectorySession,
+    messages: readonly DirectoryMessage[],
+    position: number,
   ): Promise<void> {
-    const messages = session.takeNews(this.sessionSources);
-    this.countDocuments(session, messages);
-    const { position } = session;
     let start = 0;
     do {
       const batch = messages.slice(start, start + MESSAGES_PER_FRAME);
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -3,6 +3,7 @@
 import { QuarantineState } from '../quarantine/quarantine-entry.js';
 import type { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
+import type { VersionHistory } from '../routes/version-history.js';
 import type { Clock } from '../seams/clock.js';
 import {
   NO_DOCUMENT,
@@ -28,6 +29,8 @@
   readonly clock: Clock;
   readonly directory: ReplicaDirectory;
   readonly document: () => StoredRouteDocument | undefined;
+  /** Versions of the route document, as they became known here. */
+  readonly routeHistory: VersionHistory;
   /** Orders about zones; gateways are told of them. */
   readonly evacuations: () => Iterable<ZoneEvacuation>;
   /** Requests under which replicas ended; gateways are told of those that are suspected. */
@@ -53,8 +56,6 @@
   /** Version of the route document that the subscriber last said it has in force. */
   confirmedDocumentVersion = NO_DOCUMENT;
   private documentVersion = NO_DOCUMENT;
-  /** The newest document that the subscriber lacked, and since when. */
-  private lacking = { version: NO_DOCUMENT, since: -Infinity };
   private controllers = '';
   /** Of the quarantine, up to which the subscriber was told. */
   private quarantinePosition = 0;
@@ -91,6 +92,23 @@
     return messages;
   }
 
+  /**
+   * Until the subscriber is sent a document that it lacks; Infinity when it lacks none.
+   * Milliseconds.
+   *
+   * A gateway of another zone also follows a controller of its own: it is sent a document over
+   * the longer way only when it does not get it there. The time counts from the oldest version
+   * that it lacks: if a newer one began it again, changes that follow each other closely would
+   * never reach a gateway whose near controller is lost.
+   */
+  documentDueInMs({ clock, ownZone, routeHistory }: DirectorySessionSources): number {
+    const lackingSince = routeHistory.newerSince(this.heldVersion);
+    if (lackingSince === undefined) return Infinity;
+    const isFar = this.kind === SubscriberKind.Gateway && this.subscriber.zone !== ownZone;
+    if (!isFar || this.confirmedDocumentVersion === NO_DOCUMENT) return 0;
+    return Math.max(0, lackingSince + FAR_DOCUMENT_DELAY_MS - clock.now());
+  }
+
   private addEvacuations(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     if (this.kind !== SubscriberKind.Gateway) return;
     for (const evacuation of sources.evacuations()) {
@@ -115,22 +133,15 @@
 
   private addDocument(sources: DirectorySessionSources, messages: DirectoryMessage[]): void {
     const document = sources.document();
-    const told = Math.max(this.documentVersion, this.confirmedDocumentVersion);
-    if (document === undefined || document.version <= told) return;
-    if (this.isLeftToOthers(sources, document.version)) return;
+    if (document === undefined || document.version <= this.heldVersion) return;
+    if (this.documentDueInMs(sources) > 0) return;
     this.documentVersion = document.version;
     messages.push({ kind: 'document', ...document });
   }
 
-  /**
-   * A gateway of another zone also follows a controller of its own: it is sent a
-   * document over the longer way only when it does not get it there.
-   */
-  private isLeftToOthers({ clock, ownZone }: DirectorySessionSources, version: number): boolean {
-    const isFar = this.kind === SubscriberKind.Gateway && this.subscriber.zone !== ownZone;
-    if (!isFar || this.confirmedDocumentVersion === NO_DOCUMENT) return false;
-    if (this.lacking.version !== version) this.lacking = { version, since: clock.now() };
-    return clock.now() - this.lacking.since < FAR_DOCUMENT_DELAY_MS;
+  /** Version of the route document that the subscriber has, or is about to have from here. */
+  private get heldVersion(): number {
+    return Math.max(this.documentVersion, this.confirmedDocumentVersion);
   }
 
   /** What changed in the list since it was told. */
--- a/test/directory/directory-session.test.ts
+++ b/test/directory/directory-session.test.ts
@@ -8,11 +8,13 @@
 import { FAR_DOCUMENT_DELAY_MS } from '../../src/directory/directory-timing.js';
 import { DirectoryKind, ReplicaDirectory } from '../../src/directory/replica-directory.js';
 import { QuarantineRegister } from '../../src/quarantine/quarantine-register.js';
+import { VersionHistory } from '../../src/routes/version-history.js';
 
 interface Parts {
   readonly simulation: Simulation;
   readonly sources: DirectorySessionSources;
   readonly session: DirectorySession;
+  readonly history: VersionHistory;
   /** Version of the document at the controller. */
   version: number;
 }
@@ -20,11 +22,14 @@
 function createParts(subscriberZone: string): Parts {
   const simulation = new Simulation(7);
   const { clock } = simulation.createMachine('controller', 'a').environment;
-  const parts = { simulation, version: 1 };
+  const history = new VersionHistory();
+  history.note(1, clock.now());
+  const parts = { simulation, history, version: 1 };
   const sources: DirectorySessionSources = {
     clock,
     directory: new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats),
     document: () => ({ version: parts.version, content: new Uint8Array(0) }),
+    routeHistory: history,
     evacuations: () => [],
     quarantine: new QuarantineRegister(),
     controllers: () => [],
@@ -37,6 +42,12 @@
   return Object.assign(parts, { sources, session });
 }
 
+/** The controller accepts the next version now. */
+function accept(parts: Parts): void {
+  parts.version += 1;
+  parts.history.note(parts.version, parts.sources.clock.now());
+}
+
 function toldVersions({ session, sources }: Parts): number[] {
   const news = session.takeNews(sources);
   return news.flatMap((message) => (message.kind === 'document' ? [message.version] : []));
@@ -46,7 +57,7 @@
   it('is sent at once to a gateway of the zone', () => {
     const parts = createParts('a');
     parts.session.confirmedDocumentVersion = 1;
-    parts.version = 2;
+    accept(parts);
     expect(toldVersions(parts)).toEqual([2]);
     expect(toldVersions(parts)).toEqual([]);
   });
@@ -58,7 +69,7 @@
   it('is not sent to a gateway of another zone that gets it elsewhere', async () => {
     const parts = createParts('b');
     parts.session.confirmedDocumentVersion = 1;
-    parts.version = 2;
+    accept(parts);
     expect(toldVersions(parts)).toEqual([]);
     parts.session.confirmedDocumentVersion = 2;
     await parts.simulation.runFor(FAR_DOCUMENT_DELAY_MS + 1);
@@ -68,9 +79,42 @@
   it('is sent to a gateway of another zone that does not get it elsewhere', async () => {
     const parts = createParts('b');
     parts.session.confirmedDocumentVersion = 1;
-    parts.version = 2;
+    accept(parts);
     expect(toldVersions(parts)).toEqual([]);
     await parts.simulation.runFor(FAR_DOCUMENT_DELAY_MS + 1);
     expect(toldVersions(parts)).toEqual([2]);
   });
+
+  it('is sent to a gateway of another zone in time also while newer ones follow', async () => {
+    const parts = createParts('b');
+    parts.session.confirmedDocumentVersion = 1;
+    const pause = FAR_DOCUMENT_DELAY_MS / 20;
+    for (let waited = 0; waited < FAR_DOCUMENT_DELAY_MS; waited += pause) {
+      accept(parts);
+      expect(toldVersions(parts)).toEqual([]);
+      await parts.simulation.runFor(pause);
+    }
+    expect(toldVersions(parts)).toEqual([parts.version]);
+  });
+
+  it('is left to the controller of the zone that delivers each a little later', async () => {
+    const parts = createParts('b');
+    for (let count = 0; count < 200; count += 1) {
+      parts.session.confirmedDocumentVersion = parts.version;
+      accept(parts);
+      expect(toldVersions(parts)).toEqual([]);
+      await parts.simulation.runFor(FAR_DOCUMENT_DELAY_MS / 4);
+    }
+  });
+
+  it('is due at a known time when a gateway of another zone lacks it', async () => {
+    const parts = createParts('b');
+    parts.session.confirmedDocumentVersion = 1;
+    expect(parts.session.documentDueInMs(parts.sources)).toBe(Infinity);
+    accept(parts);
+    expect(parts.session.documentDueInMs(parts.sources)).toBe(FAR_DOCUMENT_DELAY_MS);
+    await parts.simulation.runFor(300);
+    accept(parts);
+    expect(parts.session.documentDueInMs(parts.sources)).toBe(FAR_DOCUMENT_DELAY_MS - 300);
+  });
 });
