Send route documents to gateways only

Cause: controllers follow each other's directory streams and were sent each document by all others, though they have it from the replicated log and drop it.

--- a/lab/commands/rollout-command.ts
+++ b/lab/commands/rollout-command.ts
@@ -1,8 +1,7 @@
 /** `driftway-lab rollout`: route documents that follow each other under faults, in virtual time. */
 import { Command, Option } from 'clipanion';
 import * as typanion from 'typanion';
-import type {
-  RolloutFault} from '../rollout/rollout-options.js';
+import type { RolloutFault } from '../rollout/rollout-options.js';
 import {
   DEFAULT_ROLLOUT_OPTIONS,
   ROLLOUT_FAULTS,
--- a/lab/rollout/rollout-run.ts
+++ b/lab/rollout/rollout-run.ts
@@ -28,7 +28,7 @@
   /** Over {@link IN_FORCE_BOUND_MS}. */
   readonly late: readonly LateRollout[];
   readonly reverted: readonly string[];
-  /** Sent to gateways and controllers of other zones. */
+  /** Sent to gateways of other zones. */
   readonly documentsBetweenZones: number;
   readonly bytesBetweenZones: number;
   readonly digest: string;
--- a/src/directory/directory-metrics.ts
+++ b/src/directory/directory-metrics.ts
@@ -24,13 +24,13 @@
     const registers = [registry];
     this.documents = new Counter({
       name: 'driftway_controller_route_documents_sent_total',
-      help: 'Route documents that were sent to gateways and controllers, by where those are.',
+      help: 'Route documents that were sent to gateways, by where those are.',
       labelNames: ['place'],
       registers,
     });
     this.documentBytes = new Counter({
       name: 'driftway_controller_route_document_bytes_sent_total',
-      help: 'Bytes of route documents that were sent, by where the receiver is.',
+      help: 'Bytes of route documents that were sent, by where the gateway is.',
       labelNames: ['place'],
       registers,
     });
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -102,9 +102,11 @@
    * never reach a gateway whose near controller is lost.
    */
   documentDueInMs({ clock, ownZone, routeHistory }: DirectorySessionSources): number {
+    // Controllers have it from the replicated log.
+    if (this.kind !== SubscriberKind.Gateway) return Infinity;
     const lackingSince = routeHistory.newerSince(this.heldVersion);
     if (lackingSince === undefined) return Infinity;
-    const isFar = this.kind === SubscriberKind.Gateway && this.subscriber.zone !== ownZone;
+    const isFar = this.subscriber.zone !== ownZone;
     if (!isFar || this.confirmedDocumentVersion === NO_DOCUMENT) return 0;
     return Math.max(0, lackingSince + FAR_DOCUMENT_DELAY_MS - clock.now());
   }
--- a/test/directory/directory-session.test.ts
+++ b/test/directory/directory-session.test.ts
@@ -19,7 +19,7 @@
   version: number;
 }
 
-function createParts(subscriberZone: string): Parts {
+function createParts(subscriberZone: string, kind = SubscriberKind.Gateway): Parts {
   const simulation = new Simulation(7);
   const { clock } = simulation.createMachine('controller', 'a').environment;
   const history = new VersionHistory();
@@ -38,7 +38,7 @@
     gatewaysFor: () => [],
   };
   const subscriber = { name: 'gateway', zone: subscriberZone, address: '' };
-  const session = new DirectorySession(SubscriberKind.Gateway, subscriber);
+  const session = new DirectorySession(kind, subscriber);
   return Object.assign(parts, { sources, session });
 }
 
@@ -107,6 +107,14 @@
     }
   });
 
+  it('is not sent to controllers, which have it from the replicated log', async () => {
+    const parts = createParts('a', SubscriberKind.Controller);
+    accept(parts);
+    await parts.simulation.runFor(FAR_DOCUMENT_DELAY_MS + 1);
+    expect(toldVersions(parts)).toEqual([]);
+    expect(parts.session.documentDueInMs(parts.sources)).toBe(Infinity);
+  });
+
   it('is due at a known time when a gateway of another zone lacks it', async () => {
     const parts = createParts('b');
     parts.session.confirmedDocumentVersion = 1;
