Let an entry of another writer that cannot be used cost nothing but itself

One bad item of the platform's list voided the whole reading; a broken percent encoding in an id ended in an internal error; addresses without a port, ports of 0, endless ids, absurd warm-up times were taken. Entries with an unknown state were dropped without a trace. Now each is dropped alone, counted by source and reason (driftway_unusable_entries_total) and leaves a bounded line; a heartbeat that cannot be used changes nothing of the replica's entry. A directory takes up 50,000 replicas at most.

--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -192,11 +192,19 @@
   private startPlatformList(core: ControllerCore): PlatformListPoller | undefined {
     const { platformList } = this.configuration;
     if (platformList === undefined) return undefined;
-    const { signs, server, exchange } = core;
+    const { signs, server, exchange, registration } = core;
     const onSigns = (): void => {
       server.notify();
       exchange.notify();
     };
-    return new PlatformListPoller(this.environment, platformList, signs, onSigns, this.telemetry);
+    const { unusable } = registration;
+    return new PlatformListPoller(
+      this.environment,
+      platformList,
+      signs,
+      onSigns,
+      unusable,
+      this.telemetry,
+    );
   }
 }
--- a/src/control/platform-list-poller.ts
+++ b/src/control/platform-list-poller.ts
@@ -7,6 +7,11 @@
 import * as z from 'zod';
 import { EVERYWHERE, PLATFORM_OBSERVER, type SignBoard } from '../control-stream/sign-board.js';
 import { nameSchema } from '../model/service-definition.js';
+import {
+  EntrySource,
+  UnusableReason,
+  type UnusableEntries,
+} from '../observability/unusable-entries.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
@@ -26,15 +31,15 @@
   keepAliveTimeout: 10_000,
 };
 
-const machinesSchema = z
-  .array(
-    z.object({
-      replicaId: nameSchema,
-      incarnation: z.int().min(0),
-      state: z.enum(['live', 'draining', 'gone']),
-    }),
-  )
-  .max(100_000);
+/** A longer list is not taken. */
+const MAXIMUM_MACHINES = 100_000;
+
+const machineSchema = z.object({
+  replicaId: nameSchema,
+  incarnation: z.int().min(0),
+  state: z.enum(['live', 'draining', 'gone']),
+});
+type Machine = z.infer<typeof machineSchema>;
 
 /** Polls until stopped. */
 export class PlatformListPoller {
@@ -48,6 +53,7 @@
     address: Address,
     private readonly signs: SignBoard,
     private readonly onSigns: () => void,
+    private readonly unusable: UnusableEntries,
     telemetry: Telemetry,
   ) {
     this.client = environment.network.httpClient(address, CLIENT_OPTIONS);
@@ -81,7 +87,9 @@
     const machines = parseMachines(body);
     if (machines === undefined) return 'malformed';
     let news = false;
-    for (const machine of machines) {
+    for (const item of machines) {
+      const machine = this.readMachine(item);
+      if (machine === undefined) continue;
       const sign = { ...machine, observedBy: PLATFORM_OBSERVER };
       news = this.signs.record({ scope: EVERYWHERE, sign }) || news;
     }
@@ -89,6 +97,16 @@
     return 'read';
   }
 
+  /** An item that cannot be used names no machine; the others of the list hold. */
+  private readMachine(item: unknown): Machine | undefined {
+    const parsed = machineSchema.safeParse(item);
+    if (parsed.success) return parsed.data;
+    const field = String(parsed.error.issues[0]?.path[0] ?? 'item');
+    const reason = field === 'state' ? UnusableReason.UnknownState : UnusableReason.BadField;
+    this.unusable.note(EntrySource.PlatformList, reason, { field });
+    return undefined;
+  }
+
   private async fetch(): Promise<Uint8Array | undefined> {
     const timeout = new AbortController();
     const timer = this.environment.clock.setTimer(POLL_TIMEOUT_MS, () => {
@@ -110,10 +128,11 @@
   }
 }
 
-function parseMachines(body: Uint8Array): z.infer<typeof machinesSchema> | undefined {
+function parseMachines(body: Uint8Array): readonly unknown[] | undefined {
   try {
     const document: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
-    return machinesSchema.safeParse(document).data;
+    const isList = Array.isArray(document) && document.length <= MAXIMUM_MACHINES;
+    return isList ? (document as unknown[]) : undefined;
   } catch {
     return undefined;
   }
--- a/src/control/registration-endpoint.ts
+++ b/src/control/registration-endpoint.ts
@@ -2,13 +2,17 @@
  * The calls of replicas, which register themselves, and of the operator of the
  * route document. Not authenticated: for networks that only they can reach.
  */
-import * as z from 'zod';
 import { SectionTag, sectionCommand } from '../consensus/sectioned-state-machine.js';
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
 import type { DirectoryServer } from '../directory/directory-server.js';
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import { RegisteredState } from '../directory/replica-entry.js';
 import type { Logger } from '../observability/logger.js';
+import {
+  EntrySource,
+  UnusableReason,
+  type UnusableEntries,
+} from '../observability/unusable-entries.js';
 import { InvalidRouteDocumentError, readRouteDocument } from '../routes/read-route-document.js';
 import {
   decodeRouteDocumentOutcome,
@@ -18,6 +22,7 @@
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
 import { EVACUATIONS_PATH, type EvacuationEndpoint } from './evacuation-endpoint.js';
 import { QUARANTINE_PATH, type QuarantineEndpoint } from './quarantine-endpoint.js';
+import { readHeartbeat } from './read-heartbeat.js';
 import { errorResponse, jsonResponse, proposalErrorResponse } from './json-response.js';
 
 const REPLICAS_PATH = '/v1/replicas/';
@@ -28,19 +33,6 @@
 /** Longest further wait for the gateways that are connected here. Milliseconds. */
 const LEAVE_GATEWAYS_TIMEOUT_MS = 150;
 
-/** What a replica says of itself; fields that are not known are ignored. */
-const heartbeatSchema = z.object({
-  service: z.string().min(1).max(255),
-  address: z.string().min(3).max(255),
-  zone: z.string().max(255).default(''),
-  capacity: z.int().min(0).default(1),
-  state: z.enum([RegisteredState.Ready, RegisteredState.Draining]),
-  sequence: z.int().min(0).default(0),
-  warmupRemainingMs: z.number().min(0).default(0),
-  /** When the process started, by its own clock. Unix milliseconds. */
-  born: z.int().min(0).optional(),
-});
-
 /** What the endpoint works on. */
 export interface RegistrationParts {
   readonly log: ReplicatedLog;
@@ -49,12 +41,21 @@
   readonly server: DirectoryServer;
   readonly evacuations: EvacuationEndpoint;
   readonly quarantine: QuarantineEndpoint;
+  readonly unusable: UnusableEntries;
   readonly logger: Logger;
 }
 
-function parseBody(body: Uint8Array): unknown {
+/** Characters of an id that a line shows. */
+const SHOWN_ID = 64;
+
+function shorten(replicaId: string): string {
+  return replicaId.slice(0, SHOWN_ID);
+}
+
+/** The id that ends the path; undefined when its encoding is broken. */
+function readReplicaId(path: string): string | undefined {
   try {
-    return JSON.parse(new TextDecoder().decode(body)) as unknown;
+    return decodeURIComponent(path.slice(REPLICAS_PATH.length));
   } catch {
     return undefined;
   }
@@ -67,10 +68,7 @@
   async handle(request: HttpRequest): Promise<HttpResponse> {
     const { method, path } = request;
     if (path.startsWith(REPLICAS_PATH)) {
-      const replicaId = decodeURIComponent(path.slice(REPLICAS_PATH.length));
-      if (method === 'PUT') return this.takeHeartbeat(replicaId, request.body);
-      if (method === 'DELETE') return this.takeLeave(replicaId);
-      return errorResponse(405, 'use PUT or DELETE');
+      return this.takeReplicaCall(method, readReplicaId(path), request.body);
     }
     if (path === EVACUATIONS_PATH || path.startsWith(`${EVACUATIONS_PATH}/`)) {
       return this.parts.evacuations.handle(request);
@@ -84,17 +82,45 @@
     return errorResponse(405, 'use PUT or GET');
   }
 
+  private async takeReplicaCall(
+    method: string,
+    replicaId: string | undefined,
+    body: Uint8Array,
+  ): Promise<HttpResponse> {
+    if (method !== 'PUT' && method !== 'DELETE') return errorResponse(405, 'use PUT or DELETE');
+    if (replicaId === undefined) {
+      this.parts.unusable.note(EntrySource.Heartbeat, UnusableReason.Unreadable, { field: 'id' });
+      return errorResponse(400, 'not a replica id');
+    }
+    return method === 'PUT' ? this.takeHeartbeat(replicaId, body) : this.takeLeave(replicaId);
+  }
+
+  /** One that cannot be used changes nothing of the replica's entry, and does not keep it. */
   private async takeHeartbeat(replicaId: string, body: Uint8Array): Promise<HttpResponse> {
-    const parsed = heartbeatSchema.safeParse(parseBody(body));
-    if (!parsed.success) return errorResponse(400, 'not a heartbeat');
-    const { warmupRemainingMs: warmupMs, born, ...heartbeat } = parsed.data;
-    const { directory, server, logger } = this.parts;
-    const life = born === undefined ? {} : { bornAt: born };
-    const { isCurrent, isNews } = directory.hear({ ...heartbeat, replicaId, warmupMs, ...life });
+    const { directory, server, unusable, logger } = this.parts;
+    const reading = readHeartbeat(replicaId, body);
+    if ('problem' in reading) {
+      const { reason, field } = reading.problem;
+      unusable.note(EntrySource.Heartbeat, reason, { replicaId: shorten(replicaId), field });
+      return errorResponse(400, `not a heartbeat: ${field ?? reason}`);
+    }
+    const { entry } = reading;
+    const { isCurrent, isNews } = directory.hear(entry);
+    if (directory.find(replicaId) === undefined) {
+      unusable.note(EntrySource.Heartbeat, UnusableReason.TooMany, { replicaId });
+      return errorResponse(503, 'too many replicas');
+    }
     if (isCurrent) server.noteHeard(replicaId);
     if (isNews) {
-      const { service, address, state, sequence } = heartbeat;
-      logger.info('replica registered', { replicaId, service, address, state, sequence, ...life });
+      const { service, address, state, sequence, bornAt } = entry;
+      logger.info('replica registered', {
+        replicaId,
+        service,
+        address,
+        state,
+        sequence,
+        bornAt,
+      });
     }
     const isLeaving = directory.find(replicaId)?.state !== RegisteredState.Ready;
     return isLeaving ? this.acknowledgeLeaving(replicaId) : jsonResponse(200, {});
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -21,6 +21,7 @@
 import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
+import { UnusableEntries } from '../observability/unusable-entries.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import { EvidenceIntake } from '../quarantine/evidence-intake.js';
 import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
@@ -78,6 +79,8 @@
   private readonly server: DirectoryServer;
   private readonly client: DirectoryClient;
   private readonly endpoint: RegistrationEndpoint;
+  /** Entries of other writers that cannot be used, of this controller. */
+  readonly unusable: UnusableEntries;
   private readonly routeHistory = new VersionHistory();
   private readonly routeLag: RouteLagWatch;
   private readonly stopped = new AbortController();
@@ -88,6 +91,7 @@
     const { evacuations, evacuationOrders, quarantine, quarantineOrders } = options;
     const { clock } = environment;
     this.directory = new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats);
+    this.unusable = new UnusableEntries({ clock, logger, registry: options.registry });
     const intake = new EvidenceIntake({
       orders: quarantineOrders,
       register: quarantine,
@@ -114,6 +118,7 @@
       subscriberKind: SubscriberKind.Controller,
       zone,
       directory: this.directory,
+      unusable: this.unusable,
       logger,
       ownAddress,
       relay: () => this.relay(),
@@ -126,6 +131,7 @@
       server,
       evacuations: new EvacuationEndpoint(evacuationOrders),
       quarantine: new QuarantineEndpoint(quarantineOrders),
+      unusable: this.unusable,
       logger,
     });
     this.routeLag = new RouteLagWatch({
@@ -151,7 +157,8 @@
     const { environment, logger } = this.options;
     const { clock, disk } = environment;
     const stopped = this.stopped.signal;
-    const parts: ReplicaStoreParts = { disk, clock, directory: this.directory, logger, stopped };
+    const { directory, unusable } = this;
+    const parts: ReplicaStoreParts = { disk, clock, directory, unusable, logger, stopped };
     await restoreReplicas(parts);
     void storeReplicas(parts);
   }
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -9,6 +9,11 @@
 import type { QuarantineEntry } from '../quarantine/quarantine-entry.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import type { Logger } from '../observability/logger.js';
+import {
+  EntrySource,
+  UnusableReason,
+  type UnusableEntries,
+} from '../observability/unusable-entries.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
 import { chooseControllers, FollowState, type KnownController } from './controller-choice.js';
@@ -49,6 +54,7 @@
   readonly subscriberKind: SubscriberKind;
   readonly zone: string;
   readonly directory: ReplicaDirectory;
+  readonly unusable: UnusableEntries;
   readonly logger: Logger;
   /** This process's own address for internal messages, which it does not follow. */
   readonly ownAddress?: string;
@@ -164,7 +170,7 @@
     switch (message.kind) {
       case 'replica':
       case 'replicaLife':
-        this.takeReplica(message);
+        this.takeReplica(message, link);
         return;
       case 'heard':
         directory.noteHeard(message.replicaId);
@@ -182,9 +188,13 @@
     }
   }
 
-  private takeReplica(message: ReplicaMessage | ReplicaLifeMessage): void {
+  private takeReplica(message: ReplicaMessage | ReplicaLifeMessage, link: DirectoryLink): void {
     const entry = replicaEntry(message);
-    if (entry === undefined) return;
+    if (entry === undefined) {
+      const fields = { replicaId: message.replicaId, controller: link.address };
+      this.options.unusable.note(EntrySource.DirectoryStream, UnusableReason.UnknownState, fields);
+      return;
+    }
     const isUseful = entry.restored !== true || this.isYoung;
     if (isUseful) this.options.directory.report(entry);
   }
--- a/src/directory/replica-directory.ts
+++ b/src/directory/replica-directory.ts
@@ -25,7 +25,8 @@
  */
 export const LIFE_SILENT_MS = 5_000;
 
-const MAXIMUM_ENTRIES = 200_000;
+/** Most replicas that are known: several times as many as are expected, and some 30 MB of entries. */
+const MAXIMUM_ENTRIES = 50_000;
 
 function isRestored({ restored }: ReplicaEntry): boolean {
   return restored === true;
@@ -82,14 +83,17 @@
   readonly forgotten: Stream<string>;
   private readonly entries = new Map<string, ReplicaEntry>();
   private readonly heardAt = new Map<string, number>();
-  private readonly table = new VersionedTable<ReplicaEntry>(MAXIMUM_ENTRIES);
+  private readonly table: VersionedTable<ReplicaEntry>;
   private readonly emitChange: (entry: ReplicaEntry) => void;
   private readonly emitForgotten: (replicaId: string) => void;
 
   constructor(
     private readonly clock: Clock,
     private readonly kind: DirectoryKind,
+    /** Further replicas are not taken up until others are forgotten. */
+    private readonly maximumEntries = MAXIMUM_ENTRIES,
   ) {
+    this.table = new VersionedTable(maximumEntries);
     [this.emitChange, this.changes] = createAdapter<ReplicaEntry>();
     [this.emitForgotten, this.forgotten] = createAdapter<string>();
   }
@@ -122,7 +126,10 @@
    */
   hear(report: ReplicaEntry): HeardReport {
     const known = this.entries.get(report.replicaId);
-    if (known === undefined) return { isCurrent: true, isNews: this.report(report) };
+    if (known === undefined) {
+      const isNews = this.report(report);
+      return { isCurrent: isNews, isNews };
+    }
     const { generation = 0 } = known;
     const heard = generation === 0 ? report : { ...report, generation };
     if (!this.isUnexpectedLife(heard, known)) {
@@ -137,6 +144,7 @@
   /** Takes a report in; true when it was worth telling others. */
   report(report: ReplicaEntry): boolean {
     const known = this.entries.get(report.replicaId);
+    if (known === undefined && this.entries.size >= this.maximumEntries) return false;
     const joined = known === undefined ? report : joinReports(known, report);
     // Told again by another controller, a restored replica is not heard of.
     const isEarlier = known !== undefined && compareLives(report, known) < 0;
--- a/src/directory/replica-store.ts
+++ b/src/directory/replica-store.ts
@@ -7,6 +7,11 @@
  */
 import { observe } from '../control-stream/observe.js';
 import type { Logger } from '../observability/logger.js';
+import {
+  EntrySource,
+  UnusableReason,
+  type UnusableEntries,
+} from '../observability/unusable-entries.js';
 import type { Clock } from '../seams/clock.js';
 import type { Disk } from '../seams/disk.js';
 import { readChecksummedFile, replaceFile } from '../storage/checksummed-file.js';
@@ -32,20 +37,24 @@
   readonly disk: Disk;
   readonly clock: Clock;
   readonly directory: ReplicaDirectory;
+  readonly unusable: UnusableEntries;
   readonly logger: Logger;
   readonly stopped: AbortSignal;
 }
 
 /** Replicas as they were stored; none when nothing can be read back. */
-async function readStored({ disk, logger }: ReplicaStoreParts): Promise<ReplicaEntry[]> {
+async function readStored({ disk, unusable, logger }: ReplicaStoreParts): Promise<ReplicaEntry[]> {
   try {
     const content = await readChecksummedFile(disk, FOLDER, FILE);
     if (content === undefined || content.length === 0) return [];
-    return DIRECTORY_CODEC.decodeBatch(content, FILE).flatMap((message) =>
-      message.kind === 'replica' || message.kind === 'replicaLife'
-        ? (replicaEntry(message) ?? [])
-        : [],
-    );
+    return DIRECTORY_CODEC.decodeBatch(content, FILE).flatMap((message) => {
+      if (message.kind !== 'replica' && message.kind !== 'replicaLife') return [];
+      const entry = replicaEntry(message);
+      if (entry !== undefined) return [entry];
+      const { replicaId } = message;
+      unusable.note(EntrySource.StoredReplicas, UnusableReason.UnknownState, { replicaId });
+      return [];
+    });
   } catch (error) {
     logger.warn('stored replicas not read', { reason: String(error) });
     return [];
--- a/src/gateway/create-directory-client.ts
+++ b/src/gateway/create-directory-client.ts
@@ -4,6 +4,7 @@
 import { SubscriberKind } from '../directory/directory-messages.js';
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
+import type { UnusableEntries } from '../observability/unusable-entries.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { formatAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
@@ -17,6 +18,7 @@
   readonly configuration: GatewayConfiguration;
   readonly identity: LocalIdentity;
   readonly directory: ReplicaDirectory;
+  readonly unusable: UnusableEntries;
   readonly logger: Logger;
 }
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,6 +8,7 @@
 import type { DirectoryClient, ReceivedDocument } from '../directory/directory-client.js';
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
+import { UnusableEntries } from '../observability/unusable-entries.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { readRouteDocument } from '../routes/read-route-document.js';
@@ -68,6 +69,11 @@
       configuration,
       identity,
       directory,
+      unusable: new UnusableEntries({
+        clock: environment.clock,
+        logger,
+        registry: telemetry.registry,
+      }),
       logger,
     });
     this.context = this.createContext(headers);
--- a/src/seams/address.ts
+++ b/src/seams/address.ts
@@ -17,8 +17,10 @@
  */
 export function parseAddress(text: string): Address {
   const separator = text.lastIndexOf(':');
-  const port = Number(text.slice(separator + 1));
-  if (separator <= 0 || !Number.isInteger(port) || port < 0 || port > 65_535) {
+  const portText = text.slice(separator + 1);
+  const port = Number(portText);
+  // An empty text would be the number 0.
+  if (separator <= 0 || !/^\d+$/.test(portText) || port > 65_535) {
     throw new RangeError(`"${text}" is not an address; write host:port, such as 127.0.0.1:7400`);
   }
   return { host: text.slice(0, separator), port };
--- a/test/directory/replica-store.test.ts
+++ b/test/directory/replica-store.test.ts
@@ -1,3 +1,4 @@
+import { Registry } from 'prom-client';
 import { describe, expect, it } from 'vitest';
 import { Simulation } from '../../lab/simulation/simulation.js';
 import {
@@ -12,6 +13,7 @@
   type ReplicaStoreParts,
 } from '../../src/directory/replica-store.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { UnusableEntries } from '../../src/observability/unusable-entries.js';
 import { GatewayHarness } from '../gateway/gateway-harness.js';
 
 /** Longer than the store takes to write what has changed. */
@@ -32,7 +34,9 @@
   const stopped = new AbortController().signal;
   const partsOf = (directory: ReplicaDirectory): ReplicaStoreParts => {
     const { clock, disk } = machine.environment;
-    return { clock, disk, directory, logger: SILENT_LOGGER, stopped };
+    const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+    const unusable = new UnusableEntries({ clock, ...telemetry });
+    return { clock, disk, directory, unusable, logger: SILENT_LOGGER, stopped };
   };
   const before = new ReplicaDirectory(machine.environment.clock, DirectoryKind.HearsHeartbeats);
   void storeReplicas(partsOf(before));
@@ -51,6 +55,12 @@
     expect(directory.find('i-1')).toMatchObject({ service: 'ledger', restored: true, warmupMs: 0 });
   });
 
+  it('are known again with the life that they had', async () => {
+    const reborn = { ...entry('i-1'), bornAt: 1_790_000_000_000, generation: 2 };
+    const directory = await storedAndRestored(new Simulation(3), [reborn]);
+    expect(directory.find('i-1')).toMatchObject({ bornAt: reborn.bornAt, generation: 2 });
+  });
+
   it('are forgotten when they are not heard of soon, but not those that leave', async () => {
     const simulation = new Simulation(3);
     const leaving = entry('i-2', RegisteredState.Draining);
