--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -20,14 +20,13 @@
 import { DirectoryLink, type DirectoryLinkParts, type LinkNews } from './directory-link.js';
 import {
   NO_DOCUMENT,
-  crashEvidenceMessage,
-  quarantineEntry,
-  replicaEntry,
   type DocumentMessage,
   type ReplicaLifeMessage,
   type ReplicaMessage,
   type SubscriberKind,
 } from './directory-messages.js';
+import { crashEvidenceMessage, quarantineEntry } from './quarantine-messages.js';
+import { replicaEntry } from './replica-messages.js';
 import {
   DIALLED_MS,
   FOLLOWED_FRESH_MS,
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -1,14 +1,6 @@
 /** Messages of the directory stream, from controllers to subscribers and back. */
 import { MessageCodec, type MessageField } from '../protocol/message-codec.js';
 import type { ZoneEvacuation } from '../evacuations/zone-evacuation.js';
-import {
-  joinIds,
-  splitIds,
-  type QuarantineChange,
-  type QuarantineChangeKind,
-} from '../quarantine/quarantine-register.js';
-import type { QuarantineEntry, QuarantineState } from '../quarantine/quarantine-entry.js';
-import { isRegisteredState, type ReplicaEntry } from './replica-entry.js';
 
 /** First message of a subscriber. */
 export interface SubscribeMessage {
@@ -246,76 +238,3 @@
   relayed: { tag: 48, fields: [field('position', 'long')] },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
-
-/** How an entry is sent and stored. */
-export function replicaMessage(entry: ReplicaEntry): ReplicaMessage | ReplicaLifeMessage {
-  const { bornAt, generation = 0, ...rest } = entry;
-  const told = { ...rest, restored: entry.restored === true };
-  if (bornAt === undefined) return { kind: 'replica', ...told };
-  return { kind: 'replicaLife', ...told, bornAt, generation };
-}
-
-/** The entry of a message; undefined when it names a state that is not known here. */
-export function replicaEntry(
-  message: ReplicaMessage | ReplicaLifeMessage,
-): ReplicaEntry | undefined {
-  const { replicaId, service, address, zone, capacity, state, sequence, warmupMs } = message;
-  if (!isRegisteredState(state)) return undefined;
-  const { restored } = message;
-  const told = { replicaId, service, address, zone, capacity, state, sequence, warmupMs, restored };
-  if (message.kind === 'replica') return told;
-  const { bornAt, generation } = message;
-  return { ...told, bornAt, generation };
-}
-
-/** How an entry of the quarantine is sent. */
-export function quarantineMessage(entry: QuarantineEntry): QuarantineMessage {
-  const { ended, endedInTrial, ...rest } = entry;
-  return {
-    kind: 'quarantine',
-    ...rest,
-    ended: joinIds(ended),
-    endedInTrial: joinIds(endedInTrial),
-  };
-}
-
-/** The entry of a message. */
-export function quarantineEntry(message: QuarantineMessage): QuarantineEntry {
-  const { state, trialHolder, revision, fingerprint, description } = message;
-  const { ended, endedInTrial } = message;
-  return {
-    state: state as QuarantineState,
-    trialHolder,
-    revision,
-    fingerprint,
-    description,
-    ended: splitIds(ended),
-    endedInTrial: splitIds(endedInTrial),
-  };
-}
-
-/** How what a gateway saw is sent. */
-export function crashEvidenceMessage(change: QuarantineChange): CrashEvidenceMessage {
-  const { kind, ended, endedInTrial, ...rest } = change;
-  return {
-    kind: 'crashEvidence',
-    change: kind,
-    ...rest,
-    ended: joinIds(ended),
-    endedInTrial: joinIds(endedInTrial),
-  };
-}
-
-/** The change that a message tells of. */
-export function quarantineChange(message: CrashEvidenceMessage): QuarantineChange {
-  const { change, holder, replaces, fingerprint, description, ended, endedInTrial } = message;
-  return {
-    kind: change as QuarantineChangeKind,
-    holder,
-    replaces,
-    fingerprint,
-    description,
-    ended: splitIds(ended),
-    endedInTrial: splitIds(endedInTrial),
-  };
-}
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -5,18 +5,10 @@
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
-import {
-  DIRECTORY_CODEC,
-  SubscriberKind,
-  quarantineChange,
-  type DirectoryMessage,
-} from './directory-messages.js';
-import {
-  DirectorySession,
-  type DirectoryController,
-  type DirectorySessionSources,
-} from './directory-session.js';
-import { rankControllers } from './controller-choice.js';
+import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
+import { quarantineChange } from './quarantine-messages.js';
+import { DirectorySession, type DirectorySessionSources } from './directory-session.js';
+import { ControllerRoster, type DirectoryMember } from './controller-roster.js';
 import { DirectoryMetrics, SubscriberPlace } from './directory-metrics.js';
 import { GatewayRoster } from './gateway-roster.js';
 import type { GatewayRoutes } from './gateway-routes.js';
@@ -26,13 +18,6 @@
 /** Most messages of one frame, which keeps it far below the longest frame. */
 const MESSAGES_PER_FRAME = 2_000;
 
-/** A member of the controllers' group. */
-export interface DirectoryMember {
-  readonly memberId: string;
-  /** `host:port` for internal messages. */
-  readonly address: string;
-}
-
 /** What subscribers are told, besides what the server knows of them. */
 export interface DirectoryServerSources extends Pick<
   DirectorySessionSources,
@@ -73,8 +58,7 @@
   private readonly confirmations: Notifier;
   private readonly sessionSources: DirectorySessionSources;
   private readonly metrics: DirectoryMetrics;
-  /** Zones of controllers by name, also of those whose stream is lost at the moment. */
-  private readonly controllerZones = new Map<string, string>();
+  private readonly controllers: ControllerRoster;
   private stopping = false;
 
   constructor(private readonly sources: DirectoryServerSources) {
@@ -85,12 +69,15 @@
     });
     this.sessionSources = {
       ...sources,
-      controllers: () => this.controllers(),
-      isFirstFor: (gateway) => this.isFirstFor(gateway),
+      controllers: () => this.controllers.all(),
+      isFirstFor: (gateway) => this.controllers.isFirstFor(gateway),
       gatewaysFor: (kind) =>
         kind === SubscriberKind.Controller ? this.roster.own : this.roster.leaves,
     };
-    this.controllerZones.set(sources.ownName, sources.ownZone);
+    this.controllers = new ControllerRoster({
+      ...sources,
+      connected: () => this.subscribersOf(SubscriberKind.Controller),
+    });
     this.news = new Notifier(sources.clock);
     this.confirmations = new Notifier(sources.clock);
     this.metrics = new DirectoryMetrics(sources.registry, {
@@ -184,21 +171,10 @@
     const isController = message.subscriberKind === SubscriberKind.Controller.valueOf();
     const kind = isController ? SubscriberKind.Controller : SubscriberKind.Gateway;
     const { zone, gatherAddress: address } = message;
-    if (isController) this.noteControllerZone(name, zone);
+    if (isController) this.controllers.noteConnected(name, zone);
     return new DirectorySession(kind, { name, zone, address });
   }
 
-  /** Those of controllers that are neither members nor connected any more are forgotten. */
-  private noteControllerZone(controller: string, zone: string): void {
-    this.controllerZones.set(controller, zone);
-    const known = new Set(this.sources.members().map(({ memberId }) => memberId));
-    for (const { name } of this.subscribersOf(SubscriberKind.Controller)) known.add(name);
-    known.add(this.sources.ownName).add(controller);
-    for (const name of this.controllerZones.keys()) {
-      if (!known.has(name)) this.controllerZones.delete(name);
-    }
-  }
-
   private subscribersOf(wanted: SubscriberKind): readonly KnownGateway[] {
     return [...this.sessions]
       .filter(({ kind }) => kind === wanted)
@@ -213,36 +189,7 @@
     const { name: gateway, zone } = subscriber;
     const since = routeHistory.newerSince(version);
     const lackingMs = since === undefined ? undefined : clock.now() - since;
-    return { gateway, zone, version, lackingMs, owedBy: this.controllersFor(zone) };
-  }
-
-  /** While no controller of its zone is connected, that is one of another zone. */
-  private isFirstFor({ name, zone }: KnownGateway): boolean {
-    const { ownName } = this.sources;
-    const connected = new Set([ownName]);
-    for (const controller of this.subscribersOf(SubscriberKind.Controller)) {
-      connected.add(controller.name);
-    }
-    const candidates = this.controllers().filter(({ memberId }) => connected.has(memberId));
-    const [first] = rankControllers(candidates, { ownName: name, ownZone: zone });
-    return first?.memberId === ownName;
-  }
-
-  /** Those of the zone, and this one where there is none. */
-  private controllersFor(zone: string): readonly string[] {
-    const near = this.controllers().filter((controller) => controller.zone === zone);
-    return near.length === 0 ? [this.sources.ownName] : near.map(({ memberId }) => memberId);
-  }
-
-  /** The group's members, with the zones of those that follow this controller or did. */
-  private controllers(): readonly DirectoryController[] {
-    const zones = this.controllerZones;
-    const members = this.sources.members();
-    return members.map(({ memberId, address }) => ({
-      memberId,
-      address,
-      zone: zones.get(memberId) ?? '',
-    }));
+    return { gateway, zone, version, lackingMs, owedBy: this.controllers.responsibleFor(zone) };
   }
 
   private async sendNews(connection: MessageConnection, session: DirectorySession): Promise<void> {
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -5,13 +5,9 @@
 import type { StoredRouteDocument } from '../routes/route-document-register.js';
 import type { VersionHistory } from '../routes/version-history.js';
 import type { Clock } from '../seams/clock.js';
-import {
-  NO_DOCUMENT,
-  SubscriberKind,
-  quarantineMessage,
-  replicaMessage,
-  type DirectoryMessage,
-} from './directory-messages.js';
+import { NO_DOCUMENT, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
+import { quarantineMessage } from './quarantine-messages.js';
+import { replicaMessage } from './replica-messages.js';
 import { FAR_DOCUMENT_DELAY_MS, FAR_DOCUMENT_INTERVAL_MS } from './directory-timing.js';
 import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
--- /dev/null
+++ b/src/directory/replica-messages.ts
@@ -0,0 +1,24 @@
+/** Entries of replicas as messages of the directory stream, and back. Stored replicas are such messages too. */
+import type { ReplicaLifeMessage, ReplicaMessage } from './directory-messages.js';
+import { isRegisteredState, type ReplicaEntry } from './replica-entry.js';
+
+/** How an entry is sent and stored. */
+export function replicaMessage(entry: ReplicaEntry): ReplicaMessage | ReplicaLifeMessage {
+  const { bornAt, generation = 0, ...rest } = entry;
+  const told = { ...rest, restored: entry.restored === true };
+  if (bornAt === undefined) return { kind: 'replica', ...told };
+  return { kind: 'replicaLife', ...told, bornAt, generation };
+}
+
+/** The entry of a message; undefined when it names a state that is not known here. */
+export function replicaEntry(
+  message: ReplicaMessage | ReplicaLifeMessage,
+): ReplicaEntry | undefined {
+  const { replicaId, service, address, zone, capacity, state, sequence, warmupMs } = message;
+  if (!isRegisteredState(state)) return undefined;
+  const { restored } = message;
+  const told = { replicaId, service, address, zone, capacity, state, sequence, warmupMs, restored };
+  if (message.kind === 'replica') return told;
+  const { bornAt, generation } = message;
+  return { ...told, bornAt, generation };
+}
--- a/src/directory/replica-store.ts
+++ b/src/directory/replica-store.ts
@@ -15,7 +15,8 @@
 import type { Clock } from '../seams/clock.js';
 import type { Disk } from '../seams/disk.js';
 import { readChecksummedFile, replaceFile } from '../storage/checksummed-file.js';
-import { DIRECTORY_CODEC, replicaEntry, replicaMessage } from './directory-messages.js';
+import { DIRECTORY_CODEC } from './directory-messages.js';
+import { replicaEntry, replicaMessage } from './replica-messages.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 import { RegisteredState, type ReplicaEntry } from './replica-entry.js';
 
