--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -6,6 +6,7 @@
 import { FleetCommand } from './fleet-command.js';
 import { PlatformCommand } from './platform-command.js';
 import { SimulateCommand } from './simulate-command.js';
+import { LivesCommand } from './lives-command.js';
 import { LoadCommand } from './load-command.js';
 import { MeasureConsensusCommand } from './measure-consensus.js';
 import { MeasureRouterCostCommand } from './measure-router-cost.js';
@@ -22,6 +23,7 @@
   FleetCommand,
   DemoCommand,
   RecoveryCommand,
+  LivesCommand,
   LoadCommand,
   MeasureConsensusCommand,
   MeasureRouterCostCommand,
--- a/lab/rollout/rollout-fleet.ts
+++ b/lab/rollout/rollout-fleet.ts
@@ -66,6 +66,11 @@
     return { host, port: REGISTRATION_PORT };
   }
 
+  /** Where callers reach a gateway. */
+  callerAddress({ machine: { host } }: Process): Address {
+    return { host, port: CALLER_PORT };
+  }
+
   private manageController(machine: SimulatedMachine): Process {
     let firstStart = true;
     const start = (environment: DurableEnvironment): Promise<RunningProcess> => {
