--- a/lab/commands/lives-command.ts
+++ b/lab/commands/lives-command.ts
@@ -3,9 +3,9 @@
 import { DEFAULT_LIVES_OPTIONS } from '../lives/lives-options.js';
 import { runLives, type LivesResult } from '../lives/lives-run.js';
 import { parseSeedRange, seedsOf } from '../simulate/seed-batch.js';
+import { UsageCheckedCommand } from './usage-checked-command.js';
 
 const EXIT_FAILED = 1;
-const EXIT_USAGE = 2;
 
 function formatResult({ seed, lives, calls, answered, violations }: LivesResult): string {
   const head = `seed ${seed}: ${lives} lives, ${answered} of ${calls} requests answered`;
@@ -14,7 +14,7 @@
 }
 
 /** See `driftway-lab lives --help`. */
-export class LivesCommand extends Command {
+export class LivesCommand extends UsageCheckedCommand {
   static override paths = [['lives']];
 
   static override usage = Command.Usage({
@@ -33,17 +33,7 @@
 
   seeds = Option.String('--seeds', '1..10', { description: 'First and last seed, as A..B.' });
 
-  async execute(): Promise<number> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof RangeError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return EXIT_USAGE;
-    }
-  }
-
-  private async run(): Promise<number> {
+  protected override async run(): Promise<number> {
     let hasFailed = false;
     for (const seed of seedsOf(parseSeedRange(this.seeds))) {
       const result = await runLives({ ...DEFAULT_LIVES_OPTIONS, seed });
--- a/lab/commands/rollout-command.ts
+++ b/lab/commands/rollout-command.ts
@@ -10,9 +10,9 @@
 import { IN_FORCE_BOUND_MS } from '../rollout/rollout-ledger.js';
 import { runRollout, type RolloutResult } from '../rollout/rollout-run.js';
 import { parseSeedRange, seedsOf } from '../simulate/seed-batch.js';
+import { UsageCheckedCommand } from './usage-checked-command.js';
 
 const EXIT_FAILED = 1;
-const EXIT_USAGE = 2;
 /** Fewer bear no loss. */
 const MINIMUM_CONTROLLERS = 3;
 /** Late rollouts that are printed of a seed. */
@@ -57,7 +57,7 @@
 }
 
 /** See `driftway-lab rollout --help`. */
-export class RolloutCommand extends Command {
+export class RolloutCommand extends UsageCheckedCommand {
   static override paths = [['rollout']];
 
   static override usage = Command.Usage({
@@ -121,17 +121,7 @@
     description: 'Pauses between documents, of which one is drawn every few seconds. Milliseconds.',
   });
 
-  async execute(): Promise<number> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof RangeError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return EXIT_USAGE;
-    }
-  }
-
-  private async run(): Promise<number> {
+  protected override async run(): Promise<number> {
     const options = this.readOptions();
     let hasFailed = false;
     for (const seed of seedsOf(parseSeedRange(this.seeds))) {
--- a/lab/commands/simulate-command.ts
+++ b/lab/commands/simulate-command.ts
@@ -11,13 +11,13 @@
 import { hasFailed, type SeedResult } from '../simulate/seed-result.js';
 import { shrinkSeed } from '../simulate/shrink-seed.js';
 import { DEFAULT_SIMULATE_OPTIONS, type SimulateOptions } from '../simulate/simulate-options.js';
+import { UsageCheckedCommand } from './usage-checked-command.js';
 
 const EXIT_FAILED = 1;
-const EXIT_USAGE = 2;
 const DEPLOYMENT_NAMES: readonly DeploymentName[] = ['dohoku', 'pnw'];
 
 /** See `driftway-lab simulate --help`. */
-export class SimulateCommand extends Command {
+export class SimulateCommand extends UsageCheckedCommand {
   static override paths = [['simulate']];
 
   static override usage = Command.Usage({
@@ -97,17 +97,7 @@
     description: 'Print one JSON object as the last line.',
   });
 
-  async execute(): Promise<number> {
-    try {
-      return await this.run();
-    } catch (error) {
-      if (!(error instanceof RangeError)) throw error;
-      this.context.stderr.write(`${error.message}\n`);
-      return EXIT_USAGE;
-    }
-  }
-
-  private async run(): Promise<number> {
+  protected override async run(): Promise<number> {
     const options = this.readOptions();
     const seeds = seedsOf(parseSeedRange(this.seeds));
     const results: SeedResult[] = [];
--- a/src/directory/replica-directory.ts
+++ b/src/directory/replica-directory.ts
@@ -25,7 +25,7 @@
  */
 export const LIFE_SILENT_MS = 5_000;
 
-/** Most replicas that are known: several times as many as are expected, and some 30 MB of entries. */
+/** Most replicas that are known: several times as many as are expected; so many take 20 MB of heap. */
 const MAXIMUM_ENTRIES = 50_000;
 
 function isRestored({ restored }: ReplicaEntry): boolean {
--- /dev/null
+++ b/test/directory/controller-roster.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from 'vitest';
+import { ControllerRoster } from '../../src/directory/controller-roster.js';
+import type { KnownGateway } from '../../src/directory/leaf-gateway.js';
+
+/** Controllers c1 to c3, one in each zone z1 to z3, as c1 sees them. */
+class Group {
+  connected = ['c2', 'c3'];
+  members = ['c1', 'c2', 'c3'];
+  readonly roster = new ControllerRoster({
+    ownName: 'c1',
+    ownZone: 'z1',
+    members: () => this.members.map((memberId) => ({ memberId, address: `${memberId}:1` })),
+    connected: () => this.connected.map((name) => ({ name, zone: zoneOf(name), address: '' })),
+  });
+
+  constructor() {
+    for (const name of this.connected) this.roster.noteConnected(name, zoneOf(name));
+  }
+}
+
+function zoneOf(controller: string): string {
+  return controller.replace('c', 'z');
+}
+
+function gatewayIn(zone: string, name = 'gateway'): KnownGateway {
+  return { name, zone, address: '' };
+}
+
+describe('ControllerRoster', () => {
+  it('is first for gateways of its own zone, not for those of others that are connected', () => {
+    const { roster } = new Group();
+    expect(roster.isFirstFor(gatewayIn('z1'))).toBe(true);
+    expect(roster.isFirstFor(gatewayIn('z2'))).toBe(false);
+  });
+
+  it('is first for some gateways of a zone whose controller is lost, and knows who owed them', () => {
+    const group = new Group();
+    group.connected = ['c3'];
+    const names = Array.from({ length: 40 }, (_name, index) => `gateway-${index}`);
+    const first = names.filter((name) => group.roster.isFirstFor(gatewayIn('z2', name)));
+    expect(first.length).toBeGreaterThan(5);
+    expect(first.length).toBeLessThan(35);
+    expect(group.roster.responsibleFor('z2')).toEqual(['c2']);
+  });
+
+  it('stands in where a zone has no controller', () => {
+    const group = new Group();
+    group.connected = [];
+    expect(group.roster.isFirstFor(gatewayIn('z9'))).toBe(true);
+    expect(group.roster.responsibleFor('z9')).toEqual(['c1']);
+  });
+
+  it('forgets the zones of controllers that have gone', () => {
+    const group = new Group();
+    group.members = ['c1', 'c3'];
+    group.connected = ['c3'];
+    group.roster.noteConnected('c3', 'z3');
+    group.members = ['c1', 'c2', 'c3'];
+    expect(group.roster.all().map(({ zone }) => zone)).toEqual(['z1', '', 'z3']);
+  });
+});
