Join reports of one life whatever generation they know

Cause: the generation was part of what tells lives apart, so that one life under two generations was two, and the word that it leaves could count as a late word of an earlier one. Change: lives are told apart by when they began; the generation only orders different ones, and the higher one of a life holds. Only where replicas send 'born'; without it compareLives gives 0 before and after.

--- a/src/directory/replica-directory.ts
+++ b/src/directory/replica-directory.ts
@@ -1,7 +1,6 @@
 /**
  * Every replica that has registered, as one process knows it. Reports are joined
- * so that their order does not matter: processes that have heard the same
- * reports hold the same directory.
+ * so that processes which have told each other what they hold hold the same.
  */
 import { createAdapter } from '@most/adapter';
 import type { Stream } from '@most/types';
@@ -61,7 +60,7 @@
     before.service !== after.service ||
     before.capacity !== after.capacity ||
     before.bornAt !== after.bornAt ||
-    before.generation !== after.generation ||
+    (before.generation ?? 0) !== (after.generation ?? 0) ||
     after.warmupMs > before.warmupMs ||
     isRestored(before) !== isRestored(after)
   );
@@ -122,7 +121,8 @@
 
   /**
    * Takes in what a replica says here of itself. Unlike {@link ReplicaDirectory.report}, which
-   * joins what others heard, this decides whether an unexpected life is the later one.
+   * joins what others heard, this decides whether a life that began
+   * before the known one by its own clock is the later one all the same.
    */
   hear(report: ReplicaEntry): HeardReport {
     const known = this.entries.get(report.replicaId);
@@ -132,10 +132,7 @@
     }
     const { generation = 0 } = known;
     const heard = generation === 0 ? report : { ...report, generation };
-    if (!this.isUnexpectedLife(heard, known)) {
-      const isCurrent = compareLives(heard, known) >= 0;
-      return { isCurrent, isNews: isCurrent && this.report(heard) };
-    }
+    if (compareLives(heard, known) >= 0) return { isCurrent: true, isNews: this.report(heard) };
     const isSilent = this.clock.now() - this.lastHeard(report.replicaId) > LIFE_SILENT_MS;
     if (!isSilent) return { isCurrent: false, isNews: false };
     return { isCurrent: true, isNews: this.report({ ...report, generation: generation + 1 }) };
@@ -167,16 +164,6 @@
     this.report({ ...blank, ...known, replicaId, sequence, state, restored: false });
   }
 
-  /**
-   * Whether it began before the known life by its own clock, or after one that was said to have
-   * left before it was known here, of which nothing else is known.
-   */
-  private isUnexpectedLife(heard: ReplicaEntry, known: ReplicaEntry): boolean {
-    if (compareLives(heard, known) < 0) return true;
-    const hasLeftUnknown = known.bornAt === undefined && known.state === RegisteredState.Gone;
-    return hasLeftUnknown && heard.bornAt !== undefined && heard.state === RegisteredState.Ready;
-  }
-
   /** Some process heard the replica's heartbeat. */
   noteHeard(replicaId: string): void {
     const known = this.entries.get(replicaId);
--- a/src/directory/replica-entry.ts
+++ b/src/directory/replica-entry.ts
@@ -50,13 +50,14 @@
 
 /**
  * Negative where `left` is of an earlier life than `right`, positive where it is of a later one.
- * A report that does not say when its life began is of the one that it is compared with.
+ * A report that does not say when its life began is of the one that it is compared with. The
+ * generation does not tell lives apart: who hears that a life leaves may not know that it was raised.
  */
 export function compareLives(left: ReplicaEntry, right: ReplicaEntry): number {
-  const generations = (left.generation ?? 0) - (right.generation ?? 0);
-  if (generations !== 0) return generations;
   if (left.bornAt === undefined || right.bornAt === undefined) return 0;
-  return left.bornAt - right.bornAt;
+  if (left.bornAt === right.bornAt) return 0;
+  const generations = (left.generation ?? 0) - (right.generation ?? 0);
+  return generations === 0 ? left.bornAt - right.bornAt : generations;
 }
 
 /** Names one life of a replica, unlike its id. */
@@ -65,7 +66,7 @@
 }
 
 /**
- * Joins two reports of one replica, whatever their order. A later life takes the place of an
+ * Joins two reports of one replica. A later life takes the place of an
  * earlier one whole. In one life the later state holds, and the rest comes from the report with
  * the higher sequence; an entry stays restored only while all reports of it are. Gives back
  * `known` itself when `report` adds nothing.
@@ -82,8 +83,9 @@
   const isNewer = report.sequence > known.sequence;
   const isConfirmed = known.restored === true && !restored;
   const bornAt = known.bornAt ?? report.bornAt;
-  const tellsStart = bornAt !== known.bornAt;
-  if (!isNewer && !isConfirmed && !tellsStart && state === known.state) return known;
+  const generation = Math.max(known.generation ?? 0, report.generation ?? 0);
+  const tellsLife = bornAt !== known.bornAt || generation !== (known.generation ?? 0);
+  if (!isNewer && !isConfirmed && !tellsLife && state === known.state) return known;
   const joined = { ...(isNewer ? report : known), state, restored };
-  return bornAt === undefined ? joined : { ...joined, bornAt };
+  return bornAt === undefined ? joined : { ...joined, bornAt, generation };
 }
