Count frames of the directory stream that cannot be read, on both sides

They ended the stream without a counter or a line; a stranger's first frame ended in a rejected handler. Both sides now note them (driftway_unusable_entries_total, reason unreadable).

--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -21,7 +21,7 @@
 import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
-import { UnusableEntries } from '../observability/unusable-entries.js';
+import { EntrySource, UnusableEntries, UnusableReason } from '../observability/unusable-entries.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import { EvidenceIntake } from '../quarantine/evidence-intake.js';
 import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
@@ -109,6 +109,8 @@
       ownZone: zone,
       routeHistory: this.routeHistory,
       registry: options.registry,
+      onUnreadable: (subscriber) =>
+        this.unusable.note(EntrySource.DirectoryStream, UnusableReason.Unreadable, { subscriber }),
       otherGateways: () => this.client.knownGateways,
       ageMs: () => this.ageMs(),
     });
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -103,6 +103,7 @@
       onGateways: () => this.joinGateways(),
       onControllers: () => this.adjustLinks(),
       documentVersion: () => this.documentVersion,
+      onUnreadable: ({ address: controller }) => this.noteUnreadable(controller),
       onState: (link, isOpen) => this.logState(link, isOpen),
     };
     if (options.followed !== undefined) void this.keepFollowing();
@@ -277,6 +278,11 @@
     }
   }
 
+  private noteUnreadable(controller: string): void {
+    const { unusable } = this.options;
+    unusable.note(EntrySource.DirectoryStream, UnusableReason.Unreadable, { controller });
+  }
+
   private logState(link: DirectoryLink, isOpen: boolean): void {
     const { logger } = this.options;
     const fields = { controller: link.address };
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -1,6 +1,7 @@
 /** The subscriber's end of the directory stream to one controller; reconnects until stopped. */
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import { dial } from '../protocol/dial.js';
+import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
@@ -49,6 +50,8 @@
    * false when that takes too long. Absent at gateways, which nobody follows.
    */
   readonly relay?: (() => Promise<boolean>) | undefined;
+  /** The controller sent what cannot be read; the link is about to be lost. */
+  readonly onUnreadable: (link: DirectoryLink) => void;
   /** The link was opened or lost. */
   readonly onState: (link: DirectoryLink, isOpen: boolean) => void;
 }
@@ -139,8 +142,9 @@
       this.failures = 0;
       onState(this, true);
       await this.follow(connection);
-    } catch {
+    } catch (error) {
       // Lost, or not a controller: dialled again after a pause.
+      if (isProtocolViolation(error)) this.parts.onUnreadable(this);
     } finally {
       this.connection?.close();
       this.connection = undefined;
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -3,6 +3,7 @@
 import { Notifier } from '../consensus/notifier.js';
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
+import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
@@ -36,6 +37,8 @@
   readonly registry: Registry;
   /** Gateways that follow other controllers, as those say. */
   readonly otherGateways: () => readonly KnownGateway[];
+  /** A subscriber sent what cannot be read; its stream ends. */
+  readonly onUnreadable: (subscriber: string) => void;
   /** A gateway saw replicas end under a request, or an answer to it. */
   readonly onCrashEvidence: (change: QuarantineChange) => void;
 }
@@ -140,7 +143,7 @@
 
   /** Serves one subscriber until its connection ends. */
   async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
-    const session = await this.open(connection, peer.name);
+    const session = await this.tryOpen(connection, peer.name);
     if (session === undefined) return;
     this.sessions.add(session);
     const guard = new SilenceGuard(this.sources.clock, connection, STREAM_SILENCE_MS);
@@ -160,6 +163,19 @@
     this.news.notify();
   }
 
+  private async tryOpen(
+    connection: MessageConnection,
+    name: string,
+  ): Promise<DirectorySession | undefined> {
+    try {
+      return await this.open(connection, name);
+    } catch (error) {
+      // A connection that broke before it subscribed needs no more than to be closed.
+      if (isProtocolViolation(error)) this.sources.onUnreadable(name);
+      return undefined;
+    }
+  }
+
   private async open(
     connection: MessageConnection,
     name: string,
@@ -263,8 +279,9 @@
         guard.heard();
         this.takeConfirmation(session, DIRECTORY_CODEC.decode(frame, session.name));
       }
-    } catch {
+    } catch (error) {
       // Broken, or not a confirmation: the stream is no use any more.
+      if (isProtocolViolation(error)) this.sources.onUnreadable(session.name);
     }
     connection.close();
   }
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -47,6 +47,7 @@
   readonly operator: SimulatedMachine;
   readonly machines: SimulatedMachine[] = [];
   readonly daemons = new Map<SimulatedMachine, ControllerDaemon>();
+  private readonly registries = new Map<SimulatedMachine, Registry>();
   private seeds: readonly string[] = [];
 
   private constructor(seed: number) {
@@ -92,11 +93,18 @@
       initialMembers: [{ memberId: 'unused', address: '10.0.0.1:1', zone }],
       automaticMembership: { seeds: this.seeds, firstStart },
     });
-    const telemetry = { logger: SILENT_LOGGER, registry: new Registry() };
+    const registry = new Registry();
+    this.registries.set(machine, registry);
+    const telemetry = { logger: SILENT_LOGGER, registry };
     const daemon = ControllerDaemon.start(environment, configuration, telemetry);
     this.daemons.set(machine, await this.simulation.settle(daemon));
   }
 
+  /** What the process that was started last on a machine counts. */
+  registryOf(machine: SimulatedMachine): Registry {
+    return this.registries.get(machine) ?? expect.fail(`nothing started on ${machine.name}`);
+  }
+
   /** Kills the process on a machine, with or without its disk, and starts it again. */
   async restart(machine: SimulatedMachine, keepDisk: boolean): Promise<void> {
     machine.restart({ keepDisk });
