Agree on the frame for tenants and hard load: what is missing, interfaces, settings

Identity by key at the gateway, with a lease and a quota behind interfaces that allow everything so far; the list of what is missing and the order of the decisions.

--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -181,10 +181,13 @@
         timeoutMs: leftMs,
         targetLatencyMs: request.targetLatencyMs,
         priority: request.priority,
+        public: false,
         maximumAttempts,
         shards,
         topRecords: request.topRecords,
       },
+      // Its headers already name it; keys and limits are looked at by the root alone.
+      tenant: undefined,
       receivedAt: now - elapsedMs,
       deadline: now + leftMs,
     };
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -11,6 +11,7 @@
   placeShape,
   zonesSchema,
 } from './daemon-configuration.js';
+import { tenantSettingsSchema } from './tenant-settings.js';
 
 export const controllerConfigurationSchema = z.strictObject({
   /** Unique among the controllers of the cluster, and never used again after its disk was lost. */
@@ -63,6 +64,7 @@
     })
     .prefault({})
     .describe('{ electionTimeoutMs: 1000 }'),
+  tenants: tenantSettingsSchema,
   administration: z
     .strictObject({
       /**
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -1,6 +1,7 @@
 /** Settings file of the gateway daemon. */
 import * as z from 'zod';
 import { gatewayMechanismsSchema } from './gateway-mechanisms.js';
+import { tenantSettingsSchema } from './tenant-settings.js';
 import { nameSchema } from '../model/service-definition.js';
 import {
   addressSchema,
@@ -72,6 +73,7 @@
   secondSends: secondSendSchema,
   placement: placementSchema,
   aggregation: aggregationSchema,
+  tenants: tenantSettingsSchema,
   mechanisms: gatewayMechanismsSchema,
   /** From the order to stop until the process must have ended. Milliseconds. */
   stopGraceMs: z.int().min(1_000).default(10_000),
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -1,6 +1,7 @@
 /** A caller's request as the gateway works on it. */
 import type { Route } from '../routes/route-document.js';
 import type { RouteTable } from '../routes/route-table.js';
+import type { Tenant } from '../tenants/tenant.js';
 import type { HttpHeaders } from '../seams/http.js';
 
 /** See the module comment. */
@@ -18,6 +19,8 @@
   /** The version of the routes that all of it goes by. */
   readonly table: RouteTable;
   readonly route: Route;
+  /** Whose request it is; undefined where it needs no API key. */
+  readonly tenant: Tenant | undefined;
   /** Clock readings. Milliseconds. */
   readonly receivedAt: number;
   readonly deadline: number;
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -18,6 +18,8 @@
 import type { SecondSendLimits } from './second-send-budget.js';
 import { AttemptSender, type UnreadableReport } from './send-attempt.js';
 import { ServiceTargets } from './service-targets.js';
+import type { AuthorizationLease } from '../tenants/authorization-lease.js';
+import type { TenantQuota } from '../tenants/tenant-quota.js';
 import type { ZoneRegions } from './zone-regions.js';
 
 /** What a gateway is set to, and where it looks. */
@@ -32,6 +34,8 @@
   readonly placement: PlacementOptions;
   readonly regions: ZoneRegions;
   readonly secondSends: SecondSendLimits;
+  readonly lease: AuthorizationLease;
+  readonly quota: TenantQuota;
   /** Gateways of the fleet; undefined while no controller has said it. */
   readonly countGateways: () => number | undefined;
   /** Tells a controller what was seen of a request under which replicas end; false while none is followed. */
@@ -40,7 +44,7 @@
 
 export function createGatewayContext(options: GatewayContextOptions): GatewayContext {
   const { environment, headers, telemetry, directory, mechanisms, placement } = options;
-  const { regions, secondSends, countGateways } = options;
+  const { regions, secondSends, countGateways, lease, quota } = options;
   const { clock, random } = environment;
   const decisionLog = new DecisionLog(clock, telemetry.logger);
   const decisions = new RequestDecisions(clock, decisionLog);
@@ -71,6 +75,8 @@
     shedding: new OverloadShedding(random),
     answerMargin: new AnswerMargin(mechanisms.learnedMargin),
     crashGuard,
+    lease,
+    quota,
     decisions,
     metrics,
   };
--- a/src/gateway/exchange-headers.ts
+++ b/src/gateway/exchange-headers.ts
@@ -20,6 +20,10 @@
   readonly partSignatures: string;
   /** How many shards a merged answer lacks. */
   readonly missingParts: string;
+  /** The caller's API key, where the route document names tenants; never sent on. */
+  readonly apiKey: string;
+  /** To replicas: name of the tenant whose key the caller gave; never taken from a caller. */
+  readonly tenant: string;
 }
 
 export const DEFAULT_EXCHANGE_HEADERS: ExchangeHeaders = {
@@ -32,4 +36,6 @@
   notExecuted: 'x-driftway-not-executed',
   partSignatures: 'x-driftway-parts',
   missingParts: 'x-driftway-missing-parts',
+  apiKey: 'x-driftway-api-key',
+  tenant: 'x-driftway-tenant',
 };
--- a/src/gateway/gateway-answers.ts
+++ b/src/gateway/gateway-answers.ts
@@ -11,6 +11,12 @@
   BadRequest = 'bad_request',
   /** The body is longer than the route document allows. */
   TooLarge = 'too_large',
+  /** It carries no API key that a tenant holds. Not run. */
+  NotAuthenticated = 'not_authenticated',
+  /** The gateway may not accept API keys at present. Not run. */
+  KeysUnconfirmed = 'keys_unconfirmed',
+  /** Its tenant has sent more than its limit. Not run. */
+  RateLimited = 'rate_limited',
   /** No replica could take it in time. Not run. */
   NotRun = 'not_run',
   /** Replicas end under it: it is sent to none. Not run. */
@@ -26,6 +32,9 @@
   [GatewayRefusal.NoRoute]: 404,
   [GatewayRefusal.BadRequest]: 400,
   [GatewayRefusal.TooLarge]: 413,
+  [GatewayRefusal.NotAuthenticated]: 401,
+  [GatewayRefusal.KeysUnconfirmed]: 503,
+  [GatewayRefusal.RateLimited]: 429,
   [GatewayRefusal.NotRun]: 503,
   // Of this request alone: a 503 would speak against the gateway or the service.
   [GatewayRefusal.Quarantined]: 429,
@@ -44,9 +53,21 @@
 /** Reason of a refusal by the quarantine; operators find the request by it and its fingerprint. */
 export const QUARANTINED = 'replicas end under this request';
 
-/** The answer for a refusal. */
-export function refuse(refusal: GatewayRefusal, reason: string): HttpResponse {
-  const retryAfter = RETRY_AFTER_S[refusal];
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Digits of a fraction of a second that callers are told: hundredths. */
+const RETRY_AFTER_DIGITS = 2;
+
+function inSeconds(milliseconds: number): string {
+  return (milliseconds / MILLISECONDS_PER_SECOND).toFixed(RETRY_AFTER_DIGITS);
+}
+
+/** The answer for a refusal; `retryAfterMs` where it is known when the caller may come back. */
+export function refuse(
+  refusal: GatewayRefusal,
+  reason: string,
+  retryAfterMs?: number,
+): HttpResponse {
+  const retryAfter = retryAfterMs === undefined ? RETRY_AFTER_S[refusal] : inSeconds(retryAfterMs);
   return {
     status: STATUSES[refusal],
     headers: {
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -12,6 +12,8 @@
 import type { RouteLatencies } from './route-latencies.js';
 import type { AttemptSender } from './send-attempt.js';
 import type { ServiceTargets } from './service-targets.js';
+import type { AuthorizationLease } from '../tenants/authorization-lease.js';
+import type { TenantQuota } from '../tenants/tenant-quota.js';
 import type { ZoneRegions } from './zone-regions.js';
 
 export interface GatewayContext {
@@ -27,6 +29,8 @@
   readonly shedding: OverloadShedding;
   readonly answerMargin: AnswerMargin;
   readonly crashGuard: CrashGuard;
+  readonly lease: AuthorizationLease;
+  readonly quota: TenantQuota;
   readonly decisions: RequestDecisions;
   readonly metrics: GatewayMetrics;
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -22,6 +22,8 @@
   HttpResponse,
   RefusedRequest,
 } from '../seams/http.js';
+import { UNBOUNDED_LEASE } from '../tenants/authorization-lease.js';
+import { UNLIMITED_QUOTA } from '../tenants/tenant-quota.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { createDirectoryClient } from './create-directory-client.js';
 import { createGatewayContext } from './create-gateway-context.js';
@@ -181,6 +183,8 @@
       placement: { zone, ...placement },
       regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
+      lease: UNBOUNDED_LEASE,
+      quota: UNLIMITED_QUOTA,
       countGateways: () => this.client.gateways,
       reportEvidence: (change) => this.client.reportEvidence(change),
     });
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -3,7 +3,9 @@
 import { fingerprintOf } from '../quarantine/request-fingerprint.js';
 import type { Route } from '../routes/route-document.js';
 import type { RouteTable } from '../routes/route-table.js';
-import type { HttpRequest, HttpResponse } from '../seams/http.js';
+import type { HttpHeaders, HttpRequest, HttpResponse } from '../seams/http.js';
+import type { Tenant } from '../tenants/tenant.js';
+import type { TenantDirectory } from '../tenants/tenant-directory.js';
 import type { CallerRequest } from './caller-request.js';
 import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
@@ -16,6 +18,23 @@
 /** Time that the answer needs to get back to the caller before its deadline. Milliseconds. */
 const RETURN_MARGIN_MS = 5;
 
+const HTTP_TOO_MANY_REQUESTS = 429;
+const HTTP_UNAVAILABLE = 503;
+
+/** What a request goes by. */
+interface MatchedRoute {
+  readonly table: RouteTable;
+  readonly route: Route;
+  readonly tenant: Tenant | undefined;
+}
+
+/** What is known of a rejected request besides the reason. */
+interface RejectionDetails {
+  readonly fingerprint?: string;
+  /** Milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
 /** See the module comment. */
 export class GatewayEndpoint {
   private readonly tables: TableInForce;
@@ -74,22 +93,65 @@
     if (route === undefined) {
       return this.reject(request, GatewayRefusal.NoRoute, 'no route fits');
     }
-    const callerRequest = this.toCallerRequest(request, table, route, receivedAt);
+    const needsKey = table.tenants !== undefined && !route.public;
+    const tenant = needsKey ? this.tenantOf(request, table.tenants) : undefined;
+    if (needsKey && tenant === undefined) {
+      return this.reject(request, GatewayRefusal.NotAuthenticated, 'no API key of a tenant');
+    }
+    const callerRequest = this.toCallerRequest(request, { table, route, tenant }, receivedAt);
     const { fingerprint } = callerRequest;
     if (this.context.crashGuard.isQuarantined(fingerprint)) {
       this.context.crashGuard.noteRefusal();
-      return this.reject(request, GatewayRefusal.Quarantined, QUARANTINED, fingerprint);
+      return this.reject(request, GatewayRefusal.Quarantined, QUARANTINED, { fingerprint });
+    }
+    if (tenant === undefined) return this.forward(callerRequest);
+    return this.forwardWithinLimits(request, callerRequest, tenant);
+  }
+
+  /** The tenant that holds the request's key. */
+  private tenantOf({ headers }: HttpRequest, tenants: TenantDirectory): Tenant | undefined {
+    const key = headers[this.context.headers.apiKey];
+    return key === undefined ? undefined : tenants.holderOf(key);
+  }
+
+  /** Sends the request of a tenant on, where its key and its limit allow it now. */
+  private async forwardWithinLimits(
+    request: HttpRequest,
+    callerRequest: CallerRequest,
+    tenant: Tenant,
+  ): Promise<HttpResponse> {
+    const { lease, quota } = this.context;
+    if (!lease.isHeld) {
+      const reason = 'API keys could not be confirmed lately';
+      return this.reject(request, GatewayRefusal.KeysUnconfirmed, reason, {
+        retryAfterMs: lease.retryAfterMs,
+      });
     }
-    return this.forward(callerRequest);
+    const taken = quota.take(tenant);
+    const decision = taken instanceof Promise ? await taken : taken;
+    if (!decision.isAdmitted) {
+      const { retryAfterMs } = decision;
+      const reason = 'the tenant has reached its limit';
+      return this.reject(request, GatewayRefusal.RateLimited, reason, { retryAfterMs });
+    }
+    const response = await this.forward(callerRequest);
+    if (this.ranNowhere(response)) quota.giveBack(tenant);
+    return response;
+  }
+
+  /** Whether the answer is this gateway's own word that the request was not run. */
+  private ranNowhere({ status, headers = {} }: HttpResponse): boolean {
+    const isRefusal = status === HTTP_TOO_MANY_REQUESTS || status === HTTP_UNAVAILABLE;
+    return isRefusal && headers[this.context.headers.signature] === undefined;
   }
 
   private reject(
     request: HttpRequest,
     refusal: GatewayRefusal,
     reason: string,
-    fingerprint?: string,
+    { fingerprint, retryAfterMs }: RejectionDetails = {},
   ): HttpResponse {
-    const response = refuse(refusal, reason);
+    const response = refuse(refusal, reason, retryAfterMs);
     this.context.decisions.notForwarded({
       request,
       requestId: request.headers[this.context.headers.requestId],
@@ -104,8 +166,7 @@
 
   private toCallerRequest(
     request: HttpRequest,
-    table: RouteTable,
-    route: Route,
+    { table, route, tenant }: MatchedRoute,
     receivedAt: number,
   ): CallerRequest {
     const { requestId } = this.context.headers;
@@ -116,17 +177,32 @@
       id,
       method: request.method,
       target: request.target,
-      headers: { ...headers, [requestId]: id },
+      headers: { ...this.withIdentity(headers, table, tenant), [requestId]: id },
       body: request.body,
       fingerprint: fingerprintOf(request),
       signal: request.signal,
       table,
       route,
+      tenant,
       receivedAt,
       deadline: receivedAt + Math.max(1, Math.min(route.timeoutMs, patience)),
     };
   }
 
+  /** Without the key, and with no other tenant's name than the one that its key gives it. */
+  private withIdentity(
+    headers: Readonly<Record<string, string>>,
+    { tenants }: RouteTable,
+    tenant: Tenant | undefined,
+  ): HttpHeaders {
+    if (tenants === undefined) return headers;
+    const { apiKey, tenant: tenantHeader } = this.context.headers;
+    const kept = Object.fromEntries(
+      Object.entries(headers).filter(([name]) => name !== apiKey && name !== tenantHeader),
+    );
+    return tenant === undefined ? kept : { ...kept, [tenantHeader]: tenant.name };
+  }
+
   /** How long the caller says it will wait; Infinity when it does not say. Milliseconds. */
   private statedDeadline(request: HttpRequest): number {
     const stated = Number(request.headers[this.context.headers.deadline] ?? Infinity);
--- a/src/routes/route-document.ts
+++ b/src/routes/route-document.ts
@@ -7,6 +7,9 @@
 /** Longest route document that is accepted. Bytes. */
 export const MAXIMUM_ROUTE_DOCUMENT_BYTES = 1_000_000;
 
+/** Longest API key. */
+const MAXIMUM_KEY_CHARACTERS = 255;
+
 const nameSchema = z.string().min(1).max(255);
 const durationSchema = z.number().positive().max(86_400_000);
 
@@ -35,6 +38,8 @@
   priority: z.int().min(0).default(0),
   /** Most replicas to which one request may be sent (for each shard, when there are shards). */
   maximumAttempts: z.int().min(1).default(1),
+  /** Whether requests need no API key where the document names tenants. */
+  public: z.boolean().default(false),
   /** Regions whose replicas may get requests of the route; absent: all. */
   allowedRegions: z.array(nameSchema).min(1).optional(),
   /** Exactly one of these three says where requests go. */
@@ -62,6 +67,18 @@
 });
 export type RoutedService = z.infer<typeof serviceSchema>;
 
+const tenantSchema = z.object({
+  name: nameSchema,
+  /** Each of them names the tenant. */
+  keys: z.array(z.string().min(1).max(MAXIMUM_KEY_CHARACTERS)).min(1),
+  /** Rank of its requests, which goes before the route's; 0 is the highest. */
+  priority: z.int().min(0).optional(),
+  /** Requests a second that all gateways together may pass on; 0: no limit. */
+  requestsPerSecond: z.number().min(0).default(0),
+  /** Requests beyond that which may come at once. */
+  burst: z.number().min(0).default(0),
+});
+
 /** What a caller may send, and how long it may take or rest. Bytes and milliseconds. */
 const limitsSchema = z.object({
   maximumHeaderBytes: z.int().min(1).default(16_384),
@@ -77,6 +94,8 @@
   version: z.int().min(0),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
+  /** With these, requests carry an API key unless their route is public; absent: none do. */
+  tenants: z.array(tenantSchema).optional(),
   limits: limitsSchema.prefault({}),
 });
 export type RouteDocument = z.infer<typeof routeDocumentSchema>;
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -1,4 +1,5 @@
 /** One version of the routes, ready for look-ups. Immutable: a request keeps the table it began with. */
+import { TenantDirectory } from '../tenants/tenant-directory.js';
 import type { CallerLimits, Route, RouteDocument, RoutedService } from './route-document.js';
 
 /** The routes of one host, those with the longest prefix first. */
@@ -67,6 +68,8 @@
    * same object, with the same array, here and in its routes.
    */
   readonly shardLists: readonly ShardList[];
+  /** Undefined where requests need no API key. */
+  readonly tenants: TenantDirectory | undefined;
   private readonly listsByName: ShardListsByName;
   private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
   private readonly shards: ReadonlySet<string>;
@@ -75,6 +78,7 @@
   constructor(document: RouteDocument, before?: RouteTable) {
     this.version = document.version;
     this.limits = document.limits;
+    this.tenants = document.tenants && new TenantDirectory(document.tenants);
     this.listsByName = distinctLists(document.routes, before?.listsByName ?? new Map());
     this.shardLists = [...this.listsByName.values()];
     const routes = document.routes.map((route) => withListOf(route, this.listsByName));
--- /dev/null
+++ b/src/tenants/tenant-quota.ts
@@ -0,0 +1,27 @@
+/** Keeps the requests of each tenant, at all gateways together, to its limit. */
+import type { Tenant } from './tenant.js';
+
+/** Whether a request may be sent on. */
+export type QuotaDecision =
+  | { readonly isAdmitted: true }
+  | {
+      readonly isAdmitted: false;
+      /** From now until a request of the tenant is expected to be admitted. Milliseconds. */
+      readonly retryAfterMs: number;
+    };
+
+export const ADMITTED: QuotaDecision = { isAdmitted: true };
+
+/** See the module comment. */
+export interface TenantQuota {
+  /** Takes one request of the tenant. At once where what is known suffices; else after one question. */
+  take(tenant: Tenant): QuotaDecision | Promise<QuotaDecision>;
+  /** A request that was taken ran nowhere: it does not count. */
+  giveBack(tenant: Tenant): void;
+}
+
+/** Where no limits are kept. */
+export const UNLIMITED_QUOTA: TenantQuota = {
+  take: () => ADMITTED,
+  giveBack: () => undefined,
+};
--- a/test/gateway/split-chooser.test.ts
+++ b/test/gateway/split-chooser.test.ts
@@ -11,6 +11,7 @@
   execution: 'repeatable',
   timeoutMs: 1_000,
   priority: 0,
+  public: false,
   maximumAttempts: 1,
 };
 
