Soak real processes under faults, and let a gateway that cannot listen end

driftway-lab soak: controllers and gateways as processes on loopback, faults by signals and a proxy, judged from what callers, replicas and the operator saw.

Cause: start() threw while the directory client and the listener of gathers went on.

--- a/lab/commands/driftway-lab.ts
+++ b/lab/commands/driftway-lab.ts
@@ -14,6 +14,7 @@
 import { ReportCommand } from './report-command.js';
 import { RolloutCommand } from './rollout-command.js';
 import { ScaleCommand } from './scale-command.js';
+import { SoakCommand } from './soak-command.js';
 
 const COMMANDS = [
   BenchCommand,
@@ -30,6 +31,7 @@
   ReportCommand,
   RolloutCommand,
   ScaleCommand,
+  SoakCommand,
 ];
 
 /** Runs one command line and returns its exit code. */
--- /dev/null
+++ b/lab/commands/soak-command.ts
@@ -0,0 +1,66 @@
+/** `driftway-lab soak`: real processes on this machine under faults. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Command, Option } from 'clipanion';
+import { createNodeEnvironment } from '../../src/node/node-environment.js';
+import type { PlannedFault } from '../soak/soak-plan.js';
+import { runSoak, type SoakResult } from '../soak/soak-run.js';
+import { UsageCheckedCommand } from './usage-checked-command.js';
+
+const EXIT_FAILED = 1;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+function formatFault({ kind, at, durationMs, target }: PlannedFault): string {
+  const seconds = (at / MILLISECONDS_PER_SECOND).toFixed(1).padStart(5);
+  return `${seconds} s  ${kind} (${target}) for ${Math.round(durationMs)} ms\n`;
+}
+
+function formatResult(result: SoakResult): string {
+  const { seed, faults, calls, answered, versions, violations } = result;
+  const lines = violations.map((violation) => `  ${violation}\n`).join('');
+  const counts = `${faults} faults, ${versions} versions, ${answered} of ${calls} answered`;
+  return `seed ${seed}: ${counts}, ${violations.length} violations\n${lines}`;
+}
+
+/** See `driftway-lab soak --help`. */
+export class SoakCommand extends UsageCheckedCommand {
+  static override paths = [['soak']];
+
+  static override usage = Command.Usage({
+    category: 'Simulate',
+    description: 'Run controllers and gateways as real processes under faults.',
+    details: `
+      Starts three controllers and three gateways as processes of their own, with replicas, callers
+      and an operator in this one, on loopback. Processes are killed, frozen, stopped as planned and
+      started again; links to controllers and replicas are reset or cut, both ways or one way;
+      replicas leave and others come; versions of the routes follow each other and take API keys
+      away. Checks what callers, replicas and the operator saw against the promises. Does not cover
+      full or slow disks, clocks that step, or loss of power. Exits with 1 when a promise broke.
+    `,
+    examples: [['Two minutes', '$0 soak --seconds 120 --seed 7 --out soak-7']],
+  });
+
+  seconds = Option.String('--seconds', '60', { description: 'How long the load lasts.' });
+  seed = Option.String('--seed', '1', { description: 'Of the faults and the callers.' });
+  out = Option.String('--out', { description: 'Keeps settings, logs and data here.' });
+
+  protected override async run(): Promise<number> {
+    const folder = this.out ?? (await mkdtemp(join(tmpdir(), 'driftway-soak-')));
+    const { stdout } = this.context;
+    try {
+      const result = await runSoak({
+        environment: createNodeEnvironment(),
+        seed: Number(this.seed),
+        seconds: Number(this.seconds),
+        folder,
+        timed: true,
+        onFault: (fault) => stdout.write(formatFault(fault)),
+      });
+      stdout.write(formatResult(result));
+      return result.violations.length > 0 ? EXIT_FAILED : 0;
+    } finally {
+      if (this.out === undefined) await rm(folder, { recursive: true, force: true });
+    }
+  }
+}
--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -8,7 +8,7 @@
 } from '../../src/gateway/exchange-headers.js';
 import { formatAddress, type Address } from '../../src/seams/address.js';
 import type { Environment } from '../../src/seams/environment.js';
-import type { HttpListener, HttpRequest, HttpResponse } from '../../src/seams/http.js';
+import type { HttpHeaders, HttpListener, HttpRequest, HttpResponse } from '../../src/seams/http.js';
 
 const HEARTBEAT_INTERVAL_MS = 1_000;
 const LISTEN_OPTIONS = {
@@ -47,7 +47,10 @@
 export interface ExchangeReplicaOptions {
   readonly replicaId: string;
   readonly service: string;
+  /** Where others reach it. */
   readonly address: Address;
+  /** Where it listens, when that is behind a proxy; absent: at its address. */
+  readonly listenAt?: Address;
   readonly zone: string;
   /** Where heartbeats go, the first that answers; `host:port` each. */
   readonly controllers: readonly Address[];
@@ -62,6 +65,8 @@
   readonly method: string;
   readonly target: string;
   readonly body: string;
+  /** As they arrived. */
+  readonly headers: HttpHeaders;
   /** Milliseconds that the sender would wait, as it was told. */
   readonly deadlineMs: number;
   readonly at: number;
@@ -104,7 +109,8 @@
 
   async start(): Promise<void> {
     const { network } = this.environment;
-    this.listener = await network.listenHttp(this.options.address, LISTEN_OPTIONS, (request) =>
+    const { address, listenAt = address } = this.options;
+    this.listener = await network.listenHttp(listenAt, LISTEN_OPTIONS, (request) =>
       this.serve(request),
     );
     void this.beat();
@@ -177,6 +183,7 @@
       method: request.method,
       target: request.target,
       body: Buffer.from(request.body).toString('utf8'),
+      headers: request.headers,
       deadlineMs: Number(request.headers[this.names.deadline]),
       at: clock.now(),
     };
--- /dev/null
+++ b/lab/soak/soak-plan.ts
@@ -0,0 +1,59 @@
+/** The faults of one run, drawn from its seed. */
+import type { RandomSource } from '../../src/seams/random-source.js';
+
+/** What is done to one process or link. */
+export enum SoakFault {
+  KillGateway = 'killGateway',
+  KillController = 'killController',
+  FreezeGateway = 'freezeGateway',
+  FreezeController = 'freezeController',
+  /** A planned stop and another start. */
+  StopGateway = 'stopGateway',
+  /** The link to a controller, or to a replica, is reset, cut in silence, or cut one way. */
+  ResetController = 'resetController',
+  CutController = 'cutController',
+  OneWayController = 'oneWayController',
+  ResetReplica = 'resetReplica',
+  CutReplica = 'cutReplica',
+  /** A replica says that it leaves, ends, and another takes its place. */
+  DrainReplica = 'drainReplica',
+}
+
+const FAULTS: readonly SoakFault[] = Object.values(SoakFault);
+/** Between the beginnings of two faults, which may overlap. Milliseconds. */
+const SHORTEST_GAP_MS = 300;
+const LONGEST_GAP_MS = 2_000;
+const SHORTEST_FAULT_MS = 200;
+const LONGEST_FAULT_MS = 3_000;
+
+/** One fault. */
+export interface PlannedFault {
+  readonly kind: SoakFault;
+  /** From the start of the load. Milliseconds. */
+  readonly at: number;
+  readonly durationMs: number;
+  /** Which of the processes or links it strikes: taken modulo their number. */
+  readonly target: number;
+}
+
+function between(random: RandomSource, least: number, most: number): number {
+  return least + random.nextFloat() * (most - least);
+}
+
+/** Faults from the first second of `durationMs` on. */
+export function planFaults(random: RandomSource, durationMs: number): PlannedFault[] {
+  const faults: PlannedFault[] = [];
+  let at = 1_000;
+  while (at < durationMs) {
+    const kind = FAULTS[Math.floor(random.nextFloat() * FAULTS.length)] as SoakFault;
+    const fault = {
+      kind,
+      at,
+      durationMs: between(random, SHORTEST_FAULT_MS, LONGEST_FAULT_MS),
+      target: Math.floor(random.nextFloat() * 1_000),
+    };
+    faults.push(fault);
+    at += between(random, SHORTEST_GAP_MS, LONGEST_GAP_MS);
+  }
+  return faults;
+}
--- /dev/null
+++ b/lab/soak/soak-run.ts
@@ -0,0 +1,203 @@
+/** One soak: real processes on loopback under faults, and what broke. */
+import type { Environment } from '../../src/seams/environment.js';
+import { seededRandom } from '../simulation/seeded-random.js';
+import { ProxyMode, type LoopbackProxy } from './loopback-proxy.js';
+import { SoakCallers } from './soak-callers.js';
+import { SoakFleet, type SoakDaemon, type SoakReplica } from './soak-fleet.js';
+import { SoakOperator } from './soak-operator.js';
+import { SoakFault, planFaults, type PlannedFault } from './soak-plan.js';
+import { judgeSoak } from './soak-verdict.js';
+
+const CALL_INTERVAL_MS = 15;
+/** Until replicas and routes are known everywhere, and after the last fault. Milliseconds. */
+const SETTLE_MS = 4_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** A leaving that no controller took within this many tries is left alone. */
+const DRAIN_TRIES = 20;
+const DRAIN_PAUSE_MS = 250;
+/** A replica serves on for this long after it has said that it leaves. Milliseconds. */
+const SERVES_ON_MS = 4_500;
+
+/** What to run. */
+export interface SoakOptions {
+  readonly environment: Environment;
+  readonly seed: number;
+  readonly seconds: number;
+  /** Settings, logs and data of the processes go here. */
+  readonly folder: string;
+  /** Also checks the promises that name a time; off where the machine may be too busy to keep one. */
+  readonly timed: boolean;
+  /** Told of each fault as it begins. */
+  readonly onFault?: (fault: PlannedFault) => void;
+}
+
+/** What one run showed. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly faults: number;
+  readonly calls: number;
+  readonly answered: number;
+  readonly versions: number;
+  readonly violations: readonly string[];
+}
+
+/** One run in progress. */
+class SoakRun {
+  private readonly fleet: SoakFleet;
+  private readonly failedStops: string[] = [];
+
+  constructor(private readonly options: SoakOptions) {
+    this.fleet = new SoakFleet(options.environment, options.folder);
+  }
+
+  async run(): Promise<SoakResult> {
+    try {
+      await this.fleet.start();
+      return await this.load();
+    } finally {
+      await this.fleet.stop();
+    }
+  }
+
+  private async load(): Promise<SoakResult> {
+    const { environment, seed, seconds, timed } = this.options;
+    const { clock } = environment;
+    const stopped = new AbortController();
+    const operator = new SoakOperator(environment, this.fleet.operatorAddresses);
+    await operator.change(stopped.signal);
+    await clock.sleep(SETTLE_MS);
+    const random = seededRandom(seed, 'callers');
+    const callers = new SoakCallers(environment, random, () => operator.newest);
+    const loads = [
+      callers.run(this.fleet.gateways, CALL_INTERVAL_MS, stopped.signal),
+      operator.run(stopped.signal),
+    ];
+    const faults = planFaults(
+      seededRandom(seed, 'faults'),
+      seconds * MILLISECONDS_PER_SECOND - SETTLE_MS,
+    );
+    await Promise.all(faults.map((fault) => this.strike(fault)));
+    await clock.sleep(SETTLE_MS);
+    stopped.abort();
+    await Promise.all(loads);
+    const { calls } = callers;
+    const { acknowledged } = operator;
+    const { replicas, operatorAddresses } = this.fleet;
+    const versions = await Promise.all(operatorAddresses.map((one) => operator.readBack(one)));
+    const readBack = versions.filter((version) => version !== undefined);
+    const { failedStops } = this;
+    const evidence = { calls, replicas, acknowledged, readBack, failedStops };
+    return {
+      seed,
+      faults: faults.length,
+      calls: calls.length,
+      answered: calls.filter(({ answer }) => answer?.status === 200).length,
+      versions: acknowledged.length,
+      violations: judgeSoak(evidence, timed),
+    };
+  }
+
+  private async strike(fault: PlannedFault): Promise<void> {
+    const { clock } = this.options.environment;
+    await clock.sleep(fault.at);
+    this.options.onFault?.(fault);
+    const { gateways, controllers, controllerLinks, currentReplicas } = this.fleet;
+    switch (fault.kind) {
+      case SoakFault.KillGateway:
+        return this.restart(pick(gateways, fault), fault);
+      case SoakFault.KillController:
+        return this.restart(pick(controllers, fault), fault);
+      case SoakFault.FreezeGateway:
+        return this.freeze(pick(gateways, fault), fault);
+      case SoakFault.FreezeController:
+        return this.freeze(pick(controllers, fault), fault);
+      case SoakFault.StopGateway:
+        return this.stopPlanned(pick(gateways, fault));
+      case SoakFault.ResetController:
+        return this.disturb(pick(controllerLinks, fault), ProxyMode.Reset, fault);
+      case SoakFault.CutController:
+        return this.disturb(pick(controllerLinks, fault), ProxyMode.Silent, fault);
+      case SoakFault.OneWayController:
+        return this.disturb(pick(controllerLinks, fault), ProxyMode.OneWay, fault);
+      case SoakFault.ResetReplica:
+        return this.disturb(pick(currentReplicas, fault).proxy, ProxyMode.Reset, fault);
+      case SoakFault.CutReplica:
+        return this.disturb(pick(currentReplicas, fault).proxy, ProxyMode.Silent, fault);
+      case SoakFault.DrainReplica:
+        return this.drain(pick(currentReplicas, fault));
+    }
+  }
+
+  /** One process at a time: a fault on one that is already down waits for nothing. */
+  private readonly down = new Set<SoakDaemon>();
+
+  private async restart(daemon: SoakDaemon, { durationMs }: PlannedFault): Promise<void> {
+    await this.exclusively(daemon, async () => {
+      await daemon.kill();
+      await this.options.environment.clock.sleep(durationMs);
+      await daemon.start();
+    });
+  }
+
+  private async freeze(daemon: SoakDaemon, { durationMs }: PlannedFault): Promise<void> {
+    await this.exclusively(daemon, async () => {
+      daemon.freeze();
+      await this.options.environment.clock.sleep(durationMs);
+      daemon.thaw();
+    });
+  }
+
+  private async stopPlanned(daemon: SoakDaemon): Promise<void> {
+    await this.exclusively(daemon, async () => {
+      if (!(await daemon.stop())) this.failedStops.push(daemon.name);
+      await daemon.start();
+    });
+  }
+
+  private async exclusively(daemon: SoakDaemon, work: () => Promise<void>): Promise<void> {
+    if (this.down.has(daemon)) return;
+    this.down.add(daemon);
+    try {
+      await work();
+    } finally {
+      this.down.delete(daemon);
+    }
+  }
+
+  private async disturb(
+    proxy: LoopbackProxy,
+    mode: ProxyMode,
+    { durationMs }: PlannedFault,
+  ): Promise<void> {
+    proxy.use(mode);
+    await this.options.environment.clock.sleep(durationMs);
+    proxy.use(ProxyMode.Pass);
+  }
+
+  /** Another replica comes first, then this one says that it leaves, serves on for a while and ends. */
+  private async drain(leaving: SoakReplica): Promise<void> {
+    const { clock } = this.options.environment;
+    const { replica } = leaving;
+    await this.fleet.addReplica(replica.options.service);
+    for (let attempt = 0; attempt < DRAIN_TRIES; attempt += 1) {
+      if (await replica.drain()) {
+        leaving.leftAt = clock.now();
+        break;
+      }
+      await clock.sleep(DRAIN_PAUSE_MS);
+    }
+    await clock.sleep(SERVES_ON_MS);
+    await replica.stop();
+  }
+}
+
+function pick<T>(items: readonly T[], { target }: PlannedFault): T {
+  const item = items[target % items.length];
+  if (item === undefined) throw new RangeError('nothing to strike');
+  return item;
+}
+
+/** Runs one soak; every process that it started has ended when this returns or throws. */
+export function runSoak(options: SoakOptions): Promise<SoakResult> {
+  return new SoakRun(options).run();
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -101,7 +101,14 @@
     headers: ExchangeHeaders = DEFAULT_EXCHANGE_HEADERS,
   ): Promise<GatewayDaemon> {
     const daemon = new GatewayDaemon(environment, configuration, telemetry, headers);
-    await daemon.open();
+    try {
+      await daemon.open();
+    } catch (error) {
+      // Streams to controllers would keep the process of a gateway that serves nobody.
+      await daemon.callers?.close();
+      await daemon.release();
+      throw error;
+    }
     return daemon;
   }
 
@@ -140,12 +147,17 @@
       await clock.sleep(STOP_CHECK_MS);
     }
     await Promise.race([closed, clock.sleep(STOP_CHECK_MS)]);
+    await this.release();
+    this.logger.info('gateway stopped', { inFlight: this.inFlight });
+  }
+
+  /** Closes all but the listener of callers, whose answers come first in a planned stop. */
+  private async release(): Promise<void> {
     this.ended.abort(new Error('stopped'));
     await this.health?.close();
     await this.client.stop();
     await this.aggregation.close();
     this.context.targets.stop();
-    this.logger.info('gateway stopped', { inFlight: this.inFlight });
   }
 
   /** Requests of callers, and of other gateways, that have no answer yet. */
