Test that keys stay at the gateway and tenants go wherever a request goes

Single services, splits, fan-outs, groups that other gateways ask, and what is sent again; without tenants every header goes on.

--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -171,6 +171,7 @@
     return {
       requestId: request.id,
       fingerprint: request.fingerprint,
+      tenant: request.tenant?.name,
       route: request.route.name,
       routeVersion: request.table.version,
       elapsedMs: Math.round(now - request.receivedAt),
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -5,7 +5,7 @@
 import { Simulation } from '../../lab/simulation/simulation.js';
 import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
 import { ControllerDaemon } from '../../src/control/controller-daemon.js';
-import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { SILENT_LOGGER, type Logger } from '../../src/observability/logger.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 
 export const CLUSTER = { id: 'automatic', key: 'a-long-random-secret' };
@@ -50,14 +50,17 @@
   private readonly registries = new Map<SimulatedMachine, Registry>();
   private seeds: readonly string[] = [];
 
-  private constructor(seed: number) {
+  private constructor(
+    seed: number,
+    private readonly logger: Logger,
+  ) {
     this.simulation = new Simulation(seed);
     this.operator = this.simulation.createMachine('operator', 'operators');
   }
 
   /** Starts `founders` controllers for the first time, of which the first three are the seeds. */
-  static async start(founders: number, seed = 7): Promise<AutomaticGroup> {
-    const group = new AutomaticGroup(seed);
+  static async start(founders: number, seed = 7, logger = SILENT_LOGGER): Promise<AutomaticGroup> {
+    const group = new AutomaticGroup(seed, logger);
     for (let index = 0; index < founders; index += 1) group.addMachine();
     group.seeds = group.machines.slice(0, 3).map(({ host }) => `${host}:${MESSAGE_PORT}`);
     for (const machine of group.machines) await group.startOn(machine, true);
@@ -95,7 +98,7 @@
     });
     const registry = new Registry();
     this.registries.set(machine, registry);
-    const telemetry = { logger: SILENT_LOGGER, registry };
+    const telemetry = { logger: this.logger, registry };
     const daemon = ControllerDaemon.start(environment, configuration, telemetry);
     this.daemons.set(machine, await this.simulation.settle(daemon));
   }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -37,6 +37,8 @@
   readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
   readonly others?: number;
+  /** Of the controllers; silent when absent. */
+  readonly controllerLogger?: Logger;
   /** Regions by zone. */
   readonly zones?: Readonly<Record<string, string>>;
 }
@@ -62,7 +64,7 @@
   readonly fields: LogFields;
 }
 
-function collectLines(lines: LogLine[]): Logger {
+export function collectLines(lines: LogLine[]): Logger {
   const write = (message: string, fields: LogFields = {}): void => {
     lines.push({ message, fields });
   };
@@ -108,7 +110,6 @@
 
 /** See the module comment. */
 export class GatewayHarness {
-  readonly registry = new Registry();
   private version = 0;
   private calls = 0;
   private replicas = 0;
@@ -120,20 +121,23 @@
     public gateway: GatewayDaemon,
     /** Lines of the gateway. */
     readonly lines: LogLine[],
+    /** What the gateway that was started first counts. */
+    readonly registry: Registry,
     readonly others: readonly OtherGateway[],
     private readonly overrides: GatewayOverrides,
   ) {}
 
   static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
-    const group = await AutomaticGroup.start(3, seed);
+    const group = await AutomaticGroup.start(3, seed, overrides.controllerLogger);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
-    const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
+    const registry = new Registry();
+    const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides, registry);
     const others: OtherGateway[] = [];
     for (let index = 0; index < (overrides.others ?? 0); index += 1) {
       others.push(await GatewayHarness.startOther(group, `gateway-${index + 2}`, overrides));
     }
-    return new GatewayHarness(group, machine, gateway, lines, others, overrides);
+    return new GatewayHarness(group, machine, gateway, lines, registry, others, overrides);
   }
 
   private static async startOther(
--- /dev/null
+++ b/test/gateway/tenant-identity.test.ts
@@ -0,0 +1,209 @@
+import { describe, expect, it } from 'vitest';
+import { ReplicaBehaviour, type ExchangeReplica } from '../../lab/exchange/exchange-replica.js';
+import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
+import type { HttpHeaders } from '../../src/seams/http.js';
+import {
+  GatewayHarness,
+  HOST,
+  textOf,
+  type GatewayOverrides,
+  type TestRoute,
+} from './gateway-harness.js';
+
+const { apiKey: KEY, tenant: TENANT, requestId: ID } = DEFAULT_EXCHANGE_HEADERS;
+const SECRET = 'secret-of-the-orchard';
+const TENANTS = [
+  { name: 'orchard', keys: [SECRET, 'second-secret'] },
+  { name: 'mill', keys: ['secret-of-the-mill'] },
+];
+const SHARDS = ['shard-a', 'shard-b', 'shard-c', 'shard-d', 'shard-e', 'shard-f'];
+const CLAIMS = {
+  [KEY]: SECRET,
+  [TENANT]: 'mill',
+  'X-Driftway-Tenant': 'mill',
+  x_driftway_tenant: 'mill',
+  x_driftway_api_key: SECRET,
+  'x-other': 'kept',
+};
+/** In which gateways connect to each other. Milliseconds. */
+const CONNECT_MS = 2_000;
+const UNEVENTFUL: GatewayOverrides = {};
+
+interface Fleet {
+  readonly harness: GatewayHarness;
+  readonly replicas: readonly ExchangeReplica[];
+}
+
+/** Two replicas of each service that the route names. */
+async function start(
+  route: TestRoute,
+  tenants: typeof TENANTS | 'none' = TENANTS,
+  overrides = UNEVENTFUL,
+): Promise<Fleet> {
+  const harness = await GatewayHarness.start(7, overrides);
+  const split = route.split?.map(({ service }) => service);
+  const replicas: ExchangeReplica[] = [];
+  for (const service of route.shards ?? split ?? [route.service ?? '']) {
+    replicas.push(await harness.addReplica(service, service.padEnd(16, '.')));
+    replicas.push(await harness.addReplica(service, service.padEnd(16, '.')));
+  }
+  await harness.putRoutes([route], tenants === 'none' ? undefined : tenants);
+  await harness.simulation.runFor(CONNECT_MS);
+  return { harness, replicas };
+}
+
+/** Headers of all requests that replicas ran. */
+function headersSeen({ replicas }: Fleet): HttpHeaders[] {
+  return replicas.flatMap(({ runs }) => runs.map(({ headers }) => headers));
+}
+
+/** Sendings of a request to a second replica of a service. */
+function sentAgain({ replicas }: Fleet): number {
+  const sendings = replicas.flatMap(({ options, runs }) =>
+    runs.map(({ requestId }) => `${options.service} ${requestId}`),
+  );
+  return sendings.length - new Set(sendings).size;
+}
+
+/** Every one names the tenant, and holds neither a key nor what the caller claimed. */
+function expectIdentity(fleet: Fleet, tenant: string | undefined): void {
+  const seen = headersSeen(fleet);
+  expect(seen).not.toEqual([]);
+  for (const headers of seen) {
+    expect(headers[TENANT]).toBe(tenant);
+    expect(headers['x-other']).toBe('kept');
+    const others = Object.fromEntries(Object.entries(headers).filter(([name]) => name !== TENANT));
+    expect(JSON.stringify(others)).not.toMatch(/secret|mill|orchard/);
+    const names = Object.keys(others).map((name) => name.replaceAll('_', '-'));
+    expect(names).not.toContain(KEY);
+    expect(names).not.toContain(TENANT);
+  }
+}
+
+/** Groups of shards that the other gateways asked for the first. */
+async function gathersOf({ others }: GatewayHarness): Promise<number> {
+  const metrics = others.map(async ({ registry }) =>
+    registry.getSingleMetric('driftway_gateway_gathers_total')?.get(),
+  );
+  const values = (await Promise.all(metrics)).flatMap((metric) => metric?.values ?? []);
+  return values.reduce((sum, { value }) => sum + value, 0);
+}
+
+async function valueOf(harness: GatewayHarness, metric: string, reason: string): Promise<number> {
+  const { values = [] } = (await harness.registry.getSingleMetric(metric)?.get()) ?? {};
+  return values.find(({ labels }) => labels['reason'] === reason)?.value ?? 0;
+}
+
+describe('a request without a key that a tenant holds', () => {
+  const wrong: readonly [string, HttpHeaders, string][] = [
+    ['no key', {}, 'no API key'],
+    ['an empty key', { [KEY]: '' }, 'no API key'],
+    ['an unknown key', { [KEY]: 'stranger' }, 'no tenant holds this API key'],
+    ['two keys that were joined', { [KEY]: `${SECRET}, ${SECRET}` }, 'no tenant holds'],
+    ['a key in another case', { [KEY]: SECRET.toUpperCase() }, 'no tenant holds'],
+    ['a key of thousands of characters', { [KEY]: 'k'.repeat(10_000) }, 'no tenant holds'],
+    ['the name of a tenant alone', { [TENANT]: 'orchard' }, 'no API key'],
+  ];
+  it('gets 401, is sent to no replica, and its key is shown nowhere', async () => {
+    const fleet = await start({ pathPrefix: '/one/', service: 'one' });
+    const { harness } = fleet;
+    for (const [, headers, reason] of wrong) {
+      const answer = await harness.call({ path: '/one/1', headers });
+      expect(answer.status).toBe(401);
+      expect(textOf(answer)).toContain(reason);
+      expect(textOf(answer)).not.toContain('secret');
+    }
+    expect(headersSeen(fleet)).toEqual([]);
+    const metric = 'driftway_gateway_key_refusals_total';
+    expect(await valueOf(harness, metric, 'missing')).toBe(3);
+    expect(await valueOf(harness, metric, 'unknown')).toBe(4);
+    const refused = 'driftway_gateway_refusals_total';
+    expect(await valueOf(harness, refused, 'not_authenticated')).toBe(wrong.length);
+    expect(JSON.stringify(harness.lines)).not.toMatch(/secret|stranger|kkkk/);
+  });
+
+  it('is refused by the listener where its key is longer than all headers may be', async () => {
+    const fleet = await start({ pathPrefix: '/one/', service: 'one' });
+    const headers = { [KEY]: 'k'.repeat(100_000) };
+    const answer = await fleet.harness.call({ path: '/one/1', headers });
+    expect(answer.status).toBe(431);
+    expect(headersSeen(fleet)).toEqual([]);
+  });
+
+  it('gets 404 where no route fits', async () => {
+    const { harness } = await start({ pathPrefix: '/one/', service: 'one' });
+    expect((await harness.call({ path: '/two/1' })).status).toBe(404);
+  });
+});
+
+describe('replicas learn the name of the tenant, and no key', () => {
+  const split = [
+    { service: 'one', weight: 1 },
+    { service: 'two', weight: 1 },
+  ];
+  const fanOut = { pathPrefix: '/q/', shards: SHARDS, topRecords: 3 };
+  const divided: GatewayOverrides = {
+    others: 3,
+    aggregation: { divideAbove: 3, shardsPerGroup: 2 },
+    mechanisms: { aggregation: true },
+  };
+  const ways: readonly [string, TestRoute, GatewayOverrides][] = [
+    ['of one service', { pathPrefix: '/q/', service: 'one' }, UNEVENTFUL],
+    ['of a split', { pathPrefix: '/q/', split }, UNEVENTFUL],
+    ['of all shards', fanOut, UNEVENTFUL],
+    ['of shards that other gateways ask', fanOut, divided],
+  ];
+  for (const [name, route, overrides] of ways) {
+    it(`with requests ${name}`, async () => {
+      const fleet = await start(route, TENANTS, overrides);
+      for (const key of TENANTS[0]?.keys ?? []) {
+        const headers = { ...CLAIMS, [KEY]: key };
+        expect((await fleet.harness.call({ path: '/q/1', headers })).status).toBe(200);
+      }
+      expectIdentity(fleet, 'orchard');
+      expect((await gathersOf(fleet.harness)) > 0).toBe(overrides === divided);
+    });
+
+    it(`with requests ${name} that are sent again`, async () => {
+      const fleet = await start(route, TENANTS, overrides);
+      const [first] = fleet.replicas;
+      for (const behaviour of [ReplicaBehaviour.Fail, ReplicaBehaviour.Refuse]) {
+        if (first !== undefined) first.behaviour = behaviour;
+        await fleet.harness.call({ path: '/q/1', headers: CLAIMS });
+        await fleet.harness.call({ path: '/q/1', headers: CLAIMS });
+      }
+      for (const replica of fleet.replicas) {
+        replica.behaviour = ReplicaBehaviour.Serve;
+        replica.workMs = 400;
+      }
+      await fleet.harness.call({ path: '/q/1', headers: CLAIMS });
+      expect(sentAgain(fleet)).toBeGreaterThan(0);
+      expectIdentity(fleet, 'orchard');
+    });
+  }
+
+  it('with requests of a public route, where they learn neither', async () => {
+    for (const route of [{ service: 'one' }, { shards: SHARDS, topRecords: 3 }]) {
+      const fleet = await start({ pathPrefix: '/q/', public: true, ...route });
+      for (const headers of [CLAIMS, { 'x-other': 'kept' }, { ...CLAIMS, [KEY]: 'stranger' }]) {
+        expect((await fleet.harness.call({ path: '/q/1', headers })).status).toBe(200);
+      }
+      expectIdentity(fleet, undefined);
+    }
+  });
+});
+
+describe('a document without tenants', () => {
+  it('has every header passed on, and asks for no key', async () => {
+    for (const route of [{ service: 'one' }, { shards: SHARDS, topRecords: 3 }]) {
+      const fleet = await start({ pathPrefix: '/q/', ...route }, 'none');
+      const headers = { [KEY]: SECRET, [TENANT]: 'mill', x_driftway_tenant: 'a', 'x-other': 'b' };
+      const answer = await fleet.harness.call({ path: '/q/1', id: 'mine', headers });
+      expect(answer.status).toBe(200);
+      expect(headersSeen(fleet)).not.toEqual([]);
+      for (const seen of headersSeen(fleet)) {
+        expect(seen).toMatchObject({ ...headers, host: HOST, [ID]: 'mine' });
+      }
+    }
+  });
+});
--- a/test/node/node-http-server.test.ts
+++ b/test/node/node-http-server.test.ts
@@ -41,6 +41,24 @@
     });
   }
 
+  it('can tell which headers came more than once, whatever their case', async () => {
+    const told: unknown[] = [];
+    await fixture.start(async ({ headers, isRepeated }) => {
+      told.push([headers['x-key'], isRepeated?.('x-key'), isRepeated?.('host')]);
+      return { status: 200, body: '' };
+    });
+    const lines = ['x-key: a\r\nX-Key: a', 'X-KEY: a', 'accept: a'];
+    for (const line of lines) {
+      const caller = await fixture.call(`GET / HTTP/1.1\r\nhost: x\r\n${line}\r\n\r\n`);
+      await caller.next();
+    }
+    expect(told).toEqual([
+      ['a, a', true, false],
+      ['a', false, false],
+      [undefined, false, false],
+    ]);
+  });
+
   it('gets the requests of one connection one after the other', async () => {
     const finish: ((body: string) => void)[] = [];
     await fixture.start(
--- a/test/quarantine/request-fingerprint.test.ts
+++ b/test/quarantine/request-fingerprint.test.ts
@@ -19,6 +19,7 @@
     ['target', { ...REQUEST, target: '/ledger/7?page=3' }],
     ['host', { ...REQUEST, headers: { host: 'other.example' } }],
     ['caller', { ...REQUEST, headers: { ...REQUEST.headers, authorization: 'Bearer a' } }],
+    ['tenant', { ...REQUEST, tenant: 'orchard' }],
     ['body', { ...REQUEST, body: Buffer.from('donors') }],
   ])('differs with the %s', (_, request) => {
     expect(fingerprintOf(request)).not.toBe(fingerprintOf(REQUEST));
