--- a/src/administration/administration-dependencies.ts
+++ b/src/administration/administration-dependencies.ts
@@ -4,6 +4,7 @@
 import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { Logger } from '../observability/logger.js';
 import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
+import type { RouteDocumentRegister } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
 import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { ForceTracker } from './force-tracker.js';
@@ -30,6 +31,8 @@
   readonly evacuations?: EvacuationOrders;
   /** Without them, nothing is known of requests under which replicas end. */
   readonly quarantine?: QuarantineOrders;
+  /** Without it, nothing is known of tenants. */
+  readonly routeDocument?: RouteDocumentRegister;
   /** A longer body is refused. Bytes. {@link MAXIMUM_COMMAND_BYTES} when absent. */
   readonly maximumBodyBytes?: number;
 }
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -188,6 +188,27 @@
 });
 export type QuarantineList = z.infer<typeof quarantineListSchema>;
 
+const tenantSchema = z.strictObject({
+  name: z.string(),
+  priority: z.int().nullable().describe('Null where the priority of the route holds.'),
+  requestsPerSecond: z.number().describe('0: no limit.'),
+  burst: z.number(),
+  keys: z.int().describe('How many API keys name it.'),
+});
+
+export const tenantListSchema = z.strictObject({
+  version: z.int().nullable().describe('Of the newest route document; null before the first.'),
+  tenants: z.array(tenantSchema),
+});
+export type TenantList = z.infer<typeof tenantListSchema>;
+
+export const tenantReportSchema = z.strictObject({
+  version: z.int().describe('Of the newest route document.'),
+  tenant: tenantSchema,
+  keyDigests: z.array(z.string()).describe('Beginnings of the SHA-256 of its keys, in order.'),
+});
+export type TenantReport = z.infer<typeof tenantReportSchema>;
+
 export const tokenListSchema = z.strictObject({
   tokens: z.array(
     z.strictObject({
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -46,6 +46,7 @@
   readonly server: ControlStreamServer;
   readonly exchange: ControllerExchange;
   readonly registration: RegistrationPart;
+  readonly routeDocument: RouteDocumentRegister;
   readonly evacuationOrders: EvacuationOrders;
   readonly quarantineOrders: QuarantineOrders;
 }
@@ -70,7 +71,8 @@
   const registered = { log, ...replicated };
   const registration = startRegistration(options, registered);
   const stream = startControlStream(options, log, machine);
-  const core = { ...stream, log, machine, registration, evacuationOrders, quarantineOrders };
+  const parts = { log, machine, registration, evacuationOrders, quarantineOrders };
+  const core = { ...stream, ...parts, routeDocument: register };
   await registration.restore();
   return core;
 }
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -163,7 +163,7 @@
 
   private listenHttp(core: ControllerCore): Promise<HttpListener> {
     const { log, machine, daemons, server, evacuationOrders, quarantineOrders } = core;
-    const { registration: routes } = core;
+    const { registration: routes, routeDocument } = core;
     const { configuration, environment, telemetry } = this;
     const { clock, network } = environment;
     const { bootstrapTokenHash } = configuration.administration;
@@ -177,6 +177,7 @@
       members: log,
       evacuations: evacuationOrders,
       quarantine: quarantineOrders,
+      routeDocument,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
     const readReadiness = (): Readiness =>
--- a/test/administration/controllers.ts
+++ b/test/administration/controllers.ts
@@ -80,6 +80,7 @@
       machine: log.machine,
       evacuations: log.evacuationOrders,
       quarantine: log.quarantineOrders,
+      routeDocument: log.routeDocument,
       clock: this.clock,
       logger: SILENT_LOGGER,
       registry: this.registry,
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -11,6 +11,7 @@
 import { EvacuationOrders } from '../../src/evacuations/evacuation-orders.js';
 import { EvacuationRegister } from '../../src/evacuations/evacuation-register.js';
 import { QuarantineOrders } from '../../src/quarantine/quarantine-orders.js';
+import { RouteDocumentRegister } from '../../src/routes/route-document-register.js';
 import { QuarantineRegister } from '../../src/quarantine/quarantine-register.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { ConfigurationStateMachine } from '../../src/settings/configuration-state-machine.js';
@@ -40,6 +41,7 @@
   readonly machine = new ConfigurationStateMachine();
   readonly evacuations = new EvacuationRegister();
   readonly quarantine = new QuarantineRegister();
+  readonly routeDocument = new RouteDocumentRegister();
   readonly quarantineOrders: QuarantineOrders;
   /** Orders about zones, as a controller of two zones takes them. */
   readonly evacuationOrders: EvacuationOrders;
@@ -48,6 +50,7 @@
     new Map<SectionTag, StateMachine>([
       [SectionTag.Evacuations, this.evacuations],
       [SectionTag.Quarantine, this.quarantine],
+      [SectionTag.RouteDocument, this.routeDocument],
     ]),
   );
   readonly applied = empty();
--- a/test/operator/operator-fixture.ts
+++ b/test/operator/operator-fixture.ts
@@ -19,6 +19,8 @@
 import type { Operation } from '../../src/settings/change.js';
 import { hashToken } from '../../src/settings/token-text.js';
 import { BOOTSTRAP_TOKEN } from '../administration/controllers.js';
+import { SectionTag, sectionCommand } from '../../src/consensus/sectioned-state-machine.js';
+import { encodeRouteDocument } from '../../src/routes/route-document-register.js';
 import type { CrashEvidence } from '../../src/quarantine/quarantine-entry.js';
 import { NO_EVIDENCE, QuarantineChangeKind } from '../../src/quarantine/quarantine-register.js';
 import { MemoryHistory, type MemoryLog, type ProposalFault } from '../administration/memory-log.js';
@@ -140,12 +142,26 @@
     ]);
   }
 
+  /** Puts a route document in force. */
+  async putRoutes(document: {
+    readonly version: number;
+    readonly [field: string]: unknown;
+  }): Promise<void> {
+    const { version } = document;
+    const content = Buffer.from(JSON.stringify(document));
+    const [log] = this.history.members;
+    await log?.propose(
+      sectionCommand(SectionTag.RouteDocument, encodeRouteDocument({ version, content })),
+    );
+  }
+
   private listen(log: MemoryLog): Promise<HttpListener> {
     const handler = createAdministrationHandler({
       log,
       machine: log.machine,
       evacuations: log.evacuationOrders,
       quarantine: log.quarantineOrders,
+      routeDocument: log.routeDocument,
       clock: new NodeClock(),
       logger: SILENT_LOGGER,
       registry: new Registry(),
