--- a/src/consensus/raft-timings.ts
+++ b/src/consensus/raft-timings.ts
@@ -70,7 +70,7 @@
 const MEBIBYTE = 1024 * 1024;
 
 export const DEFAULT_RAFT_LIMITS: RaftLimits = {
-  // Holds the longest route document.
+  // Holds the longest route document, and fits one record of the log and one frame.
   maximumCommandBytes: 3 * MEBIBYTE,
   maximumAppendBytes: MEBIBYTE,
   maximumUncommittedBytes: 16 * MEBIBYTE,
