--- a/src/commands/operator-tokens.ts
+++ b/src/commands/operator-tokens.ts
@@ -23,7 +23,7 @@
     details: `
       The token's text is made here and printed once; the controllers get its hash only. It may
       change what lies beneath its scopes: \`defaults\` is everything, \`region/NAME\` the region
-      with its zones and services. Every token may read everything but tokens.
+      with its zones and services. Every token may read everything but tokens and digests of API keys.
     `,
     examples: [
       [
