--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -11,7 +11,7 @@
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
 import type { LogFields, Logger } from '../../src/observability/logger.js';
-import type { HttpClientResponse } from '../../src/seams/http.js';
+import type { HttpClientResponse, HttpHeaders } from '../../src/seams/http.js';
 import {
   AutomaticGroup,
   CLUSTER,
@@ -37,6 +37,8 @@
   readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
   readonly others?: number;
+  /** Of the controllers; silent when absent. */
+  readonly controllerLogger?: Logger;
   /** Regions by zone. */
   readonly zones?: Readonly<Record<string, string>>;
 }
@@ -62,7 +64,7 @@
   readonly fields: LogFields;
 }
 
-function collectLines(lines: LogLine[]): Logger {
+export function collectLines(lines: LogLine[]): Logger {
   const write = (message: string, fields: LogFields = {}): void => {
     lines.push({ message, fields });
   };
@@ -83,6 +85,15 @@
   readonly topRecords?: number;
   readonly requiredCoverage?: number;
   readonly allowedRegions?: readonly string[];
+  readonly priority?: number;
+  readonly public?: boolean;
+}
+
+/** One tenant of the document that {@link GatewayHarness.putRoutes} writes. */
+export interface TestTenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority?: number;
 }
 
 /** A caller's request. */
@@ -92,12 +103,13 @@
   readonly method?: string;
   readonly body?: string;
   readonly deadlineMs?: number;
+  /** Besides those that every request carries. */
+  readonly headers?: HttpHeaders;
   readonly signal?: AbortSignal;
 }
 
 /** See the module comment. */
 export class GatewayHarness {
-  readonly registry = new Registry();
   private version = 0;
   private calls = 0;
   private replicas = 0;
@@ -109,20 +121,23 @@
     public gateway: GatewayDaemon,
     /** Lines of the gateway. */
     readonly lines: LogLine[],
+    /** What the gateway that was started first counts. */
+    readonly registry: Registry,
     readonly others: readonly OtherGateway[],
     private readonly overrides: GatewayOverrides,
   ) {}
 
   static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
-    const group = await AutomaticGroup.start(3, seed);
+    const group = await AutomaticGroup.start(3, seed, overrides.controllerLogger);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
-    const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
+    const registry = new Registry();
+    const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides, registry);
     const others: OtherGateway[] = [];
     for (let index = 0; index < (overrides.others ?? 0); index += 1) {
       others.push(await GatewayHarness.startOther(group, `gateway-${index + 2}`, overrides));
     }
-    return new GatewayHarness(group, machine, gateway, lines, others, overrides);
+    return new GatewayHarness(group, machine, gateway, lines, registry, others, overrides);
   }
 
   private static async startOther(
@@ -263,7 +278,7 @@
   }
 
   /** Puts the next version of the routes in force. */
-  async putRoutes(routes: readonly TestRoute[]): Promise<void> {
+  async putRoutes(routes: readonly TestRoute[], tenants?: readonly TestTenant[]): Promise<void> {
     this.version += 1;
     const services = routes.flatMap(({ service, split = [], shards = [] }) => [
       ...(service === undefined ? [] : [service]),
@@ -282,6 +297,7 @@
         ...route,
       })),
       services: [...new Set(services)].map((name) => ({ name, maximumConnections: 26 })),
+      ...(tenants === undefined ? {} : { tenants }),
     };
     const sent = await this.group.putRoutes(this.group.machineAt(0), JSON.stringify(document));
     expect(sent.status).toBe(200);
@@ -301,6 +317,7 @@
         host: HOST,
         [requestId]: call.id ?? `call-${this.calls}`,
         [deadline]: String(call.deadlineMs ?? 2_000),
+        ...call.headers,
       },
       ...(call.body === undefined ? {} : { body: call.body }),
       ...(call.signal === undefined ? {} : { signal: call.signal }),
