Bound how long a gateway accepts API keys that it could not have confirmed

A gateway that learns of no newer route document went on accepting keys that one had taken away. With tenants.revocationBoundMs it now holds a lease, which counts from when it asked a controller and is granted by a version that a quorum confirmed after that.

--- a/src/control-stream/shared-read-barrier.ts
+++ b/src/control-stream/shared-read-barrier.ts
@@ -1,5 +1,5 @@
 /**
- * One read barrier for all subscribers that wait for one. A barrier that has
+ * One read barrier for all that wait for one. A barrier that has
  * begun proves nothing to who comes later, so late comers share the next.
  */
 import type { ReplicatedLog } from '../consensus/replicated-log.js';
@@ -16,6 +16,8 @@
     private readonly log: Pick<ReplicatedLog, 'readBarrier'>,
     private readonly clock: Clock,
     private readonly faults: ControlStreamFaults,
+    /** Until a barrier counts as failed. Milliseconds. */
+    private readonly timeoutMs = PROOF_TIMEOUT_MS,
   ) {}
 
   /** Whether everything committed before the call is now applied here. */
@@ -39,7 +41,7 @@
 
   private attempt(): Promise<boolean> {
     return new Promise((resolve) => {
-      const timer = this.clock.setTimer(PROOF_TIMEOUT_MS, () => resolve(false));
+      const timer = this.clock.setTimer(this.timeoutMs, () => resolve(false));
       const finish = (proven: boolean): void => {
         timer.cancel();
         resolve(proven);
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -124,7 +124,7 @@
 >;
 
 function startRegistration(
-  { environment, identity, configuration, logger, telemetry }: ControllerCoreOptions,
+  { environment, identity, configuration, logger, telemetry, faults }: ControllerCoreOptions,
   state: ReplicatedParts,
 ): RegistrationPart {
   const { automaticMembership, listen, zone } = configuration;
@@ -133,6 +133,7 @@
     identity,
     logger,
     registry: telemetry.registry,
+    faults,
     ...state,
     zone,
     ownAddress: formatAddress(listen.messages),
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -6,7 +6,9 @@
 import type { Registry } from 'prom-client';
 import type { RouteTracker } from '../administration/route-tracker.js';
 import type { RaftNode } from '../consensus/raft-node.js';
+import type { ControlStreamFaults } from '../control-stream/control-stream-faults.js';
 import { observe } from '../control-stream/observe.js';
+import { SharedReadBarrier } from '../control-stream/shared-read-barrier.js';
 import { DirectoryClient } from '../directory/directory-client.js';
 import { SubscriberKind } from '../directory/directory-messages.js';
 import { DirectoryServer } from '../directory/directory-server.js';
@@ -18,6 +20,7 @@
   type ReplicaStoreParts,
 } from '../directory/replica-store.js';
 import { RouteLagWatch } from '../directory/route-lag-watch.js';
+import { VersionConfirmer } from '../directory/version-confirmer.js';
 import type { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
@@ -51,6 +54,11 @@
 const LEAVE_GROUP_TIMEOUT_MS = 1_000;
 /** A gateway that confirms later is cut off or overloaded, and its connection is closed soon. */
 const RELAY_TIMEOUT_MS = 2_000;
+/**
+ * After so long a barrier that confirms routes to gateways is begun anew: the old one may wait for
+ * a leader that is gone, while another already leads.
+ */
+const CONFIRMATION_TIMEOUT_MS = 500;
 /** Told as the age while records that are committed are missing here. */
 const UNKNOWN_AGE_MS = 1e9;
 
@@ -66,6 +74,7 @@
   readonly evacuationOrders: EvacuationOrders;
   readonly quarantine: QuarantineRegister;
   readonly quarantineOrders: QuarantineOrders;
+  readonly faults: ControlStreamFaults;
   readonly zone: string;
   /** `host:port` for internal messages. */
   readonly ownAddress: string;
@@ -113,6 +122,7 @@
         this.unusable.note(EntrySource.DirectoryStream, UnusableReason.Unreadable, { subscriber }),
       otherGateways: () => this.client.knownGateways,
       ageMs: () => this.ageMs(),
+      confirmer: this.createConfirmer(),
     });
     this.client = new DirectoryClient({
       environment,
@@ -217,6 +227,17 @@
     return this.options.log.status().members.map(({ address }) => address);
   }
 
+  private createConfirmer(): VersionConfirmer {
+    const { environment, registry, log, faults } = this.options;
+    const { clock } = environment;
+    return new VersionConfirmer({
+      clock,
+      barrier: new SharedReadBarrier(log, clock, faults, CONFIRMATION_TIMEOUT_MS),
+      version: () => this.routeVersion,
+      registry,
+    });
+  }
+
   /** Waits until the gateways that follow this controller hold what it knows now. */
   private relay(): Promise<boolean> {
     return this.server.waitConfirmed(
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -16,7 +16,12 @@
 } from '../observability/unusable-entries.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
-import { chooseControllers, FollowState, type KnownController } from './controller-choice.js';
+import {
+  chooseControllers,
+  FollowState,
+  rankControllers,
+  type KnownController,
+} from './controller-choice.js';
 import { DirectoryLink, type DirectoryLinkParts, type LinkNews } from './directory-link.js';
 import {
   NO_DOCUMENT,
@@ -24,6 +29,7 @@
   type ReplicaLifeMessage,
   type ReplicaMessage,
   type SubscriberKind,
+  type VersionConfirmedMessage,
 } from './directory-messages.js';
 import { crashEvidenceMessage, quarantineEntry } from './quarantine-messages.js';
 import { replicaEntry } from './replica-messages.js';
@@ -73,7 +79,10 @@
   readonly evacuations: Stream<ZoneEvacuation>;
   /** Emits each word about a request under which replicas ended. */
   readonly quarantine: Stream<QuarantineEntry>;
+  /** Emits each answer to {@link DirectoryClient.askVersion}. */
+  readonly confirmations: Stream<VersionConfirmedMessage>;
   private readonly emitQuarantine: (entry: QuarantineEntry) => void;
+  private readonly emitConfirmation: (confirmed: VersionConfirmedMessage) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: ReceivedDocument) => void;
   private readonly links = new Map<string, DirectoryLink>();
@@ -90,6 +99,7 @@
     [this.emitDocument, this.documents] = createAdapter<ReceivedDocument>();
     [this.emitEvacuation, this.evacuations] = createAdapter<ZoneEvacuation>();
     [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
+    [this.emitConfirmation, this.confirmations] = createAdapter<VersionConfirmedMessage>();
     const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
@@ -158,6 +168,15 @@
     return links.some((link) => link.send(message));
   }
 
+  /**
+   * Asks a controller which version of the route document is in force: the one that is followed
+   * first, and with each of the `unanswered` asks before it another one. False while none is followed.
+   */
+  askVersion(number: number, unanswered: number): boolean {
+    const links = this.linksToAsk();
+    return links[unanswered % links.length]?.send({ kind: 'confirmVersion', number }) === true;
+  }
+
   async stop(): Promise<void> {
     this.stopped.abort(new Error('stopped'));
     const links = [...this.links.values()];
@@ -181,6 +200,9 @@
       case 'evacuation':
         this.emitEvacuation(message);
         return;
+      case 'versionConfirmed':
+        this.emitConfirmation(message);
+        return;
       case 'quarantine':
         this.emitQuarantine(quarantineEntry(message));
         return;
@@ -188,6 +210,18 @@
     }
   }
 
+  /** Open streams, those of controllers that tell fresh news in front, nearer ones first. */
+  private linksToAsk(): readonly DirectoryLink[] {
+    const { identity, zone } = this.options;
+    const place = { ownName: identity.name, ownZone: zone };
+    const links = rankControllers(this.knownControllers(), place)
+      .flatMap(({ address }) => this.links.get(address) ?? [])
+      .filter(({ status }) => status !== undefined);
+    const isFresh = ({ address }: DirectoryLink): boolean =>
+      this.followStateOf(address) === FollowState.Fresh;
+    return [...links.filter(isFresh), ...links.filter((link) => !isFresh(link))];
+  }
+
   private takeReplica(message: ReplicaMessage | ReplicaLifeMessage, link: DirectoryLink): void {
     const entry = replicaEntry(message);
     if (entry === undefined) {
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -63,8 +63,8 @@
 
 /** What a frame brought. */
 interface TakenFrame {
-  /** Of the controller's directory. */
-  readonly position: number;
+  /** Of the controller's directory; undefined for an answer, which needs no confirmation. */
+  readonly position: number | undefined;
   /** Whether it told of a replica. */
   readonly hasReplicas: boolean;
 }
@@ -172,6 +172,7 @@
       if (frame === undefined) return;
       guard.heard();
       const { position, hasReplicas } = this.takeFrame(frame);
+      if (position === undefined) continue;
       const documentVersion = this.parts.documentVersion();
       await connection.send(DIRECTORY_CODEC.encode({ kind: 'confirm', position, documentVersion }));
       if (hasReplicas) void this.confirmRelayed(position);
@@ -198,7 +199,7 @@
 
   /** Takes a whole frame in. */
   private takeFrame(frame: Uint8Array): TakenFrame {
-    let position = 0;
+    let position: number | undefined;
     const controllers: KnownController[] = [];
     let hasGateways = false;
     let hasReplicas = false;
--- a/src/directory/directory-messages.ts
+++ b/src/directory/directory-messages.ts
@@ -129,6 +129,22 @@
   readonly position: number;
 }
 
+/** A gateway asks which version of the route document is in force. */
+export interface ConfirmVersionMessage {
+  readonly kind: 'confirmVersion';
+  /** Names the question in its answer. */
+  readonly number: number;
+}
+
+/** The answer: a quorum held the version after the question had come. */
+export interface VersionConfirmedMessage {
+  readonly kind: 'versionConfirmed';
+  /** Of the question. */
+  readonly number: number;
+  /** {@link NO_DOCUMENT} when there is none. */
+  readonly version: number;
+}
+
 export type DirectoryMessage =
   | SubscribeMessage
   | ReplicaMessage
@@ -142,7 +158,9 @@
   | GatewayMessage
   | StatusMessage
   | ConfirmMessage
-  | RelayedMessage;
+  | RelayedMessage
+  | ConfirmVersionMessage
+  | VersionConfirmedMessage;
 
 /** Stands for "no route document yet". */
 export const NO_DOCUMENT = -1;
@@ -235,6 +253,8 @@
       field('endedInTrial', 'string'),
     ],
   },
+  confirmVersion: { tag: 53, fields: [field('number', 'long')] },
+  versionConfirmed: { tag: 54, fields: [field('number', 'long'), field('version', 'long')] },
   relayed: { tag: 48, fields: [field('position', 'long')] },
   confirm: { tag: 46, fields: [field('position', 'long'), field('documentVersion', 'long')] },
 });
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -8,6 +8,7 @@
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import { DIRECTORY_CODEC, SubscriberKind, type DirectoryMessage } from './directory-messages.js';
 import { quarantineChange } from './quarantine-messages.js';
+import type { VersionConfirmer } from './version-confirmer.js';
 import { DirectorySession, type DirectorySessionSources } from './directory-session.js';
 import { ControllerRoster, type DirectoryMember } from './controller-roster.js';
 import { DirectoryMetrics, SubscriberPlace } from './directory-metrics.js';
@@ -41,6 +42,8 @@
   readonly onUnreadable: (subscriber: string) => void;
   /** A gateway saw replicas end under a request, or an answer to it. */
   readonly onCrashEvidence: (change: QuarantineChange) => void;
+  /** Answers gateways that ask which route document is in force. */
+  readonly confirmer: VersionConfirmer;
 }
 
 /** Who confirmed a position. */
@@ -277,7 +280,9 @@
         const frame = await connection.receive();
         if (frame === undefined) break;
         guard.heard();
-        this.takeConfirmation(session, DIRECTORY_CODEC.decode(frame, session.name));
+        const message = DIRECTORY_CODEC.decode(frame, session.name);
+        this.takeConfirmation(session, message);
+        if (message.kind === 'confirmVersion') this.confirmVersion(connection, message.number);
       }
     } catch (error) {
       // Broken, or not a confirmation: the stream is no use any more.
@@ -286,6 +291,14 @@
     connection.close();
   }
 
+  /** Sent at once, as the gateway's lease counts from when it asked. */
+  private confirmVersion(connection: MessageConnection, number: number): void {
+    this.sources.confirmer.ask(number, (confirmed) => {
+      // A connection that broke is noticed by the task that reads it.
+      void connection.send(DIRECTORY_CODEC.encode(confirmed)).catch(() => undefined);
+    });
+  }
+
   private takeConfirmation(session: DirectorySession, message: DirectoryMessage): void {
     if (message.kind === 'crashEvidence') this.sources.onCrashEvidence(quarantineChange(message));
     if (message.kind === 'relayed') {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,6 +23,8 @@
   RefusedRequest,
 } from '../seams/http.js';
 import { UNBOUNDED_LEASE } from '../tenants/authorization-lease.js';
+import { LeaseKeeper } from '../tenants/lease-keeper.js';
+import { LeaseRenewal } from '../tenants/lease-renewal.js';
 import { UNLIMITED_QUOTA } from '../tenants/tenant-quota.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { createDirectoryClient } from './create-directory-client.js';
@@ -48,6 +50,8 @@
   private readonly logger: Logger;
   private readonly directory: ReplicaDirectory;
   private readonly client: DirectoryClient;
+  /** Absent where the time of a revocation is not bounded. */
+  private readonly lease: LeaseRenewal | undefined;
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
   private readonly aggregation: Aggregation;
@@ -78,6 +82,7 @@
       }),
       logger,
     });
+    this.lease = this.createLease();
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
     this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
@@ -86,6 +91,9 @@
     observe(this.client.documents, (document) => this.applyDocument(document));
     const evacuations = new EvacuationsInForce(this.context, this.logger);
     observe(this.client.evacuations, (evacuation) => evacuations.take(evacuation));
+    observe(this.client.confirmations, ({ number, version }) =>
+      this.lease?.takeAnswer(number, version),
+    );
     observe(this.client.quarantine, (entry) => this.context.crashGuard.take(entry));
   }
 
@@ -171,6 +179,20 @@
     });
   }
 
+  private createLease(): LeaseRenewal | undefined {
+    const { revocationBoundMs: boundMs } = this.configuration.tenants;
+    if (boundMs === undefined) return undefined;
+    const { clock, random } = this.environment;
+    return new LeaseRenewal({
+      clock,
+      keeper: new LeaseKeeper({ clock, random, boundMs }),
+      send: ({ number, unanswered }) => this.client.askVersion(number, unanswered),
+      logger: this.logger,
+      registry: this.telemetry.registry,
+      stopped: this.ended.signal,
+    });
+  }
+
   private createContext(headers: ExchangeHeaders): GatewayContext {
     const { mechanisms, placement, secondSends, zone, region, zones } = this.configuration;
     return createGatewayContext({
@@ -183,7 +205,7 @@
       placement: { zone, ...placement },
       regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
-      lease: UNBOUNDED_LEASE,
+      lease: this.lease ?? UNBOUNDED_LEASE,
       quota: UNLIMITED_QUOTA,
       countGateways: () => this.client.gateways,
       reportEvidence: (change) => this.client.reportEvidence(change),
@@ -205,6 +227,7 @@
       health.handle(request),
     );
     void this.forgetSilent();
+    void this.lease?.run();
     if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
@@ -215,6 +238,7 @@
       isStopping: () => this.isStopping,
       hasRoutes: () => this.endpoint.table !== undefined,
       isFresh: () => this.client.isFresh,
+      acceptsKeys: () => this.endpoint.table?.needsKeys !== true || this.context.lease.isHeld,
     });
   }
 
@@ -234,6 +258,7 @@
     try {
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
+      this.lease?.useTable(table);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
       this.logger.info('route document in force', { version, controller });
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -75,7 +75,9 @@
   }
 
   private async route(request: HttpRequest, receivedAt: number): Promise<HttpResponse> {
-    const table = this.table ?? (await this.tables.wait(this.statedDeadline(request)));
+    if (this.table === undefined) await this.tables.wait(this.statedDeadline(request));
+    // Not the one that was waited for: the lease is for the table in force.
+    const { table } = this;
     if (request.signal.aborted) {
       return this.reject(request, GatewayRefusal.NotRun, 'the caller has gone');
     }
--- a/src/gateway/health-endpoint.ts
+++ b/src/gateway/health-endpoint.ts
@@ -17,6 +17,8 @@
   readonly hasRoutes: () => boolean;
   /** Whether a controller that knew of a quorum lately is followed. */
   readonly isFresh: () => boolean;
+  /** False while requests need API keys and none is accepted. */
+  readonly acceptsKeys: () => boolean;
 }
 
 function textResponse(status: number, body: string): HttpResponse {
@@ -38,9 +40,10 @@
 
   /** Once it was ready, being cut off from the controllers alone does not make it useless. */
   private readyz(): HttpResponse {
-    const { isStopping, hasRoutes, isFresh } = this.sources;
+    const { isStopping, hasRoutes, isFresh, acceptsKeys } = this.sources;
     if (isStopping()) return textResponse(503, 'stopping\n');
     if (!hasRoutes()) return textResponse(503, 'no route document yet\n');
+    if (!acceptsKeys()) return textResponse(503, 'API keys are not confirmed\n');
     this.wasReady ||= isFresh();
     return this.wasReady ? textResponse(200, 'ready\n') : textResponse(503, 'not fresh yet\n');
   }
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -70,6 +70,8 @@
   readonly shardLists: readonly ShardList[];
   /** Undefined where requests need no API key. */
   readonly tenants: TenantDirectory | undefined;
+  /** Whether requests of some route need an API key. */
+  readonly needsKeys: boolean;
   private readonly listsByName: ShardListsByName;
   private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
   private readonly shards: ReadonlySet<string>;
@@ -79,6 +81,7 @@
     this.version = document.version;
     this.limits = document.limits;
     this.tenants = document.tenants && new TenantDirectory(document.tenants);
+    this.needsKeys = this.tenants !== undefined && document.routes.some((route) => !route.public);
     this.listsByName = distinctLists(document.routes, before?.listsByName ?? new Map());
     this.shardLists = [...this.listsByName.values()];
     const routes = document.routes.map((route) => withListOf(route, this.listsByName));
