--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -79,9 +79,12 @@
   readonly evacuations: Stream<ZoneEvacuation>;
   /** Emits each word about a request under which replicas ended. */
   readonly quarantine: Stream<QuarantineEntry>;
+  /** Emits whenever one more controller can be asked. */
+  readonly followed: Stream<void>;
   /** Emits each answer to {@link DirectoryClient.askVersion}. */
   readonly confirmations: Stream<VersionConfirmedMessage>;
   private readonly emitQuarantine: (entry: QuarantineEntry) => void;
+  private readonly emitFollowed: () => void;
   private readonly emitConfirmation: (confirmed: VersionConfirmedMessage) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: ReceivedDocument) => void;
@@ -99,6 +102,7 @@
     [this.emitDocument, this.documents] = createAdapter<ReceivedDocument>();
     [this.emitEvacuation, this.evacuations] = createAdapter<ZoneEvacuation>();
     [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
+    [this.emitFollowed, this.followed] = createAdapter<void>();
     [this.emitConfirmation, this.confirmations] = createAdapter<VersionConfirmedMessage>();
     const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
@@ -113,6 +117,7 @@
       onGateways: () => this.joinGateways(),
       onControllers: () => this.adjustLinks(),
       documentVersion: () => this.documentVersion,
+      onFollowed: () => this.emitFollowed(),
       onUnreadable: ({ address: controller }) => this.noteUnreadable(controller),
       onState: (link, isOpen) => this.logState(link, isOpen),
     };
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -50,6 +50,8 @@
    * false when that takes too long. Absent at gateways, which nobody follows.
    */
   readonly relay?: (() => Promise<boolean>) | undefined;
+  /** The controller said its first word on a connection: it can be asked now. */
+  readonly onFollowed: () => void;
   /** The controller sent what cannot be read; the link is about to be lost. */
   readonly onUnreadable: (link: DirectoryLink) => void;
   /** The link was opened or lost. */
@@ -206,7 +208,9 @@
     for (const message of DIRECTORY_CODEC.decodeBatch(frame, this.address)) {
       if (message.kind === 'status') {
         position = message.position;
+        const isFirst = this.status === undefined;
         this.status = { ...message, receivedAt: this.parts.environment.clock.now() };
+        if (isFirst) this.parts.onFollowed();
       } else if (message.kind === 'controller') {
         controllers.push(message);
       } else if (message.kind === 'gateway') {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -91,6 +91,7 @@
     observe(this.client.documents, (document) => this.applyDocument(document));
     const evacuations = new EvacuationsInForce(this.context, this.logger);
     observe(this.client.evacuations, (evacuation) => evacuations.take(evacuation));
+    observe(this.client.followed, () => this.lease?.noteFollowed());
     observe(this.client.confirmations, ({ number, version }) =>
       this.lease?.takeAnswer(number, version),
     );
--- a/src/tenants/lease-keeper.ts
+++ b/src/tenants/lease-keeper.ts
@@ -94,8 +94,8 @@
   }
 
   get retryAfterMs(): number {
-    const isAsking = this.unanswered > 0;
-    return isAsking ? EXPECTED_ANSWER_MS : this.askDueInMs + EXPECTED_ANSWER_MS;
+    const isFirstAskOut = this.unanswered === 1;
+    return isFirstAskOut ? EXPECTED_ANSWER_MS : this.askDueInMs + EXPECTED_ANSWER_MS;
   }
 
   /** Until the lease ends, unless it is renewed; 0 when it has. Milliseconds. */
@@ -119,6 +119,12 @@
     for (const { startsAt } of ready) this.grant(startsAt);
   }
 
+  /** One more controller can be asked. Only who has just started asks at once: after a cut all find their controllers together. */
+  noteFollowed(): void {
+    const isYoung = this.startsAt === -Infinity && this.asks.size === 0;
+    if (isYoung) this.nextAskAt = -Infinity;
+  }
+
   /** Call before the ask is sent: the lease counts from now. */
   beginAsk(): LeaseAsk {
     const { unanswered } = this;
--- a/src/tenants/lease-renewal.ts
+++ b/src/tenants/lease-renewal.ts
@@ -46,6 +46,12 @@
     this.wake.notify();
   }
 
+  /** One more controller can be asked. */
+  noteFollowed(): void {
+    this.parts.keeper.noteFollowed();
+    this.wake.notify();
+  }
+
   /** A controller has answered the ask of the number. */
   takeAnswer(number: number, version: number): void {
     const result = this.parts.keeper.takeAnswer(number, version);
--- /dev/null
+++ b/test/tenants/lease-keeper.test.ts
@@ -0,0 +1,203 @@
+import { describe, expect, it } from 'vitest';
+import { seededRandom } from '../../lab/simulation/seeded-random.js';
+import {
+  ConfirmationResult,
+  LeaseKeeper,
+  leaseLengthMs,
+  type LeaseAsk,
+} from '../../src/tenants/lease-keeper.js';
+import { ManualClock } from '../support/manual-clock.js';
+import { BOUND_MS, runLeaseModel, type ModelFaults, type ModelResult } from './lease-model.js';
+
+const SEEDS = Array.from({ length: 150 }, (_, index) => index + 1);
+const LENGTH_MS = leaseLengthMs(BOUND_MS);
+/** Of the bound, without a path to the controllers, in which requests are still to be served. */
+const SERVED_PART = 0.6;
+
+interface Parts {
+  readonly clock: ManualClock;
+  readonly keeper: LeaseKeeper;
+}
+
+function createParts(version?: number, needsKeys = true): Parts {
+  const clock = new ManualClock();
+  const keeper = new LeaseKeeper({ clock, random: seededRandom(7, 'keeper'), boundMs: BOUND_MS });
+  if (version !== undefined) keeper.useTable(version, needsKeys);
+  return { clock, keeper };
+}
+
+/** Asks, and has the answer a while later. */
+function renew({ clock, keeper }: Parts, version: number, afterMs: number): ConfirmationResult {
+  const { number } = keeper.beginAsk();
+  clock.advance(afterMs);
+  return keeper.takeAnswer(number, version);
+}
+
+function runAll(faults: ModelFaults = {}): ModelResult {
+  const total = { accepted: 0, refused: 0, violations: 0 };
+  for (const seed of SEEDS) {
+    const result = runLeaseModel(seed, faults);
+    total.accepted += result.accepted;
+    total.refused += result.refused;
+    total.violations += result.violations;
+  }
+  return total;
+}
+
+describe('no key is accepted later than the bound after the document that takes it away', () => {
+  it('whatever is late, lost, cut off, frozen or restarted', () => {
+    const { accepted, refused, violations } = runAll();
+    expect(violations).toBe(0);
+    expect(accepted).toBeGreaterThan(refused);
+    expect(refused).toBeGreaterThan(0);
+  });
+
+  it('which fails where the lease counts from the answer', () => {
+    expect(runAll({ countFromAnswer: true }).violations).toBeGreaterThan(0);
+  });
+
+  it('which fails where a controller answers by what it believes', () => {
+    expect(runAll({ skipBarrier: true }).violations).toBeGreaterThan(0);
+  });
+
+  it('which fails where the version is not compared', () => {
+    expect(runAll({ ignoreVersion: true }).violations).toBeGreaterThan(0);
+  });
+});
+
+describe('a lease', () => {
+  it('is not held before the first answer', () => {
+    const { keeper } = createParts(3);
+    expect(keeper.isHeld).toBe(false);
+    expect(keeper.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('counts from the ask', () => {
+    const parts = createParts(3);
+    expect(renew(parts, 3, 400)).toBe(ConfirmationResult.Renewed);
+    parts.clock.advance(LENGTH_MS - 401);
+    expect(parts.keeper.isHeld).toBe(true);
+    parts.clock.advance(1);
+    expect(parts.keeper.isHeld).toBe(false);
+  });
+
+  it('is shorter than the bound by what clocks may be wrong', () => {
+    expect(LENGTH_MS).toBeLessThan(BOUND_MS * 0.99);
+  });
+
+  it('is granted once the confirmed version is in force, counted from the ask', () => {
+    const parts = createParts(3);
+    expect(renew(parts, 4, 100)).toBe(ConfirmationResult.DocumentMissing);
+    expect(parts.keeper.isHeld).toBe(false);
+    parts.clock.advance(100);
+    parts.keeper.useTable(4, true);
+    expect(parts.keeper.isHeld).toBe(true);
+    expect(parts.keeper.endsInMs).toBe(LENGTH_MS - 200);
+  });
+
+  it('is not granted by a version that comes into force too late', () => {
+    const parts = createParts(3);
+    renew(parts, 4, 100);
+    parts.clock.advance(LENGTH_MS);
+    parts.keeper.useTable(4, true);
+    expect(parts.keeper.isHeld).toBe(false);
+  });
+
+  it('is granted by a version older than the one in force', () => {
+    expect(renew(createParts(3), 2, 100)).toBe(ConfirmationResult.Renewed);
+  });
+
+  it('is not shortened by the answer to an earlier ask', () => {
+    const { clock, keeper } = createParts(3);
+    const first = keeper.beginAsk();
+    clock.advance(500);
+    const second = keeper.beginAsk();
+    expect(keeper.takeAnswer(second.number, 3)).toBe(ConfirmationResult.Renewed);
+    expect(keeper.takeAnswer(first.number, 3)).toBe(ConfirmationResult.Late);
+    expect(keeper.endsInMs).toBe(LENGTH_MS);
+  });
+
+  it('is not granted twice by one answer', () => {
+    const { clock, keeper } = createParts(3);
+    const { number } = keeper.beginAsk();
+    keeper.takeAnswer(number, 3);
+    clock.advance(LENGTH_MS);
+    expect(keeper.takeAnswer(number, 3)).toBe(ConfirmationResult.Late);
+    expect(keeper.isHeld).toBe(false);
+  });
+
+  it('is still held for most of the bound after the last path is lost, at the worst moment', () => {
+    const parts = createParts(3);
+    renew(parts, 3, 50);
+    parts.clock.advance(parts.keeper.askDueInMs + BOUND_MS * SERVED_PART);
+    expect(parts.keeper.isHeld).toBe(true);
+  });
+});
+
+describe('asks', () => {
+  it('are due at once at the start, before the first table too', () => {
+    expect(createParts().keeper.askDueInMs).toBe(0);
+  });
+
+  it('are never due where no route needs a key', () => {
+    expect(createParts(3, false).keeper.askDueInMs).toBe(Infinity);
+  });
+
+  it('are due at once when routes begin to need keys', () => {
+    const parts = createParts(3);
+    renew(parts, 3, 5);
+    parts.keeper.useTable(4, false);
+    parts.keeper.useTable(5, true);
+    expect(parts.keeper.askDueInMs).toBe(0);
+  });
+
+  it('are spread over a part of the bound', () => {
+    const parts = createParts(3);
+    const pauses = Array.from({ length: 200 }, () => {
+      renew(parts, 3, 0);
+      return parts.keeper.askDueInMs / BOUND_MS;
+    });
+    expect(Math.min(...pauses)).toBeGreaterThanOrEqual(0.15);
+    expect(Math.max(...pauses)).toBeLessThanOrEqual(0.2);
+    expect(Math.max(...pauses) - Math.min(...pauses)).toBeGreaterThan(0.04);
+  });
+
+  it('go to another controller while they are not answered', () => {
+    const parts = createParts(3);
+    const asks: LeaseAsk[] = [];
+    for (let count = 0; count < 3; count += 1) {
+      asks.push(parts.keeper.beginAsk());
+      parts.clock.advance(parts.keeper.askDueInMs);
+    }
+    expect(asks.map(({ unanswered }) => unanswered)).toEqual([0, 1, 2]);
+    expect(parts.clock.now()).toBe(0.3 * BOUND_MS);
+    renew(parts, 3, 5);
+    expect(parts.keeper.beginAsk().unanswered).toBe(0);
+  });
+
+  it('are repeated soon, and not together, while no controller is followed', () => {
+    const { keeper } = createParts(3);
+    const pauses = Array.from({ length: 200 }, () => {
+      keeper.noteUnsent(keeper.beginAsk());
+      return keeper.askDueInMs;
+    });
+    expect(Math.max(...pauses)).toBeLessThanOrEqual(100);
+    expect(Math.max(...pauses) - Math.min(...pauses)).toBeGreaterThan(40);
+  });
+
+  it('are due at once when a gateway that has just started finds its first controller', () => {
+    const { keeper } = createParts();
+    keeper.noteUnsent(keeper.beginAsk());
+    keeper.noteFollowed();
+    expect(keeper.askDueInMs).toBe(0);
+  });
+
+  it('are not due at once when a controller is found after a cut', () => {
+    const parts = createParts(3);
+    renew(parts, 3, 5);
+    parts.clock.advance(LENGTH_MS);
+    parts.keeper.noteUnsent(parts.keeper.beginAsk());
+    parts.keeper.noteFollowed();
+    expect(parts.keeper.askDueInMs).toBeGreaterThan(0);
+  });
+});
