--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -5,6 +5,10 @@
 import { Simulation } from '../../lab/simulation/simulation.js';
 import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
 import { ControllerDaemon } from '../../src/control/controller-daemon.js';
+import {
+  NO_CONTROL_STREAM_FAULTS,
+  type ControlStreamFaults,
+} from '../../src/control-stream/control-stream-faults.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 
@@ -50,14 +54,21 @@
   private readonly registries = new Map<SimulatedMachine, Registry>();
   private seeds: readonly string[] = [];
 
-  private constructor(seed: number) {
+  private constructor(
+    seed: number,
+    private readonly faults: ControlStreamFaults,
+  ) {
     this.simulation = new Simulation(seed);
     this.operator = this.simulation.createMachine('operator', 'operators');
   }
 
   /** Starts `founders` controllers for the first time, of which the first three are the seeds. */
-  static async start(founders: number, seed = 7): Promise<AutomaticGroup> {
-    const group = new AutomaticGroup(seed);
+  static async start(
+    founders: number,
+    seed = 7,
+    faults = NO_CONTROL_STREAM_FAULTS,
+  ): Promise<AutomaticGroup> {
+    const group = new AutomaticGroup(seed, faults);
     for (let index = 0; index < founders; index += 1) group.addMachine();
     group.seeds = group.machines.slice(0, 3).map(({ host }) => `${host}:${MESSAGE_PORT}`);
     for (const machine of group.machines) await group.startOn(machine, true);
@@ -96,7 +107,7 @@
     const registry = new Registry();
     this.registries.set(machine, registry);
     const telemetry = { logger: SILENT_LOGGER, registry };
-    const daemon = ControllerDaemon.start(environment, configuration, telemetry);
+    const daemon = ControllerDaemon.start(environment, configuration, telemetry, this.faults);
     this.daemons.set(machine, await this.simulation.settle(daemon));
   }
 
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -10,6 +10,7 @@
 import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
+import type { ControlStreamFaults } from '../../src/control-stream/control-stream-faults.js';
 import type { LogFields, Logger } from '../../src/observability/logger.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 import {
@@ -39,6 +40,9 @@
   readonly others?: number;
   /** Regions by zone. */
   readonly zones?: Readonly<Record<string, string>>;
+  readonly revocationBoundMs?: number;
+  /** Defects of the controllers. */
+  readonly controlFaults?: ControlStreamFaults;
 }
 
 /** A gateway besides the one that callers reach. */
@@ -114,7 +118,7 @@
   ) {}
 
   static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
-    const group = await AutomaticGroup.start(3, seed);
+    const group = await AutomaticGroup.start(3, seed, overrides.controlFaults);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
     const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
@@ -160,6 +164,9 @@
       secondSends: overrides.secondSends ?? SECOND_SENDS,
       mechanisms: overrides.mechanisms ?? {},
       zones: overrides.zones ?? {},
+      ...(overrides.revocationBoundMs === undefined
+        ? {}
+        : { tenants: { revocationBoundMs: overrides.revocationBoundMs } }),
       ...(overrides.aggregation === undefined ? {} : { aggregation: overrides.aggregation }),
       stopGraceMs: 6_000,
     });
