--- a/test/tenants/lease-keeper.test.ts
+++ b/test/tenants/lease-keeper.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { seededRandom } from '../../lab/simulation/seeded-random.js';
+import { NodeClock } from '../../src/node/node-clock.js';
 import {
   ConfirmationResult,
   LeaseKeeper,
@@ -81,6 +82,23 @@
     expect(parts.keeper.isHeld).toBe(false);
   });
 
+  it('ends while the machine is suspended, for which the steady clock stands still', () => {
+    const time = { steady: 1_000, suspended: 0 };
+    const readings = {
+      steady: () => time.steady,
+      wall: () => time.steady + time.suspended,
+      boot: () => time.steady + time.suspended,
+    };
+    const random = seededRandom(7, 'keeper');
+    const clock = new NodeClock(readings);
+    const keeper = new LeaseKeeper({ clock, random, boundMs: BOUND_MS });
+    keeper.useTable(3, true);
+    keeper.takeAnswer(keeper.beginAsk().number, 3);
+    expect(keeper.isHeld).toBe(true);
+    time.suspended = LENGTH_MS;
+    expect(keeper.isHeld).toBe(false);
+  });
+
   it('is shorter than the bound by what clocks may be wrong', () => {
     expect(LENGTH_MS).toBeLessThan(BOUND_MS * 0.99);
   });
--- a/test/tenants/revocation-fleet.ts
+++ b/test/tenants/revocation-fleet.ts
@@ -134,6 +134,13 @@
     }
   }
 
+  /** Cuts a controller off from the others. */
+  isolateFromGroup(controller: SimulatedMachine): void {
+    for (const other of this.controllers) {
+      if (other !== controller) this.cut(controller, other);
+    }
+  }
+
   /** Cuts a gateway off from all controllers. */
   isolate(gateway: SimulatedMachine): void {
     for (const controller of this.controllers) this.cut(gateway, controller);
--- a/test/tenants/revocation.test.ts
+++ b/test/tenants/revocation.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { seededRandom } from '../../lab/simulation/seeded-random.js';
+import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
 import type { RandomSource } from '../../src/seams/random-source.js';
 import { BOUND_MS, KEPT_KEY, RevocationFleet } from './revocation-fleet.js';
 
@@ -101,23 +102,51 @@
   });
 });
 
+interface Loss {
+  readonly loss: string;
+  readonly begin: (fleet: RevocationFleet, controller: SimulatedMachine) => void;
+  readonly end: (fleet: RevocationFleet, controller: SimulatedMachine) => Promise<void> | void;
+}
+
+/** What each controller suffers in turn, so that the leader and each gateway's first one do. */
+const LOSSES: readonly Loss[] = [
+  {
+    loss: 'loses its power',
+    begin: (_fleet, controller) => controller.crash({ power: true }),
+    end: (fleet, controller) => fleet.harness.group.restart(controller, true),
+  },
+  {
+    loss: 'is cut off from the others, not from the gateways',
+    begin: (fleet, controller) => fleet.isolateFromGroup(controller),
+    end: (fleet) => fleet.simulation.healAll(),
+  },
+  {
+    loss: 'is frozen',
+    begin: (_fleet, controller) => controller.freeze(PAST_MS),
+    end: () => undefined,
+  },
+];
+
 describe('a key that is kept', () => {
-  it('is never refused while each controller in turn loses its power', async () => {
-    const fleet = await RevocationFleet.start(7);
-    fleet.startCallers();
-    for (const controller of fleet.controllers) {
-      controller.crash({ power: true });
-      await fleet.simulation.runFor(PAST_MS);
-      await fleet.harness.group.restart(controller, true);
-      await fleet.simulation.runFor(RECOVERY_MS);
-    }
-    const requests = [...fleet.sent.values()].filter(({ sentAt }) => {
-      return sentAt < fleet.simulation.now - 1_000;
-    });
-    const kept = requests.filter(({ key }) => key === KEPT_KEY);
-    expect(kept.length).toBeGreaterThan(500);
-    expect(kept.filter(({ status }) => status !== 200)).toEqual([]);
-  });
+  it.each(LOSSES)(
+    'is never refused while each controller in turn $loss',
+    async ({ begin, end }) => {
+      const fleet = await RevocationFleet.start(7);
+      fleet.startCallers();
+      for (const controller of fleet.controllers) {
+        begin(fleet, controller);
+        await fleet.simulation.runFor(PAST_MS);
+        await end(fleet, controller);
+        await fleet.simulation.runFor(RECOVERY_MS);
+      }
+      const requests = [...fleet.sent.values()].filter(({ sentAt }) => {
+        return sentAt < fleet.simulation.now - 1_000;
+      });
+      const kept = requests.filter(({ key }) => key === KEPT_KEY);
+      expect(kept.length).toBeGreaterThan(500);
+      expect(kept.filter(({ status }) => status !== 200)).toEqual([]);
+    },
+  );
 
   it('is served at a gateway that is cut off for most of the bound, then refused', async () => {
     const fleet = await RevocationFleet.start(7);
