--- a/src/tenants/lease-keeper.ts
+++ b/src/tenants/lease-keeper.ts
@@ -1,12 +1,12 @@
 /**
  * Decides when a gateway has a controller confirm that its route document is the newest, and
  * what an answer is worth. Made for fleets of a thousand gateways: each asks a few times in
- * the bound, and none together with the others after a cut or a common start.
+ * the bound, and renewals are spread, so that gateways do not ask together for long.
  *
- * A controller answers with the version that a quorum held after the question came. A key that
- * such a version lacks, or that a later one takes away, was taken away after the gateway asked;
- * so a lease that counts from the question, and is granted only to a table of that version or a
- * later one, ends before the bound of every later revocation does.
+ * A controller answers with the version that a quorum held after the question came. Documents
+ * that were acknowledged before the question are of that version at most, so a table of it or
+ * of a later one knows what they took away. Those that are acknowledged afterwards take keys
+ * away after the question, and a lease that counts from it ends before their bound does.
  */
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
@@ -119,7 +119,10 @@
     for (const { startsAt } of ready) this.grant(startsAt);
   }
 
-  /** One more controller can be asked. Only who has just started asks at once: after a cut all find their controllers together. */
+  /**
+   * One more controller can be asked. Only who has just started asks at once: after a cut all
+   * find their controllers together.
+   */
   noteFollowed(): void {
     const isYoung = this.startsAt === -Infinity && this.asks.size === 0;
     if (isYoung) this.nextAskAt = -Infinity;
--- a/test/directory/version-confirmer.test.ts
+++ b/test/directory/version-confirmer.test.ts
@@ -9,7 +9,7 @@
   VersionConfirmer,
 } from '../../src/directory/version-confirmer.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
-import { RouteTable } from '../../src/routes/route-table.js';
+import type { RouteTable } from '../../src/routes/route-table.js';
 import type { Clock } from '../../src/seams/clock.js';
 import { LeaseKeeper } from '../../src/tenants/lease-keeper.js';
 import { LeaseRenewal } from '../../src/tenants/lease-renewal.js';
@@ -23,8 +23,7 @@
   version: number | undefined = 1;
   hasQuorum = true;
   barriers = 0;
-  asks = 0;
-  readonly answered: { number: number; version: number; at: number }[] = [];
+  readonly answered: { number: number; version: number }[] = [];
   readonly confirmer: VersionConfirmer;
 
   constructor(private readonly clock: Clock) {
@@ -38,9 +37,8 @@
   }
 
   ask(number: number): void {
-    this.asks += 1;
     this.confirmer.ask(number, ({ version }) => {
-      this.answered.push({ number, version, at: this.clock.now() });
+      this.answered.push({ number, version });
     });
   }
 
