--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -50,6 +50,8 @@
    * false when that takes too long. Absent at gateways, which nobody follows.
    */
   readonly relay?: (() => Promise<boolean>) | undefined;
+  /** The controller said its first word on a connection: it can be asked now. */
+  readonly onFollowed: () => void;
   /** The controller sent what cannot be read; the link is about to be lost. */
   readonly onUnreadable: (link: DirectoryLink) => void;
   /** The link was opened or lost. */
@@ -63,8 +65,8 @@
 
 /** What a frame brought. */
 interface TakenFrame {
-  /** Of the controller's directory. */
-  readonly position: number;
+  /** Of the controller's directory; undefined for an answer, which needs no confirmation. */
+  readonly position: number | undefined;
   /** Whether it told of a replica. */
   readonly hasReplicas: boolean;
 }
@@ -172,6 +174,7 @@
       if (frame === undefined) return;
       guard.heard();
       const { position, hasReplicas } = this.takeFrame(frame);
+      if (position === undefined) continue;
       const documentVersion = this.parts.documentVersion();
       await connection.send(DIRECTORY_CODEC.encode({ kind: 'confirm', position, documentVersion }));
       if (hasReplicas) void this.confirmRelayed(position);
@@ -198,14 +201,16 @@
 
   /** Takes a whole frame in. */
   private takeFrame(frame: Uint8Array): TakenFrame {
-    let position = 0;
+    let position: number | undefined;
     const controllers: KnownController[] = [];
     let hasGateways = false;
     let hasReplicas = false;
     for (const message of DIRECTORY_CODEC.decodeBatch(frame, this.address)) {
       if (message.kind === 'status') {
         position = message.position;
+        const isFirst = this.status === undefined;
         this.status = { ...message, receivedAt: this.parts.environment.clock.now() };
+        if (isFirst) this.parts.onFollowed();
       } else if (message.kind === 'controller') {
         controllers.push(message);
       } else if (message.kind === 'gateway') {
--- a/src/routes/problems-of-tenants.ts
+++ b/src/routes/problems-of-tenants.ts
@@ -16,10 +16,11 @@
   return problems;
 }
 
+/** Keys of other tenants; one that a tenant lists twice names the same tenant. */
 function problemsOfKeys(keys: readonly string[], tenant: string, known: PlacesByKey): string[] {
   const problems: string[] = [];
-  for (const [index, key] of keys.entries()) {
-    const place = `${tenant}.keys.${index}`;
+  for (const key of new Set(keys)) {
+    const place = `${tenant}.keys.${keys.indexOf(key)}`;
     const other = known.get(key);
     if (other === undefined) known.set(key, place);
     else problems.push(`${place}: the same key as ${other}`);
--- a/src/routes/route-document.ts
+++ b/src/routes/route-document.ts
@@ -67,8 +67,8 @@
 
 const tenantSchema = z.object({
   name: nameSchema,
-  /** Each of them names the tenant. */
-  keys: z.array(z.string().min(1).max(MAXIMUM_KEY_CHARACTERS)).min(1),
+  /** Each of them names the tenant; none once all were taken away. */
+  keys: z.array(z.string().min(1).max(MAXIMUM_KEY_CHARACTERS)),
   /** Rank of its requests, which goes before the route's; 0 is the highest. */
   priority: z.int().min(0).optional(),
   /** Requests a second that all gateways together may pass on; 0: no limit. */
