--- a/test/quarantine/crashing-fleet.ts
+++ b/test/quarantine/crashing-fleet.ts
@@ -7,6 +7,7 @@
   type GatewayOverrides,
   type TestCall,
   type TestRoute,
+  type TestTenant,
 } from '../gateway/gateway-harness.js';
 
 /** When the first life of each replica began, where they say it. Unix milliseconds. */
@@ -32,6 +33,8 @@
   readonly services: readonly string[];
   readonly replicasPerService: number;
   readonly route: TestRoute;
+  /** Absent: requests need no API key. */
+  readonly tenants?: readonly TestTenant[];
   readonly gateways?: GatewayOverrides;
   /** Whether replicas stop work on a request whose connection was closed. */
   readonly dropsAbandoned?: boolean;
@@ -70,7 +73,7 @@
         fleet.adopt(await harness.addReplica(service, content, zone, bornAt));
       }
     }
-    await harness.putRoutes([options.route]);
+    await harness.putRoutes([options.route], options.tenants);
     await harness.simulation.runFor(2_000);
     return fleet;
   }
