Bound how long a request to one service waits for a connection

Cause: an opening that comes to nothing counted as a sending for up to a second (the client library counts its timeout in coarse steps), so that neither another replica was asked nor the request refused. Change: a request is given a bound for the wait for each connection, a part of its target; after it another replica is asked without cost to the budget, and half of the target without having been written anywhere ends in 503. What was not written is aborted at once, so that a refusal holds. The opening goes on for the next request. Switch: mechanisms.boundedConnecting.

--- a/lab/simulation/connection-pool.ts
+++ b/lab/simulation/connection-pool.ts
@@ -1,4 +1,5 @@
 /** The connections of an HTTP client to one peer, and the requests that wait for one. */
+import type { HttpClientErrorKind } from '../../src/errors/http-client-error.js';
 import type { Address } from '../../src/seams/address.js';
 import type { HttpClientOptions } from '../../src/seams/http.js';
 import { EventKind } from './event-queue.js';
@@ -38,6 +39,7 @@
 
   /** Sends a request on an idle connection, or on a new one, or once one is free. */
   place(pending: PendingRequest): void {
+    this.boundConnecting(pending);
     if (this.closing) {
       pending.fail('connect_failed', new Error('the client is closed'));
       return;
@@ -56,8 +58,22 @@
 
   /** Gives up a request; closes its connection if it was sent. */
   abort(pending: PendingRequest): void {
+    this.giveUp(pending, 'aborted', pending.request.signal?.reason);
+  }
+
+  private boundConnecting(pending: PendingRequest): void {
+    const { connectWithin } = pending.request;
+    if (connectWithin === undefined) return;
+    const { fabric, life } = this.target;
+    fabric.events.schedule(connectWithin, EventKind.Timer, life, 0, () => {
+      if (pending.sent) return;
+      this.giveUp(pending, 'connect_failed', new Error('no connection in time'));
+    });
+  }
+
+  private giveUp(pending: PendingRequest, kind: HttpClientErrorKind, cause: unknown): void {
     const { connection } = pending;
-    pending.fail('aborted', pending.request.signal?.reason);
+    pending.fail(kind, cause);
     if (connection !== undefined) {
       connection.abandon(pending);
       return;
--- a/lab/simulation/pending-request.ts
+++ b/lab/simulation/pending-request.ts
@@ -35,5 +35,11 @@
     return true;
   }
 
+  /** Called just before it is written. */
+  markSent(): void {
+    this.sent = true;
+    this.request.onSent?.();
+  }
+
   private readonly onSignal = (): void => this.onAbort(this);
 }
--- a/lab/simulation/pooled-connection.ts
+++ b/lab/simulation/pooled-connection.ts
@@ -50,7 +50,7 @@
     if (body.length > 0) headers['content-length'] = String(body.length);
     const wire: WireRequest = { method: request.method, target: request.path, headers, body };
     this.pending = pending;
-    pending.sent = true;
+    pending.markSent();
     this.socket?.send(wire, headerBytes(headers) + request.path.length + body.length);
   }
 
--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -30,6 +30,11 @@
     lingering: switchSchema,
     /** A part of the requests is refused while most replicas have queues. */
     shedding: switchSchema,
+    /**
+     * A request to one service waits for a connection for a part of its target, then asks another
+     * replica; one that was written to no connection in half of its target is refused as not run.
+     */
+    boundedConnecting: switchSchema,
     /** Another replica is asked after a failure or refusal. */
     retries: switchSchema,
     /** A request that finds all replicas full waits for room instead of being refused. */
--- a/src/gateway/attempt-record.ts
+++ b/src/gateway/attempt-record.ts
@@ -24,6 +24,8 @@
 export interface AttemptRecord {
   readonly inputs: ChoiceInputs;
   readonly sentAt: number;
+  /** When it was written to a connection, and from when the replica may run it; undefined before. */
+  connectedAt: number | undefined;
   /** Undefined while it is in flight. */
   endedAt: number | undefined;
   result: AttemptResult | undefined;
@@ -61,10 +63,11 @@
 
 /** As the log shows it; times count from `receivedAt`. */
 export function attemptFields(record: AttemptRecord, receivedAt: number): LogFields {
-  const { inputs, sentAt, endedAt, result } = record;
+  const { inputs, sentAt, connectedAt, endedAt, result } = record;
   return {
     ...inputs,
     sentAtMs: Math.round(sentAt - receivedAt),
+    connectMs: connectedAt === undefined ? undefined : Math.round(connectedAt - sentAt),
     tookMs: endedAt === undefined ? undefined : Math.round(endedAt - sentAt),
     result: describeResult(result),
   };
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -1,6 +1,7 @@
 /** Forwards a request to one replica of its service and gives the answer back unchanged. */
 import type { HttpResponse } from '../seams/http.js';
 import type { CallerRequest } from './caller-request.js';
+import { longestConnect, longestUnsent } from './connect-bounds.js';
 import { GatewayRefusal, refuse, refuseNotRun } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { targetLatencyOf } from './route-latencies.js';
@@ -29,10 +30,13 @@
 ): Promise<HttpResponse> {
   const { clock } = context.environment;
   const latency = context.latencies.of(request.route);
+  const targetLatency = targetLatencyOf(request.route);
+  const isConnectingBounded = context.mechanisms.boundedConnecting;
   return new Promise((resolve) => {
     let isTimeUp = false;
     const onEnd = (race: ReplicaRace): void => {
       offerTimer.cancel();
+      unsentTimer?.cancel();
       hedgeTimer.cancel();
       deadlineTimer.cancel();
       request.signal.removeEventListener('abort', onGone);
@@ -40,13 +44,16 @@
       context.decisions.attempted(request, race, outcome);
       resolve(answerOf(outcome, isTimeUp));
     };
-    const offeredBy = request.receivedAt + targetLatencyOf(request.route) * UNOFFERED_PART;
+    const offeredBy = request.receivedAt + targetLatency * UNOFFERED_PART;
     const race = new ReplicaRace(context, request, {
       service,
       latency,
       stake: 1,
       isRepeat: false,
       retryUntil: offeredBy,
+      connectWithin: isConnectingBounded
+        ? () => longestConnect(targetLatency, clock.now() - request.receivedAt)
+        : undefined,
       onEnd,
     });
     const giveUp = (reason: string): void => {
@@ -55,9 +62,14 @@
       onEnd(race);
     };
     const onGone = (): void => giveUp(CALLER_GONE);
-    const offerTimer = clock.setTimer(targetLatencyOf(request.route) * UNOFFERED_PART, () => {
+    const offerTimer = clock.setTimer(targetLatency * UNOFFERED_PART, () => {
       if (race.sends === 0) giveUp('no replica has room');
     });
+    const unsentTimer = isConnectingBounded
+      ? clock.setTimer(longestUnsent(targetLatency), () => {
+          if (!race.wasOffered) giveUp('no connection to a replica in time');
+        })
+      : undefined;
     const hedgeTimer = clock.setTimer(latency.hedgeDelay, () => {
       if (race.hedge()) context.metrics.hedges.inc();
     });
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -18,6 +18,7 @@
 import type { RaceOutcome } from './race-outcome.js';
 import { targetLatencyOf } from './route-latencies.js';
 import type { RouteLatency } from './route-latency.js';
+import type { Sending } from './send-attempt.js';
 
 /** Sendings that replicas refused, beyond the attempts of the route. */
 const MAXIMUM_REFUSALS = 2;
@@ -41,6 +42,11 @@
   readonly isTrial: boolean;
 }
 
+/** Whether the replica may run it; before it is written to a connection an abort makes sure that none does. */
+function isConnected({ record }: LiveAttempt): boolean {
+  return record.connectedAt !== undefined;
+}
+
 /** What is asked, and how. */
 export interface ReplicaRaceOptions {
   readonly service: string;
@@ -51,6 +57,8 @@
   readonly isRepeat: boolean;
   /** Until when replicas that could not take it are tried again. Clock reading. */
   readonly retryUntil: number;
+  /** Longest wait for a connection of a sending that begins now; absent: the client's own. Milliseconds. */
+  readonly connectWithin?: (() => number) | undefined;
   /** Asked before a further sending beside or after one that may have run; absent: always allowed. */
   readonly maySendAgain?: (() => boolean) | undefined;
   readonly onEnd: (race: ReplicaRace) => void;
@@ -124,7 +132,12 @@
 
   /** Whether a request that is given up now may have run, or may still run. */
   get mayRun(): boolean {
-    return this.mayHaveRun || this.live.size > 0;
+    return this.mayHaveRun || [...this.live].some(isConnected);
+  }
+
+  /** Whether it was written to a connection to some replica. */
+  get wasOffered(): boolean {
+    return this.attempts.some(({ connectedAt }) => connectedAt !== undefined);
   }
 
   private get mayRunMore(): boolean {
@@ -231,8 +244,19 @@
     const { clock } = this.context.environment;
     const sentAt = clock.now();
     const inputs = choiceInputs(target, sentAt);
-    const record: AttemptRecord = { inputs, sentAt, endedAt: undefined, result: undefined };
+    const record: AttemptRecord = {
+      inputs,
+      sentAt,
+      connectedAt: undefined,
+      endedAt: undefined,
+      result: undefined,
+    };
     const attempt: LiveAttempt = { target, abort: new AbortController(), record, isTrial };
+    const sending: Sending = {
+      signal: attempt.abort.signal,
+      connectWithin: this.options.connectWithin?.(),
+      onSent: () => (record.connectedAt = clock.now()),
+    };
     const number = target.begin(sentAt);
     target.coldSends.use(
       sentAt,
@@ -243,7 +267,7 @@
     this.attempts.push(record);
     this.asked.add(target);
     this.live.add(attempt);
-    void this.context.sender.send(this.request, target, attempt.abort.signal).then((result) => {
+    void this.context.sender.send(this.request, target, sending).then((result) => {
       target.end(number);
       if (isTrial) target.trials -= 1;
       this.live.delete(attempt);
@@ -349,9 +373,12 @@
    * Closing its connection ends an attempt at once, and costs the next request a new
    * connection. A replica without a queue is left to answer for a moment instead.
    */
-  private letGo({ target, abort }: LiveAttempt): void {
+  private letGo(attempt: LiveAttempt): void {
+    const { target, abort } = attempt;
     const hasQueue = target.load !== undefined && target.load.waiting > 0;
-    if (!this.context.mechanisms.lingering || hasQueue) {
+    // One that is not written yet must never be: its caller may be told that it was not run.
+    const mayLinger = this.context.mechanisms.lingering && isConnected(attempt);
+    if (!mayLinger || hasQueue) {
       abort.abort(NOT_WANTED);
       return;
     }
--- a/src/gateway/send-attempt.ts
+++ b/src/gateway/send-attempt.ts
@@ -22,6 +22,16 @@
   readonly text: string;
 }
 
+/** One sending of a request. */
+export interface Sending {
+  /** Aborting ends it. */
+  readonly signal: AbortSignal;
+  /** Longest wait for a connection; that of the client alone when undefined. Milliseconds. */
+  readonly connectWithin: number | undefined;
+  /** Called when it is written to a connection: from then on the replica may run it. */
+  readonly onSent: () => void;
+}
+
 /** See the module comment. */
 export class AttemptSender {
   constructor(
@@ -35,7 +45,7 @@
   async send(
     request: CallerRequest,
     target: ReplicaTarget,
-    signal: AbortSignal,
+    { signal, connectWithin, onSent }: Sending,
   ): Promise<AttemptResult> {
     const left = Math.floor(request.deadline - this.clock.now());
     if (left < 1) return { kind: 'notRun', reason: NotRunReason.Unreachable };
@@ -46,6 +56,8 @@
         headers: this.headersFor(request, target, left),
         ...this.bodyOf(request),
         signal,
+        ...(connectWithin === undefined ? {} : { connectWithin }),
+        onSent,
         acceptResponse: (headers) => this.belongsTo(request, headers),
       });
       this.takeLoad(target, response.headers[this.names.load]);
--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -10,6 +10,8 @@
 export interface PooledHandler extends Dispatcher.DispatchHandler {
   /** Called once, after the last event of the request; `isWhole` is false when it failed. */
   onSettled: ((isWhole: boolean) => void) | undefined;
+  /** Called instead of `onSettled` when the request is given up before it was written. */
+  onAbandoned: (() => void) | undefined;
 }
 
 /** A request that waits for a connection. */
@@ -54,7 +56,7 @@
 
   dispatch(options: Dispatcher.DispatchOptions, handler: PooledHandler): void {
     const connection = this.freeConnection();
-    if (connection === undefined) this.waiting.push({ options, handler });
+    if (connection === undefined) this.waitWith({ options, handler });
     else this.dispatchOn(connection, { options, handler });
   }
 
@@ -92,9 +94,29 @@
       if (isWhole) this.release(connection);
       else this.releaseAfterFailure(connection);
     };
+    handler.onAbandoned = (): void => this.releaseWhileOpening(connection);
     connection.client.dispatch(options, handler);
   }
 
+  private waitWith(dispatch: WaitingDispatch): void {
+    this.waiting.push(dispatch);
+    dispatch.handler.onAbandoned = (): void => {
+      this.waiting.splice(this.waiting.indexOf(dispatch), 1);
+    };
+  }
+
+  /**
+   * The next request waits for the same connection, so that a peer that accepts none
+   * is not sent an opening for each request. One that may carry a single request is closed.
+   */
+  private releaseWhileOpening(connection: PooledConnection): void {
+    if (this.options.pipelining === 0) {
+      this.remove(connection);
+      void connection.client.destroy();
+    }
+    this.release(connection);
+  }
+
   /** The connection is free for what waits. */
   private release(connection: PooledConnection): void {
     connection.requests -= 1;
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -42,7 +42,11 @@
 /** Collects one response and settles the caller's promise once. */
 class ResponseCollector implements PooledHandler {
   onSettled: ((isWhole: boolean) => void) | undefined;
+  onAbandoned: (() => void) | undefined;
   private requestSent = false;
+  /** Given up before it was written to a connection. */
+  private isAbandoned = false;
+  private connectTimer: NodeJS.Timeout | undefined;
   private status = 0;
   private headers: Record<string, string> = {};
   private readonly chunks: Buffer[] = [];
@@ -58,6 +62,11 @@
     private readonly reject: (error: HttpClientError) => void,
   ) {
     request.signal?.addEventListener('abort', this.onSignal, { once: true });
+    if (request.connectWithin === undefined) return;
+    this.connectTimer = setTimeout(() => {
+      // A process that was held up takes in the connections that have opened meanwhile first.
+      setImmediate(() => this.abandon('connect_failed', new Error('no connection in time')));
+    }, request.connectWithin);
   }
 
   /**
@@ -65,12 +74,16 @@
    * second call would be a resend, which no caller has asked for.
    */
   onConnect(abort: (error?: Error) => void): void {
-    if (this.request.signal?.aborted === true || this.requestSent) {
+    // undici drops a request whose handler throws here, and keeps the connection for the next one.
+    if (this.isAbandoned) throw new Error('given up before it was sent');
+    if (this.requestSent) {
       abort(new Error('aborted'));
       return;
     }
+    clearTimeout(this.connectTimer);
     this.requestSent = true;
     this.abortRequest = abort;
+    this.request.onSent?.();
   }
 
   onHeaders(status: number, rawHeaders: Buffer[]): boolean {
@@ -103,7 +116,8 @@
   }
 
   onError(error: Error): void {
-    this.request.signal?.removeEventListener('abort', this.onSignal);
+    if (this.isAbandoned) return;
+    this.stopWaiting();
     const kind = this.kindOf(error);
     this.reject(new HttpClientError(kind, this.requestSent, this.peer, error));
     this.onSettled?.(false);
@@ -119,7 +133,21 @@
       this.abortRequest(error);
       return;
     }
-    this.reject(new HttpClientError('aborted', this.requestSent, this.peer, error));
+    this.abandon('aborted', error);
+  }
+
+  /** Fails the request before it was written; undici is told when it comes to it. */
+  private abandon(kind: HttpClientErrorKind, error: Error): void {
+    if (this.requestSent || this.isAbandoned) return;
+    this.isAbandoned = true;
+    this.stopWaiting();
+    this.reject(new HttpClientError(kind, false, this.peer, error));
+    this.onAbandoned?.();
+  }
+
+  private stopWaiting(): void {
+    clearTimeout(this.connectTimer);
+    this.request.signal?.removeEventListener('abort', this.onSignal);
   }
 }
 
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -101,6 +101,15 @@
   readonly signal?: AbortSignal;
   /** Asks for a connection that has carried no earlier request. */
   readonly freshConnection?: boolean;
+  /**
+   * Longest time until the request is written to a connection: after it the request fails with
+   * an `HttpClientError` of kind `connect_failed` and is never written. A connection that is being
+   * opened for it goes on opening, for the next request. Milliseconds; bounded by
+   * `connectTimeout` alone when absent.
+   */
+  readonly connectWithin?: number;
+  /** Called once, just before the request is written to a connection: from then on the peer may run it. */
+  readonly onSent?: () => void;
   /**
    * Asked once the header of the response is there. When it says false, the
    * connection is closed at once and the request fails with an
