Give up requests at replicas whose address another one has

Change: when another replica registers at the address, or answers there, attempts that are still in flight a quarter of a second later are given up: sent on where they may be, answered 502 elsewhere. A wait for a connection after the request was written once is no longer cut at half of its target; a test of this found that it left a further sending 1 ms. Switch: mechanisms.endedReplicas.

--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -35,6 +35,8 @@
      * replica; one that was written to no connection in half of its target is refused as not run.
      */
     boundedConnecting: switchSchema,
+    /** A request in flight to a replica whose address another one has is given up there. */
+    endedReplicas: switchSchema,
     /** Another replica is asked after a failure or refusal. */
     retries: switchSchema,
     /** A request that finds all replicas full waits for room instead of being refused. */
--- a/src/gateway/attempt-result.ts
+++ b/src/gateway/attempt-result.ts
@@ -36,6 +36,9 @@
 /** Reasons of a {@link BrokenAttempt} whose connection ended before the answer was whole. */
 const CONNECTION_ENDED: ReadonlySet<string> = new Set(['connection_lost', 'response_truncated']);
 
+/** Reason of a {@link BrokenAttempt} whose replica's address another one has. */
+export const REPLICA_ENDED = 'replica_ended';
+
 /** Given up by the gateway; the request may have run. */
 export interface CancelledAttempt {
   readonly kind: 'cancelled';
--- a/src/gateway/connect-bounds.ts
+++ b/src/gateway/connect-bounds.ts
@@ -16,9 +16,13 @@
   return targetLatency * UNSENT_PART_OF_TARGET;
 }
 
-/** Longest wait for one connection, of a request received `elapsed` milliseconds ago. Milliseconds. */
-export function longestConnect(targetLatency: number, elapsed: number): number {
+/**
+ * Longest wait for one connection, of a request that has been written to none for `unsentFor`
+ * milliseconds; undefined once it was written to one. Milliseconds.
+ */
+export function longestConnect(targetLatency: number, unsentFor: number | undefined): number {
   const bound = Math.max(targetLatency * CONNECT_PART_OF_TARGET, LEAST_CONNECT_MS);
-  const left = longestUnsent(targetLatency) - elapsed;
+  if (unsentFor === undefined) return bound;
+  const left = longestUnsent(targetLatency) - unsentFor;
   return Math.max(1, Math.min(bound, left));
 }
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -45,14 +45,15 @@
       resolve(answerOf(outcome, isTimeUp));
     };
     const offeredBy = request.receivedAt + targetLatency * UNOFFERED_PART;
-    const race = new ReplicaRace(context, request, {
+    const waited = (): number => clock.now() - request.receivedAt;
+    const race: ReplicaRace = new ReplicaRace(context, request, {
       service,
       latency,
       stake: 1,
       isRepeat: false,
       retryUntil: offeredBy,
       connectWithin: isConnectingBounded
-        ? () => longestConnect(targetLatency, clock.now() - request.receivedAt)
+        ? () => longestConnect(targetLatency, race.wasOffered ? undefined : waited())
         : undefined,
       onEnd,
     });
--- /dev/null
+++ b/src/gateway/replica-end.ts
@@ -0,0 +1,33 @@
+/**
+ * Tells those that wait for a replica that another one has its address. It answers machines that go
+ * dark with requests at work: nothing resets their connections, and a request that may not be sent
+ * again would wait for its deadline.
+ */
+
+/**
+ * What the replica wrote before its end arrives within this time of the proof that it ended.
+ * Milliseconds.
+ */
+export const LAST_WORDS_MS = 250;
+
+/** See the module comment. Of one replica. */
+export class ReplicaEnd {
+  private waiting = new Set<() => void>();
+
+  /** Calls `callback` once when another replica is known to have the address. */
+  once(callback: () => void): void {
+    this.waiting.add(callback);
+  }
+
+  /** The callback is no longer wanted. */
+  cancel(callback: () => void): void {
+    this.waiting.delete(callback);
+  }
+
+  /** Another replica has the address. */
+  note(): void {
+    const { waiting } = this;
+    this.waiting = new Set();
+    for (const callback of waiting) callback();
+  }
+}
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -8,13 +8,14 @@
 import { observeAttempt } from './attempt-observer.js';
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
-import { NotRunReason, isConnectionLost } from './attempt-result.js';
+import { NotRunReason, REPLICA_ENDED, isConnectionLost } from './attempt-result.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
 import type { FleetShares } from './fleet-shares.js';
 import { QUARANTINED } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
+import { LAST_WORDS_MS } from './replica-end.js';
 import type { RaceOutcome } from './race-outcome.js';
 import { targetLatencyOf } from './route-latencies.js';
 import type { RouteLatency } from './route-latency.js';
@@ -40,6 +41,8 @@
   readonly record: AttemptRecord;
   /** The only sending of a suspected request from here. */
   readonly isTrial: boolean;
+  /** Given up because another replica has the address. */
+  hasReplicaEnded: boolean;
 }
 
 /** Whether the replica may run it; before it is written to a connection an abort makes sure that none does. */
@@ -47,6 +50,13 @@
   return record.connectedAt !== undefined;
 }
 
+/** Of an attempt that was given up because another replica has the address. */
+function resultAtEnded(attempt: LiveAttempt, result: AttemptResult): AttemptResult {
+  if (result.kind !== 'cancelled') return result;
+  if (isConnected(attempt)) return { kind: 'broken', reason: REPLICA_ENDED };
+  return { kind: 'notRun', reason: NotRunReason.Unreachable };
+}
+
 /** What is asked, and how. */
 export interface ReplicaRaceOptions {
   readonly service: string;
@@ -251,7 +261,14 @@
       endedAt: undefined,
       result: undefined,
     };
-    const attempt: LiveAttempt = { target, abort: new AbortController(), record, isTrial };
+    const attempt: LiveAttempt = {
+      target,
+      abort: new AbortController(),
+      record,
+      isTrial,
+      hasReplicaEnded: false,
+    };
+    const onEnded = (): void => this.giveUpSoon(attempt);
     const sending: Sending = {
       signal: attempt.abort.signal,
       connectWithin: this.options.connectWithin?.(),
@@ -267,11 +284,13 @@
     this.attempts.push(record);
     this.asked.add(target);
     this.live.add(attempt);
+    if (this.context.mechanisms.endedReplicas) target.ending.once(onEnded);
     void this.context.sender.send(this.request, target, sending).then((result) => {
+      target.ending.cancel(onEnded);
       target.end(number);
       if (isTrial) target.trials -= 1;
       this.live.delete(attempt);
-      this.take(attempt, result);
+      this.take(attempt, attempt.hasReplicaEnded ? resultAtEnded(attempt, result) : result);
       this.context.targets.notifyRoom(this.service);
     });
   }
@@ -296,6 +315,17 @@
     if (this.outcome === undefined) this.goOn(result);
   }
 
+  /** Once what the replica wrote before its end is here; not where its loss was false word. */
+  private giveUpSoon(attempt: LiveAttempt): void {
+    const { clock } = this.context.environment;
+    clock.setTimer(LAST_WORDS_MS, () => {
+      const isLost = attempt.target.hasLostAddress(clock.now());
+      if (!isLost || !this.live.has(attempt)) return;
+      attempt.hasReplicaEnded = true;
+      attempt.abort.abort(NOT_WANTED);
+    });
+  }
+
   private note(target: ReplicaTarget, result: Exclude<AttemptResult, { kind: 'answered' }>): void {
     if (result.kind === 'notRun') {
       this.reason = result.reason;
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -4,6 +4,7 @@
 import type { ColdSendSlots } from './cold-send-slots.js';
 import { AttemptsInFlight } from './attempts-in-flight.js';
 import { FailureRest } from './failure-rest.js';
+import { ReplicaEnd } from './replica-end.js';
 import type { ReportedLoad } from './reported-load.js';
 
 /** Weight of a new sample in the average of {@link ReplicaTarget.slownessAt}. */
@@ -36,6 +37,8 @@
   successor: ReplicaTarget | undefined;
   /** The replica that had its address before, if it was not said to have left. */
   predecessor: ReplicaTarget | undefined;
+  /** Tells attempts in flight that another replica has its address. */
+  readonly ending = new ReplicaEnd();
   private readonly attempts = new AttemptsInFlight();
   private readonly rest = new FailureRest();
   private slowness = 1;
@@ -129,6 +132,11 @@
     return now < this.replacedUntil;
   }
 
+  /** Whether its address is another replica's, by that one's registration or answers. */
+  hasLostAddress(now: number): boolean {
+    return this.successor !== undefined || this.isReplaced(now);
+  }
+
   isResting(now: number): boolean {
     return this.rest.isResting(now);
   }
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -167,6 +167,7 @@
     earlier.predecessor = undefined;
     target.predecessor = earlier;
     this.refreshGroup(earlier.entry.service);
+    earlier.ending.note();
   }
 
   /**
@@ -175,6 +176,7 @@
    */
   noteReplaced(target: ReplicaTarget): void {
     target.noteReplaced(this.environment.clock.now());
+    target.ending.note();
     const { predecessor, address } = target;
     if (predecessor === undefined) return;
     target.predecessor = undefined;
--- a/test/gateway/bounded-connecting.test.ts
+++ b/test/gateway/bounded-connecting.test.ts
@@ -66,6 +66,11 @@
     expect(longestConnect(TARGET_MS, longestUnsent(TARGET_MS))).toBe(1);
     expect(longestConnect(60, 0)).toBe(30);
   });
+
+  it('leave a further sending as long however late it is', () => {
+    expect(longestConnect(TARGET_MS, undefined)).toBe(100);
+    expect(longestConnect(60, undefined)).toBe(50);
+  });
 });
 
 describe('a request whose replica drops opening packets', () => {
