Refuse requests that no replica can answer in time, and spread their return

Cause: a gateway asked replicas that had refused it just before, and told every refused caller to come back after half a second, so that most were too late for their target when they were served. Change: the wait at each replica is reckoned from its word (which fades as it works), from what is in flight from here and from its refusals; a request that none can answer before its deadline, or that finds all full for longer than it may wait, is refused at once; Retry-After is when room is expected, one turn for each caller and spread over as long again, at most 0.3 of what the caller has left. Switch: mechanisms.expectedWait.

--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -35,6 +35,12 @@
      * replica; one that was written to no connection in half of its target is refused as not run.
      */
     boundedConnecting: switchSchema,
+    /**
+     * A request to one service that no replica can answer before its deadline is refused at once,
+     * one that refused is left alone until a slot of it is free, and refused callers are told to
+     * come back when room is expected.
+     */
+    expectedWait: switchSchema,
     /** A request in flight to a replica whose address another one has is given up there. */
     endedReplicas: switchSchema,
     /** Another replica is asked after a failure or refusal. */
--- a/src/gateway/attempt-observer.ts
+++ b/src/gateway/attempt-observer.ts
@@ -2,6 +2,7 @@
 import type { Route } from '../routes/route-document.js';
 import type { AttemptRecord } from './attempt-record.js';
 import { NotRunReason, type NotRunAttempt } from './attempt-result.js';
+import { slotTime } from './expected-wait.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
 import type { RouteLatency } from './route-latency.js';
@@ -35,7 +36,7 @@
     case 'failedAnswer':
       return;
     case 'notRun':
-      noteNotRun(context, target, result, endedAt);
+      noteNotRun(context, latency, target, result, endedAt);
       return;
     case 'broken':
       target.noteFailure(endedAt);
@@ -53,11 +54,14 @@
 }
 
 function noteNotRun(
-  { targets }: GatewayContext,
+  { targets, mechanisms }: GatewayContext,
+  latency: RouteLatency,
   target: ReplicaTarget,
   { reason }: NotRunAttempt,
   now: number,
 ): void {
+  const isFull = reason === NotRunReason.Refused && mechanisms.expectedWait;
+  if (isFull) target.fullUntil = now + slotTime(target, latency.usual, now);
   if (reason === NotRunReason.Unreachable) target.noteFailure(now);
   if (reason === NotRunReason.WrongReplica) targets.noteReplaced(target);
 }
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -14,6 +14,7 @@
 import { OverloadShedding } from './overload-shedding.js';
 import { ReplicaChoice, type PlacementOptions } from './replica-choice.js';
 import { RequestDecisions } from './request-decisions.js';
+import { RetryTimes } from './retry-times.js';
 import { RouteLatencies } from './route-latencies.js';
 import type { SecondSendLimits } from './second-send-budget.js';
 import { AttemptSender, type UnreadableReport } from './send-attempt.js';
@@ -72,6 +73,7 @@
     sender: new AttemptSender(clock, headers, noteUnreadable),
     latencies: new RouteLatencies(),
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
+    retryTimes: new RetryTimes(random),
     shedding: new OverloadShedding(random),
     answerMargin: new AnswerMargin(mechanisms.learnedMargin),
     crashGuard,
--- /dev/null
+++ b/src/gateway/expected-wait.ts
@@ -0,0 +1,73 @@
+/**
+ * How long a request would wait at the replicas of its service before work on it begins, and whether
+ * that leaves time to answer it. It answers bursts in which all queues grow long: a request that can
+ * not be answered in time is refused while its caller can still do something else.
+ */
+import type { ReplicaTarget } from './replica-target.js';
+
+/** An older word is not believed, so that a replica that always says it is full is tried. Milliseconds. */
+const WORD_VALID_MS = 1_000;
+
+/** What a request needs. Clock readings and milliseconds. */
+export interface RoomQuery {
+  readonly targets: readonly ReplicaTarget[];
+  /** Usual time of an answer. */
+  readonly usualLatency: number;
+  /** Until when it may wait for an offer. */
+  readonly offeredBy: number;
+  readonly deadline: number;
+  readonly now: number;
+}
+
+/** Time that the replica needs for one request, by how slow it was lately. Milliseconds. */
+function workAt(target: ReplicaTarget, usualLatency: number, now: number): number {
+  return usualLatency * Math.max(1, target.slownessAt(now));
+}
+
+/** In which one of the replica's slots is expected to become free when all are used. Milliseconds. */
+export function slotTime(target: ReplicaTarget, usualLatency: number, now: number): number {
+  return workAt(target, usualLatency, now) / Math.max(1, target.entry.capacity);
+}
+
+/**
+ * Requests at the replica now. What it said of them gets old as it works: nothing is assumed to
+ * have come since, so that an old word never keeps requests away from it for long.
+ */
+function workAhead(target: ReplicaTarget, usualLatency: number, now: number): number {
+  const { load, inFlight } = target;
+  if (load === undefined || now - load.at > WORD_VALID_MS) return inFlight;
+  const done = (now - load.at) / slotTime(target, usualLatency, now);
+  return Math.max(inFlight, load.running + load.waiting - done);
+}
+
+/** Until work on a request that is sent to the replica now begins. Milliseconds. */
+export function expectedWait(target: ReplicaTarget, usualLatency: number, now: number): number {
+  const slots = Math.max(1, target.entry.capacity);
+  const behind = Math.max(0, workAhead(target, usualLatency, now) + 1 - slots);
+  const queued = behind * slotTime(target, usualLatency, now);
+  return Math.max(queued, target.fullUntil - now);
+}
+
+/**
+ * Until some replica begins work on a request that was refused, by those that are known to be busy:
+ * the others had no room either. Undefined where none is. Milliseconds.
+ */
+export function expectedRoom({ targets, usualLatency, now }: RoomQuery): number | undefined {
+  const waits = targets
+    .map((target) => Math.max(target.restsUntil - now, expectedWait(target, usualLatency, now)))
+    .filter((wait) => wait > 0);
+  return waits.length === 0 ? undefined : Math.min(...waits);
+}
+
+/** Why no replica can take the request in time; undefined when one may. */
+export function refusalReason(query: RoomQuery): string | undefined {
+  const { targets, usualLatency, offeredBy, deadline, now } = query;
+  if (targets.length === 0) return undefined;
+  if (targets.every(({ fullUntil }) => fullUntil > offeredBy)) return 'all replicas are full';
+  const mayAnswer = targets.some((target) => {
+    const wait = expectedWait(target, usualLatency, now);
+    // Without a queue it is tried: the usual time alone says too little of one request.
+    return wait <= 0 || now + wait + workAt(target, usualLatency, now) <= deadline;
+  });
+  return mayAnswer ? undefined : 'no replica can answer before the deadline';
+}
--- a/src/gateway/failure-rest.ts
+++ b/src/gateway/failure-rest.ts
@@ -6,22 +6,27 @@
 
 /** See the module comment. Times are clock readings. */
 export class FailureRest {
-  private restsUntil = -Infinity;
+  private restEnd = -Infinity;
   private failures = 0;
 
+  /** Clock reading; in the past when it does not rest. */
+  get until(): number {
+    return this.restEnd;
+  }
+
   noteFailure(now: number): void {
     const rest = Math.min(FIRST_REST_MS * 2 ** this.failures, LONGEST_REST_MS);
     this.failures += 1;
-    this.restsUntil = now + rest;
+    this.restEnd = now + rest;
   }
 
   /** It answered: it can be used. */
   noteUsable(): void {
     this.failures = 0;
-    this.restsUntil = -Infinity;
+    this.restEnd = -Infinity;
   }
 
   isResting(now: number): boolean {
-    return now < this.restsUntil;
+    return now < this.restEnd;
   }
 }
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import { targetLatencyOf } from './route-latencies.js';
 import type { RaceOutcome } from './race-outcome.js';
+import { SingleAdmission } from './single-admission.js';
 import { ReplicaRace } from './replica-race.js';
 
 /** A request that no replica could take within this part of its target is refused as not run. */
@@ -15,10 +16,14 @@
 export const TIME_UP = 'the time is up';
 export const CALLER_GONE = 'the caller has gone';
 
-function answerOf(outcome: RaceOutcome, isTimeUp: boolean): HttpResponse {
+function answerOf(
+  outcome: RaceOutcome,
+  isTimeUp: boolean,
+  admission: SingleAdmission,
+): HttpResponse {
   if (outcome.answer !== undefined) return outcome.answer;
   if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
-  if (!outcome.mayHaveRun) return refuseNotRun(outcome.reason);
+  if (!outcome.mayHaveRun) return refuseNotRun(outcome.reason, admission.retryAfterMs);
   return refuse(isTimeUp ? GatewayRefusal.TimedOut : GatewayRefusal.Failed, outcome.reason);
 }
 
@@ -42,9 +47,10 @@
       request.signal.removeEventListener('abort', onGone);
       const outcome = race.outcome as RaceOutcome;
       context.decisions.attempted(request, race, outcome);
-      resolve(answerOf(outcome, isTimeUp));
+      resolve(answerOf(outcome, isTimeUp, admission));
     };
     const offeredBy = request.receivedAt + targetLatency * UNOFFERED_PART;
+    const admission = new SingleAdmission(context, request, service, offeredBy);
     const waited = (): number => clock.now() - request.receivedAt;
     const race: ReplicaRace = new ReplicaRace(context, request, {
       service,
@@ -79,6 +85,8 @@
       giveUp(TIME_UP);
     });
     request.signal.addEventListener('abort', onGone, { once: true });
-    race.start();
+    const { refusal } = admission;
+    if (refusal === undefined) race.start();
+    else race.refuse(refusal);
   });
 }
--- a/src/gateway/gateway-answers.ts
+++ b/src/gateway/gateway-answers.ts
@@ -78,8 +78,11 @@
   };
 }
 
-/** The answer to a request that no replica has run or will run, by why it was given up. */
-export function refuseNotRun(reason: string): HttpResponse {
-  const isQuarantined = reason === QUARANTINED;
-  return refuse(isQuarantined ? GatewayRefusal.Quarantined : GatewayRefusal.NotRun, reason);
+/**
+ * The answer to a request that no replica has run or will run, by why it was given up;
+ * `retryAfterMs` where it is known when there is room for it.
+ */
+export function refuseNotRun(reason: string, retryAfterMs?: number): HttpResponse {
+  if (reason === QUARANTINED) return refuse(GatewayRefusal.Quarantined, reason);
+  return refuse(GatewayRefusal.NotRun, reason, retryAfterMs);
 }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -9,6 +9,7 @@
 import type { OverloadShedding } from './overload-shedding.js';
 import type { CrashGuard } from '../quarantine/crash-guard.js';
 import type { ReplicaChoice } from './replica-choice.js';
+import type { RetryTimes } from './retry-times.js';
 import type { RouteLatencies } from './route-latencies.js';
 import type { AttemptSender } from './send-attempt.js';
 import type { ServiceTargets } from './service-targets.js';
@@ -26,6 +27,7 @@
   readonly sender: AttemptSender;
   readonly latencies: RouteLatencies;
   readonly shares: FleetShares;
+  readonly retryTimes: RetryTimes;
   readonly shedding: OverloadShedding;
   readonly answerMargin: AnswerMargin;
   readonly crashGuard: CrashGuard;
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -68,7 +68,7 @@
     private readonly mechanisms: GatewayMechanisms,
   ) {}
 
-  /** The best replica; resting ones only where there is no other; undefined when all are full. */
+  /** The best replica; resting ones and full ones only where there is no other; undefined when all are full. */
   choose(query: ChoiceQuery): ReplicaTarget | undefined {
     const now = this.clock.now();
     let best: ReplicaTarget | undefined;
@@ -78,7 +78,8 @@
       if (query.excluded.has(target) || target.isReplaced(now)) continue;
       if (target.inFlight >= query.maximumInFlight) continue;
       if (this.isClosedWhileCold(target, query, now)) continue;
-      if (this.mechanisms.resting && target.isResting(now)) {
+      const isResting = this.mechanisms.resting && target.isResting(now);
+      if (isResting || now < target.fullUntil) {
         resting ??= target;
         continue;
       }
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -109,6 +109,12 @@
     this.begin();
   }
 
+  /** Ends the race before it began. */
+  refuse(reason: string): void {
+    this.reason = reason;
+    this.finish(this.failure());
+  }
+
   private begin(): void {
     if (this.options.isRepeat) {
       if (!this.launchAgain(this.context.shares)) this.finish(this.failure());
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -37,6 +37,8 @@
   successor: ReplicaTarget | undefined;
   /** The replica that had its address before, if it was not said to have left. */
   predecessor: ReplicaTarget | undefined;
+  /** Until when it is taken to be full, as it refused a request. Clock reading. */
+  fullUntil = -Infinity;
   /** Tells attempts in flight that another replica has its address. */
   readonly ending = new ReplicaEnd();
   private readonly attempts = new AttemptsInFlight();
@@ -137,6 +139,11 @@
     return this.successor !== undefined || this.isReplaced(now);
   }
 
+  /** Until when it is left alone after a failure; in the past when it is not. Clock reading. */
+  get restsUntil(): number {
+    return this.rest.until;
+  }
+
   isResting(now: number): boolean {
     return this.rest.isResting(now);
   }
