Make a class of the way of a request to one service, and count its waits from its first sending

A request that waited for the first routes has used up its time before a connection could be opened: its bound counts from when it could be sent.

--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -1,4 +1,5 @@
 /** Forwards a request to one replica of its service and gives the answer back unchanged. */
+import type { Timer } from '../seams/clock.js';
 import type { HttpResponse } from '../seams/http.js';
 import type { CallerRequest } from './caller-request.js';
 import { longestConnect, longestUnsent } from './connect-bounds.js';
@@ -7,6 +8,7 @@
 import { targetLatencyOf } from './route-latencies.js';
 import type { RaceOutcome } from './race-outcome.js';
 import { SingleAdmission } from './single-admission.js';
+import type { RouteLatency } from './route-latency.js';
 import { ReplicaRace } from './replica-race.js';
 
 /** A request that no replica could take within this part of its target is refused as not run. */
@@ -16,15 +18,105 @@
 export const TIME_UP = 'the time is up';
 export const CALLER_GONE = 'the caller has gone';
 
-function answerOf(
-  outcome: RaceOutcome,
-  isTimeUp: boolean,
-  admission: SingleAdmission,
-): HttpResponse {
-  if (outcome.answer !== undefined) return outcome.answer;
-  if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
-  if (!outcome.mayHaveRun) return refuseNotRun(outcome.reason, admission.retryAfterMs);
-  return refuse(isTimeUp ? GatewayRefusal.TimedOut : GatewayRefusal.Failed, outcome.reason);
+/** One request, from its first sending to its answer. */
+class SingleForwarding {
+  private readonly race: ReplicaRace;
+  private readonly admission: SingleAdmission;
+  private readonly startedAt: number;
+  private readonly targetLatency: number;
+  private timers: readonly Timer[] = [];
+  private isTimeUp = false;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly request: CallerRequest,
+    service: string,
+    private readonly resolve: (answer: HttpResponse) => void,
+  ) {
+    this.startedAt = context.environment.clock.now();
+    this.targetLatency = targetLatencyOf(request.route);
+    const offeredBy = request.receivedAt + this.targetLatency * UNOFFERED_PART;
+    this.admission = new SingleAdmission(context, request, service, offeredBy);
+    this.race = new ReplicaRace(context, request, {
+      service,
+      latency: this.latency,
+      stake: 1,
+      isRepeat: false,
+      retryUntil: offeredBy,
+      connectWithin: context.mechanisms.boundedConnecting ? this.connectWithin : undefined,
+      onEnd: this.onEnd,
+    });
+  }
+
+  start(): void {
+    this.setTimers();
+    this.request.signal.addEventListener('abort', this.onGone, { once: true });
+    const { refusal } = this.admission;
+    if (refusal === undefined) this.race.start();
+    else this.race.refuse(refusal);
+  }
+
+  private get latency(): RouteLatency {
+    return this.context.latencies.of(this.request.route);
+  }
+
+  private setTimers(): void {
+    const { clock } = this.context.environment;
+    this.timers = [
+      clock.setTimer(this.targetLatency * UNOFFERED_PART, this.onUnoffered),
+      clock.setTimer(longestUnsent(this.targetLatency), this.onUnsent),
+      clock.setTimer(this.latency.hedgeDelay, this.onLate),
+      clock.setTimer(this.request.deadline - clock.now(), this.onDeadline),
+    ];
+  }
+
+  /** From when it could first be sent: what came before that is no fault of a replica. */
+  private readonly connectWithin = (): number => {
+    const elapsed = this.context.environment.clock.now() - this.startedAt;
+    return longestConnect(this.targetLatency, this.race.wasOffered ? undefined : elapsed);
+  };
+
+  private readonly onUnoffered = (): void => {
+    if (this.race.sends === 0) this.giveUp('no replica has room');
+  };
+
+  private readonly onUnsent = (): void => {
+    const isBounded = this.context.mechanisms.boundedConnecting;
+    if (isBounded && !this.race.wasOffered) this.giveUp('no connection to a replica in time');
+  };
+
+  private readonly onLate = (): void => {
+    if (this.race.hedge()) this.context.metrics.hedges.inc();
+  };
+
+  private readonly onDeadline = (): void => {
+    this.isTimeUp = true;
+    this.giveUp(TIME_UP);
+  };
+
+  private readonly onGone = (): void => this.giveUp(CALLER_GONE);
+
+  private giveUp(reason: string): void {
+    if (this.race.outcome !== undefined) return;
+    this.race.cancel(reason);
+    this.onEnd(this.race);
+  }
+
+  private readonly onEnd = (race: ReplicaRace): void => {
+    for (const timer of this.timers) timer.cancel();
+    this.request.signal.removeEventListener('abort', this.onGone);
+    const outcome = race.outcome as RaceOutcome;
+    this.context.decisions.attempted(this.request, race, outcome);
+    this.resolve(this.answerOf(outcome));
+  };
+
+  private answerOf(outcome: RaceOutcome): HttpResponse {
+    if (outcome.answer !== undefined) return outcome.answer;
+    if (outcome.kind === 'answered') throw new Error('an answered race has an answer');
+    if (!outcome.mayHaveRun) return refuseNotRun(outcome.reason, this.admission.retryAfterMs);
+    const refusal = this.isTimeUp ? GatewayRefusal.TimedOut : GatewayRefusal.Failed;
+    return refuse(refusal, outcome.reason);
+  }
 }
 
 /** Resolves with the final answer, at the request's deadline at the latest. */
@@ -33,60 +125,7 @@
   request: CallerRequest,
   service: string,
 ): Promise<HttpResponse> {
-  const { clock } = context.environment;
-  const latency = context.latencies.of(request.route);
-  const targetLatency = targetLatencyOf(request.route);
-  const isConnectingBounded = context.mechanisms.boundedConnecting;
   return new Promise((resolve) => {
-    let isTimeUp = false;
-    const onEnd = (race: ReplicaRace): void => {
-      offerTimer.cancel();
-      unsentTimer?.cancel();
-      hedgeTimer.cancel();
-      deadlineTimer.cancel();
-      request.signal.removeEventListener('abort', onGone);
-      const outcome = race.outcome as RaceOutcome;
-      context.decisions.attempted(request, race, outcome);
-      resolve(answerOf(outcome, isTimeUp, admission));
-    };
-    const offeredBy = request.receivedAt + targetLatency * UNOFFERED_PART;
-    const admission = new SingleAdmission(context, request, service, offeredBy);
-    const waited = (): number => clock.now() - request.receivedAt;
-    const race: ReplicaRace = new ReplicaRace(context, request, {
-      service,
-      latency,
-      stake: 1,
-      isRepeat: false,
-      retryUntil: offeredBy,
-      connectWithin: isConnectingBounded
-        ? () => longestConnect(targetLatency, race.wasOffered ? undefined : waited())
-        : undefined,
-      onEnd,
-    });
-    const giveUp = (reason: string): void => {
-      if (race.outcome !== undefined) return;
-      race.cancel(reason);
-      onEnd(race);
-    };
-    const onGone = (): void => giveUp(CALLER_GONE);
-    const offerTimer = clock.setTimer(targetLatency * UNOFFERED_PART, () => {
-      if (race.sends === 0) giveUp('no replica has room');
-    });
-    const unsentTimer = isConnectingBounded
-      ? clock.setTimer(longestUnsent(targetLatency), () => {
-          if (!race.wasOffered) giveUp('no connection to a replica in time');
-        })
-      : undefined;
-    const hedgeTimer = clock.setTimer(latency.hedgeDelay, () => {
-      if (race.hedge()) context.metrics.hedges.inc();
-    });
-    const deadlineTimer = clock.setTimer(request.deadline - clock.now(), () => {
-      isTimeUp = true;
-      giveUp(TIME_UP);
-    });
-    request.signal.addEventListener('abort', onGone, { once: true });
-    const { refusal } = admission;
-    if (refusal === undefined) race.start();
-    else race.refuse(refusal);
+    new SingleForwarding(context, request, service, resolve).start();
   });
 }
--- a/test/gateway/replica-model.ts
+++ b/test/gateway/replica-model.ts
@@ -13,6 +13,8 @@
   Silent = 'silent',
   /** It always says that it is idle. */
   SaysIdle = 'saysIdle',
+  /** It always says that its queue is full. */
+  SaysFull = 'saysFull',
   /** It takes requests and never answers. */
   Hangs = 'hangs',
   /** Its listener drops opening packets. */
@@ -54,6 +56,7 @@
 
   get load(): { running: number; waiting: number; slots: number } {
     if (this.fault === ModelFault.SaysIdle) return { running: 0, waiting: 0, slots: SLOTS };
+    if (this.fault === ModelFault.SaysFull) return { running: SLOTS, waiting: 8_000, slots: SLOTS };
     return { running: this.running, waiting: this.queue.length, slots: SLOTS };
   }
 
--- a/test/gateway/waiting-replay.test.ts
+++ b/test/gateway/waiting-replay.test.ts
@@ -207,6 +207,7 @@
     ],
     ['no load reports', { ...USUAL, fault: () => ModelFault.Silent }],
     ['reports that always say idle', { ...USUAL, fault: () => ModelFault.SaysIdle }],
+    ['a third that always says full', withFault(ModelFault.SaysFull)],
     ['a third never answers', withFault(ModelFault.Hangs)],
     ['a third drops opening packets', withFault(ModelFault.DropsOpenings)],
   ];
