--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -8,16 +8,18 @@
 import { observeAttempt } from './attempt-observer.js';
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import type { AttemptResult, ReplicaAnswer } from './attempt-result.js';
-import { NotRunReason, isConnectionLost } from './attempt-result.js';
+import { NotRunReason, REPLICA_ENDED, isConnectionLost } from './attempt-result.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
 import type { FleetShares } from './fleet-shares.js';
 import { QUARANTINED } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { ReplicaTarget } from './replica-target.js';
+import { LAST_WORDS_MS } from './replica-end.js';
 import type { RaceOutcome } from './race-outcome.js';
 import { targetLatencyOf } from './route-latencies.js';
 import type { RouteLatency } from './route-latency.js';
+import type { Sending } from './send-attempt.js';
 
 /** Sendings that replicas refused, beyond the attempts of the route. */
 const MAXIMUM_REFUSALS = 2;
@@ -39,6 +41,20 @@
   readonly record: AttemptRecord;
   /** The only sending of a suspected request from here. */
   readonly isTrial: boolean;
+  /** Given up because another replica has the address. */
+  hasReplicaEnded: boolean;
+}
+
+/** Whether the replica may run it; before it is written to a connection an abort makes sure that none does. */
+function isConnected({ record }: LiveAttempt): boolean {
+  return record.connectedAt !== undefined;
+}
+
+/** Of an attempt that was given up because another replica has the address. */
+function resultAtEnded(attempt: LiveAttempt, result: AttemptResult): AttemptResult {
+  if (result.kind !== 'cancelled') return result;
+  if (isConnected(attempt)) return { kind: 'broken', reason: REPLICA_ENDED };
+  return { kind: 'notRun', reason: NotRunReason.Unreachable };
 }
 
 /** What is asked, and how. */
@@ -51,6 +67,8 @@
   readonly isRepeat: boolean;
   /** Until when replicas that could not take it are tried again. Clock reading. */
   readonly retryUntil: number;
+  /** Longest wait for a connection of a sending that begins now; absent: the client's own. Milliseconds. */
+  readonly connectWithin?: (() => number) | undefined;
   /** Asked before a further sending beside or after one that may have run; absent: always allowed. */
   readonly maySendAgain?: (() => boolean) | undefined;
   readonly onEnd: (race: ReplicaRace) => void;
@@ -91,6 +109,12 @@
     this.begin();
   }
 
+  /** Ends the race before it began. */
+  refuse(reason: string): void {
+    this.reason = reason;
+    this.finish(this.failure());
+  }
+
   private begin(): void {
     if (this.options.isRepeat) {
       if (!this.launchAgain(this.context.shares)) this.finish(this.failure());
@@ -124,7 +148,12 @@
 
   /** Whether a request that is given up now may have run, or may still run. */
   get mayRun(): boolean {
-    return this.mayHaveRun || this.live.size > 0;
+    return this.mayHaveRun || [...this.live].some(isConnected);
+  }
+
+  /** Whether it was written to a connection to some replica. */
+  get wasOffered(): boolean {
+    return this.attempts.some(({ connectedAt }) => connectedAt !== undefined);
   }
 
   private get mayRunMore(): boolean {
@@ -231,8 +260,26 @@
     const { clock } = this.context.environment;
     const sentAt = clock.now();
     const inputs = choiceInputs(target, sentAt);
-    const record: AttemptRecord = { inputs, sentAt, endedAt: undefined, result: undefined };
-    const attempt: LiveAttempt = { target, abort: new AbortController(), record, isTrial };
+    const record: AttemptRecord = {
+      inputs,
+      sentAt,
+      connectedAt: undefined,
+      endedAt: undefined,
+      result: undefined,
+    };
+    const attempt: LiveAttempt = {
+      target,
+      abort: new AbortController(),
+      record,
+      isTrial,
+      hasReplicaEnded: false,
+    };
+    const onEnded = (): void => this.giveUpSoon(attempt);
+    const sending: Sending = {
+      signal: attempt.abort.signal,
+      connectWithin: this.options.connectWithin?.(),
+      onSent: () => (record.connectedAt = clock.now()),
+    };
     const number = target.begin(sentAt);
     target.coldSends.use(
       sentAt,
@@ -243,11 +290,13 @@
     this.attempts.push(record);
     this.asked.add(target);
     this.live.add(attempt);
-    void this.context.sender.send(this.request, target, attempt.abort.signal).then((result) => {
+    if (this.context.mechanisms.endedReplicas) target.ending.once(onEnded);
+    void this.context.sender.send(this.request, target, sending).then((result) => {
+      target.ending.cancel(onEnded);
       target.end(number);
       if (isTrial) target.trials -= 1;
       this.live.delete(attempt);
-      this.take(attempt, result);
+      this.take(attempt, attempt.hasReplicaEnded ? resultAtEnded(attempt, result) : result);
       this.context.targets.notifyRoom(this.service);
     });
   }
@@ -272,6 +321,17 @@
     if (this.outcome === undefined) this.goOn(result);
   }
 
+  /** Once what the replica wrote before its end is here; not where its loss was false word. */
+  private giveUpSoon(attempt: LiveAttempt): void {
+    const { clock } = this.context.environment;
+    clock.setTimer(LAST_WORDS_MS, () => {
+      const isLost = attempt.target.hasLostAddress(clock.now());
+      if (!isLost || !this.live.has(attempt)) return;
+      attempt.hasReplicaEnded = true;
+      attempt.abort.abort(NOT_WANTED);
+    });
+  }
+
   private note(target: ReplicaTarget, result: Exclude<AttemptResult, { kind: 'answered' }>): void {
     if (result.kind === 'notRun') {
       this.reason = result.reason;
@@ -349,9 +409,12 @@
    * Closing its connection ends an attempt at once, and costs the next request a new
    * connection. A replica without a queue is left to answer for a moment instead.
    */
-  private letGo({ target, abort }: LiveAttempt): void {
+  private letGo(attempt: LiveAttempt): void {
+    const { target, abort } = attempt;
     const hasQueue = target.load !== undefined && target.load.waiting > 0;
-    if (!this.context.mechanisms.lingering || hasQueue) {
+    // One that is not written yet must never be: its caller may be told that it was not run.
+    const mayLinger = this.context.mechanisms.lingering && isConnected(attempt);
+    if (!mayLinger || hasQueue) {
       abort.abort(NOT_WANTED);
       return;
     }
