Keep limits of tenants by tokens that the leading controller grants

Gateways ask the leading controller for tokens over a connection of their own; the tolerance of the limit is divided among capacity, grants under way, a change of owner and uses without an owner.

--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -20,6 +20,7 @@
 import { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import { RouteDocumentRegister } from '../routes/route-document-register.js';
 import { formatAddress } from '../seams/address.js';
+import { QuotaServer } from '../tenants/quota-server.js';
 import type { DurableEnvironment } from '../seams/environment.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { MemberIdentity } from './member-identity.js';
@@ -48,6 +49,8 @@
   readonly registration: RegistrationPart;
   readonly evacuationOrders: EvacuationOrders;
   readonly quarantineOrders: QuarantineOrders;
+  /** Absent where limits of tenants are not kept. */
+  readonly quota: QuotaServer | undefined;
 }
 
 /** @throws DriftwayError when the data folder cannot be read. */
@@ -70,7 +73,8 @@
   const registered = { log, ...replicated };
   const registration = startRegistration(options, registered);
   const stream = startControlStream(options, log, machine);
-  const core = { ...stream, log, machine, registration, evacuationOrders, quarantineOrders };
+  const quota = createQuotaServer(options, log, register);
+  const core = { ...stream, log, machine, registration, evacuationOrders, quarantineOrders, quota };
   await registration.restore();
   return core;
 }
@@ -117,6 +121,23 @@
   return new EvacuationOrders({ log, register, knownZones, logger });
 }
 
+function createQuotaServer(
+  { environment, configuration, logger, telemetry }: ControllerCoreOptions,
+  log: RaftNode,
+  register: RouteDocumentRegister,
+): QuotaServer | undefined {
+  const { tenants, consensus } = configuration;
+  if (tenants.quota === undefined) return undefined;
+  return new QuotaServer({
+    clock: environment.clock,
+    settings: tenants.quota,
+    electionTimeoutMs: consensus.electionTimeoutMs,
+    log,
+    register,
+    telemetry: { ...telemetry, logger },
+  });
+}
+
 /** The replicated state that registrations go with. */
 type ReplicatedParts = Pick<
   RegistrationPartOptions,
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -147,12 +147,15 @@
   }
 
   private listenMessages(core: ControllerCore): Promise<AuthenticatedListener> {
-    const { log, exchange, server, registration } = core;
+    const { log, exchange, server, registration, quota } = core;
     const routes: ConnectionRoutes = {
       consensus: (connection, peer) => log.acceptConnection(connection, peer.name),
       exchange: (connection, peer) => exchange.serve(connection, peer),
       subscriber: (connection, peer) => server.serve(connection, peer),
       directory: (connection, peer) => registration.serveDirectory(connection, peer),
+      ...(quota === undefined
+        ? {}
+        : { quota: (connection, peer) => quota.serve(connection, peer) }),
       enrolment: (connection) => registration.serveEnrolment(connection),
     };
     const { environment, identity, configuration, telemetry } = this.coreOptions;
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -149,6 +149,11 @@
     return this.joinedGateways;
   }
 
+  /** `host:port` of every controller that is known, followed or not. */
+  get controllerAddresses(): readonly string[] {
+    return this.knownControllers().map(({ address }) => address);
+  }
+
   /** Tells one of the followed controllers, the freshest first; false while none is followed. */
   reportEvidence(change: QuarantineChange): boolean {
     const links = [...this.links.values()]
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,6 +23,7 @@
   RefusedRequest,
 } from '../seams/http.js';
 import { UNBOUNDED_LEASE } from '../tenants/authorization-lease.js';
+import { GatewayQuota } from '../tenants/gateway-quota.js';
 import { UNLIMITED_QUOTA } from '../tenants/tenant-quota.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { createDirectoryClient } from './create-directory-client.js';
@@ -48,6 +49,7 @@
   private readonly logger: Logger;
   private readonly directory: ReplicaDirectory;
   private readonly client: DirectoryClient;
+  private readonly quota: GatewayQuota | undefined;
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
   private readonly aggregation: Aggregation;
@@ -78,6 +80,7 @@
       }),
       logger,
     });
+    this.quota = this.createQuota();
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
     this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
@@ -143,6 +146,7 @@
     this.ended.abort(new Error('stopped'));
     await this.health?.close();
     await this.client.stop();
+    await this.quota?.stop();
     await this.aggregation.close();
     this.context.targets.stop();
     this.logger.info('gateway stopped', { inFlight: this.inFlight });
@@ -171,6 +175,19 @@
     });
   }
 
+  private createQuota(): GatewayQuota | undefined {
+    const { quota: settings } = this.configuration.tenants;
+    if (settings === undefined) return undefined;
+    return new GatewayQuota({
+      environment: this.environment,
+      identity: this.identity,
+      settings,
+      telemetry: { ...this.telemetry, logger: this.logger },
+      countGateways: () => this.client.gateways,
+      controllers: () => this.client.controllerAddresses,
+    });
+  }
+
   private createContext(headers: ExchangeHeaders): GatewayContext {
     const { mechanisms, placement, secondSends, zone, region, zones } = this.configuration;
     return createGatewayContext({
@@ -184,7 +201,7 @@
       regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
       lease: UNBOUNDED_LEASE,
-      quota: UNLIMITED_QUOTA,
+      quota: this.quota?.client ?? UNLIMITED_QUOTA,
       countGateways: () => this.client.gateways,
       reportEvidence: (change) => this.client.reportEvidence(change),
     });
@@ -234,6 +251,7 @@
     try {
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
+      this.quota?.useTenants(table.tenants);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
       this.logger.info('route document in force', { version, controller });
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -134,8 +134,9 @@
       const reason = 'the tenant has reached its limit';
       return this.reject(request, GatewayRefusal.RateLimited, reason, { retryAfterMs });
     }
+    const takenAt = this.context.environment.clock.now();
     const response = await this.forward(callerRequest);
-    if (this.ranNowhere(response)) quota.giveBack(tenant);
+    if (this.ranNowhere(response)) quota.giveBack(tenant, takenAt);
     return response;
   }
 
--- a/src/protocol/connection-role.ts
+++ b/src/protocol/connection-role.ts
@@ -12,6 +12,8 @@
   | 'directory'
   /** A gateway, for the shards that another gateway asks for it. */
   | 'aggregation'
+  /** A gateway, for tokens of tenants. */
+  | 'quota'
   /** A controller that wants to become a member of the group. */
   | 'enrolment';
 
@@ -21,6 +23,7 @@
   'subscriber',
   'directory',
   'aggregation',
+  'quota',
   'enrolment',
 ];
 
--- /dev/null
+++ b/src/tenants/quota-bounds.ts
@@ -0,0 +1,62 @@
+/**
+ * How the tolerance of a tenant's limit is divided among what can exceed the limit. Load: a
+ * tenant far above its limit at every gateway while owners change and gateways are cut off.
+ *
+ * With L = rate x window + burst and E = L x overrun + slack, the requests of any window are at
+ * most rate x window + capacity, and beyond that
+ * - tokens that were granted before the window and are used or returned in it: a token's fate is
+ *   settled within two lifetimes (used within one; found not to have run, and reported, within
+ *   half a one each), so at most rate x 2 lifetimes;
+ * - what a new owner begins with, for each change of owner in the window;
+ * - uses that no owner has confirmed, of all gateways together.
+ * Capacity is the burst and a part of E; the parts sum up to 1 with two changes of owner.
+ */
+import type { QuotaSettings } from '../configuration/tenant-settings.js';
+import type { Tenant } from './tenant.js';
+
+/** Parts of the tolerance. */
+const CAPACITY_PART = 0.31;
+const SETTLING_PART = 0.24;
+const BEGINNING_PART = 0.1;
+const UNCONFIRMED_PART = 0.25;
+/** Longer grants would gain nothing: demand is not known so far ahead. Milliseconds. */
+const LONGEST_LIFETIME_MS = 1_000;
+/** Without a tolerance grants still need the time of a message each way. Milliseconds. */
+const SHORTEST_LIFETIME_MS = 50;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What follows from a tenant's limit. Numbers are requests if they have no unit. */
+export interface QuotaBounds {
+  /** Tokens a millisecond. */
+  readonly ratePerMs: number;
+  /** Most tokens that its bucket holds; at least 1. */
+  readonly capacity: number;
+  /** What the bucket of a new owner begins with. */
+  readonly beginning: number;
+  /** From the question on, a granted token may be used. Milliseconds. */
+  readonly lifetimeMs: number;
+  /** After its use or its end, a token may be given back, and as long be waiting for that. Milliseconds. */
+  readonly returnMs: number;
+  /** Uses in a window that no owner has confirmed, all gateways together. */
+  readonly unconfirmed: number;
+}
+
+/** For a tenant that is limited. */
+export function boundsOf(
+  { requestsPerSecond, burst }: Pick<Tenant, 'requestsPerSecond' | 'burst'>,
+  { windowMs, overrun, slack }: QuotaSettings,
+): QuotaBounds {
+  const ratePerMs = requestsPerSecond / MILLISECONDS_PER_SECOND;
+  const limit = ratePerMs * windowMs + burst;
+  const tolerance = limit * overrun + slack;
+  const settlingMs = (tolerance * SETTLING_PART) / 2 / ratePerMs;
+  const lifetimeMs = Math.min(LONGEST_LIFETIME_MS, Math.max(SHORTEST_LIFETIME_MS, settlingMs));
+  return {
+    ratePerMs,
+    capacity: Math.max(1, burst + tolerance * CAPACITY_PART),
+    beginning: tolerance * BEGINNING_PART,
+    lifetimeMs,
+    returnMs: lifetimeMs / 2,
+    unconfirmed: tolerance * UNCONFIRMED_PART,
+  };
+}
--- a/src/tenants/tenant-quota.ts
+++ b/src/tenants/tenant-quota.ts
@@ -16,8 +16,11 @@
 export interface TenantQuota {
   /** Takes one request of the tenant. At once where what is known suffices; else after one question. */
   take(tenant: Tenant): QuotaDecision | Promise<QuotaDecision>;
-  /** A request that was taken ran nowhere: it does not count. */
-  giveBack(tenant: Tenant): void;
+  /**
+   * A request that was taken ran nowhere: it does not count. One that was taken long ago may have
+   * to count all the same. `takenAt`: clock reading. Milliseconds.
+   */
+  giveBack(tenant: Tenant, takenAt: number): void;
 }
 
 /** Where no limits are kept. */
