--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -23,9 +23,13 @@
 const IDLE_ROUND_MS = 1_000;
 /** Pause before another controller is asked; jittered, and doubled each time up to the most. Milliseconds. */
 const FIRST_REDIAL_MS = 50;
-const LONGEST_REDIAL_MS = 800;
+const LONGEST_REDIAL_MS = 400;
+/** While a controller knows of no owner it is asked again this often, which costs less than dialling. Milliseconds. */
+const OWNERLESS_ROUND_MS = 150;
 /** How often requests that wait are looked at. Milliseconds. */
 const EXPIRY_INTERVAL_MS = 100;
+/** A controller that did not answer is not asked for so long if another is known. Milliseconds. */
+const AVOIDED_MS = 1_500;
 /** Controllers that are gone on to without a pause: two that name each other would be asked forever. */
 const MAXIMUM_HOPS = 2;
 
@@ -48,6 +52,10 @@
   private connection: MessageConnection | undefined;
   /** Named by the controller that was asked last. */
   private named = '';
+  /** Did not answer when it was tried last: others go before it for a while. */
+  private avoided = '';
+  private avoidedUntil = -Infinity;
+  private hasTimedOut = false;
   private lastOwner = '';
   private failures = 0;
   private hops = 0;
@@ -93,7 +101,9 @@
     const { named } = this;
     this.named = '';
     if (named !== '') return named;
-    const known = controllers();
+    const all = controllers();
+    const others = all.filter((address) => !this.isAvoided(address));
+    const known = others.length > 0 ? others : all;
     return known[environment.random.nextInteger(0, Math.max(0, known.length - 1))];
   }
 
@@ -110,11 +120,29 @@
     }
     this.connection?.close();
     this.connection = undefined;
+    this.chooseNext(address);
     if (!this.isConnected) return;
     this.isConnected = false;
     client.lost();
-    if (!this.stopped.signal.aborted)
-      logger.warn('owner of limits lost', { owner: address, reason });
+    if (this.stopped.signal.aborted) return;
+    logger.warn('owner of limits lost', { owner: address, reason });
+  }
+
+  /** A connection that was only reset is opened again; who did not answer is avoided. */
+  private chooseNext(address: string): void {
+    if (this.named !== '') return;
+    if (this.isConnected && !this.hasTimedOut) this.named = address;
+    else this.avoid(address);
+    this.hasTimedOut = false;
+  }
+
+  private avoid(address: string): void {
+    this.avoided = address;
+    this.avoidedUntil = this.options.environment.clock.now() + AVOIDED_MS;
+  }
+
+  private isAvoided(address: string): boolean {
+    return address === this.avoided && this.options.environment.clock.now() < this.avoidedUntil;
   }
 
   private async follow(connection: MessageConnection, address: string): Promise<void> {
@@ -124,7 +152,11 @@
     while (!this.stopped.signal.aborted && !isClosed) {
       const asks = this.isConnected ? this.options.client.takeAsks() : [];
       const answers = await this.exchange(connection, address, asks);
-      if (answers === undefined) return;
+      if (answers === undefined) {
+        if (isClosed || this.isConnected || this.named !== '') return;
+        await this.pauseWithoutOwner();
+        continue;
+      }
       if (!this.isConnected) this.noteOwner(address);
       for (const answer of answers) this.take(answer, address);
       this.options.client.endRound();
@@ -143,7 +175,10 @@
     const frame = QUOTA_CODEC.encodeBatch([{ kind: 'round', round: this.round }, ...asks]);
     metrics.frames.inc();
     metrics.bytes.inc(frame.length);
-    const timer = environment.clock.setTimer(ANSWER_TIMEOUT_MS, () => connection.close());
+    const timer = environment.clock.setTimer(ANSWER_TIMEOUT_MS, () => {
+      this.hasTimedOut = true;
+      connection.close();
+    });
     try {
       await connection.send(frame);
       const received = await connection.receive();
@@ -156,7 +191,8 @@
 
   private read([first, ...answers]: QuotaMessage[], address: string): QuotaMessage[] | undefined {
     if (first?.kind === 'redirect') {
-      this.named = first.owner === address ? '' : first.owner;
+      const isUseful = first.owner !== address && !this.isAvoided(first.owner);
+      this.named = isUseful ? first.owner : '';
       return undefined;
     }
     if (first?.kind === 'answered' && first.round === this.round) return answers;
@@ -179,6 +215,12 @@
     this.lastOwner = address;
   }
 
+  private pauseWithoutOwner(): Promise<void> {
+    const { clock, random } = this.options.environment;
+    const pause = OWNERLESS_ROUND_MS * (0.5 + random.nextFloat());
+    return clock.sleep(pause, this.stopped.signal).catch(() => undefined);
+  }
+
   private async pause(): Promise<void> {
     const { clock, random } = this.options.environment;
     const longest = Math.min(FIRST_REDIAL_MS * 2 ** this.failures, LONGEST_REDIAL_MS);
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -50,14 +50,18 @@
   private readonly registries = new Map<SimulatedMachine, Registry>();
   private seeds: readonly string[] = [];
 
-  private constructor(seed: number) {
+  private constructor(
+    seed: number,
+    /** As the controllers' settings name it. */
+    private readonly tenants: object,
+  ) {
     this.simulation = new Simulation(seed);
     this.operator = this.simulation.createMachine('operator', 'operators');
   }
 
   /** Starts `founders` controllers for the first time, of which the first three are the seeds. */
-  static async start(founders: number, seed = 7): Promise<AutomaticGroup> {
-    const group = new AutomaticGroup(seed);
+  static async start(founders: number, seed = 7, tenants: object = {}): Promise<AutomaticGroup> {
+    const group = new AutomaticGroup(seed, tenants);
     for (let index = 0; index < founders; index += 1) group.addMachine();
     group.seeds = group.machines.slice(0, 3).map(({ host }) => `${host}:${MESSAGE_PORT}`);
     for (const machine of group.machines) await group.startOn(machine, true);
@@ -92,6 +96,7 @@
       zones: { nayoro: 'dohoku', wakkanai: 'dohoku', 'asahikawa-a': 'dohoku' },
       initialMembers: [{ memberId: 'unused', address: '10.0.0.1:1', zone }],
       automaticMembership: { seeds: this.seeds, firstStart },
+      tenants: this.tenants,
     });
     const registry = new Registry();
     this.registries.set(machine, registry);
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -8,10 +8,11 @@
 import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
 import type { GatewayMechanisms } from '../../src/configuration/gateway-mechanisms.js';
 import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
+import type { QuotaSettings } from '../../src/configuration/tenant-settings.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
 import type { LogFields, Logger } from '../../src/observability/logger.js';
-import type { HttpClientResponse } from '../../src/seams/http.js';
+import type { HttpClientResponse, HttpHeaders } from '../../src/seams/http.js';
 import {
   AutomaticGroup,
   CLUSTER,
@@ -37,6 +38,8 @@
   readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
   readonly others?: number;
+  /** Of the gateways and the controllers. */
+  readonly tenants?: { readonly quota: Partial<QuotaSettings> };
   /** Regions by zone. */
   readonly zones?: Readonly<Record<string, string>>;
 }
@@ -83,6 +86,17 @@
   readonly topRecords?: number;
   readonly requiredCoverage?: number;
   readonly allowedRegions?: readonly string[];
+  readonly priority?: number;
+  readonly public?: boolean;
+}
+
+/** One tenant of the document that {@link GatewayHarness.putRoutes} writes. */
+export interface TestTenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority?: number;
+  readonly requestsPerSecond?: number;
+  readonly burst?: number;
 }
 
 /** A caller's request. */
@@ -92,6 +106,8 @@
   readonly method?: string;
   readonly body?: string;
   readonly deadlineMs?: number;
+  /** Besides those that every request carries. */
+  readonly headers?: HttpHeaders;
   readonly signal?: AbortSignal;
 }
 
@@ -114,7 +130,7 @@
   ) {}
 
   static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
-    const group = await AutomaticGroup.start(3, seed);
+    const group = await AutomaticGroup.start(3, seed, overrides.tenants);
     const machine = group.simulation.createMachine('gateway-1', 'nayoro');
     const lines: LogLine[] = [];
     const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
@@ -160,6 +176,7 @@
       secondSends: overrides.secondSends ?? SECOND_SENDS,
       mechanisms: overrides.mechanisms ?? {},
       zones: overrides.zones ?? {},
+      tenants: overrides.tenants ?? {},
       ...(overrides.aggregation === undefined ? {} : { aggregation: overrides.aggregation }),
       stopGraceMs: 6_000,
     });
@@ -263,7 +280,7 @@
   }
 
   /** Puts the next version of the routes in force. */
-  async putRoutes(routes: readonly TestRoute[]): Promise<void> {
+  async putRoutes(routes: readonly TestRoute[], tenants?: readonly TestTenant[]): Promise<void> {
     this.version += 1;
     const services = routes.flatMap(({ service, split = [], shards = [] }) => [
       ...(service === undefined ? [] : [service]),
@@ -282,6 +299,7 @@
         ...route,
       })),
       services: [...new Set(services)].map((name) => ({ name, maximumConnections: 26 })),
+      ...(tenants === undefined ? {} : { tenants }),
     };
     const sent = await this.group.putRoutes(this.group.machineAt(0), JSON.stringify(document));
     expect(sent.status).toBe(200);
@@ -301,6 +319,7 @@
         host: HOST,
         [requestId]: call.id ?? `call-${this.calls}`,
         [deadline]: String(call.deadlineMs ?? 2_000),
+        ...call.headers,
       },
       ...(call.body === undefined ? {} : { body: call.body }),
       ...(call.signal === undefined ? {} : { signal: call.signal }),
--- /dev/null
+++ b/test/tenants/quota-link.test.ts
@@ -0,0 +1,287 @@
+import { Registry } from 'prom-client';
+import { describe, expect, it } from 'vitest';
+import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import { Simulation } from '../../lab/simulation/simulation.js';
+import type { ReplicatedLogStatus } from '../../src/consensus/replicated-log.js';
+import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { AuthenticatedListener } from '../../src/protocol/authenticated-listener.js';
+import { dial } from '../../src/protocol/dial.js';
+import {
+  encodeRouteDocument,
+  RouteDocumentRegister,
+} from '../../src/routes/route-document-register.js';
+import { GatewayQuota } from '../../src/tenants/gateway-quota.js';
+import { QUOTA_CODEC } from '../../src/tenants/quota-messages.js';
+import { QuotaServer } from '../../src/tenants/quota-server.js';
+import { TenantDirectory } from '../../src/tenants/tenant-directory.js';
+import type { QuotaDecision } from '../../src/tenants/tenant-quota.js';
+import { SETTINGS } from './quota-replay.js';
+
+const PORT = 7500;
+const IDENTITY = { clusterId: 'quota', clusterKey: 'a-long-random-secret' };
+const TENANT = { name: 'one', keys: ['key'], requestsPerSecond: 10, burst: 5 };
+/** What a window may hold of the tenant. */
+const ALLOWED = (10 * 5 + 5) * 1.1 + 20;
+
+function registerWith(...tenants: object[]): RouteDocumentRegister {
+  const register = new RouteDocumentRegister();
+  const content = Buffer.from(JSON.stringify({ version: 1, routes: [], services: [], tenants }));
+  register.apply(encodeRouteDocument({ version: 1, content }));
+  return register;
+}
+
+/** Controllers that a test appoints the owner of, and gateways. */
+class QuotaFleet {
+  readonly simulation: Simulation;
+  readonly controllers: SimulatedMachine[] = [];
+  readonly servers: QuotaServer[] = [];
+  /** Index of the leader; undefined while there is none. */
+  leader: number | undefined = 0;
+  term = 1;
+
+  private constructor(seed: number) {
+    this.simulation = new Simulation(seed);
+  }
+
+  static async start(seed = 3, controllers = 2): Promise<QuotaFleet> {
+    const fleet = new QuotaFleet(seed);
+    for (let index = 0; index < controllers; index += 1) await fleet.startController(index);
+    return fleet;
+  }
+
+  addressOf(index: number): string {
+    return `${this.controllers[index]?.host ?? expect.fail('no controller')}:${PORT}`;
+  }
+
+  async startGateway(name: string, gateways = 1): Promise<[SimulatedMachine, GatewayQuota]> {
+    const machine = this.simulation.createMachine(name, 'a');
+    const quota = this.quotaOn(machine, gateways);
+    await this.simulation.runFor(1_000);
+    return [machine, quota];
+  }
+
+  quotaOn({ environment, name }: SimulatedMachine, gateways = 1): GatewayQuota {
+    const quota = new GatewayQuota({
+      environment,
+      identity: { ...IDENTITY, name },
+      settings: SETTINGS,
+      telemetry: { logger: SILENT_LOGGER, registry: new Registry() },
+      countGateways: () => gateways,
+      controllers: () => this.controllers.map((_, index) => this.addressOf(index)),
+    });
+    quota.useTenants(new TenantDirectory([TENANT]));
+    return quota;
+  }
+
+  take(quota: GatewayQuota): Promise<QuotaDecision> {
+    return this.simulation.settle(Promise.resolve(quota.client.take(TENANT)));
+  }
+
+  /** Takes as often as `perSecond` for `milliseconds`; gives the times of what was admitted. */
+  async press(quota: GatewayQuota, perSecond: number, milliseconds: number): Promise<number[]> {
+    const admitted: number[] = [];
+    const end = this.simulation.now + milliseconds;
+    while (this.simulation.now < end) {
+      const note = ({ isAdmitted }: QuotaDecision): void => {
+        if (isAdmitted) admitted.push(this.simulation.now);
+      };
+      void Promise.resolve(quota.client.take(TENANT)).then(note);
+      await this.simulation.runFor(1_000 / perSecond);
+    }
+    return admitted;
+  }
+
+  private async startController(index: number): Promise<void> {
+    const machine = this.simulation.createMachine(`controller-${index}`, 'a');
+    this.controllers.push(machine);
+    const { environment, host } = machine;
+    const registry = new Registry();
+    const server = new QuotaServer({
+      clock: environment.clock,
+      settings: SETTINGS,
+      electionTimeoutMs: 1_000,
+      log: { status: () => this.statusOf(index) },
+      register: registerWith(TENANT),
+      telemetry: { logger: SILENT_LOGGER, registry },
+    });
+    this.servers.push(server);
+    await this.simulation.settle(
+      AuthenticatedListener.listen(
+        environment,
+        { host, port: PORT },
+        { ...IDENTITY, name: `controller-${index}` },
+        { quota: (connection, peer) => server.serve(connection, peer) },
+        registry,
+      ),
+    );
+  }
+
+  private statusOf(index: number): ReplicatedLogStatus {
+    return {
+      memberId: `controller-${index}`,
+      role: index === this.leader ? 'leader' : 'follower',
+      term: this.term,
+      leaderId: this.leader === undefined ? undefined : `controller-${this.leader}`,
+      commitIndex: 1,
+      knownCommitIndex: 1,
+      appliedIndex: 1,
+      lastIndex: 1,
+      sinceQuorumMs: 0,
+      members: this.controllers.map((_, member) => ({
+        memberId: `controller-${member}`,
+        address: this.addressOf(member),
+        voter: true,
+      })),
+      retiredIds: [],
+    };
+  }
+}
+
+function mostInWindow(times: readonly number[]): number {
+  const counts = times.map(
+    (end) => times.filter((time) => time > end - 5_000 && time <= end).length,
+  );
+  return Math.max(0, ...counts);
+}
+
+describe('connection to the owner of limits', () => {
+  it('finds the owner through another controller, and keeps the limit', async () => {
+    const fleet = await QuotaFleet.start();
+    fleet.leader = 1;
+    const [, quota] = await fleet.startGateway('gateway-1');
+    const admitted = await fleet.press(quota, 80, 12_000);
+    expect(mostInWindow(admitted)).toBeLessThanOrEqual(ALLOWED);
+    expect(admitted.length).toBeGreaterThan(10 * 12 * 0.97);
+    expect(fleet.servers[1]?.usageOf('one')?.refused).toBeGreaterThan(0);
+    expect(fleet.servers[0]?.usageOf('one')).toBeUndefined();
+    expect(fleet.servers[0]?.ownerId).toBe('controller-1');
+  });
+
+  it.each([
+    ['killed', (fleet: QuotaFleet): void => fleet.controllers[0]?.crash()],
+    ['without power', (fleet: QuotaFleet): void => fleet.controllers[0]?.crash({ power: true })],
+    ['frozen', (fleet: QuotaFleet): void => fleet.controllers[0]?.freeze(20_000)],
+    [
+      'cut off',
+      (fleet: QuotaFleet): void => {
+        fleet.simulation.cut({ from: { machine: 'controller-0' } });
+        fleet.simulation.cut({ to: { machine: 'controller-0' } });
+      },
+    ],
+  ])('goes on with the next owner when one is %s', async (_, fail) => {
+    const fleet = await QuotaFleet.start();
+    const [, quota] = await fleet.startGateway('gateway-1', 87);
+    const before = await fleet.press(quota, 40, 6_000);
+    fail(fleet);
+    fleet.leader = undefined;
+    const during = await fleet.press(quota, 40, 1_500);
+    fleet.leader = 1;
+    fleet.term = 2;
+    const after = await fleet.press(quota, 40, 10_000);
+    expect(mostInWindow([...before, ...during, ...after])).toBeLessThanOrEqual(ALLOWED);
+    expect(after.length).toBeGreaterThan(80);
+  });
+
+  it('waits for the next owner with a request that came without one', async () => {
+    const fleet = await QuotaFleet.start();
+    const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
+    fleet.controllers[0]?.crash();
+    fleet.leader = undefined;
+    await fleet.simulation.runFor(100);
+    const decision = Promise.resolve(quota.client.take(TENANT));
+    await fleet.simulation.runFor(500);
+    fleet.leader = 1;
+    fleet.term = 2;
+    expect(await fleet.simulation.settle(decision)).toEqual({ isAdmitted: true });
+  });
+
+  it('refuses with a time to come back while no owner is found for long', async () => {
+    const fleet = await QuotaFleet.start();
+    fleet.leader = undefined;
+    const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
+    await fleet.simulation.runFor(5_000);
+    const decision = quota.client.take(TENANT);
+    if (decision instanceof Promise || decision.isAdmitted)
+      return expect.fail('not refused at once');
+    expect(decision.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('gives a gateway that starts again no more than the limit', async () => {
+    const fleet = await QuotaFleet.start();
+    const [machine, quota] = await fleet.startGateway('gateway-1', 8);
+    const before = await fleet.press(quota, 80, 6_000);
+    machine.restart({ keepDisk: true });
+    const after = await fleet.press(fleet.quotaOn(machine, 8), 80, 6_000);
+    expect(mostInWindow([...before, ...after])).toBeLessThanOrEqual(ALLOWED);
+    expect(after.length).toBeGreaterThan(40);
+  });
+
+  it('asks nothing while no tenant has a limit', async () => {
+    const fleet = await QuotaFleet.start();
+    const { environment } = fleet.simulation.createMachine('gateway-1', 'a');
+    const quota = new GatewayQuota({
+      environment,
+      identity: { ...IDENTITY, name: 'gateway-1' },
+      settings: SETTINGS,
+      telemetry: { logger: SILENT_LOGGER, registry: new Registry() },
+      countGateways: () => 1,
+      controllers: () => expect.fail('a controller was looked for'),
+    });
+    const free = { ...TENANT, requestsPerSecond: 0 };
+    quota.useTenants(new TenantDirectory([free]));
+    expect(quota.client.take(free)).toEqual({ isAdmitted: true });
+    await fleet.simulation.runFor(2_000);
+  });
+});
+
+describe('frames that cannot be read', () => {
+  const target = (fleet: QuotaFleet): Parameters<typeof dial>[2] => ({
+    address: { host: fleet.controllers[0]?.host ?? '', port: PORT },
+    role: 'quota',
+    connectTimeout: 500,
+  });
+  const round = { kind: 'round', round: 1 } as const;
+  const ask = { kind: 'ask', tenant: 'one', spent: 0, returned: 0, waiting: 1, ahead: 0 } as const;
+
+  it.each([
+    ['no message', Uint8Array.of(255)],
+    ['no round', QUOTA_CODEC.encode(ask)],
+    ['another message', QUOTA_CODEC.encodeBatch([round, { kind: 'redirect', owner: '' }])],
+    ['a count below zero', QUOTA_CODEC.encodeBatch([round, { ...ask, returned: -5 }])],
+    ['a cut message', QUOTA_CODEC.encodeBatch([round, ask]).subarray(0, 6)],
+  ])('end the connection of a gateway: %s', async (_, frame) => {
+    const fleet = await QuotaFleet.start();
+    const { environment } = fleet.simulation.createMachine('stranger', 'a');
+    const identity = { ...IDENTITY, name: 'stranger' };
+    const connection = await fleet.simulation.settle(dial(environment, identity, target(fleet)));
+    await fleet.simulation.settle(connection.send(frame));
+    expect(await fleet.simulation.settle(connection.receive())).toBeUndefined();
+    const [, quota] = await fleet.startGateway('gateway-1');
+    expect(await fleet.take(quota)).toEqual({ isAdmitted: true });
+  });
+
+  it('of an owner end its connection, and another is asked', async () => {
+    const fleet = await QuotaFleet.start();
+    const liar = fleet.simulation.createMachine('liar', 'a');
+    await fleet.simulation.settle(
+      AuthenticatedListener.listen(
+        liar.environment,
+        { host: liar.host, port: PORT },
+        { ...IDENTITY, name: 'liar' },
+        {
+          quota: async (connection) => {
+            await connection.receive();
+            await connection.send(Uint8Array.of(7));
+            await connection.closed;
+          },
+        },
+        new Registry(),
+      ),
+    );
+    fleet.controllers.unshift(liar);
+    fleet.leader = 1;
+    const [, quota] = await fleet.startGateway('gateway-1');
+    await fleet.simulation.runFor(2_000);
+    expect(await fleet.take(quota)).toEqual({ isAdmitted: true });
+  });
+});
--- a/test/tenants/quota-replay.test.ts
+++ b/test/tenants/quota-replay.test.ts
@@ -1,6 +1,12 @@
 import { describe, expect, it } from 'vitest';
 import type { Tenant } from '../../src/tenants/tenant.js';
-import { admittedByLimit, allowedInWindow, fullestWindow, QuotaReplay } from './quota-replay.js';
+import {
+  admittedByLimit,
+  allowedInWindow,
+  fullestWindow,
+  QuotaReplay,
+  refusedBeneath,
+} from './quota-replay.js';
 
 const SECOND = 1_000;
 const SIZES = [1, 8, 87];
@@ -55,29 +61,202 @@
   it.each(cases)(
     'admits what the limit allows: $requestsPerSecond/s + $burst at $size gateways',
     async ({ size, requestsPerSecond, burst }) => {
-      let [wronglyRefused, beneath, admitted, allowed] = [0, 0, 0, 0];
+      let [refused, beneath, admitted, allowed] = [0, 0, 0, 0];
       for (const seed of SEEDS) {
         const { replay } = started(size, seed);
         replay.limit('one', requestsPerSecond, burst);
         replay.limit('hot', requestsPerSecond, burst);
-        const span = Math.max(60, 200 / requestsPerSecond) * SECOND;
+        const span = Math.max(20, 400 / requestsPerSecond) * SECOND;
         replay.load('one', requestsPerSecond * 0.9, 10 * SECOND, 10 * SECOND + span);
         replay.load('hot', requestsPerSecond * 5, 10 * SECOND, 10 * SECOND + span);
         await replay.runUntil(20 * SECOND + span);
-        const owed = admittedByLimit(replay.outcomes, tenantOf(replay, 'one'));
-        beneath += owed.size;
-        wronglyRefused += [...owed].filter(({ isAdmitted }) => !isAdmitted).length;
+        refused += refusedBeneath(replay.outcomes, tenantOf(replay, 'one'));
+        beneath += admittedByLimit(replay.outcomes, tenantOf(replay, 'one'));
         const hot = replay.outcomes.filter(({ tenant }) => tenant === 'hot');
-        allowed += admittedByLimit(hot, tenantOf(replay, 'hot')).size;
+        allowed += admittedByLimit(hot, tenantOf(replay, 'hot'));
         admitted += hot.filter(({ isAdmitted }) => isAdmitted).length;
         expectWithinBound(replay, 'hot');
       }
       console.info(
-        `${size} gateways, ${requestsPerSecond}/s + ${burst}: refused of what lies beneath ` +
-          `${wronglyRefused} of ${beneath}; at five times ${(admitted / allowed).toFixed(3)}`,
+        `${size} gateways, ${requestsPerSecond}/s + ${burst}: refused beneath the limit ` +
+          `${refused} of ${beneath}; admitted at five times ${(admitted / allowed).toFixed(3)}`,
       );
-      expect(wronglyRefused / beneath).toBeLessThan(0.001);
+      expect(refused / beneath).toBeLessThan(0.001);
       expect(admitted / allowed).toBeGreaterThanOrEqual(0.97);
     },
   );
 });
+
+describe('limits of tenants through faults', () => {
+  const sizes = [8, 87];
+  const limits = { requestsPerSecond: 20, burst: 10 };
+  const small = { requestsPerSecond: 0.5, burst: 2 };
+  const faults: Readonly<Record<string, (replay: QuotaReplay, owner: number) => void>> = {
+    'an owner is killed and another begins': (replay, owner) => {
+      replay.at(10_000, () => replay.stopOwner(owner));
+      replay.at(11_500, () => replay.connectAll(replay.startOwner()));
+    },
+    'the owner changes twice within a window': (replay) => {
+      replay.at(10_000, () => replay.connectAll(replay.startOwner()));
+      replay.at(12_000, () => replay.connectAll(replay.startOwner()));
+    },
+    'two owners grant for a moment, each to half of the gateways': (replay, owner) => {
+      replay.at(10_000, () => {
+        const other = replay.startOwner();
+        for (let gateway = 0; gateway < replay.count; gateway += 2) replay.connect(gateway, other);
+      });
+      replay.at(10_100, () => replay.connectAll(owner + 1));
+    },
+    'half of the gateways are cut off': (replay) => {
+      replay.at(10_000, () => {
+        for (let gateway = 0; gateway < replay.count; gateway += 2) replay.disconnect(gateway);
+      });
+    },
+    'all gateways are cut off': (replay) => {
+      replay.at(10_000, () => {
+        for (let gateway = 0; gateway < replay.count; gateway += 1) replay.disconnect(gateway);
+      });
+    },
+    'all processes start again': (replay) => {
+      replay.at(10_000, () => {
+        for (let gateway = 0; gateway < replay.count; gateway += 1) replay.startGateway(gateway);
+      });
+      replay.at(11_000, () => replay.connectAll(replay.startOwner()));
+    },
+    'gateways come and go': (replay, owner) => {
+      for (let step = 0; step < 40; step += 1) {
+        const gateway = (step * 7) % replay.count;
+        replay.at(10_000 + step * 250, () => replay.disconnect(gateway));
+        replay.at(10_100 + step * 250, () => replay.startGateway(gateway));
+        replay.at(10_600 + step * 250, () => replay.connect(gateway, owner));
+      }
+    },
+  };
+  const cases = Object.keys(faults).flatMap((fault) =>
+    sizes.flatMap((size) => [limits, small].map((tenant) => ({ fault, size, ...tenant }))),
+  );
+
+  it.each(cases)(
+    'keeps $requestsPerSecond/s + $burst at $size gateways when $fault',
+    async ({ fault, size, requestsPerSecond, burst }) => {
+      for (const seed of [...SEEDS, 5, 6, 7, 8]) {
+        const { replay, owner } = started(size, seed);
+        replay.limit('one', requestsPerSecond, burst);
+        replay.load('one', requestsPerSecond * 0.5, 0, 10 * SECOND);
+        replay.load('one', requestsPerSecond * 8, 8 * SECOND, 30 * SECOND);
+        // Once at every gateway at the worst moment.
+        for (let gateway = 0; gateway < size; gateway += 1) replay.request(10_001, 'one', gateway);
+        faults[fault]?.(replay, owner);
+        await replay.runUntil(40 * SECOND);
+        expectWithinBound(replay, 'one');
+      }
+    },
+  );
+
+  it('binds a lowered limit one window later, and a raised one at once', async () => {
+    for (const seed of SEEDS) {
+      const { replay } = started(87, seed);
+      replay.limit('one', 100, 50);
+      replay.load('one', 100, 0, 20 * SECOND);
+      replay.at(10 * SECOND, () => replay.limit('one', 2, 1));
+      replay.at(20 * SECOND, () => replay.limit('one', 50, 10));
+      replay.load('one', 45, 20 * SECOND, 40 * SECOND);
+      await replay.runUntil(20 * SECOND);
+      expectWithinBound(replay, 'one', 15 * SECOND);
+      const before = replay.outcomes.length;
+      await replay.runUntil(45 * SECOND);
+      const raised = replay.outcomes.slice(before).filter(({ at }) => at > 25 * SECOND);
+      expect(refusedBeneath(raised, tenantOf(replay, 'one'))).toBe(0);
+    }
+  });
+
+  it('counts a request that ran nowhere as none, and keeps the limit', async () => {
+    for (const seed of SEEDS) {
+      const { replay } = started(87, seed);
+      replay.limit('one', 20, 10);
+      for (let at = 0; at < 30 * SECOND; at += 25) replay.request(at, 'one', at % 87, 5);
+      replay.load('one', 18, 5 * SECOND, 30 * SECOND);
+      await replay.runUntil(40 * SECOND);
+      expectWithinBound(replay, 'one');
+      const runs = replay.outcomes.filter(({ isAdmitted }) => isAdmitted).length;
+      expect(runs).toBeGreaterThan(0.85 * 18 * 25);
+    }
+  });
+});
+
+describe('costs of the limits', () => {
+  it('refuses nothing more of others beside a tenant at eight times its limit', async () => {
+    const refusedOfOthers = async (seed: number, hotFactor: number): Promise<number> => {
+      const { replay } = started(87, seed);
+      replay.limit('hot', 4, 4);
+      for (let other = 0; other < 20; other += 1) {
+        replay.limit(`other-${other}`, 0.5, 2);
+        replay.load(`other-${other}`, 0.4, 10 * SECOND, 60 * SECOND);
+      }
+      replay.load('hot', 4 * hotFactor, 10 * SECOND, 60 * SECOND);
+      await replay.runUntil(70 * SECOND);
+      const others = replay.outcomes.filter(({ tenant }) => tenant !== 'hot');
+      return others.filter(({ isAdmitted }) => !isAdmitted).length;
+    };
+    for (const seed of SEEDS) {
+      expect(await refusedOfOthers(seed, 8)).toBe(await refusedOfOthers(seed, 0.5));
+    }
+  });
+
+  it('delays no request of a tenant beneath half its limit where each gateway has a share', async () => {
+    for (const seed of SEEDS) {
+      const { replay } = started(8, seed);
+      replay.limit('one', 100, 50);
+      replay.load('one', 45, 10 * SECOND, 30 * SECOND);
+      await replay.runUntil(40 * SECOND);
+      expect(replay.outcomes.filter(({ waited }) => waited)).toEqual([]);
+    }
+  });
+
+  it('sends messages in proportion to requests at most', async () => {
+    const costs: number[] = [];
+    for (const size of [8, 87, 1_100]) {
+      const { replay } = started(size, 1);
+      replay.limit('one', 40, 20);
+      replay.load('one', 36, 10 * SECOND, 40 * SECOND);
+      await replay.runUntil(45 * SECOND);
+      const requests = replay.outcomes.length;
+      const waited = replay.outcomes.filter((outcome) => outcome.waited);
+      const delays = waited.map(({ at, decidedAt }) => decidedAt - at);
+      const longest = Math.max(0, ...delays).toFixed(1);
+      costs.push(replay.frames / requests);
+      console.info(
+        `${size} gateways: ${(replay.frames / requests).toFixed(2)} frames and ` +
+          `${(replay.bytes / requests).toFixed(0)} bytes a request, ` +
+          `${(waited.length / requests).toFixed(3)} waited, ${longest} ms at most`,
+      );
+      expect(refusedBeneath(replay.outcomes, tenantOf(replay, 'one'))).toBe(0);
+      expectWithinBound(replay, 'one');
+    }
+    for (const cost of costs) expect(cost).toBeLessThanOrEqual(2.1);
+  });
+
+  it('tells refused callers times at which they are admitted, and not all at once', async () => {
+    const { replay } = started(87, 1);
+    replay.limit('one', 10, 10);
+    replay.load('one', 80, 10 * SECOND, 11 * SECOND);
+    await replay.runUntil(12 * SECOND);
+    const refused = replay.outcomes.filter(({ isAdmitted }) => !isAdmitted);
+    expect(refused.length).toBeGreaterThan(20);
+    for (const { decidedAt, retryAfterMs, gateway } of refused) {
+      replay.request(decidedAt + retryAfterMs, 'one', gateway);
+    }
+    const before = replay.outcomes.length;
+    await replay.runUntil(60 * SECOND);
+    const returned = replay.outcomes.slice(before);
+    const admitted = returned.filter(({ isAdmitted }) => isAdmitted).length;
+    console.info(
+      `${admitted} of ${returned.length} callers that came back when told were admitted`,
+    );
+    // The others found a token that was told to them taken by a request that came for the first time.
+    expect(admitted / returned.length).toBeGreaterThanOrEqual(0.8);
+    const times = returned.map(({ at }) => at).sort((left, right) => left - right);
+    const together = times.map((end) => times.filter((at) => at > end - 200 && at <= end).length);
+    expect(Math.max(...together)).toBeLessThanOrEqual(6);
+  });
+});
--- a/test/tenants/quota-replay.ts
+++ b/test/tenants/quota-replay.ts
@@ -114,6 +114,9 @@
   private lastPath: QuotaPath | undefined;
   private now = 0;
 
+  /** What gateways are told of their number. */
+  countGateways = (): number | undefined => this.count;
+
   constructor(
     readonly count: number,
     readonly seed: number,
@@ -155,7 +158,7 @@
         clock: this.clock,
         random: seededRandom(this.seed, `gateway-${index}-${this.now}`),
         settings: this.settings,
-        countGateways: () => this.count,
+        countGateways: () => this.countGateways(),
         onWanted: () => this.wake(gateway),
         onDecision: (path) => (this.lastPath = path),
       }),
@@ -276,7 +279,7 @@
     const asks = client.takeAsks();
     if (asks.length === 0) return;
     gateway.isAsking = true;
-    this.count_(asks);
+    this.countFrame(asks);
     this.at(this.now + this.delay(), () => this.answer(gateway, owner, epoch, asks));
     this.at(this.now + ANSWER_TIMEOUT_MS, () => {
       if (gateway.epoch === epoch && gateway.isAsking && this.stopped.has(owner))
@@ -293,7 +296,7 @@
     const granting = this.owners[owner];
     if (this.stopped.has(owner) || granting === undefined) return;
     const answers = asks.map((ask) => granting.answer(ask));
-    this.count_(answers);
+    this.countFrame(answers);
     this.at(this.now + this.delay(), () => {
       if (gateway.epoch !== epoch) return;
       gateway.isAsking = false;
@@ -310,7 +313,7 @@
     gateway.client.lost();
   }
 
-  private count_(messages: readonly QuotaMessage[]): void {
+  private countFrame(messages: readonly QuotaMessage[]): void {
     this.frames += 1;
     this.bytes += QUOTA_CODEC.encodeBatch([{ kind: 'round', round: 1 }, ...messages]).length;
   }
@@ -348,9 +351,30 @@
 }
 
 /** Requests that the limit alone, kept in one place, admits. */
-export function admittedByLimit(outcomes: readonly Outcome[], tenant: Tenant): Set<Outcome> {
-  const bounds = { ...boundsOf(tenant, SETTINGS), capacity: Math.max(1, tenant.burst) };
-  const bucket = new TokenBucket(bounds, 0, bounds.capacity);
+export function admittedByLimit(outcomes: readonly Outcome[], tenant: Tenant): number {
+  const bucket = strictBucket(tenant);
   const mine = outcomes.filter((outcome) => outcome.tenant === tenant.name);
-  return new Set(mine.filter(({ at }) => bucket.take(1, 0, at) === 1));
+  return mine.filter(({ at }) => bucket.take(1, 0, at) === 1).length;
+}
+
+/**
+ * Refused requests for which the limit, charged with everything of the tenant that was admitted,
+ * still had a token: those lay beneath it.
+ */
+export function refusedBeneath(outcomes: readonly Outcome[], tenant: Tenant): number {
+  const bucket = strictBucket(tenant);
+  const mine = outcomes
+    .filter((outcome) => outcome.tenant === tenant.name)
+    .sort((left, right) => left.decidedAt - right.decidedAt);
+  let refused = 0;
+  for (const { isAdmitted, decidedAt } of mine) {
+    if (isAdmitted) bucket.charge(1, decidedAt);
+    else if (bucket.timeUntil(1, decidedAt) === 0) refused += 1;
+  }
+  return refused;
+}
+
+function strictBucket(tenant: Tenant): TokenBucket {
+  const capacity = Math.max(1, tenant.burst);
+  return new TokenBucket({ ...boundsOf(tenant, SETTINGS), capacity }, 0, capacity);
 }
