--- a/src/administration/administration-dependencies.ts
+++ b/src/administration/administration-dependencies.ts
@@ -6,6 +6,7 @@
 import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
 import type { Clock } from '../seams/clock.js';
 import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
+import type { QuotaServer } from '../tenants/quota-server.js';
 import type { ForceTracker } from './force-tracker.js';
 import type { MemberAdministration } from './member-administration.js';
 import type { RouteTracker } from './route-tracker.js';
@@ -30,6 +31,8 @@
   readonly evacuations?: EvacuationOrders;
   /** Without them, nothing is known of requests under which replicas end. */
   readonly quarantine?: QuarantineOrders;
+  /** Without it, limits of tenants are not kept. */
+  readonly quota?: QuotaServer | undefined;
   /** A longer body is refused. Bytes. {@link MAXIMUM_COMMAND_BYTES} when absent. */
   readonly maximumBodyBytes?: number;
 }
--- a/src/administration/response-schemas.ts
+++ b/src/administration/response-schemas.ts
@@ -173,6 +173,23 @@
 });
 export type EvacuationList = z.infer<typeof evacuationListSchema>;
 
+export const tenantUsageListSchema = z.strictObject({
+  owner: z.string().describe('The controller that grants tokens.'),
+  windowMs: z.int().describe('Counts are of about so long. Milliseconds.'),
+  tenants: z.array(
+    z.strictObject({
+      name: z.string(),
+      requestsPerSecond: z.number(),
+      burst: z.number(),
+      allowed: z.number().describe('Requests in a window by the limit, without its tolerance.'),
+      admitted: z.int(),
+      refused: z.int().describe('The limit was reached.'),
+      refusedWithoutOwner: z.int().describe('Gateways found nobody to ask.'),
+    }),
+  ),
+});
+export type TenantUsageList = z.infer<typeof tenantUsageListSchema>;
+
 export const quarantineListSchema = z.strictObject({
   requests: z.array(
     z.strictObject({
--- a/src/administration/routes.ts
+++ b/src/administration/routes.ts
@@ -6,6 +6,7 @@
 import type { Route } from './route.js';
 import { SERVICE_ROUTES } from './service-routes.js';
 import { STATUS_ROUTES } from './status-routes.js';
+import { TENANT_USAGE_ROUTES } from './tenant-usage-routes.js';
 import { TOKEN_ROUTES } from './token-routes.js';
 
 export const ROUTES: readonly Route[] = [
@@ -15,5 +16,6 @@
   ...QUARANTINE_ROUTES,
   ...SERVICE_ROUTES,
   ...STATUS_ROUTES,
+  ...TENANT_USAGE_ROUTES,
   ...TOKEN_ROUTES,
 ];
--- a/src/commands/operator-commands.ts
+++ b/src/commands/operator-commands.ts
@@ -31,6 +31,7 @@
 import { SettingsSetCommand } from './operator-settings-set.js';
 import { SettingsUnsetCommand } from './operator-settings-unset.js';
 import { StatusCommand } from './operator-status.js';
+import { TenantsUsageCommand } from './operator-tenants-usage.js';
 import { TokensCreateCommand, TokensListCommand, TokensRevokeCommand } from './operator-tokens.js';
 
 export const OPERATOR_COMMANDS: readonly CommandClass[] = [
@@ -58,6 +59,7 @@
   ServicesDropLayoutCommand,
   ServicesAddReplicaCommand,
   ServicesRemoveReplicaCommand,
+  TenantsUsageCommand,
   TokensCreateCommand,
   TokensRevokeCommand,
   TokensListCommand,
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -180,6 +180,7 @@
       members: log,
       evacuations: evacuationOrders,
       quarantine: quarantineOrders,
+      quota: core.quota,
       ...(bootstrapTokenHash === undefined ? {} : { bootstrapTokenHash }),
     });
     const readReadiness = (): Readiness =>
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -127,7 +127,7 @@
         retryAfterMs: lease.retryAfterMs,
       });
     }
-    const taken = quota.take(tenant);
+    const taken = quota.take(tenant, callerRequest.deadline);
     const decision = taken instanceof Promise ? await taken : taken;
     if (!decision.isAdmitted) {
       const { retryAfterMs } = decision;
--- a/src/tenants/quota-bounds.ts
+++ b/src/tenants/quota-bounds.ts
@@ -27,6 +27,8 @@
 
 /** What follows from a tenant's limit. Numbers are requests if they have no unit. */
 export interface QuotaBounds {
+  /** Of a window, without the tolerance. */
+  readonly limit: number;
   /** Tokens a millisecond. */
   readonly ratePerMs: number;
   /** Most tokens that its bucket holds; at least 1. */
@@ -52,6 +54,7 @@
   const settlingMs = (tolerance * SETTLING_PART) / 2 / ratePerMs;
   const lifetimeMs = Math.min(LONGEST_LIFETIME_MS, Math.max(SHORTEST_LIFETIME_MS, settlingMs));
   return {
+    limit,
     ratePerMs,
     capacity: Math.max(1, burst + tolerance * CAPACITY_PART),
     beginning: tolerance * BEGINNING_PART,
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -6,19 +6,19 @@
  * without a token are allowed to this gateway that those of all gateways stay within the bounds,
  * else the owner is asked. While the tenant's next token is not due it is refused at once.
  *
- * Without an owner each gateway may pass on its share of the unconfirmed uses in each window of
- * its own. A share below one is drawn by chance: the expected sum of all gateways is within the
- * bounds, and a tenant with a request at one gateway is not refused for certain. A sliding window
- * touches two such windows, so each has half of the share.
+ * Without an owner a bounded number is passed on (see unconfirmed-uses); other requests wait for
+ * one for a short time, in which the controllers elect it, and are refused when none is found.
  */
 import type { QuotaSettings } from '../configuration/tenant-settings.js';
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
-import { boundsOf } from './quota-bounds.js';
+import { AllowanceTable } from './allowance-table.js';
 import type { QuotaAnswerMessage, QuotaAskMessage } from './quota-messages.js';
-import { TenantAllowance, type OpenQuestion, type WaitingRequest } from './tenant-allowance.js';
+import { QuotaPath } from './quota-path.js';
+import type { OpenQuestion, TenantAllowance, WaitingRequest } from './tenant-allowance.js';
 import { ADMITTED, type QuotaDecision, type TenantQuota } from './tenant-quota.js';
 import { isLimited, type Tenant } from './tenant.js';
+import { UnconfirmedUses } from './unconfirmed-uses.js';
 
 /**
  * Longest wait for an owner: the controllers elect another one in that time. An owner that is
@@ -27,28 +27,12 @@
 export const LONGEST_WAIT_MS = 2_000;
 /** Where it is not known when a token is due: with an owner that may be found soon. Milliseconds. */
 const UNKNOWN_RETRY_MS = 1_000;
+/** Refused requests are not told to come back later than this many windows. */
+const RETURN_WINDOWS = 2;
 /** Part of a grant's lifetime for which tokens are asked for ahead. */
 const AHEAD_PART = 0.5;
 /** Most tenants of one frame, which keeps it far below the longest frame. */
 const ASKS_PER_FRAME = 1_000;
-/** How often tenants that are not used any more are forgotten, in windows. */
-const FORGET_WINDOWS = 4;
-
-/** How a request was decided. */
-export enum QuotaPath {
-  /** By a token that was held. */
-  Granted = 'granted',
-  /** Without a token; the owner is told. */
-  Unconfirmed = 'unconfirmed',
-  /** By a token that it waited for. */
-  Asked = 'asked',
-  /** Without an owner, within the bound for that. */
-  WithoutOwner = 'without_owner',
-  /** The tenant has reached its limit. */
-  Refused = 'refused',
-  /** No owner could be asked. */
-  RefusedWithoutOwner = 'refused_without_owner',
-}
 
 /** What a client goes by. */
 export interface QuotaClientOptions {
@@ -64,38 +48,41 @@
 
 /** See the module comment. */
 export class QuotaClient implements TenantQuota {
-  private readonly allowances = new Map<string, TenantAllowance>();
+  private readonly allowances: AllowanceTable;
+  private readonly unconfirmed: UnconfirmedUses;
   private readonly wanted = new Set<TenantAllowance>();
   /** With a question that is not answered yet. */
   private readonly open = new Set<TenantAllowance>();
   private isConnected = false;
   private withoutOwnerSince: number;
-  private knownGateways: number | undefined;
-  private lookedAt: number;
 
   constructor(private readonly options: QuotaClientOptions) {
-    this.withoutOwnerSince = options.clock.now();
-    this.lookedAt = this.withoutOwnerSince;
+    const { clock, settings } = options;
+    this.allowances = new AllowanceTable(settings);
+    this.unconfirmed = new UnconfirmedUses({ ...options, windowMs: settings.windowMs });
+    this.withoutOwnerSince = clock.now();
   }
 
-  take(tenant: Tenant): QuotaDecision | Promise<QuotaDecision> {
+  take(tenant: Tenant, until = Infinity): QuotaDecision | Promise<QuotaDecision> {
     if (!isLimited(tenant)) return ADMITTED;
     const now = this.options.clock.now();
-    const allowance = this.allowanceOf(tenant, now);
+    const allowance = this.allowances.of(tenant, now);
     allowance.demand.note(now);
     allowance.lastUsedAt = now;
     if (allowance.useToken(now)) return this.admit(QuotaPath.Granted);
-    if (now < allowance.nextTokenAt) return this.refuse(allowance, now);
-    if (!this.isConnected) return this.takeWithoutOwner(allowance, now);
-    if (this.mayPassUnconfirmed(allowance, now)) {
-      this.passUnconfirmed(allowance);
-      return this.admit(QuotaPath.Unconfirmed);
+    if (allowance.returns.isTokenAway(now)) {
+      allowance.refused += 1;
+      return this.refuse(allowance, now);
+    }
+    if (!this.isConnected) return this.takeWithoutOwner(allowance, now, until);
+    if (this.unconfirmed.takeWithOwner(allowance, now)) {
+      return this.passUnconfirmed(allowance, QuotaPath.Unconfirmed);
     }
-    return this.wait(allowance, now);
+    return this.wait(allowance, now, until);
   }
 
   giveBack(tenant: Tenant, takenAt: number): void {
-    const allowance = this.allowances.get(tenant.name);
+    const allowance = this.allowances.find(tenant.name);
     if (allowance === undefined || !isLimited(tenant)) return;
     const now = this.options.clock.now();
     // What is returned later could be used besides what the bucket has gained meanwhile.
@@ -138,7 +125,7 @@
 
   /** The owner's answer to a question. One to no question is of no use, and is dropped. */
   takeAnswer(answer: QuotaAnswerMessage): void {
-    const allowance = this.allowances.get(answer.tenant);
+    const allowance = this.allowances.find(answer.tenant);
     if (allowance?.question === undefined) return;
     const { question } = allowance;
     const now = this.options.clock.now();
@@ -152,14 +139,14 @@
     if (this.hasWants(allowance)) this.want(allowance);
   }
 
-  /** Ends the wait of requests whose time is over; called while {@link hasWaiting}. */
-  expire(): void {
-    const now = this.options.clock.now();
+  /** Ends the wait of requests whose time is over before the next call; called while {@link hasWaiting}. */
+  expire(nextCallMs: number): void {
+    const now = this.options.clock.now() + nextCallMs;
     for (const allowance of this.wanted) {
       const over = allowance.waiting.filter(({ deadline }) => deadline <= now);
       if (over.length === 0) continue;
       allowance.waiting = allowance.waiting.filter(({ deadline }) => deadline > now);
-      for (const { decide } of over) decide(this.refuseWithoutOwner());
+      for (const { decide } of over) decide(this.refuseWithoutOwner(allowance));
     }
   }
 
@@ -174,32 +161,6 @@
     return this.open.size > 0;
   }
 
-  private allowanceOf(tenant: Tenant, now: number): TenantAllowance {
-    this.forgetIdle(now);
-    const known = this.allowances.get(tenant.name);
-    if (known?.tenant === tenant) return known;
-    const bounds = boundsOf(tenant, this.options.settings);
-    if (known !== undefined) {
-      known.tenant = tenant;
-      known.bounds = bounds;
-      return known;
-    }
-    const allowance = new TenantAllowance(tenant, bounds);
-    this.allowances.set(tenant.name, allowance);
-    return allowance;
-  }
-
-  private forgetIdle(now: number): void {
-    const { windowMs } = this.options.settings;
-    if (now - this.lookedAt < windowMs * FORGET_WINDOWS) return;
-    this.lookedAt = now;
-    for (const [name, allowance] of this.allowances) {
-      if (!allowance.isIdle(now, 2 * windowMs)) continue;
-      this.allowances.delete(name);
-      this.wanted.delete(allowance);
-    }
-  }
-
   private admit(path: QuotaPath): QuotaDecision {
     this.options.onDecision(path);
     return ADMITTED;
@@ -208,65 +169,40 @@
   /** Behind those that were told to come back before, each at a time of its own. */
   private refuse(allowance: TenantAllowance, now: number): QuotaDecision {
     this.options.onDecision(QuotaPath.Refused);
-    const { windowMs } = this.options.settings;
-    const earliest = Math.max(allowance.returnAt, allowance.nextTokenAt);
-    const latest = Math.max(allowance.nextTokenAt, now + 2 * windowMs);
-    const returnAt = Math.min(earliest, latest);
-    allowance.returnAt = returnAt + allowance.returnSpacingMs;
-    return { isAdmitted: false, retryAfterMs: Math.max(1, returnAt - now) };
+    const horizonMs = this.options.settings.windowMs * RETURN_WINDOWS;
+    return { isAdmitted: false, retryAfterMs: allowance.returns.next(horizonMs, now) };
   }
 
-  private refuseWithoutOwner(): QuotaDecision {
+  private refuseWithoutOwner(allowance: TenantAllowance): QuotaDecision {
+    allowance.refusedWithoutOwner += 1;
     this.options.onDecision(QuotaPath.RefusedWithoutOwner);
     const spread = 0.5 + this.options.random.nextFloat();
     return { isAdmitted: false, retryAfterMs: UNKNOWN_RETRY_MS * spread };
   }
 
-  /** Of all gateways together each may have as many uses unconfirmed as keep to the bounds. */
-  private mayPassUnconfirmed(allowance: TenantAllowance, now: number): boolean {
-    if (now < allowance.pressureUntil) return false;
-    return allowance.unconfirmed + 1 <= this.shareOf(allowance);
-  }
-
-  /** Of the uses that no owner has confirmed. Nothing while the number of gateways is not known. */
-  private shareOf({ bounds }: TenantAllowance): number {
-    this.knownGateways = this.options.countGateways() ?? this.knownGateways;
-    if (this.knownGateways === undefined) return 0;
-    return bounds.unconfirmed / Math.max(1, this.knownGateways);
-  }
-
-  private passUnconfirmed(allowance: TenantAllowance): void {
+  private passUnconfirmed(allowance: TenantAllowance, path: QuotaPath): QuotaDecision {
     allowance.spent += 1;
     allowance.unconfirmed += 1;
     this.want(allowance);
+    return this.admit(path);
   }
 
   private takeWithoutOwner(
     allowance: TenantAllowance,
     now: number,
+    until: number,
   ): QuotaDecision | Promise<QuotaDecision> {
-    if (now - allowance.ownerlessSince >= this.options.settings.windowMs) {
-      allowance.ownerlessSince = now;
-      allowance.ownerlessLeft = this.drawShare(allowance) - allowance.unconfirmed;
+    if (this.unconfirmed.takeWithoutOwner(allowance, now)) {
+      return this.passUnconfirmed(allowance, QuotaPath.WithoutOwner);
     }
-    if (allowance.ownerlessLeft >= 1) {
-      allowance.ownerlessLeft -= 1;
-      this.passUnconfirmed(allowance);
-      return this.admit(QuotaPath.WithoutOwner);
-    }
-    if (now - this.withoutOwnerSince < LONGEST_WAIT_MS) return this.wait(allowance, now);
-    return this.refuseWithoutOwner();
-  }
-
-  private drawShare(allowance: TenantAllowance): number {
-    const share = this.shareOf(allowance) / 2;
-    const whole = Math.floor(share);
-    return this.options.random.nextFloat() < share - whole ? whole + 1 : whole;
+    const isAwaited = now - this.withoutOwnerSince < LONGEST_WAIT_MS;
+    return isAwaited ? this.wait(allowance, now, until) : this.refuseWithoutOwner(allowance);
   }
 
-  private wait(allowance: TenantAllowance, now: number): Promise<QuotaDecision> {
+  private wait(allowance: TenantAllowance, now: number, until: number): Promise<QuotaDecision> {
     return new Promise((decide) => {
-      allowance.waiting.push({ decide, deadline: now + LONGEST_WAIT_MS });
+      const deadline = Math.min(now + LONGEST_WAIT_MS, until);
+      allowance.waiting.push({ decide, deadline });
       this.want(allowance);
     });
   }
@@ -284,37 +220,39 @@
     const now = this.options.clock.now();
     allowance.dropStale(now);
     const returned = allowance.takeReturned(now);
-    const { spent, waiting, demand, bounds, tokens } = allowance;
+    const { spent, waiting, demand, bounds, tokens, refused, refusedWithoutOwner } = allowance;
     allowance.question = { askedAt: now, spent, waiting };
     allowance.spent = 0;
+    allowance.refused = 0;
+    allowance.refusedWithoutOwner = 0;
     allowance.waiting = [];
     const expected = Math.floor(demand.read(now) * bounds.lifetimeMs * AHEAD_PART);
     const ahead = Math.max(0, expected - tokens);
-    const tenant = allowance.tenant.name;
-    return { kind: 'ask', tenant, spent, returned, waiting: waiting.length, ahead };
+    return {
+      kind: 'ask',
+      tenant: allowance.tenant.name,
+      spent,
+      returned,
+      waiting: waiting.length,
+      ahead,
+      refused,
+      refusedWithoutOwner,
+    };
   }
 
   private useGrant(
     allowance: TenantAllowance,
     { askedAt, waiting }: OpenQuestion,
-    { granted, nextTokenMs, retryAfterMs, retrySpacingMs }: QuotaAnswerMessage,
+    answer: QuotaAnswerMessage,
     now: number,
   ): void {
+    const { granted } = answer;
     const admitted = waiting.slice(0, granted);
     for (const { decide } of admitted) decide(this.admit(QuotaPath.Asked));
-    const ahead = granted - admitted.length;
-    if (ahead > 0) {
-      // Of tokens of two grants the older end counts for all.
-      const isHeld = allowance.tokens > 0;
-      const until = askedAt + allowance.bounds.lifetimeMs;
-      allowance.tokensUntil = isHeld ? Math.min(allowance.tokensUntil, until) : until;
-      allowance.tokens += ahead;
-    }
+    allowance.hold(granted - admitted.length, askedAt + allowance.bounds.lifetimeMs);
     const refused = waiting.slice(granted);
     if (refused.length === 0) return;
-    allowance.nextTokenAt = now + nextTokenMs;
-    allowance.returnAt = now + retryAfterMs;
-    allowance.returnSpacingMs = retrySpacingMs;
+    allowance.returns.use(answer, now);
     for (const { decide } of refused) decide(this.refuse(allowance, now));
   }
 
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -234,7 +234,7 @@
     this.isExpiring = true;
     while (client.hasWaiting && !this.stopped.signal.aborted) {
       await environment.clock.sleep(EXPIRY_INTERVAL_MS, this.stopped.signal).catch(() => undefined);
-      client.expire();
+      client.expire(EXPIRY_INTERVAL_MS);
     }
     this.isExpiring = false;
   }
--- a/src/tenants/quota-messages.ts
+++ b/src/tenants/quota-messages.ts
@@ -23,6 +23,9 @@
   readonly waiting: number;
   /** Tokens for requests that are expected soon. */
   readonly ahead: number;
+  /** Refused at the gateway since the last question: as the next token was not due, or without an owner. */
+  readonly refused: number;
+  readonly refusedWithoutOwner: number;
 }
 
 /** Owner to gateway, first in each frame: answers the round. */
@@ -70,6 +73,8 @@
       { name: 'returned', type: 'long' },
       { name: 'waiting', type: 'long' },
       { name: 'ahead', type: 'long' },
+      { name: 'refused', type: 'long' },
+      { name: 'refusedWithoutOwner', type: 'long' },
     ],
   },
   answered: { tag: 82, fields: [{ name: 'round', type: 'long' }] },
--- a/src/tenants/quota-metrics.ts
+++ b/src/tenants/quota-metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and gauges of tenants' limits; no label names a tenant, so their number is bounded. */
 import { Counter, Gauge, type Registry } from 'prom-client';
-import { QuotaPath } from './quota-client.js';
+import { QuotaPath } from './quota-path.js';
 
 /** At a gateway. */
 export class QuotaClientMetrics {
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -12,7 +12,7 @@
 import type { Clock } from '../seams/clock.js';
 import { boundsOf } from './quota-bounds.js';
 import type { QuotaAnswerMessage, QuotaAskMessage } from './quota-messages.js';
-import { TenantUsage, type UsageCounts } from './tenant-usage.js';
+import { NOTHING_USED, TenantUsage, type UsageCounts } from './tenant-usage.js';
 import { isLimited, type Tenant } from './tenant.js';
 import { TokenBucket } from './token-bucket.js';
 
@@ -63,9 +63,9 @@
     this.since = this.options.clock.now();
   }
 
-  /** What was granted, used and refused of a tenant in the last window. */
-  usageOf(name: string): UsageCounts | undefined {
-    return this.accounts.get(name)?.usage.read(this.options.clock.now());
+  /** What was admitted and refused of a tenant in the last window. */
+  usageOf(name: string): UsageCounts {
+    return this.accounts.get(name)?.usage.read(this.options.clock.now()) ?? NOTHING_USED;
   }
 
   answer(ask: QuotaAskMessage): QuotaAnswerMessage {
@@ -87,7 +87,12 @@
     const comfortable = bucket.bounds.capacity * PRESSURE_PART;
     const ahead = forWaiting < ask.waiting ? 0 : bucket.take(ask.ahead, comfortable, now);
     const refused = ask.waiting - forWaiting;
-    usage.note({ admitted: forWaiting + ahead + ask.spent - ask.returned, refused }, now);
+    const used = {
+      admitted: forWaiting + ahead + ask.spent - ask.returned,
+      refused: refused + ask.refused,
+      refusedWithoutOwner: ask.refusedWithoutOwner,
+    };
+    usage.note(used, now);
     const pressureMs = bucket.timeUntil(comfortable, now);
     const answer = {
       kind: 'answer',
--- a/src/tenants/quota-server.ts
+++ b/src/tenants/quota-server.ts
@@ -19,7 +19,7 @@
 import { QuotaServerMetrics } from './quota-metrics.js';
 import { QuotaOwner } from './quota-owner.js';
 import type { UsageCounts } from './tenant-usage.js';
-import type { Tenant } from './tenant.js';
+import { isLimited, type Tenant } from './tenant.js';
 
 /**
  * Part of the shortest election timeout for which a leader owns the tokens without hearing a
@@ -29,6 +29,11 @@
 /** A gateway that sends nothing for so long is cut off; it sends a round a few seconds apart. Milliseconds. */
 const LONGEST_SILENCE_MS = 15_000;
 
+/** What was used of a tenant's limit in the last window. */
+export interface TenantUsageReport extends UsageCounts {
+  readonly tenant: Tenant;
+}
+
 /** What the server is made of. */
 export interface QuotaServerOptions {
   readonly clock: Clock;
@@ -71,9 +76,15 @@
     return this.isOwner(status) ? status.memberId : status.leaderId;
   }
 
-  /** Of the last window; undefined at another controller than the owner. */
-  usageOf(name: string): UsageCounts | undefined {
-    return this.isOwner(this.options.log.status()) ? this.owner.usageOf(name) : undefined;
+  /** Of the last window, tenants with a limit in order; undefined at another controller than the owner. */
+  usage(): readonly TenantUsageReport[] | undefined {
+    if (!this.isOwner(this.options.log.status())) return undefined;
+    const limited = [...this.tenants.values()].filter(isLimited);
+    return limited.map((tenant) => ({ tenant, ...this.owner.usageOf(tenant.name) }));
+  }
+
+  get settings(): QuotaSettings {
+    return this.options.settings;
   }
 
   /** Serves one gateway until its connection ends. */
@@ -116,8 +127,9 @@
     if (message.kind !== 'ask') {
       throw new MalformedMessageError('serve gateway', gateway, `unexpected ${message.kind}`);
     }
-    const { spent, returned, waiting, ahead } = message;
-    if ([spent, returned, waiting, ahead].some((count) => count < 0)) {
+    const { spent, returned, waiting, ahead, refused, refusedWithoutOwner } = message;
+    const counts = [spent, returned, waiting, ahead, refused, refusedWithoutOwner];
+    if (counts.some((count) => count < 0)) {
       throw new MalformedMessageError('serve gateway', gateway, 'a count below zero');
     }
     return message;
--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -1,4 +1,5 @@
 /** What one gateway holds and knows of one tenant's tokens. */
+import { ReturnSchedule } from './return-schedule.js';
 import { SmoothedRate } from './smoothed-rate.js';
 import type { QuotaBounds } from './quota-bounds.js';
 import type { QuotaDecision } from './tenant-quota.js';
@@ -23,14 +24,10 @@
   readonly demand = new SmoothedRate();
   /** Granted and not used. */
   tokens = 0;
-  tokensUntil = -Infinity;
+  private tokensUntil = -Infinity;
   /** Until then nothing may be passed on without a token. */
   pressureUntil = -Infinity;
-  /** The tenant has no token before. */
-  nextTokenAt = -Infinity;
-  /** When the next of the refused requests may come back, and the time between two of them. */
-  returnAt = -Infinity;
-  returnSpacingMs = 0;
+  readonly returns = new ReturnSchedule();
   /** Passed on without a token and not yet told to the owner. */
   spent = 0;
   /** Unused tokens that the owner is still to be told of, and since when. */
@@ -38,6 +35,9 @@
   private returnedSince = -Infinity;
   /** Passed on without a token and not yet confirmed by an owner. */
   unconfirmed = 0;
+  /** Refused here, by what was known, and not yet told to the owner. */
+  refused = 0;
+  refusedWithoutOwner = 0;
   waiting: WaitingRequest[] = [];
   question: OpenQuestion | undefined;
   /** Of the present window without an owner. */
@@ -51,6 +51,13 @@
     public bounds: QuotaBounds,
   ) {}
 
+  /** Keeps granted tokens; of those of two grants the older end counts for all. */
+  hold(tokens: number, until: number): void {
+    if (tokens <= 0) return;
+    this.tokensUntil = this.tokens > 0 ? Math.min(this.tokensUntil, until) : until;
+    this.tokens += tokens;
+  }
+
   /** Uses a token that is still valid; false when there is none. */
   useToken(now: number): boolean {
     this.dropStale(now);
--- a/src/tenants/tenant-quota.ts
+++ b/src/tenants/tenant-quota.ts
@@ -14,8 +14,11 @@
 
 /** See the module comment. */
 export interface TenantQuota {
-  /** Takes one request of the tenant. At once where what is known suffices; else after one question. */
-  take(tenant: Tenant): QuotaDecision | Promise<QuotaDecision>;
+  /**
+   * Takes one request of the tenant. At once where what is known suffices; else after one question.
+   * `until`: clock reading after which a decision is of no use; it is a refusal then. Milliseconds.
+   */
+  take(tenant: Tenant, until?: number): QuotaDecision | Promise<QuotaDecision>;
   /**
    * A request that was taken ran nowhere: it does not count. One that was taken long ago may have
    * to count all the same. `takenAt`: clock reading. Milliseconds.
--- /dev/null
+++ b/src/tenants/unconfirmed-uses.ts
@@ -0,0 +1,58 @@
+/**
+ * Uses that a gateway may pass on before an owner has confirmed them. Load: gateways that are cut
+ * off, alone or together, while a tenant sends many times its limit to all of them.
+ *
+ * Each gateway has an equal share of what the bounds allow all of them. With an owner, only a
+ * whole use is passed on. Without one, each window of the gateway has a share: a part of a use is
+ * drawn by chance, so that the expected sum of all gateways is within the bounds and a tenant with
+ * a request at one gateway is not refused for certain. A sliding window touches two such windows,
+ * so each has half of the share.
+ */
+import type { RandomSource } from '../seams/random-source.js';
+import type { TenantAllowance } from './tenant-allowance.js';
+
+/** What it goes by. */
+export interface UnconfirmedUsesOptions {
+  readonly random: RandomSource;
+  readonly windowMs: number;
+  /** Gateways of the fleet, also those that are cut off; undefined while no controller has said it. */
+  readonly countGateways: () => number | undefined;
+}
+
+/** See the module comment. */
+export class UnconfirmedUses {
+  /** Kept while no controller is followed: the others are still there. */
+  private knownGateways: number | undefined;
+
+  constructor(private readonly options: UnconfirmedUsesOptions) {}
+
+  /** Takes one while there is an owner, who is told of it. */
+  takeWithOwner(allowance: TenantAllowance, now: number): boolean {
+    if (now < allowance.pressureUntil) return false;
+    return allowance.unconfirmed + 1 <= this.shareOf(allowance);
+  }
+
+  /** Takes one while there is no owner. */
+  takeWithoutOwner(allowance: TenantAllowance, now: number): boolean {
+    if (now - allowance.ownerlessSince >= this.options.windowMs) {
+      allowance.ownerlessSince = now;
+      allowance.ownerlessLeft = this.draw(allowance) - allowance.unconfirmed;
+    }
+    if (allowance.ownerlessLeft < 1) return false;
+    allowance.ownerlessLeft -= 1;
+    return true;
+  }
+
+  /** Nothing while the number of gateways is not known. */
+  private shareOf({ bounds }: TenantAllowance): number {
+    this.knownGateways = this.options.countGateways() ?? this.knownGateways;
+    if (this.knownGateways === undefined) return 0;
+    return bounds.unconfirmed / Math.max(1, this.knownGateways);
+  }
+
+  private draw(allowance: TenantAllowance): number {
+    const share = this.shareOf(allowance) / 2;
+    const whole = Math.floor(share);
+    return this.options.random.nextFloat() < share - whole ? whole + 1 : whole;
+  }
+}
--- a/test/tenants/quota-link.test.ts
+++ b/test/tenants/quota-link.test.ts
@@ -152,8 +152,8 @@
     const admitted = await fleet.press(quota, 80, 12_000);
     expect(mostInWindow(admitted)).toBeLessThanOrEqual(ALLOWED);
     expect(admitted.length).toBeGreaterThan(10 * 12 * 0.97);
-    expect(fleet.servers[1]?.usageOf('one')?.refused).toBeGreaterThan(0);
-    expect(fleet.servers[0]?.usageOf('one')).toBeUndefined();
+    expect(fleet.servers[1]?.usage()?.[0]?.refused).toBeGreaterThan(0);
+    expect(fleet.servers[0]?.usage()).toBeUndefined();
     expect(fleet.servers[0]?.ownerId).toBe('controller-1');
   });
 
@@ -195,6 +195,21 @@
     expect(await fleet.simulation.settle(decision)).toEqual({ isAdmitted: true });
   });
 
+  it('refuses a request that waits for an owner by the time that its caller needs an answer', async () => {
+    const fleet = await QuotaFleet.start();
+    const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
+    fleet.controllers[0]?.crash();
+    fleet.leader = undefined;
+    await fleet.simulation.runFor(100);
+    const { now } = fleet.simulation;
+    const { clock } = fleet.simulation.machine('gateway-1').environment;
+    const decision = quota.client.take(TENANT, clock.now() + 500);
+    expect(await fleet.simulation.settle(Promise.resolve(decision))).toMatchObject({
+      isAdmitted: false,
+    });
+    expect(fleet.simulation.now - now).toBeLessThanOrEqual(500);
+  });
+
   it('refuses with a time to come back while no owner is found for long', async () => {
     const fleet = await QuotaFleet.start();
     fleet.leader = undefined;
@@ -241,7 +256,16 @@
     connectTimeout: 500,
   });
   const round = { kind: 'round', round: 1 } as const;
-  const ask = { kind: 'ask', tenant: 'one', spent: 0, returned: 0, waiting: 1, ahead: 0 } as const;
+  const ask = {
+    kind: 'ask',
+    tenant: 'one',
+    spent: 0,
+    returned: 0,
+    waiting: 1,
+    ahead: 0,
+    refused: 0,
+    refusedWithoutOwner: 0,
+  } as const;
 
   it.each([
     ['no message', Uint8Array.of(255)],
--- a/test/tenants/quota-replay.test.ts
+++ b/test/tenants/quota-replay.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { seededRandom } from '../../lab/simulation/seeded-random.js';
 import type { Tenant } from '../../src/tenants/tenant.js';
 import {
   admittedByLimit,
@@ -184,6 +185,74 @@
   });
 });
 
+describe('limits of tenants on days of chance', () => {
+  const DAY_MS = 60_000;
+
+  /** Faults, load and tenants of a day follow from its seed. */
+  function planDay(replay: QuotaReplay, first: number, seed: number): void {
+    const random = seededRandom(seed, 'day');
+    const anyGateway = (): number => random.nextInteger(0, replay.count - 1);
+    let owner = first;
+    for (let index = 0; index < 6; index += 1) {
+      const name = `tenant-${index}`;
+      const rate = 2 ** random.nextInteger(-1, 6);
+      replay.limit(name, rate, random.nextInteger(0, 2 * rate + 2));
+      replay.load(name, rate * 0.8, 0, DAY_MS);
+      const hotAt = random.nextInteger(0, DAY_MS);
+      const few = [anyGateway(), anyGateway()];
+      const pick = index % 2 === 0 ? undefined : (): number => few[random.nextInteger(0, 1)] ?? 0;
+      replay.load(name, rate * 8, hotAt, hotAt + 8_000, pick);
+    }
+    for (let fault = 0; fault < 5; fault += 1) {
+      const at = random.nextInteger(5_000, DAY_MS);
+      const kind = random.nextInteger(0, 2);
+      if (kind === 0) {
+        replay.at(at, () => replay.stopOwner(owner));
+        replay.at(at + random.nextInteger(800, 2_500), () => {
+          owner = replay.startOwner();
+          replay.connectAll(owner);
+        });
+      } else if (kind === 1) {
+        const cut = Array.from({ length: Math.ceil(replay.count / 2) }, anyGateway);
+        replay.at(at, () => cut.forEach((gateway) => replay.disconnect(gateway)));
+        replay.at(at + 7_000, () => cut.forEach((gateway) => replay.connect(gateway, owner)));
+      } else {
+        const gateway = anyGateway();
+        replay.at(at, () => replay.disconnect(gateway));
+        replay.at(at, () => replay.startGateway(gateway));
+        replay.at(at + 400, () => replay.connect(gateway, owner));
+      }
+    }
+  }
+
+  it('keeps every limit in more than ten thousand windows', async () => {
+    let windows = 0;
+    let over = 0;
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const { replay, owner } = started(seed % 2 === 0 ? 87 : 8, seed);
+      planDay(replay, owner, seed);
+      await replay.runUntil(DAY_MS + 20_000);
+      for (const tenant of replay.tenants.values()) {
+        const { most, windows: looked } = fullestWindow(replay.outcomes, tenant.name);
+        windows += looked;
+        if (most > allowedInWindow(tenant)) over += 1;
+      }
+    }
+    console.info(`${over} tenants over their limit; ${windows} windows`);
+    expect(over).toBe(0);
+    expect(windows).toBeGreaterThan(10_000);
+  });
+
+  it('keeps a limit at 1,100 gateways', async () => {
+    const { replay, owner } = started(1_100, 1);
+    planDay(replay, owner, 1);
+    for (let gateway = 0; gateway < 1_100; gateway += 1)
+      replay.request(30_000, 'tenant-0', gateway);
+    await replay.runUntil(DAY_MS + 20_000);
+    for (const name of replay.tenants.keys()) expectWithinBound(replay, name);
+  });
+});
+
 describe('costs of the limits', () => {
   it('refuses nothing more of others beside a tenant at eight times its limit', async () => {
     const refusedOfOthers = async (seed: number, hotFactor: number): Promise<number> => {
--- a/test/tenants/quota-replay.ts
+++ b/test/tenants/quota-replay.ts
@@ -3,7 +3,8 @@
 import type { QuotaSettings } from '../../src/configuration/tenant-settings.js';
 import type { Clock } from '../../src/seams/clock.js';
 import { boundsOf } from '../../src/tenants/quota-bounds.js';
-import { QuotaClient, type QuotaPath } from '../../src/tenants/quota-client.js';
+import { QuotaClient } from '../../src/tenants/quota-client.js';
+import type { QuotaPath } from '../../src/tenants/quota-path.js';
 import {
   QUOTA_CODEC,
   type QuotaAskMessage,
@@ -267,7 +268,7 @@
   private expire(gateway: ReplayGateway): void {
     gateway.isExpiring = true;
     this.at(this.now + EXPIRY_INTERVAL_MS, () => {
-      gateway.client.expire();
+      gateway.client.expire(EXPIRY_INTERVAL_MS);
       gateway.isExpiring = false;
       if (gateway.client.hasWaiting) this.expire(gateway);
     });
