Divide unconfirmed uses by a number of gateways that is rather too large

A fleet that starts, or controllers that count anew, would have each gateway take the share of a small fleet.

--- a/lab/documentation/daemon-metrics.ts
+++ b/lab/documentation/daemon-metrics.ts
@@ -62,6 +62,7 @@
     listen: { http: `${host.host}:7400`, messages },
     initialMembers: [{ memberId: host.name, address: messages, zone: PLACE.zone }],
     platformList: `${host.host}:7600`,
+    tenants: { quota: {} },
   });
   const telemetry = { logger: SILENT_LOGGER, registry };
   await simulation.settle(ControllerDaemon.start(host.environment, configuration, telemetry));
@@ -100,6 +101,7 @@
     cluster: CLUSTER,
     listen: { http: `${host}:7400`, health: `${host}:7401` },
     controllers: [`${controller.host}:7500`],
+    tenants: { quota: {} },
   });
   const telemetry = { logger: SILENT_LOGGER, registry };
   await simulation.settle(GatewayDaemon.start(environment, configuration, telemetry));
--- a/lab/documentation/metric-alarms.ts
+++ b/lab/documentation/metric-alarms.ts
@@ -41,6 +41,12 @@
     meaning: 'A gateway has not put an accepted route document in force.',
     runbook: 'A gateway lacks the newest routes',
   },
+  {
+    expression: 'max(driftway_controller_quota_owner) < 1 for 10s',
+    meaning:
+      'No controller grants tokens: nearly all requests of tenants with a limit are refused.',
+    runbook: 'A tenant complains of 429',
+  },
   {
     expression: 'driftway_configuration_fresh == 0',
     meaning: 'This router cannot prove its settings fresh; staleSettings decides what it does.',
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -59,8 +59,10 @@
   constructor(private readonly options: QuotaClientOptions) {
     const { clock, settings } = options;
     this.allowances = new AllowanceTable(settings);
-    this.unconfirmed = new UnconfirmedUses({ ...options, windowMs: settings.windowMs });
-    this.withoutOwnerSince = clock.now();
+    const startedAt = clock.now();
+    const { windowMs } = settings;
+    this.unconfirmed = new UnconfirmedUses({ random: options.random, windowMs, startedAt });
+    this.withoutOwnerSince = startedAt;
   }
 
   take(tenant: Tenant, until = Infinity): QuotaDecision | Promise<QuotaDecision> {
@@ -94,6 +96,7 @@
   /** The connection to the owner is open: it answers questions. */
   connected(): void {
     this.isConnected = true;
+    this.noteGateways();
   }
 
   /** The owner is lost: what it was asked may have been granted, which is then not used. */
@@ -105,6 +108,7 @@
 
   /** All answers to what was asked have come: questions without one are asked again. */
   endRound(): void {
+    if (this.isConnected) this.noteGateways();
     for (const allowance of this.open) this.reopen(allowance);
     this.open.clear();
   }
@@ -161,6 +165,11 @@
     return this.open.size > 0;
   }
 
+  private noteGateways(): void {
+    const { clock, countGateways } = this.options;
+    this.unconfirmed.fleet.note(countGateways(), clock.now());
+  }
+
   private admit(path: QuotaPath): QuotaDecision {
     this.options.onDecision(path);
     return ADMITTED;
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -203,6 +203,11 @@
     if (answer.kind !== 'answer') {
       throw new MalformedMessageError('hear owner', address, `unexpected ${answer.kind}`);
     }
+    const { granted, pressureMs, nextTokenMs, retryAfterMs, retrySpacingMs } = answer;
+    const figures = [granted, pressureMs, nextTokenMs, retryAfterMs, retrySpacingMs];
+    if (!figures.every((figure) => figure >= 0 && Number.isFinite(figure))) {
+      throw new MalformedMessageError('hear owner', address, 'a figure below zero or no number');
+    }
     this.options.client.takeAnswer(answer);
   }
 
--- a/src/tenants/unconfirmed-uses.ts
+++ b/src/tenants/unconfirmed-uses.ts
@@ -9,34 +9,36 @@
  * so each has half of the share.
  */
 import type { RandomSource } from '../seams/random-source.js';
+import { FleetSize } from './fleet-size.js';
 import type { TenantAllowance } from './tenant-allowance.js';
 
 /** What it goes by. */
 export interface UnconfirmedUsesOptions {
   readonly random: RandomSource;
   readonly windowMs: number;
-  /** Gateways of the fleet, also those that are cut off; undefined while no controller has said it. */
-  readonly countGateways: () => number | undefined;
+  /** Of the gateway's process. Clock reading. Milliseconds. */
+  readonly startedAt: number;
 }
 
 /** See the module comment. */
 export class UnconfirmedUses {
-  /** Kept while no controller is followed: the others are still there. */
-  private knownGateways: number | undefined;
+  readonly fleet: FleetSize;
 
-  constructor(private readonly options: UnconfirmedUsesOptions) {}
+  constructor(private readonly options: UnconfirmedUsesOptions) {
+    this.fleet = new FleetSize(options.startedAt);
+  }
 
   /** Takes one while there is an owner, who is told of it. */
   takeWithOwner(allowance: TenantAllowance, now: number): boolean {
     if (now < allowance.pressureUntil) return false;
-    return allowance.unconfirmed + 1 <= this.shareOf(allowance);
+    return allowance.unconfirmed + 1 <= this.shareOf(allowance, now);
   }
 
   /** Takes one while there is no owner. */
   takeWithoutOwner(allowance: TenantAllowance, now: number): boolean {
     if (now - allowance.ownerlessSince >= this.options.windowMs) {
       allowance.ownerlessSince = now;
-      allowance.ownerlessLeft = this.draw(allowance) - allowance.unconfirmed;
+      allowance.ownerlessLeft = this.draw(allowance, now) - allowance.unconfirmed;
     }
     if (allowance.ownerlessLeft < 1) return false;
     allowance.ownerlessLeft -= 1;
@@ -44,14 +46,12 @@
   }
 
   /** Nothing while the number of gateways is not known. */
-  private shareOf({ bounds }: TenantAllowance): number {
-    this.knownGateways = this.options.countGateways() ?? this.knownGateways;
-    if (this.knownGateways === undefined) return 0;
-    return bounds.unconfirmed / Math.max(1, this.knownGateways);
+  private shareOf({ bounds }: TenantAllowance, now: number): number {
+    return bounds.unconfirmed / this.fleet.read(now);
   }
 
-  private draw(allowance: TenantAllowance): number {
-    const share = this.shareOf(allowance) / 2;
+  private draw(allowance: TenantAllowance, now: number): number {
+    const share = this.shareOf(allowance, now) / 2;
     const whole = Math.floor(share);
     return this.options.random.nextFloat() < share - whole ? whole + 1 : whole;
   }
--- a/test/control/controller-group.ts
+++ b/test/control/controller-group.ts
@@ -119,6 +119,7 @@
       initialMembers: members,
       administration: { bootstrapTokenHash: hashToken(TOKEN) },
       platformList: `${this.operator.host}:${PLATFORM_PORT}`,
+      tenants: { quota: {} },
     });
     const { environment } = host;
     this.controllers[index] = await this.simulation.settle(
