--- a/test/tenants/quota-link.test.ts
+++ b/test/tenants/quota-link.test.ts
@@ -38,6 +38,8 @@
   /** Index of the leader; undefined while there is none. */
   leader: number | undefined = 0;
   term = 1;
+  /** Of every controller. Milliseconds. */
+  sinceQuorumMs = 0;
 
   private constructor(seed: number) {
     this.simulation = new Simulation(seed);
@@ -126,7 +128,7 @@
       knownCommitIndex: 1,
       appliedIndex: 1,
       lastIndex: 1,
-      sinceQuorumMs: 0,
+      sinceQuorumMs: this.sinceQuorumMs,
       members: this.controllers.map((_, member) => ({
         memberId: `controller-${member}`,
         address: this.addressOf(member),
@@ -182,6 +184,31 @@
     expect(after.length).toBeGreaterThan(80);
   });
 
+  it('gets nothing from a leader that has not heard a quorum lately', async () => {
+    const fleet = await QuotaFleet.start();
+    const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
+    expect(await fleet.take(quota)).toEqual({ isAdmitted: true });
+    // Shorter than the silence after which another one may be elected.
+    fleet.sinceQuorumMs = 750;
+    expect(await fleet.take(quota)).toMatchObject({ isAdmitted: false });
+    expect(fleet.servers[0]?.usage()).toBeUndefined();
+    fleet.sinceQuorumMs = 0;
+    await fleet.simulation.runFor(2_000);
+    expect(await fleet.take(quota)).toEqual({ isAdmitted: true });
+  });
+
+  it('begins almost empty in a new term, also at the same controller', async () => {
+    const fleet = await QuotaFleet.start();
+    const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
+    await fleet.simulation.runFor(10_000);
+    fleet.term = 2;
+    const decisions = Array.from({ length: 30 }, () => Promise.resolve(quota.client.take(TENANT)));
+    const taken = await fleet.simulation.settle(Promise.all(decisions));
+    const admitted = taken.filter(({ isAdmitted }) => isAdmitted).length;
+    expect(admitted).toBeGreaterThan(0);
+    expect(admitted).toBeLessThanOrEqual(3);
+  });
+
   it('waits for the next owner with a request that came without one', async () => {
     const fleet = await QuotaFleet.start();
     const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
