Merge limits of tenants that are kept over all gateways

A request waits for its tenant's token for half of its target at most, and its caller may have left meanwhile: it is then given back and sent nowhere. Usage has a path of its own, which a tenant named 'usage' cannot hide.

--- a/src/administration/administration-dependencies.ts
+++ b/src/administration/administration-dependencies.ts
@@ -7,6 +7,7 @@
 import type { RouteDocumentRegister } from '../routes/route-document-register.js';
 import type { Clock } from '../seams/clock.js';
 import type { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
+import type { QuotaServer } from '../tenants/quota-server.js';
 import type { ForceTracker } from './force-tracker.js';
 import type { MemberAdministration } from './member-administration.js';
 import type { RouteTracker } from './route-tracker.js';
@@ -33,6 +34,8 @@
   readonly quarantine?: QuarantineOrders;
   /** Without it, nothing is known of tenants. */
   readonly routeDocument?: RouteDocumentRegister;
+  /** Without it, limits of tenants are not kept. */
+  readonly quota?: QuotaServer | undefined;
   /** A longer body is refused. Bytes. {@link MAXIMUM_COMMAND_BYTES} when absent. */
   readonly maximumBodyBytes?: number;
 }
--- a/src/administration/routes.ts
+++ b/src/administration/routes.ts
@@ -7,6 +7,7 @@
 import { SERVICE_ROUTES } from './service-routes.js';
 import { STATUS_ROUTES } from './status-routes.js';
 import { TENANT_ROUTES } from './tenant-routes.js';
+import { TENANT_USAGE_ROUTES } from './tenant-usage-routes.js';
 import { TOKEN_ROUTES } from './token-routes.js';
 
 export const ROUTES: readonly Route[] = [
@@ -17,5 +18,6 @@
   ...SERVICE_ROUTES,
   ...STATUS_ROUTES,
   ...TENANT_ROUTES,
+  ...TENANT_USAGE_ROUTES,
   ...TOKEN_ROUTES,
 ];
--- a/src/commands/operator-commands.ts
+++ b/src/commands/operator-commands.ts
@@ -32,6 +32,7 @@
 import { SettingsUnsetCommand } from './operator-settings-unset.js';
 import { StatusCommand } from './operator-status.js';
 import { TenantsExplainCommand, TenantsListCommand } from './operator-tenants.js';
+import { TenantsUsageCommand } from './operator-tenants-usage.js';
 import { TokensCreateCommand, TokensListCommand, TokensRevokeCommand } from './operator-tokens.js';
 
 export const OPERATOR_COMMANDS: readonly CommandClass[] = [
@@ -61,6 +62,7 @@
   ServicesRemoveReplicaCommand,
   TenantsListCommand,
   TenantsExplainCommand,
+  TenantsUsageCommand,
   TokensCreateCommand,
   TokensRevokeCommand,
   TokensListCommand,
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -20,6 +20,7 @@
 import { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import { RouteDocumentRegister } from '../routes/route-document-register.js';
 import { formatAddress } from '../seams/address.js';
+import { QuotaServer } from '../tenants/quota-server.js';
 import type { DurableEnvironment } from '../seams/environment.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { MemberIdentity } from './member-identity.js';
@@ -49,6 +50,8 @@
   readonly routeDocument: RouteDocumentRegister;
   readonly evacuationOrders: EvacuationOrders;
   readonly quarantineOrders: QuarantineOrders;
+  /** Absent where limits of tenants are not kept. */
+  readonly quota: QuotaServer | undefined;
 }
 
 /** @throws DriftwayError when the data folder cannot be read. */
@@ -71,7 +74,8 @@
   const registered = { log, ...replicated };
   const registration = startRegistration(options, registered);
   const stream = startControlStream(options, log, machine);
-  const parts = { log, machine, registration, evacuationOrders, quarantineOrders };
+  const quota = createQuotaServer(options, log, register);
+  const parts = { log, machine, registration, evacuationOrders, quarantineOrders, quota };
   const core = { ...stream, ...parts, routeDocument: register };
   await registration.restore();
   return core;
@@ -119,6 +123,23 @@
   return new EvacuationOrders({ log, register, knownZones, logger });
 }
 
+function createQuotaServer(
+  { environment, configuration, logger, telemetry }: ControllerCoreOptions,
+  log: RaftNode,
+  register: RouteDocumentRegister,
+): QuotaServer | undefined {
+  const { tenants, consensus } = configuration;
+  if (tenants.quota === undefined) return undefined;
+  return new QuotaServer({
+    clock: environment.clock,
+    settings: tenants.quota,
+    electionTimeoutMs: consensus.electionTimeoutMs,
+    log,
+    register,
+    telemetry: { ...telemetry, logger },
+  });
+}
+
 /** The replicated state that registrations go with. */
 type ReplicatedParts = Pick<
   RegistrationPartOptions,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -25,6 +25,7 @@
 import { UNBOUNDED_LEASE } from '../tenants/authorization-lease.js';
 import { LeaseKeeper } from '../tenants/lease-keeper.js';
 import { LeaseRenewal } from '../tenants/lease-renewal.js';
+import { GatewayQuota } from '../tenants/gateway-quota.js';
 import { UNLIMITED_QUOTA } from '../tenants/tenant-quota.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { createDirectoryClient } from './create-directory-client.js';
@@ -52,6 +53,7 @@
   private readonly client: DirectoryClient;
   /** Absent where the time of a revocation is not bounded. */
   private readonly lease: LeaseRenewal | undefined;
+  private readonly quota: GatewayQuota | undefined;
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
   private readonly aggregation: Aggregation;
@@ -83,6 +85,7 @@
       logger,
     });
     this.lease = this.createLease();
+    this.quota = this.createQuota();
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
     this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
@@ -165,6 +168,7 @@
     this.ended.abort(new Error('stopped'));
     await this.health?.close();
     await this.client.stop();
+    await this.quota?.stop();
     await this.aggregation.close();
     this.context.targets.stop();
   }
@@ -206,6 +210,19 @@
     });
   }
 
+  private createQuota(): GatewayQuota | undefined {
+    const { quota: settings } = this.configuration.tenants;
+    if (settings === undefined) return undefined;
+    return new GatewayQuota({
+      environment: this.environment,
+      identity: this.identity,
+      settings,
+      telemetry: { ...this.telemetry, logger: this.logger },
+      countGateways: () => this.client.gateways,
+      controllers: () => this.client.controllerAddresses,
+    });
+  }
+
   private createContext(headers: ExchangeHeaders): GatewayContext {
     const { mechanisms, placement, secondSends, zone, region, zones } = this.configuration;
     return createGatewayContext({
@@ -219,7 +236,7 @@
       regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
       lease: this.lease ?? UNBOUNDED_LEASE,
-      quota: UNLIMITED_QUOTA,
+      quota: this.quota?.client ?? UNLIMITED_QUOTA,
       countGateways: () => this.client.gateways,
       reportEvidence: (change) => this.client.reportEvidence(change),
     });
@@ -272,6 +289,7 @@
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
       this.lease?.useTable(table);
+      this.quota?.useTenants(table.tenants);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
       this.logger.info('route document in force', { version, controller });
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -7,11 +7,13 @@
 import type { Tenant } from '../tenants/tenant.js';
 import { authenticate, KEY_PROBLEM_REASONS, type KeyProblem } from './authentication.js';
 import type { CallerRequest } from './caller-request.js';
+import { longestUnsent } from './connect-bounds.js';
 import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
-import { forwardSingle } from './forward-single.js';
+import { CALLER_GONE, forwardSingle } from './forward-single.js';
 import { GatewayRefusal, QUARANTINED, refuse } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
+import { targetLatencyOf } from './route-latencies.js';
 import { SplitChooser } from './split-chooser.js';
 import { TableInForce } from './table-in-force.js';
 import { withTenant } from './tenant-headers.js';
@@ -80,7 +82,7 @@
     // Not the one that was waited for: the lease is for the table in force.
     const { table } = this;
     if (request.signal.aborted) {
-      return this.reject(request, GatewayRefusal.NotRun, 'the caller has gone');
+      return this.reject(request, GatewayRefusal.NotRun, CALLER_GONE);
     }
     if (table === undefined) {
       return this.reject(request, GatewayRefusal.NoRoutes, 'no route document yet');
@@ -122,15 +124,21 @@
         retryAfterMs: lease.retryAfterMs,
       });
     }
-    const taken = quota.take(tenant);
+    const { receivedAt, route, signal } = callerRequest;
+    const taken = quota.take(tenant, receivedAt + longestUnsent(targetLatencyOf(route)));
     const decision = taken instanceof Promise ? await taken : taken;
     if (!decision.isAdmitted) {
       const { retryAfterMs } = decision;
       const reason = 'the tenant has reached its limit';
       return this.reject(request, GatewayRefusal.RateLimited, reason, { retryAfterMs });
     }
+    if (signal.aborted) {
+      quota.giveBack(tenant, this.context.environment.clock.now());
+      return this.reject(request, GatewayRefusal.NotRun, CALLER_GONE);
+    }
+    const takenAt = this.context.environment.clock.now();
     const response = await this.forward(callerRequest);
-    if (this.ranNowhere(response)) quota.giveBack(tenant);
+    if (this.ranNowhere(response)) quota.giveBack(tenant, takenAt);
     return response;
   }
 
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -49,6 +49,8 @@
 export interface AutomaticGroupOptions {
   /** Silent when absent. */
   readonly logger?: Logger | undefined;
+  /** As the controllers' settings name it. */
+  readonly tenants?: object | undefined;
   /** Defects of the controllers. */
   readonly faults?: ControlStreamFaults | undefined;
 }
@@ -111,6 +113,7 @@
       zones: { nayoro: 'dohoku', wakkanai: 'dohoku', 'asahikawa-a': 'dohoku' },
       initialMembers: [{ memberId: 'unused', address: '10.0.0.1:1', zone }],
       automaticMembership: { seeds: this.seeds, firstStart },
+      tenants: this.options.tenants ?? {},
     });
     const registry = new Registry();
     this.registries.set(machine, registry);
