Count bytes by kind and zone, and ask groups of shards in the root's own zone

With aggregation.nearGroups a root has its groups asked by leaves of its own zone where that zone holds replicas of most of their shards; a root of a zone without replicas picks one zone. Each group has two owners a zone instead of three in one zone, and connections are kept warm to the own zone's replicas alone.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -8,24 +8,26 @@
 import { FleetShares } from '../gateway/fleet-shares.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
 import type { PartListener, PartSource } from '../gateway/part-source.js';
+import type { ReplicaTarget } from '../gateway/replica-target.js';
 import type { SecondSendLimits } from '../gateway/second-send-budget.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import { AuthenticatedListener } from '../protocol/authenticated-listener.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Address } from '../seams/address.js';
-import { GROUP_OWNERS, LeafAssignment, type LeafGroup } from './leaf-assignment.js';
+import { GROUP_OWNERS, LeafAssignment, NEAR_GROUP_OWNERS } from './leaf-assignment.js';
+import type { LeafGroup } from './leaf-assignment.js';
 import { LeafLatencies } from './leaf-latencies.js';
 import { LeafPool } from './leaf-pool.js';
 import { LeafServer } from './leaf-server.js';
 import { SourcePlanner } from './source-planner.js';
 
 /**
- * Leaves that share a replica's connections and the second sends of its service:
- * the owners of its group and as many again, which stand in for them or hold the
- * connections of a division that has just changed.
+ * Leaves that share a replica's connections and the second sends of its service, for each of its
+ * group's owners: the owner, and one that stands in for it or holds the connections of a
+ * division that has just changed.
  */
-const SHARING_LEAVES = 2 * GROUP_OWNERS;
+const SHARING_LEAVES_PER_OWNER = 2;
 /** How often connections to leaves are looked after. Milliseconds. */
 const KEEP_INTERVAL_MS = 300;
 
@@ -33,6 +35,8 @@
 export interface AggregationOptions {
   readonly context: GatewayContext;
   readonly identity: LocalIdentity;
+  /** Of this gateway. */
+  readonly zone: string;
   readonly settings: AggregationSettings;
   readonly secondSends: SecondSendLimits;
   readonly telemetry: Telemetry;
@@ -51,16 +55,19 @@
   private readonly owned = new WeakMap<readonly LeafGroup[], ReadonlySet<string>>();
 
   constructor(private readonly options: AggregationOptions) {
-    const { context, identity, settings, telemetry, leaves, table } = options;
+    const { context, identity, zone, settings, telemetry, leaves, table } = options;
     const { environment, targets } = context;
     const { clock, random } = environment;
     const leafContext = { ...context, shares: this.leafShares() };
-    this.pool = new LeafPool({ environment, identity, logger: telemetry.logger }, random);
+    const { logger } = telemetry;
+    const { traffic } = context;
+    this.pool = new LeafPool({ environment, identity, logger, traffic }, random);
     this.assignment = new LeafAssignment({
       now: () => clock.now(),
       targets,
       leaves,
       shardsPerGroup: settings.shardsPerGroup,
+      nearTo: settings.nearGroups ? { name: identity.name, zone } : undefined,
     });
     this.server = new LeafServer({ context: leafContext, logger: telemetry.logger, table });
     this.planner = new SourcePlanner({
@@ -118,6 +125,22 @@
     return !isNamed && !lists.some(({ shards }) => this.planner.isDivided(shards));
   }
 
+  /**
+   * Replicas that are asked first, of services that are asked from here: where each zone asks its
+   * own replicas, those of other zones are asked too seldom to hold connections to all of them.
+   */
+  *firstAsked(): IterableIterator<ReplicaTarget> {
+    const { context, settings, zone } = this.options;
+    const { targets } = context;
+    for (const target of targets.all()) {
+      const { entry } = target;
+      const isNear = (other: ReplicaTarget): boolean => other.entry.zone === zone;
+      if (!settings.nearGroups || isNear(target) || !targets.of(entry.service).some(isNear)) {
+        yield target;
+      }
+    }
+  }
+
   /** Planned stop, first half: takes no new gathers; those in progress go on. */
   stopTaking(): void {
     this.server.stop();
@@ -139,8 +162,8 @@
     const known = this.owned.get(groups);
     if (known !== undefined) return known;
     const { name } = this.options.identity;
-    const mine = groups.filter(({ leaves }) =>
-      leaves.slice(0, GROUP_OWNERS).some((leaf) => leaf.name === name),
+    const mine = groups.filter(({ leaves, owners }) =>
+      leaves.slice(0, owners).some((leaf) => leaf.name === name),
     );
     const shards = new Set(mine.flatMap((group) => group.shards));
     this.owned.set(groups, shards);
@@ -151,7 +174,19 @@
     const { context, secondSends } = this.options;
     const { clock } = context.environment;
     const { youngShares } = context.mechanisms;
-    return new FleetShares(clock, secondSends, () => SHARING_LEAVES, youngShares);
+    return new FleetShares(clock, secondSends, () => this.sharingLeaves, youngShares);
+  }
+
+  /** Where each zone asks its own replicas, the owners of any zone may send to any replica. */
+  private get sharingLeaves(): number {
+    const { settings, leaves } = this.options;
+    if (!settings.nearGroups) return SHARING_LEAVES_PER_OWNER * GROUP_OWNERS;
+    const zones = new Set(leaves().map(({ zone }) => zone));
+    const asking = new Set<string>();
+    for (const { entry } of this.options.context.targets.all()) {
+      if (zones.has(entry.zone)) asking.add(entry.zone);
+    }
+    return SHARING_LEAVES_PER_OWNER * NEAR_GROUP_OWNERS * Math.max(1, asking.size);
   }
 
   private async keepConnected(): Promise<void> {
--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -6,6 +6,7 @@
  */
 import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { ServiceTargets } from '../gateway/service-targets.js';
+import { homeOfGroup, preferZones, type RootPlace } from './group-home.js';
 
 /**
  * Computed again when the leaves have changed, when the number of replicas has, at
@@ -18,10 +19,17 @@
  * them wait less for each other, and each sees less of what it could learn from.
  */
 export const GROUP_OWNERS = 3;
+/**
+ * The same where each zone asks its own replicas: every zone has owners of every group then, and
+ * with as many of them a replica would be connected to by several times as many gateways.
+ */
+export const NEAR_GROUP_OWNERS = 2;
 
 /** Shards that are asked by one leaf. */
 export interface LeafGroup {
   readonly shards: readonly string[];
+  /** First of the leaves, which share the group's gathers. */
+  readonly owners: number;
   /** Leaves that may ask them, the best first: those of the zone of the replicas, then others. */
   readonly leaves: readonly LeafGateway[];
 }
@@ -41,6 +49,8 @@
   readonly leaves: () => readonly LeafGateway[];
   /** Most shards of a group. */
   readonly shardsPerGroup: number;
+  /** Where the gateway stands whose groups are to be asked in its own zone; undefined: in any. */
+  readonly nearTo?: RootPlace | undefined;
 }
 
 function nameOf({ name }: LeafGateway): string {
@@ -84,6 +94,8 @@
 
   private divide(shards: readonly string[], leaves: readonly LeafGateway[]): LeafGroup[] {
     const zones = [...new Set(leaves.map(({ zone }) => zone))];
+    const { nearTo } = this.sources;
+    if (nearTo !== undefined) return this.divideNear(shards, leaves, preferZones(nearTo, zones));
     const byZone = new Map<string, string[]>();
     for (const shard of shards) {
       const zone = this.homeOf(shard, zones);
@@ -91,16 +103,36 @@
       others.push(shard);
       byZone.set(zone, others);
     }
-    return [...byZone].flatMap(([zone, group]) => this.divideZone(zone, group, leaves));
+    return [...byZone].flatMap(([zone, group]) => {
+      const parts = cutEvenly([...group].sort(), this.sources.shardsPerGroup);
+      return this.assign(zone, parts, leaves, GROUP_OWNERS);
+    });
   }
 
-  /** Owners of one group own another one only where there are fewer leaves than that takes. */
-  private divideZone(
-    zone: string,
+  /**
+   * All roots cut the list alike, whatever their zone and wherever replicas are lost, so that a
+   * group that moves to another zone finds leaves there which ask the same group for their own.
+   */
+  private divideNear(
     shards: readonly string[],
     leaves: readonly LeafGateway[],
+    preferred: readonly string[],
   ): LeafGroup[] {
     const parts = cutEvenly([...shards].sort(), this.sources.shardsPerGroup);
+    const homes = parts.map((part) => homeOfGroup(part, preferred, (shard) => this.zonesOf(shard)));
+    const byZone = new Map(
+      [...new Set(homes)].map((zone) => [zone, this.assign(zone, parts, leaves, NEAR_GROUP_OWNERS)]),
+    );
+    return homes.flatMap((zone, index) => byZone.get(zone)?.[index] ?? []);
+  }
+
+  /** Owners of one group own another one only where there are fewer leaves than that takes. */
+  private assign(
+    zone: string,
+    parts: readonly (readonly string[])[],
+    leaves: readonly LeafGateway[],
+    owners: number,
+  ): LeafGroup[] {
     const owned = new Map<string, number>();
     return parts.map((part, index) => {
       const ranked = rankFor(`${zone} ${index}`, leaves, nameOf);
@@ -108,15 +140,20 @@
       // The sort is stable: among leaves that own as many groups the rank decides.
       const near = ranked.filter((leaf) => leaf.zone === zone);
       near.sort((left, right) => groupsOf(left) - groupsOf(right));
-      for (const leaf of near.slice(0, GROUP_OWNERS)) owned.set(leaf.name, groupsOf(leaf) + 1);
-      return { shards: part, leaves: [...near, ...ranked.filter((leaf) => leaf.zone !== zone)] };
+      for (const leaf of near.slice(0, owners)) owned.set(leaf.name, groupsOf(leaf) + 1);
+      const far = ranked.filter((leaf) => leaf.zone !== zone);
+      return { shards: part, owners, leaves: [...near, ...far] };
     });
   }
 
   /** A zone with replicas of the shard and with leaves; any with leaves when there is none. */
   private homeOf(shard: string, zones: readonly string[]): string {
-    const zonesOfReplicas = new Set(this.sources.targets.of(shard).map(({ entry }) => entry.zone));
+    const zonesOfReplicas = this.zonesOf(shard);
     const near = zones.filter((zone) => zonesOfReplicas.has(zone));
     return rankFor(shard, near.length > 0 ? near : zones, (zone) => zone)[0] ?? '';
   }
+
+  private zonesOf(shard: string): ReadonlySet<string> {
+    return new Set(this.sources.targets.of(shard).map(({ entry }) => entry.zone));
+  }
 }
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -8,7 +8,9 @@
 import { dial } from '../protocol/dial.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import { MeteredConnection } from '../protocol/metered-connection.js';
 import type { Logger } from '../observability/logger.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
@@ -41,6 +43,7 @@
   readonly environment: Environment;
   readonly identity: LocalIdentity;
   readonly logger: Logger;
+  readonly traffic: ZoneTraffic;
 }
 
 /** What a leaf is asked to do. */
@@ -156,7 +159,7 @@
     try {
       const address = parseAddress(text);
       const target = { address, role: 'aggregation', connectTimeout: DIAL_TIMEOUT_MS } as const;
-      const connection = await dial(environment, identity, target);
+      const connection = this.metered(await dial(environment, identity, target));
       this.isDialling = false;
       if (this.isClosed) connection.close();
       this.connection = connection;
@@ -175,6 +178,14 @@
     this.loseGathers();
   }
 
+  private metered(connection: MessageConnection): MessageConnection {
+    const { traffic } = this.parts;
+    return new MeteredConnection(connection, {
+      kindOf: (frame) => `aggregation_${AGGREGATION_CODEC.kindOf(frame)}`,
+      note: (note) => traffic.note(this.leaf.zone, note),
+    });
+  }
+
   private pauseDialling(): void {
     const { clock, random } = this.parts.environment;
     const pause = Math.min(FIRST_REDIAL_MS * 2 ** this.failures, LONGEST_REDIAL_MS);
--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -2,11 +2,10 @@
 import type { LeafGateway } from '../directory/leaf-gateway.js';
 import type { RandomSource } from '../seams/random-source.js';
 import type { LeafGroup } from './leaf-assignment.js';
-import { GROUP_OWNERS } from './leaf-assignment.js';
 import { LeafLink, type LeafLinkParts } from './leaf-link.js';
 
-/** Leaves of a group to which connections are kept open: its owners and one that stands by. */
-const KEPT_LEAVES = GROUP_OWNERS + 1;
+/** Leaves of a group to which connections are kept open besides its owners: one that stands by. */
+const KEPT_STAND_BYS = 1;
 /** What a leaf said of its load is used for this long. Milliseconds. */
 const LOAD_VALID_MS = 1_000;
 /** A leaf with so many gathers in progress is passed over while the next one has fewer. */
@@ -32,8 +31,8 @@
   /** Opens connections to the leaves of the groups, and closes those that no group needs. */
   keep(groups: readonly LeafGroup[]): void {
     const wanted = new Map<string, LeafGateway>();
-    for (const { leaves } of groups) {
-      for (const leaf of leaves.slice(0, KEPT_LEAVES)) wanted.set(leaf.name, leaf);
+    for (const { leaves, owners } of groups) {
+      for (const leaf of leaves.slice(0, owners + KEPT_STAND_BYS)) wanted.set(leaf.name, leaf);
     }
     for (const [name, link] of this.links) {
       link.checkSilence();
@@ -67,7 +66,7 @@
       return link !== undefined && link.isOpen && !link.isStopping ? [link] : [];
     });
     const calm = open.filter((link) => !this.isAvoided(link) && !this.isBusy(link));
-    const usable = (calm.length > 0 ? calm : open).slice(0, GROUP_OWNERS);
+    const usable = (calm.length > 0 ? calm : open).slice(0, group.owners);
     const first = usable[Math.floor(this.random.nextFloat() * usable.length)];
     const second = usable[Math.floor(this.random.nextFloat() * usable.length)];
     if (first === undefined || second === undefined) return first;
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -46,6 +46,12 @@
     divideAbove: z.int().min(1).default(32),
     /** Most shards of a group, which one gateway asks. */
     shardsPerGroup: z.int().min(1).default(8),
+    /**
+     * Has groups asked in the zone of the gateway that the caller reached, where that zone
+     * holds replicas of most of their shards. Each zone's replicas then carry the
+     * load of its own callers.
+     */
+    nearGroups: z.boolean().default(false),
   })
   .prefault({})
   .describe('{ divideAbove: 32, shardsPerGroup: 8 }');
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -14,13 +14,16 @@
 import { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
+import { ZoneTraffic } from '../observability/zone-traffic.js';
 import { dial } from '../protocol/dial.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
+import { MeteredConnection } from '../protocol/metered-connection.js';
 import { QuarantineOrders } from '../quarantine/quarantine-orders.js';
 import { QuarantineRegister } from '../quarantine/quarantine-register.js';
 import { RouteDocumentRegister } from '../routes/route-document-register.js';
 import { formatAddress } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
+import type { MessageConnection } from '../seams/message-connection.js';
 import { ConfigurationStateMachine } from '../settings/configuration-state-machine.js';
 import type { MemberIdentity } from './member-identity.js';
 import { RegistrationPart, type RegistrationPartOptions } from './registration-part.js';
@@ -61,14 +64,15 @@
     [SectionTag.Evacuations, evacuations],
     [SectionTag.Quarantine, quarantine],
   ]);
-  const log = await startLog(options, new SectionedStateMachine(machine, sections));
+  const traffic = new ZoneTraffic(options.configuration.zone, options.telemetry.registry);
+  const log = await startLog(options, new SectionedStateMachine(machine, sections), traffic);
   // Nothing is awaited between the log and what listens to the state machine.
   const evacuationOrders = createEvacuationOrders(options, log, evacuations);
   const { logger } = options;
   const quarantineOrders = new QuarantineOrders({ log, register: quarantine, logger });
   const replicated = { register, evacuations, evacuationOrders, quarantine, quarantineOrders };
   const registered = { log, ...replicated };
-  const registration = startRegistration(options, registered);
+  const registration = startRegistration(options, registered, traffic);
   const stream = startControlStream(options, log, machine);
   const core = { ...stream, log, machine, registration, evacuationOrders, quarantineOrders };
   await registration.restore();
@@ -126,6 +130,7 @@
 function startRegistration(
   { environment, identity, configuration, logger, telemetry }: ControllerCoreOptions,
   state: ReplicatedParts,
+  traffic: ZoneTraffic,
 ): RegistrationPart {
   const { automaticMembership, listen, zone } = configuration;
   return new RegistrationPart({
@@ -133,6 +138,7 @@
     identity,
     logger,
     registry: telemetry.registry,
+    traffic,
     ...state,
     zone,
     ownAddress: formatAddress(listen.messages),
@@ -142,7 +148,19 @@
   });
 }
 
-function startLog(options: ControllerCoreOptions, stateMachine: StateMachine): Promise<RaftNode> {
+/** Members of the log do not know each other's zones. */
+function metered(connection: MessageConnection, traffic: ZoneTraffic): MessageConnection {
+  return new MeteredConnection(connection, {
+    kindOf: () => 'consensus',
+    note: (note) => traffic.note('', note),
+  });
+}
+
+function startLog(
+  options: ControllerCoreOptions,
+  stateMachine: StateMachine,
+  traffic: ZoneTraffic,
+): Promise<RaftNode> {
   const { environment, configuration, identity, member, telemetry, raftFaults } = options;
   const { listen, automaticMembership, consensus } = configuration;
   return RaftNode.start(
@@ -158,12 +176,10 @@
         electionTimeoutMaximum: 2 * consensus.electionTimeoutMs,
         firstElectionPart: consensus.firstElectionPart,
       },
-      dial: (peer) =>
-        dial(environment, identity, {
-          ...peer,
-          role: 'consensus',
-          connectTimeout: CONNECT_TIMEOUT_MS,
-        }),
+      dial: async (peer) => {
+        const target = { ...peer, role: 'consensus', connectTimeout: CONNECT_TIMEOUT_MS } as const;
+        return metered(await dial(environment, identity, target), traffic);
+      },
       faults: raftFaults,
     },
     telemetry,
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -22,6 +22,8 @@
 import type { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
 import { EntrySource, UnusableEntries, UnusableReason } from '../observability/unusable-entries.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
+import { logZoneTraffic } from '../observability/zone-traffic-log.js';
 import type { LocalIdentity, RemoteIdentity } from '../protocol/handshake.js';
 import { EvidenceIntake } from '../quarantine/evidence-intake.js';
 import type { QuarantineOrders } from '../quarantine/quarantine-orders.js';
@@ -60,6 +62,7 @@
   readonly identity: LocalIdentity;
   readonly logger: Logger;
   readonly registry: Registry;
+  readonly traffic: ZoneTraffic;
   readonly log: RaftNode;
   readonly register: RouteDocumentRegister;
   readonly evacuations: EvacuationRegister;
@@ -88,7 +91,7 @@
 
   constructor(private readonly options: RegistrationPartOptions) {
     const { environment, identity, logger, log, register, zone, ownAddress } = options;
-    const { evacuations, evacuationOrders, quarantine, quarantineOrders } = options;
+    const { evacuations, evacuationOrders, quarantine, quarantineOrders, traffic } = options;
     const { clock } = environment;
     this.directory = new ReplicaDirectory(clock, DirectoryKind.HearsHeartbeats);
     this.unusable = new UnusableEntries({ clock, logger, registry: options.registry });
@@ -122,6 +125,7 @@
       directory: this.directory,
       unusable: this.unusable,
       logger,
+      traffic,
       ownAddress,
       relay: () => this.relay(),
     });
@@ -151,6 +155,7 @@
     observe(quarantine.changes, () => server.notify());
     observe(directory.changes, () => server.notify());
     void this.keepUp();
+    void logZoneTraffic({ clock, logger, traffic, stopped: this.stopped.signal });
     if (options.seeds !== undefined) this.startMembership(options.seeds);
   }
 
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -14,6 +14,7 @@
   UnusableReason,
   type UnusableEntries,
 } from '../observability/unusable-entries.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
 import { chooseControllers, FollowState, type KnownController } from './controller-choice.js';
@@ -55,6 +56,7 @@
   readonly directory: ReplicaDirectory;
   readonly unusable: UnusableEntries;
   readonly logger: Logger;
+  readonly traffic: ZoneTraffic;
   /** This process's own address for internal messages, which it does not follow. */
   readonly ownAddress?: string;
   /** See `DirectoryLinkParts.relay`. */
@@ -76,6 +78,8 @@
   private readonly emitQuarantine: (entry: QuarantineEntry) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: ReceivedDocument) => void;
+  /** Zones of controllers by their address, as they were last named. */
+  private readonly zones = new Map<string, string>();
   private readonly links = new Map<string, DirectoryLink>();
   private seeds: readonly string[] = [];
   /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
@@ -90,18 +94,24 @@
     [this.emitDocument, this.documents] = createAdapter<ReceivedDocument>();
     [this.emitEvacuation, this.evacuations] = createAdapter<ZoneEvacuation>();
     [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
-    const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
+    const { environment, identity, subscriberKind, zone, traffic } = options;
+    const { gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
       environment,
       identity,
       subscriberKind,
       zone,
+      traffic,
+      zoneOf: (address) => this.zones.get(address) ?? '',
       gatherAddress,
       relay,
       take: (message, link) => this.take(message, link),
       onGateways: () => this.joinGateways(),
-      onControllers: () => this.adjustLinks(),
+      onControllers: (link) => {
+        this.noteZones(link.controllers);
+        this.adjustLinks();
+      },
       documentVersion: () => this.documentVersion,
       onUnreadable: ({ address: controller }) => this.noteUnreadable(controller),
       onState: (link, isOpen) => this.logState(link, isOpen),
@@ -221,6 +231,12 @@
     this.joinedGateways = [...joined.values()];
   }
 
+  private noteZones(controllers: readonly KnownController[]): void {
+    for (const { address, zone } of controllers) {
+      if (zone !== '') this.zones.set(address, zone);
+    }
+  }
+
   private adjustLinks(): void {
     if (this.stopped.signal.aborted) return;
     const wanted = new Set(this.wantedAddresses());
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -1,8 +1,10 @@
 /** The subscriber's end of the directory stream to one controller; reconnects until stopped. */
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import { dial } from '../protocol/dial.js';
+import { MeteredConnection } from '../protocol/metered-connection.js';
 import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
@@ -36,6 +38,9 @@
   readonly identity: LocalIdentity;
   readonly subscriberKind: SubscriberKind;
   readonly zone: string;
+  readonly traffic: ZoneTraffic;
+  /** Zone of the controller at an address; empty while it is not known. */
+  readonly zoneOf: (address: string) => string;
   /** See `SubscribeMessage.gatherAddress`. */
   readonly gatherAddress: string;
   readonly take: (message: LinkNews, link: DirectoryLink) => void;
@@ -133,7 +138,7 @@
       const address = parseAddress(this.address);
       const connectTimeout = afterFailures(FIRST_DIAL_TIMEOUT_MS, DIAL_TIMEOUT_MS, this.failures);
       const target = { address, role: 'directory', connectTimeout } as const;
-      const connection = await dial(environment, identity, target);
+      const connection = this.metered(await dial(environment, identity, target));
       this.connection = connection;
       if (this.stopped.signal.aborted) return;
       this.gateways.clear();
@@ -153,6 +158,14 @@
     }
   }
 
+  private metered(connection: MessageConnection): MessageConnection {
+    const { traffic, zoneOf } = this.parts;
+    return new MeteredConnection(connection, {
+      kindOf: (frame) => `directory_${DIRECTORY_CODEC.kindOf(frame)}`,
+      note: (note) => traffic.note(zoneOf(this.address), note),
+    });
+  }
+
   private subscription(): Uint8Array {
     const { subscriberKind, zone, gatherAddress } = this.parts;
     return DIRECTORY_CODEC.encode({ kind: 'subscribe', subscriberKind, zone, gatherAddress });
--- a/src/gateway/create-directory-client.ts
+++ b/src/gateway/create-directory-client.ts
@@ -5,6 +5,7 @@
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
 import type { UnusableEntries } from '../observability/unusable-entries.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { formatAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
@@ -20,6 +21,7 @@
   readonly directory: ReplicaDirectory;
   readonly unusable: UnusableEntries;
   readonly logger: Logger;
+  readonly traffic: ZoneTraffic;
 }
 
 export function createDirectoryClient(options: GatewayDirectoryOptions): DirectoryClient {
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -3,6 +3,7 @@
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import { DecisionLog } from '../observability/decision-log.js';
 import type { Telemetry } from '../observability/telemetry.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { Environment } from '../seams/environment.js';
 import { CrashGuard } from '../quarantine/crash-guard.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
@@ -29,6 +30,7 @@
   readonly environment: Environment;
   readonly headers: ExchangeHeaders;
   readonly telemetry: Telemetry;
+  readonly traffic: ZoneTraffic;
   readonly directory: ReplicaDirectory;
   readonly mechanisms: GatewayMechanisms;
   readonly placement: PlacementOptions;
@@ -44,7 +46,7 @@
 
 export function createGatewayContext(options: GatewayContextOptions): GatewayContext {
   const { environment, headers, telemetry, directory, mechanisms, placement } = options;
-  const { regions, secondSends, countGateways, lease, quota } = options;
+  const { regions, secondSends, countGateways, lease, quota, traffic } = options;
   const { clock, random } = environment;
   const decisionLog = new DecisionLog(clock, telemetry.logger);
   const decisions = new RequestDecisions(clock, decisionLog);
@@ -69,7 +71,7 @@
     targets: new ServiceTargets(environment, directory),
     regions,
     choice: new ReplicaChoice(clock, random, placement, mechanisms),
-    sender: new AttemptSender(clock, headers, noteUnreadable),
+    sender: new AttemptSender(clock, headers, noteUnreadable, traffic),
     latencies: new RouteLatencies(),
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
     shedding: new OverloadShedding(random),
@@ -79,5 +81,6 @@
     quota,
     decisions,
     metrics,
+    traffic,
   };
 }
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,5 +1,6 @@
 /** What the parts of the gateway share. */
 import type { GatewayMechanisms } from '../configuration/gateway-mechanisms.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { Environment } from '../seams/environment.js';
 import type { AnswerMargin } from './answer-margin.js';
 import type { RequestDecisions } from './request-decisions.js';
@@ -33,4 +34,5 @@
   readonly quota: TenantQuota;
   readonly decisions: RequestDecisions;
   readonly metrics: GatewayMetrics;
+  readonly traffic: ZoneTraffic;
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -9,6 +9,8 @@
 import { DirectoryKind, ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
 import { UnusableEntries } from '../observability/unusable-entries.js';
+import { ZoneTraffic } from '../observability/zone-traffic.js';
+import { logZoneTraffic } from '../observability/zone-traffic-log.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { readRouteDocument } from '../routes/read-route-document.js';
@@ -48,6 +50,7 @@
   private readonly logger: Logger;
   private readonly directory: ReplicaDirectory;
   private readonly client: DirectoryClient;
+  private readonly traffic: ZoneTraffic;
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
   private readonly aggregation: Aggregation;
@@ -65,7 +68,8 @@
     const { name } = configuration;
     this.logger = telemetry.logger.child({ gateway: name });
     this.directory = new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges);
-    const { directory, logger, identity } = this;
+    this.traffic = new ZoneTraffic(configuration.zone, telemetry.registry);
+    const { directory, logger, identity, traffic } = this;
     this.client = createDirectoryClient({
       environment,
       configuration,
@@ -77,6 +81,7 @@
         registry: telemetry.registry,
       }),
       logger,
+      traffic,
     });
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
@@ -162,6 +167,7 @@
     return new Aggregation({
       context: this.context,
       identity: this.identity,
+      zone: this.configuration.zone,
       settings: this.configuration.aggregation,
       secondSends: this.configuration.secondSends,
       telemetry: { ...this.telemetry, logger: this.logger },
@@ -178,6 +184,7 @@
       environment: this.environment,
       headers,
       telemetry: { ...this.telemetry, logger: this.logger },
+      traffic: this.traffic,
       directory: this.directory,
       mechanisms,
       placement: { zone, ...placement },
@@ -205,6 +212,12 @@
       health.handle(request),
     );
     void this.forgetSilent();
+    void logZoneTraffic({
+      clock: this.environment.clock,
+      logger: this.logger,
+      traffic: this.traffic,
+      stopped: this.ended.signal,
+    });
     if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
@@ -253,7 +266,7 @@
     return keepConnectionsWarm({
       clock,
       random,
-      targets: () => this.context.targets.all(),
+      targets: () => this.aggregation.firstAsked(),
       isWorthIt: (service) => this.isAskedOften(service),
       warmupHeader: this.context.headers.warmup,
       healthPath: (service) => this.endpoint.table?.service(service)?.healthPath ?? '/health',
--- a/src/gateway/send-attempt.ts
+++ b/src/gateway/send-attempt.ts
@@ -1,10 +1,12 @@
 /** Sends a request to one replica once, and takes nothing for its answer that may be another's. */
 import { HttpClientError } from '../errors/http-client-error.js';
+import { TrafficDirection, type ZoneTraffic } from '../observability/zone-traffic.js';
 import type { Clock } from '../seams/clock.js';
-import type { HttpClientResponse, HttpHeaders } from '../seams/http.js';
+import type { HttpClientRequest, HttpClientResponse, HttpHeaders } from '../seams/http.js';
 import { NotRunReason, type AttemptResult, type ReplicaAnswer } from './attempt-result.js';
 import type { CallerRequest } from './caller-request.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
+import { sizeOfRequest, sizeOfResponse } from './exchange-size.js';
 import { endToEndHeaders } from './forwarded-headers.js';
 import type { ReplicaTarget } from './replica-target.js';
 import { readReportedLoad } from './reported-load.js';
@@ -29,6 +31,7 @@
     private readonly names: ExchangeHeaders,
     /** Told of each load report that cannot be read. */
     private readonly onUnreadableReport: (report: UnreadableReport) => void,
+    private readonly traffic: ZoneTraffic,
   ) {}
 
   /** Never rejects: every failure is a result. */
@@ -40,7 +43,7 @@
     const left = Math.floor(request.deadline - this.clock.now());
     if (left < 1) return { kind: 'notRun', reason: NotRunReason.Unreachable };
     try {
-      const response = await target.client.request({
+      const response = await this.exchange(target, {
         method: request.method,
         path: request.target,
         headers: this.headersFor(request, target, left),
@@ -55,6 +58,22 @@
     }
   }
 
+  private async exchange(
+    target: ReplicaTarget,
+    request: HttpClientRequest,
+  ): Promise<HttpClientResponse> {
+    const { zone } = target.entry;
+    const bytes = sizeOfRequest(request);
+    this.traffic.note(zone, { kind: 'replica_request', direction: TrafficDirection.Sent, bytes });
+    const response = await target.client.request(request);
+    this.traffic.note(zone, {
+      kind: 'replica_response',
+      direction: TrafficDirection.Received,
+      bytes: sizeOfResponse(response),
+    });
+    return response;
+  }
+
   private takeLoad(target: ReplicaTarget, text: string | undefined): void {
     if (text === undefined) return;
     const load = readReportedLoad(text, this.clock.now());
--- a/src/protocol/message-codec.ts
+++ b/src/protocol/message-codec.ts
@@ -110,6 +110,11 @@
     return message;
   }
 
+  /** Kind of the first message of a frame, `unknown` when it is none. */
+  kindOf(frame: Uint8Array): string {
+    return this.byTag.get(frame[0] ?? -1)?.kind ?? 'unknown';
+  }
+
   private decodeRecord(
     schema: CompiledSchema,
     buffer: Buffer,
--- a/test/aggregation/leaf-assignment.test.ts
+++ b/test/aggregation/leaf-assignment.test.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest';
-import { GROUP_OWNERS, LeafAssignment } from '../../src/aggregation/leaf-assignment.js';
+import {
+  GROUP_OWNERS,
+  LeafAssignment,
+  NEAR_GROUP_OWNERS,
+} from '../../src/aggregation/leaf-assignment.js';
+import type { RootPlace } from '../../src/aggregation/group-home.js';
 import type { LeafGateway } from '../../src/directory/leaf-gateway.js';
 import type { ServiceTargets } from '../../src/gateway/service-targets.js';
 
@@ -75,3 +80,68 @@
     expect(createAssignment([]).groupsOf(SHARDS)).toEqual([]);
   });
 });
+
+/** Replicas of each shard in all zones. */
+function everywhere(): string[] {
+  return ZONES;
+}
+
+function createNear(
+  nearTo: RootPlace,
+  leaves: readonly LeafGateway[] = LEAVES,
+  holders: (shard: string) => string[] = everywhere,
+): LeafAssignment {
+  const of = (shard: string): unknown => holders(shard).map((zone) => ({ entry: { zone } }));
+  const targets = { of, size: 2 * SHARDS.length } as unknown as ServiceTargets;
+  const parts = { now: () => 0, targets, leaves: () => leaves, shardsPerGroup: 8 };
+  return new LeafAssignment({ ...parts, nearTo });
+}
+
+describe('the division of shards among leaves of the own zone', () => {
+  it.each(ZONES)('asks leaves of zone %s for callers of that zone', (zone) => {
+    const groups = createNear({ name: 'root', zone }).groupsOf(SHARDS);
+    expect(groups.flatMap(({ shards }) => shards).sort()).toEqual([...SHARDS].sort());
+    for (const { leaves, owners } of groups) {
+      expect(owners).toBe(NEAR_GROUP_OWNERS);
+      for (const leaf of leaves.slice(0, owners)) expect(leaf.zone).toBe(zone);
+    }
+  });
+
+  it('is the same at all gateways of a zone', () => {
+    const [one, other] = ['root-1', 'root-2'].map((name) => createNear({ name, zone: 'a' }));
+    expect(one?.groupsOf(SHARDS)).toEqual(other?.groupsOf(SHARDS));
+  });
+
+  it('gives a zone without replicas the groups and leaves of one that holds them', () => {
+    const leaves = [...LEAVES, { name: 'd-0', zone: 'd', address: '10.0.1.0:1' }];
+    const far = createNear({ name: 'root', zone: 'd' }, leaves).groupsOf(SHARDS);
+    const homes = new Set(far.map(({ leaves: [first] }) => first?.zone ?? ''));
+    expect(homes.size).toBe(1);
+    const [home = ''] = homes;
+    expect(far).toEqual(createNear({ name: 'other', zone: home }, leaves).groupsOf(SHARDS));
+  });
+
+  it('keeps every group when the zone loses its replica of one shard', () => {
+    const holders = (shard: string): string[] => (shard === 'shard-7' ? ['b', 'c'] : ZONES);
+    const place = { name: 'root', zone: 'a' };
+    const before = createNear(place).groupsOf(SHARDS);
+    expect(createNear(place, LEAVES, holders).groupsOf(SHARDS)).toEqual(before);
+  });
+
+  it('moves one group alone when the zone loses its replicas of that group', () => {
+    const place = { name: 'root', zone: 'a' };
+    const before = createNear(place).groupsOf(SHARDS);
+    const lost = new Set(before[2]?.shards);
+    const holders = (shard: string): string[] => (lost.has(shard) ? ['b', 'c'] : ZONES);
+    const after = createNear(place, LEAVES, holders).groupsOf(SHARDS);
+    const moved = after.filter((group, index) => group.leaves[0] !== before[index]?.leaves[0]);
+    expect(moved.map(({ shards }) => shards)).toEqual([before[2]?.shards]);
+    expect(moved[0]?.leaves[0]?.zone).not.toBe('a');
+  });
+
+  it('uses another zone where the own one has no leaves', () => {
+    const leaves = LEAVES.filter(({ zone }) => zone !== 'a');
+    const groups = createNear({ name: 'root', zone: 'a' }, leaves).groupsOf(SHARDS);
+    expect(groups.flatMap(({ shards }) => shards)).toHaveLength(SHARDS.length);
+  });
+});
--- a/test/directory/unreadable-frames.test.ts
+++ b/test/directory/unreadable-frames.test.ts
@@ -6,6 +6,7 @@
 import { DirectoryKind, ReplicaDirectory } from '../../src/directory/replica-directory.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
 import { UnusableEntries } from '../../src/observability/unusable-entries.js';
+import { ZoneTraffic } from '../../src/observability/zone-traffic.js';
 import { AuthenticatedListener } from '../../src/protocol/authenticated-listener.js';
 import { dial } from '../../src/protocol/dial.js';
 import { AutomaticGroup, CLUSTER, MESSAGE_PORT } from '../control/automatic-group.js';
@@ -42,6 +43,7 @@
     zone: 'a',
     directory: new ReplicaDirectory(environment.clock, DirectoryKind.HearsChanges),
     unusable: new UnusableEntries({ clock: environment.clock, ...telemetry }),
+    traffic: new ZoneTraffic('a', registry),
     ...telemetry,
   });
   client.useSeeds([`${address.host}:${address.port}`]);
