--- a/src/aggregation/aggregation-messages.ts
+++ b/src/aggregation/aggregation-messages.ts
@@ -47,6 +47,15 @@
   readonly isRepeat: boolean;
 }
 
+/**
+ * Root to relay: have these shards asked by the leaves of the relay's zone, and report their parts
+ * merged. All else is as with a gather: what a leaf may do without a grant, a relay and its
+ * leaves together may.
+ */
+export interface RelayMessage extends Omit<GatherMessage, 'kind'> {
+  readonly kind: 'relay';
+}
+
 /** Root to leaf: the result is not wanted any more. */
 export interface CancelMessage {
   readonly kind: 'cancel';
@@ -103,6 +112,7 @@
 export type AggregationMessage =
   | RequestMessage
   | GatherMessage
+  | RelayMessage
   | CancelMessage
   | GrantMessage
   | PartsMessage
@@ -113,19 +123,19 @@
   return { name, type };
 }
 
+const GATHER_FIELDS: readonly MessageField[] = [
+  field('gatherId', 'long'),
+  field('shards', 'string'),
+  field('maximumAttempts', 'long'),
+  field('elapsedMs', 'double'),
+  field('leftMs', 'double'),
+  field('reportInMs', 'double'),
+  field('isRepeat', 'boolean'),
+];
+
 export const AGGREGATION_CODEC = new MessageCodec<AggregationMessage>({
-  gather: {
-    tag: 60,
-    fields: [
-      field('gatherId', 'long'),
-      field('shards', 'string'),
-      field('maximumAttempts', 'long'),
-      field('elapsedMs', 'double'),
-      field('leftMs', 'double'),
-      field('reportInMs', 'double'),
-      field('isRepeat', 'boolean'),
-    ],
-  },
+  gather: { tag: 60, fields: GATHER_FIELDS },
+  relay: { tag: 67, fields: GATHER_FIELDS },
   request: {
     tag: 66,
     fields: [
--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -15,8 +15,8 @@
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Address } from '../seams/address.js';
-import { GROUP_OWNERS, LeafAssignment, NEAR_GROUP_OWNERS } from './leaf-assignment.js';
-import type { LeafGroup } from './leaf-assignment.js';
+import { LeafAssignment } from './leaf-assignment.js';
+import { GROUP_OWNERS, NEAR_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 import { LeafLatencies } from './leaf-latencies.js';
 import { LeafPool } from './leaf-pool.js';
 import { LeafServer } from './leaf-server.js';
@@ -69,7 +69,12 @@
       shardsPerGroup: settings.shardsPerGroup,
       nearTo: settings.nearGroups ? { name: identity.name, zone } : undefined,
     });
-    this.server = new LeafServer({ context: leafContext, logger: telemetry.logger, table });
+    this.server = new LeafServer({
+      context: leafContext,
+      logger,
+      table,
+      relay: (request, relayed, listener) => this.planner.relay(request, relayed, listener),
+    });
     this.planner = new SourcePlanner({
       rootContext: context,
       leafContext,
@@ -154,7 +159,7 @@
 
   private isOwner(shards: readonly string[], service: string): boolean {
     if (!this.planner.isDivided(shards)) return true;
-    return this.ownedShards(this.assignment.groupsOf(shards)).has(service);
+    return this.ownedShards(this.assignment.directGroupsOf(shards)).has(service);
   }
 
   /** Shards of the groups that this gateway owns. Asked for with each replica, so it is kept. */
--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -12,7 +12,7 @@
 import { targetLatencyOf } from '../gateway/route-latencies.js';
 import { ShardGather } from '../gateway/shard-gather.js';
 import type { PartsMessage } from './aggregation-messages.js';
-import type { LeafGroup } from './leaf-assignment.js';
+import type { LeafGroup } from './leaf-group.js';
 import type { LeafLatencies } from './leaf-latencies.js';
 import type { GatherCall, GatherHandle, LeafLink } from './leaf-link.js';
 import type { LeafPool } from './leaf-pool.js';
@@ -21,6 +21,8 @@
 const MAXIMUM_LEAVES_ASKED = 3;
 /** Time for a leaf's report to arrive and be merged before the root answers. Milliseconds. */
 const REPORT_MARGIN_MS = 6;
+/** The same for a relay, whose reports come from another zone. Milliseconds. */
+const RELAY_REPORT_MARGIN_MS = 10;
 
 /** What all gathers of a root share. */
 export interface GroupGatherParts {
@@ -40,6 +42,15 @@
   readonly totalShards: number;
   /** An encoded `RequestMessage`. */
   readonly encodedRequest: Uint8Array;
+  /** At a relay: the root may have given the shards to another one before. */
+  readonly isRepeat?: boolean;
+  /** At a relay: when it reports to the root. Clock reading. */
+  readonly reportAt?: number;
+  /**
+   * At a relay: asked before any shard may be asked a second time; once it has said no,
+   * {@link GroupGather.takeGrant} follows if that changes.
+   */
+  readonly maySendAgain?: () => boolean;
 }
 
 /** One leaf that was asked. */
@@ -48,6 +59,7 @@
   readonly sentAt: number;
   handle: GatherHandle | undefined;
   hasReported: boolean;
+  wantsGrant: boolean;
   /** It may ask second replicas. */
   isGranted: boolean;
   /** Its attempts have been counted: another leaf was asked as well. */
@@ -69,6 +81,10 @@
   /** Replicas of each missing shard that may still be asked, over all leaves together. */
   private attemptsLeft: number;
   private isDone = false;
+  /** What waits for the root's grant; see `GroupGatherOptions.maySendAgain`. */
+  private isHedgeDue = false;
+  private isReplacementDue = false;
+  private isNextLeafDue = false;
 
   constructor(
     private readonly parts: GroupGatherParts,
@@ -141,6 +157,21 @@
     this.listener.onFailed(shards);
   }
 
+  /** At a relay: the root has granted second sendings. */
+  takeGrant(): void {
+    if (this.isDone) return;
+    for (const attempt of this.active) {
+      if (attempt.wantsGrant) this.grantTo(attempt);
+    }
+    if (this.isHedgeDue) this.local?.hedge();
+    if (this.isReplacementDue) this.loseIfSilent();
+    if (this.isNextLeafDue) this.askNext();
+  }
+
+  private get maySendAgain(): boolean {
+    return this.options.maySendAgain?.() !== false;
+  }
+
   /** Asks the next leaf for what is missing. */
   private askNext(): void {
     if (this.attemptsLeft < 1) {
@@ -160,10 +191,22 @@
     const shards = [...this.missing];
     const route = { ...this.request.route, maximumAttempts: attemptsLeft };
     const request = { ...this.request, route };
-    this.local = new ShardGather(context, request, { shards, totalShards, isRepeat }, this);
+    const maySendAgain = (): boolean => this.mayHedge();
+    const options = { shards, totalShards, isRepeat: isRepeat || this.isRepeat, maySendAgain };
+    this.local = new ShardGather(context, request, options, this);
     this.local.start();
   }
 
+  private mayHedge(): boolean {
+    const { maySendAgain } = this;
+    this.isHedgeDue ||= !maySendAgain;
+    return maySendAgain;
+  }
+
+  private get isRepeat(): boolean {
+    return this.options.isRepeat === true;
+  }
+
   private askLeaf(link: LeafLink): boolean {
     const { name } = link.leaf;
     const sentAt = this.now();
@@ -172,6 +215,7 @@
       sentAt,
       handle: undefined,
       hasReported: false,
+      wantsGrant: false,
       isGranted: false,
       isGivenUp: false,
       sends: 0,
@@ -194,15 +238,19 @@
     const { route, receivedAt, deadline } = this.request;
     const { answerMargin } = this.parts.rootContext;
     const cutOffAt = receivedAt + answerMargin.cutOffDelay(targetLatencyOf(route));
+    const reportBy = this.options.reportAt ?? cutOffAt;
+    const { isRelayed } = this.group;
+    const margin = isRelayed ? RELAY_REPORT_MARGIN_MS : REPORT_MARGIN_MS;
     return {
+      kind: isRelayed ? 'relay' : 'gather',
       request: this.options.encodedRequest,
       shards: [...this.missing],
       topRecords: route.topRecords ?? 0,
       maximumAttempts: this.attemptsLeft,
       elapsedMs: now - receivedAt,
       leftMs: Math.max(1, deadline - now),
-      reportInMs: Math.max(0, cutOffAt - now - REPORT_MARGIN_MS),
-      isRepeat: this.mayRun,
+      reportInMs: Math.max(0, reportBy - now - margin),
+      isRepeat: this.isRepeat || this.mayRun,
     };
   }
 
@@ -221,7 +269,9 @@
   }
 
   private grantTo(attempt: LeafAttempt): void {
-    if (this.isDone || attempt.isGivenUp || this.attemptsLeft < 2) return;
+    attempt.wantsGrant = true;
+    if (!this.maySendAgain) return;
+    if (attempt.isGranted || this.isDone || attempt.isGivenUp || this.attemptsLeft < 2) return;
     attempt.isGranted = true;
     attempt.handle?.grant();
   }
@@ -245,6 +295,7 @@
     this.mayHaveRun = true;
     this.parts.pool.avoid(link.leaf);
     if (!attempt.isGivenUp) this.spendAttempts(attempt);
+    this.isNextLeafDue = this.attemptsLeft > 0 && !this.maySendAgain;
     this.endAttempt(attempt, 'lost');
   }
 
@@ -258,7 +309,7 @@
     attempt.endedAt = this.now();
     attempt.result = result;
     if (this.isDone || this.missing.size === 0 || this.active.size > 0) return;
-    this.askNext();
+    if (!this.isNextLeafDue) this.askNext();
   }
 
   /** A leaf that has not reported in its usual time may be frozen or cut off: another is asked as well. */
@@ -266,6 +317,8 @@
     const { pool, rootContext } = this.parts;
     const [silent] = [...this.active].filter(({ hasReported }) => !hasReported);
     if (this.isDone || silent === undefined || this.attemptsLeft < 2) return;
+    this.isReplacementDue = !this.maySendAgain;
+    if (this.isReplacementDue) return;
     const leaf = this.group.leaves.find(({ name }) => name === silent.leaf);
     if (leaf !== undefined) pool.avoid(leaf);
     rootContext.metrics.gathersRepeated.inc();
--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -6,7 +6,9 @@
  */
 import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { ServiceTargets } from '../gateway/service-targets.js';
+import { joinFarGroups } from './far-groups.js';
 import { homeOfGroup, preferZones, type RootPlace } from './group-home.js';
+import { GROUP_OWNERS, NEAR_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 
 /**
  * Computed again when the leaves have changed, when the number of replicas has, at
@@ -14,32 +16,20 @@
  */
 const SHORTEST_REFRESH_MS = 1_000;
 const LONGEST_REFRESH_MS = 10_000;
-/**
- * First leaves of a group, which share its gathers; the others stand by. More of
- * them wait less for each other, and each sees less of what it could learn from.
- */
-export const GROUP_OWNERS = 3;
-/**
- * The same where each zone asks its own replicas: every zone has owners of every group then, and
- * with as many of them a replica would be connected to by several times as many gateways.
- */
-export const NEAR_GROUP_OWNERS = 2;
-
-/** Shards that are asked by one leaf. */
-export interface LeafGroup {
-  readonly shards: readonly string[];
-  /** First of the leaves, which share the group's gathers. */
-  readonly owners: number;
-  /** Leaves that may ask them, the best first: those of the zone of the replicas, then others. */
-  readonly leaves: readonly LeafGateway[];
-}
-
 interface CachedGroups {
   readonly computedAt: number;
   /** Replicas that were known. */
   readonly replicas: number;
   readonly leaves: readonly LeafGateway[];
-  readonly groups: readonly LeafGroup[];
+  readonly division: Division;
+}
+
+/** Both ways in which the shards of a list are given out. */
+interface Division {
+  /** Each group to the leaves that ask its shards. */
+  readonly direct: readonly LeafGroup[];
+  /** The same with groups joined that a relay is given. */
+  readonly joined: readonly LeafGroup[];
 }
 
 /** What the assignment goes by. */
@@ -74,16 +64,28 @@
 
   constructor(private readonly sources: LeafAssignmentSources) {}
 
-  /** Groups of the shards; none while no leaf is known. `shards` is a list of a route document. */
+  /**
+   * Groups of the shards as a root gives them out; none while no leaf is known. `shards` is a
+   * list of a route document.
+   */
   groupsOf(shards: readonly string[]): readonly LeafGroup[] {
+    return this.divisionOf(shards).joined;
+  }
+
+  /** The same, each group to the leaves that ask its shards. */
+  directGroupsOf(shards: readonly string[]): readonly LeafGroup[] {
+    return this.divisionOf(shards).direct;
+  }
+
+  private divisionOf(shards: readonly string[]): Division {
     const now = this.sources.now();
     const leaves = this.sources.leaves();
     const known = this.cache.get(shards);
-    if (known !== undefined && this.isCurrent(known, now, leaves)) return known.groups;
-    const groups = leaves.length === 0 ? [] : this.divide(shards, leaves);
+    if (known !== undefined && this.isCurrent(known, now, leaves)) return known.division;
+    const division = this.divide(shards, leaves);
     const replicas = this.sources.targets.size;
-    this.cache.set(shards, { computedAt: now, replicas, leaves, groups });
-    return groups;
+    this.cache.set(shards, { computedAt: now, replicas, leaves, division });
+    return division;
   }
 
   private isCurrent(known: CachedGroups, now: number, leaves: readonly LeafGateway[]): boolean {
@@ -92,10 +94,24 @@
     return now - known.computedAt < (isSame ? LONGEST_REFRESH_MS : SHORTEST_REFRESH_MS);
   }
 
-  private divide(shards: readonly string[], leaves: readonly LeafGateway[]): LeafGroup[] {
+  private divide(shards: readonly string[], leaves: readonly LeafGateway[]): Division {
+    if (leaves.length === 0) return { direct: [], joined: [] };
     const zones = [...new Set(leaves.map(({ zone }) => zone))];
     const { nearTo } = this.sources;
-    if (nearTo !== undefined) return this.divideNear(shards, leaves, preferZones(nearTo, zones));
+    if (nearTo === undefined) {
+      const groups = this.divideAnywhere(shards, leaves, zones);
+      return { direct: groups, joined: groups };
+    }
+    const preferred = preferZones(nearTo, zones);
+    const direct = this.divideNear(shards, leaves, preferred);
+    return { direct, joined: joinFarGroups(direct, { root: nearTo, preferred, leaves }) };
+  }
+
+  private divideAnywhere(
+    shards: readonly string[],
+    leaves: readonly LeafGateway[],
+    zones: readonly string[],
+  ): LeafGroup[] {
     const byZone = new Map<string, string[]>();
     for (const shard of shards) {
       const zone = this.homeOf(shard, zones);
@@ -142,7 +158,7 @@
       near.sort((left, right) => groupsOf(left) - groupsOf(right));
       for (const leaf of near.slice(0, owners)) owned.set(leaf.name, groupsOf(leaf) + 1);
       const far = ranked.filter((leaf) => leaf.zone !== zone);
-      return { shards: part, owners, leaves: [...near, ...far] };
+      return { zone, shards: part, isRelayed: false, owners, leaves: [...near, ...far] };
     });
   }
 
--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -13,6 +13,7 @@
 import { targetLatencyOf } from '../gateway/route-latencies.js';
 import { TIME_UP, UNOFFERED_PART } from '../gateway/forward-single.js';
 import type { PartsMessage } from './aggregation-messages.js';
+import type { LeafSource } from './leaf-source.js';
 
 /** The grant is asked for at this part of the hedge delay, to be there when it is needed. */
 const GRANT_PART = 0.7;
@@ -30,6 +31,8 @@
   readonly root: string;
   /** Version of the route document that it works by. */
   readonly rootRouteVersion: number;
+  /** At a relay: makes what has the shards asked by leaves; absent: they are asked from here. */
+  readonly relay?: ((listener: PartListener, maySendAgain: () => boolean) => LeafSource) | undefined;
   readonly report: (message: PartsMessage) => void;
   readonly onEnd: () => void;
   /** Gathers in progress at this leaf, for the root's choice. */
@@ -45,7 +48,7 @@
 
 /** See the module comment. */
 export class LeafGather implements PartListener {
-  private readonly gather: ShardGather;
+  private readonly gather: LeafSource;
   private readonly positions: ReadonlyMap<string, number>;
   private readonly timers: Timer[] = [];
   private unreported: GatheredParts[] = [];
@@ -64,10 +67,11 @@
   ) {
     const { request, shards } = options;
     this.positions = new Map(shards.map((shard, index) => [shard, index]));
-    const { totalShards, isRepeat } = options;
+    const { totalShards, isRepeat, relay } = options;
     const maySendAgain = (): boolean => this.maySendAgain();
     const gatherOptions = { shards, totalShards, isRepeat, maySendAgain };
-    this.gather = new ShardGather(context, request, gatherOptions, this);
+    this.gather =
+      relay?.(this, maySendAgain) ?? new ShardGather(context, request, gatherOptions, this);
   }
 
   start(): void {
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -48,6 +48,8 @@
 
 /** What a leaf is asked to do. */
 export interface GatherCall extends Omit<GatherMessage, 'kind' | 'gatherId' | 'shards'> {
+  /** Whether the leaf itself asks the shards, or has others of its zone ask them. */
+  readonly kind: 'gather' | 'relay';
   /** An encoded `RequestMessage`. */
   readonly request: Uint8Array;
   readonly shards: readonly string[];
@@ -131,7 +133,7 @@
     const startedAt = this.parts.environment.clock.now();
     this.gathers.set(gatherId, { shards, topRecords, startedAt, listener });
     const text = JSON.stringify(shards);
-    const gather = AGGREGATION_CODEC.encode({ kind: 'gather', gatherId, shards: text, ...terms });
+    const gather = AGGREGATION_CODEC.encode({ gatherId, shards: text, ...terms });
     this.sendFrame(connection, Buffer.concat([request, gather]));
     return {
       grant: () => this.send(connection, { kind: 'grant', gatherId }),
--- a/src/aggregation/leaf-pool.ts
+++ b/src/aggregation/leaf-pool.ts
@@ -1,7 +1,7 @@
 /** All connections of a root to leaves, and the choice among them. */
 import type { LeafGateway } from '../directory/leaf-gateway.js';
 import type { RandomSource } from '../seams/random-source.js';
-import type { LeafGroup } from './leaf-assignment.js';
+import type { LeafGroup } from './leaf-group.js';
 import { LeafLink, type LeafLinkParts } from './leaf-link.js';
 
 /** Leaves of a group to which connections are kept open besides its owners: one that stands by. */
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -1,6 +1,7 @@
 /** The leaf's end of connections from roots: runs their gathers, one task for each connection. */
 import type { CallerRequest } from '../gateway/caller-request.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
+import type { PartListener } from '../gateway/part-source.js';
 import type { Logger } from '../observability/logger.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
@@ -12,10 +13,13 @@
   AGGREGATION_CODEC,
   type AggregationMessage,
   type GatherMessage,
+  type RelayMessage,
   type RequestMessage,
 } from './aggregation-messages.js';
 import { readStrings } from './json-list.js';
 import { LeafGather } from './leaf-gather.js';
+import type { LeafSource } from './leaf-source.js';
+import type { RelayedCall } from './source-planner.js';
 
 /** More gathers at once are declined: a leaf that is so far behind helps nobody. */
 const MAXIMUM_GATHERS = 256;
@@ -28,6 +32,12 @@
   readonly logger: Logger;
   /** The route table in force here; undefined before the first. */
   readonly table: () => RouteTable | undefined;
+  /** Has the shards of a relay asked by leaves. */
+  readonly relay: (
+    request: CallerRequest,
+    call: RelayedCall,
+    listener: PartListener,
+  ) => LeafSource;
 }
 
 function readHeaders(text: string, peer: string): HttpHeaders {
@@ -97,7 +107,8 @@
 
   private takeFrame(session: RootSession, messages: readonly AggregationMessage[]): void {
     const [first, second] = messages;
-    if (first?.kind === 'request' && second?.kind === 'gather' && messages.length === 2) {
+    const isGather = second?.kind === 'gather' || second?.kind === 'relay';
+    if (first?.kind === 'request' && isGather && messages.length === 2) {
       const reason = this.reasonToDecline;
       if (reason === undefined) this.begin(session, first, second);
       else this.decline(session, second.gatherId, reason);
@@ -130,34 +141,56 @@
     session.send({ kind: 'declined', gatherId, reason });
   }
 
-  private begin(session: RootSession, request: RequestMessage, message: GatherMessage): void {
+  private begin(
+    session: RootSession,
+    request: RequestMessage,
+    message: GatherMessage | RelayMessage,
+  ): void {
     const { gatherId, isRepeat, reportInMs } = message;
     const { totalShards } = request;
     if (session.gathers.has(gatherId)) {
       throw new MalformedMessageError('serve root', session.root, 'a gather number is used twice');
     }
     const shards = readStrings(message.shards, session.root, 'shards');
+    const callerRequest = this.toRequest(request, message, shards, session.root);
+    const isRelay = message.kind === 'relay';
     const gather = new LeafGather(this.options.context, {
       gatherId,
-      request: this.toRequest(request, message, shards, session.root),
+      request: callerRequest,
       shards,
       totalShards,
       isRepeat,
       reportInMs,
       root: session.root,
       rootRouteVersion: request.routeVersion,
+      relay: isRelay ? this.relayOf(callerRequest, request, message, shards) : undefined,
       report: (parts) => session.send(parts),
       onEnd: () => session.gathers.delete(gatherId),
       gathersInProgress: () => this.inProgress,
     });
-    this.options.context.metrics.gathers.inc({ result: 'begun' });
+    this.options.context.metrics.gathers.inc({ result: isRelay ? 'relayed' : 'begun' });
     session.gathers.set(gatherId, gather);
     gather.start();
   }
 
+  private relayOf(
+    callerRequest: CallerRequest,
+    request: RequestMessage,
+    { isRepeat, reportInMs }: GatherMessage | RelayMessage,
+    shards: readonly string[],
+  ): (listener: PartListener, maySendAgain: () => boolean) => LeafSource {
+    const { clock } = this.options.context.environment;
+    const { totalShards } = request;
+    const encodedRequest = AGGREGATION_CODEC.encode(request);
+    const reportAt = clock.now() + reportInMs;
+    const call = { shards, totalShards, encodedRequest, isRepeat, reportAt };
+    return (listener, maySendAgain) =>
+      this.options.relay(callerRequest, { ...call, maySendAgain }, listener);
+  }
+
   private toRequest(
     request: RequestMessage,
-    { leftMs, elapsedMs, maximumAttempts }: GatherMessage,
+    { leftMs, elapsedMs, maximumAttempts }: GatherMessage | RelayMessage,
     shards: string[],
     root: string,
   ): CallerRequest {
--- /dev/null
+++ b/src/aggregation/leaf-source.ts
@@ -0,0 +1,7 @@
+/** Asks the shards of a gather at a leaf, or at a relay, which has leaves ask them. */
+import type { PartSource } from '../gateway/part-source.js';
+
+export interface LeafSource extends PartSource {
+  /** Second sendings that were due and not allowed yet are allowed now. */
+  hedge(): void;
+}
--- a/src/aggregation/source-planner.ts
+++ b/src/aggregation/source-planner.ts
@@ -9,6 +9,9 @@
 import { encodeRequest } from './encode-request.js';
 import { GroupGather, type GroupGatherParts } from './group-gather.js';
 import type { LeafAssignment } from './leaf-assignment.js';
+import type { LeafGroup } from './leaf-group.js';
+import type { LeafSource } from './leaf-source.js';
+import { RelayedGather } from './relayed-gather.js';
 
 /** What the planner goes by. */
 export interface SourcePlannerOptions extends GroupGatherParts {
@@ -17,6 +20,24 @@
   readonly divideAbove: number;
 }
 
+/** What a relay was asked, besides the request. */
+export interface RelayedCall {
+  readonly shards: readonly string[];
+  readonly totalShards: number;
+  /** As the root encoded it. */
+  readonly encodedRequest: Uint8Array;
+  readonly isRepeat: boolean;
+  /** When the relay reports to the root. Clock reading. */
+  readonly reportAt: number;
+  /** Whether the root has granted second sendings; asks for the grant where it has not. */
+  readonly maySendAgain: () => boolean;
+}
+
+/** Shards that are asked from here, as no leaf is known. */
+function wholeGroup(shards: readonly string[]): LeafGroup {
+  return { zone: '', shards, isRelayed: false, owners: 0, leaves: [] };
+}
+
 /** See the module comment. */
 export class SourcePlanner {
   constructor(private readonly options: SourcePlannerOptions) {}
@@ -51,4 +72,27 @@
         new GroupGather(this.options, request, { group, totalShards, encodedRequest }, listener),
     );
   }
+
+  /** Has the shards that a root gave to this gateway as a relay asked by leaves. */
+  relay(request: CallerRequest, call: RelayedCall, listener: PartListener): LeafSource {
+    const { shards, ...options } = call;
+    const groups = this.groupsAmong(request, shards).map(
+      (group) => new GroupGather(this.options, request, { group, ...options }, listener),
+    );
+    return new RelayedGather(groups);
+  }
+
+  /** By the groups of the list that the shards are of, which are known: to divide a list takes long. */
+  private groupsAmong(request: CallerRequest, shards: readonly string[]): readonly LeafGroup[] {
+    const { assignment } = this.options;
+    const lists = request.table.shardLists;
+    const list = lists.find((known) => shards.every((shard) => known.has(shard)));
+    const groups = assignment.directGroupsOf(list?.shards ?? shards);
+    if (groups.length === 0) return [wholeGroup(shards)];
+    const wanted = new Set(shards);
+    return groups.flatMap((group) => {
+      const part = group.shards.filter((shard) => wanted.has(shard));
+      return part.length === 0 ? [] : [{ ...group, shards: part }];
+    });
+  }
 }
--- a/test/aggregation/leaf-assignment.test.ts
+++ b/test/aggregation/leaf-assignment.test.ts
@@ -1,9 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import {
-  GROUP_OWNERS,
-  LeafAssignment,
-  NEAR_GROUP_OWNERS,
-} from '../../src/aggregation/leaf-assignment.js';
+import { LeafAssignment } from '../../src/aggregation/leaf-assignment.js';
+import { GROUP_OWNERS, NEAR_GROUP_OWNERS } from '../../src/aggregation/leaf-group.js';
 import type { RootPlace } from '../../src/aggregation/group-home.js';
 import type { LeafGateway } from '../../src/directory/leaf-gateway.js';
 import type { ServiceTargets } from '../../src/gateway/service-targets.js';
@@ -114,13 +111,25 @@
 
   it('gives a zone without replicas the groups and leaves of one that holds them', () => {
     const leaves = [...LEAVES, { name: 'd-0', zone: 'd', address: '10.0.1.0:1' }];
-    const far = createNear({ name: 'root', zone: 'd' }, leaves).groupsOf(SHARDS);
+    const far = createNear({ name: 'root', zone: 'd' }, leaves).directGroupsOf(SHARDS);
     const homes = new Set(far.map(({ leaves: [first] }) => first?.zone ?? ''));
     expect(homes.size).toBe(1);
     const [home = ''] = homes;
     expect(far).toEqual(createNear({ name: 'other', zone: home }, leaves).groupsOf(SHARDS));
   });
 
+  it('gives a zone without replicas one relay, and another zone to stand by', () => {
+    const leaves = [...LEAVES, { name: 'd-0', zone: 'd', address: '10.0.1.0:1' }];
+    const [relayed, ...others] = createNear({ name: 'root', zone: 'd' }, leaves).groupsOf(SHARDS);
+    expect(others).toEqual([]);
+    expect(relayed?.isRelayed).toBe(true);
+    expect([...(relayed?.shards ?? [])].sort()).toEqual([...SHARDS].sort());
+    const [first, second, third] = relayed?.leaves.map(({ zone }) => zone) ?? [];
+    expect(second).toBe(first);
+    expect(third).not.toBe(first);
+    expect(third).not.toBe('d');
+  });
+
   it('keeps every group when the zone loses its replica of one shard', () => {
     const holders = (shard: string): string[] => (shard === 'shard-7' ? ['b', 'c'] : ZONES);
     const place = { name: 'root', zone: 'a' };
@@ -130,10 +139,10 @@
 
   it('moves one group alone when the zone loses its replicas of that group', () => {
     const place = { name: 'root', zone: 'a' };
-    const before = createNear(place).groupsOf(SHARDS);
+    const before = createNear(place).directGroupsOf(SHARDS);
     const lost = new Set(before[2]?.shards);
     const holders = (shard: string): string[] => (lost.has(shard) ? ['b', 'c'] : ZONES);
-    const after = createNear(place, LEAVES, holders).groupsOf(SHARDS);
+    const after = createNear(place, LEAVES, holders).directGroupsOf(SHARDS);
     const moved = after.filter((group, index) => group.leaves[0] !== before[index]?.leaves[0]);
     expect(moved.map(({ shards }) => shards)).toEqual([before[2]?.shards]);
     expect(moved[0]?.leaves[0]?.zone).not.toBe('a');
--- a/test/aggregation/leaf-server.test.ts
+++ b/test/aggregation/leaf-server.test.ts
@@ -48,7 +48,12 @@
 /** A leaf that has no route document yet. */
 function serve(): Served {
   const context = { metrics: new GatewayMetrics(new Registry()) } as GatewayContext;
-  const server = new LeafServer({ context, logger: SILENT_LOGGER, table: () => undefined });
+  const server = new LeafServer({
+    context,
+    logger: SILENT_LOGGER,
+    table: () => undefined,
+    relay: () => expect.fail('nothing is begun'),
+  });
   const [root, leaf] = InMemoryConnection.pair();
   return { root, server, ended: server.serve(leaf, PEER).finally(() => leaf.close()) };
 }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -7,7 +7,10 @@
 } from '../../lab/exchange/exchange-replica.js';
 import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
 import type { GatewayMechanisms } from '../../src/configuration/gateway-mechanisms.js';
-import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
+import {
+  gatewayConfigurationSchema,
+  type AggregationSettings,
+} from '../../src/configuration/gateway-configuration.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
 import type { LogFields, Logger } from '../../src/observability/logger.js';
@@ -32,11 +35,13 @@
 export interface GatewayOverrides {
   readonly secondSends?: { readonly ratio: number; readonly slack: number };
   readonly mechanisms?: Partial<GatewayMechanisms>;
-  readonly aggregation?: { readonly divideAbove: number; readonly shardsPerGroup: number };
+  readonly aggregation?: Partial<AggregationSettings>;
   /** Whether the gateway that callers reach takes gathers of others; true when absent. */
   readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
   readonly others?: number;
+  /** Zones of the gateways, first of the one that callers reach; one for all when absent. */
+  readonly gatewayZones?: readonly string[];
   /** Regions by zone. */
   readonly zones?: Readonly<Record<string, string>>;
 }
@@ -115,22 +120,23 @@
 
   static async start(seed = 7, overrides: GatewayOverrides = {}): Promise<GatewayHarness> {
     const group = await AutomaticGroup.start(3, seed);
-    const machine = group.simulation.createMachine('gateway-1', 'nayoro');
+    const zoneOf = (index: number): string => overrides.gatewayZones?.[index] ?? 'nayoro';
+    const machine = group.simulation.createMachine('gateway-1', zoneOf(0));
     const lines: LogLine[] = [];
     const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides);
     const others: OtherGateway[] = [];
     for (let index = 0; index < (overrides.others ?? 0); index += 1) {
-      others.push(await GatewayHarness.startOther(group, `gateway-${index + 2}`, overrides));
+      const other = group.simulation.createMachine(`gateway-${index + 2}`, zoneOf(index + 1));
+      others.push(await GatewayHarness.startOther(group, other, overrides));
     }
     return new GatewayHarness(group, machine, gateway, lines, others, overrides);
   }
 
   private static async startOther(
     group: AutomaticGroup,
-    name: string,
+    machine: SimulatedMachine,
     overrides: GatewayOverrides,
   ): Promise<OtherGateway> {
-    const machine = group.simulation.createMachine(name, 'nayoro');
     const lines: LogLine[] = [];
     const registry = new Registry();
     const daemon = await GatewayHarness.startGateway(group, machine, lines, overrides, registry);
@@ -147,7 +153,7 @@
     const configuration = gatewayConfigurationSchema.parse({
       name: machine.name,
       region: 'dohoku',
-      zone: 'nayoro',
+      zone: machine.zone,
       cluster: CLUSTER,
       listen: {
         http: `${machine.host}:${CALLER_PORT}`,
