--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -137,7 +137,10 @@
     const parts = cutEvenly([...shards].sort(), this.sources.shardsPerGroup);
     const homes = parts.map((part) => homeOfGroup(part, preferred, (shard) => this.zonesOf(shard)));
     const byZone = new Map(
-      [...new Set(homes)].map((zone) => [zone, this.assign(zone, parts, leaves, NEAR_GROUP_OWNERS)]),
+      [...new Set(homes)].map((zone) => [
+        zone,
+        this.assign(zone, parts, leaves, NEAR_GROUP_OWNERS),
+      ]),
     );
     return homes.flatMap((zone, index) => byZone.get(zone)?.[index] ?? []);
   }
--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -32,7 +32,8 @@
   /** Version of the route document that it works by. */
   readonly rootRouteVersion: number;
   /** At a relay: makes what has the shards asked by leaves; absent: they are asked from here. */
-  readonly relay?: ((listener: PartListener, maySendAgain: () => boolean) => LeafSource) | undefined;
+  readonly relay?:
+    ((listener: PartListener, maySendAgain: () => boolean) => LeafSource) | undefined;
   readonly report: (message: PartsMessage) => void;
   readonly onEnd: () => void;
   /** Gathers in progress at this leaf, for the root's choice. */
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -33,11 +33,7 @@
   /** The route table in force here; undefined before the first. */
   readonly table: () => RouteTable | undefined;
   /** Has the shards of a relay asked by leaves. */
-  readonly relay: (
-    request: CallerRequest,
-    call: RelayedCall,
-    listener: PartListener,
-  ) => LeafSource;
+  readonly relay: (request: CallerRequest, call: RelayedCall, listener: PartListener) => LeafSource;
 }
 
 function readHeaders(text: string, peer: string): HttpHeaders {
