Compress long frames of the directory stream between zones

Each stream between zones begins with all replicas and routes. Raises the protocol version to 2: a controller compresses only to subscribers that understand it.

--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -1,6 +1,7 @@
 /** The subscriber's end of the directory stream to one controller; reconnects until stopped. */
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import { dial } from '../protocol/dial.js';
+import { expandFrame, isCompressed } from '../protocol/compressed-frame.js';
 import { MeteredConnection } from '../protocol/metered-connection.js';
 import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
@@ -161,7 +162,8 @@
   private metered(connection: MessageConnection): MessageConnection {
     const { traffic, zoneOf } = this.parts;
     return new MeteredConnection(connection, {
-      kindOf: (frame) => `directory_${DIRECTORY_CODEC.kindOf(frame)}`,
+      kindOf: (frame) =>
+        `directory_${isCompressed(frame) ? 'compressed' : DIRECTORY_CODEC.kindOf(frame)}`,
       note: (note) => traffic.note(zoneOf(this.address), note),
     });
   }
@@ -209,13 +211,17 @@
     }
   }
 
+  private decode(frame: Uint8Array): DirectoryMessage[] {
+    return DIRECTORY_CODEC.decodeBatch(expandFrame(frame, this.address), this.address);
+  }
+
   /** Takes a whole frame in. */
   private takeFrame(frame: Uint8Array): TakenFrame {
     let position = 0;
     const controllers: KnownController[] = [];
     let hasGateways = false;
     let hasReplicas = false;
-    for (const message of DIRECTORY_CODEC.decodeBatch(frame, this.address)) {
+    for (const message of this.decode(frame)) {
       if (message.kind === 'status') {
         position = message.position;
         this.status = { ...message, receivedAt: this.parts.environment.clock.now() };
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -2,6 +2,7 @@
 import type { Registry } from 'prom-client';
 import { Notifier } from '../consensus/notifier.js';
 import { SilenceGuard } from '../control-stream/silence-guard.js';
+import { COMPRESSION_SINCE_VERSION, compressFrame } from '../protocol/compressed-frame.js';
 import type { RemoteIdentity } from '../protocol/handshake.js';
 import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { MessageConnection } from '../seams/message-connection.js';
@@ -143,7 +144,7 @@
 
   /** Serves one subscriber until its connection ends. */
   async serve(connection: MessageConnection, peer: RemoteIdentity): Promise<void> {
-    const session = await this.tryOpen(connection, peer.name);
+    const session = await this.tryOpen(connection, peer);
     if (session === undefined) return;
     this.sessions.add(session);
     const guard = new SilenceGuard(this.sources.clock, connection, STREAM_SILENCE_MS);
@@ -165,20 +166,20 @@
 
   private async tryOpen(
     connection: MessageConnection,
-    name: string,
+    peer: RemoteIdentity,
   ): Promise<DirectorySession | undefined> {
     try {
-      return await this.open(connection, name);
+      return await this.open(connection, peer);
     } catch (error) {
       // A connection that broke before it subscribed needs no more than to be closed.
-      if (isProtocolViolation(error)) this.sources.onUnreadable(name);
+      if (isProtocolViolation(error)) this.sources.onUnreadable(peer.name);
       return undefined;
     }
   }
 
   private async open(
     connection: MessageConnection,
-    name: string,
+    { name, protocolVersion }: RemoteIdentity,
   ): Promise<DirectorySession | undefined> {
     const frame = await connection.receive();
     if (frame === undefined) return undefined;
@@ -188,7 +189,9 @@
     const kind = isController ? SubscriberKind.Controller : SubscriberKind.Gateway;
     const { zone, gatherAddress: address } = message;
     if (isController) this.controllers.noteConnected(name, zone);
-    return new DirectorySession(kind, { name, zone, address });
+    const isFar = zone !== this.sources.ownZone;
+    const isCompressed = isFar && protocolVersion >= COMPRESSION_SINCE_VERSION;
+    return new DirectorySession(kind, { name, zone, address }, isCompressed);
   }
 
   private subscribersOf(wanted: SubscriberKind): readonly KnownGateway[] {
@@ -219,7 +222,7 @@
       const messages = this.takeNews(session);
       const documentDueInMs = session.documentDueInMs(this.sessionSources);
       const news = this.news.wait(Math.min(STATUS_INTERVAL_MS, documentDueInMs));
-      await this.sendFrames(connection, messages, session.position);
+      await this.sendFrames(connection, messages, session);
       await news;
       if (isOpen) await clock.sleep(BATCH_INTERVAL_MS);
     }
@@ -231,11 +234,11 @@
     return messages;
   }
 
-  /** `position` is the one up to which the messages tell. */
+  /** `messages` tell up to the `position`, which is read before anything is awaited. */
   private async sendFrames(
     connection: MessageConnection,
     messages: readonly DirectoryMessage[],
-    position: number,
+    { position, isCompressed }: DirectorySession,
   ): Promise<void> {
     let start = 0;
     do {
@@ -244,7 +247,8 @@
       const isLast = start >= messages.length;
       // Only the last frame says that all is told up to the position.
       batch.push(this.status(isLast ? position : 0));
-      await connection.send(DIRECTORY_CODEC.encodeBatch(batch));
+      const frame = DIRECTORY_CODEC.encodeBatch(batch);
+      await connection.send(isCompressed ? compressFrame(frame) : frame);
     } while (start < messages.length);
   }
 
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -68,6 +68,8 @@
     readonly kind: SubscriberKind,
     /** The subscriber itself. */
     readonly subscriber: KnownGateway,
+    /** Whether its frames are compressed: it is in another zone and understands that. */
+    readonly isCompressed = false,
   ) {}
 
   get name(): string {
--- a/test/protocol/handshake.test.ts
+++ b/test/protocol/handshake.test.ts
@@ -9,7 +9,7 @@
 import { HANDSHAKE_CODEC } from '../../src/protocol/handshake-messages.js';
 import { NONCE_BYTES } from '../../src/protocol/handshake-proof.js';
 import type { LocalIdentity, RemoteIdentity } from '../../src/protocol/handshake.js';
-import { OLDEST_PROTOCOL_VERSION } from '../../src/protocol/protocol-version.js';
+import { OLDEST_PROTOCOL_VERSION, PROTOCOL_VERSION } from '../../src/protocol/protocol-version.js';
 import type { MessageConnection } from '../../src/seams/message-connection.js';
 
 const ENVIRONMENT = { clock: new NodeClock(), network: new NodeNetwork() };
@@ -66,7 +66,8 @@
   it('tells the controller who came and as what', async () => {
     const connection = await dialAs(ROUTER);
     await connection.closed;
-    expect(served).toEqual([{ role: 'subscriber', name: 'router-1', protocolVersion: 1 }]);
+    const peer = { role: 'subscriber', name: 'router-1', protocolVersion: PROTOCOL_VERSION };
+    expect(served).toEqual([peer]);
   });
 
   const strangers: [HandshakeFailure, LocalIdentity][] = [
