--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -7,7 +7,7 @@
 import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { ServiceTargets } from '../gateway/service-targets.js';
 import { joinFarGroups } from './far-groups.js';
-import { homeOfGroup, preferZones, type RootPlace } from './group-home.js';
+import { homeOf, preferZones, type RootPlace } from './group-home.js';
 import { GROUP_OWNERS, NEAR_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 
 /**
@@ -126,8 +126,9 @@
   }
 
   /**
-   * All roots cut the list alike, whatever their zone and wherever replicas are lost, so that a
-   * group that moves to another zone finds leaves there which ask the same group for their own.
+   * All roots cut the list alike, whatever their zone; of each part a zone is given the shards that
+   * it holds. A replica that is lost then moves its shard alone, and a relay divides the shards that
+   * other zones ask of it by the groups of its own.
    */
   private divideNear(
     shards: readonly string[],
@@ -135,14 +136,16 @@
     preferred: readonly string[],
   ): LeafGroup[] {
     const parts = cutEvenly([...shards].sort(), this.sources.shardsPerGroup);
-    const homes = parts.map((part) => homeOfGroup(part, preferred, (shard) => this.zonesOf(shard)));
-    const byZone = new Map(
-      [...new Set(homes)].map((zone) => [
-        zone,
-        this.assign(zone, parts, leaves, NEAR_GROUP_OWNERS),
-      ]),
+    const homes = new Map(shards.map((shard) => [shard, homeOf(preferred, this.zonesOf(shard))]));
+    const zones = preferred.filter((zone) => [...homes.values()].includes(zone));
+    return zones.flatMap((zone) =>
+      this.assign(zone, parts, leaves, NEAR_GROUP_OWNERS)
+        .map((group) => ({
+          ...group,
+          shards: group.shards.filter((shard) => homes.get(shard) === zone),
+        }))
+        .filter((group) => group.shards.length > 0),
     );
-    return homes.flatMap((zone, index) => byZone.get(zone)?.[index] ?? []);
   }
 
   /** Owners of one group own another one only where there are fewer leaves than that takes. */
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -47,9 +47,8 @@
     /** Most shards of a group, which one gateway asks. */
     shardsPerGroup: z.int().min(1).default(8),
     /**
-     * Has groups asked in the zone of the gateway that the caller reached, where that zone
-     * holds replicas of most of their shards. Each zone's replicas then carry the
-     * load of its own callers.
+     * Has a shard asked in the zone of the gateway that the caller reached where that zone
+     * holds a replica of it. Each zone's replicas then carry the load of its own callers.
      */
     nearGroups: z.boolean().default(false),
   })
