--- a/test/aggregation/near-groups.test.ts
+++ b/test/aggregation/near-groups.test.ts
@@ -120,6 +120,17 @@
     expect(far.map(({ options }) => options.service)).toEqual(['shard-c']);
   });
 
+  it('go to a relay of another zone where the own one lacks many, and no others do', async () => {
+    const lacking = new Set(['shard-b', 'shard-d', 'shard-f']);
+    const lacks = (shard: string, zone: string): boolean => zone === 'north' && lacking.has(shard);
+    const { harness, replicas } = await start('north', lacks);
+    expectWhole(await harness.call({ path: '/q/1', id: 'mine' }), 'mine');
+    const far = ranOf(replicas, 'mine').filter(({ options }) => options.zone !== 'north');
+    expect(new Set(far.map(({ options }) => options.service))).toEqual(lacking);
+    expect(zonesOf(far)).toHaveLength(1);
+    expect(await totalOf(harness, 'relayed')).toBe(1);
+  });
+
   it('are answered for whole when all near leaves have been killed', async () => {
     const { harness, replicas } = await start('north');
     for (const { machine } of harness.others) {
