--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -14,7 +14,8 @@
 import type { PartsMessage } from './aggregation-messages.js';
 import type { LeafGroup } from './leaf-group.js';
 import type { LeafLatencies } from './leaf-latencies.js';
-import type { GatherCall, GatherHandle, LeafLink } from './leaf-link.js';
+import { beginLeafAttempt, leafAttemptFields, type LeafAttempt } from './leaf-attempt.js';
+import type { GatherCall, LeafLink } from './leaf-link.js';
 import type { LeafPool } from './leaf-pool.js';
 
 /** Most leaves that are asked one after the other. */
@@ -53,22 +54,6 @@
   readonly maySendAgain?: () => boolean;
 }
 
-/** One leaf that was asked. */
-interface LeafAttempt {
-  readonly leaf: string;
-  readonly sentAt: number;
-  handle: GatherHandle | undefined;
-  hasReported: boolean;
-  wantsGrant: boolean;
-  /** It may ask second replicas. */
-  isGranted: boolean;
-  /** Its attempts have been counted: another leaf was asked as well. */
-  isGivenUp: boolean;
-  sends: number;
-  endedAt: number | undefined;
-  result: string;
-}
-
 /** See the module comment. */
 export class GroupGather implements PartSource, PartListener {
   private readonly missing: Set<string>;
@@ -134,14 +119,9 @@
 
   missingAttempts(receivedAt: number): readonly LogFields[] {
     if (this.missing.size === 0) return [];
-    const atLeaves = this.attempts.map(({ leaf, sentAt, endedAt, result, sends }) => ({
-      leaf,
-      missing: this.missing.size,
-      sentAtMs: Math.round(sentAt - receivedAt),
-      tookMs: endedAt === undefined ? undefined : Math.round(endedAt - sentAt),
-      sends,
-      result,
-    }));
+    const atLeaves = this.attempts.map((attempt) =>
+      leafAttemptFields(attempt, receivedAt, this.missing.size),
+    );
     return [...atLeaves, ...(this.local?.missingAttempts(receivedAt) ?? [])];
   }
 
@@ -210,18 +190,7 @@
   private askLeaf(link: LeafLink): boolean {
     const { name } = link.leaf;
     const sentAt = this.now();
-    const attempt: LeafAttempt = {
-      leaf: name,
-      sentAt,
-      handle: undefined,
-      hasReported: false,
-      wantsGrant: false,
-      isGranted: false,
-      isGivenUp: false,
-      sends: 0,
-      endedAt: undefined,
-      result: 'in flight',
-    };
+    const attempt = beginLeafAttempt(name, sentAt);
     attempt.handle = link.gather(this.call(sentAt), {
       onReport: (parts, report) => this.takeReport(attempt, parts, report),
       onDeclined: (reason) => this.endAttempt(attempt, `declined: ${reason}`),
