--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -22,8 +22,11 @@
 const MAXIMUM_LEAVES_ASKED = 3;
 /** Time for a leaf's report to arrive and be merged before the root answers. Milliseconds. */
 const REPORT_MARGIN_MS = 6;
-/** The same for a relay, whose reports come from another zone. Milliseconds. */
-const RELAY_REPORT_MARGIN_MS = 10;
+/**
+ * The same for a relay: a round trip between zones, and the reports of its own leaves. One report
+ * that is late lacks many shards; parts that come after it in time follow one by one. Milliseconds.
+ */
+const RELAY_REPORT_MARGIN_MS = 24;
 
 /** What all gathers of a root share. */
 export interface GroupGatherParts {
