--- a/test/aggregation/near-groups.test.ts
+++ b/test/aggregation/near-groups.test.ts
@@ -17,6 +17,8 @@
 const CONNECT_MS = 2_000;
 /** After which a gateway may use its whole share of second sends. Milliseconds. */
 const BUDGET_MS = 12_000;
+/** Until after a relay reports what it has, for a target of 200 ms. Milliseconds. */
+const LATE_WORK_MS = 165;
 /** Longer than gateways take to notice what was lost. Milliseconds. */
 const NOTICE_MS = 6_000;
 
@@ -218,6 +220,19 @@
     expectWithinAttempts(replicas, 'mine');
   });
 
+  it('gets parts that come after the report of its relay, and before the cut-off', async () => {
+    const { harness, replicas } = await start(BARE_ZONE);
+    for (const replica of replicas) {
+      if (replica.options.service === 'shard-b') replica.workMs = LATE_WORK_MS;
+    }
+    const { clock } = harness.machine.environment;
+    const begunAt = clock.now();
+    expectWhole(await harness.call({ path: '/q/1', id: 'mine' }), 'mine');
+    const tookMs = clock.now() - begunAt;
+    expect(tookMs).toBeGreaterThan(LATE_WORK_MS);
+    expect(tookMs).toBeLessThan(200);
+  });
+
   it('has second replicas asked of shards whose first one is late', async () => {
     const { harness, replicas } = await start(BARE_ZONE);
     expectWhole(await harness.call({ path: '/q/1', id: 'first' }), 'first');
