--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -6,6 +6,9 @@
  */
 import { rankFor, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { ServiceTargets } from '../gateway/service-targets.js';
+import { joinFarGroups } from './far-groups.js';
+import { homeOf, preferZones, type RootPlace } from './group-home.js';
+import { GROUP_OWNERS, NEAR_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 
 /**
  * Computed again when the leaves have changed, when the number of replicas has, at
@@ -13,25 +16,20 @@
  */
 const SHORTEST_REFRESH_MS = 1_000;
 const LONGEST_REFRESH_MS = 10_000;
-/**
- * First leaves of a group, which share its gathers; the others stand by. More of
- * them wait less for each other, and each sees less of what it could learn from.
- */
-export const GROUP_OWNERS = 3;
-
-/** Shards that are asked by one leaf. */
-export interface LeafGroup {
-  readonly shards: readonly string[];
-  /** Leaves that may ask them, the best first: those of the zone of the replicas, then others. */
-  readonly leaves: readonly LeafGateway[];
-}
-
 interface CachedGroups {
   readonly computedAt: number;
   /** Replicas that were known. */
   readonly replicas: number;
   readonly leaves: readonly LeafGateway[];
-  readonly groups: readonly LeafGroup[];
+  readonly division: Division;
+}
+
+/** Both ways in which the shards of a list are given out. */
+interface Division {
+  /** Each group to the leaves that ask its shards. */
+  readonly direct: readonly LeafGroup[];
+  /** The same with groups joined that a relay is given. */
+  readonly joined: readonly LeafGroup[];
 }
 
 /** What the assignment goes by. */
@@ -41,6 +39,8 @@
   readonly leaves: () => readonly LeafGateway[];
   /** Most shards of a group. */
   readonly shardsPerGroup: number;
+  /** Where the gateway stands whose groups are to be asked in its own zone; undefined: in any. */
+  readonly nearTo?: RootPlace | undefined;
 }
 
 function nameOf({ name }: LeafGateway): string {
@@ -64,16 +64,28 @@
 
   constructor(private readonly sources: LeafAssignmentSources) {}
 
-  /** Groups of the shards; none while no leaf is known. `shards` is a list of a route document. */
+  /**
+   * Groups of the shards as a root gives them out; none while no leaf is known. `shards` is a
+   * list of a route document.
+   */
   groupsOf(shards: readonly string[]): readonly LeafGroup[] {
+    return this.divisionOf(shards).joined;
+  }
+
+  /** The same, each group to the leaves that ask its shards. */
+  directGroupsOf(shards: readonly string[]): readonly LeafGroup[] {
+    return this.divisionOf(shards).direct;
+  }
+
+  private divisionOf(shards: readonly string[]): Division {
     const now = this.sources.now();
     const leaves = this.sources.leaves();
     const known = this.cache.get(shards);
-    if (known !== undefined && this.isCurrent(known, now, leaves)) return known.groups;
-    const groups = leaves.length === 0 ? [] : this.divide(shards, leaves);
+    if (known !== undefined && this.isCurrent(known, now, leaves)) return known.division;
+    const division = this.divide(shards, leaves);
     const replicas = this.sources.targets.size;
-    this.cache.set(shards, { computedAt: now, replicas, leaves, groups });
-    return groups;
+    this.cache.set(shards, { computedAt: now, replicas, leaves, division });
+    return division;
   }
 
   private isCurrent(known: CachedGroups, now: number, leaves: readonly LeafGateway[]): boolean {
@@ -82,8 +94,24 @@
     return now - known.computedAt < (isSame ? LONGEST_REFRESH_MS : SHORTEST_REFRESH_MS);
   }
 
-  private divide(shards: readonly string[], leaves: readonly LeafGateway[]): LeafGroup[] {
+  private divide(shards: readonly string[], leaves: readonly LeafGateway[]): Division {
+    if (leaves.length === 0) return { direct: [], joined: [] };
     const zones = [...new Set(leaves.map(({ zone }) => zone))];
+    const { nearTo } = this.sources;
+    if (nearTo === undefined) {
+      const groups = this.divideAnywhere(shards, leaves, zones);
+      return { direct: groups, joined: groups };
+    }
+    const preferred = preferZones(nearTo, zones);
+    const direct = this.divideNear(shards, leaves, preferred);
+    return { direct, joined: joinFarGroups(direct, { root: nearTo, preferred, leaves }) };
+  }
+
+  private divideAnywhere(
+    shards: readonly string[],
+    leaves: readonly LeafGateway[],
+    zones: readonly string[],
+  ): LeafGroup[] {
     const byZone = new Map<string, string[]>();
     for (const shard of shards) {
       const zone = this.homeOf(shard, zones);
@@ -91,16 +119,42 @@
       others.push(shard);
       byZone.set(zone, others);
     }
-    return [...byZone].flatMap(([zone, group]) => this.divideZone(zone, group, leaves));
+    return [...byZone].flatMap(([zone, group]) => {
+      const parts = cutEvenly([...group].sort(), this.sources.shardsPerGroup);
+      return this.assign(zone, parts, leaves, GROUP_OWNERS);
+    });
   }
 
-  /** Owners of one group own another one only where there are fewer leaves than that takes. */
-  private divideZone(
-    zone: string,
+  /**
+   * All roots cut the list alike, whatever their zone; of each part a zone is given the shards that
+   * it holds. A replica that is lost then moves its shard alone, and a relay divides the shards that
+   * other zones ask of it by the groups of its own.
+   */
+  private divideNear(
     shards: readonly string[],
     leaves: readonly LeafGateway[],
+    preferred: readonly string[],
   ): LeafGroup[] {
     const parts = cutEvenly([...shards].sort(), this.sources.shardsPerGroup);
+    const homes = new Map(shards.map((shard) => [shard, homeOf(preferred, this.zonesOf(shard))]));
+    const zones = preferred.filter((zone) => [...homes.values()].includes(zone));
+    return zones.flatMap((zone) =>
+      this.assign(zone, parts, leaves, NEAR_GROUP_OWNERS)
+        .map((group) => ({
+          ...group,
+          shards: group.shards.filter((shard) => homes.get(shard) === zone),
+        }))
+        .filter((group) => group.shards.length > 0),
+    );
+  }
+
+  /** Owners of one group own another one only where there are fewer leaves than that takes. */
+  private assign(
+    zone: string,
+    parts: readonly (readonly string[])[],
+    leaves: readonly LeafGateway[],
+    owners: number,
+  ): LeafGroup[] {
     const owned = new Map<string, number>();
     return parts.map((part, index) => {
       const ranked = rankFor(`${zone} ${index}`, leaves, nameOf);
@@ -108,15 +162,20 @@
       // The sort is stable: among leaves that own as many groups the rank decides.
       const near = ranked.filter((leaf) => leaf.zone === zone);
       near.sort((left, right) => groupsOf(left) - groupsOf(right));
-      for (const leaf of near.slice(0, GROUP_OWNERS)) owned.set(leaf.name, groupsOf(leaf) + 1);
-      return { shards: part, leaves: [...near, ...ranked.filter((leaf) => leaf.zone !== zone)] };
+      for (const leaf of near.slice(0, owners)) owned.set(leaf.name, groupsOf(leaf) + 1);
+      const far = ranked.filter((leaf) => leaf.zone !== zone);
+      return { zone, shards: part, isRelayed: false, owners, leaves: [...near, ...far] };
     });
   }
 
   /** A zone with replicas of the shard and with leaves; any with leaves when there is none. */
   private homeOf(shard: string, zones: readonly string[]): string {
-    const zonesOfReplicas = new Set(this.sources.targets.of(shard).map(({ entry }) => entry.zone));
+    const zonesOfReplicas = this.zonesOf(shard);
     const near = zones.filter((zone) => zonesOfReplicas.has(zone));
     return rankFor(shard, near.length > 0 ? near : zones, (zone) => zone)[0] ?? '';
   }
+
+  private zonesOf(shard: string): ReadonlySet<string> {
+    return new Set(this.sources.targets.of(shard).map(({ entry }) => entry.zone));
+  }
 }
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -8,7 +8,9 @@
 import { dial } from '../protocol/dial.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
+import { MeteredConnection } from '../protocol/metered-connection.js';
 import type { Logger } from '../observability/logger.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
@@ -41,10 +43,13 @@
   readonly environment: Environment;
   readonly identity: LocalIdentity;
   readonly logger: Logger;
+  readonly traffic: ZoneTraffic;
 }
 
 /** What a leaf is asked to do. */
 export interface GatherCall extends Omit<GatherMessage, 'kind' | 'gatherId' | 'shards'> {
+  /** Whether the leaf itself asks the shards, or has others of its zone ask them. */
+  readonly kind: 'gather' | 'relay';
   /** An encoded `RequestMessage`. */
   readonly request: Uint8Array;
   readonly shards: readonly string[];
@@ -128,7 +133,7 @@
     const startedAt = this.parts.environment.clock.now();
     this.gathers.set(gatherId, { shards, topRecords, startedAt, listener });
     const text = JSON.stringify(shards);
-    const gather = AGGREGATION_CODEC.encode({ kind: 'gather', gatherId, shards: text, ...terms });
+    const gather = AGGREGATION_CODEC.encode({ gatherId, shards: text, ...terms });
     this.sendFrame(connection, Buffer.concat([request, gather]));
     return {
       grant: () => this.send(connection, { kind: 'grant', gatherId }),
@@ -156,7 +161,7 @@
     try {
       const address = parseAddress(text);
       const target = { address, role: 'aggregation', connectTimeout: DIAL_TIMEOUT_MS } as const;
-      const connection = await dial(environment, identity, target);
+      const connection = this.metered(await dial(environment, identity, target));
       this.isDialling = false;
       if (this.isClosed) connection.close();
       this.connection = connection;
@@ -175,6 +180,14 @@
     this.loseGathers();
   }
 
+  private metered(connection: MessageConnection): MessageConnection {
+    const { traffic } = this.parts;
+    return new MeteredConnection(connection, {
+      kindOf: (frame) => `aggregation_${AGGREGATION_CODEC.kindOf(frame)}`,
+      note: (note) => traffic.note(this.leaf.zone, note),
+    });
+  }
+
   private pauseDialling(): void {
     const { clock, random } = this.parts.environment;
     const pause = Math.min(FIRST_REDIAL_MS * 2 ** this.failures, LONGEST_REDIAL_MS);
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -14,6 +14,7 @@
   UnusableReason,
   type UnusableEntries,
 } from '../observability/unusable-entries.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
 import {
@@ -61,6 +62,7 @@
   readonly directory: ReplicaDirectory;
   readonly unusable: UnusableEntries;
   readonly logger: Logger;
+  readonly traffic: ZoneTraffic;
   /** This process's own address for internal messages, which it does not follow. */
   readonly ownAddress?: string;
   /** See `DirectoryLinkParts.relay`. */
@@ -88,6 +90,8 @@
   private readonly emitConfirmation: (confirmed: VersionConfirmedMessage) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: ReceivedDocument) => void;
+  /** Zones of controllers by their address, as they were last named. */
+  private readonly zones = new Map<string, string>();
   private readonly links = new Map<string, DirectoryLink>();
   private seeds: readonly string[] = [];
   /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
@@ -104,18 +108,24 @@
     [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
     [this.emitFollowed, this.followed] = createAdapter<void>();
     [this.emitConfirmation, this.confirmations] = createAdapter<VersionConfirmedMessage>();
-    const { environment, identity, subscriberKind, zone, gatherAddress = '', relay } = options;
+    const { environment, identity, subscriberKind, zone, traffic } = options;
+    const { gatherAddress = '', relay } = options;
     this.startedAt = environment.clock.now();
     this.linkParts = {
       environment,
       identity,
       subscriberKind,
       zone,
+      traffic,
+      zoneOf: (address) => this.zones.get(address) ?? '',
       gatherAddress,
       relay,
       take: (message, link) => this.take(message, link),
       onGateways: () => this.joinGateways(),
-      onControllers: () => this.adjustLinks(),
+      onControllers: (link) => {
+        this.noteZones(link.controllers);
+        this.adjustLinks();
+      },
       documentVersion: () => this.documentVersion,
       onFollowed: () => this.emitFollowed(),
       onUnreadable: ({ address: controller }) => this.noteUnreadable(controller),
@@ -265,6 +275,12 @@
     this.joinedGateways = [...joined.values()];
   }
 
+  private noteZones(controllers: readonly KnownController[]): void {
+    for (const { address, zone } of controllers) {
+      if (zone !== '') this.zones.set(address, zone);
+    }
+  }
+
   private adjustLinks(): void {
     if (this.stopped.signal.aborted) return;
     const wanted = new Set(this.wantedAddresses());
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -1,8 +1,11 @@
 /** The subscriber's end of the directory stream to one controller; reconnects until stopped. */
 import { SilenceGuard } from '../control-stream/silence-guard.js';
 import { dial } from '../protocol/dial.js';
+import { expandFrame, isCompressed } from '../protocol/compressed-frame.js';
+import { MeteredConnection } from '../protocol/metered-connection.js';
 import { isProtocolViolation } from '../protocol/protocol-violation.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
+import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
@@ -36,6 +39,9 @@
   readonly identity: LocalIdentity;
   readonly subscriberKind: SubscriberKind;
   readonly zone: string;
+  readonly traffic: ZoneTraffic;
+  /** Zone of the controller at an address; empty while it is not known. */
+  readonly zoneOf: (address: string) => string;
   /** See `SubscribeMessage.gatherAddress`. */
   readonly gatherAddress: string;
   readonly take: (message: LinkNews, link: DirectoryLink) => void;
@@ -135,7 +141,7 @@
       const address = parseAddress(this.address);
       const connectTimeout = afterFailures(FIRST_DIAL_TIMEOUT_MS, DIAL_TIMEOUT_MS, this.failures);
       const target = { address, role: 'directory', connectTimeout } as const;
-      const connection = await dial(environment, identity, target);
+      const connection = this.metered(await dial(environment, identity, target));
       this.connection = connection;
       if (this.stopped.signal.aborted) return;
       this.gateways.clear();
@@ -155,6 +161,15 @@
     }
   }
 
+  private metered(connection: MessageConnection): MessageConnection {
+    const { traffic, zoneOf } = this.parts;
+    return new MeteredConnection(connection, {
+      kindOf: (frame) =>
+        `directory_${isCompressed(frame) ? 'compressed' : DIRECTORY_CODEC.kindOf(frame)}`,
+      note: (note) => traffic.note(zoneOf(this.address), note),
+    });
+  }
+
   private subscription(): Uint8Array {
     const { subscriberKind, zone, gatherAddress } = this.parts;
     return DIRECTORY_CODEC.encode({ kind: 'subscribe', subscriberKind, zone, gatherAddress });
@@ -199,13 +214,17 @@
     }
   }
 
+  private decode(frame: Uint8Array): DirectoryMessage[] {
+    return DIRECTORY_CODEC.decodeBatch(expandFrame(frame, this.address), this.address);
+  }
+
   /** Takes a whole frame in. */
   private takeFrame(frame: Uint8Array): TakenFrame {
     let position: number | undefined;
     const controllers: KnownController[] = [];
     let hasGateways = false;
     let hasReplicas = false;
-    for (const message of DIRECTORY_CODEC.decodeBatch(frame, this.address)) {
+    for (const message of this.decode(frame)) {
       if (message.kind === 'status') {
         position = message.position;
         const isFirst = this.status === undefined;
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -7,8 +7,11 @@
 } from '../../lab/exchange/exchange-replica.js';
 import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
 import type { GatewayMechanisms } from '../../src/configuration/gateway-mechanisms.js';
-import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import type { QuotaSettings } from '../../src/configuration/tenant-settings.js';
+import {
+  gatewayConfigurationSchema,
+  type AggregationSettings,
+} from '../../src/configuration/gateway-configuration.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { GatewayDaemon } from '../../src/gateway/gateway-daemon.js';
 import type { ControlStreamFaults } from '../../src/control-stream/control-stream-faults.js';
@@ -34,7 +37,7 @@
 export interface GatewayOverrides {
   readonly secondSends?: { readonly ratio: number; readonly slack: number };
   readonly mechanisms?: Partial<GatewayMechanisms>;
-  readonly aggregation?: { readonly divideAbove: number; readonly shardsPerGroup: number };
+  readonly aggregation?: Partial<AggregationSettings>;
   /** Whether the gateway that callers reach takes gathers of others; true when absent. */
   readonly takesGathers?: boolean;
   /** Gateways besides the one that callers reach. */
@@ -46,6 +49,8 @@
     readonly quota?: Partial<QuotaSettings>;
     readonly revocationBoundMs?: number;
   };
+  /** Zones of the gateways, first of the one that callers reach; one for all when absent. */
+  readonly gatewayZones?: readonly string[];
   /** Regions by zone. */
   readonly zones?: Readonly<Record<string, string>>;
   /** Defects of the controllers. */
@@ -144,23 +149,24 @@
       faults: overrides.controlFaults,
       tenants: overrides.tenants,
     });
-    const machine = group.simulation.createMachine('gateway-1', 'nayoro');
+    const zoneOf = (index: number): string => overrides.gatewayZones?.[index] ?? 'nayoro';
+    const machine = group.simulation.createMachine('gateway-1', zoneOf(0));
     const lines: LogLine[] = [];
     const registry = new Registry();
     const gateway = await GatewayHarness.startGateway(group, machine, lines, overrides, registry);
     const others: OtherGateway[] = [];
     for (let index = 0; index < (overrides.others ?? 0); index += 1) {
-      others.push(await GatewayHarness.startOther(group, `gateway-${index + 2}`, overrides));
+      const other = group.simulation.createMachine(`gateway-${index + 2}`, zoneOf(index + 1));
+      others.push(await GatewayHarness.startOther(group, other, overrides));
     }
     return new GatewayHarness(group, machine, gateway, lines, registry, others, overrides);
   }
 
   private static async startOther(
     group: AutomaticGroup,
-    name: string,
+    machine: SimulatedMachine,
     overrides: GatewayOverrides,
   ): Promise<OtherGateway> {
-    const machine = group.simulation.createMachine(name, 'nayoro');
     const lines: LogLine[] = [];
     const registry = new Registry();
     const daemon = await GatewayHarness.startGateway(group, machine, lines, overrides, registry);
@@ -177,7 +183,7 @@
     const configuration = gatewayConfigurationSchema.parse({
       name: machine.name,
       region: 'dohoku',
-      zone: 'nayoro',
+      zone: machine.zone,
       cluster: CLUSTER,
       listen: {
         http: `${machine.host}:${CALLER_PORT}`,
--- a/test/gateway/waiting-replay.test.ts
+++ b/test/gateway/waiting-replay.test.ts
@@ -13,6 +13,7 @@
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { forwardSingle } from '../../src/gateway/forward-single.js';
 import type { GatewayContext } from '../../src/gateway/gateway-context.js';
+import { ZoneTraffic } from '../../src/observability/zone-traffic.js';
 import { ZoneRegions } from '../../src/gateway/zone-regions.js';
 import { readRouteDocument } from '../../src/routes/read-route-document.js';
 import { RouteTable } from '../../src/routes/route-table.js';
@@ -83,6 +84,7 @@
     environment,
     headers: DEFAULT_EXCHANGE_HEADERS,
     telemetry: { logger, registry: new Registry() },
+    traffic: new ZoneTraffic('a', new Registry()),
     directory,
     mechanisms,
     placement: { zone: 'a', otherZoneCost: 0 },
