Tell no caller to come back early to replicas that cannot be reached

Their rest after a failure says when this gateway tries them again, not when they have room. Callers may use up their few repeats on it (supposed, not measured).

--- a/src/gateway/expected-wait.ts
+++ b/src/gateway/expected-wait.ts
@@ -50,11 +50,13 @@
 
 /**
  * Until some replica begins work on a request that was refused, by those that are known to be busy:
- * the others had no room either. Undefined where none is. Milliseconds.
+ * the others had no room either. Undefined where none is, as when they cannot be reached: nothing
+ * says when they come back. Milliseconds.
  */
 export function expectedRoom({ targets, usualLatency, now }: RoomQuery): number | undefined {
   const waits = targets
-    .map((target) => Math.max(target.restsUntil - now, expectedWait(target, usualLatency, now)))
+    .filter((target) => !target.isResting(now))
+    .map((target) => expectedWait(target, usualLatency, now))
     .filter((wait) => wait > 0);
   return waits.length === 0 ? undefined : Math.min(...waits);
 }
--- a/src/gateway/failure-rest.ts
+++ b/src/gateway/failure-rest.ts
@@ -6,27 +6,22 @@
 
 /** See the module comment. Times are clock readings. */
 export class FailureRest {
-  private restEnd = -Infinity;
+  private restsUntil = -Infinity;
   private failures = 0;
 
-  /** Clock reading; in the past when it does not rest. */
-  get until(): number {
-    return this.restEnd;
-  }
-
   noteFailure(now: number): void {
     const rest = Math.min(FIRST_REST_MS * 2 ** this.failures, LONGEST_REST_MS);
     this.failures += 1;
-    this.restEnd = now + rest;
+    this.restsUntil = now + rest;
   }
 
   /** It answered: it can be used. */
   noteUsable(): void {
     this.failures = 0;
-    this.restEnd = -Infinity;
+    this.restsUntil = -Infinity;
   }
 
   isResting(now: number): boolean {
-    return now < this.restEnd;
+    return now < this.restsUntil;
   }
 }
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -139,11 +139,6 @@
     return this.successor !== undefined || this.isReplaced(now);
   }
 
-  /** Until when it is left alone after a failure; in the past when it is not. Clock reading. */
-  get restsUntil(): number {
-    return this.rest.until;
-  }
-
   isResting(now: number): boolean {
     return this.rest.isResting(now);
   }
--- a/test/gateway/expected-wait.test.ts
+++ b/test/gateway/expected-wait.test.ts
@@ -90,4 +90,11 @@
     expect(expectedRoom(query([replica(2, 8), replica(2, 1), replica()]))).toBe(100);
     expect(expectedRoom(query([replica(), replica(1)]))).toBeUndefined();
   });
+
+  it('knows nothing of when a replica that cannot be reached has room', () => {
+    const unreachable = replica(2, 1);
+    unreachable.noteFailure(NOW);
+    expect(expectedRoom(query([unreachable]))).toBeUndefined();
+    expect(expectedRoom(query([unreachable, replica(2, 8)]))).toBe(450);
+  });
 });
