Leave ended replicas only in requests to one service

A request to many shards ends by its own rules while parts are in flight; one that fails early brings it nearer to an answer of 502.

--- a/src/configuration/gateway-mechanisms.ts
+++ b/src/configuration/gateway-mechanisms.ts
@@ -41,7 +41,7 @@
      * come back when room is expected.
      */
     expectedWait: switchSchema,
-    /** A request in flight to a replica whose address another one has is given up there. */
+    /** A request to one service in flight to a replica whose address another one has is given up there. */
     endedReplicas: switchSchema,
     /** Another replica is asked after a failure or refusal. */
     retries: switchSchema,
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -43,6 +43,7 @@
       stake: 1,
       isRepeat: false,
       retryUntil: offeredBy,
+      leavesEndedReplicas: context.mechanisms.endedReplicas,
       connectWithin: context.mechanisms.boundedConnecting ? this.connectWithin : undefined,
       onEnd: this.onEnd,
     });
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -67,6 +67,8 @@
   readonly isRepeat: boolean;
   /** Until when replicas that could not take it are tried again. Clock reading. */
   readonly retryUntil: number;
+  /** Whether an attempt is given up when another replica has the address; absent: it is not. */
+  readonly leavesEndedReplicas?: boolean;
   /** Longest wait for a connection of a sending that begins now; absent: the client's own. Milliseconds. */
   readonly connectWithin?: (() => number) | undefined;
   /** Asked before a further sending beside or after one that may have run; absent: always allowed. */
@@ -290,7 +292,7 @@
     this.attempts.push(record);
     this.asked.add(target);
     this.live.add(attempt);
-    if (this.context.mechanisms.endedReplicas) target.ending.once(onEnded);
+    if (this.options.leavesEndedReplicas === true) target.ending.once(onEnded);
     void this.context.sender.send(this.request, target, sending).then((result) => {
       target.ending.cancel(onEnded);
       target.end(number);
