Keep limits over three owners of a window, and never call not run what may have run

The parts are divided anew: 0.10, 0.16, 2 x 0.05 and 3 x 0.21.

A fan-out whose leaf was lost before it reported, and whose shards then wait for a trial, was refused as not run; it fails now. Frames between zones are compressed only where the settings ask for it.

--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -64,6 +64,16 @@
     })
     .prefault({})
     .describe('{ electionTimeoutMs: 1000 }'),
+  directory: z
+    .strictObject({
+      /**
+       * Compresses long frames to gateways and controllers of other zones: a new stream begins with
+       * all replicas and routes. Costs processor time where many streams begin at once.
+       */
+      compressBetweenZones: z.boolean().default(false),
+    })
+    .prefault({})
+    .describe('{ compressBetweenZones: true }'),
   tenants: tenantSettingsSchema,
   administration: z
     .strictObject({
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -155,7 +155,7 @@
   state: ReplicatedParts,
   traffic: ZoneTraffic,
 ): RegistrationPart {
-  const { automaticMembership, listen, zone } = configuration;
+  const { automaticMembership, listen, zone, directory } = configuration;
   return new RegistrationPart({
     environment,
     identity,
@@ -165,6 +165,7 @@
     traffic,
     ...state,
     zone,
+    compressBetweenZones: directory.compressBetweenZones,
     ownAddress: formatAddress(listen.messages),
     ...(automaticMembership === undefined
       ? {}
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -80,6 +80,7 @@
   readonly quarantineOrders: QuarantineOrders;
   readonly faults: ControlStreamFaults;
   readonly zone: string;
+  readonly compressBetweenZones: boolean;
   /** `host:port` for internal messages. */
   readonly ownAddress: string;
   /** Controllers by which the group is found; absent when members are looked after by hand. */
@@ -120,6 +121,7 @@
       members: () => log.status().members,
       ownName: identity.name,
       ownZone: zone,
+      compressBetweenZones: options.compressBetweenZones,
       routeHistory: this.routeHistory,
       registry: options.registry,
       onUnreadable: (subscriber) =>
--- a/src/directory/directory-server.ts
+++ b/src/directory/directory-server.ts
@@ -33,6 +33,8 @@
   | 'ageMs'
   | 'ownZone'
 > {
+  /** Whether long frames to subscribers of other zones are compressed. */
+  readonly compressBetweenZones: boolean;
   readonly members: () => readonly DirectoryMember[];
   /** This controller. */
   readonly ownName: string;
@@ -193,7 +195,8 @@
     const { zone, gatherAddress: address } = message;
     if (isController) this.controllers.noteConnected(name, zone);
     const isFar = zone !== this.sources.ownZone;
-    const isCompressed = isFar && protocolVersion >= COMPRESSION_SINCE_VERSION;
+    const isUnderstood = protocolVersion >= COMPRESSION_SINCE_VERSION;
+    const isCompressed = this.sources.compressBetweenZones && isFar && isUnderstood;
     return new DirectorySession(kind, { name, zone, address }, isCompressed);
   }
 
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -22,6 +22,11 @@
   listener: PartListener,
 ) => readonly PartSource[];
 
+/** What is said of a request that a replica may have run: never that it was not run. */
+function refusalOfRun(refusal: GatewayRefusal): GatewayRefusal {
+  return refusal === GatewayRefusal.NotRun ? GatewayRefusal.Failed : refusal;
+}
+
 /** One fan-out in progress. */
 export class FanOut implements PartListener {
   private sources: readonly PartSource[] = [];
@@ -165,7 +170,7 @@
     const { crashGuard } = this.context;
     const isQuarantined = crashGuard.isQuarantined(this.request.fingerprint);
     const cause = isQuarantined ? QUARANTINED : reason;
-    const response = mayRun ? refuse(refusal, cause) : refuseNotRun(cause);
+    const response = mayRun ? refuse(refusalOfRun(refusal), cause) : refuseNotRun(cause);
     this.finish(response, cause);
   }
 
--- a/src/tenants/quota-bounds.ts
+++ b/src/tenants/quota-bounds.ts
@@ -8,17 +8,20 @@
  *   settled within two lifetimes (used within one; found not to have run, and reported, within
  *   half a one each), so at most rate x 2 lifetimes;
  * - what a new owner begins with, for each change of owner in the window;
- * - uses that no owner has confirmed, of all gateways together.
+ * - uses that no owner has confirmed, of all gateways together: an owner charges them afterwards,
+ *   but the next one knows of no debt, so they count once for each owner of the window.
  * Capacity is the burst and a part of E; the parts sum up to 1 with two changes of owner.
  */
 import type { QuotaSettings } from '../configuration/tenant-settings.js';
 import type { Tenant } from './tenant.js';
 
 /** Parts of the tolerance. */
-const CAPACITY_PART = 0.31;
-const SETTLING_PART = 0.24;
-const BEGINNING_PART = 0.1;
-const UNCONFIRMED_PART = 0.25;
+const CAPACITY_PART = 0.1;
+const SETTLING_PART = 0.16;
+const BEGINNING_PART = 0.05;
+const UNCONFIRMED_PART = 0.64;
+/** With two changes of owner. */
+const OWNERS_IN_A_WINDOW = 3;
 /** Longer grants would gain nothing: demand is not known so far ahead. Milliseconds. */
 const LONGEST_LIFETIME_MS = 1_000;
 /** Without a tolerance grants still need the time of a message each way. Milliseconds. */
@@ -39,7 +42,7 @@
   readonly lifetimeMs: number;
   /** After its use or its end, a token may be given back, and as long be waiting for that. Milliseconds. */
   readonly returnMs: number;
-  /** Uses in a window that no owner has confirmed, all gateways together. */
+  /** Uses that no owner has confirmed, all gateways together, under one owner of a window. */
   readonly unconfirmed: number;
 }
 
@@ -60,6 +63,6 @@
     beginning: tolerance * BEGINNING_PART,
     lifetimeMs,
     returnMs: lifetimeMs / 2,
-    unconfirmed: tolerance * UNCONFIRMED_PART,
+    unconfirmed: (tolerance * UNCONFIRMED_PART) / OWNERS_IN_A_WINDOW,
   };
 }
