--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -6,6 +6,7 @@
 import type { SoakDaemon } from './soak-fleet.js';
 import { HOST, PATHS, TENANTS, keyOf } from './soak-routes.js';
 
+/** How long callers say that they wait. Milliseconds. */
 const DEADLINE_MS = 1_500;
 const CLIENT_OPTIONS = {
   connections: 100,
@@ -17,6 +18,7 @@
 const UNKNOWN_KEY_PART = 0.05;
 /** Part of the requests that carry a key which was taken away long ago. */
 const OLD_KEY_PART = 0.05;
+/** So many versions ago a key was in force that is held no more. */
 const VERSIONS_UNTIL_OLD = 2;
 
 export type CallKind = keyof typeof PATHS;
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -21,9 +21,11 @@
  */
 const HOST = `127.${1 + (process.pid % 200)}.${1 + (Math.floor(process.pid / 200) % 200)}.1`;
 const CLUSTER = { id: 'soak', key: 'processes-of-one-soak' };
+/** Daemons give requests in flight this long when they stop. Milliseconds. */
 const STOP_GRACE_MS = 3_000;
 /** A daemon that has not stopped by then hangs. Milliseconds. */
 const STOP_PATIENCE_MS = STOP_GRACE_MS + 3_000;
+/** A daemon that has not started by then fails the run. Milliseconds. */
 const START_TIMEOUT_MS = 30_000;
 /** Bounds of keys and limits that the run checks. */
 export const REVOCATION_BOUND_MS = 5_000;
@@ -34,7 +36,7 @@
 /** A controller or gateway, over all its processes. */
 export class SoakDaemon {
   private process: FleetProcess | undefined;
-  /** When the process that runs now was told to stop; undefined while it was not. */
+  /** Whether the process that runs now was told to stop. */
   isStopping = false;
 
   constructor(
--- a/lab/soak/soak-operator.ts
+++ b/lab/soak/soak-operator.ts
@@ -4,6 +4,7 @@
 import type { Environment } from '../../src/seams/environment.js';
 import { routeDocument } from './soak-routes.js';
 
+/** Between an accepted version and the next one. Milliseconds. */
 const CHANGE_INTERVAL_MS = 2_500;
 const PAUSE_AFTER_FAILURE_MS = 100;
 const CLIENT_OPTIONS = {
@@ -12,6 +13,7 @@
   connectTimeout: 500,
   keepAliveTimeout: 500,
 };
+/** Longest wait for a controller's answer. Milliseconds. */
 const CALL_TIMEOUT_MS = 1_500;
 const HTTP_OK = 200;
 
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -23,8 +23,13 @@
 /** Between the beginnings of two faults, which may overlap. Milliseconds. */
 const SHORTEST_GAP_MS = 300;
 const LONGEST_GAP_MS = 2_000;
+/** How long one lasts. Milliseconds. */
 const SHORTEST_FAULT_MS = 200;
 const LONGEST_FAULT_MS = 3_000;
+/** From the start of the load to the first fault. Milliseconds. */
+const FIRST_FAULT_MS = 1_000;
+/** Far more than there are processes or links of a kind, so that each is as likely. */
+const TARGETS = 1_000;
 
 /** One fault. */
 export interface PlannedFault {
@@ -40,17 +45,17 @@
   return least + random.nextFloat() * (most - least);
 }
 
-/** Faults from the first second of `durationMs` on. */
+/** Faults from {@link FIRST_FAULT_MS} to the end of a load of `durationMs`. */
 export function planFaults(random: RandomSource, durationMs: number): PlannedFault[] {
   const faults: PlannedFault[] = [];
-  let at = 1_000;
+  let at = FIRST_FAULT_MS;
   while (at < durationMs) {
     const kind = FAULTS[Math.floor(random.nextFloat() * FAULTS.length)] as SoakFault;
     const fault = {
       kind,
       at,
       durationMs: between(random, SHORTEST_FAULT_MS, LONGEST_FAULT_MS),
-      target: Math.floor(random.nextFloat() * 1_000),
+      target: Math.floor(random.nextFloat() * TARGETS),
     };
     faults.push(fault);
     at += between(random, SHORTEST_GAP_MS, LONGEST_GAP_MS);
--- a/src/administration/tenant-routes.ts
+++ b/src/administration/tenant-routes.ts
@@ -6,7 +6,12 @@
 import type { TenantEntry } from '../tenants/tenant-directory.js';
 import type { AdministrationContext } from './administration-context.js';
 import { AdministrationError } from './administration-error.js';
-import { tenantListSchema, tenantReportSchema, type TenantList } from './response-schemas.js';
+import {
+  tenantListSchema,
+  tenantReportSchema,
+  type TenantList,
+  type TenantReport,
+} from './response-schemas.js';
 import { defineRoute, type Route } from './route.js';
 
 const READ_STEP = 'read tenants';
@@ -48,10 +53,7 @@
   return { version: document?.version ?? null, tenants: tenants.map(summarise) };
 }
 
-async function explainTenant(
-  context: AdministrationContext,
-  name: string,
-): Promise<z.infer<typeof tenantReportSchema>> {
+async function explainTenant(context: AdministrationContext, name: string): Promise<TenantReport> {
   const document = await readDocument(context);
   const tenant = document?.tenants?.find((one) => one.name === name);
   if (document === undefined || tenant === undefined) {
--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -16,6 +16,7 @@
  */
 const SHORTEST_REFRESH_MS = 1_000;
 const LONGEST_REFRESH_MS = 10_000;
+
 interface CachedGroups {
   readonly computedAt: number;
   /** Replicas that were known. */
--- a/src/configuration/tenant-settings.ts
+++ b/src/configuration/tenant-settings.ts
@@ -10,8 +10,10 @@
   /** Beyond that, requests. */
   slack: z.int().min(0).default(20),
 });
+/** See `quotaSchema`. */
 export type QuotaSettings = z.infer<typeof quotaSchema>;
 
+/** The `tenants` part of the settings of gateways and controllers. */
 export const tenantSettingsSchema = z
   .strictObject({
     /**
@@ -25,4 +27,3 @@
   })
   .prefault({})
   .describe('{ revocationBoundMs: 5000, quota: { windowMs: 5000, overrun: 0.1, slack: 20 } }');
-export type TenantSettings = z.infer<typeof tenantSettingsSchema>;
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -56,7 +56,7 @@
    * false when that takes too long. Absent at gateways, which nobody follows.
    */
   readonly relay?: (() => Promise<boolean>) | undefined;
-  /** The controller said its first word on a connection: it can be asked now. */
+  /** The controller has sent its first status on a connection: it can be asked now. */
   readonly onFollowed: () => void;
   /** The controller sent what cannot be read; the link is about to be lost. */
   readonly onUnreadable: (link: DirectoryLink) => void;
--- a/src/gateway/exchange-headers.ts
+++ b/src/gateway/exchange-headers.ts
@@ -20,9 +20,12 @@
   readonly partSignatures: string;
   /** How many shards a merged answer lacks. */
   readonly missingParts: string;
-  /** The caller's API key, where the route document names tenants; never sent on. */
+  /** The caller's API key; never sent on where the route document names tenants. */
   readonly apiKey: string;
-  /** To replicas: name of the tenant whose key the caller gave; never taken from a caller. */
+  /**
+   * To replicas: name of the tenant whose key the caller gave; never taken from a caller where the
+   * route document names tenants.
+   */
   readonly tenant: string;
 }
 
--- a/src/gateway/expected-wait.ts
+++ b/src/gateway/expected-wait.ts
@@ -1,12 +1,12 @@
 /**
  * How long a request would wait at the replicas of its service before work on it begins, and whether
- * that leaves time to answer it. It answers bursts in which all queues grow long: a request that can
- * not be answered in time is refused while its caller can still do something else.
+ * that leaves time to answer it. It answers bursts in which all queues grow long: a request that
+ * cannot be answered in time is refused while its caller can still do something else.
  */
 import type { ReplicaTarget } from './replica-target.js';
 
-/** An older word is not believed, so that a replica that always says it is full is tried. Milliseconds. */
-const WORD_VALID_MS = 1_000;
+/** An older load report is not used, so that a replica that always reports to be full is tried. Milliseconds. */
+const LOAD_VALID_MS = 1_000;
 
 /** What a request needs. Clock readings and milliseconds. */
 export interface RoomQuery {
@@ -30,12 +30,12 @@
 }
 
 /**
- * Requests at the replica now. What it said of them gets old as it works: nothing is assumed to
- * have come since, so that an old word never keeps requests away from it for long.
+ * Requests at the replica now, by its last load report less what it has done since. Nothing is
+ * assumed to have come since, so that an old report never keeps requests away from it for long.
  */
 function workAhead(target: ReplicaTarget, usualLatency: number, now: number): number {
   const { load, inFlight } = target;
-  if (load === undefined || now - load.at > WORD_VALID_MS) return inFlight;
+  if (load === undefined || now - load.at > LOAD_VALID_MS) return inFlight;
   const done = (now - load.at) / slotTime(target, usualLatency, now);
   return Math.max(inFlight, load.running + load.waiting - done);
 }
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -73,20 +73,20 @@
     const now = this.clock.now();
     let best: ReplicaTarget | undefined;
     let bestCost = Infinity;
-    let resting: ReplicaTarget | undefined;
+    let lastResort: ReplicaTarget | undefined;
     for (const target of query.targets) {
       if (query.excluded.has(target) || target.isReplaced(now)) continue;
       if (target.inFlight >= query.maximumInFlight) continue;
       if (this.isClosedWhileCold(target, query, now)) continue;
       const isResting = this.mechanisms.resting && target.isResting(now);
       if (isResting || now < target.fullUntil) {
-        resting ??= target;
+        lastResort ??= target;
         continue;
       }
       const cost = this.cost(target, query, now);
       if (cost < bestCost) [best, bestCost] = [target, cost];
     }
-    return best ?? resting;
+    return best ?? lastResort;
   }
 
   private isClosedWhileCold(
--- a/src/observability/zone-traffic-log.ts
+++ b/src/observability/zone-traffic-log.ts
@@ -3,7 +3,7 @@
 import type { Logger } from './logger.js';
 import type { ZoneTraffic } from './zone-traffic.js';
 
-/** Milliseconds. */
+/** Between two lines. Milliseconds. */
 const LOG_INTERVAL_MS = 10_000;
 
 /** What is written, and when. */
--- a/src/observability/zone-traffic.ts
+++ b/src/observability/zone-traffic.ts
@@ -7,7 +7,7 @@
 import { Counter, type Registry } from 'prom-client';
 
 /** Where the other end of a connection is. */
-export enum TrafficPlace {
+enum TrafficPlace {
   OwnZone = 'own_zone',
   OtherZone = 'other_zone',
   /** Its zone has not been told yet. */
--- a/src/protocol/compressed-frame.ts
+++ b/src/protocol/compressed-frame.ts
@@ -13,13 +13,13 @@
 const TAG_BYTES = 1;
 /** Shorter frames are not compressed: what is saved is less than it costs. Bytes. */
 const LEAST_BYTES = 1_024;
-/** The fastest: streams begin all at once when a fleet starts. */
-const LEVEL = 1;
+/** The fastest level: streams begin all at once when a fleet starts. */
+const COMPRESSION_LEVEL = 1;
 
 /** The frame, compressed when that makes it shorter. */
 export function compressFrame(frame: Uint8Array): Uint8Array {
   if (frame.length < LEAST_BYTES) return frame;
-  const body = deflateRawSync(frame, { level: LEVEL });
+  const body = deflateRawSync(frame, { level: COMPRESSION_LEVEL });
   if (body.length + TAG_BYTES >= frame.length) return frame;
   return Buffer.concat([Buffer.from([COMPRESSED_TAG]), body]);
 }
--- a/src/storage/log-record.ts
+++ b/src/storage/log-record.ts
@@ -43,7 +43,7 @@
 
 export const RECORD_MAGIC = Buffer.from('DWR1');
 /** Longest payload that is written, and that is believed when read; above the longest command. Bytes. */
-export const MAXIMUM_PAYLOAD_BYTES = 4 * 1024 * 1024;
+const MAXIMUM_PAYLOAD_BYTES = 4 * 1024 * 1024;
 
 const LENGTH_OFFSET = 4;
 const CHECKSUM_OFFSET = 8;
--- a/src/tenants/allowance-table.ts
+++ b/src/tenants/allowance-table.ts
@@ -4,17 +4,19 @@
 import { TenantAllowance } from './tenant-allowance.js';
 import type { Tenant } from './tenant.js';
 
-/** How often tenants that are not used any more are forgotten, and after how long. Windows. */
+/** How often idle tenants are looked for, in windows. */
 const FORGET_WINDOWS = 4;
+/** For how long after its last request a tenant is remembered, in windows. */
 const REMEMBERED_WINDOWS = 2;
 
 /** See the module comment. */
 export class AllowanceTable {
   private readonly allowances = new Map<string, TenantAllowance>();
-  private lookedAt = -Infinity;
+  private lastForgottenAt = -Infinity;
 
   constructor(private readonly settings: QuotaSettings) {}
 
+  /** What is known of a tenant that was used lately. */
   find(name: string): TenantAllowance | undefined {
     return this.allowances.get(name);
   }
@@ -38,8 +40,8 @@
 
   private forgetIdle(now: number): void {
     const { windowMs } = this.settings;
-    if (now - this.lookedAt < windowMs * FORGET_WINDOWS) return;
-    this.lookedAt = now;
+    if (now - this.lastForgottenAt < windowMs * FORGET_WINDOWS) return;
+    this.lastForgottenAt = now;
     for (const [name, allowance] of this.allowances) {
       if (allowance.isIdle(now, windowMs * REMEMBERED_WINDOWS)) this.allowances.delete(name);
     }
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -15,6 +15,7 @@
 import { AllowanceTable } from './allowance-table.js';
 import type { QuotaAnswerMessage, QuotaAskMessage } from './quota-messages.js';
 import { QuotaPath } from './quota-path.js';
+import { LONGEST_RETURN_WINDOWS } from './return-schedule.js';
 import type { OpenQuestion, TenantAllowance, WaitingRequest } from './tenant-allowance.js';
 import { ADMITTED, type QuotaDecision, type TenantQuota } from './tenant-quota.js';
 import { isLimited, type Tenant } from './tenant.js';
@@ -27,8 +28,6 @@
 export const LONGEST_WAIT_MS = 2_000;
 /** Where it is not known when a token is due: with an owner that may be found soon. Milliseconds. */
 const UNKNOWN_RETRY_MS = 1_000;
-/** Refused requests are not told to come back later than this many windows. */
-const RETURN_WINDOWS = 2;
 /** Part of a grant's lifetime for which tokens are asked for ahead. */
 const AHEAD_PART = 0.5;
 /** Most tenants of one frame, which keeps it far below the longest frame. */
@@ -178,7 +177,7 @@
   /** Behind those that were told to come back before, each at a time of its own. */
   private refuse(allowance: TenantAllowance, now: number): QuotaDecision {
     this.options.onDecision(QuotaPath.Refused);
-    const horizonMs = this.options.settings.windowMs * RETURN_WINDOWS;
+    const horizonMs = this.options.settings.windowMs * LONGEST_RETURN_WINDOWS;
     return { isAdmitted: false, retryAfterMs: allowance.returns.next(horizonMs, now) };
   }
 
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -146,9 +146,11 @@
   }
 
   private async follow(connection: MessageConnection, address: string): Promise<void> {
-    void connection.closed.then(() => this.news.notify());
     let isClosed = false;
-    void connection.closed.then(() => (isClosed = true));
+    void connection.closed.then(() => {
+      isClosed = true;
+      this.news.notify();
+    });
     while (!this.stopped.signal.aborted && !isClosed) {
       const asks = this.isConnected ? this.options.client.takeAsks() : [];
       const answers = await this.exchange(connection, address, asks);
--- a/src/tenants/quota-messages.ts
+++ b/src/tenants/quota-messages.ts
@@ -56,6 +56,7 @@
   readonly owner: string;
 }
 
+/** All messages between a gateway and the owner. */
 export type QuotaMessage =
   | QuotaRoundMessage
   | QuotaAskMessage
@@ -63,6 +64,7 @@
   | QuotaAnswerMessage
   | QuotaRedirectMessage;
 
+/** Encodes and decodes them. */
 export const QUOTA_CODEC = new MessageCodec<QuotaMessage>({
   round: { tag: 80, fields: [{ name: 'round', type: 'long' }] },
   ask: {
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -12,6 +12,7 @@
 import type { Clock } from '../seams/clock.js';
 import { boundsOf } from './quota-bounds.js';
 import type { QuotaAnswerMessage, QuotaAskMessage } from './quota-messages.js';
+import { LONGEST_RETURN_WINDOWS, type ToldReturns } from './return-schedule.js';
 import { NOTHING_USED, TenantUsage, type UsageCounts } from './tenant-usage.js';
 import { isLimited, type Tenant } from './tenant.js';
 import { TokenBucket } from './token-bucket.js';
@@ -20,10 +21,10 @@
 const PRESSURE_PART = 0.5;
 /** A tenant that the route document here does not name is asked for again later. Milliseconds. */
 const UNKNOWN_TENANT_RETRY_MS = 500;
-/** Refused requests are not told to come back later than this many windows. */
-const RETURN_WINDOWS = 2;
 /** How often buckets that are full again are looked for, in windows. */
 const FORGET_WINDOWS = 4;
+/** Where no request was refused. */
+const NO_RETURNS: ToldReturns = { nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
 
 /** What an owner goes by. */
 export interface QuotaOwnerOptions {
@@ -35,6 +36,7 @@
   readonly onLimit: (tenant: Tenant) => void;
 }
 
+/** A tenant that has asked, and what it may use and has used. */
 interface Account {
   tenant: Tenant;
   readonly bucket: TokenBucket;
@@ -45,11 +47,11 @@
 export class QuotaOwner {
   private readonly accounts = new Map<string, Account>();
   private since: number;
-  private lookedAt: number;
+  private lastForgottenAt: number;
 
   constructor(private readonly options: QuotaOwnerOptions) {
     this.since = options.clock.now();
-    this.lookedAt = this.since;
+    this.lastForgottenAt = this.since;
   }
 
   /** Tenants of which something is remembered. */
@@ -68,6 +70,7 @@
     return this.accounts.get(name)?.usage.read(this.options.clock.now()) ?? NOTHING_USED;
   }
 
+  /** Answers one question of a gateway, and notes the uses that it tells of. */
   answer(ask: QuotaAskMessage): QuotaAnswerMessage {
     this.forgetIdle();
     const tenant = this.options.tenant(ask.tenant);
@@ -84,8 +87,8 @@
     bucket.giveBack(ask.returned, now);
     bucket.charge(ask.spent, now);
     const forWaiting = bucket.take(ask.waiting, 0, now);
-    const comfortable = bucket.bounds.capacity * PRESSURE_PART;
-    const ahead = forWaiting < ask.waiting ? 0 : bucket.take(ask.ahead, comfortable, now);
+    const reserve = bucket.bounds.capacity * PRESSURE_PART;
+    const ahead = forWaiting < ask.waiting ? 0 : bucket.take(ask.ahead, reserve, now);
     const refused = ask.waiting - forWaiting;
     const used = {
       admitted: forWaiting + ahead + ask.spent - ask.returned,
@@ -93,20 +96,24 @@
       refusedWithoutOwner: ask.refusedWithoutOwner,
     };
     usage.note(used, now);
-    const pressureMs = bucket.timeUntil(comfortable, now);
-    const answer = {
+    const pressureMs = bucket.timeUntil(reserve, now);
+    if (refused > 0) this.options.onLimit(tenant);
+    const returns = this.returnsOf(refused, bucket, now);
+    return {
       kind: 'answer',
       tenant: ask.tenant,
       granted: forWaiting + ahead,
       pressureMs,
-    } as const;
-    if (refused === 0) return { ...answer, nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
-    this.options.onLimit(tenant);
-    const horizonMs = this.options.settings.windowMs * RETURN_WINDOWS;
+      ...returns,
+    };
+  }
+
+  private returnsOf(refused: number, bucket: TokenBucket, now: number): ToldReturns {
+    if (refused === 0) return NO_RETURNS;
+    const horizonMs = this.options.settings.windowMs * LONGEST_RETURN_WINDOWS;
     return {
-      ...answer,
       nextTokenMs: bucket.timeUntil(1, now),
-      retryAfterMs: bucket.promise(refused, horizonMs, now),
+      retryAfterMs: bucket.reserveReturns(refused, horizonMs, now),
       retrySpacingMs: 1 / bucket.bounds.ratePerMs,
     };
   }
@@ -143,15 +150,14 @@
 
   private grantAll({ tenant, waiting, ahead }: QuotaAskMessage): QuotaAnswerMessage {
     const granted = waiting + ahead;
-    const none = { pressureMs: 0, nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
-    return { kind: 'answer', tenant, granted, ...none };
+    return { kind: 'answer', tenant, granted, pressureMs: 0, ...NO_RETURNS };
   }
 
   /** Keeps memory bounded by the tenants that are in use. */
   private forgetIdle(): void {
     const now = this.options.clock.now();
-    if (now - this.lookedAt < this.options.settings.windowMs * FORGET_WINDOWS) return;
-    this.lookedAt = now;
+    if (now - this.lastForgottenAt < this.options.settings.windowMs * FORGET_WINDOWS) return;
+    this.lastForgottenAt = now;
     for (const [name, { bucket, usage }] of this.accounts) {
       const isUnused = bucket.isIdle(now) && usage.isEmpty(now);
       if (isUnused || this.options.tenant(name) === undefined) this.accounts.delete(name);
--- a/src/tenants/quota-server.ts
+++ b/src/tenants/quota-server.ts
@@ -83,6 +83,7 @@
     return limited.map((tenant) => ({ tenant, ...this.owner.usageOf(tenant.name) }));
   }
 
+  /** By which limits are kept here. */
   get settings(): QuotaSettings {
     return this.options.settings;
   }
--- a/src/tenants/return-schedule.ts
+++ b/src/tenants/return-schedule.ts
@@ -1,5 +1,10 @@
 /** When refused requests of one tenant are told to come back, at one gateway. Load: a tenant far above its limit. */
 
+/** Refused requests are not told to come back later than this many windows. */
+export const LONGEST_RETURN_WINDOWS = 2;
+/** A time that is over would have the caller back at once. Milliseconds. */
+const SHORTEST_RETURN_MS = 1;
+
 /** What the owner last told. Milliseconds. */
 export interface ToldReturns {
   /** Until the tenant has a token again. */
@@ -15,6 +20,7 @@
   private returnAt = -Infinity;
   private spacingMs = 0;
 
+  /** Goes by what the owner told at `now`. */
   use({ nextTokenMs, retryAfterMs, retrySpacingMs }: ToldReturns, now: number): void {
     this.nextTokenAt = now + nextTokenMs;
     this.returnAt = now + retryAfterMs;
@@ -34,6 +40,3 @@
     return Math.max(SHORTEST_RETURN_MS, returnAt - now);
   }
 }
-
-/** A time that is over would have the caller back at once. Milliseconds. */
-const SHORTEST_RETURN_MS = 1;
--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -73,6 +73,7 @@
     this.tokens = 0;
   }
 
+  /** Keeps unused tokens for the next question to the owner. */
   noteReturned(tokens: number, now: number): void {
     if (this.returned === 0) this.returnedSince = now;
     this.returned += tokens;
--- a/src/tenants/tenant-directory.ts
+++ b/src/tenants/tenant-directory.ts
@@ -40,6 +40,7 @@
     return new TenantDirectory(entries, entriesDigest);
   }
 
+  /** All of them, in the order of the document. */
   get tenants(): Iterable<Tenant> {
     return this.byName.values();
   }
@@ -51,6 +52,7 @@
     return this.byDigest.get(digestOf(key));
   }
 
+  /** The tenant of that name; undefined when the document has none. */
   named(name: string): Tenant | undefined {
     return this.byName.get(name);
   }
--- a/src/tenants/tenant-quota.ts
+++ b/src/tenants/tenant-quota.ts
@@ -10,6 +10,7 @@
       readonly retryAfterMs: number;
     };
 
+/** The decision for a request that may be sent on. */
 export const ADMITTED: QuotaDecision = { isAdmitted: true };
 
 /** See the module comment. */
--- a/src/tenants/tenant-usage.ts
+++ b/src/tenants/tenant-usage.ts
@@ -9,6 +9,7 @@
   readonly refusedWithoutOwner: number;
 }
 
+/** The counts of a tenant that has sent nothing. */
 export const NOTHING_USED: UsageCounts = { admitted: 0, refused: 0, refusedWithoutOwner: 0 };
 
 function sumOf(left: UsageCounts, right: UsageCounts): UsageCounts {
@@ -22,19 +23,19 @@
 /** See the module comment. Two halves are kept, of which the older one is dropped as a whole. */
 export class TenantUsage {
   private current = NOTHING_USED;
-  private before = NOTHING_USED;
+  private previous = NOTHING_USED;
   private begunAt = -Infinity;
 
   constructor(private readonly windowMs: number) {}
 
   note(counts: UsageCounts, now: number): void {
-    this.turn(now);
+    this.beginHalfIfDue(now);
     this.current = sumOf(this.current, counts);
   }
 
   read(now: number): UsageCounts {
-    this.turn(now);
-    return sumOf(this.before, this.current);
+    this.beginHalfIfDue(now);
+    return sumOf(this.previous, this.current);
   }
 
   isEmpty(now: number): boolean {
@@ -42,11 +43,11 @@
     return admitted === 0 && refused === 0 && refusedWithoutOwner === 0;
   }
 
-  private turn(now: number): void {
+  private beginHalfIfDue(now: number): void {
     const halfMs = this.windowMs / 2;
     const age = now - this.begunAt;
     if (age < halfMs) return;
-    this.before = age < this.windowMs ? this.current : NOTHING_USED;
+    this.previous = age < this.windowMs ? this.current : NOTHING_USED;
     this.current = NOTHING_USED;
     this.begunAt = now;
   }
--- a/src/tenants/token-bucket.ts
+++ b/src/tenants/token-bucket.ts
@@ -5,7 +5,7 @@
 export class TokenBucket {
   private level: number;
   /** Requests that were told to come back are expected up to this time. */
-  private promisedUntil = -Infinity;
+  private returnsReservedUntil = -Infinity;
 
   constructor(
     private limits: QuotaBounds,
@@ -29,7 +29,7 @@
   /** Whether dropping it loses nothing: a new one would be as full. */
   isIdle(now: number): boolean {
     this.fill(now);
-    return this.level >= this.limits.capacity && this.promisedUntil <= now;
+    return this.level >= this.limits.capacity && this.returnsReservedUntil <= now;
   }
 
   /** Takes off what was used without a token; may go below zero. */
@@ -61,9 +61,9 @@
    * When the first of the refused requests is to come back: each has a token of its own, behind
    * those refused before, at most `horizonMs` from now. Milliseconds from now.
    */
-  promise(refused: number, horizonMs: number, now: number): number {
-    const first = Math.max(now + this.timeUntil(1, now), this.promisedUntil);
-    this.promisedUntil = Math.min(first + refused / this.limits.ratePerMs, now + horizonMs);
+  reserveReturns(refused: number, horizonMs: number, now: number): number {
+    const first = Math.max(now + this.timeUntil(1, now), this.returnsReservedUntil);
+    this.returnsReservedUntil = Math.min(first + refused / this.limits.ratePerMs, now + horizonMs);
     return Math.min(first - now, Math.max(horizonMs, this.timeUntil(1, now)));
   }
 
