Refuse requests whose time ends while the owner of limits is asked

Cause: expire() looked only at requests that no question had been sent for. One that waited for an answer could be decided up to 600 ms (the timeout of a round) after the time that its caller's route leaves it, and be admitted then, against the contract of TenantQuota.take. Now it is refused in time, and a token that comes after that is kept for the next request.

test/tenants/quota-client.test.ts fails without the change (2 of 2).

--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -144,12 +144,14 @@
 
   /** Ends the wait of requests whose time is over before the next call; called while {@link hasWaiting}. */
   expire(nextCallMs: number): void {
-    const now = this.options.clock.now() + nextCallMs;
+    const nextCallAt = this.options.clock.now() + nextCallMs;
     for (const allowance of this.wanted) {
-      const over = allowance.waiting.filter(({ deadline }) => deadline <= now);
-      if (over.length === 0) continue;
-      allowance.waiting = allowance.waiting.filter(({ deadline }) => deadline > now);
-      for (const { decide } of over) decide(this.refuseWithoutOwner(allowance));
+      allowance.waiting = this.refuseOver(allowance, allowance.waiting, nextCallAt);
+    }
+    for (const allowance of this.open) {
+      const { question } = allowance;
+      if (question === undefined) continue;
+      question.waiting = this.refuseOver(allowance, question.waiting, nextCallAt);
     }
   }
 
@@ -195,6 +197,17 @@
     return this.admit(path);
   }
 
+  /** Refuses those whose time is over at `by`, and gives back the others. */
+  private refuseOver(
+    allowance: TenantAllowance,
+    waiting: readonly WaitingRequest[],
+    by: number,
+  ): WaitingRequest[] {
+    const over = waiting.filter(({ deadline }) => deadline <= by);
+    for (const { decide } of over) decide(this.refuseWithoutOwner(allowance));
+    return waiting.filter(({ deadline }) => deadline > by);
+  }
+
   private takeWithoutOwner(
     allowance: TenantAllowance,
     now: number,
--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -16,7 +16,8 @@
 export interface OpenQuestion {
   readonly askedAt: number;
   readonly spent: number;
-  readonly waiting: readonly WaitingRequest[];
+  /** Those whose time is not over. */
+  waiting: readonly WaitingRequest[];
 }
 
 /** See the module comment. Times are clock readings. Milliseconds. */
