Remember the use of a tenant that is taken out of the document and put back

Cause: an owner dropped the account of a tenant that the document did not name at once when it looked for idle ones. Put back within the window, the tenant began with a full bucket: with 10/s and a burst of 100 it was granted 110 once more, 2 ms after it had used all. Now the account goes when the tenant was not used for a window, after which a full bucket adds nothing to one.

--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -159,8 +159,9 @@
     if (now - this.lastForgottenAt < this.options.settings.windowMs * FORGET_WINDOWS) return;
     this.lastForgottenAt = now;
     for (const [name, { bucket, usage }] of this.accounts) {
-      const isUnused = bucket.isIdle(now) && usage.isEmpty(now);
-      if (isUnused || this.options.tenant(name) === undefined) this.accounts.delete(name);
+      // Of a tenant that is not named any more, its last window: it may be named again.
+      const isOver = bucket.isIdle(now) || this.options.tenant(name) === undefined;
+      if (isOver && usage.isEmpty(now)) this.accounts.delete(name);
     }
   }
 }
