Cancel the pending end of a connect wait when the request has failed

Cause: between the timer and the setImmediate that follows it a connection error can end the request; abandon() then gave its connection back to the pool a second time. Found by reading; no test, as the order of a real error and the immediate cannot be set from outside.

--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -47,6 +47,7 @@
   /** Given up before it was written to a connection. */
   private isAbandoned = false;
   private connectTimer: NodeJS.Timeout | undefined;
+  private abandoning: NodeJS.Immediate | undefined;
   private status = 0;
   private headers: Record<string, string> = {};
   private readonly chunks: Buffer[] = [];
@@ -65,7 +66,9 @@
     if (request.connectWithin === undefined) return;
     this.connectTimer = setTimeout(() => {
       // A process that was held up takes in the connections that have opened meanwhile first.
-      setImmediate(() => this.abandon('connect_failed', new Error('no connection in time')));
+      this.abandoning = setImmediate(() =>
+        this.abandon('connect_failed', new Error('no connection in time')),
+      );
     }, request.connectWithin);
   }
 
@@ -147,6 +150,7 @@
 
   private stopWaiting(): void {
     clearTimeout(this.connectTimer);
+    clearImmediate(this.abandoning);
     this.request.signal?.removeEventListener('abort', this.onSignal);
   }
 }
