Split the soak's load and name its times

Cause: load() was 40 lines, a field stood among the methods with a comment that said the opposite, and times had no unit. Behaviour is the same; npx vitest run test/lab/soak passes.

--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -8,12 +8,15 @@
 import { SoakFault, planFaults, type PlannedFault } from './soak-plan.js';
 import { judgeSoak } from './soak-verdict.js';
 
+/** Between two requests of all callers together. Milliseconds. */
 const CALL_INTERVAL_MS = 15;
 /** Until replicas and routes are known everywhere, and after the last fault. Milliseconds. */
 const SETTLE_MS = 4_000;
 const MILLISECONDS_PER_SECOND = 1_000;
-/** A leaving that no controller took within this many tries is left alone. */
+const HTTP_OK = 200;
+/** A replica's notice that it leaves, which no controller took within this many tries is left alone. */
 const DRAIN_TRIES = 20;
+/** Between two tries. Milliseconds. */
 const DRAIN_PAUSE_MS = 250;
 /** A replica serves on for this long after it has said that it leaves. Milliseconds. */
 const SERVES_ON_MS = 4_500;
@@ -45,6 +48,8 @@
 class SoakRun {
   private readonly fleet: SoakFleet;
   private readonly failedStops: string[] = [];
+  /** Daemons that a fault has struck; a further fault on one of them is left out. */
+  private readonly down = new Set<SoakDaemon>();
 
   constructor(private readonly options: SoakOptions) {
     this.fleet = new SoakFleet(options.environment, options.folder);
@@ -60,7 +65,7 @@
   }
 
   private async load(): Promise<SoakResult> {
-    const { environment, seed, seconds, timed } = this.options;
+    const { environment, seed } = this.options;
     const { clock } = environment;
     const stopped = new AbortController();
     const operator = new SoakOperator(environment, this.fleet.operatorAddresses);
@@ -72,15 +77,28 @@
       callers.run(this.fleet.gateways, CALL_INTERVAL_MS, stopped.signal),
       operator.run(stopped.signal),
     ];
-    const faults = planFaults(
-      seededRandom(seed, 'faults'),
-      seconds * MILLISECONDS_PER_SECOND - SETTLE_MS,
-    );
-    await Promise.all(faults.map((fault) => this.strike(fault)));
+    const faults = await this.strikeAll();
     await clock.sleep(SETTLE_MS);
     stopped.abort();
     await Promise.all(loads);
-    const { calls } = callers;
+    return this.judge(operator, callers, faults);
+  }
+
+  /** Strikes all faults of the run; the number of them. */
+  private async strikeAll(): Promise<number> {
+    const { seed, seconds } = this.options;
+    const durationMs = seconds * MILLISECONDS_PER_SECOND - SETTLE_MS;
+    const faults = planFaults(seededRandom(seed, 'faults'), durationMs);
+    await Promise.all(faults.map((fault) => this.strike(fault)));
+    return faults.length;
+  }
+
+  private async judge(
+    operator: SoakOperator,
+    { calls }: SoakCallers,
+    faults: number,
+  ): Promise<SoakResult> {
+    const { seed, timed } = this.options;
     const { acknowledged } = operator;
     const { replicas, operatorAddresses } = this.fleet;
     const versions = await Promise.all(operatorAddresses.map((one) => operator.readBack(one)));
@@ -89,9 +107,9 @@
     const evidence = { calls, replicas, acknowledged, readBack, failedStops };
     return {
       seed,
-      faults: faults.length,
+      faults,
       calls: calls.length,
-      answered: calls.filter(({ answer }) => answer?.status === 200).length,
+      answered: calls.filter(({ answer }) => answer?.status === HTTP_OK).length,
       versions: acknowledged.length,
       violations: judgeSoak(evidence, timed),
     };
@@ -128,9 +146,6 @@
     }
   }
 
-  /** One process at a time: a fault on one that is already down waits for nothing. */
-  private readonly down = new Set<SoakDaemon>();
-
   private async restart(daemon: SoakDaemon, { durationMs }: PlannedFault): Promise<void> {
     await this.exclusively(daemon, async () => {
       await daemon.kill();
--- a/lab/soak/soak-verdict.ts
+++ b/lab/soak/soak-verdict.ts
@@ -87,7 +87,10 @@
   return lateBy > 0 ? [`${requestId} ran ${Math.round(lateBy)} ms after its key had to end`] : [];
 }
 
-function checkLeaving({ replica, leftAt }: SoakReplica, calls: ReadonlyMap<string, SoakCall>) {
+function checkLeaving(
+  { replica, leftAt }: SoakReplica,
+  calls: ReadonlyMap<string, SoakCall>,
+): string[] {
   if (leftAt === undefined) return [];
   return replica.runs
     .filter(({ at }) => at > leftAt + LEAVING_MS)
