--- a/test/aggregation/fan-out-tree.test.ts
+++ b/test/aggregation/fan-out-tree.test.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 import { GatewayHarness, textOf, type OtherGateway } from '../gateway/gateway-harness.js';
+import { expectStopWhenCallerGoes } from './gone-caller.js';
 
 const NAMES = DEFAULT_EXCHANGE_HEADERS;
 const SHARDS = ['shard-a', 'shard-b', 'shard-c', 'shard-d', 'shard-e', 'shard-f'];
@@ -171,16 +172,7 @@
 
   it('stops the work at the replicas when the caller goes', async () => {
     const { harness, replicas } = await start();
-    for (const replica of replicas) replica.workMs = 1_000;
-    const abort = new AbortController();
-    const sent = harness.send({ path: '/q/1', id: 'gone', signal: abort.signal });
-    await harness.simulation.runFor(20);
-    abort.abort();
-    await harness.simulation.settle(sent.catch(() => undefined));
-    await harness.simulation.runFor(300);
-    const arrivals = replicas.reduce((sum, replica) => sum + replica.arrivals, 0);
-    await harness.simulation.runFor(2_000);
-    expect(replicas.reduce((sum, replica) => sum + replica.arrivals, 0)).toBe(arrivals);
+    await expectStopWhenCallerGoes(harness, replicas);
   });
 
   it('gives a stopping leaf nothing new, and loses nothing that it has', async () => {
