--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -16,7 +16,8 @@
 export interface OpenQuestion {
   readonly askedAt: number;
   readonly spent: number;
-  readonly waiting: readonly WaitingRequest[];
+  /** Those whose time is not over. */
+  waiting: readonly WaitingRequest[];
 }
 
 /** See the module comment. Times are clock readings. Milliseconds. */
@@ -73,6 +74,7 @@
     this.tokens = 0;
   }
 
+  /** Keeps unused tokens for the next question to the owner. */
   noteReturned(tokens: number, now: number): void {
     if (this.returned === 0) this.returnedSince = now;
     this.returned += tokens;
