Split the gateway daemon into tenants, upkeep and the planned stop

The wiring of the tenants' lease and quota moves to gateway-tenants.ts, what runs in the background to gateway-upkeep.ts, and the answering of callers in a planned stop to planned-stop.ts. No change of behaviour is meant. At the start the renewal of the lease begins just before the look for silent replicas instead of just after; the order of draws of chance stays.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -10,7 +10,6 @@
 import type { Logger } from '../observability/logger.js';
 import { UnusableEntries } from '../observability/unusable-entries.js';
 import { ZoneTraffic } from '../observability/zone-traffic.js';
-import { logZoneTraffic } from '../observability/zone-traffic-log.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { readRouteDocument } from '../routes/read-route-document.js';
@@ -24,38 +23,24 @@
   HttpResponse,
   RefusedRequest,
 } from '../seams/http.js';
-import { UNBOUNDED_LEASE } from '../tenants/authorization-lease.js';
-import { LeaseKeeper } from '../tenants/lease-keeper.js';
-import { LeaseRenewal } from '../tenants/lease-renewal.js';
-import { GatewayQuota } from '../tenants/gateway-quota.js';
-import { UNLIMITED_QUOTA } from '../tenants/tenant-quota.js';
-import { keepConnectionsWarm } from './connection-warmer.js';
 import { createDirectoryClient } from './create-directory-client.js';
 import { createGatewayContext } from './create-gateway-context.js';
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import { EvacuationsInForce } from './evacuations-in-force.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
+import { GatewayTenants } from './gateway-tenants.js';
+import { GatewayUpkeep } from './gateway-upkeep.js';
 import { HEALTH_OPTIONS, HealthEndpoint } from './health-endpoint.js';
+import { answerBeforeStop } from './planned-stop.js';
 import { ZoneRegions } from './zone-regions.js';
 
-/** Of the grace for a stop: until new connections end, and until the last answer is given. */
-const ACCEPTING_PART = 0.6;
-const ANSWERING_PART = 0.9;
-const STOP_CHECK_MS = 50;
-/** So few replicas are connected to before the first routes say which are asked from here. */
-const FEW_REPLICAS = 128;
-/** How often forgotten replicas are looked for. */
-const FORGET_INTERVAL_MS = 500;
-
 /** A running gateway. */
 export class GatewayDaemon {
   private readonly logger: Logger;
   private readonly directory: ReplicaDirectory;
   private readonly client: DirectoryClient;
-  /** Absent where the time of a revocation is not bounded. */
-  private readonly lease: LeaseRenewal | undefined;
-  private readonly quota: GatewayQuota | undefined;
+  private readonly tenants: GatewayTenants;
   private readonly traffic: ZoneTraffic;
   private readonly context: GatewayContext;
   private readonly endpoint: GatewayEndpoint;
@@ -89,8 +74,7 @@
       logger,
       traffic,
     });
-    this.lease = this.createLease();
-    this.quota = this.createQuota();
+    this.tenants = this.createTenants();
     this.context = this.createContext(headers);
     this.aggregation = this.createAggregation();
     this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
@@ -99,10 +83,7 @@
     observe(this.client.documents, (document) => this.applyDocument(document));
     const evacuations = new EvacuationsInForce(this.context, this.logger);
     observe(this.client.evacuations, (evacuation) => evacuations.take(evacuation));
-    observe(this.client.followed, () => this.lease?.noteFollowed());
-    observe(this.client.confirmations, ({ number, version }) =>
-      this.lease?.takeAnswer(number, version),
-    );
+    this.tenants.observeControllers();
     observe(this.client.quarantine, (entry) => this.context.crashGuard.take(entry));
   }
 
@@ -154,16 +135,15 @@
     if (this.isStopping) return;
     this.isStopping = true;
     const { clock } = this.environment;
-    const begunAt = clock.now();
     const { stopGraceMs } = this.configuration;
     this.logger.info('gateway stopping', { inFlight: this.inFlight });
     this.aggregation.stopTaking();
-    await clock.sleep(stopGraceMs * ACCEPTING_PART);
-    const closed = this.callers?.close();
-    while (this.inFlight > 0 && clock.now() - begunAt < stopGraceMs * ANSWERING_PART) {
-      await clock.sleep(STOP_CHECK_MS);
-    }
-    await Promise.race([closed, clock.sleep(STOP_CHECK_MS)]);
+    await answerBeforeStop({
+      clock,
+      graceMs: stopGraceMs,
+      inFlight: () => this.inFlight,
+      closeListener: () => this.callers?.close(),
+    });
     await this.release();
     this.logger.info('gateway stopped', { inFlight: this.inFlight });
   }
@@ -173,7 +153,7 @@
     this.ended.abort(new Error('stopped'));
     await this.health?.close();
     await this.client.stop();
-    await this.quota?.stop();
+    await this.tenants.stop();
     await this.aggregation.close();
     this.context.targets.stop();
   }
@@ -202,30 +182,14 @@
     });
   }
 
-  private createLease(): LeaseRenewal | undefined {
-    const { revocationBoundMs: boundMs } = this.configuration.tenants;
-    if (boundMs === undefined) return undefined;
-    const { clock, random } = this.environment;
-    return new LeaseRenewal({
-      clock,
-      keeper: new LeaseKeeper({ clock, random, boundMs }),
-      send: ({ number, unanswered }) => this.client.askVersion(number, unanswered),
-      logger: this.logger,
-      registry: this.telemetry.registry,
-      stopped: this.ended.signal,
-    });
-  }
-
-  private createQuota(): GatewayQuota | undefined {
-    const { quota: settings } = this.configuration.tenants;
-    if (settings === undefined) return undefined;
-    return new GatewayQuota({
+  private createTenants(): GatewayTenants {
+    return new GatewayTenants({
       environment: this.environment,
+      settings: this.configuration.tenants,
       identity: this.identity,
-      settings,
       telemetry: { ...this.telemetry, logger: this.logger },
-      countGateways: () => this.client.gateways,
-      controllers: () => this.client.controllerAddresses,
+      client: this.client,
+      stopped: this.ended.signal,
     });
   }
 
@@ -242,8 +206,8 @@
       placement: { zone, ...placement },
       regions: new ZoneRegions(zones, { zone, region }),
       secondSends,
-      lease: this.lease ?? UNBOUNDED_LEASE,
-      quota: this.quota?.client ?? UNLIMITED_QUOTA,
+      lease: this.tenants.lease,
+      quota: this.tenants.quota,
       countGateways: () => this.client.gateways,
       reportEvidence: (change) => this.client.reportEvidence(change),
     });
@@ -263,18 +227,17 @@
     this.health = await network.listenHttp(listen.health, HEALTH_OPTIONS, (request) =>
       health.handle(request),
     );
-    void this.forgetSilent();
-    void this.lease?.run();
-    void logZoneTraffic({
-      clock: this.environment.clock,
-      logger: this.logger,
-      traffic: this.traffic,
-      stopped: this.ended.signal,
-    });
-    if (this.configuration.mechanisms.warmConnections) void this.keepWarm();
+    void this.tenants.renewLease();
+    this.startUpkeep();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
+  private startUpkeep(): void {
+    const { context, directory, aggregation, endpoint, logger } = this;
+    const stopped = this.ended.signal;
+    new GatewayUpkeep({ context, directory, aggregation, endpoint, logger, stopped }).start();
+  }
+
   private createHealthEndpoint(): HealthEndpoint {
     return new HealthEndpoint({
       registry: this.telemetry.registry,
@@ -301,8 +264,7 @@
     try {
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
-      this.lease?.useTable(table);
-      this.quota?.useTenants(table.tenants);
+      this.tenants.useTable(table);
       this.callers?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
       this.logger.info('route document in force', { version, controller });
@@ -310,31 +272,4 @@
       this.logger.error('route document not understood', { version, reason: String(error) });
     }
   }
-
-  private isAskedOften(service: string): boolean {
-    const { table } = this.endpoint;
-    if (table === undefined) return this.context.targets.size <= FEW_REPLICAS;
-    return table.isShard(service) && this.aggregation.asksItself(service);
-  }
-
-  private keepWarm(): Promise<void> {
-    const { clock, random } = this.environment;
-    return keepConnectionsWarm({
-      clock,
-      random,
-      targets: () => this.aggregation.firstAsked(),
-      isWorthIt: (service) => this.isAskedOften(service),
-      warmupHeader: this.context.headers.warmup,
-      healthPath: (service) => this.endpoint.table?.service(service)?.healthPath ?? '/health',
-      stopped: this.ended.signal,
-    });
-  }
-
-  private async forgetSilent(): Promise<void> {
-    const { clock } = this.environment;
-    while (!this.ended.signal.aborted) {
-      await clock.sleep(FORGET_INTERVAL_MS, this.ended.signal).catch(() => undefined);
-      this.directory.forgetSilent();
-    }
-  }
 }
