--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -17,12 +17,6 @@
 import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { Environment } from '../seams/environment.js';
-import {
-  chooseControllers,
-  FollowState,
-  rankControllers,
-  type KnownController,
-} from './controller-choice.js';
 import { DirectoryLink, type DirectoryLinkParts, type LinkNews } from './directory-link.js';
 import {
   NO_DOCUMENT,
@@ -32,15 +26,10 @@
   type SubscriberKind,
   type VersionConfirmedMessage,
 } from './directory-messages.js';
+import { FollowedControllers } from './followed-controllers.js';
 import { crashEvidenceMessage, quarantineEntry } from './quarantine-messages.js';
 import { replicaEntry } from './replica-messages.js';
-import {
-  DIALLED_MS,
-  FOLLOWED_FRESH_MS,
-  FOLLOW_INTERVAL_MS,
-  FRESH_MS,
-  TAKES_RESTORED_MS,
-} from './directory-timing.js';
+import { TAKES_RESTORED_MS } from './directory-timing.js';
 import type { KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
@@ -50,9 +39,6 @@
   readonly controller: string;
 }
 
-/** Most controllers that are followed at once. */
-const MAXIMUM_LINKS = 12;
-
 /** What a client is started with. */
 export interface DirectoryClientOptions {
   readonly environment: Environment;
@@ -90,17 +76,10 @@
   private readonly emitConfirmation: (confirmed: VersionConfirmedMessage) => void;
   private readonly emitEvacuation: (evacuation: ZoneEvacuation) => void;
   private readonly emitDocument: (document: ReceivedDocument) => void;
-  /** Zones of controllers by their address, as they were last named. */
-  private readonly zones = new Map<string, string>();
-  private readonly links = new Map<string, DirectoryLink>();
-  private seeds: readonly string[] = [];
-  /** As this process's own log has them; empty at a gateway, which goes by what controllers say. */
-  private members: readonly string[] = [];
+  private readonly controllers: FollowedControllers;
   private documentVersion = NO_DOCUMENT;
   private joinedGateways: readonly KnownGateway[] = [];
   private readonly startedAt: number;
-  private readonly linkParts: DirectoryLinkParts;
-  private readonly stopped = new AbortController();
 
   constructor(private readonly options: DirectoryClientOptions) {
     [this.emitDocument, this.documents] = createAdapter<ReceivedDocument>();
@@ -108,61 +87,43 @@
     [this.emitQuarantine, this.quarantine] = createAdapter<QuarantineEntry>();
     [this.emitFollowed, this.followed] = createAdapter<void>();
     [this.emitConfirmation, this.confirmations] = createAdapter<VersionConfirmedMessage>();
-    const { environment, identity, subscriberKind, zone, traffic } = options;
-    const { gatherAddress = '', relay } = options;
+    const { environment, identity, zone, ownAddress, followed } = options;
     this.startedAt = environment.clock.now();
-    this.linkParts = {
+    const linkParts = this.createLinkParts();
+    this.controllers = new FollowedControllers({
       environment,
-      identity,
-      subscriberKind,
-      zone,
-      traffic,
-      zoneOf: (address) => this.zones.get(address) ?? '',
-      gatherAddress,
-      relay,
-      take: (message, link) => this.take(message, link),
-      onGateways: () => this.joinGateways(),
-      onControllers: (link) => {
-        this.noteZones(link.controllers);
-        this.adjustLinks();
-      },
-      documentVersion: () => this.documentVersion,
-      onFollowed: () => this.emitFollowed(),
-      onUnreadable: ({ address: controller }) => this.noteUnreadable(controller),
-      onState: (link, isOpen) => this.logState(link, isOpen),
-    };
-    if (options.followed !== undefined) void this.keepFollowing();
+      ownName: identity.name,
+      ownZone: zone,
+      ownAddress,
+      followed,
+      createLink: (address) => new DirectoryLink(linkParts, address),
+    });
+    if (followed !== undefined) void this.controllers.keepFollowing();
   }
 
   /** Replaces the addresses to begin with, `host:port` each. */
   useSeeds(addresses: readonly string[]): void {
-    this.seeds = addresses;
-    this.adjustLinks();
+    this.controllers.useSeeds(addresses);
   }
 
   /** Replaces the known members of the group, as this controller's own log has them. */
   useMembers(addresses: readonly string[]): void {
-    this.members = addresses;
-    this.adjustLinks();
+    this.controllers.useMembers(addresses);
   }
 
   /** Whether a controller that knew of a quorum lately is being followed. */
   get isFresh(): boolean {
-    const now = this.options.environment.clock.now();
-    return [...this.links.values()].some(({ status }) => {
-      if (status === undefined) return false;
-      return now - status.receivedAt + status.ageMs < FRESH_MS;
-    });
+    return this.controllers.isFresh;
   }
 
   /** Controllers that are being followed now. */
   get openLinks(): number {
-    return [...this.links.values()].filter(({ status }) => status !== undefined).length;
+    return this.controllers.openLinks.length;
   }
 
   /** The most gateways that any controller has seen lately; undefined while none is followed. */
   get gateways(): number | undefined {
-    const counts = [...this.links.values()].flatMap(({ status }) => status?.gateways ?? []);
+    const counts = this.controllers.openLinks.flatMap(({ status }) => status?.gateways ?? []);
     return counts.length === 0 ? undefined : Math.max(...counts);
   }
 
@@ -176,13 +137,13 @@
 
   /** `host:port` of every controller that is known, followed or not. */
   get controllerAddresses(): readonly string[] {
-    return this.knownControllers().map(({ address }) => address);
+    return this.controllers.known.map(({ address }) => address);
   }
 
   /** Tells one of the followed controllers, the freshest first; false while none is followed. */
   reportEvidence(change: QuarantineChange): boolean {
-    const links = [...this.links.values()]
-      .filter(({ status }) => status !== undefined && !status.stopping)
+    const links = this.controllers.openLinks
+      .filter(({ status }) => status?.stopping !== true)
       .sort((left, right) => (left.status?.ageMs ?? 0) - (right.status?.ageMs ?? 0));
     const message = crashEvidenceMessage(change);
     return links.some((link) => link.send(message));
@@ -193,15 +154,34 @@
    * first, and with each of the `unanswered` asks before it another one. False while none is followed.
    */
   askVersion(number: number, unanswered: number): boolean {
-    const links = this.linksToAsk();
+    const links = this.controllers.linksToAsk;
     return links[unanswered % links.length]?.send({ kind: 'confirmVersion', number }) === true;
   }
 
   async stop(): Promise<void> {
-    this.stopped.abort(new Error('stopped'));
-    const links = [...this.links.values()];
-    this.links.clear();
-    await Promise.all(links.map((link) => link.stop()));
+    await this.controllers.stop();
+  }
+
+  private createLinkParts(): DirectoryLinkParts {
+    const { environment, identity, subscriberKind, zone, traffic } = this.options;
+    const { gatherAddress = '', relay } = this.options;
+    return {
+      environment,
+      identity,
+      subscriberKind,
+      zone,
+      traffic,
+      zoneOf: (address) => this.controllers.zoneOf(address),
+      gatherAddress,
+      relay,
+      take: (message, link) => this.take(message, link),
+      onGateways: () => this.joinGateways(),
+      onControllers: (link) => this.controllers.noteNamed(link.controllers),
+      documentVersion: () => this.documentVersion,
+      onFollowed: () => this.emitFollowed(),
+      onUnreadable: ({ address: controller }) => this.noteUnreadable(controller),
+      onState: (link, isOpen) => this.logState(link, isOpen),
+    };
   }
 
   private take(message: LinkNews, link: DirectoryLink): void {
@@ -230,18 +210,6 @@
     }
   }
 
-  /** Open streams, those of controllers that tell fresh news in front, nearer ones first. */
-  private linksToAsk(): readonly DirectoryLink[] {
-    const { identity, zone } = this.options;
-    const place = { ownName: identity.name, ownZone: zone };
-    const links = rankControllers(this.knownControllers(), place)
-      .flatMap(({ address }) => this.links.get(address) ?? [])
-      .filter(({ status }) => status !== undefined);
-    const isFresh = ({ address }: DirectoryLink): boolean =>
-      this.followStateOf(address) === FollowState.Fresh;
-    return [...links.filter(isFresh), ...links.filter((link) => !isFresh(link))];
-  }
-
   private takeReplica(message: ReplicaMessage | ReplicaLifeMessage, link: DirectoryLink): void {
     const entry = replicaEntry(message);
     if (entry === undefined) {
@@ -266,7 +234,7 @@
   }
 
   private joinGateways(): void {
-    const followed = [...this.links.values()].filter(({ status }) => status !== undefined);
+    const followed = this.controllers.openLinks;
     if (followed.length === 0) return;
     const joined = new Map<string, KnownGateway>();
     for (const { gateways } of followed) {
@@ -275,69 +243,6 @@
     this.joinedGateways = [...joined.values()];
   }
 
-  private noteZones(controllers: readonly KnownController[]): void {
-    for (const { address, zone } of controllers) {
-      if (zone !== '') this.zones.set(address, zone);
-    }
-  }
-
-  private adjustLinks(): void {
-    if (this.stopped.signal.aborted) return;
-    const wanted = new Set(this.wantedAddresses());
-    for (const [address, link] of this.links) {
-      if (wanted.has(address)) continue;
-      this.links.delete(address);
-      void link.stop();
-    }
-    for (const address of [...wanted].slice(0, MAXIMUM_LINKS)) {
-      if (this.links.has(address)) continue;
-      this.links.set(address, new DirectoryLink(this.linkParts, address));
-    }
-  }
-
-  private wantedAddresses(): readonly string[] {
-    const { ownAddress, followed, identity, zone } = this.options;
-    const known = this.knownControllers().filter(({ address }) => address !== ownAddress);
-    if (followed === undefined) return known.map(({ address }) => address);
-    const options = { ownName: identity.name, ownZone: zone, count: followed };
-    return chooseControllers(known, options, (address) => this.followStateOf(address));
-  }
-
-  /** The union: the list of a controller that is cut off may be old. */
-  private knownControllers(): readonly KnownController[] {
-    const known = new Map<string, KnownController>();
-    for (const address of [...this.members, ...this.seeds]) {
-      known.set(address, { address, zone: '' });
-    }
-    for (const { controllers } of this.links.values()) {
-      for (const controller of controllers) {
-        const zone = controller.zone === '' ? known.get(controller.address)?.zone : controller.zone;
-        known.set(controller.address, { address: controller.address, zone: zone ?? '' });
-      }
-    }
-    return [...known.values()];
-  }
-
-  private followStateOf(address: string): FollowState {
-    const link = this.links.get(address);
-    if (link === undefined) return FollowState.Unusable;
-    const now = this.options.environment.clock.now();
-    const { status, startedAt } = link;
-    const age = status === undefined ? Infinity : now - status.receivedAt + status.ageMs;
-    if (age < FOLLOWED_FRESH_MS && status?.stopping !== true) return FollowState.Fresh;
-    return now - startedAt < DIALLED_MS ? FollowState.Pending : FollowState.Unusable;
-  }
-
-  /** Replaces followed controllers that are not fresh any more. */
-  private async keepFollowing(): Promise<void> {
-    const { clock } = this.options.environment;
-    const { signal } = this.stopped;
-    while (!signal.aborted) {
-      this.adjustLinks();
-      await clock.sleep(FOLLOW_INTERVAL_MS, signal).catch(() => undefined);
-    }
-  }
-
   private noteUnreadable(controller: string): void {
     const { unusable } = this.options;
     unusable.note(EntrySource.DirectoryStream, UnusableReason.Unreadable, { controller });
