Go on to another leaf after one that declines, wait for uploads in a planned stop

Found by a review: after a grant a leaf that declined was followed by nobody, and its shards stalled until the deadline; a group whose leaf was lost before it reported counted as not offered. A planned stop waits for requests whose bodies are still on their way as long as for answers (no test: the simulated network delivers whole requests).

--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -113,7 +113,8 @@
   }
 
   get isOffered(): boolean {
-    return this.active.size > 0 || this.sends > 0;
+    // A leaf that was lost before it reported may have asked replicas.
+    return this.active.size > 0 || this.sends > 0 || this.mayHaveRun;
   }
 
   get mayRun(): boolean {
@@ -148,7 +149,10 @@
     }
     if (this.isHedgeDue) this.local?.hedge();
     if (this.isReplacementDue) this.loseIfSilent();
-    if (this.isNextLeafDue) this.askNext();
+    if (!this.isNextLeafDue) return;
+    // Else a leaf that declines after this would be followed by nobody.
+    this.isNextLeafDue = false;
+    this.askNext();
   }
 
   private get maySendAgain(): boolean {
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -29,5 +29,7 @@
   while (inFlight() > 0 && clock.now() - begunAt < graceMs * ANSWERING_PART) {
     await clock.sleep(STOP_CHECK_MS);
   }
-  await Promise.race([closed, clock.sleep(STOP_CHECK_MS)]);
+  // Requests whose bodies are still on their way are in flight at the listener alone.
+  const left = Math.max(STOP_CHECK_MS, begunAt + graceMs * ANSWERING_PART - clock.now());
+  await Promise.race([closed, clock.sleep(left)]);
 }
