--- a/test/aggregation/group-gather.test.ts
+++ b/test/aggregation/group-gather.test.ts
@@ -54,12 +54,7 @@
     onParts: () => undefined,
     onFailed: (shards: readonly string[]) => failed.push(...shards),
   };
-  const gather = new GroupGather(
-    parts as never,
-    request as never,
-    options as never,
-    listener,
-  );
+  const gather = new GroupGather(parts as never, request as never, options as never, listener);
   return { gather, failed };
 }
 
