--- a/lab/soak/loopback-proxy.ts
+++ b/lab/soak/loopback-proxy.ts
@@ -1,5 +1,5 @@
 /** A TCP proxy on loopback between two processes, which can disturb what passes. */
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, createServer, type Server, type Socket } from 'node:net';
 import { formatAddress, type Address } from '../../src/seams/address.js';
 
 /** What becomes of connections through the proxy. */
@@ -27,24 +27,21 @@
   private constructor(
     private readonly listener: Server,
     private readonly target: Address,
+    readonly address: Address,
   ) {}
 
-  /** Listens on a port that the system picks, at the host of `target`. */
-  static async start(target: Address): Promise<LoopbackProxy> {
+  /** Leads from `address` to `target`. */
+  static async start(target: Address, address: Address): Promise<LoopbackProxy> {
     const listener = createServer({ pauseOnConnect: true });
-    const proxy = new LoopbackProxy(listener, target);
+    const proxy = new LoopbackProxy(listener, target, address);
     listener.on('connection', (client) => proxy.accept(client));
     await new Promise<void>((resolve, reject) => {
       listener.once('error', reject);
-      listener.listen(0, target.host, resolve);
+      listener.listen(address.port, address.host, resolve);
     });
     return proxy;
   }
 
-  get address(): Address {
-    return { host: this.target.host, port: (this.listener.address() as AddressInfo).port };
-  }
-
   /** Named by where it leads. */
   get name(): string {
     return formatAddress(this.target);
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -5,7 +5,6 @@
 import type { Environment } from '../../src/seams/environment.js';
 import { ExchangeReplica } from '../exchange/exchange-replica.js';
 import { FleetProcess } from '../fleet/fleet-process.js';
-import { findFreePorts } from '../fleet/free-ports.js';
 import { programArguments } from '../fleet/program.js';
 import { LoopbackProxy } from './loopback-proxy.js';
 import { SHARDS, SINGLE_SERVICE } from './soak-routes.js';
@@ -20,6 +19,8 @@
  * daemon that is down.
  */
 const HOST = `127.${1 + (process.pid % 200)}.${1 + (Math.floor(process.pid / 200) % 200)}.1`;
+/** Ports are given out one after the other: nobody else listens at the host. */
+const FIRST_PORT = 20_000;
 const CLUSTER = { id: 'soak', key: 'processes-of-one-soak' };
 /** Daemons give requests in flight this long when they stop. Milliseconds. */
 const STOP_GRACE_MS = 3_000;
@@ -98,6 +99,7 @@
   /** All that ever were. */
   readonly replicas: SoakReplica[] = [];
   private registration: Address[] = [];
+  private nextPort = FIRST_PORT;
 
   constructor(
     private readonly environment: Environment,
@@ -127,9 +129,8 @@
   async addReplica(service: string): Promise<void> {
     const { environment, registration } = this;
     const number = this.replicas.length;
-    const [listenAt] = await findFreePorts(1, HOST);
-    if (listenAt === undefined) throw new RangeError('no free port');
-    const proxy = await LoopbackProxy.start(listenAt);
+    const listenAt = this.freeAddress();
+    const proxy = await LoopbackProxy.start(listenAt, this.freeAddress());
     const replica = new ExchangeReplica(environment, {
       replicaId: `replica-${number}`,
       service,
@@ -152,15 +153,26 @@
     await Promise.all(proxies.map((proxy) => proxy.close()));
   }
 
+  private freeAddress(): Address {
+    const port = this.nextPort;
+    this.nextPort += 1;
+    return { host: HOST, port };
+  }
+
+  private freeAddresses(count: number): Address[] {
+    return Array.from({ length: count }, () => this.freeAddress());
+  }
+
   private async addReplicas(service: string, count: number): Promise<void> {
     for (let index = 0; index < count; index += 1) await this.addReplica(service);
   }
 
   private async createControllers(): Promise<void> {
-    const messages = await findFreePorts(CONTROLLERS, HOST);
-    const http = await findFreePorts(CONTROLLERS, HOST);
-    this.registration = await findFreePorts(CONTROLLERS, HOST);
-    for (const address of messages) this.controllerLinks.push(await LoopbackProxy.start(address));
+    const messages = this.freeAddresses(CONTROLLERS);
+    const http = this.freeAddresses(CONTROLLERS);
+    this.registration = this.freeAddresses(CONTROLLERS);
+    for (const address of messages)
+      this.controllerLinks.push(await LoopbackProxy.start(address, this.freeAddress()));
     const initialMembers = this.controllerLinks.map(({ address }, index) => ({
       memberId: `controller-${index}`,
       zone: ZONES[index % ZONES.length],
@@ -184,7 +196,7 @@
   }
 
   private async createGateways(): Promise<void> {
-    const ports = await findFreePorts(3 * GATEWAYS, HOST);
+    const ports = this.freeAddresses(3 * GATEWAYS);
     const controllers = this.controllerLinks.map(({ address }) => formatAddress(address));
     for (let index = 0; index < GATEWAYS; index += 1) {
       const [http, health, messages] = ports.slice(3 * index) as [Address, Address, Address];
