Tenants: reserve a token for each refused caller, so that one that comes back when told is served

What callers saw: a caller of a tenant over its limit got 429 with a retry time, waited as told and got 429 again; after a burst that takes longer than two windows to serve, most of them did.

Cause: the owner's bucket only noted up to when tokens were spoken for. A new request took the token that a refused caller was told of; gateways refused without asking and gave out the same turn more than once; retry times were cut at two windows, before the tokens were due.

Change: the owner reserves a token for each refused request by its fingerprint, at a time that nobody else has; the retry claims it at any gateway, and requests without a reservation get what is left over. Each refusal is decided by the owner. The bucket holds 0.12 instead of 0.10 of the tolerance for the held tokens; token lifetimes are 0.14 instead of 0.16 of it.

Why it works: reservations are one token apart and a new request is admitted only if the next one stays covered, so a claim always finds its token unless the limit is lowered or the owner changes.

--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -128,8 +128,9 @@
         retryAfterMs: lease.retryAfterMs,
       });
     }
-    const { receivedAt, route, signal } = callerRequest;
-    const taken = quota.take(tenant, receivedAt + sendTimeout(targetLatencyOf(route)));
+    const { receivedAt, route, signal, fingerprint } = callerRequest;
+    const decideBy = receivedAt + sendTimeout(targetLatencyOf(route));
+    const taken = quota.take(tenant, decideBy, fingerprint);
     const decision = taken instanceof Promise ? await taken : taken;
     if (!decision.isAdmitted) {
       const { retryAfterMs } = decision;
--- a/src/tenants/quota-bounds.ts
+++ b/src/tenants/quota-bounds.ts
@@ -11,14 +11,15 @@
  * - the initial tokens of a new owner, for each change of owner in the window;
  * - unconfirmed uses of all gateways together: an owner charges them afterwards, but the next owner
  *   doesn't know of that debt, so they count once for each owner of the window.
- * Capacity is the burst and a fraction of E. With two changes of owner the fractions sum up to 1.
+ * Capacity is the burst and a fraction of E. That fraction also covers the tokens that are held for
+ * refused callers, so that no request within the limit is refused on their account. With two changes of owner the fractions sum up to 1.
  */
 import type { QuotaSettings } from '../configuration/tenant-settings.js';
 import type { Tenant } from './tenant.js';
 
 /** Fractions of the tolerance. */
-const CAPACITY_FRACTION = 0.1;
-const SETTLING_FRACTION = 0.16;
+const CAPACITY_FRACTION = 0.12;
+const SETTLING_FRACTION = 0.14;
 const INITIAL_TOKENS_FRACTION = 0.05;
 const UNCONFIRMED_FRACTION = 0.64;
 /** Owners of one window when the owner changes twice in it. */
@@ -27,6 +28,13 @@
 const MAXIMUM_TOKEN_LIFETIME_MS = 1_000;
 /** Covers a message in each direction, which a grant needs even without any tolerance. */
 const MINIMUM_TOKEN_LIFETIME_MS = 50;
+/**
+ * Maximum time for which a due token is held for a refused caller: covers the way of the refusal to
+ * the caller and of the retry back, with a new connection.
+ */
+const MAXIMUM_RETRY_HOLD_MS = 200;
+/** Tokens beyond the burst that aren't held, so that the next retry finds its token when it is due. */
+const TOKENS_NOT_HELD = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Quantities derived from a tenant's limit. Numbers without a unit count requests. */
@@ -46,6 +54,8 @@
    * long to be sent.
    */
   readonly returnTimeoutMs: number;
+  /** Milliseconds for which a due token is held for the refused caller to whom it was promised. */
+  readonly retryHoldMs: number;
   /** Maximum unconfirmed uses of all gateways together under one owner of a window. */
   readonly maximumUnconfirmed: number;
 }
@@ -63,13 +73,17 @@
     MAXIMUM_TOKEN_LIFETIME_MS,
     Math.max(MINIMUM_TOKEN_LIFETIME_MS, settlingMs),
   );
+  const exactCapacity = Math.max(1, burst);
+  const capacity = Math.max(exactCapacity, burst + tolerance * CAPACITY_FRACTION);
+  const heldTokens = Math.max(0, capacity - exactCapacity - TOKENS_NOT_HELD);
   return {
     windowLimit,
     ratePerMs,
-    capacity: Math.max(1, burst + tolerance * CAPACITY_FRACTION),
+    capacity,
     initialTokens: tolerance * INITIAL_TOKENS_FRACTION,
     tokenLifetimeMs,
     returnTimeoutMs: tokenLifetimeMs / 2,
+    retryHoldMs: Math.min(MAXIMUM_RETRY_HOLD_MS, heldTokens / ratePerMs),
     maximumUnconfirmed: (tolerance * UNCONFIRMED_FRACTION) / OWNERS_PER_WINDOW,
   };
 }
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -4,8 +4,8 @@
  *
  * A request uses a prefetched token if there is one. Otherwise it is admitted at once without a token
  * if this gateway's share of unconfirmed uses, which keeps all gateways together within the bounds,
- * has room for it. Otherwise it waits for the owner's response. While the tenant's next token isn't
- * due, requests are refused at once.
+ * has room for it. Otherwise it waits for the owner's response. The owner also decides when a
+ * refused request is retried: only it knows the tokens that are reserved for others.
  *
  * Without an owner a bounded number of requests is admitted (see unconfirmed-uses). Others wait for
  * a short time, in which the controllers elect an owner, and are refused when none is found.
@@ -14,10 +14,10 @@
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
 import { AllowanceTable } from './allowance-table.js';
-import type { TokenResponseMessage, TokenRequestMessage } from './quota-messages.js';
+import { CALLER_BYTES, type TokenRequest, type TokenResponse } from './quota-messages.js';
 import { QuotaDecisionPath } from './quota-decision-path.js';
-import { MAXIMUM_RETRY_AFTER_WINDOWS } from './retry-after-schedule.js';
 import type { PendingTokenRequest, TenantAllowance, WaitingRequest } from './tenant-allowance.js';
+import { ADMITTED_NOW_MS } from './quota-account.js';
 import { ADMITTED, type QuotaDecision, type TenantQuota } from './tenant-quota.js';
 import { isLimited, type Tenant } from './tenant.js';
 import { UnconfirmedUses } from './unconfirmed-uses.js';
@@ -34,6 +34,31 @@
 /** Keeps a frame far below the maximum frame size. */
 const MAXIMUM_TENANTS_PER_FRAME = 1_000;
 
+/** Hexadecimal digits of a caller's identity. */
+const CALLER_DIGITS = CALLER_BYTES * 2;
+const MAXIMUM_DRAW = 2 ** 48;
+
+/** Who waits for the owner's response, and the clock reading in milliseconds until which it may wait. */
+interface CallerWait {
+  readonly caller: string;
+  readonly until: number;
+}
+
+function drawCaller(random: RandomSource): string {
+  const draw = Math.floor(random.nextFloat() * MAXIMUM_DRAW).toString(16);
+  return draw.padStart(CALLER_DIGITS, '0');
+}
+
+/** The retry times in a response of a controller that doesn't decide on each caller. */
+function retriesInOrder(
+  { granted, retryAfterMs, retrySpacingMs }: TokenResponse,
+  waiting: number,
+): number[] {
+  return Array.from({ length: waiting }, (_, index) =>
+    index < granted ? ADMITTED_NOW_MS : retryAfterMs + (index - granted) * retrySpacingMs,
+  );
+}
+
 /** Dependencies and settings of a {@link QuotaClient}. */
 export interface QuotaClientOptions {
   readonly clock: Clock;
@@ -58,6 +83,8 @@
   private readonly pending = new Set<TenantAllowance>();
   private isConnected = false;
   private ownerlessSince: number;
+  /** Stands for callers that aren't identified; differs between gateways. */
+  private readonly unknownCaller: string;
 
   constructor(private readonly options: QuotaClientOptions) {
     const { clock, settings } = options;
@@ -66,24 +93,26 @@
     const { windowMs } = settings;
     this.unconfirmed = new UnconfirmedUses({ random: options.random, windowMs, startedAt });
     this.ownerlessSince = startedAt;
+    this.unknownCaller = drawCaller(options.random);
   }
 
-  take(tenant: Tenant, until = Infinity): QuotaDecision | Promise<QuotaDecision> {
+  take(
+    tenant: Tenant,
+    until = Infinity,
+    fingerprint = this.unknownCaller,
+  ): QuotaDecision | Promise<QuotaDecision> {
     if (!isLimited(tenant)) return ADMITTED;
     const now = this.options.clock.now();
     const allowance = this.allowances.getOrCreate(tenant, now);
     allowance.demand.record(now);
     allowance.lastUsedAt = now;
     if (allowance.useToken(now)) return this.admit(QuotaDecisionPath.Granted);
-    if (allowance.retrySchedule.isTokenUnavailable(now)) {
-      allowance.refused += 1;
-      return this.refuse(allowance, now);
-    }
-    if (!this.isConnected) return this.takeWithoutOwner(allowance, now, until);
+    const waiting = { caller: fingerprint.slice(0, CALLER_DIGITS), until };
+    if (!this.isConnected) return this.takeWithoutOwner(allowance, now, waiting);
     if (this.unconfirmed.takeWithOwner(allowance, now)) {
       return this.admitUnconfirmed(allowance, QuotaDecisionPath.Unconfirmed);
     }
-    return this.waitForToken(allowance, now, until);
+    return this.waitForToken(allowance, now, waiting);
   }
 
   returnToken(tenant: Tenant, takenAt: number): void {
@@ -120,8 +149,8 @@
   }
 
   /** Takes the token requests to send now. Each tenant has at most one pending request. */
-  takeRequests(): TokenRequestMessage[] {
-    const requests: TokenRequestMessage[] = [];
+  takeRequests(): TokenRequest[] {
+    const requests: TokenRequest[] = [];
     for (const allowance of this.queued) {
       if (requests.length >= MAXIMUM_TENANTS_PER_FRAME) break;
       if (allowance.pendingRequest !== undefined) continue;
@@ -134,7 +163,7 @@
   }
 
   /** Handles the owner's response. Ignores a response without a pending request. */
-  handleResponse(response: TokenResponseMessage): void {
+  handleResponse(response: TokenResponse): void {
     const allowance = this.allowances.find(response.tenant);
     if (allowance?.pendingRequest === undefined) return;
     const { pendingRequest } = allowance;
@@ -144,7 +173,7 @@
     allowance.unconfirmed -= pendingRequest.spent;
     allowance.pressureUntil = now + response.pressureMs;
     const isUsable = now <= pendingRequest.requestedAt + allowance.bounds.tokenLifetimeMs;
-    if (isUsable) this.applyGrant(allowance, pendingRequest, response, now);
+    if (isUsable) this.applyGrant(allowance, pendingRequest, response);
     else this.discardGrant(allowance, pendingRequest, response, now);
     if (this.needsRequest(allowance)) this.enqueue(allowance);
   }
@@ -161,7 +190,8 @@
     for (const allowance of this.pending) {
       const { pendingRequest } = allowance;
       if (pendingRequest === undefined) continue;
-      pendingRequest.waiting = this.refuseExpired(allowance, pendingRequest.waiting, nextCallAt);
+      const waiting = this.refuseExpired(allowance, pendingRequest.undecided, nextCallAt);
+      pendingRequest.undecided = new Set(waiting);
     }
   }
 
@@ -186,11 +216,9 @@
     return ADMITTED;
   }
 
-  /** Refuses a request with a retry time of its own, behind those assigned before. */
-  private refuse(allowance: TenantAllowance, now: number): QuotaDecision {
+  private refuse(retryAfterMs: number): QuotaDecision {
     this.options.onDecision(QuotaDecisionPath.Refused);
-    const horizonMs = this.options.settings.windowMs * MAXIMUM_RETRY_AFTER_WINDOWS;
-    return { isAdmitted: false, retryAfterMs: allowance.retrySchedule.reserve(horizonMs, now) };
+    return { isAdmitted: false, retryAfterMs };
   }
 
   private refuseWithoutOwner(allowance: TenantAllowance): QuotaDecision {
@@ -210,36 +238,37 @@
   /** Refuses the requests whose deadline is at or before `by`, and returns the others. */
   private refuseExpired(
     allowance: TenantAllowance,
-    waiting: readonly WaitingRequest[],
+    waiting: Iterable<WaitingRequest>,
     by: number,
   ): WaitingRequest[] {
-    const expired = waiting.filter(({ deadline }) => deadline <= by);
+    const all = [...waiting];
+    const expired = all.filter(({ deadline }) => deadline <= by);
     for (const { decide } of expired) decide(this.refuseWithoutOwner(allowance));
-    return waiting.filter(({ deadline }) => deadline > by);
+    return all.filter(({ deadline }) => deadline > by);
   }
 
   private takeWithoutOwner(
     allowance: TenantAllowance,
     now: number,
-    until: number,
+    waiting: CallerWait,
   ): QuotaDecision | Promise<QuotaDecision> {
     if (this.unconfirmed.takeWithoutOwner(allowance, now)) {
       return this.admitUnconfirmed(allowance, QuotaDecisionPath.WithoutOwner);
     }
     const isWaitAllowed = now - this.ownerlessSince < MAXIMUM_WAIT_MS;
     return isWaitAllowed
-      ? this.waitForToken(allowance, now, until)
+      ? this.waitForToken(allowance, now, waiting)
       : this.refuseWithoutOwner(allowance);
   }
 
   private waitForToken(
     allowance: TenantAllowance,
     now: number,
-    until: number,
+    { caller, until }: CallerWait,
   ): Promise<QuotaDecision> {
     return new Promise((decide) => {
       const deadline = Math.min(now + MAXIMUM_WAIT_MS, until);
-      allowance.waiting.push({ decide, deadline });
+      allowance.waiting.push({ decide, caller, deadline });
       this.enqueue(allowance);
     });
   }
@@ -253,14 +282,13 @@
     return waiting.length > 0 || spent > 0 || hasReturned;
   }
 
-  private createRequest(allowance: TenantAllowance): TokenRequestMessage {
+  private createRequest(allowance: TenantAllowance): TokenRequest {
     const now = this.options.clock.now();
     allowance.discardExpiredTokens(now);
     const returned = allowance.takeReturned(now);
-    const { spent, waiting, demand, bounds, tokens, refused, refusedWithoutOwner } = allowance;
-    allowance.pendingRequest = { requestedAt: now, spent, waiting };
+    const { spent, waiting, demand, bounds, tokens, refusedWithoutOwner } = allowance;
+    allowance.pendingRequest = { requestedAt: now, spent, waiting, undecided: new Set(waiting) };
     allowance.spent = 0;
-    allowance.refused = 0;
     allowance.refusedWithoutOwner = 0;
     allowance.waiting = [];
     const expected = Math.floor(demand.perMs(now) * bounds.tokenLifetimeMs * PREFETCH_FRACTION);
@@ -272,38 +300,41 @@
       returned,
       waiting: waiting.length,
       ahead,
-      refused,
+      refused: 0,
       refusedWithoutOwner,
+      callers: waiting.map(({ caller }) => caller),
     };
   }
 
   private applyGrant(
     allowance: TenantAllowance,
-    { requestedAt, waiting }: PendingTokenRequest,
-    response: TokenResponseMessage,
-    now: number,
+    { requestedAt, waiting, undecided }: PendingTokenRequest,
+    response: TokenResponse,
   ): void {
-    const { granted } = response;
-    const admitted = waiting.slice(0, granted);
-    for (const { decide } of admitted) decide(this.admit(QuotaDecisionPath.Asked));
-    allowance.addTokens(granted - admitted.length, requestedAt + allowance.bounds.tokenLifetimeMs);
-    const refused = waiting.slice(granted);
-    if (refused.length === 0) return;
-    allowance.retrySchedule.update(response, now);
-    for (const { decide } of refused) decide(this.refuse(allowance, now));
+    const { granted, retries = retriesInOrder(response, undecided.size) } = response;
+    const decided = response.retries === undefined ? [...undecided] : waiting;
+    let admitted = 0;
+    for (const [index, request] of decided.entries()) {
+      const retryAfterMs = retries[index] ?? ADMITTED_NOW_MS;
+      if (!undecided.has(request)) continue;
+      if (retryAfterMs > ADMITTED_NOW_MS) request.decide(this.refuse(retryAfterMs));
+      else request.decide(this.admit(QuotaDecisionPath.Asked));
+      if (retryAfterMs === ADMITTED_NOW_MS) admitted += 1;
+    }
+    allowance.addTokens(granted - admitted, requestedAt + allowance.bounds.tokenLifetimeMs);
   }
 
   /** Handles a response that arrived after its tokens expired: the waiting requests are queued again. */
   private discardGrant(
     allowance: TenantAllowance,
-    { requestedAt, waiting }: PendingTokenRequest,
-    { granted }: TokenResponseMessage,
+    { requestedAt, undecided }: PendingTokenRequest,
+    { granted }: TokenResponse,
     now: number,
   ): void {
     const { tokenLifetimeMs, returnTimeoutMs } = allowance.bounds;
     if (now <= requestedAt + tokenLifetimeMs + returnTimeoutMs)
       allowance.recordReturned(granted, now);
-    this.requeueWaiting(allowance, waiting);
+    this.requeueWaiting(allowance, undecided);
   }
 
   private requeue(allowance: TenantAllowance): void {
@@ -311,11 +342,11 @@
     if (pendingRequest === undefined) return;
     allowance.pendingRequest = undefined;
     allowance.spent += pendingRequest.spent;
-    this.requeueWaiting(allowance, pendingRequest.waiting);
+    this.requeueWaiting(allowance, pendingRequest.undecided);
     this.enqueue(allowance);
   }
 
-  private requeueWaiting(allowance: TenantAllowance, waiting: readonly WaitingRequest[]): void {
+  private requeueWaiting(allowance: TenantAllowance, waiting: Iterable<WaitingRequest>): void {
     allowance.waiting = [...waiting, ...allowance.waiting];
   }
 }
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -12,7 +12,13 @@
 import type { Environment } from '../seams/environment.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import type { QuotaClient } from './quota-client.js';
-import { QUOTA_CODEC, type QuotaMessage } from './quota-messages.js';
+import { packRequests, readResponses } from './quota-frames.js';
+import {
+  QUOTA_CODEC,
+  type QuotaMessage,
+  type TokenRequest,
+  type TokenResponse,
+} from './quota-messages.js';
 import type { QuotaClientMetrics } from './quota-metrics.js';
 
 /** Timeout for opening a connection; a machine that is powered off doesn't even refuse it. */
@@ -181,11 +187,12 @@
   private async exchange(
     connection: MessageConnection,
     address: string,
-    requests: readonly QuotaMessage[],
-  ): Promise<QuotaMessage[] | undefined> {
+    requests: readonly TokenRequest[],
+  ): Promise<TokenResponse[] | undefined> {
     const { environment, metrics } = this.options;
     this.round += 1;
-    const frame = QUOTA_CODEC.encodeBatch([{ kind: 'round', round: this.round }, ...requests]);
+    const messages = packRequests(requests);
+    const frame = QUOTA_CODEC.encodeBatch([{ kind: 'round', round: this.round }, ...messages]);
     metrics.frames.inc();
     metrics.bytes.inc(frame.length);
     const timer = environment.clock.setTimer(RESPONSE_TIMEOUT_MS, () => {
@@ -196,22 +203,23 @@
       await connection.send(frame);
       const received = await connection.receive();
       if (received === undefined) return undefined;
-      return this.readResponses(QUOTA_CODEC.decodeBatch(received, address), address);
+      return this.readRound(QUOTA_CODEC.decodeBatch(received, address), address);
     } finally {
       timer.cancel();
     }
   }
 
-  private readResponses(
-    [first, ...responses]: QuotaMessage[],
+  private readRound(
+    [first, ...messages]: QuotaMessage[],
     address: string,
-  ): QuotaMessage[] | undefined {
+  ): TokenResponse[] | undefined {
     if (first?.kind === 'redirect') {
       const isUsable = first.owner !== address && !this.isAvoided(first.owner);
       this.nextController = isUsable ? first.owner : '';
       return undefined;
     }
-    if (first?.kind === 'answered' && first.round === this.round) return responses;
+    if (first?.kind === 'answered' && first.round === this.round)
+      return readResponses(messages, address);
     throw new MalformedMessageError(
       'receive from quota owner',
       address,
@@ -219,14 +227,7 @@
     );
   }
 
-  private handleResponse(response: QuotaMessage, address: string): void {
-    if (response.kind !== 'answer') {
-      throw new MalformedMessageError(
-        'receive from quota owner',
-        address,
-        `expected a message of kind answer, received ${response.kind}`,
-      );
-    }
+  private handleResponse(response: TokenResponse, address: string): void {
     const { granted, pressureMs, nextTokenMs, retryAfterMs, retrySpacingMs } = response;
     const values = [granted, pressureMs, nextTokenMs, retryAfterMs, retrySpacingMs];
     if (!values.every((value) => value >= 0 && Number.isFinite(value))) {
--- a/src/tenants/quota-messages.ts
+++ b/src/tenants/quota-messages.ts
@@ -34,6 +34,16 @@
   readonly refusedWithoutOwner: number;
 }
 
+/**
+ * Gateway to owner, after an `ask` with waiting requests: who waits. Gateways of earlier versions
+ * don't send it.
+ */
+export interface QuotaCallersMessage {
+  readonly kind: 'callers';
+  /** Identities of the waiting requests, {@link CALLER_BYTES} each, in their order. */
+  readonly callers: Uint8Array;
+}
+
 /** Owner to gateway, first in each frame: acknowledges the round. */
 export interface QuotaRoundResponseMessage {
   readonly kind: 'answered';
@@ -55,6 +65,16 @@
   readonly retrySpacingMs: number;
 }
 
+/** Owner to gateway, after the `answer` to an `ask` with `callers`: the decision on each waiting request. */
+export interface QuotaRetriesMessage {
+  readonly kind: 'retries';
+  /**
+   * For each waiting request in its order: 0 when it is admitted, otherwise the milliseconds until
+   * its retry time. Unsigned big-endian integers of {@link RETRY_BYTES}.
+   */
+  readonly retries: Uint8Array;
+}
+
 /** Controller to gateway: this controller isn't the owner. */
 export interface QuotaRedirectMessage {
   readonly kind: 'redirect';
@@ -66,10 +86,27 @@
 export type QuotaMessage =
   | QuotaRoundMessage
   | TokenRequestMessage
+  | QuotaCallersMessage
   | QuotaRoundResponseMessage
   | TokenResponseMessage
+  | QuotaRetriesMessage
   | QuotaRedirectMessage;
 
+/** A token request with the identities of its waiting requests, where the gateway sends them. */
+export interface TokenRequest extends TokenRequestMessage {
+  readonly callers?: readonly string[];
+}
+
+/** A token response with the decision on each waiting request, where the owner sends them. */
+export interface TokenResponse extends TokenResponseMessage {
+  /** 0 when the request is admitted, otherwise the milliseconds until its retry time. */
+  readonly retries?: readonly number[];
+}
+
+/** Length of a caller's identity, which is a hash, and of a retry time. */
+export const CALLER_BYTES = 8;
+export const RETRY_BYTES = 4;
+
 /** Encodes and decodes quota messages; the tags and field names are part of the wire format. */
 export const QUOTA_CODEC = new MessageCodec<QuotaMessage>({
   round: { tag: 80, fields: [{ name: 'round', type: 'long' }] },
@@ -98,4 +135,6 @@
     ],
   },
   redirect: { tag: 84, fields: [{ name: 'owner', type: 'string' }] },
+  callers: { tag: 85, fields: [{ name: 'callers', type: 'bytes' }] },
+  retries: { tag: 86, fields: [{ name: 'retries', type: 'bytes' }] },
 });
--- a/src/tenants/quota-metrics.ts
+++ b/src/tenants/quota-metrics.ts
@@ -42,6 +42,7 @@
 export interface QuotaReadings {
   readonly isOwner: () => boolean;
   readonly tenants: () => number;
+  readonly reservations: () => number;
 }
 
 /** Metrics of a controller. */
@@ -84,5 +85,13 @@
         this.set(readings.tenants());
       },
     });
+    new Gauge({
+      name: 'driftway_controller_quota_reservations',
+      help: 'Refused requests of tenants for whose retries this controller has reserved tokens.',
+      registers,
+      collect() {
+        this.set(readings.reservations());
+      },
+    });
   }
 }
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -10,12 +10,12 @@
  */
 import type { QuotaSettings } from '../configuration/tenant-settings.js';
 import type { Clock } from '../seams/clock.js';
+import { ADMITTED_NOW_MS, QuotaAccount } from './quota-account.js';
 import { computeQuotaBounds } from './quota-bounds.js';
-import type { TokenResponseMessage, TokenRequestMessage } from './quota-messages.js';
-import { MAXIMUM_RETRY_AFTER_WINDOWS, type RetryAfterTimes } from './retry-after-schedule.js';
+import type { TokenRequest, TokenResponse } from './quota-messages.js';
+import { ReservationLimit } from './reservation-limit.js';
 import { NO_USAGE, TenantUsage, type UsageCounts } from './tenant-usage.js';
 import { isLimited, type Tenant } from './tenant.js';
-import { TokenBucket } from './token-bucket.js';
 
 /** Fraction of the capacity below which a request of the tenant needs a token before it is admitted. */
 const PRESSURE_FRACTION = 0.5;
@@ -24,7 +24,11 @@
 /** Interval between searches for accounts to evict, in windows. */
 const EVICTION_INTERVAL_WINDOWS = 4;
 /** The retry times of a response that refuses no request. */
-const NO_RETRY_AFTER: RetryAfterTimes = { nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
+const NO_RETRY_AFTER = { nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
+/** Maximum number of refused requests of all tenants for which tokens are reserved. */
+const MAXIMUM_RESERVATIONS = 50_000;
+/** Stands for the callers of a gateway that doesn't identify them. */
+const UNKNOWN_CALLER = '';
 
 /** Dependencies and settings of a {@link QuotaOwner}. */
 export interface QuotaOwnerOptions {
@@ -36,16 +40,17 @@
   readonly onLimitReached: (tenant: Tenant) => void;
 }
 
-/** A tenant for which tokens were requested, with its token bucket and usage. */
-interface Account {
+/** A tenant for which tokens were requested, with its account and usage. */
+interface TenantEntry {
   tenant: Tenant;
-  readonly bucket: TokenBucket;
+  readonly account: QuotaAccount;
   readonly usage: TenantUsage;
 }
 
 /** The token buckets of all tenants with recent requests. */
 export class QuotaOwner {
-  private readonly accounts = new Map<string, Account>();
+  private readonly tenants = new Map<string, TenantEntry>();
+  private reservations = new ReservationLimit(MAXIMUM_RESERVATIONS);
   private ownedSince: number;
   private lastEvictionAt: number;
 
@@ -56,87 +61,100 @@
 
   /** Number of tenants with an account. */
   get tenantCount(): number {
-    return this.accounts.size;
+    return this.tenants.size;
+  }
+
+  /** Number of refused requests for which a token is reserved. */
+  get reservationCount(): number {
+    return this.reservations.count;
   }
 
   /** Becomes the owner now. Clears all accounts, because they belong to an earlier ownership. */
   startOwnership(): void {
-    this.accounts.clear();
+    this.tenants.clear();
+    this.reservations = new ReservationLimit(MAXIMUM_RESERVATIONS);
     this.ownedSince = this.options.clock.now();
   }
 
   /** Requests of a tenant that were admitted and refused in about the last window. */
   usageOf(name: string): UsageCounts {
-    return this.accounts.get(name)?.usage.read(this.options.clock.now()) ?? NO_USAGE;
+    return this.tenants.get(name)?.usage.read(this.options.clock.now()) ?? NO_USAGE;
   }
 
   /** Handles one token request of a gateway, and charges the uses that it reports. */
-  handleRequest(request: TokenRequestMessage): TokenResponseMessage {
+  handleRequest(request: TokenRequest): TokenResponse {
     this.evictIdle();
     const tenant = this.options.findTenant(request.tenant);
     if (tenant === undefined) return this.refuseUnknown(request);
     if (!isLimited(tenant)) return this.grantAll(request);
-    return this.handleLimited(request, this.getOrCreateAccount(tenant));
+    return this.handleLimited(request, this.getOrCreateTenant(tenant));
   }
 
   private handleLimited(
-    request: TokenRequestMessage,
-    { tenant, bucket, usage }: Account,
-  ): TokenResponseMessage {
+    request: TokenRequest,
+    { tenant, account, usage }: TenantEntry,
+  ): TokenResponse {
     const now = this.options.clock.now();
+    const { bucket } = account;
     bucket.returnTokens(request.returned, now);
     bucket.charge(request.spent, now);
-    const grantedToWaiting = bucket.take(request.waiting, 0, now);
+    const retries = this.decideWaiting(request, account, now);
+    const refusedRetries = retries.filter((retryAfterMs) => retryAfterMs > ADMITTED_NOW_MS);
+    const refused = refusedRetries.length;
+    const grantedToWaiting = request.waiting - refused;
     const reserve = bucket.bounds.capacity * PRESSURE_FRACTION;
-    const grantedAhead =
-      grantedToWaiting < request.waiting ? 0 : bucket.take(request.ahead, reserve, now);
-    const refused = request.waiting - grantedToWaiting;
+    const grantedAhead = account.takeAhead(request.ahead, reserve, now);
     const used = {
       admitted: grantedToWaiting + grantedAhead + request.spent - request.returned,
       refused: refused + request.refused,
       refusedWithoutOwner: request.refusedWithoutOwner,
     };
     usage.record(used, now);
-    const pressureMs = bucket.msUntil(reserve, now);
     if (refused > 0) this.options.onLimitReached(tenant);
-    const retryAfter = this.reserveRetries(refused, bucket, now);
     return {
       kind: 'answer',
       tenant: request.tenant,
       granted: grantedToWaiting + grantedAhead,
-      pressureMs,
-      ...retryAfter,
+      pressureMs: account.msUntilCalm(reserve, now),
+      nextTokenMs: refused === 0 ? 0 : bucket.msUntil(1, now),
+      retryAfterMs: refused === 0 ? 0 : Math.min(...refusedRetries),
+      retrySpacingMs: refused === 0 ? 0 : 1 / bucket.bounds.ratePerMs,
+      retries,
     };
   }
 
-  private reserveRetries(refused: number, bucket: TokenBucket, now: number): RetryAfterTimes {
-    if (refused === 0) return NO_RETRY_AFTER;
-    const horizonMs = this.options.settings.windowMs * MAXIMUM_RETRY_AFTER_WINDOWS;
-    return {
-      nextTokenMs: bucket.msUntil(1, now),
-      retryAfterMs: bucket.reserveRetries(refused, horizonMs, now),
-      retrySpacingMs: 1 / bucket.bounds.ratePerMs,
-    };
+  private decideWaiting(
+    { waiting, callers }: TokenRequest,
+    account: QuotaAccount,
+    now: number,
+  ): number[] {
+    return Array.from({ length: waiting }, (_, index) =>
+      account.decide(callers?.[index] ?? UNKNOWN_CALLER, now),
+    );
   }
 
-  private getOrCreateAccount(tenant: Tenant): Account {
+  private getOrCreateTenant(tenant: Tenant): TenantEntry {
     const now = this.options.clock.now();
-    const known = this.accounts.get(tenant.name);
+    const known = this.tenants.get(tenant.name);
     if (known?.tenant === tenant) return known;
     const bounds = computeQuotaBounds(tenant, this.options.settings);
     if (known !== undefined) {
-      known.bucket.updateBounds(bounds, now);
+      known.account.updateBounds(bounds, now);
       known.tenant = tenant;
       return known;
     }
     const tokens = bounds.initialTokens + (now - this.ownedSince) * bounds.ratePerMs;
     const usage = new TenantUsage(this.options.settings.windowMs);
-    const account = { tenant, bucket: new TokenBucket(bounds, now, tokens), usage };
-    this.accounts.set(tenant.name, account);
-    return account;
+    const entry = {
+      tenant,
+      account: new QuotaAccount(bounds, now, tokens, this.reservations),
+      usage,
+    };
+    this.tenants.set(tenant.name, entry);
+    return entry;
   }
 
-  private refuseUnknown({ tenant }: TokenRequestMessage): TokenResponseMessage {
+  private refuseUnknown({ tenant }: TokenRequest): TokenResponse {
     const retryAfterMs = UNKNOWN_TENANT_RETRY_MS;
     return {
       kind: 'answer',
@@ -149,7 +167,7 @@
     };
   }
 
-  private grantAll({ tenant, waiting, ahead }: TokenRequestMessage): TokenResponseMessage {
+  private grantAll({ tenant, waiting, ahead }: TokenRequest): TokenResponse {
     const granted = waiting + ahead;
     return { kind: 'answer', tenant, granted, pressureMs: 0, ...NO_RETRY_AFTER };
   }
@@ -160,10 +178,11 @@
     if (now - this.lastEvictionAt < this.options.settings.windowMs * EVICTION_INTERVAL_WINDOWS)
       return;
     this.lastEvictionAt = now;
-    for (const [name, { bucket, usage }] of this.accounts) {
+    for (const [name, { account, usage }] of this.tenants) {
       // A tenant that was removed from the document keeps its account for a window: it may be added again.
-      const isEvictable = bucket.isIdle(now) || this.options.findTenant(name) === undefined;
-      if (isEvictable && usage.isEmpty(now)) this.accounts.delete(name);
+      const isRemoved = this.options.findTenant(name) === undefined && !account.hasReservations;
+      const isEvictable = account.isIdle(now) || isRemoved;
+      if (isEvictable && usage.isEmpty(now)) this.tenants.delete(name);
     }
   }
 }
--- a/src/tenants/quota-server.ts
+++ b/src/tenants/quota-server.ts
@@ -16,7 +16,13 @@
 import type { Clock } from '../seams/clock.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { LimitWarnings } from './limit-warnings.js';
-import { QUOTA_CODEC, type TokenRequestMessage, type QuotaMessage } from './quota-messages.js';
+import { packResponse, readRequests } from './quota-frames.js';
+import {
+  QUOTA_CODEC,
+  type QuotaMessage,
+  type TokenRequest,
+  type TokenResponse,
+} from './quota-messages.js';
 import { QuotaServerMetrics } from './quota-metrics.js';
 import { QuotaOwner } from './quota-owner.js';
 import type { UsageCounts } from './tenant-usage.js';
@@ -29,6 +35,8 @@
 const OWNERSHIP_FRACTION = 0.75;
 /** A connection without frames for this long is closed; an idle gateway sends a round every second. */
 const MAXIMUM_SILENCE_MS = 15_000;
+/** Maximum number of waiting requests in a token request that doesn't identify them. */
+const MAXIMUM_WAITING = 100_000;
 
 /** Usage of a tenant's limit over about the last window. */
 export interface TenantUsageReport extends UsageCounts {
@@ -66,6 +74,7 @@
     this.metrics = new QuotaServerMetrics(telemetry.registry, {
       isOwner: () => this.isOwner(options.log.status()),
       tenants: () => this.owner.tenantCount,
+      reservations: () => this.owner.reservationCount,
     });
     this.updateTenants();
     observe(register.changes, () => this.updateTenants());
@@ -125,37 +134,37 @@
         'expected a frame that starts with a round message',
       );
     }
-    const requests = messages.map((message) => this.validateRequest(message, gateway));
+    const requests = readRequests(messages, gateway);
+    for (const request of requests) this.validateRequest(request, gateway);
     const status = this.options.log.status();
     if (!this.isOwner(status)) return [{ kind: 'redirect', owner: this.leaderAddress(status) }];
     this.startOwnershipIfNew(status.term);
     return [
       { kind: 'answered', round: round.round },
-      ...requests.map((request) => this.handleRequest(request)),
+      ...requests.flatMap((request) => packResponse(this.handleRequest(request), request)),
     ];
   }
 
-  private validateRequest(message: QuotaMessage, gateway: string): TokenRequestMessage {
-    if (message.kind !== 'ask') {
+  private validateRequest(request: TokenRequest, gateway: string): void {
+    const { spent, returned, waiting, ahead, refused, refusedWithoutOwner, callers } = request;
+    const counts = [spent, returned, waiting, ahead, refused, refusedWithoutOwner];
+    if (counts.some((count) => count < 0)) {
       throw new MalformedMessageError(
         'serve gateway',
         gateway,
-        `expected a message of kind ask, received ${message.kind}`,
+        'expected counts of 0 or more in a token request',
       );
     }
-    const { spent, returned, waiting, ahead, refused, refusedWithoutOwner } = message;
-    const counts = [spent, returned, waiting, ahead, refused, refusedWithoutOwner];
-    if (counts.some((count) => count < 0)) {
+    if (callers === undefined ? waiting > MAXIMUM_WAITING : callers.length !== waiting) {
       throw new MalformedMessageError(
         'serve gateway',
         gateway,
-        'expected counts of 0 or more in a token request',
+        `expected a caller for each of ${waiting} waiting requests, received ${callers?.length ?? 0}`,
       );
     }
-    return message;
   }
 
-  private handleRequest(request: TokenRequestMessage): QuotaMessage {
+  private handleRequest(request: TokenRequest): TokenResponse {
     const response = this.owner.handleRequest(request);
     const admitted = Math.min(request.waiting, response.granted);
     this.metrics.requests.inc({ result: 'granted' }, admitted);
--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -1,5 +1,4 @@
 /** State of one tenant's quota at one gateway. */
-import { RetryAfterSchedule } from './retry-after-schedule.js';
 import { DecayingRate } from './decaying-rate.js';
 import type { QuotaBounds } from './quota-bounds.js';
 import type { QuotaDecision } from './tenant-quota.js';
@@ -8,6 +7,8 @@
 /** A request that waits for the owner's response. */
 export interface WaitingRequest {
   readonly decide: (decision: QuotaDecision) => void;
+  /** Identity of the request, the same each time it is sent. Hexadecimal. */
+  readonly caller: string;
   /** Clock reading in milliseconds after which the request is refused. */
   readonly deadline: number;
 }
@@ -16,8 +17,10 @@
 export interface PendingTokenRequest {
   readonly requestedAt: number;
   readonly spent: number;
-  /** Requests whose deadline hasn't passed. */
-  waiting: readonly WaitingRequest[];
+  /** The waiting requests in the order in which they were sent to the owner. */
+  readonly waiting: readonly WaitingRequest[];
+  /** Those of them whose deadline hasn't passed. */
+  undecided: ReadonlySet<WaitingRequest>;
 }
 
 /** Tokens held, uses not yet reported and requests waiting. Times are clock readings in milliseconds. */
@@ -28,7 +31,6 @@
   private tokensExpireAt = -Infinity;
   /** Until this time no request may be admitted without a token. */
   pressureUntil = -Infinity;
-  readonly retrySchedule = new RetryAfterSchedule();
   /** Requests admitted without a token and not yet reported to the owner. */
   spent = 0;
   /** Unused tokens not yet reported to the owner, and the time at which the first of them was recorded. */
@@ -36,11 +38,7 @@
   private returnedSince = -Infinity;
   /** Requests admitted without a token and not yet confirmed by an owner. */
   unconfirmed = 0;
-  /**
-   * Requests that this gateway refused because the next token wasn't due, and because no owner decided
-   * in time; both not yet reported to the owner.
-   */
-  refused = 0;
+  /** Requests refused because no owner decided in time, and not yet reported to the owner. */
   refusedWithoutOwner = 0;
   waiting: WaitingRequest[] = [];
   pendingRequest: PendingTokenRequest | undefined;
--- a/src/tenants/tenant-quota.ts
+++ b/src/tenants/tenant-quota.ts
@@ -18,9 +18,14 @@
   /**
    * Decides on one request of the tenant: at once where local state suffices, otherwise after asking the
    * quota owner. `until` is the clock reading, in milliseconds, by which a decision is needed; a
-   * request that can't be decided by then is refused.
+   * request that can't be decided by then is refused. `fingerprint` identifies the request each time
+   * it is sent, in 16 or more hexadecimal digits; a retry is admitted by it.
    */
-  take(tenant: Tenant, until?: number): QuotaDecision | Promise<QuotaDecision>;
+  take(
+    tenant: Tenant,
+    until?: number,
+    fingerprint?: string,
+  ): QuotaDecision | Promise<QuotaDecision>;
   /**
    * Returns the token of an admitted request that ran nowhere, so that it doesn't count. A request
    * that was admitted long ago may count nevertheless. `takenAt` is the clock reading of its
--- a/src/tenants/token-bucket.ts
+++ b/src/tenants/token-bucket.ts
@@ -1,14 +1,15 @@
-/** The token bucket of one tenant at the quota owner, and the retry times reserved for refused requests. */
+/** The token bucket of one tenant at the quota owner. */
 import type { QuotaBounds } from './quota-bounds.js';
 
+/** Part of a token that may be missing from a whole one, because of rounding. */
+export const ROUNDING_TOLERANCE = 1e-6;
+
 /**
  * Refills at the tenant's rate up to its capacity. All times are readings of one clock, in
  * milliseconds.
  */
 export class TokenBucket {
   private tokens: number;
-  /** Tokens up to this time are reserved for the retries of refused requests. */
-  private retriesReservedUntil = -Infinity;
 
   constructor(
     private currentBounds: QuotaBounds,
@@ -29,10 +30,15 @@
     return this.currentBounds;
   }
 
-  /** Whether the bucket can be evicted without loss, because a new one would be as full. */
-  isIdle(now: number): boolean {
+  /** Whether the bucket is as full as a new one. */
+  isFull(now: number): boolean {
+    return this.level(now) >= this.currentBounds.capacity;
+  }
+
+  /** The number of tokens; negative after charges that exceed it. */
+  level(now: number): number {
     this.refill(now);
-    return this.tokens >= this.currentBounds.capacity && this.retriesReservedUntil <= now;
+    return this.tokens;
   }
 
   /** Deducts requests that were admitted without a token; the number of tokens may become negative. */
@@ -49,7 +55,10 @@
   /** Takes at most `wanted` whole tokens, but none of the last `reserve` tokens; returns how many. */
   take(wanted: number, reserve: number, now: number): number {
     this.refill(now);
-    const taken = Math.max(0, Math.min(wanted, Math.floor(this.tokens - reserve)));
+    const taken = Math.max(
+      0,
+      Math.min(wanted, Math.floor(this.tokens - reserve + ROUNDING_TOLERANCE)),
+    );
     this.tokens -= taken;
     return taken;
   }
@@ -60,20 +69,6 @@
     return Math.max(0, tokens - this.tokens) / this.currentBounds.ratePerMs;
   }
 
-  /**
-   * Reserves one future token for each of `refused` requests, behind those reserved before, and
-   * returns the milliseconds until the first of them. Retry times lie at most `horizonMs` from now,
-   * unless the next token is due later than that.
-   */
-  reserveRetries(refused: number, horizonMs: number, now: number): number {
-    const first = Math.max(now + this.msUntil(1, now), this.retriesReservedUntil);
-    this.retriesReservedUntil = Math.min(
-      first + refused / this.currentBounds.ratePerMs,
-      now + horizonMs,
-    );
-    return Math.min(first - now, Math.max(horizonMs, this.msUntil(1, now)));
-  }
-
   private refill(now: number): void {
     const elapsedMs = Math.max(0, now - this.refilledAt);
     this.tokens = Math.min(
--- a/test/tenants/quota-replay.test.ts
+++ b/test/tenants/quota-replay.test.ts
@@ -323,23 +323,25 @@
 
   /**
    * Simulates a burst of one tenant; returns the decisions on the refused requests that are retried
-   * at their retry time.
+   * at their retry time. Each retry is scheduled when its refusal is decided: a retry that is
+   * scheduled later would set the clock back.
    */
   async function simulateRetries(): Promise<Outcome[]> {
     const { replay } = startReplay(87, 1);
     replay.setLimit('one', 10, 10);
     replay.addPoissonLoad('one', 80, 10 * SECOND, 11 * SECOND);
-    await replay.runUntil(12 * SECOND);
-    const refused = replay.outcomes.filter(({ isAdmitted }) => !isAdmitted);
-    expect(refused.length).toBeGreaterThan(20);
-    for (const { decidedAt, retryAfterMs, gateway } of refused) {
-      replay.request(decidedAt + retryAfterMs, 'one', gateway);
-    }
-    const before = replay.outcomes.length;
+    const refused = new Set<string>();
+    replay.onRefused = (outcome) => {
+      refused.add(outcome.caller);
+      replay.retry(outcome, outcome.gateway);
+    };
     await replay.runUntil(60 * SECOND);
-    return replay.outcomes.slice(before);
+    expect(refused.size).toBeGreaterThan(20);
+    const retried = replay.outcomes.filter(({ caller }) => refused.has(caller));
+    return retried.filter((outcome) => outcome.attempt > 1);
   }
 
+  // Guards against a token that was told to one caller being taken by another.
   it('admits every refused caller that comes back when told', async () => {
     const returned = await simulateRetries();
     const admitted = returned.filter(({ isAdmitted }) => isAdmitted);
--- a/test/tenants/quota-replay.ts
+++ b/test/tenants/quota-replay.ts
@@ -5,10 +5,12 @@
 import { computeQuotaBounds } from '../../src/tenants/quota-bounds.js';
 import { QuotaClient } from '../../src/tenants/quota-client.js';
 import type { QuotaDecisionPath } from '../../src/tenants/quota-decision-path.js';
+import { packRequests, packResponse } from '../../src/tenants/quota-frames.js';
 import {
+  CALLER_BYTES,
   QUOTA_CODEC,
-  type TokenRequestMessage,
   type QuotaMessage,
+  type TokenRequest,
 } from '../../src/tenants/quota-messages.js';
 import { QuotaOwner } from '../../src/tenants/quota-owner.js';
 import type { QuotaDecision } from '../../src/tenants/tenant-quota.js';
@@ -26,6 +28,10 @@
 export interface Outcome {
   readonly tenant: string;
   readonly gateway: number;
+  /** Identity of the request; a retry has that of the request that was refused. */
+  readonly caller: string;
+  /** 1 for the first request of the caller, higher for its retries. */
+  readonly attempt: number;
   readonly at: number;
   decidedAt: number;
   isAdmitted: boolean;
@@ -34,6 +40,15 @@
   waited: boolean;
 }
 
+interface ReplayedRequest {
+  readonly tenant: string;
+  readonly gateway: number;
+  readonly caller: string;
+  readonly attempt: number;
+  /** Time after which its token is returned because it ran nowhere. */
+  readonly givenBackAfterMs?: number | undefined;
+}
+
 interface ScheduledEvent {
   readonly at: number;
   readonly order: number;
@@ -113,6 +128,9 @@
   private readonly clock: Clock;
   private readonly gateways: ReplayGateway[] = [];
   private lastPath: QuotaDecisionPath | undefined;
+  private callers = 0;
+  /** Called when a request is refused, at the time of the decision. */
+  onRefused: (outcome: Outcome) => void = () => undefined;
   private now = 0;
 
   /** The number of gateways that controllers report to the gateways. */
@@ -197,7 +215,14 @@
    * that time.
    */
   request(at: number, tenant: string, gateway: number, givenBackAfterMs?: number): void {
-    this.events.add(at, () => this.take(tenant, gateway, givenBackAfterMs));
+    const caller = this.nextCaller();
+    this.events.add(at, () => this.take({ tenant, gateway, caller, attempt: 1, givenBackAfterMs }));
+  }
+
+  /** Schedules the retry of a refused request at a gateway for its retry time. */
+  retry({ tenant, caller, attempt, decidedAt, retryAfterMs }: Outcome, gateway: number): void {
+    const request = { tenant, gateway, caller, attempt: attempt + 1 };
+    this.events.add(decidedAt + retryAfterMs, () => this.take(request));
   }
 
   /** Schedules Poisson arrivals with a rate per second at gateways that `pick` chooses. */
@@ -229,13 +254,19 @@
     this.now = until;
   }
 
-  private take(tenant: string, index: number, givenBackAfterMs?: number): void {
+  private nextCaller(): string {
+    this.callers += 1;
+    return this.callers.toString(16).padStart(CALLER_BYTES * 2, '0');
+  }
+
+  private take({ tenant, gateway: index, givenBackAfterMs, ...request }: ReplayedRequest): void {
     const gateway = this.gateways[index] as ReplayGateway;
     const limits = this.tenants.get(tenant) as Tenant;
     const { now } = this;
     const outcome: Outcome = {
       tenant,
       gateway: index,
+      ...request,
       at: now,
       decidedAt: now,
       isAdmitted: false,
@@ -249,11 +280,12 @@
       outcome.isAdmitted = decision.isAdmitted && givenBackAfterMs === undefined;
       outcome.retryAfterMs = decision.isAdmitted ? 0 : decision.retryAfterMs;
       outcome.path = this.lastPath;
+      if (!decision.isAdmitted) this.onRefused(outcome);
       if (!decision.isAdmitted || givenBackAfterMs === undefined) return;
       const takenAt = this.now;
       this.schedule(takenAt + givenBackAfterMs, () => gateway.client.returnToken(limits, takenAt));
     };
-    const decision = gateway.client.take(limits);
+    const decision = gateway.client.take(limits, Infinity, request.caller);
     if (!(decision instanceof Promise)) {
       decided(decision);
       return;
@@ -283,7 +315,7 @@
     const requests = client.takeRequests();
     if (requests.length === 0) return;
     gateway.isRoundInFlight = true;
-    this.countFrame(requests);
+    this.countFrame(packRequests(requests));
     this.schedule(this.now + this.delay(), () =>
       this.deliverRound(gateway, owner, connectionNumber, requests),
     );
@@ -301,12 +333,16 @@
     gateway: ReplayGateway,
     owner: number,
     connectionNumber: number,
-    requests: readonly TokenRequestMessage[],
+    requests: readonly TokenRequest[],
   ): void {
     const respondingOwner = this.owners[owner];
     if (this.stopped.has(owner) || respondingOwner === undefined) return;
     const responses = requests.map((request) => respondingOwner.handleRequest(request));
-    this.countFrame(responses);
+    this.countFrame(
+      responses.flatMap((response, index) =>
+        packResponse(response, requests[index] as TokenRequest),
+      ),
+    );
     this.schedule(this.now + this.delay(), () => {
       if (gateway.connectionNumber !== connectionNumber) return;
       gateway.isRoundInFlight = false;
