Tenants: a new quota owner learns the retry times that gateways have told

What callers saw: after a change of the quota owner, refused callers that came back when told were refused again wherever new callers came beside them.

Cause: reservations are in the memory of the owner alone; the next one gave their tokens to whoever came first.

A gateway reports the earliest time at which the token can have been reserved, so that a retry is not at the owner before its restored reservation is due. A request without a fingerprint takes the place of a retry that is due at its gateway.

--- a/src/tenants/allowance-table.ts
+++ b/src/tenants/allowance-table.ts
@@ -21,6 +21,11 @@
     return this.allowances.get(name);
   }
 
+  /** The allowances of all recently used tenants. */
+  values(): Iterable<TenantAllowance> {
+    return this.allowances.values();
+  }
+
   /** The tenant's allowance, with the limit of the route document under which its request is handled. */
   getOrCreate(tenant: Tenant, now: number): TenantAllowance {
     this.evictIdle(now);
--- a/src/tenants/quota-account.ts
+++ b/src/tenants/quota-account.ts
@@ -10,6 +10,8 @@
 
 /** Retry times further ahead than this are not reserved. */
 const MAXIMUM_RETRY_AFTER_MS = 600_000;
+/** Two reports of a reservation differ by less: by the time that their messages took. */
+const RESTORE_TOLERANCE_MS = 1_000;
 /** Retry times beyond the last reservation are spread over this time in this many steps. */
 const UNRESERVED_SPREAD_MS = 10_000;
 const UNRESERVED_STEPS = 64;
@@ -62,6 +64,17 @@
     return this.reserve(caller, now);
   }
 
+  /**
+   * Restores the reservation of a caller that an earlier owner told to return in `dueInMs`. Ignores
+   * one that is known, because a gateway also reports after its connection was reset.
+   */
+  restore(caller: string, dueInMs: number, now: number): void {
+    const dueAt = now + dueInMs;
+    if (dueInMs > MAXIMUM_RETRY_AFTER_MS || this.limit.isReached) return;
+    if (this.reservations.has(caller, dueAt, RESTORE_TOLERANCE_MS)) return;
+    this.reservations.add(caller, dueAt);
+  }
+
   /** Takes at most `wanted` tokens for requests that are expected; none while requests are refused. */
   takeAhead(wanted: number, reserve: number, now: number): number {
     this.expire(now);
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -83,8 +83,6 @@
   private readonly pending = new Set<TenantAllowance>();
   private isConnected = false;
   private ownerlessSince: number;
-  /** Stands for callers that aren't identified; differs between gateways. */
-  private readonly unknownCaller: string;
 
   constructor(private readonly options: QuotaClientOptions) {
     const { clock, settings } = options;
@@ -93,13 +91,12 @@
     const { windowMs } = settings;
     this.unconfirmed = new UnconfirmedUses({ random: options.random, windowMs, startedAt });
     this.ownerlessSince = startedAt;
-    this.unknownCaller = drawCaller(options.random);
   }
 
   take(
     tenant: Tenant,
     until = Infinity,
-    fingerprint = this.unknownCaller,
+    fingerprint?: string,
   ): QuotaDecision | Promise<QuotaDecision> {
     if (!isLimited(tenant)) return ADMITTED;
     const now = this.options.clock.now();
@@ -107,7 +104,7 @@
     allowance.demand.record(now);
     allowance.lastUsedAt = now;
     if (allowance.useToken(now)) return this.admit(QuotaDecisionPath.Granted);
-    const waiting = { caller: fingerprint.slice(0, CALLER_DIGITS), until };
+    const waiting = { caller: this.identify(allowance, fingerprint, now), until };
     if (!this.isConnected) return this.takeWithoutOwner(allowance, now, waiting);
     if (this.unconfirmed.takeWithOwner(allowance, now)) {
       return this.admitUnconfirmed(allowance, QuotaDecisionPath.Unconfirmed);
@@ -129,6 +126,11 @@
   handleConnected(): void {
     this.isConnected = true;
     this.updateFleetSize();
+    const now = this.options.clock.now();
+    for (const allowance of this.allowances.values()) {
+      allowance.mustReportRetries = allowance.toldRetries.future(now).length > 0;
+      if (allowance.mustReportRetries) this.enqueue(allowance);
+    }
   }
 
   /**
@@ -173,7 +175,7 @@
     allowance.unconfirmed -= pendingRequest.spent;
     allowance.pressureUntil = now + response.pressureMs;
     const isUsable = now <= pendingRequest.requestedAt + allowance.bounds.tokenLifetimeMs;
-    if (isUsable) this.applyGrant(allowance, pendingRequest, response);
+    if (isUsable) this.applyGrant(allowance, pendingRequest, response, now);
     else this.discardGrant(allowance, pendingRequest, response, now);
     if (this.needsRequest(allowance)) this.enqueue(allowance);
   }
@@ -206,6 +208,16 @@
     return this.pending.size > 0;
   }
 
+  /** A request without a fingerprint counts as the retry that is due at this gateway, if there is one. */
+  private identify(
+    { toldRetries, bounds }: TenantAllowance,
+    fingerprint: string | undefined,
+    now: number,
+  ): string {
+    if (fingerprint !== undefined) return fingerprint.slice(0, CALLER_DIGITS);
+    return toldRetries.takeDue(now, bounds.retryHoldMs) ?? drawCaller(this.options.random);
+  }
+
   private updateFleetSize(): void {
     const { clock, countGateways } = this.options;
     this.unconfirmed.fleetSize.update(countGateways(), clock.now());
@@ -278,8 +290,9 @@
     this.options.onRequestQueued();
   }
 
-  private needsRequest({ waiting, spent, hasReturned }: TenantAllowance): boolean {
-    return waiting.length > 0 || spent > 0 || hasReturned;
+  private needsRequest(allowance: TenantAllowance): boolean {
+    const { waiting, spent, hasReturned, mustReportRetries } = allowance;
+    return waiting.length > 0 || spent > 0 || hasReturned || mustReportRetries;
   }
 
   private createRequest(allowance: TenantAllowance): TokenRequest {
@@ -303,6 +316,22 @@
       refused: 0,
       refusedWithoutOwner,
       callers: waiting.map(({ caller }) => caller),
+      ...this.takeRetriesToReport(allowance, now),
+    };
+  }
+
+  private takeRetriesToReport(
+    allowance: TenantAllowance,
+    now: number,
+  ): Pick<TokenRequest, 'reservations'> {
+    if (!allowance.mustReportRetries) return {};
+    allowance.mustReportRetries = false;
+    const future = allowance.toldRetries.future(now);
+    return {
+      reservations: future.map(({ caller, reservedFrom }) => ({
+        caller,
+        dueInMs: Math.max(0, reservedFrom - now),
+      })),
     };
   }
 
@@ -310,6 +339,7 @@
     allowance: TenantAllowance,
     { requestedAt, waiting, undecided }: PendingTokenRequest,
     response: TokenResponse,
+    now: number,
   ): void {
     const { granted, retries = retriesInOrder(response, undecided.size) } = response;
     const decided = response.retries === undefined ? [...undecided] : waiting;
@@ -317,9 +347,17 @@
     for (const [index, request] of decided.entries()) {
       const retryAfterMs = retries[index] ?? ADMITTED_NOW_MS;
       if (!undecided.has(request)) continue;
-      if (retryAfterMs > ADMITTED_NOW_MS) request.decide(this.refuse(retryAfterMs));
-      else request.decide(this.admit(QuotaDecisionPath.Asked));
-      if (retryAfterMs === ADMITTED_NOW_MS) admitted += 1;
+      if (retryAfterMs > ADMITTED_NOW_MS) {
+        allowance.toldRetries.add({
+          caller: request.caller,
+          dueAt: now + retryAfterMs,
+          reservedFrom: requestedAt + retryAfterMs,
+        });
+        request.decide(this.refuse(retryAfterMs));
+      } else {
+        admitted += 1;
+        request.decide(this.admit(QuotaDecisionPath.Asked));
+      }
     }
     allowance.addTokens(granted - admitted, requestedAt + allowance.bounds.tokenLifetimeMs);
   }
--- a/src/tenants/quota-frames.ts
+++ b/src/tenants/quota-frames.ts
@@ -8,6 +8,8 @@
   CALLER_BYTES,
   RETRY_BYTES,
   type QuotaMessage,
+  type QuotaReservationsMessage,
+  type ReportedReservation,
   type TokenRequest,
   type TokenResponse,
 } from './quota-messages.js';
@@ -17,11 +19,12 @@
 
 /** The messages for token requests, in their order. */
 export function packRequests(requests: readonly TokenRequest[]): QuotaMessage[] {
-  return requests.flatMap(({ callers = [], ...request }): QuotaMessage[] =>
-    callers.length === 0
-      ? [request]
-      : [request, { kind: 'callers', callers: packCallers(callers) }],
-  );
+  return requests.flatMap(({ callers = [], reservations = [], ...request }) => {
+    const messages: QuotaMessage[] = [request];
+    if (callers.length > 0) messages.push({ kind: 'callers', callers: packCallers(callers) });
+    if (reservations.length > 0) messages.push(packReservations(reservations));
+    return messages;
+  });
 }
 
 /**
@@ -32,19 +35,30 @@
 export function readRequests(messages: readonly QuotaMessage[], gateway: string): TokenRequest[] {
   const requests: TokenRequest[] = [];
   for (const message of messages) {
-    const last = requests.at(-1);
     if (message.kind === 'ask') {
       requests.push(message);
-    } else if (message.kind === 'callers' && last !== undefined && last.callers === undefined) {
-      requests[requests.length - 1] = { ...last, callers: unpackCallers(message.callers) };
-    } else {
+      continue;
+    }
+    const request = requests.pop();
+    const extended = request && extendRequest(request, message);
+    if (extended === undefined) {
       const problem = `expected a message of kind ask, received ${message.kind}`;
       throw new MalformedMessageError('serve gateway', gateway, problem);
     }
+    requests.push(extended);
   }
   return requests;
 }
 
+/** The request with what a message after its `ask` adds; undefined when the message adds nothing. */
+function extendRequest(request: TokenRequest, message: QuotaMessage): TokenRequest | undefined {
+  if (message.kind === 'callers' && request.callers === undefined)
+    return { ...request, callers: unpackCallers(message.callers) };
+  if (message.kind === 'reservations' && request.reservations === undefined)
+    return { ...request, reservations: unpackReservations(message) };
+  return undefined;
+}
+
 /** The messages for the responses to token requests; retry times only for gateways that send callers. */
 export function packResponse(
   { retries = [], ...response }: TokenResponse,
@@ -87,6 +101,23 @@
   );
 }
 
+function packReservations(reservations: readonly ReportedReservation[]): QuotaMessage {
+  return {
+    kind: 'reservations',
+    callers: packCallers(reservations.map(({ caller }) => caller)),
+    dueInMs: packRetries(reservations.map(({ dueInMs }) => dueInMs)),
+  };
+}
+
+/** Callers and times of unequal number yield the smaller one of them. */
+function unpackReservations(message: QuotaReservationsMessage): ReportedReservation[] {
+  const times = unpackRetries(message.dueInMs);
+  return unpackCallers(message.callers).flatMap((caller, index) => {
+    const dueInMs = times[index];
+    return dueInMs === undefined ? [] : [{ caller, dueInMs }];
+  });
+}
+
 function packRetries(retries: readonly number[]): Uint8Array {
   const bytes = Buffer.alloc(retries.length * RETRY_BYTES);
   // Rounded up: a caller that returns before its token is due is refused again.
--- a/src/tenants/quota-messages.ts
+++ b/src/tenants/quota-messages.ts
@@ -44,6 +44,18 @@
   readonly callers: Uint8Array;
 }
 
+/**
+ * Gateway to owner, after an `ask` and its `callers`: retry times that this gateway has told, perhaps
+ * in the name of an earlier owner.
+ */
+export interface QuotaReservationsMessage {
+  readonly kind: 'reservations';
+  /** Identities of the refused requests, {@link CALLER_BYTES} each. */
+  readonly callers: Uint8Array;
+  /** Milliseconds until their retry times, as in {@link QuotaRetriesMessage}. */
+  readonly dueInMs: Uint8Array;
+}
+
 /** Owner to gateway, first in each frame: acknowledges the round. */
 export interface QuotaRoundResponseMessage {
   readonly kind: 'answered';
@@ -87,6 +99,7 @@
   | QuotaRoundMessage
   | TokenRequestMessage
   | QuotaCallersMessage
+  | QuotaReservationsMessage
   | QuotaRoundResponseMessage
   | TokenResponseMessage
   | QuotaRetriesMessage
@@ -95,6 +108,13 @@
 /** A token request with the identities of its waiting requests, where the gateway sends them. */
 export interface TokenRequest extends TokenRequestMessage {
   readonly callers?: readonly string[];
+  readonly reservations?: readonly ReportedReservation[];
+}
+
+/** A refused request that was told to return in `dueInMs` milliseconds. */
+export interface ReportedReservation {
+  readonly caller: string;
+  readonly dueInMs: number;
 }
 
 /** A token response with the decision on each waiting request, where the owner sends them. */
@@ -137,4 +157,11 @@
   redirect: { tag: 84, fields: [{ name: 'owner', type: 'string' }] },
   callers: { tag: 85, fields: [{ name: 'callers', type: 'bytes' }] },
   retries: { tag: 86, fields: [{ name: 'retries', type: 'bytes' }] },
+  reservations: {
+    tag: 87,
+    fields: [
+      { name: 'callers', type: 'bytes' },
+      { name: 'dueInMs', type: 'bytes' },
+    ],
+  },
 });
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -98,6 +98,8 @@
     const { bucket } = account;
     bucket.returnTokens(request.returned, now);
     bucket.charge(request.spent, now);
+    for (const { caller, dueInMs } of request.reservations ?? [])
+      account.restore(caller, dueInMs, now);
     const retries = this.decideWaiting(request, account, now);
     const refusedRetries = retries.filter((retryAfterMs) => retryAfterMs > ADMITTED_NOW_MS);
     const refused = refusedRetries.length;
--- a/src/tenants/retry-reservations.ts
+++ b/src/tenants/retry-reservations.ts
@@ -48,6 +48,16 @@
     this.limit.recordAdded();
   }
 
+  /** Whether the caller has an unclaimed reservation that is due within `toleranceMs` of `time`. */
+  has(caller: string, time: number, toleranceMs: number): boolean {
+    const end = this.indexAfter(time + toleranceMs);
+    for (let index = this.indexAfter(time - toleranceMs); index < end; index += 1) {
+      const reservation = this.queue[index] as RetryReservation;
+      if (!reservation.isClaimed && reservation.caller === caller) return true;
+    }
+    return false;
+  }
+
   /** The earliest time from `time` on that is at least `spacingMs` from every future reservation. */
   findGap(time: number, spacingMs: number): number {
     let gapAt = time;
--- a/test/tenants/quota-frames.test.ts
+++ b/test/tenants/quota-frames.test.ts
@@ -36,6 +36,12 @@
     expect(readRequests(overWire(packRequests(requests)), 'gateway-1')).toEqual(requests);
   });
 
+  it('carry the retry times that were told in the name of an earlier owner', () => {
+    const reservations = CALLERS.map((caller, index) => ({ caller, dueInMs: 100 * index }));
+    const requests = [{ ...REQUEST, callers: CALLERS, reservations }];
+    expect(readRequests(overWire(packRequests(requests)), 'gateway-1')).toEqual(requests);
+  });
+
   it('carry retry times that are rounded up, so that no caller returns too early', () => {
     const response = { ...RESPONSE, retries: [0, 20.1] };
     const messages = packResponse(response, { ...REQUEST, callers: CALLERS });
--- a/test/tenants/quota-retries.test.ts
+++ b/test/tenants/quota-retries.test.ts
@@ -13,6 +13,8 @@
   readonly requests: number;
   /** New requests per second for ten seconds from the start of the burst on. */
   readonly others?: number;
+  /** Time at which another owner takes over at once, in milliseconds. */
+  readonly ownerChangesAt?: number;
   /** Whether retries reach another gateway than the one that refused. */
   readonly isRetriedElsewhere?: boolean;
 }
@@ -21,12 +23,15 @@
 
 /** Replays a burst in which each refused caller returns when told; the outcomes of the returns. */
 async function replayBurst(burst: Burst, seed: number): Promise<Outcome[]> {
-  const { gateways, requestsPerSecond, requests, others = 0, isRetriedElsewhere } = burst;
+  const { gateways, requestsPerSecond, requests, others = 0 } = burst;
+  const { isRetriedElsewhere, ownerChangesAt } = burst;
   const replay = new QuotaReplay(gateways, seed);
   replay.connectAll(replay.startOwner());
   replay.setLimit(TENANT, requestsPerSecond, burst.burst);
   replay.addPoissonLoad(TENANT, requests, 10 * SECOND, 11 * SECOND);
   if (others > 0) replay.addPoissonLoad(TENANT, others, 10 * SECOND, 20 * SECOND);
+  if (ownerChangesAt !== undefined)
+    replay.schedule(ownerChangesAt, () => replay.connectAll(replay.startOwner()));
   replay.onRefused = (outcome) => {
     replay.retry(outcome, (outcome.gateway + (isRetriedElsewhere === true ? 1 : 0)) % gateways);
   };
@@ -45,6 +50,19 @@
     { name: 'a burst at 8 gateways', ...usual, gateways: 8 },
     { name: 'a burst at 1,100 gateways', ...usual, gateways: 1_100 },
     { name: 'retries at other gateways', ...usual, isRetriedElsewhere: true },
+    {
+      name: 'a change of the owner beside new callers',
+      ...usual,
+      others: 5,
+      ownerChangesAt: 12 * SECOND,
+    },
+    {
+      name: 'a change of the owner, with retries at other gateways',
+      ...usual,
+      others: 5,
+      isRetriedElsewhere: true,
+      ownerChangesAt: 12 * SECOND,
+    },
     { name: 'a small limit', ...usual, requestsPerSecond: 4, burst: 8, requests: 60 },
     { name: 'a burst that takes 25 s to serve', ...usual, requests: 250 },
     { name: 'a burst that takes three minutes to serve', ...usual, requests: 1_800 },
