Gateway: end the reports about crashing requests with the stop, so that the process ends

What operators saw: a gateway that was told to stop logged "stopped" with nothing in flight and didn't end; a supervisor that waits for it starts the next one late. Callers lost nothing.

Cause: a gateway repeats a report about a request under which replicas ended until a controller takes it. The stop closes the connections to the controllers, so a report that was left was tried each 100 ms for ever, and its timer kept the process running.

Change: the stop sends what was not sent yet and ends the reports and the requests for trial grants, which were repeated likewise. Elsewhere: the timers of three races between work and a time limit outlived the work (a planned stop up to 0.9 of its grace period, a controller that leaves its group, a daemon that stops after a failure). Daemons end 1 s after their stop whatever keeps them and log what it was, which the soak counts as a failed stop; this covers lines that nobody reads as well.

--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -22,6 +22,9 @@
 });
 export type LogLine = z.infer<typeof logLineSchema>;
 
+/** Logged by a process that something keeps running after its daemon has stopped. */
+const LINGERED_MESSAGE = 'process still running after its stop';
+
 type LineListener = (line: LogLine) => void;
 
 function parseLine(text: string): LogLine | undefined {
@@ -42,6 +45,7 @@
   /** Why the daemon failed, as it said itself. */
   private failure: string | undefined;
   private hung = false;
+  private hasLingered = false;
 
   constructor(readonly options: FleetProcessOptions) {
     const { name, nodeArguments } = options;
@@ -59,6 +63,7 @@
           ...(exitCode === null ? {} : { exitCode }),
           ...(signal === null ? {} : { signal }),
           hung: this.hung,
+          ...(this.hasLingered ? { lingered: true } : {}),
         });
       };
       this.child.once('exit', (exitCode, signal) => {
@@ -152,6 +157,7 @@
     lines.on('line', (text) => {
       log.write(`${text}\n`);
       const line = parseLine(text);
+      if (line?.message === LINGERED_MESSAGE) this.hasLingered = true;
       if (line?.message === 'daemon failed') this.failure = String(line.context['reason']);
       if (line !== undefined) for (const listener of [...this.listeners]) listener(line);
     });
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -5,6 +5,7 @@
 import type { Environment } from '../../src/seams/environment.js';
 import { ExchangeReplica } from '../exchange/exchange-replica.js';
 import { FleetProcess } from '../fleet/fleet-process.js';
+import { isPlannedEnd } from '../fleet/process-end.js';
 import { programArguments } from '../fleet/program.js';
 import { LoopbackProxy } from './loopback-proxy.js';
 import { SHARDS, SINGLE_SERVICE } from './soak-routes.js';
@@ -78,7 +79,7 @@
   async stop(): Promise<boolean> {
     this.isStopping = true;
     const end = await this.process?.stop(STOP_PATIENCE_MS);
-    return end === undefined || (!end.hung && end.exitCode === 0);
+    return end === undefined || isPlannedEnd(end);
   }
 }
 
--- a/src/commands/controller-command.ts
+++ b/src/commands/controller-command.ts
@@ -4,7 +4,7 @@
 import { controllerConfigurationSchema } from '../configuration/controller-configuration.js';
 import { ControllerDaemon } from '../control/controller-daemon.js';
 import { createDurableNodeEnvironment } from '../node/node-environment.js';
-import { createTelemetry, runDaemon, type ExitCode } from './daemon-process.js';
+import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 
 /** Runs until SIGTERM. */
@@ -49,7 +49,7 @@
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const environment = createDurableNodeEnvironment(configuration.dataFolder);
-    return runDaemon(telemetry.logger, () =>
+    return runDaemonProcess(telemetry.logger, () =>
       ControllerDaemon.start(environment, configuration, telemetry),
     );
   }
--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -1,10 +1,12 @@
 /** What the two daemons' processes share: logs, metrics, and a planned stop on a signal. */
 import { Registry, collectDefaultMetrics } from 'prom-client';
+import { enforceExit } from '../node/exit-deadline.js';
 import { NodeClock } from '../node/node-clock.js';
 import type { Logger } from '../observability/logger.js';
 import { createOutputLineWriter, type OutputStream } from '../node/output-line-writer.js';
 import { createRoarrLogger } from '../observability/roarr-logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
+import { settleWithin } from '../seams/settle-within.js';
 import { watchUncaughtErrors, type UncaughtErrorSource } from './uncaught-errors.js';
 
 /** A daemon that can be stopped without cutting off what is in flight. */
@@ -104,7 +106,7 @@
     if ('signal' in end) logger.info('stopping', { signal: end.signal });
     else logger.error('stopping', { reason: end.failure.message });
     if ('failure' in end) {
-      await Promise.race([daemon.stop(), new NodeClock().sleep(FAILED_STOP_TIMEOUT_MS)]);
+      await settleWithin(new NodeClock(), daemon.stop(), FAILED_STOP_TIMEOUT_MS);
       return ExitCode.Failure;
     }
     await daemon.stop();
@@ -117,3 +119,13 @@
     return ExitCode.Failure;
   }
 }
+
+/** Runs a daemon that has the process to itself, and sees to it that the process ends with it. */
+export async function runDaemonProcess(
+  logger: Logger,
+  start: () => Promise<StoppableDaemon>,
+): Promise<ExitCode> {
+  const exitCode = await runDaemon(logger, start);
+  enforceExit(logger, exitCode, process);
+  return exitCode;
+}
--- a/src/commands/gateway-command.ts
+++ b/src/commands/gateway-command.ts
@@ -4,7 +4,7 @@
 import { GatewayDaemon } from '../gateway/gateway-daemon.js';
 import { createNodeEnvironment } from '../node/node-environment.js';
 import { ConfiguredCommand } from './configured-command.js';
-import { createTelemetry, runDaemon, type ExitCode } from './daemon-process.js';
+import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 
 /** Runs until SIGTERM. */
@@ -34,7 +34,7 @@
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const environment = createNodeEnvironment();
-    return runDaemon(telemetry.logger, () =>
+    return runDaemonProcess(telemetry.logger, () =>
       GatewayDaemon.start(environment, configuration, telemetry),
     );
   }
--- a/src/commands/router-command.ts
+++ b/src/commands/router-command.ts
@@ -5,7 +5,7 @@
 import { ControlStreamClient } from '../control-stream/control-stream-client.js';
 import { createNodeEnvironment } from '../node/node-environment.js';
 import { RouterDaemon } from '../router/router-daemon.js';
-import { createTelemetry, runDaemon, type ExitCode } from './daemon-process.js';
+import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 
 /** Runs until SIGTERM. */
@@ -42,7 +42,7 @@
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const environment = createNodeEnvironment();
-    return runDaemon(telemetry.logger, async () => {
+    return runDaemonProcess(telemetry.logger, async () => {
       const source = ControlStreamClient.start(environment, configuration, telemetry);
       const router = await RouterDaemon.start(environment, configuration, source, telemetry);
       return {
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -38,6 +38,7 @@
 import type { DurableEnvironment } from '../seams/environment.js';
 import type { HttpListenOptions, HttpListener } from '../seams/http.js';
 import type { MessageConnection } from '../seams/message-connection.js';
+import { settleWithin } from '../seams/settle-within.js';
 import { enrolUntilVoter, serveEnrolment } from './enrolment.js';
 import { EvacuationEndpoint } from './evacuation-endpoint.js';
 import { hasSurplusVoter, maintainMembership } from './membership-maintenance.js';
@@ -215,7 +216,7 @@
     const { log, environment, seeds } = this.options;
     if (seeds !== undefined && hasSurplusVoter(log.status())) {
       const leaving = log.remove(log.status().memberId).catch(() => undefined);
-      await Promise.race([leaving, environment.clock.sleep(LEAVE_GROUP_TIMEOUT_MS)]);
+      await settleWithin(environment.clock, leaving, LEAVE_GROUP_TIMEOUT_MS);
     }
     await this.listener?.close();
   }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -153,6 +153,7 @@
   private async release(): Promise<void> {
     this.shutdown.abort(new Error('stopped'));
     await this.health?.close();
+    this.context.crashGuard.stop();
     await this.client.stop();
     await this.tenants.stop();
     await this.aggregation.close();
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -1,5 +1,6 @@
 /** The phase of a planned stop in which callers move to other gateways and requests are drained. */
 import type { Clock } from '../seams/clock.js';
+import { settleWithin } from '../seams/settle-within.js';
 
 /** Fraction of the grace period during which new connections are accepted. */
 const ACCEPTING_FRACTION = 0.6;
@@ -35,5 +36,5 @@
     DRAIN_POLL_INTERVAL_MS,
     startedAt + graceMs * DRAIN_FRACTION - clock.now(),
   );
-  await Promise.race([closed, clock.sleep(remainingMs)]);
+  await settleWithin(clock, closed, remainingMs);
 }
--- a/src/quarantine/crash-guard.ts
+++ b/src/quarantine/crash-guard.ts
@@ -175,6 +175,12 @@
     this.slots.notifyWaiters(fingerprint);
   }
 
+  /** Ends the reports to controllers; call it before the connections to them close. */
+  stop(): void {
+    this.reporter.stop();
+    this.grants.stop();
+  }
+
   /**
    * Starts a trial if it may begin now. Of a request that the controllers suspect, all gateways
    * together run one trial at a time; of one that only this gateway suspects, each runs its own.
--- a/src/quarantine/evidence-reporter.ts
+++ b/src/quarantine/evidence-reporter.ts
@@ -40,6 +40,7 @@
 export class EvidenceReporter {
   private readonly pending = new RecentMap<string, PendingReport>(MAXIMUM_ENTRIES);
   private isRunning = false;
+  private readonly stopped = new AbortController();
 
   constructor(private readonly parts: EvidenceReporterParts) {}
 
@@ -52,7 +53,7 @@
     const report = { change, dueAt, sendCount: 0 };
     this.pending.set(change.fingerprint, report);
     if (isUrgent(change) && this.parts.send(change)) this.recordSent(report, clock.now());
-    if (!this.isRunning) void this.run();
+    if (!this.isRunning && !this.stopped.signal.aborted) void this.run();
   }
 
   /** Whether a pending report about the request was sent to a controller. */
@@ -66,20 +67,35 @@
     this.pending.delete(fingerprint);
   }
 
+  /**
+   * Sends what was not sent yet, and ends the repetition: without a controller, which a stopped gateway
+   * doesn't have, it would never end by itself and keep the process running.
+   */
+  stop(): void {
+    this.stopped.abort(new Error('stopped'));
+    const unsent = [...this.pending.values()].filter(({ sendCount }) => sendCount === 0);
+    this.sendBatch(unsent, this.parts.clock.now());
+  }
+
   private async run(): Promise<void> {
     const { clock } = this.parts;
+    const { signal } = this.stopped;
     this.isRunning = true;
-    while (this.pending.size > 0) {
-      await clock.sleep(REPORT_INTERVAL_MS);
+    while (this.pending.size > 0 && !signal.aborted) {
+      await clock.sleep(REPORT_INTERVAL_MS, signal).catch(() => undefined);
       this.sendDue();
     }
     this.isRunning = false;
   }
 
-  /** Sends due reports, urgent ones first: a few of them decide whether a request is quarantined. */
   private sendDue(): void {
     const now = this.parts.clock.now();
     const due = [...this.pending.values()].filter(({ dueAt }) => dueAt <= now);
+    this.sendBatch(due, now);
+  }
+
+  /** Sends urgent reports first: a few of them decide whether a request is quarantined. */
+  private sendBatch(due: PendingReport[], now: number): void {
     due.sort((left, right) => Number(isUrgent(right.change)) - Number(isUrgent(left.change)));
     for (const report of due.slice(0, MAXIMUM_REPORTS_PER_INTERVAL)) {
       if (!this.parts.send(report.change)) return;
--- a/src/quarantine/trial-grants.ts
+++ b/src/quarantine/trial-grants.ts
@@ -45,6 +45,7 @@
 export class TrialGrants {
   private readonly requests = new Map<string, GrantRequest>();
   private requestCount = 0;
+  private isStopped = false;
 
   constructor(private readonly parts: TrialGrantsParts) {}
 
@@ -112,7 +113,14 @@
     return request;
   }
 
+  /** Cancels all timers; grants that this gateway holds expire at the controllers. */
+  stop(): void {
+    this.isStopped = true;
+    for (const fingerprint of [...this.requests.keys()]) this.drop(fingerprint);
+  }
+
   private watch(fingerprint: string, request: GrantRequest): void {
+    if (this.isStopped) return;
     request.timer = this.parts.clock.setTimer(CHECK_INTERVAL_MS, () => {
       this.check(fingerprint, request);
       if (!request.isGranted) this.watch(fingerprint, request);
--- a/test/support/manual-clock.ts
+++ b/test/support/manual-clock.ts
@@ -11,6 +11,11 @@
   private time = 0;
   private readonly timers = new Set<PendingTimer>();
 
+  /** Number of timers that neither ran nor were cancelled. */
+  get pendingTimers(): number {
+    return this.timers.size;
+  }
+
   now(): number {
     return this.time;
   }
