Gateway: round retry-after up, so that no caller returns before its token is due

What callers saw: retry-after was rounded to the nearest hundredth of a second, so a caller told 0.30 for 304 ms came back up to 5 ms early (and one told 0.00 at once), and was refused again.

Evidence: test/gateway/gateway-answers.test.ts, five of six cases fail before (told 0 for 1 ms, 10 for 11, 300 for 304, 1,000 for 1,004.2, 25,000 for 25,001 ms).

Change: hundredths of a second are rounded up.

--- a/src/gateway/gateway-answers.ts
+++ b/src/gateway/gateway-answers.ts
@@ -55,10 +55,13 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** `retry-after` is sent in hundredths of a second. */
+const RETRY_AFTER_STEP_MS = 10;
 const RETRY_AFTER_DECIMALS = 2;
 
+/** Rounded up: a caller that returns before the time that was meant is refused again. */
 function formatSeconds(milliseconds: number): string {
-  return (milliseconds / MILLISECONDS_PER_SECOND).toFixed(RETRY_AFTER_DECIMALS);
+  const roundedMs = Math.ceil(milliseconds / RETRY_AFTER_STEP_MS) * RETRY_AFTER_STEP_MS;
+  return (roundedMs / MILLISECONDS_PER_SECOND).toFixed(RETRY_AFTER_DECIMALS);
 }
 
 /** Builds the response for a refusal; `retryAfterMs` overrides the refusal's default `retry-after`. */
