Tenants: bound the reservations of one tenant, so that others keep theirs

What callers would have seen: 50,000 reservations are the bound of an owner, and one tenant at many times a large limit could take them all; refused callers of other tenants were then told times for which nothing is reserved.

Change: a tenant has 10,000 reservations at most. test/tenants/quota-owner.test.ts fails before (none of 1,000 refused callers of the other tenant had one).

--- a/src/tenants/quota-account.ts
+++ b/src/tenants/quota-account.ts
@@ -10,6 +10,8 @@
 
 /** Retry times further ahead than this are not reserved. */
 const MAXIMUM_RETRY_AFTER_MS = 600_000;
+/** Maximum number of a tenant's reservations; leaves room for those of other tenants. */
+const MAXIMUM_RESERVATIONS = 10_000;
 /** Two reports of a reservation differ by less: by the time that their messages took. */
 const RESTORE_TOLERANCE_MS = 1_000;
 /** Retry times beyond the last reservation are spread over this time in this many steps. */
@@ -70,7 +72,7 @@
    */
   restore(caller: string, dueInMs: number, now: number): void {
     const dueAt = now + dueInMs;
-    if (dueInMs > MAXIMUM_RETRY_AFTER_MS || this.limit.isReached) return;
+    if (!this.mayReserve(dueInMs)) return;
     if (this.reservations.has(caller, dueAt, RESTORE_TOLERANCE_MS)) return;
     this.reservations.add(caller, dueAt);
   }
@@ -99,13 +101,17 @@
 
   private reserve(caller: string, now: number): number {
     const dueAt = this.findRetryTime(now);
-    const isTooFar = dueAt - now > MAXIMUM_RETRY_AFTER_MS;
-    if (isTooFar || this.limit.isReached) return this.spreadBeyond(dueAt - now);
+    if (!this.mayReserve(dueAt - now)) return this.spreadBeyond(dueAt - now);
     this.reservations.add(caller, dueAt);
     this.searchFrom = dueAt;
     return dueAt - now;
   }
 
+  private mayReserve(dueInMs: number): boolean {
+    if (dueInMs > MAXIMUM_RETRY_AFTER_MS || this.limit.isReached) return false;
+    return this.reservations.size < MAXIMUM_RESERVATIONS;
+  }
+
   /** The first time at which a token is due that isn't reserved, behind the last one that was found. */
   private findRetryTime(now: number): number {
     const msPerToken = 1 / this.bucket.bounds.ratePerMs;
--- a/src/tenants/quota-messages.ts
+++ b/src/tenants/quota-messages.ts
@@ -27,8 +27,8 @@
   /** Tokens to prefetch for requests that are expected soon. */
   readonly ahead: number;
   /**
-   * Requests refused by the gateway since the last token request: because the next token wasn't
-   * due, and because no owner decided in time.
+   * Requests refused by the gateway since the last token request: while the next token wasn't due,
+   * which only gateways of an earlier version do, and because no owner decided in time.
    */
   readonly refused: number;
   readonly refusedWithoutOwner: number;
--- a/test/tenants/quota-owner.test.ts
+++ b/test/tenants/quota-owner.test.ts
@@ -37,3 +37,21 @@
   now += 1;
   expect(use(1_000)).toBe(0);
 });
+
+it('leaves room for the reservations of other tenants when one is far above its limit', () => {
+  const tenants = ['loud', 'quiet'].map((name) => ({ ...TENANT, name, requestsPerSecond: 1_000 }));
+  const owner = new QuotaOwner({
+    clock: { now: () => 0, wallTime: unused, setTimer: unused, sleep: unused },
+    settings: SETTINGS,
+    findTenant: (wanted) => tenants.find(({ name }) => name === wanted),
+    onLimitReached: () => undefined,
+  });
+  const refuse = (tenant: string, waiting: number): void => {
+    const counts = { spent: 0, returned: 0, ahead: 0, refused: 0, refusedWithoutOwner: 0 };
+    owner.handleRequest({ kind: 'ask', tenant, waiting, ...counts });
+  };
+  refuse('loud', 100_000);
+  const loud = owner.reservationCount;
+  refuse('quiet', 1_000);
+  expect(owner.reservationCount - loud).toBeGreaterThan(800);
+});
