Tenants: admit nothing by a response that doesn't decide on each waiting request

What callers would have seen: nothing; a limit would have been exceeded. An owner that doesn't know a tenant yet, or that has no limit for it, makes no decisions on single callers; its response went out with an empty list of them, and a gateway took a missing decision for an admission (since, found on reading the change).

Change: no list is sent where there are no decisions, so the gateway admits as many as were granted; a gateway closes the connection on a list that doesn't fit its request or admits more than was granted, and asks again. A refused request is never told 0 ms, which means admitted. Tests: quota-frames.test.ts and quota-client.test.ts, which fail before.

--- a/src/tenants/quota-account.ts
+++ b/src/tenants/quota-account.ts
@@ -10,6 +10,8 @@
 
 /** Retry times further ahead than this are not reserved. */
 const MAXIMUM_RETRY_AFTER_MS = 600_000;
+/** A retry time of 0 would admit the request. */
+const MINIMUM_RETRY_AFTER_MS = 1;
 /** Maximum number of a tenant's reservations; leaves room for those of other tenants. */
 const MAXIMUM_RESERVATIONS = 10_000;
 /** Two reports of a reservation differ by less: by the time that their messages took. */
@@ -91,7 +93,7 @@
 
   /** Whether a request without a reservation may take a token. */
   private hasFreeToken(now: number): boolean {
-    if (!this.reservations.isHolding) return this.bucket.level(now) >= 1;
+    if (!this.reservations.isHolding) return this.bucket.level(now) >= 1 - ROUNDING_TOLERANCE;
     const free = this.bucket.level(now) - this.reservations.countUntil(now);
     const nextDueInMs = this.reservations.nextDueAt(now) - now;
     // Reservations are at least the time of one token apart, so the next one is the tightest.
@@ -104,7 +106,7 @@
     if (!this.mayReserve(dueAt - now)) return this.spreadBeyond(dueAt - now);
     this.reservations.add(caller, dueAt);
     this.searchFrom = dueAt;
-    return dueAt - now;
+    return Math.max(MINIMUM_RETRY_AFTER_MS, dueAt - now);
   }
 
   private mayReserve(dueInMs: number): boolean {
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -59,6 +59,18 @@
   );
 }
 
+/** Guards against requests that are admitted although the owner has granted no token for them. */
+function requireFitting({ retries, granted }: TokenResponse, request: PendingTokenRequest): void {
+  if (retries === undefined) return;
+  const admitted = retries.filter((retryAfterMs) => retryAfterMs === ADMITTED_NOW_MS).length;
+  const waiting = request.waiting.length;
+  if (retries.length === waiting && admitted <= granted) return;
+  throw new RangeError(
+    `expected decisions on ${waiting} requests with at most ${granted} admitted, ` +
+      `received ${retries.length} with ${admitted} admitted`,
+  );
+}
+
 /** Dependencies and settings of a {@link QuotaClient}. */
 export interface QuotaClientOptions {
   readonly clock: Clock;
@@ -164,11 +176,16 @@
     return requests;
   }
 
-  /** Handles the owner's response. Ignores a response without a pending request. */
+  /**
+   * Handles the owner's response. Ignores a response without a pending request.
+   *
+   * @throws RangeError when the response doesn't fit the request; its requests stay pending.
+   */
   handleResponse(response: TokenResponse): void {
     const allowance = this.allowances.find(response.tenant);
     if (allowance?.pendingRequest === undefined) return;
     const { pendingRequest } = allowance;
+    requireFitting(response, pendingRequest);
     const now = this.options.clock.now();
     allowance.pendingRequest = undefined;
     this.pending.delete(allowance);
@@ -345,7 +362,7 @@
     const decided = response.retries === undefined ? [...undecided] : waiting;
     let admitted = 0;
     for (const [index, request] of decided.entries()) {
-      const retryAfterMs = retries[index] ?? ADMITTED_NOW_MS;
+      const retryAfterMs = retries[index] as number;
       if (!undecided.has(request)) continue;
       if (retryAfterMs > ADMITTED_NOW_MS) {
         allowance.toldRetries.add({
--- a/src/tenants/quota-frames.ts
+++ b/src/tenants/quota-frames.ts
@@ -59,12 +59,15 @@
   return undefined;
 }
 
-/** The messages for the responses to token requests; retry times only for gateways that send callers. */
+/**
+ * The messages for the response to a token request; with decisions on each caller where the owner has
+ * made them and the gateway has sent callers.
+ */
 export function packResponse(
-  { retries = [], ...response }: TokenResponse,
+  { retries, ...response }: TokenResponse,
   { callers }: TokenRequest,
 ): QuotaMessage[] {
-  if (callers === undefined) return [response];
+  if (callers === undefined || retries === undefined) return [response];
   return [response, { kind: 'retries', retries: packRetries(retries) }];
 }
 
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -237,7 +237,11 @@
         'expected finite values of 0 or more in a token response',
       );
     }
-    this.options.client.handleResponse(response);
+    try {
+      this.options.client.handleResponse(response);
+    } catch (error) {
+      throw new MalformedMessageError('receive from quota owner', address, String(error), error);
+    }
   }
 
   private handleOwnerFound(address: string): void {
--- a/src/tenants/retry-reservations.ts
+++ b/src/tenants/retry-reservations.ts
@@ -2,7 +2,6 @@
  * Future tokens of one tenant, reserved for refused requests that are retried at their retry time.
  * Without reservations a burst of new requests takes the tokens that were promised to refused ones.
  */
-
 import type { ReservationLimit } from './reservation-limit.js';
 
 /** A token reserved from a time on for the retry of one request. */
--- a/test/tenants/quota-client.test.ts
+++ b/test/tenants/quota-client.test.ts
@@ -1,5 +1,5 @@
 /** Tests requests whose deadline passes while their token request is pending. */
-import { expect, it } from 'vitest';
+import { expect, it, vi } from 'vitest';
 import { seededRandom } from '../../lab/simulation/seeded-random.js';
 import { QuotaClient } from '../../src/tenants/quota-client.js';
 import type { QuotaDecision } from '../../src/tenants/tenant-quota.js';
@@ -47,3 +47,21 @@
   await decision;
   expect(client.take(TENANT)).toEqual({ isAdmitted: true });
 });
+
+// Guards against requests that are admitted although the owner has granted no token for them.
+it.each([
+  { name: 'decides on too few requests', granted: 2, retries: [0] },
+  { name: 'admits more requests than it grants tokens', granted: 1, retries: [0, 0] },
+])('admits nothing by a response that $name', ({ granted, retries }) => {
+  const client = createClient();
+  const isDecided = vi.fn();
+  for (let request = 0; request < 2; request += 1)
+    void Promise.resolve(client.take(TENANT)).then(isDecided);
+  client.takeRequests();
+  const times = { pressureMs: 0, nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
+  const response = { kind: 'answer', tenant: 'acme', granted, retries, ...times } as const;
+  expect(() => client.handleResponse(response)).toThrow(RangeError);
+  client.endRound();
+  expect(client.takeRequests()).toMatchObject([{ tenant: 'acme', waiting: 2 }]);
+  expect(isDecided).not.toHaveBeenCalled();
+});
--- a/test/tenants/quota-frames.test.ts
+++ b/test/tenants/quota-frames.test.ts
@@ -54,6 +54,12 @@
     expect(readResponses(overWire(messages), 'owner')).toEqual([RESPONSE]);
   });
 
+  // Guards against a request of a tenant that the owner doesn't know being admitted without a token.
+  it('carry no decisions where the owner decides on all requests alike', () => {
+    const messages = packResponse(RESPONSE, { ...REQUEST, callers: CALLERS });
+    expect(readResponses(overWire(messages), 'owner')).toEqual([RESPONSE]);
+  });
+
   it('are refused when callers or retry times stand alone', () => {
     const callers: QuotaMessage = { kind: 'callers', callers: new Uint8Array(8) };
     const retries: QuotaMessage = { kind: 'retries', retries: new Uint8Array(4) };
