Dial: end a handshake with the stop, so that no process waits for a peer that doesn't answer

Cause: a link that is closed while it dials had no way to end the handshake; with a peer that accepts and doesn't answer the socket and its timer stayed for 2 s.

The decisions on waiting requests and the identity of callers move out of quota-client.ts, unchanged.

--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -88,7 +88,7 @@
   reportedAt = -Infinity;
   private connection: MessageConnection | undefined;
   private isDialling = false;
-  private isClosed = false;
+  private readonly closed = new AbortController();
   private failedDials = 0;
   private redialAt = -Infinity;
   private nextGatherId = 1;
@@ -117,10 +117,14 @@
   }
 
   close(): void {
-    this.isClosed = true;
+    this.closed.abort(new Error('closed'));
     this.connection?.close();
   }
 
+  private get isClosed(): boolean {
+    return this.closed.signal.aborted;
+  }
+
   /**
    * Closes the connection when the oldest gather has waited too long for any message; called
    * periodically.
@@ -170,7 +174,9 @@
     let reason = 'closed by the leaf';
     try {
       const address = parseAddress(text);
-      const target = { address, role: 'aggregation', connectTimeout: DIAL_TIMEOUT_MS } as const;
+      const { signal } = this.closed;
+      const connectTimeout = DIAL_TIMEOUT_MS;
+      const target = { address, role: 'aggregation', connectTimeout, signal } as const;
       const connection = this.withMetering(await dial(environment, identity, target));
       this.isDialling = false;
       if (this.isClosed) connection.close();
--- a/src/control-stream/exchange-link.ts
+++ b/src/control-stream/exchange-link.ts
@@ -71,6 +71,7 @@
         role: 'exchange',
         memberId: this.memberId,
         connectTimeout: CONNECT_TIMEOUT_MS,
+        signal: this.stopped.signal,
       });
       this.connection = connection;
       open = true;
--- a/src/control-stream/source-link.ts
+++ b/src/control-stream/source-link.ts
@@ -104,6 +104,7 @@
         role: 'subscriber',
         memberId,
         connectTimeout: CONNECT_TIMEOUT_MS,
+        signal: this.endSignal.signal,
       });
     } catch (error) {
       this.end(error instanceof HandshakeError ? 'handshake_failed' : 'connect_failed', error);
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -149,7 +149,8 @@
         MAXIMUM_DIAL_TIMEOUT_MS,
         this.failures,
       );
-      const target = { address, role: 'directory', connectTimeout } as const;
+      const { signal } = this.stopped;
+      const target = { address, role: 'directory', connectTimeout, signal } as const;
       const connection = this.meter(await dial(environment, identity, target));
       this.connection = connection;
       if (this.stopped.signal.aborted) return;
--- a/src/protocol/dial.ts
+++ b/src/protocol/dial.ts
@@ -21,6 +21,8 @@
   readonly memberId?: string;
   /** Longest time to open the connection, without the handshake. Milliseconds. */
   readonly connectTimeout: number;
+  /** Ends the handshake when it aborts, so that a stop doesn't wait for a peer that doesn't answer. */
+  readonly signal?: AbortSignal;
 }
 
 /**
@@ -34,9 +36,13 @@
   identity: LocalIdentity,
   target: DialTarget,
 ): Promise<MessageConnection> {
-  const { address, role, memberId, connectTimeout } = target;
+  const { address, role, memberId, connectTimeout, signal } = target;
   const connection = await environment.network.connectMessages(address, connectTimeout);
-  const peer = await initiateHandshake(environment.clock, connection, identity, role);
+  const close = (): void => connection.close();
+  if (signal?.aborted === true) close();
+  signal?.addEventListener('abort', close, { once: true });
+  const handshake = initiateHandshake(environment.clock, connection, identity, role);
+  const peer = await handshake.finally(() => signal?.removeEventListener('abort', close));
   if (memberId !== undefined && peer.name !== memberId) {
     connection.close();
     throw new HandshakeError('wrong_member', connection.peer, `${peer.name} answers there`);
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -14,7 +14,9 @@
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
 import { AllowanceTable } from './allowance-table.js';
-import { CALLER_BYTES, type TokenRequest, type TokenResponse } from './quota-messages.js';
+import { readDecisions, type CallerDecision } from './caller-decisions.js';
+import { callerOf, drawCaller } from './caller-identity.js';
+import type { TokenRequest, TokenResponse } from './quota-messages.js';
 import { QuotaDecisionPath } from './quota-decision-path.js';
 import type { PendingTokenRequest, TenantAllowance, WaitingRequest } from './tenant-allowance.js';
 import { ADMITTED_NOW_MS } from './quota-account.js';
@@ -34,43 +36,12 @@
 /** Keeps a frame far below the maximum frame size. */
 const MAXIMUM_TENANTS_PER_FRAME = 1_000;
 
-/** Hexadecimal digits of a caller's identity. */
-const CALLER_DIGITS = CALLER_BYTES * 2;
-const MAXIMUM_DRAW = 2 ** 48;
-
 /** Who waits for the owner's response, and the clock reading in milliseconds until which it may wait. */
 interface CallerWait {
   readonly caller: string;
   readonly until: number;
 }
 
-function drawCaller(random: RandomSource): string {
-  const draw = Math.floor(random.nextFloat() * MAXIMUM_DRAW).toString(16);
-  return draw.padStart(CALLER_DIGITS, '0');
-}
-
-/** The retry times in a response of a controller that doesn't decide on each caller. */
-function retriesInOrder(
-  { granted, retryAfterMs, retrySpacingMs }: TokenResponse,
-  waiting: number,
-): number[] {
-  return Array.from({ length: waiting }, (_, index) =>
-    index < granted ? ADMITTED_NOW_MS : retryAfterMs + (index - granted) * retrySpacingMs,
-  );
-}
-
-/** Guards against requests that are admitted although the owner has granted no token for them. */
-function requireFitting({ retries, granted }: TokenResponse, request: PendingTokenRequest): void {
-  if (retries === undefined) return;
-  const admitted = retries.filter((retryAfterMs) => retryAfterMs === ADMITTED_NOW_MS).length;
-  const waiting = request.waiting.length;
-  if (retries.length === waiting && admitted <= granted) return;
-  throw new RangeError(
-    `expected decisions on ${waiting} requests with at most ${granted} admitted, ` +
-      `received ${retries.length} with ${admitted} admitted`,
-  );
-}
-
 /** Dependencies and settings of a {@link QuotaClient}. */
 export interface QuotaClientOptions {
   readonly clock: Clock;
@@ -185,14 +156,14 @@
     const allowance = this.allowances.find(response.tenant);
     if (allowance?.pendingRequest === undefined) return;
     const { pendingRequest } = allowance;
-    requireFitting(response, pendingRequest);
+    const decisions = readDecisions(response, pendingRequest);
     const now = this.options.clock.now();
     allowance.pendingRequest = undefined;
     this.pending.delete(allowance);
     allowance.unconfirmed -= pendingRequest.spent;
     allowance.pressureUntil = now + response.pressureMs;
     const isUsable = now <= pendingRequest.requestedAt + allowance.bounds.tokenLifetimeMs;
-    if (isUsable) this.applyGrant(allowance, pendingRequest, response, now);
+    if (isUsable) this.applyGrant(allowance, pendingRequest, response.granted, decisions, now);
     else this.discardGrant(allowance, pendingRequest, response, now);
     if (this.needsRequest(allowance)) this.enqueue(allowance);
   }
@@ -231,7 +202,7 @@
     fingerprint: string | undefined,
     now: number,
   ): string {
-    if (fingerprint !== undefined) return fingerprint.slice(0, CALLER_DIGITS);
+    if (fingerprint !== undefined) return callerOf(fingerprint);
     return toldRetries.takeDue(now, bounds.retryHoldMs) ?? drawCaller(this.options.random);
   }
 
@@ -354,27 +325,22 @@
 
   private applyGrant(
     allowance: TenantAllowance,
-    { requestedAt, waiting, undecided }: PendingTokenRequest,
-    response: TokenResponse,
+    { requestedAt }: PendingTokenRequest,
+    granted: number,
+    decisions: readonly CallerDecision[],
     now: number,
   ): void {
-    const { granted, retries = retriesInOrder(response, undecided.size) } = response;
-    const decided = response.retries === undefined ? [...undecided] : waiting;
     let admitted = 0;
-    for (const [index, request] of decided.entries()) {
-      const retryAfterMs = retries[index] as number;
-      if (!undecided.has(request)) continue;
-      if (retryAfterMs > ADMITTED_NOW_MS) {
-        allowance.toldRetries.add({
-          caller: request.caller,
-          dueAt: now + retryAfterMs,
-          reservedFrom: requestedAt + retryAfterMs,
-        });
-        request.decide(this.refuse(retryAfterMs));
-      } else {
+    for (const { request, retryAfterMs } of decisions) {
+      if (retryAfterMs === ADMITTED_NOW_MS) {
         admitted += 1;
         request.decide(this.admit(QuotaDecisionPath.Asked));
+        continue;
       }
+      const reservedFrom = requestedAt + retryAfterMs;
+      const { caller } = request;
+      allowance.toldRetries.add({ caller, dueAt: now + retryAfterMs, reservedFrom });
+      request.decide(this.refuse(retryAfterMs));
     }
     allowance.addTokens(granted - admitted, requestedAt + allowance.bounds.tokenLifetimeMs);
   }
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -126,7 +126,8 @@
     const { environment, identity, client, logger } = this.options;
     let reason = 'closed';
     try {
-      const target = { address: parseAddress(address), role: 'quota' } as const;
+      const { signal } = this.stopped;
+      const target = { address: parseAddress(address), role: 'quota', signal } as const;
       const connectTimeout = DIAL_TIMEOUT_MS;
       this.connection = await dial(environment, identity, { ...target, connectTimeout });
       await this.runRounds(this.connection, address);
