Tenants: keep room for new retry times at a gateway; call them assigned

What callers would have seen: after 500 refusals of a tenant at one gateway, later retry times were not kept for the next owner, as past ones were only discarded when a connection opened (found on reading).

ToldRetries becomes AssignedRetries, and comments speak of retry times instead of what callers are told.

--- a/src/tenants/told-retries.ts
+++ b/src/tenants/assigned-retries.ts
@@ -1,47 +1,48 @@
 /**
- * The retry times that a gateway has told the refused callers of one tenant. The gateway reports them
- * to a new quota owner, which knows nothing of the reservations of the one before.
+ * The retry times that refused requests of one tenant got at a gateway. The gateway reports them to a
+ * new quota owner, which knows nothing of the reservations of the previous one.
  */
 
 /** Bounds the memory of a tenant, and the bytes of its next token request. */
 const MAXIMUM_RETRIES = 500;
 
 /** A refused request. Times are clock readings in milliseconds. */
-export interface ToldRetry {
+export interface AssignedRetry {
   readonly caller: string;
-  /** When its caller was told to return. */
+  /** Its retry time. */
   readonly dueAt: number;
   /** The earliest time from which its token can be reserved: messages to and from the owner took time. */
   readonly reservedFrom: number;
 }
 
 /** Retry times in their order. Times are clock readings in milliseconds. */
-export class ToldRetries {
-  private retries: ToldRetry[] = [];
+export class AssignedRetries {
+  private retries: AssignedRetry[] = [];
 
-  /** Records a retry time, unless too many are known. */
-  add(told: ToldRetry): void {
+  /** Records a retry, unless too many are known. */
+  add(retry: AssignedRetry): void {
     if (this.retries.length >= MAXIMUM_RETRIES) return;
-    const index = this.retries.findLastIndex(({ dueAt }) => dueAt <= told.dueAt);
-    this.retries.splice(index + 1, 0, told);
+    const index = this.retries.findLastIndex(({ dueAt }) => dueAt <= retry.dueAt);
+    this.retries.splice(index + 1, 0, retry);
   }
 
   /** The retries that aren't due yet. */
-  future(now: number): readonly ToldRetry[] {
-    this.dropBefore(now);
+  future(now: number): readonly AssignedRetry[] {
+    this.discardBefore(now);
     return this.retries;
   }
 
   /** Removes and returns the caller whose retry is due; undefined when there is none. */
   takeDue(now: number, holdMs: number): string | undefined {
-    this.dropBefore(now - holdMs);
+    this.discardBefore(now - holdMs);
     const [first] = this.retries;
     if (first === undefined || first.dueAt > now) return undefined;
     this.retries.shift();
     return first.caller;
   }
 
-  private dropBefore(time: number): void {
+  /** Discards the retries that were due before `time`. */
+  discardBefore(time: number): void {
     const index = this.retries.findIndex(({ dueAt }) => dueAt >= time);
     if (index !== 0) this.retries = index < 0 ? [] : this.retries.slice(index);
   }
--- a/src/tenants/quota-account.ts
+++ b/src/tenants/quota-account.ts
@@ -1,6 +1,6 @@
 /**
  * Decides on the requests of one tenant at the quota owner. Designed for a burst far above the limit
- * at many gateways: each refused request is told a time at which a token is reserved for it, and
+ * at many gateways: each refused request gets a retry time at which a token is reserved for it, and
  * requests that weren't refused before get only the tokens that nobody has reserved.
  */
 import type { QuotaBounds } from './quota-bounds.js';
@@ -41,7 +41,7 @@
     this.reservations = new RetryReservations(limit);
   }
 
-  /** Applies another limit from now on. Reservations stay where they are: their callers were told. */
+  /** Applies another limit from now on. Reservations keep their times, which callers know. */
   updateBounds(bounds: QuotaBounds, now: number): void {
     this.bucket.updateBounds(bounds, now);
     this.searchFrom = now;
@@ -69,7 +69,7 @@
   }
 
   /**
-   * Restores the reservation of a caller that an earlier owner told to return in `dueInMs`. Ignores
+   * Restores a reservation that an earlier owner made, due in `dueInMs`. Ignores
    * one that is known, because a gateway also reports after its connection was reset.
    */
   restore(caller: string, dueInMs: number, now: number): void {
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -111,7 +111,7 @@
     this.updateFleetSize();
     const now = this.options.clock.now();
     for (const allowance of this.allowances.values()) {
-      allowance.mustReportRetries = allowance.toldRetries.future(now).length > 0;
+      allowance.mustReportRetries = allowance.assignedRetries.future(now).length > 0;
       if (allowance.mustReportRetries) this.enqueue(allowance);
     }
   }
@@ -198,12 +198,12 @@
 
   /** A request without a fingerprint counts as the retry that is due at this gateway, if there is one. */
   private identify(
-    { toldRetries, bounds }: TenantAllowance,
+    { assignedRetries, bounds }: TenantAllowance,
     fingerprint: string | undefined,
     now: number,
   ): string {
     if (fingerprint !== undefined) return callerOf(fingerprint);
-    return toldRetries.takeDue(now, bounds.retryHoldMs) ?? drawCaller(this.options.random);
+    return assignedRetries.takeDue(now, bounds.retryHoldMs) ?? drawCaller(this.options.random);
   }
 
   private updateFleetSize(): void {
@@ -314,7 +314,7 @@
   ): Pick<TokenRequest, 'reservations'> {
     if (!allowance.mustReportRetries) return {};
     allowance.mustReportRetries = false;
-    const future = allowance.toldRetries.future(now);
+    const future = allowance.assignedRetries.future(now);
     return {
       reservations: future.map(({ caller, reservedFrom }) => ({
         caller,
@@ -330,6 +330,7 @@
     decisions: readonly CallerDecision[],
     now: number,
   ): void {
+    allowance.assignedRetries.discardBefore(now - allowance.bounds.retryHoldMs);
     let admitted = 0;
     for (const { request, retryAfterMs } of decisions) {
       if (retryAfterMs === ADMITTED_NOW_MS) {
@@ -339,7 +340,7 @@
       }
       const reservedFrom = requestedAt + retryAfterMs;
       const { caller } = request;
-      allowance.toldRetries.add({ caller, dueAt: now + retryAfterMs, reservedFrom });
+      allowance.assignedRetries.add({ caller, dueAt: now + retryAfterMs, reservedFrom });
       request.decide(this.refuse(retryAfterMs));
     }
     allowance.addTokens(granted - admitted, requestedAt + allowance.bounds.tokenLifetimeMs);
--- a/src/tenants/quota-messages.ts
+++ b/src/tenants/quota-messages.ts
@@ -45,8 +45,8 @@
 }
 
 /**
- * Gateway to owner, after an `ask` and its `callers`: retry times that this gateway has told, perhaps
- * in the name of an earlier owner.
+ * Gateway to owner, after an `ask` and its `callers`: retry times of requests that this gateway has refused,
+ * perhaps by a response of an earlier owner.
  */
 export interface QuotaReservationsMessage {
   readonly kind: 'reservations';
@@ -111,7 +111,7 @@
   readonly reservations?: readonly ReportedReservation[];
 }
 
-/** A refused request that was told to return in `dueInMs` milliseconds. */
+/** A refused request whose retry time is in `dueInMs` milliseconds. */
 export interface ReportedReservation {
   readonly caller: string;
   readonly dueInMs: number;
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -27,7 +27,7 @@
 const NO_RETRY_AFTER = { nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
 /** Maximum number of refused requests of all tenants for which tokens are reserved. */
 const MAXIMUM_RESERVATIONS = 50_000;
-/** Stands for the callers of a gateway that doesn't identify them. */
+/** Identity of all callers of a gateway that doesn't send identities. */
 const UNKNOWN_CALLER = '';
 
 /** Dependencies and settings of a {@link QuotaOwner}. */
--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -3,7 +3,7 @@
 import type { QuotaBounds } from './quota-bounds.js';
 import type { QuotaDecision } from './tenant-quota.js';
 import type { Tenant } from './tenant.js';
-import { ToldRetries } from './told-retries.js';
+import { AssignedRetries } from './assigned-retries.js';
 
 /** A request that waits for the owner's response. */
 export interface WaitingRequest {
@@ -39,8 +39,8 @@
   private returnedSince = -Infinity;
   /** Requests admitted without a token and not yet confirmed by an owner. */
   unconfirmed = 0;
-  readonly toldRetries = new ToldRetries();
-  /** Whether the connected owner may not know the retry times that were told. */
+  readonly assignedRetries = new AssignedRetries();
+  /** Whether the connected owner may not know the assigned retry times. */
   mustReportRetries = false;
   /** Requests refused because no owner decided in time, and not yet reported to the owner. */
   refusedWithoutOwner = 0;
@@ -106,7 +106,7 @@
   /** Whether the state of the tenant can be evicted. */
   isIdle(now: number, windowMs: number): boolean {
     const isQuiet = now - this.lastUsedAt > windowMs;
-    const hasTold = this.toldRetries.future(now).length > 0;
+    const hasTold = this.assignedRetries.future(now).length > 0;
     return (
       isQuiet &&
       !hasTold &&
