Known failures: list the change of owner in the middle of a burst

Until all gateways have reported their retry times, a new owner admits new requests by tokens that are reserved for others.

--- a/test/tenants/quota-retries.test.ts
+++ b/test/tenants/quota-retries.test.ts
@@ -63,6 +63,7 @@
       isRetriedElsewhere: true,
       ownerChangesAt: 12 * SECOND,
     },
+    { name: 'a change of owner in mid-burst', ...usual, ownerChangesAt: 10.5 * SECOND },
     { name: 'a small limit', ...usual, requestsPerSecond: 4, burst: 8, requests: 60 },
     { name: 'a burst that takes 25 s to serve', ...usual, requests: 250 },
     { name: 'a burst that takes three minutes to serve', ...usual, requests: 1_800 },
