Controllers: end dials to other members with the stop

Change: members dial with the signal of their stop. test/consensus/stopped-member.test.ts fails before (the dials in progress are not aborted). test/consensus and test/control pass.

--- a/src/consensus/peer-link.ts
+++ b/src/consensus/peer-link.ts
@@ -15,8 +15,8 @@
 import type { ExchangeName, RequestOf, ResponseOf } from './messages.js';
 import { RequestConnection } from './request-connection.js';
 
-/** Opens a connection to a member, handshake included. */
-export type Dial = (member: MemberEndpoint) => Promise<MessageConnection>;
+/** Opens a connection to a member, handshake included; gives up when `stopped` aborts. */
+export type Dial = (member: MemberEndpoint, stopped: AbortSignal) => Promise<MessageConnection>;
 
 /** Asks one other member. */
 export class PeerLink {
@@ -95,7 +95,7 @@
         abandoned = true;
         reject(this.notSent('dial', `no connection within ${timeout} ms`));
       });
-      this.dial(this.endpoint).then(
+      this.dial(this.endpoint, this.state.signal).then(
         (connection) => {
           timer.cancel();
           if (abandoned) connection.close();
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -232,8 +232,9 @@
         electionTimeoutMaximum: 2 * consensus.electionTimeoutMs,
         firstElectionPart: consensus.firstElectionPart,
       },
-      dial: async (peer) => {
-        const target = { ...peer, role: 'consensus', connectTimeout: CONNECT_TIMEOUT_MS } as const;
+      dial: async (peer, signal) => {
+        const connectTimeout = CONNECT_TIMEOUT_MS;
+        const target = { ...peer, role: 'consensus', connectTimeout, signal } as const;
         return meterConnection(await dial(environment, identity, target), traffic);
       },
       faults: raftFaults,
--- a/src/control/enrolment.ts
+++ b/src/control/enrolment.ts
@@ -80,8 +80,12 @@
   const { environment, identity, address, logger } = options;
   let connection: MessageConnection | undefined;
   try {
-    const target = { address: parseAddress(controller), connectTimeout: DIAL_TIMEOUT_MS };
-    connection = await dial(environment, identity, { ...target, role: 'enrolment' });
+    connection = await dial(environment, identity, {
+      address: parseAddress(controller),
+      role: 'enrolment',
+      connectTimeout: DIAL_TIMEOUT_MS,
+      signal: options.stopped,
+    });
     void new SilenceGuard(environment.clock, connection, RESPONSE_TIMEOUT_MS).run();
     await connection.send(
       ENROLMENT_CODEC.encode({ kind: 'enrol', memberId: identity.name, address }),
