Gateways: say when each step of a fan-out was reached, which leaves are in use and what a route document costs

Change: fan-out lines hold sentMs, firstPartMs, coveredMs, cutOffDueMs, cutOffMs and queriedByRoot; 'route document in force' holds tookMs; 'leaf gateways changed' is written when the list changes; metrics driftway_gateway_leaves and driftway_gateway_route_document_seconds. No decision of a gateway changes.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -17,6 +17,7 @@
 import type { Address } from '../seams/address.js';
 import { LeafAssignment } from './leaf-assignment.js';
 import { GROUP_OWNERS, SAME_ZONE_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
+import { LeafChangeLog } from './leaf-change-log.js';
 import { LeafLatencies } from './leaf-latencies.js';
 import { LeafPool } from './leaf-pool.js';
 import { LeafServer } from './leaf-server.js';
@@ -208,9 +209,13 @@
   }
 
   private async maintainConnections(): Promise<void> {
-    const { context, stopped, identity } = this.options;
+    const { context, stopped, identity, leaves, telemetry } = this.options;
     const { clock } = context.environment;
+    const changes = new LeafChangeLog(telemetry.logger, (count) =>
+      context.metrics.leaves.set(count),
+    );
     while (!stopped.aborted) {
+      changes.update(leaves());
       this.pool.updateConnections(
         this.dividedGroups().map((group) => ({
           ...group,
--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -114,6 +114,10 @@
     return atLeaves + (this.localGather?.sends ?? 0);
   }
 
+  get shardsQueriedHere(): number {
+    return this.localGather?.shardsQueriedHere ?? 0;
+  }
+
   get mayHaveSent(): boolean {
     // A leaf that was lost before it reported may have sent requests to replicas.
     return this.active.size > 0 || this.sends > 0 || this.mayHaveRun;
--- a/src/aggregation/relayed-gather.ts
+++ b/src/aggregation/relayed-gather.ts
@@ -24,6 +24,10 @@
     return this.groups.reduce((sum, { sends }) => sum + sends, 0);
   }
 
+  get shardsQueriedHere(): number {
+    return this.groups.reduce((sum, group) => sum + group.shardsQueriedHere, 0);
+  }
+
   get mayHaveSent(): boolean {
     return this.groups.some(({ mayHaveSent }) => mayHaveSent);
   }
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -7,6 +7,7 @@
 import { priorityOf, type CallerRequest } from './caller-request.js';
 import { CALLER_GONE, TIME_UP, NO_ATTEMPT_REFUSAL_FRACTION } from './forward-single.js';
 import { GatewayRefusal, QUARANTINED, refuse, refuseNotRun } from './gateway-answers.js';
+import { FanOutStep, FanOutTimeline } from './fan-out-timeline.js';
 import type { GatewayContext } from './gateway-context.js';
 import { mergeRecords } from './merge-records.js';
 import type { GatheredParts, PartListener, PartSource } from './part-source.js';
@@ -34,6 +35,7 @@
   private readonly answeredShards = new Set<string>();
   private readonly failedShards = new Set<string>();
   private readonly timers: Timer[] = [];
+  private readonly timeline: FanOutTimeline;
   private isPastCutOff = false;
   private isDone = false;
   private resolve!: (response: HttpResponse) => void;
@@ -44,7 +46,9 @@
     private readonly request: CallerRequest,
     private readonly shards: readonly string[],
     private readonly planSources: PlanSources,
-  ) {}
+  ) {
+    this.timeline = new FanOutTimeline(context.environment.clock, request.receivedAt);
+  }
 
   /** Resolves with the final response, at the request's deadline at the latest. Call it once. */
   run(): Promise<HttpResponse> {
@@ -67,7 +71,9 @@
   onParts(parts: GatheredParts): void {
     if (this.isDone) return;
     this.parts.push(parts);
+    this.timeline.record(FanOutStep.FirstPart);
     for (const shard of parts.shards) this.answeredShards.add(shard);
+    if (this.isCovered) this.timeline.record(FanOutStep.Covered);
     this.finishIfDecided();
   }
 
@@ -88,6 +94,11 @@
     return Math.max(1, Math.ceil(coverage * this.shards.length - ROUNDING_TOLERANCE));
   }
 
+  /** Whether enough shards have answered for a response with sufficient coverage. */
+  private get isCovered(): boolean {
+    return this.answeredShards.size >= this.requiredShards;
+  }
+
   /** Number of shards with at least one known replica that the route permits. */
   private get reachableShards(): number {
     const { regions, targets } = this.context;
@@ -117,6 +128,7 @@
       if (this.isDone) return;
       source.start();
     }
+    this.timeline.record(FanOutStep.Sent);
   }
 
   /**
@@ -124,6 +136,8 @@
    * waiting for the rest.
    */
   private cutOff(dueAt: number): void {
+    this.timeline.record(FanOutStep.CutOffDue, dueAt);
+    this.timeline.record(FanOutStep.CutOff);
     this.context.answerMargin.recordTimerLag(this.context.environment.clock.now() - dueAt);
     this.isPastCutOff = true;
     this.finishIfDecided();
@@ -135,16 +149,15 @@
   }
 
   private onDeadline(): void {
-    if (this.answeredShards.size >= this.requiredShards) this.answer();
+    if (this.isCovered) this.answer();
     else this.giveUp(GatewayRefusal.TimedOut, TIME_UP);
   }
 
   private finishIfDecided(): void {
     if (this.isDone) return;
     const total = this.shards.length;
-    const isEnough = this.answeredShards.size >= this.requiredShards;
     const isComplete = this.answeredShards.size + this.failedShards.size === total;
-    if (isEnough && (isComplete || this.isPastCutOff)) this.answer();
+    if (this.isCovered && (isComplete || this.isPastCutOff)) this.answer();
     else if (total - this.failedShards.size < this.requiredShards) {
       this.giveUp(GatewayRefusal.Failed, 'too many shards failed');
     }
@@ -188,6 +201,8 @@
       shards: this.shards.length,
       missing: this.shards.length - this.answeredShards.size,
       sends: this.sources.reduce((sum, source) => sum + source.sends, 0),
+      queriedByRoot: this.sources.reduce((sum, source) => sum + source.shardsQueriedHere, 0),
+      timeline: this.timeline,
       sources: this.sources,
     });
     this.resolve(response);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -265,13 +265,21 @@
   }
 
   private applyDocument({ version, content, controller }: ReceivedDocument): void {
+    const { clock } = this.environment;
+    const startedAt = clock.now();
     try {
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
       this.tenants.useTable(table);
       this.callerListener?.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
-      this.logger.info('route document in force', { version, controller });
+      const tookMs = clock.now() - startedAt;
+      this.context.metrics.routeDocumentSeconds.observe(tookMs / 1_000);
+      this.logger.info('route document in force', {
+        version,
+        controller,
+        tookMs: Math.round(tookMs),
+      });
     } catch (error) {
       this.logger.error('route document not understood', { version, reason: String(error) });
     }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -3,6 +3,8 @@
 
 /** Upper bounds of the latency buckets. Seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+/** Upper bounds of the buckets of the time to put a route document in force. Seconds. */
+const DOCUMENT_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2];
 
 /** Registers all metrics with the registry when created; create it once per registry. */
 export class GatewayMetrics {
@@ -18,6 +20,8 @@
   readonly latency: Histogram;
   readonly routeVersion: Gauge;
   readonly evacuatedZones: Gauge;
+  readonly leaves: Gauge;
+  readonly routeDocumentSeconds: Histogram;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -82,6 +86,17 @@
       help: 'Evacuated zones, whose replicas get no new requests.',
       registers,
     });
+    this.leaves = new Gauge({
+      name: 'driftway_gateway_leaves',
+      help: 'Leaf gateways that this gateway divides requests to many shards among.',
+      registers,
+    });
+    this.routeDocumentSeconds = new Histogram({
+      name: 'driftway_gateway_route_document_seconds',
+      help: 'Time for which putting a route document in force kept the gateway from requests.',
+      buckets: DOCUMENT_BUCKETS,
+      registers,
+    });
     this.routeVersion = new Gauge({
       name: 'driftway_gateway_route_version',
       help: 'Version of the route document in force at this gateway.',
--- a/src/gateway/part-source.ts
+++ b/src/gateway/part-source.ts
@@ -28,6 +28,8 @@
   cancel(reason: string): void;
   /** Number of attempts sent to replicas so far, as far as this gateway knows. */
   readonly sends: number;
+  /** Number of shards that this gateway queries itself; the others are queried by leaves. */
+  readonly shardsQueriedHere: number;
   /** Whether any attempt was sent to a replica, or may have been. */
   readonly mayHaveSent: boolean;
   /** Whether a replica may have run the request, or may still run it. */
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -5,6 +5,7 @@
 import type { HttpRequest, RefusedRequest } from '../seams/http.js';
 import { attemptFields, type AttemptRecord } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
+import type { FanOutTimeline } from './fan-out-timeline.js';
 import type { GatewayRefusal } from './gateway-answers.js';
 import type { PartSource } from './part-source.js';
 import type { RaceOutcome } from './race-outcome.js';
@@ -12,7 +13,7 @@
 import { targetLatencyOf } from './route-latencies.js';
 import type { UnreadableReport } from './attempt-sender.js';
 
-/** Outcome of a fan-out; all fields but `sources` are log fields. */
+/** Outcome of a fan-out; all fields but `timeline` and `sources` are log fields. */
 export interface FanOutSummary {
   readonly status: number;
   /** Why the fan-out ended. */
@@ -22,6 +23,9 @@
   readonly missing: number;
   /** Number of attempts over all shards. */
   readonly sends: number;
+  /** Number of shards that this gateway queried itself; 0 where leaves queried all of them. */
+  readonly queriedByRoot: number;
+  readonly timeline: FanOutTimeline;
   /** The sources that asked the shards. */
   readonly sources: readonly PartSource[];
 }
@@ -45,7 +49,10 @@
 const FIRST_FAILURE_STATUS = 300;
 const NOT_RUN_STATUS = 503;
 
-function kindOfFanOut(summary: Omit<FanOutSummary, 'sources'>, isLate: boolean): DecisionKind {
+function kindOfFanOut(
+  summary: Omit<FanOutSummary, 'sources' | 'timeline'>,
+  isLate: boolean,
+): DecisionKind {
   const { status, missing, sends, shards } = summary;
   if (status === NOT_RUN_STATUS) return DecisionKind.Refused;
   if (status >= FIRST_FAILURE_STATUS) return DecisionKind.Failed;
@@ -104,11 +111,12 @@
   }
 
   /** Logs the end of a request to all shards of a route. */
-  logFanOut(request: CallerRequest, { sources, ...summary }: FanOutSummary): void {
+  logFanOut(request: CallerRequest, { sources, timeline, ...summary }: FanOutSummary): void {
     const kind = kindOfFanOut(summary, this.isLate(request));
     this.log.write(kind, () => ({
       ...this.commonFields(request),
       ...summary,
+      ...timeline.fields,
       missingAttempts: sources
         .flatMap((source) => source.missingAttempts(request.receivedAt))
         .slice(0, MAXIMUM_LOGGED_ATTEMPTS),
--- a/src/gateway/shard-gather.ts
+++ b/src/gateway/shard-gather.ts
@@ -63,6 +63,10 @@
     return this.races.reduce((sum, race) => sum + race.sends, 0);
   }
 
+  get shardsQueriedHere(): number {
+    return this.options.shards.length;
+  }
+
   get mayHaveSent(): boolean {
     return this.races.some((race) => race.sends > 0);
   }
