Directory: keep the gateways that a stream announced when it ends, so that fan-outs keep their leaves

Cause: a controller that has just started announces the gateways that follow it already as all leaves, and a gateway took the list of the open stream in place of the fuller one that it had. The class: a view that is being rebuilt is taken for complete. With each gateway that came back the owners of groups changed, and new owners connected to replicas anew.

Of more leaves than are chosen, the same rendezvous hash selects the same ones.

--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -20,17 +20,18 @@
 import { DirectoryLink, type DirectoryLinkParts, type DirectoryUpdate } from './directory-link.js';
 import {
   NO_DOCUMENT,
+  SubscriberKind,
   type DocumentMessage,
   type ReplicaIncarnationMessage,
   type ReplicaMessage,
-  type SubscriberKind,
   type VersionConfirmedMessage,
 } from './directory-messages.js';
 import { FollowedControllers } from './followed-controllers.js';
 import { crashEvidenceMessage, quarantineEntry } from './quarantine-messages.js';
 import { replicaEntry } from './replica-messages.js';
 import { RESTORED_ACCEPTED_MS } from './directory-timing.js';
-import type { KnownGateway } from './leaf-gateway.js';
+import { AnnouncedGateways } from './announced-gateways.js';
+import { chooseLeaves, type KnownGateway } from './leaf-gateway.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** A route document and the controller that sent it. */
@@ -78,7 +79,7 @@
   private readonly emitDocument: (document: ReceivedDocument) => void;
   private readonly controllers: FollowedControllers;
   private documentVersion = NO_DOCUMENT;
-  private mergedGateways: readonly KnownGateway[] = [];
+  private readonly announcedGateways: AnnouncedGateways;
   private readonly startedAt: number;
 
   constructor(private readonly options: DirectoryClientOptions) {
@@ -89,6 +90,7 @@
     [this.emitConfirmation, this.confirmations] = createAdapter<VersionConfirmedMessage>();
     const { environment, identity, zone, ownAddress, followed } = options;
     this.startedAt = environment.clock.now();
+    this.announcedGateways = this.createAnnouncedGateways();
     const linkParts = this.createLinkParts();
     this.controllers = new FollowedControllers({
       environment,
@@ -128,11 +130,11 @@
   }
 
   /**
-   * Gateways listed by any followed controller, see `GatewayMessage`. Keeps the last list while no
-   * controller is followed. A new array is created on every change.
+   * Gateways listed by any followed controller, see `GatewayMessage`, and those listed by one whose
+   * stream ended lately. A new array is created on every change.
    */
   get knownGateways(): readonly KnownGateway[] {
-    return this.mergedGateways;
+    return this.announcedGateways.current;
   }
 
   /** `host:port` of every known controller, followed or not. */
@@ -179,7 +181,7 @@
       gatherAddress,
       relay,
       onUpdate: (message, link) => this.handleUpdate(message, link),
-      onGateways: () => this.mergeGateways(),
+      onGateways: (gone) => this.announcedGateways.update(gone),
       onControllers: (link) => this.controllers.recordGroupMembers(link.controllers),
       documentVersion: () => this.documentVersion,
       onFirstStatus: () => this.emitFollowed(),
@@ -240,14 +242,17 @@
     this.emitDocument(document);
   }
 
-  private mergeGateways(): void {
-    const followed = this.controllers.openLinks;
-    if (followed.length === 0) return;
-    const merged = new Map<string, KnownGateway>();
-    for (const { gateways } of followed) {
-      for (const gateway of gateways.values()) merged.set(gateway.name, gateway);
-    }
-    this.mergedGateways = [...merged.values()];
+  /**
+   * To a gateway, controllers announce leaf gateways. Those that it retains or that a controller with
+   * few gateways announces may be more than the chosen ones.
+   */
+  private createAnnouncedGateways(): AnnouncedGateways {
+    const { environment, subscriberKind } = this.options;
+    return new AnnouncedGateways({
+      clock: environment.clock,
+      announcements: () => this.controllers.openLinks.map(({ gateways }) => gateways),
+      select: subscriberKind === SubscriberKind.Gateway ? chooseLeaves : (gateways) => gateways,
+    });
   }
 
   private countUnreadable(controller: string): void {
@@ -258,7 +263,7 @@
   private handleLinkState(link: DirectoryLink, isOpen: boolean): void {
     const { logger } = this.options;
     const fields = { controller: link.address };
-    if (!isOpen) this.mergeGateways();
+    if (!isOpen) this.announcedGateways.handleStreamEnd(link.gateways);
     if (isOpen) logger.info('controller regained', fields);
     else logger.warn('controller lost', fields);
   }
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -45,8 +45,8 @@
   /** See {@link SubscribeMessage.gatherAddress}. */
   readonly gatherAddress: string;
   readonly onUpdate: (message: DirectoryUpdate, link: DirectoryLink) => void;
-  /** Called when a controller reports that gateways joined or left. */
-  readonly onGateways: () => void;
+  /** Called when a controller reports that gateways joined or left, with the names of those that left. */
+  readonly onGateways: (gone: readonly string[]) => void;
   /** Called when a controller sends the members of its group. */
   readonly onControllers: (link: DirectoryLink) => void;
   /** Version of the route document in force in this process. */
@@ -235,7 +235,7 @@
   private handleFrame(frame: Uint8Array): FrameResult {
     let position: number | undefined;
     const controllers: KnownController[] = [];
-    let hasGateways = false;
+    const changedGateways: GatewayMessage[] = [];
     let hasReplicas = false;
     for (const message of this.decode(frame)) {
       if (message.kind === 'status') {
@@ -247,13 +247,16 @@
         controllers.push(message);
       } else if (message.kind === 'gateway') {
         this.handleGateway(message);
-        hasGateways = true;
+        changedGateways.push(message);
       } else {
         this.parts.onUpdate(message, this);
         hasReplicas ||= message.kind === 'replica' || message.kind === 'replicaLife';
       }
     }
-    if (hasGateways) this.parts.onGateways();
+    if (changedGateways.length > 0) {
+      const gone = changedGateways.filter(({ isGone }) => isGone);
+      this.parts.onGateways(gone.map(({ name }) => name));
+    }
     if (controllers.length > 0) {
       this.controllers = controllers;
       this.parts.onControllers(this);
