Directory: let the count of gateways fall only after it has been lower for 15 s

Found by looking for the cause of the lost leaves elsewhere: a view that is being rebuilt is taken for complete. What callers would see: connections reset by replicas as over their number, and more second sendings than the fleet may make.

Cause: a controller that has just started reports the number of gateways that follow it already, at first 0; gateways divide connections and second sends by it, so each takes the share of a fleet of one. Controllers keep a gateway counted for 15 s, but that memory goes with their process.

Why it works: the count stays at the highest reported within the retention that controllers have, and the time without any controller does not count.

--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -32,6 +32,7 @@
 import { RESTORED_ACCEPTED_MS } from './directory-timing.js';
 import { AnnouncedGateways } from './announced-gateways.js';
 import { chooseLeaves, type KnownGateway } from './leaf-gateway.js';
+import { GatewayCount } from './gateway-count.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 
 /** A route document and the controller that sent it. */
@@ -80,6 +81,7 @@
   private readonly controllers: FollowedControllers;
   private documentVersion = NO_DOCUMENT;
   private readonly announcedGateways: AnnouncedGateways;
+  private readonly gatewayCount: GatewayCount;
   private readonly startedAt: number;
 
   constructor(private readonly options: DirectoryClientOptions) {
@@ -91,6 +93,9 @@
     const { environment, identity, zone, ownAddress, followed } = options;
     this.startedAt = environment.clock.now();
     this.announcedGateways = this.createAnnouncedGateways();
+    this.gatewayCount = new GatewayCount(environment.clock, () =>
+      this.controllers.openLinks.flatMap(({ status }) => status?.gateways ?? []),
+    );
     const linkParts = this.createLinkParts();
     this.controllers = new FollowedControllers({
       environment,
@@ -123,10 +128,9 @@
     return this.controllers.openLinks.length;
   }
 
-  /** Highest gateway count reported by a followed controller; undefined while none is followed. */
+  /** Number of gateways in the fleet; undefined before a controller has reported it. */
   get gateways(): number | undefined {
-    const counts = this.controllers.openLinks.flatMap(({ status }) => status?.gateways ?? []);
-    return counts.length === 0 ? undefined : Math.max(...counts);
+    return this.gatewayCount.current;
   }
 
   /**
@@ -184,7 +188,7 @@
       onGateways: (gone) => this.announcedGateways.update(gone),
       onControllers: (link) => this.controllers.recordGroupMembers(link.controllers),
       documentVersion: () => this.documentVersion,
-      onFirstStatus: () => this.emitFollowed(),
+      onFirstStatus: () => this.handleFirstStatus(),
       onUnreadable: ({ address: controller }) => this.countUnreadable(controller),
       onState: (link, isOpen) => this.handleLinkState(link, isOpen),
     };
@@ -260,10 +264,16 @@
     unusable.note(EntrySource.DirectoryStream, UnusableReason.Unreadable, { controller });
   }
 
+  private handleFirstStatus(): void {
+    this.gatewayCount.update();
+    this.emitFollowed();
+  }
+
   private handleLinkState(link: DirectoryLink, isOpen: boolean): void {
     const { logger } = this.options;
     const fields = { controller: link.address };
     if (!isOpen) this.announcedGateways.handleStreamEnd(link.gateways);
+    this.gatewayCount.update();
     if (isOpen) logger.info('controller regained', fields);
     else logger.warn('controller lost', fields);
   }
