Leaves: report within a third of the target that they are alive, however slow their replicas are

Cause: a leaf's first report was due at 0.7 of its delay for a second sending, which grows with the median of its attempts (1.4 times). A root takes a leaf for silent after at most 0.65 of the target. With replicas at 0.66 of the target or slower the leaf's sign of life came too late for every group, the root gave each group to a second leaf too, and these sendings made replicas and leaves slower. The class: load that is added because everything is slow.

Why it works: the latest first report, 0.35 of the target, lies below the root's shortest patience, 0.4.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -20,6 +20,11 @@
  * the hedge.
  */
 const GRANT_REQUEST_FRACTION = 0.7;
+/**
+ * Latest time of the first report, as a fraction of the target latency. Below the shortest time after
+ * which a root tries another leaf as well: slow replicas must not make a leaf look silent.
+ */
+const FIRST_REPORT_FRACTION = 0.35;
 
 /** A root's gather and the callbacks to report it. */
 export interface LeafGatherOptions {
@@ -85,9 +90,8 @@
     const { clock } = this.context.environment;
     const { request } = this.options;
     const { route, deadline } = request;
-    const { hedgeDelay } = this.context.latencies.of(route);
     this.timers.push(
-      clock.setTimer(hedgeDelay * GRANT_REQUEST_FRACTION, () => this.requestGrant()),
+      clock.setTimer(this.firstReportDelay, () => this.requestGrant()),
       this.startReportTimer(),
       clock.setTimer(targetLatencyOf(route) * NO_ATTEMPT_REFUSAL_FRACTION, () =>
         this.endIfUnoffered(),
@@ -97,6 +101,16 @@
     this.gather.start();
   }
 
+  /** Time until a gather that has not ended yet is reported for the first time. Milliseconds. */
+  private get firstReportDelay(): number {
+    const { route } = this.options.request;
+    const { hedgeDelay } = this.context.latencies.of(route);
+    return Math.min(
+      hedgeDelay * GRANT_REQUEST_FRACTION,
+      targetLatencyOf(route) * FIRST_REPORT_FRACTION,
+    );
+  }
+
   /** Schedules the report that the root waits for, earlier by the lag of timers on this gateway. */
   private startReportTimer(): Timer {
     const { environment, answerMargin } = this.context;
