Fan-outs: give the leaves of each zone equally many shards

Callers saw requests to 90 shards late whenever gateways were short of processor time: each waits for its slowest group, and the slow ones were those of one zone.

Cause: each shard's zone was drawn by hash, so that of 90 shards one zone got 38, another 22. The zone with more has a group more than its twelve leaves can own one each, so some own two.

The new test failed before: 23 of 60, 33 of 90 and 48 of 135 shards in one of three zones (shards with replicas in two zones each). Why it works: a zone takes shards up to its equal part; beyond it a shard goes to its next zone with replicas, and one that has none with room makes room by moving another. Gateways that know the same replicas still compute the same.

--- a/src/aggregation/leaf-assignment.ts
+++ b/src/aggregation/leaf-assignment.ts
@@ -7,6 +7,7 @@
 import { rankByRendezvousHash, type LeafGateway } from '../directory/leaf-gateway.js';
 import type { ServiceTargets } from '../gateway/service-targets.js';
 import { mergeRemoteGroups } from './relayed-groups.js';
+import { ZoneBalance } from './zone-balance.js';
 import { selectZone, rankZones, type RootLocation } from './zone-selection.js';
 import { GROUP_OWNERS, SAME_ZONE_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 
@@ -122,15 +123,9 @@
     leaves: readonly LeafGateway[],
     zones: readonly string[],
   ): LeafGroup[] {
-    const byZone = new Map<string, string[]>();
-    for (const shard of shards) {
-      const zone = this.hashToZone(shard, zones);
-      const others = byZone.get(zone) ?? [];
-      others.push(shard);
-      byZone.set(zone, others);
-    }
-    return [...byZone].flatMap(([zone, group]) => {
-      const parts = splitEvenly([...group].sort(), this.options.shardsPerGroup);
+    const balance = new ZoneBalance(shards, zones, (shard) => this.replicaZonesOf(shard));
+    return [...balance.divide()].flatMap(([zone, group]) => {
+      const parts = splitEvenly(group, this.options.shardsPerGroup);
       return this.assignLeaves(zone, parts, leaves, GROUP_OWNERS);
     });
   }
@@ -187,19 +182,6 @@
     });
   }
 
-  /**
-   * Chooses by hash of the shard's name a zone with leaves and with replicas of the shard, or any
-   * zone with leaves when there is none.
-   */
-  private hashToZone(shard: string, zones: readonly string[]): string {
-    const zonesOfReplicas = this.replicaZonesOf(shard);
-    const candidates = zones.filter((zone) => zonesOfReplicas.has(zone));
-    return (
-      rankByRendezvousHash(shard, candidates.length > 0 ? candidates : zones, (zone) => zone)[0] ??
-      ''
-    );
-  }
-
   private replicaZonesOf(shard: string): ReadonlySet<string> {
     return new Set(this.options.targets.of(shard).map(({ entry }) => entry.zone));
   }
--- a/test/aggregation/leaf-assignment.test.ts
+++ b/test/aggregation/leaf-assignment.test.ts
@@ -53,6 +53,18 @@
     expect(new Set(owners).size).toBe(owners.length);
   });
 
+  it.each([60, 90, 135])('gives the leaves of each zone equally many of %d shards', (count) => {
+    const shards = Array.from({ length: count }, (_, index) => `shard-${index}`);
+    const shardsByZone = new Map<string, number>();
+    for (const group of createAssignment(LEAVES).groupsOf(shards)) {
+      const before = shardsByZone.get(group.zone) ?? 0;
+      shardsByZone.set(group.zone, before + group.shards.length);
+    }
+    for (const assigned of shardsByZone.values()) {
+      expect(assigned).toBeLessThanOrEqual(count / ZONES.length + 1);
+    }
+  });
+
   it('does not depend on the order of the leaves', () => {
     const other = [...LEAVES].reverse();
     expect(createAssignment(other).groupsOf(SHARDS)).toEqual(
