Roots: bound the groups that are given to a second leaf beside a silent one

Cause: another leaf was tried beside a late one without any bound, so the work of all leaves doubles just when they have no time for it.

The new test failed before: 200 of 200 groups with silent leaves were given to a second one, where 30 are allowed. Why it works: a token bucket earns a tenth of a group; a leaf that is really lost is found by its first groups and passed over for 3 s.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -9,7 +9,7 @@
 import type { GatewayContext } from '../gateway/gateway-context.js';
 import type { PartListener, PartSource } from '../gateway/part-source.js';
 import type { ReplicaTarget } from '../gateway/replica-target.js';
-import type { ExtraAttemptLimits } from '../gateway/extra-attempt-budget.js';
+import { ExtraAttemptBudget, type ExtraAttemptLimits } from '../gateway/extra-attempt-budget.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import { AuthenticatedListener } from '../protocol/authenticated-listener.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
@@ -29,6 +29,8 @@
  * groups changed.
  */
 const SHARING_LEAVES_PER_OWNER = 2;
+/** Groups per root that may be given to a second leaf beside a silent one. */
+const REPEATED_GATHERS: ExtraAttemptLimits = { ratio: 0.1, slack: 24, windowMs: 10_000 };
 /** Interval at which connections to leaves are opened and closed as the groups require. */
 const MAINTENANCE_INTERVAL_MS = 300;
 
@@ -82,6 +84,7 @@
       ownName: identity.name,
       pool: this.pool,
       latencies: new LeafLatencies(),
+      repeats: new ExtraAttemptBudget(REPEATED_GATHERS, 1, true),
       assignment: this.assignment,
       divideAbove: context.mechanisms.aggregation ? settings.divideAbove : Infinity,
     });
--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -7,6 +7,7 @@
 import type { LogFields } from '../observability/logger.js';
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from '../gateway/caller-request.js';
+import type { ExtraAttemptBudget } from '../gateway/extra-attempt-budget.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
 import type { GatheredParts, PartListener, PartSource } from '../gateway/part-source.js';
 import { targetLatencyOf } from '../gateway/route-latencies.js';
@@ -38,6 +39,8 @@
   readonly ownName: string;
   readonly pool: LeafPool;
   readonly latencies: LeafLatencies;
+  /** Bounds the groups that are given to another leaf beside a silent one. */
+  readonly repeats: ExtraAttemptBudget;
 }
 
 /** The group to query and its terms. */
@@ -91,11 +94,12 @@
   }
 
   start(): void {
-    const { ownName, leafContext, latencies } = this.context;
+    const { ownName, leafContext, latencies, repeats } = this.context;
     if (this.group.leaves[0]?.name === ownName) {
       this.gatherLocally(leafContext, false);
       return;
     }
+    repeats.recordRequest(1);
     const { clock } = leafContext.environment;
     const reportTimeoutMs = latencies.reportTimeoutMs(this.request.route);
     this.reportTimer = clock.setTimer(reportTimeoutMs, () => this.replaceSilentLeaf());
@@ -304,19 +308,20 @@
 
   /**
    * Tries another leaf as well when one has not reported in time, as it may be frozen or
-   * unreachable.
+   * unreachable. When many leaves are late, they are short of processor time, and further requests
+   * would make them later still: hence the budget.
    */
   private replaceSilentLeaf(): void {
-    const { pool, rootContext } = this.context;
+    const { pool, rootContext, repeats } = this.context;
     const [silent] = [...this.active].filter(({ hasReported }) => !hasReported);
     if (this.isDone || silent === undefined || this.attemptsLeft < 2) return;
     this.isReplacementPending = !this.maySendAgain;
     if (this.isReplacementPending) return;
     const leaf = this.group.leaves.find(({ name }) => name === silent.leaf);
     if (leaf !== undefined) pool.avoid(leaf);
-    rootContext.metrics.gathersRepeated.inc();
     const link = pool.choose(this.group, this.triedLeaves);
-    if (link === undefined) return;
+    if (link === undefined || !repeats.take()) return;
+    rootContext.metrics.gathersRepeated.inc();
     this.deductAttempts(silent);
     silent.isReplaced = true;
     this.sendToLeaf(link);
--- a/test/aggregation/group-gather.test.ts
+++ b/test/aggregation/group-gather.test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { GroupGather } from '../../src/aggregation/group-gather.js';
+import { ExtraAttemptBudget } from '../../src/gateway/extra-attempt-budget.js';
+import { ManualClock } from '../support/manual-clock.js';
 
 const SHARDS = ['a', 'b'];
 
@@ -24,12 +26,23 @@
   }
 }
 
+/** Further leaves that a root may try beside silent ones. */
+function createRepeats(): ExtraAttemptBudget {
+  return new ExtraAttemptBudget({ ratio: 0.1, slack: 10, windowMs: 10_000 }, 1, true);
+}
+
 /** Creates a gather that tries `links` in order; `secondAttempts` stands for the root's grant. */
-function gatherOver(links: readonly FakeLink[], secondAttempts: { isGranted: boolean }) {
+function gatherOver(
+  links: readonly FakeLink[],
+  secondAttempts: { isGranted: boolean },
+  clock = new ManualClock(),
+  repeats = createRepeats(),
+) {
   const failed: string[] = [];
   const context = {
-    environment: { clock: { now: () => 0, setTimer: () => ({ cancel: () => undefined }) } },
+    environment: { clock },
     answerMargin: { cutOffDelay: () => 100 },
+    metrics: { gathersRepeated: { inc: () => undefined } },
   };
   const pool = {
     avoid: () => undefined,
@@ -37,7 +50,8 @@
       links.find(({ leaf }) => !excluded.has(leaf.name)),
   };
   const latencies = { reportTimeoutMs: () => 50 };
-  const parts = { rootContext: context, leafContext: context, ownName: 'root', pool, latencies };
+  const contexts = { rootContext: context, leafContext: context, ownName: 'root' };
+  const parts = { ...contexts, pool, latencies, repeats };
   const request = {
     route: { maximumAttempts: 3, targetLatencyMs: 100 },
     receivedAt: 0,
@@ -82,3 +96,20 @@
     expect(gather.mayRun).toBe(true);
   });
 });
+
+describe('gathers whose leaves are all silent', () => {
+  it('are given to a second leaf within the budget alone', () => {
+    const clock = new ManualClock();
+    const repeats = createRepeats();
+    const gathers = 200;
+    const seconds = Array.from({ length: gathers }, () => {
+      const links = [new FakeLink('first'), new FakeLink('second')] as const;
+      gatherOver(links, { isGranted: true }, clock, repeats).gather.start();
+      return links[1];
+    });
+    clock.advance(1_000);
+    const repeated = seconds.filter(({ callbacks }) => callbacks !== undefined).length;
+    expect(repeated).toBeGreaterThan(0);
+    expect(repeated).toBeLessThanOrEqual(10 + gathers * 0.1);
+  });
+});
