--- a/src/explain/loss-cause.ts
+++ b/src/explain/loss-cause.ts
@@ -9,9 +9,16 @@
 
 /** Lines of requests that lost nothing. */
 const WITHOUT_LOSS: ReadonlySet<string> = new Set([DecisionKind.Answered, DecisionKind.Hedged]);
+/** Lines that don't say what became of a caller's request. */
+const WITHOUT_OUTCOME: ReadonlySet<DecisionKind> = new Set([
+  DecisionKind.Gathered,
+  DecisionKind.ConnectionLost,
+  DecisionKind.QuarantineChanged,
+  DecisionKind.UnreadableReport,
+]);
 /** The gateway that the caller reached says what became of the request. */
 const DECISIONS: ReadonlySet<string> = new Set(
-  Object.values(DecisionKind).filter((kind) => kind !== DecisionKind.Gathered),
+  Object.values(DecisionKind).filter((kind) => !WITHOUT_OUTCOME.has(kind)),
 );
 
 function resultsOf({ context }: LoggedLine): readonly string[] {
@@ -31,6 +38,17 @@
   return most?.[0] ?? 'not sent';
 }
 
+/**
+ * Why an answer left after its target; undefined when it did not, or the line does not say. Parts are
+ * late when not enough of them had arrived by the target.
+ */
+function describeLateness({ context }: LoggedLine): string | undefined {
+  const { elapsedMs, targetMs, coveredMs } = context;
+  if (typeof elapsedMs !== 'number' || typeof targetMs !== 'number') return undefined;
+  if (elapsedMs <= targetMs || typeof coveredMs !== 'number') return undefined;
+  return coveredMs > targetMs ? 'late parts' : 'late answer to parts in time';
+}
+
 /** Whether the line tells of a decision about a request. */
 export function isDecision({ message }: LoggedLine): boolean {
   return DECISIONS.has(message);
@@ -45,11 +63,12 @@
   if (!isDecision(line) || WITHOUT_LOSS.has(message)) return undefined;
   const age = gatewayAgeMs < YOUNG_GATEWAY_MS ? ', after a start' : '';
   const reason = factOf(line, 'reason');
+  const lateness = describeLateness(line);
   switch (message) {
     case DecisionKind.Late.valueOf():
-      return `late${age}`;
+      return `${lateness ?? 'late'}${age}`;
     case DecisionKind.Partial.valueOf():
-      return `parts missing: ${describeAttempts(line)}${age}`;
+      return `${lateness === undefined ? '' : `${lateness}, `}parts missing: ${describeAttempts(line)}${age}`;
     default:
       return `${message.replace('request ', '')}: ${reason ?? factOf(line, 'status') ?? 'unknown'}${age}`;
   }
--- a/test/explain/explain-losses.test.ts
+++ b/test/explain/explain-losses.test.ts
@@ -44,6 +44,42 @@
   expect({ decisions, linesLeftOut }).toEqual({ decisions: 9, linesLeftOut: 7 });
 });
 
+it('tells late parts from late answers, and partial answers that were late', () => {
+  const late = { ...G1, elapsedMs: 250, targetMs: 179 };
+  const partial = { missing: 1, missingAttempts: [SILENT] };
+  const { rows } = reportLosses(
+    readLogLines(
+      [
+        line(1_000, 'request answered late', { ...late, coveredMs: 248 }),
+        line(1_100, 'request answered late', { ...late, coveredMs: 120 }),
+        line(1_200, 'request answered in part', { ...late, ...partial, coveredMs: 240 }),
+        line(1_300, 'request answered in part', {
+          ...late,
+          ...partial,
+          elapsedMs: 160,
+          coveredMs: 90,
+        }),
+      ].join('\n'),
+    ),
+  );
+  expect(rows.map(({ cause }) => cause).sort()).toEqual([
+    'late answer to parts in time',
+    'late parts',
+    'late parts, parts missing: no answer yet',
+    'parts missing: no answer yet',
+  ]);
+});
+
+it('counts no line that does not say what became of a request', () => {
+  const lines = [
+    line(1_000, 'quarantine of a request changed', { gateway: 'g-1', after: 'suspected' }),
+    line(1_100, 'connection lost under a request', { gateway: 'g-1', service: 'ledger' }),
+  ];
+  const { rows, decisions } = reportLosses(readLogLines(lines.join('\n')));
+  expect(rows).toEqual([]);
+  expect(decisions).toBe(0);
+});
+
 it('prints a table from standard input', async () => {
   const stdout = new PassThrough();
   const stderr = new PassThrough();
