--- a/src/directory/announced-gateways.ts
+++ b/src/directory/announced-gateways.ts
@@ -75,7 +75,16 @@
     for (const announcement of announcements) {
       for (const gateway of announcement.values()) known.set(gateway.name, gateway);
     }
-    this.merged = this.options.select([...known.values()]);
+    this.replace(this.options.select([...known.values()]));
+  }
+
+  /** Keeps the array when its gateways are the same, as what is computed from it is cached by its identity. */
+  private replace(gateways: readonly KnownGateway[]): void {
+    const addresses = new Map(this.merged.map(({ name, address }) => [name, address]));
+    const isSame =
+      gateways.length === this.merged.length &&
+      gateways.every(({ name, address }) => addresses.get(name) === address);
+    if (!isSame) this.merged = gateways;
   }
 
   /** Returns the retained gateways by name, and drops those whose time is over. */
--- a/src/directory/directory-session.ts
+++ b/src/directory/directory-session.ts
@@ -99,8 +99,9 @@
    *
    * A gateway receives documents from its preferred controller, which is in its own zone if that
    * zone has one. Another controller, also one of the same zone, sends a document only if the gateway
-   * does not receive it there. The delay counts from the oldest version that the gateway lacks: if each newer version restarted
-   * it, frequent changes would never reach a gateway whose preferred controller is lost.
+   * does not receive it there. The delay counts from the oldest version that the gateway lacks: if
+   * each newer version restarted it, frequent changes would never reach a gateway whose preferred
+   * controller is lost.
    */
   documentDueInMs(sources: DirectorySessionSources): number {
     const { clock, routeHistory, isPreferredFor } = sources;
--- a/test/directory/announced-gateways.test.ts
+++ b/test/directory/announced-gateways.test.ts
@@ -71,6 +71,17 @@
     expect(names()).toEqual(['a']);
   });
 
+  it('creates a new array only when the gateways change', () => {
+    const { view, open, end } = createView();
+    const former = open('a', 'b');
+    const before = view.current;
+    open('b', 'a');
+    end(former);
+    expect(view.current).toBe(before);
+    open('c');
+    expect(view.current).not.toBe(before);
+  });
+
   it('takes the newer address of a retained gateway', () => {
     const { view, open, end } = createView();
     end(open('a'));
