Leaves: tell roots which part of the requests they can serve in time, so that the rest is refused at once

Cause: nothing bounded what leaves took up. Overload was told by the queues of replicas alone, and these were short: what lacked time were leaves, and connections to the replicas of the new shards.

Change: a gather is late when fewer than half of its shards have answered by the time of its report; while most of a leaf's gathers are late, the part that it reports as admitted shrinks to 0.4 at the least, and grows again once few are. The roots' draw, the message and the refusal are those of overloaded replicas; both now adjust the part with AdmittedPart.

Both new tests failed without the change: the part stays 1, and none of 60 requests is refused.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -13,6 +13,7 @@
 import { targetLatencyOf } from '../gateway/route-latencies.js';
 import { TIME_UP, NO_ATTEMPT_REFUSAL_FRACTION } from '../gateway/forward-single.js';
 import type { PartsMessage } from './aggregation-messages.js';
+import type { LeafAdmission } from './leaf-admission.js';
 import type { LeafSource } from './leaf-source.js';
 
 /**
@@ -45,6 +46,8 @@
    */
   readonly relay?:
     ((listener: PartListener, maySendAgain: () => boolean) => LeafSource) | undefined;
+  /** Told whether this gather was late. */
+  readonly admission: LeafAdmission;
   readonly report: (message: PartsMessage) => void;
   readonly onEnd: () => void;
   /** Number of gathers in progress at this leaf, by which roots choose among leaves. */
@@ -67,6 +70,9 @@
   private answered = 0;
   private failed = 0;
   private isReportTimePast = false;
+  /** When the root waits for the report. Clock reading. */
+  private reportDueAt = Infinity;
+  private isLate = false;
   private hasRequestedGrant = false;
   private isGranted = false;
   /** A further attempt was due before the grant arrived. */
@@ -117,6 +123,7 @@
     const { clock } = environment;
     const delayMs = Math.max(0, this.options.reportInMs - answerMargin.lag);
     const dueAt = clock.now() + delayMs;
+    this.reportDueAt = dueAt;
     return clock.setTimer(delayMs, () => {
       answerMargin.recordTimerLag(clock.now() - dueAt);
       this.reportOnTime();
@@ -172,6 +179,7 @@
 
   private reportOnTime(): void {
     this.isReportTimePast = true;
+    this.isLate = this.hasFewParts;
     this.report({});
   }
 
@@ -210,11 +218,18 @@
       mayHaveRun: this.gather.mayRun,
       sends: this.gather.sends,
       reason: this.failed > 0 || this.isIncomplete ? reason : '',
-      admittedPart: this.context.shedding.admittedPart(this.options.shards[0] ?? ''),
+      admittedPart: Math.min(
+        this.context.shedding.admittedPart(this.options.shards[0] ?? ''),
+        this.options.admission.admittedPart,
+      ),
       gathersInProgress: gathersInProgress(),
     });
   }
 
+  private get hasFewParts(): boolean {
+    return this.answered < this.options.shards.length / 2;
+  }
+
   private get isIncomplete(): boolean {
     return this.answered + this.failed < this.options.shards.length;
   }
@@ -223,9 +238,17 @@
     return this.positions.get(shard) ?? 0;
   }
 
+  /** A cancel may come while the report itself is overdue. */
+  private recordLateness(): void {
+    const { clock } = this.context.environment;
+    const isOverdue = !this.isReportTimePast && clock.now() > this.reportDueAt;
+    this.options.admission.recordGather(this.isLate || (isOverdue && this.hasFewParts));
+  }
+
   private finish(reason: string): void {
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
+    this.recordLateness();
     const { shards, request, root, rootRouteVersion } = this.options;
     const missing = shards.length - this.answered;
     const { sends } = this.gather;
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -17,6 +17,7 @@
   type RequestMessage,
 } from './aggregation-messages.js';
 import { readStrings } from './json-list.js';
+import { LeafAdmission } from './leaf-admission.js';
 import { LeafGather } from './leaf-gather.js';
 import type { LeafSource } from './leaf-source.js';
 import type { RelayedCall } from './source-planner.js';
@@ -71,6 +72,7 @@
 /** Serves any number of roots; {@link serve} runs once per connection. */
 export class LeafServer {
   private readonly sessions = new Set<RootSession>();
+  private readonly admission = new LeafAdmission();
   private isStopping = false;
 
   constructor(private readonly options: LeafServerOptions) {}
@@ -180,6 +182,7 @@
       root: session.root,
       rootRouteVersion: request.routeVersion,
       relay: isRelay ? this.createRelay(callerRequest, request, message, shards) : undefined,
+      admission: this.admission,
       report: (parts) => session.send(parts),
       onEnd: () => session.gathers.delete(gatherId),
       gathersInProgress: () => this.inProgress,
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -59,7 +59,7 @@
         return;
       }
       if (!this.isAdmitted) {
-        this.giveUp(GatewayRefusal.NotRun, 'the replicas are overloaded');
+        this.giveUp(GatewayRefusal.NotRun, 'the replicas or leaf gateways are overloaded');
         return;
       }
       this.request.signal.addEventListener('abort', this.onCallerGone, { once: true });
--- a/src/gateway/overload-shedding.ts
+++ b/src/gateway/overload-shedding.ts
@@ -3,21 +3,17 @@
  * others are answered in time. The decision uses the queues that replicas report: queues at a few
  * slow replicas are no overload, queues at most replicas are.
  */
+import { AdmittedPart, type AdmittedPartSettings } from './admitted-part.js';
 import type { RandomSource } from '../seams/random-source.js';
 import type { ReportedLoad } from './reported-load.js';
 
-/** Load reports after which the admitted part is adjusted. */
-const REPORTS_PER_WINDOW = 100;
-/**
- * Above this fraction of reports with a long queue, the admitted part is multiplied by
- * {@link DECREASE_FACTOR}.
- */
-const OVERLOADED_FRACTION = 0.6;
-const DECREASE_FACTOR = 0.82;
-/** Below this fraction, the admitted part grows by {@link INCREASE_STEP}. */
-const UNLOADED_FRACTION = 0.35;
-const INCREASE_STEP = 0.12;
-const MINIMUM_ADMITTED = 0.3;
+const SETTINGS: AdmittedPartSettings = {
+  samplesPerWindow: 100,
+  overloadedFraction: 0.6,
+  unloadedFraction: 0.35,
+  increaseStep: 0.12,
+  minimum: 0.3,
+};
 /** Additional probability of refusal per step of priority; a higher number is less urgent. */
 const PRIORITY_STEP = 0.04;
 
@@ -26,28 +22,19 @@
 
 /** Admission state of one set of shards. */
 class ShardSetLoad {
-  admitted = 1;
-  private reports = 0;
-  private longQueues = 0;
+  private readonly part = new AdmittedPart(SETTINGS);
+
+  get admitted(): number {
+    return this.part.current;
+  }
 
   /** Moves the admitted part of the whole set towards that of a leaf. */
   mergeAdmitted(admitted: number): void {
-    this.admitted += (admitted - this.admitted) * LEAF_WEIGHT;
+    this.part.current += (admitted - this.part.current) * LEAF_WEIGHT;
   }
 
   recordLoad({ waiting, slots }: ReportedLoad): void {
-    this.reports += 1;
-    if (waiting >= Math.max(1, slots)) this.longQueues += 1;
-    if (this.reports < REPORTS_PER_WINDOW) return;
-    this.adjust(this.longQueues / this.reports);
-    this.reports = 0;
-    this.longQueues = 0;
-  }
-
-  private adjust(longQueueFraction: number): void {
-    if (longQueueFraction > OVERLOADED_FRACTION) this.admitted *= DECREASE_FACTOR;
-    else if (longQueueFraction < UNLOADED_FRACTION) this.admitted += INCREASE_STEP;
-    this.admitted = Math.min(1, Math.max(MINIMUM_ADMITTED, this.admitted));
+    this.part.record(waiting >= Math.max(1, slots));
   }
 }
 
@@ -78,7 +65,7 @@
    * Takes into account the admitted part of a leaf, a gateway that queries some shards of the set.
    */
   mergeAdmittedPart(firstShard: string, admittedPart: number): void {
-    this.setOf(firstShard).mergeAdmitted(Math.min(1, Math.max(MINIMUM_ADMITTED, admittedPart)));
+    this.setOf(firstShard).mergeAdmitted(Math.min(1, Math.max(SETTINGS.minimum, admittedPart)));
   }
 
   private setOf(firstShard: string): ShardSetLoad {
