Review: cases that could not run end with 2 and leave nothing behind

Cause: an error outside the case's own task ended the script with 1, which says that the rule was broken.

--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -139,7 +139,10 @@
     const log = createWriteStream(join(this.fleet.folder, `${this.name}.log`), { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    this.ended = new Promise((resolve) => child.once('exit', resolve));
+    this.ended = new Promise((resolve) => {
+      child.once('exit', resolve);
+      child.once('error', resolve);
+    });
     child.once('exit', (code, signal) => this.onExit(child, code, signal));
     this.fleet.record.note('process started', { machine: this.name, pid: child.pid });
   }
@@ -167,7 +170,7 @@
   async end() {
     this.isWanted = false;
     const { child } = this;
-    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return;
+    if (child?.pid === undefined || child.exitCode !== null || child.signalCode !== null) return;
     child.kill('SIGCONT');
     child.kill('SIGKILL');
     await this.ended;
@@ -184,10 +187,11 @@
   constructor(record, { controllers = 3, gateways = 3 } = {}) {
     this.record = record;
     this.sizes = { controllers, gateways };
+    this.controllers = [];
+    this.gateways = [];
     this.replicas = [];
     this.isStopping = false;
     this.nextReplica = 0;
-    this.timers = [];
   }
 
   async start() {
@@ -272,7 +276,7 @@
     this.isStopping = true;
     clearTimeout(this.watching);
     for (const replica of this.replicas) replica.stop();
-    await Promise.all((this.machines ?? []).map((machine) => machine.end()));
+    await Promise.all(this.machines.map((machine) => machine.end()));
     if (process.env['KEEP_LOGS'] === undefined && this.folder !== undefined) {
       rmSync(this.folder, { recursive: true, force: true });
     } else {
--- a/review/lib/run-case.js
+++ b/review/lib/run-case.js
@@ -10,7 +10,10 @@
   const record = new Record(path);
   const { fleet, play } = create(record);
   let exitCode = 2;
+  let isFinishing = false;
   const finish = async () => {
+    if (isFinishing) return;
+    isFinishing = true;
     await fleet.stop();
     record.note('exit', { exitCode });
     record.close();
@@ -18,6 +21,12 @@
   };
   process.once('SIGTERM', () => void finish());
   process.once('SIGINT', () => void finish());
+  // Node's own code for such an error is 1, which says that the rule was broken.
+  process.on('uncaughtException', (error) => {
+    process.stdout.write(`the case failed: ${error.stack}\n`);
+    exitCode = 2;
+    void finish();
+  });
   setTimeout(() => {
     exitCode = 2;
     process.stdout.write('the case took too long\n');
