Controllers: bound the log in bytes, by the size of the disk

Callers saw: after some 480 changes of a route document of 270 KB no change was acknowledged any more, and the figures of replicas went stale: all controllers ended with ENOSPC, started, and ended again.

A client decides how long a record is (up to 3 MB), so the log could take 1.5 GB on the disk, and as much in memory.

Change: storage.capacityBytes states the space on the disk and is checked when the settings are read. Batches are divided between segments, which could otherwise become longer than their size and are only dropped whole.

Tests that failed before: "holds the log of any number of the longest commands", "holds enough of the log for a member to catch up while long commands go on", "is not filled by what the others commit while it is slow" (each: members end with ENOSPC on a simulated disk that has a size, which is new).

--- a/lab/simulation/simulated-disk.ts
+++ b/lab/simulation/simulated-disk.ts
@@ -41,7 +41,9 @@
   /** Like {@link DiskOperations.run} for an operation that writes `bytes`. */
   write<T>(step: string, path: string, bytes: number, operation: () => T): Promise<T> {
     return this.run(step, path, DISK_OPERATION_TIME + bytes * TIME_PER_BYTE, () => {
-      if (this.volume.faults.failWrites) throw new Error('ENOSPC: no space left on device');
+      const { failWrites, capacityBytes } = this.volume.faults;
+      const isFull = bytes > 0 && this.volume.usedBytes + bytes > capacityBytes;
+      if (failWrites || isFull) throw new Error('ENOSPC: no space left on device');
       return operation();
     });
   }
--- a/lab/simulation/simulated-volume.ts
+++ b/lab/simulation/simulated-volume.ts
@@ -17,11 +17,18 @@
   failSyncs: boolean;
   /** Every operation takes this many times as long. */
   slowness: number;
+  /** Writes that would make the files longer than this together fail. Bytes. */
+  capacityBytes: number;
 }
 
 /** See the module comment. Paths are normalised, relative, with `/`. */
 export class SimulatedVolume {
-  readonly faults: DiskFaults = { failWrites: false, failSyncs: false, slowness: 1 };
+  readonly faults: DiskFaults = {
+    failWrites: false,
+    failSyncs: false,
+    slowness: 1,
+    capacityBytes: Infinity,
+  };
   private names = new Map<string, SimulatedFile>();
   private durableNames = new Map<string, SimulatedFile>();
   private readonly directories = new Set<string>(['.']);
@@ -29,6 +36,11 @@
 
   constructor(private readonly random: RandomSource) {}
 
+  /** Bytes of all files together. */
+  get usedBytes(): number {
+    return [...this.names.values()].reduce((sum, { size }) => sum + size, 0);
+  }
+
   file(path: string): SimulatedFile | undefined {
     return this.names.get(normalise(path));
   }
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -1,5 +1,7 @@
 /** Settings file of the control daemon. */
 import * as z from 'zod';
+import { MINIMUM_CAPACITY_BYTES } from '../consensus/log-limits.js';
+import { DEFAULT_RAFT_LIMITS } from '../consensus/raft-timings.js';
 import { nameSchema } from '../model/service-definition.js';
 import { tokenHashSchema } from '../settings/access-token.js';
 import {
@@ -21,6 +23,16 @@
   zones: zonesSchema,
   cluster: clusterSchema,
   dataFolder: z.string().min(1).describe('./data/controller-1'),
+  storage: z
+    .strictObject({
+      /**
+       * Space on the disk of the data folder. The log is kept so short that it fits there beside two
+       * snapshots, and changes are refused for as long as it does not. Bytes.
+       */
+      capacityBytes: z.int().min(MINIMUM_CAPACITY_BYTES).default(DEFAULT_RAFT_LIMITS.capacityBytes),
+    })
+    .prefault({})
+    .describe('{ capacityBytes: 1073741824 }'),
   listen: z
     .strictObject({
       /** Administration API, `/metrics`, `/livez` and `/readyz`. */
--- a/src/consensus/append-handler.ts
+++ b/src/consensus/append-handler.ts
@@ -72,6 +72,27 @@
   return { term, accepted: true, matchIndex, nextIndex: matchIndex + 1, needsSnapshot: false };
 }
 
+/**
+ * Holds records back while the log is full and a snapshot that shortens it is being written. Without
+ * one under way the records are taken: only their commit makes the next snapshot possible.
+ *
+ * @throws DriftwayError when there is no room in time; the leader then sends them again.
+ */
+async function waitForRoom(state: MemberState): Promise<void> {
+  const { clock, storage, timings } = state.dependencies;
+  const deadline = clock.now() + timings.replicationTimeout;
+  while (state.isSnapshotUnderWay && state.log.storedBytes > storage.logLimits.maximumBytes) {
+    state.signal.throwIfAborted();
+    const remaining = deadline - clock.now();
+    if (remaining <= 0) {
+      throw new DriftwayError('the log has no room for further records', {
+        step: 'append records',
+      });
+    }
+    await state.logCompacted.wait(remaining);
+  }
+}
+
 /** Answers records once they are durable. */
 export async function handleAppend(
   state: MemberState,
@@ -81,6 +102,7 @@
     // Also while the lock is held by a slow sync.
     state.electionTimerStart = state.dependencies.clock.now();
   }
+  await waitForRoom(state);
   return state.runExclusive(() => appendRecords(state, request));
 }
 
--- a/src/consensus/apply-task.ts
+++ b/src/consensus/apply-task.ts
@@ -89,19 +89,24 @@
     const { limits, storage } = state.dependencies;
     if (this.snapshotUnderWay !== undefined || state.signal.aborted) return;
     const records = state.appliedIndex - (storage.snapshot?.index ?? 0);
+    const { snapshotEveryBytes } = storage.logLimits;
     const due =
-      records >= limits.snapshotEveryRecords ||
-      this.bytesSinceSnapshot >= limits.snapshotEveryBytes;
+      records >= limits.snapshotEveryRecords || this.bytesSinceSnapshot >= snapshotEveryBytes;
     if (!due || records === 0) return;
+    state.isSnapshotUnderWay = true;
     this.snapshotUnderWay = this.takeSnapshot().then(() => {
       this.snapshotUnderWay = undefined;
+      state.isSnapshotUnderWay = false;
+      state.logCompacted.notify();
+      // While commands are refused for want of room, no commit would ask again.
+      this.snapshotWhenDue();
     });
   }
 
   /** Records go on being applied meanwhile; never throws. */
   private async takeSnapshot(): Promise<void> {
     const { state } = this;
-    const { storage, stateMachine, limits, metrics } = state.dependencies;
+    const { storage, stateMachine, limits, metrics, logger } = state.dependencies;
     const index = state.appliedIndex;
     const term = state.log.termAt(index);
     if (term === undefined) return;
@@ -114,9 +119,14 @@
       await state.runExclusive(async () => {
         if (state.signal.aborted) return;
         state.log.memberships.rebase(index, membership);
-        await stopOnDiskError(state, () => state.log.compact(index - limits.retainedRecords));
+        const { retainedBytes } = storage.logLimits;
+        const keptFrom = state.log.retainedFrom(index, limits.retainedRecords, retainedBytes);
+        await stopOnDiskError(state, () => state.log.compact(keptFrom));
       });
       metrics.snapshotsTaken.inc();
+      metrics.snapshotBytes.set(data.length);
+      const logBytes = state.log.storedBytes;
+      logger.info('snapshot taken', { index, snapshotBytes: data.length, logBytes });
     } catch {
       // Only a disk error gets here, and it has stopped the member.
     }
--- a/src/consensus/consensus-metrics.ts
+++ b/src/consensus/consensus-metrics.ts
@@ -17,6 +17,8 @@
   readonly term: Gauge;
   readonly commitIndex: Gauge;
   readonly appliedIndex: Gauge;
+  readonly logBytes: Gauge;
+  readonly snapshotBytes: Gauge;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -91,5 +93,15 @@
       help: 'Last record applied to the state machine',
       registers,
     });
+    this.logBytes = new Gauge({
+      name: name('log_bytes'),
+      help: 'Size of the durable log on the disk',
+      registers,
+    });
+    this.snapshotBytes = new Gauge({
+      name: name('snapshot_bytes'),
+      help: 'Size of the newest snapshot; two are on the disk while one replaces the other',
+      registers,
+    });
   }
 }
--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -47,6 +47,8 @@
   readonly appliedChanged: Notifier;
   /** Records were added that are not durable yet. */
   readonly recordsAdded: Notifier;
+  /** The log may have become shorter. */
+  readonly logCompacted: Notifier;
   /** Tells this process from earlier ones on the same data folder. */
   readonly session: string;
 
@@ -56,6 +58,8 @@
   leadership: Leadership | undefined;
   commitIndex: number;
   appliedIndex: number;
+  /** Whether a snapshot is being written, after which the log is compacted. */
+  isSnapshotUnderWay = false;
   /** Highest commit index that a leader told; the records may be missing here. */
   leaderCommitIndex = 0;
   /** Last index known to agree with the leader of the current term. */
@@ -78,6 +82,7 @@
     this.commitChanged = new Notifier(clock);
     this.appliedChanged = new Notifier(clock);
     this.recordsAdded = new Notifier(clock);
+    this.logCompacted = new Notifier(clock);
     this.session = random.nextIdentifier(8);
     this.electionTimerStart = clock.now();
     this.commitIndex = storage.snapshot?.index ?? 0;
@@ -148,6 +153,7 @@
     this.commitChanged.close();
     this.appliedChanged.close();
     this.recordsAdded.close();
+    this.logCompacted.close();
   }
 
   /** Stops for good because the member cannot vouch for its state any more. */
--- a/src/consensus/member-storage.ts
+++ b/src/consensus/member-storage.ts
@@ -6,9 +6,11 @@
 import { SegmentedLog } from '../storage/segmented-log.js';
 import { SnapshotStore, type StoredSnapshot } from '../storage/snapshot-store.js';
 import { ForeignDataFolderError } from './consensus-errors.js';
+import { logLimits, type LogLimits } from './log-limits.js';
 import { Membership } from './membership.js';
 import { Mutex } from './mutex.js';
 import { RaftLog } from './raft-log.js';
+import type { RaftLimits } from './raft-timings.js';
 
 const EMPTY_BYTES = new Uint8Array(0);
 
@@ -20,6 +22,9 @@
   readonly newIncarnation: string;
 }
 
+/** Bounds of a data folder. */
+export type StorageLimits = Pick<RaftLimits, 'capacityBytes' | 'retainedRecords' | 'segmentBytes'>;
+
 /** The data folder of one member. */
 export class MemberStorage {
   private readonly snapshotLock = new Mutex();
@@ -32,6 +37,7 @@
     readonly log: RaftLog,
     /** Bytes of an interrupted write that were cut off at the start. */
     readonly tornBytes: number,
+    private readonly limits: StorageLimits,
   ) {}
 
   /**
@@ -43,20 +49,26 @@
   static async open(
     disk: Disk,
     identity: MemberIdentity,
-    segmentBytes: number,
+    limits: StorageLimits,
   ): Promise<MemberStorage> {
     const hardStates = new HardStateStore(disk);
     const snapshots = await SnapshotStore.open(disk);
     const snapshot = await snapshots.load();
     const stored = await hardStates.load();
-    const { log: store, recovered } = await SegmentedLog.open(disk, segmentBytes);
+    const snapshotBytes = snapshot?.data.length ?? 0;
+    const { segmentBytes } = logLimits(limits.capacityBytes, snapshotBytes);
+    const { log: store, recovered } = await SegmentedLog.open(
+      disk,
+      Math.min(limits.segmentBytes, segmentBytes),
+    );
     if (stored === undefined && (snapshot !== undefined || recovered.position.index > 0)) {
       throw new DamagedStorageError('hard-state', 0, 'missing beside a log or a snapshot');
     }
     const hardState = stored ?? (await MemberStorage.create(hardStates, identity));
     checkIdentity(hardState, identity);
     const log = await reconcile(store, recovered, snapshot);
-    return new MemberStorage(hardStates, snapshots, hardState, snapshot, log, recovered.tornBytes);
+    const { tornBytes } = recovered;
+    return new MemberStorage(hardStates, snapshots, hardState, snapshot, log, tornBytes, limits);
   }
 
   private static async create(
@@ -78,6 +90,11 @@
     return this.currentSnapshot;
   }
 
+  /** What the log may take beside the snapshot held. */
+  get logLimits(): LogLimits {
+    return logLimits(this.limits.capacityBytes, this.currentSnapshot?.data.length ?? 0);
+  }
+
   /** Durable once the promise resolves; only then is it in force. */
   async saveVote(term: number, votedFor: string | undefined): Promise<void> {
     const hardState = { ...this.currentHardState, term, votedFor };
--- a/src/consensus/proposer.ts
+++ b/src/consensus/proposer.ts
@@ -89,11 +89,21 @@
     const { leadership } = state;
     if (leadership === undefined) throw new NotProposedError('not the leader', state.memberId);
     if (leadership.transferring) throw new NotProposedError('leadership is being handed over');
+    this.checkRoom(command);
+    return this.proposals.wait(leadership.append(LogRecordKind.Command, command));
+  }
+
+  /** A leader whose own disk is slow goes on committing, so its log has a bound of its own. */
+  private checkRoom(command: Uint8Array): void {
+    const { log, dependencies } = this.state;
+    const { maximumBytes, maximumUncommittedBytes } = dependencies.storage.logLimits;
     const pendingBytes = this.proposals.pendingBytes + command.length;
-    if (pendingBytes > state.dependencies.limits.maximumUncommittedBytes) {
+    if (pendingBytes > maximumUncommittedBytes) {
       throw new NotProposedError('too much is waiting to be committed');
     }
-    return this.proposals.wait(leadership.append(LogRecordKind.Command, command));
+    if (log.storedBytes + log.unstoredBytes + command.length <= maximumBytes) return;
+    const message = `the log has no room before the next snapshot; at most ${maximumBytes} bytes`;
+    throw new NotProposedError(message);
   }
 
   private async forward(
--- a/src/consensus/raft-log.ts
+++ b/src/consensus/raft-log.ts
@@ -9,10 +9,15 @@
 import { Membership } from './membership.js';
 import { MembershipHistory } from './membership-history.js';
 
+function storedSize(record: LogRecord | undefined): number {
+  return record === undefined ? 0 : RECORD_HEADER_BYTES + record.payload.length;
+}
+
 /** Records from `base` (not included) to the last one. */
 export class RaftLog {
   readonly memberships = new MembershipHistory();
   private durableIndex: number;
+  private pendingBytes = 0;
 
   /**
    * @param records - what the durable log held.
@@ -50,6 +55,16 @@
     return this.durableIndex;
   }
 
+  /** Size of the durable log on the disk. Bytes. */
+  get storedBytes(): number {
+    return this.store.bytes;
+  }
+
+  /** Size of the records that are not durable yet. Bytes. */
+  get unstoredBytes(): number {
+    return this.pendingBytes;
+  }
+
   get(index: number): LogRecord | undefined {
     return this.records[index - this.base.index - 1];
   }
@@ -82,11 +97,25 @@
     return chosen;
   }
 
+  /**
+   * The index before the oldest of the records up to `index` that are kept: at most `maximumRecords`,
+   * of `maximumBytes` together.
+   */
+  retainedFrom(index: number, maximumRecords: number, maximumBytes: number): number {
+    let bytes = 0;
+    let kept = index;
+    while (kept > this.base.index && index - kept < maximumRecords) {
+      bytes += storedSize(this.get(kept));
+      if (bytes > maximumBytes) break;
+      kept -= 1;
+    }
+    return kept;
+  }
+
   /** Adds a leader's own record. Durable after {@link RaftLog.persist}. */
   append(term: number, kind: LogRecordKind, payload: Uint8Array): LogRecord {
     const record = { index: this.lastIndex + 1, term, kind, payload };
-    this.records.push(record);
-    this.noteMembership(record);
+    this.push(record);
     return record;
   }
 
@@ -105,8 +134,7 @@
         this.truncateFrom(record.index);
         replacedFrom ??= record.index;
       }
-      this.records.push(record);
-      this.noteMembership(record);
+      this.push(record);
     }
     return replacedFrom;
   }
@@ -128,6 +156,7 @@
     await this.store.append(pending);
     await this.store.sync();
     this.durableIndex = target;
+    for (const record of pending) this.pendingBytes -= storedSize(record);
   }
 
   /** Drops records up to `index`, which a durable snapshot covers. */
@@ -136,8 +165,7 @@
     if (index <= this.base.index || term === undefined) return;
     // A quorum without this member may have committed what is not durable here.
     await this.persist();
-    this.records = this.records.slice(index - this.base.index);
-    this.base = { index, term };
+    this.dropThrough({ index, term });
     await this.store.compact(index);
   }
 
@@ -146,6 +174,7 @@
     await this.store.reset(position);
     this.base = position;
     this.records = [];
+    this.pendingBytes = 0;
     this.durableIndex = position.index;
     this.memberships.truncateFrom(0);
   }
@@ -154,7 +183,22 @@
     await this.store.close();
   }
 
+  private dropThrough(position: LogPosition): void {
+    this.records = this.records.slice(position.index - this.base.index);
+    this.base = position;
+  }
+
+  private push(record: LogRecord): void {
+    this.records.push(record);
+    this.pendingBytes += storedSize(record);
+    this.noteMembership(record);
+  }
+
   private truncateFrom(index: number): void {
+    const firstPending = Math.max(index, this.durableIndex + 1);
+    for (let place = firstPending; place <= this.lastIndex; place += 1) {
+      this.pendingBytes -= storedSize(this.get(place));
+    }
     this.records.length = index - this.base.index - 1;
     this.durableIndex = Math.min(this.durableIndex, index - 1);
     this.memberships.truncateFrom(index);
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -80,7 +80,7 @@
       memberId,
       newIncarnation: random.nextIdentifier(INCARNATION_BYTES),
     };
-    const storage = await MemberStorage.open(disk, identity, limits.segmentBytes);
+    const storage = await MemberStorage.open(disk, identity, limits);
     const { snapshot } = storage;
     if (snapshot !== undefined && snapshot.index > 0) stateMachine.restore(snapshot.data);
     const state = new MemberState({
--- a/src/consensus/raft-timings.ts
+++ b/src/consensus/raft-timings.ts
@@ -47,19 +47,17 @@
   readonly maximumCommandBytes: number;
   /** Most bytes of records in one message to a member. */
   readonly maximumAppendBytes: number;
-  /** Proposed but not committed on a leader; further proposals are refused as not proposed. */
-  readonly maximumUncommittedBytes: number;
   /** Bytes of a snapshot in one message. */
   readonly snapshotChunkBytes: number;
   /** Longest snapshot that is accepted from a leader. Bytes. */
   readonly maximumSnapshotBytes: number;
-  /** A snapshot is taken once this many records were applied since the last one... */
+  /** Space on the disk of the data folder; {@link logLimits} divides it. Bytes. */
+  readonly capacityBytes: number;
+  /** A snapshot is taken once this many records were applied since the last one, or fewer long ones. */
   readonly snapshotEveryRecords: number;
-  /** ...or records of this many bytes... */
-  readonly snapshotEveryBytes: number;
-  /** ...and, of the records before it, this many are kept for members that lag a little. */
+  /** Of the records before a snapshot, at most this many are kept for members that lag a little. */
   readonly retainedRecords: number;
-  /** Size at which the log begins a new segment. Bytes. */
+  /** Size at which the log begins a new segment, where the disk allows it. Bytes. */
   readonly segmentBytes: number;
   /** Records a learner may lack when it is promoted. */
   readonly promotionLag: number;
@@ -73,11 +71,10 @@
   // Holds the longest route document, and fits one record of the log and one frame.
   maximumCommandBytes: 3 * MEBIBYTE,
   maximumAppendBytes: MEBIBYTE,
-  maximumUncommittedBytes: 16 * MEBIBYTE,
   snapshotChunkBytes: MEBIBYTE,
   maximumSnapshotBytes: 256 * MEBIBYTE,
+  capacityBytes: 1024 * MEBIBYTE,
   snapshotEveryRecords: 1_000,
-  snapshotEveryBytes: 16 * MEBIBYTE,
   retainedRecords: 500,
   segmentBytes: 4 * MEBIBYTE,
   promotionLag: 16,
--- a/src/consensus/record-writer.ts
+++ b/src/consensus/record-writer.ts
@@ -12,6 +12,7 @@
   await stopOnDiskError(state, () => state.log.persist());
   metrics.recordsWritten.inc(state.log.syncedIndex - before);
   metrics.logSyncs.inc();
+  metrics.logBytes.set(state.log.storedBytes);
 }
 
 /** Runs a disk operation; its failure stops the member and is thrown on. */
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -218,7 +218,7 @@
   traffic: ZoneTraffic,
 ): Promise<RaftNode> {
   const { environment, configuration, identity, member, telemetry, raftFaults } = options;
-  const { listen, automaticMembership, consensus } = configuration;
+  const { listen, automaticMembership, consensus, storage } = configuration;
   return RaftNode.start(
     environment,
     {
@@ -232,6 +232,7 @@
         electionTimeoutMaximum: 2 * consensus.electionTimeoutMs,
         firstElectionPart: consensus.firstElectionPart,
       },
+      limits: { capacityBytes: storage.capacityBytes },
       dial: async (peer, signal) => {
         const connectTimeout = CONNECT_TIMEOUT_MS;
         const target = { ...peer, role: 'consensus', connectTimeout, signal } as const;
--- a/src/storage/log-recovery.ts
+++ b/src/storage/log-recovery.ts
@@ -16,6 +16,8 @@
 export interface RecoveredSegment {
   readonly sequence: number;
   readonly highestIndex: number;
+  /** Bytes. */
+  readonly size: number;
 }
 
 /** What a log held when it was opened. */
@@ -72,14 +74,12 @@
   return { ...scanSegment(path, buffer, sequence < last), size: buffer.length };
 }
 
-/** Removes segments that the manifest does not count. */
-async function removeStrays(disk: Disk, manifest: LogManifest): Promise<void> {
+/** Removes segments outside the range that counts. */
+async function removeStrays(disk: Disk, { first, last }: LogManifest): Promise<void> {
   for (const name of await disk.list(LOG_DIRECTORY)) {
     const sequence = parseSegmentName(name);
     if (sequence === undefined) continue;
-    if (sequence < manifest.first || sequence > manifest.last) {
-      await disk.remove(segmentPath(sequence));
-    }
+    if (sequence < first || sequence > last) await disk.remove(segmentPath(sequence));
   }
 }
 
@@ -113,7 +113,7 @@
       }
       highestIndex = Math.max(highestIndex, record.index);
     }
-    if (sequence < manifest.last) sealed.push({ sequence, highestIndex });
+    if (sequence < manifest.last) sealed.push({ sequence, highestIndex, size: scan.size });
     lastSegmentBytes = scan.validBytes;
     tornBytes = scan.size - scan.validBytes;
   }
--- a/src/storage/segmented-log.ts
+++ b/src/storage/segmented-log.ts
@@ -22,6 +22,8 @@
   readonly sequence: number;
   /** Highest index that any of its records has. */
   readonly highestIndex: number;
+  /** Bytes. */
+  readonly size: number;
 }
 
 /** One log in one data folder. Callers do not overlap calls. */
@@ -98,15 +100,20 @@
     return file;
   }
 
+  /** Size of all segments on the disk. Bytes. */
+  get bytes(): number {
+    return this.sealed.reduce((sum, { size }) => sum + size, this.file.size);
+  }
+
   /** Adds records. Not durable before {@link SegmentedLog.sync}. */
   async append(records: readonly LogRecord[]): Promise<void> {
-    const last = records.at(-1);
-    if (last === undefined) return;
-    if (this.file.size >= this.segmentBytes) await this.roll();
-    const encoded = records.map((record) => encodeRecord(record, this.syncedOffset));
-    await this.file.append(Buffer.concat(encoded));
-    this.position = { index: last.index, term: last.term };
-    this.highestIndex = Math.max(this.highestIndex, last.index);
+    let rest = records;
+    while (rest.length > 0) {
+      if (this.file.size >= this.segmentBytes) await this.roll();
+      const count = this.countThatFit(rest);
+      await this.appendToSegment(rest.slice(0, count));
+      rest = rest.slice(count);
+    }
   }
 
   /** Makes all appended records durable. After a failure the log is unusable. */
@@ -128,12 +135,9 @@
 
   /** Drops segments whose records all lie at or before `index`. */
   async compact(index: number): Promise<void> {
-    const keepFrom = this.sealed.findIndex((segment) => segment.highestIndex > index);
-    const obsolete = keepFrom < 0 ? this.sealed : this.sealed.slice(0, keepFrom);
+    const obsolete = this.takeObsolete(index);
     if (obsolete.length === 0) return;
-    this.sealed = this.sealed.slice(obsolete.length);
-    const first = this.sealed[0]?.sequence ?? this.manifest.last;
-    await this.replaceManifest({ first, last: this.manifest.last });
+    await this.replaceManifest(this.currentManifest());
     await this.removeSegments(obsolete);
   }
 
@@ -141,6 +145,24 @@
     await this.file.close();
   }
 
+  /** How many of `records` the segment takes until it has its size; at least one. */
+  private countThatFit(records: readonly LogRecord[]): number {
+    let size = this.file.size;
+    const place = records.findIndex(({ payload }) => {
+      size += RECORD_HEADER_BYTES + payload.length;
+      return size >= this.segmentBytes;
+    });
+    return place < 0 ? records.length : place + 1;
+  }
+
+  private async appendToSegment(records: readonly LogRecord[]): Promise<void> {
+    const encoded = records.map((record) => encodeRecord(record, this.syncedOffset));
+    await this.file.append(Buffer.concat(encoded));
+    const { index, term } = records.at(-1) ?? this.position;
+    this.position = { index, term };
+    this.highestIndex = Math.max(this.highestIndex, index);
+  }
+
   private async roll(): Promise<void> {
     await this.sync();
     await this.startSegment(this.manifest.last + 1, this.position, this.manifest.first);
@@ -153,7 +175,8 @@
   ): Promise<void> {
     const file = await SegmentedLog.createSegment(this.disk, sequence, previous);
     await this.file.close();
-    this.sealed.push({ sequence: this.manifest.last, highestIndex: this.highestIndex });
+    const { highestIndex } = this;
+    this.sealed.push({ sequence: this.manifest.last, highestIndex, size: this.file.size });
     this.file = file;
     this.syncedOffset = file.size;
     this.position = previous;
@@ -161,6 +184,19 @@
     await this.replaceManifest({ first, last: sequence });
   }
 
+  /** Takes the segments out of the list whose records all lie at or before `index`. */
+  private takeObsolete(index: number): readonly SealedSegment[] {
+    const keepFrom = this.sealed.findIndex((segment) => segment.highestIndex > index);
+    const obsolete = keepFrom < 0 ? this.sealed : this.sealed.slice(0, keepFrom);
+    this.sealed = this.sealed.slice(obsolete.length);
+    return obsolete;
+  }
+
+  private currentManifest(): LogManifest {
+    const { last } = this.manifest;
+    return { first: this.sealed[0]?.sequence ?? last, last };
+  }
+
   private async replaceManifest(manifest: LogManifest): Promise<void> {
     await saveManifest(this.disk, LOG_DIRECTORY, manifest);
     this.manifest = manifest;
--- a/test/configuration/read-configuration.test.ts
+++ b/test/configuration/read-configuration.test.ts
@@ -6,6 +6,7 @@
   readConfiguration,
   type ConfigurationOverride,
 } from '../../src/configuration/read-configuration.js';
+import { MINIMUM_CAPACITY_BYTES } from '../../src/consensus/log-limits.js';
 import { gatewayConfigurationSchema } from '../../src/configuration/gateway-configuration.js';
 import { routerConfigurationSchema } from '../../src/configuration/router-configuration.js';
 import { schemaLayers } from '../../src/errors/input-problem.js';
@@ -106,6 +107,14 @@
     expect(errorOf(text).message).toMatch(/listen\.http: .*example: 127\.0\.0\.1:7400/);
   });
 
+  // Guards against a disk that the smallest log and two snapshots would fill.
+  it('refuses a controller whose disk is too small, and says what it takes at least', () => {
+    const text = 'storage: { capacityBytes: 1000000 }';
+    const { problems } = errorOf(text, controllerConfigurationSchema);
+    const problem = problems.find(({ path }) => path === 'storage.capacityBytes');
+    expect(problem?.reason).toContain(String(MINIMUM_CAPACITY_BYTES));
+  });
+
   it('reports a YAML syntax error', () => {
     expect(problemsOf('name: [')).toEqual(['(whole file)']);
   });
--- /dev/null
+++ b/test/consensus/disk-capacity.test.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest';
+import { MINIMUM_CAPACITY_BYTES } from '../../src/consensus/log-limits.js';
+import { DEFAULT_RAFT_LIMITS } from '../../src/consensus/raft-timings.js';
+import { LatestCommandMachine } from './support/latest-command-machine.js';
+import { RaftCluster } from './support/raft-cluster.js';
+
+const IDS = ['a', 'b', 'c'];
+const LONGEST_COMMAND_BYTES = DEFAULT_RAFT_LIMITS.maximumCommandBytes;
+/** Together several times what a disk holds. */
+const COMMANDS = 100;
+const LIMITS = { capacityBytes: MINIMUM_CAPACITY_BYTES };
+
+function longCommand(number: number): Buffer {
+  return Buffer.alloc(LONGEST_COMMAND_BYTES, `command-${number} `.padEnd(64, '.'));
+}
+
+async function startCluster(seed: number): Promise<RaftCluster> {
+  const cluster = await RaftCluster.started(seed, IDS, {
+    limits: LIMITS,
+    createState: (onApply) => new LatestCommandMachine(onApply),
+  });
+  for (const id of IDS) {
+    cluster.member(id).machine.volume.faults.capacityBytes = MINIMUM_CAPACITY_BYTES;
+  }
+  return cluster;
+}
+
+async function proposeLong(cluster: RaftCluster, count: number, first = 0): Promise<void> {
+  const leader = await cluster.leader();
+  for (let number = first; number < first + count; number += 1) {
+    await cluster.simulation.settle(cluster.node(leader).propose(longCommand(number)));
+  }
+}
+
+describe('the disk of a controller', () => {
+  // Guards against a log bounded by a number of records: long route documents filled every disk.
+  it('holds the log of any number of the longest commands', async () => {
+    const cluster = await startCluster(1);
+    await proposeLong(cluster, COMMANDS);
+    await cluster.converge();
+    expect(cluster.running()).toEqual(IDS);
+    expect(cluster.commandsOf('a')).toEqual([longCommand(COMMANDS - 1).toString('latin1')]);
+    expect(cluster.violations).toEqual([]);
+  });
+
+  // Guards against a member that is sent snapshots again and again, because the log is kept too short.
+  it('holds enough of the log for a member to catch up while long commands go on', async () => {
+    const cluster = await startCluster(2);
+    const leader = await cluster.leader();
+    const lagging = IDS.find((id) => id !== leader) ?? '';
+    cluster.crash(lagging);
+    await proposeLong(cluster, COMMANDS / 2);
+    await cluster.start(lagging);
+    await proposeLong(cluster, COMMANDS / 2, COMMANDS / 2);
+    const { appliedIndex } = cluster.node(lagging).status();
+    const behind = cluster.node(leader).status().appliedIndex - appliedIndex;
+    expect(behind).toBeLessThanOrEqual(DEFAULT_RAFT_LIMITS.promotionLag);
+    expect(cluster.running()).toEqual(IDS);
+  });
+
+  // Guards against a leader whose own disk is slow filling it with what the others commit.
+  it('is not filled by what the others commit while it is slow', async () => {
+    const cluster = await startCluster(3);
+    const leader = await cluster.leader();
+    const { faults } = cluster.member(leader).machine.volume;
+    faults.slowness = 100;
+    let settled = 0;
+    const settle = (): void => {
+      settled += 1;
+    };
+    for (let number = 0; number < COMMANDS; number += 1) {
+      cluster.node(leader).propose(longCommand(number)).then(settle, settle);
+      await cluster.runFor(100);
+    }
+    faults.slowness = 1;
+    await cluster.runFor(20_000);
+    expect(settled).toBe(COMMANDS);
+    expect(cluster.running()).toEqual(IDS);
+    await proposeLong(cluster, 1);
+    expect(cluster.violations).toEqual([]);
+  });
+});
--- a/test/consensus/support/prepared-disk.ts
+++ b/test/consensus/support/prepared-disk.ts
@@ -1,10 +1,11 @@
 /** Writes the data folders of members that are in the middle of a history. */
 import { Membership } from '../../../src/consensus/membership.js';
 import { MemberStorage } from '../../../src/consensus/member-storage.js';
+import { DEFAULT_RAFT_LIMITS } from '../../../src/consensus/raft-timings.js';
 import { LogRecordKind } from '../../../src/storage/log-record.js';
 import { CLUSTER_ID, type RaftCluster } from './raft-cluster.js';
 
-const SEGMENT_BYTES = 1_000_000;
+const LIMITS = { ...DEFAULT_RAFT_LIMITS, segmentBytes: 1_000_000 };
 
 /** One record: its term and command, or a leader's opening record. */
 export interface PreparedRecord {
@@ -30,7 +31,7 @@
 ): Promise<void> {
   const { disk } = cluster.member(id).machine.environment;
   const identity = { clusterId: CLUSTER_ID, memberId: id, newIncarnation: `disk-${id}` };
-  const storage = await MemberStorage.open(disk, identity, SEGMENT_BYTES);
+  const storage = await MemberStorage.open(disk, identity, LIMITS);
   const members = cluster.initialIds.map((memberId) => ({
     memberId,
     address: cluster.addressOf(memberId),
--- a/test/consensus/vote-handler.test.ts
+++ b/test/consensus/vote-handler.test.ts
@@ -32,8 +32,8 @@
 /** Opens the member on what its disk holds. */
 async function openMember(faults: RaftFaults = {}): Promise<MemberState> {
   const { clock, random, disk } = machine.environment;
-  const { segmentBytes } = DEFAULT_RAFT_LIMITS;
-  const storage = await simulation.settle(MemberStorage.open(disk, IDENTITY, segmentBytes));
+  const opening = MemberStorage.open(disk, IDENTITY, DEFAULT_RAFT_LIMITS);
+  const storage = await simulation.settle(opening);
   const state = new MemberState({
     clusterId: IDENTITY.clusterId,
     memberId: MEMBER_ID,
--- a/test/platform/platform-settings.test.ts
+++ b/test/platform/platform-settings.test.ts
@@ -64,6 +64,15 @@
     expect(configuration.automaticMembership?.seeds).toHaveLength(3);
   });
 
+  // Guards against a log that doesn't know how large its disk is and fills it.
+  it("give a controller the size of its machine's disk", () => {
+    const capacityOf = (limits: object): number =>
+      controllerConfigurationOf(readPlatformSettings(settingsText('control', { limits }))).storage
+        .capacityBytes;
+    expect(capacityOf({ DiskMb: 128 })).toBe(128_000_000);
+    expect(capacityOf({ DiskMb: 0 })).toBe(capacityOf({}));
+  });
+
   it('refuse what lacks an address, and say which', () => {
     expect(() => readPlatformSettings(settingsText('front', { Ip: undefined }))).toThrow(/Ip/);
   });
