--- a/src/consensus/member-storage.ts
+++ b/src/consensus/member-storage.ts
@@ -56,10 +56,11 @@
     const snapshot = await snapshots.load();
     const stored = await hardStates.load();
     const snapshotBytes = snapshot?.data.length ?? 0;
-    const { segmentBytes } = logLimits(limits.capacityBytes, snapshotBytes);
+    const { segmentBytes, retainedBytes } = logLimits(limits.capacityBytes, snapshotBytes);
     const { log: store, recovered } = await SegmentedLog.open(
       disk,
       Math.min(limits.segmentBytes, segmentBytes),
+      snapshot?.index,
     );
     if (stored === undefined && (snapshot !== undefined || recovered.position.index > 0)) {
       throw new DamagedStorageError('hard-state', 0, 'missing beside a log or a snapshot');
@@ -67,6 +68,9 @@
     const hardState = stored ?? (await MemberStorage.create(hardStates, identity));
     checkIdentity(hardState, identity);
     const log = await reconcile(store, recovered, snapshot);
+    const covered = snapshot?.index ?? 0;
+    const keptFrom = log.retainedFrom(covered, limits.retainedRecords, retainedBytes);
+    await log.compactBeforeWriting(keptFrom);
     const { tornBytes } = recovered;
     return new MemberStorage(hardStates, snapshots, hardState, snapshot, log, tornBytes, limits);
   }
--- a/src/consensus/raft-log.ts
+++ b/src/consensus/raft-log.ts
@@ -169,6 +169,14 @@
     await this.store.compact(index);
   }
 
+  /** Like {@link RaftLog.compact} at the start: makes room on a disk that may be full before it writes. */
+  async compactBeforeWriting(index: number): Promise<void> {
+    const term = this.termAt(index);
+    if (index <= this.base.index || term === undefined) return;
+    this.dropThrough({ index, term });
+    await this.store.compactBeforeWriting(index);
+  }
+
   /** Forgets all records: a durable snapshot stands for everything up to `position`. */
   async reset(position: LogPosition): Promise<void> {
     await this.store.reset(position);
--- a/src/storage/log-recovery.ts
+++ b/src/storage/log-recovery.ts
@@ -83,12 +83,46 @@
   }
 }
 
+/** The segment after the last missing one of those that the manifest counts. */
+async function firstUnbroken(disk: Disk, { first, last }: LogManifest): Promise<number> {
+  const present = new Set((await disk.list(LOG_DIRECTORY)).map(parseSegmentName));
+  let sequence = last;
+  while (sequence > first && present.has(sequence - 1)) sequence -= 1;
+  return sequence;
+}
+
+/**
+ * The segments to read. An interrupted compaction may have removed any of the segments that a
+ * snapshot covers before it wrote the manifest; what precedes the last of them is obsolete too.
+ *
+ * @throws DamagedStorageError when a segment is missing that is not covered.
+ */
+async function findSegments(
+  disk: Disk,
+  manifest: LogManifest,
+  coveredIndex: number,
+): Promise<LogManifest> {
+  const first = await firstUnbroken(disk, manifest);
+  if (first === manifest.first) return manifest;
+  const [start] = (await readSegment(disk, first, manifest.last)).records;
+  if (start === undefined || start.index > coveredIndex) {
+    throw new DamagedStorageError(segmentPath(first - 1), 0, 'the segment is missing');
+  }
+  return { first, last: manifest.last };
+}
+
 /**
  * Reads all segments that count.
  *
+ * @param coveredIndex - records up to here are in a durable snapshot.
  * @throws DamagedStorageError on a missing segment, a hole, or damage before the tail.
  */
-export async function recoverSegments(disk: Disk, manifest: LogManifest): Promise<RecoveredLog> {
+export async function recoverSegments(
+  disk: Disk,
+  stored: LogManifest,
+  coveredIndex: number,
+): Promise<RecoveredLog> {
+  const manifest = await findSegments(disk, stored, coveredIndex);
   await removeStrays(disk, manifest);
   let collector: RecordCollector | undefined;
   const sealed: RecoveredSegment[] = [];
--- a/src/storage/segmented-log.ts
+++ b/src/storage/segmented-log.ts
@@ -45,15 +45,17 @@
   /**
    * Opens the log, cutting a torn tail.
    *
-   * @throws DamagedStorageError when records that had been durable are gone.
+   * @param coveredIndex - records up to here are in a durable snapshot; their segments may be gone.
+   * @throws DamagedStorageError when other records that had been durable are gone.
    */
   static async open(
     disk: Disk,
     segmentBytes = DEFAULT_SEGMENT_BYTES,
+    coveredIndex = 0,
   ): Promise<{ log: SegmentedLog; recovered: RecoveredLog }> {
     await disk.createDirectory(LOG_DIRECTORY);
     const manifest = (await loadManifest(disk, LOG_DIRECTORY)) ?? (await SegmentedLog.begin(disk));
-    const recovered = await recoverSegments(disk, manifest);
+    const recovered = await recoverSegments(disk, manifest, coveredIndex);
     const file = await disk.openAppend(segmentPath(manifest.last));
     if (file.size > recovered.lastSegmentBytes) await file.truncate(recovered.lastSegmentBytes);
     // Also after a clean read: what was read may not have been synced yet.
@@ -141,6 +143,19 @@
     await this.removeSegments(obsolete);
   }
 
+  /**
+   * Drops segments like {@link SegmentedLog.compact}, but frees their space before it writes: on a
+   * full disk nothing can be written until something is gone. A stop in between leaves a manifest
+   * that counts missing segments, which {@link SegmentedLog.open} accepts up to `coveredIndex`.
+   */
+  async compactBeforeWriting(index: number): Promise<void> {
+    const obsolete = this.takeObsolete(index);
+    if (obsolete.length === 0) return;
+    await this.removeSegments(obsolete);
+    await this.disk.syncDirectory(LOG_DIRECTORY);
+    await this.replaceManifest(this.currentManifest());
+  }
+
   async close(): Promise<void> {
     await this.file.close();
   }
--- a/test/consensus/disk-capacity.test.ts
+++ b/test/consensus/disk-capacity.test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from 'vitest';
+import { Membership } from '../../src/consensus/membership.js';
 import { MINIMUM_CAPACITY_BYTES } from '../../src/consensus/log-limits.js';
+import { MemberStorage } from '../../src/consensus/member-storage.js';
 import { DEFAULT_RAFT_LIMITS } from '../../src/consensus/raft-timings.js';
 import { LatestCommandMachine } from './support/latest-command-machine.js';
 import { RaftCluster } from './support/raft-cluster.js';
@@ -80,3 +82,61 @@
     expect(cluster.violations).toEqual([]);
   });
 });
+
+describe('a member whose disk is full', () => {
+  const IDENTITY = { clusterId: 'dohoku', memberId: 'controller-1', newIncarnation: 'first' };
+  const RECORDS = 40;
+
+  /** Fills a disk with a log that a snapshot covers, as a release without a bound in bytes left it. */
+  async function fillDisk(cluster: RaftCluster): Promise<void> {
+    const { machine } = cluster.member('a');
+    const { disk } = machine.environment;
+    const unbounded = { ...DEFAULT_RAFT_LIMITS, retainedRecords: Infinity };
+    const storage = await cluster.simulation.settle(MemberStorage.open(disk, IDENTITY, unbounded));
+    for (let number = 0; number < RECORDS; number += 1) {
+      storage.log.append(1, 0, Buffer.alloc(1_000_000, number));
+      await cluster.simulation.settle(storage.log.persist());
+    }
+    const membership = Membership.EMPTY.encode();
+    const snapshot = { index: RECORDS, term: 1, membership, data: Buffer.of(1) };
+    await cluster.simulation.settle(storage.saveSnapshot(snapshot));
+    machine.volume.faults.capacityBytes = machine.volume.usedBytes;
+  }
+
+  function open(cluster: RaftCluster): Promise<MemberStorage> {
+    const { environment } = cluster.member('a').machine;
+    const limits = { ...DEFAULT_RAFT_LIMITS, ...LIMITS };
+    return cluster.simulation.settle(MemberStorage.open(environment.disk, IDENTITY, limits));
+  }
+
+  // Guards against a full disk that no restart frees: the start wrote before it dropped anything.
+  it('frees what a snapshot covers before it writes', async () => {
+    const cluster = new RaftCluster(4, ['a']);
+    await fillDisk(cluster);
+    cluster.member('a').machine.restart({ keepDisk: true });
+    const storage = await open(cluster);
+    storage.log.append(1, 0, Buffer.alloc(1_000_000));
+    await cluster.simulation.settle(storage.log.persist());
+    await cluster.simulation.settle(storage.saveVote(2, undefined));
+    expect(storage.log.lastIndex).toBe(RECORDS + 1);
+  });
+
+  // Guards against a folder that counts as damaged because a loss of power came while it was emptied.
+  it('opens again after a loss of power at any moment of that', async () => {
+    for (let seed = 1; seed <= 30; seed += 1) {
+      const cluster = new RaftCluster(seed, ['a']);
+      await fillDisk(cluster);
+      const { machine } = cluster.member('a');
+      machine.restart({ keepDisk: true });
+      void MemberStorage.open(machine.environment.disk, IDENTITY, {
+        ...DEFAULT_RAFT_LIMITS,
+        ...LIMITS,
+      }).catch(() => undefined);
+      await cluster.runFor(seed / 4);
+      machine.restart({ keepDisk: true });
+      const storage = await open(cluster);
+      expect(storage.log.lastIndex).toBe(RECORDS);
+      expect(storage.snapshot?.index).toBe(RECORDS);
+    }
+  });
+});
