HTTP client: bound all bytes of a connection while a response is awaited

Callers saw: a gateway with no processor time left, for as long as the deadline of one request to a replica that sends without end.

Cause: undici counts the names and values of headers and hands on the bytes of bodies. What its parser passes over is counted by nobody, so that such a response was held by the deadline alone.

Evidence: 64 MiB sent by a peer on loopback were all taken in seven places: empty lines before the status line, the reason phrase, interim responses, blanks before a header value, the size of a chunk, a chunk extension and its value. In ten other places some bound of undici or of ours held.

Change: the pool looks at what each connection has brought before undici parses more of it. Until the head is there that is 32 KiB at most; then the announced body, or twice the longest allowed one and 64 KiB where no length is announced, so that any framing counts. Past it the connection is closed and the request fails as malformed (head) or too large (body). Requests to replicas, probes, the list of the platform and the operator's commands all use this client.

--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -4,7 +4,8 @@
  * more of them than requests were in flight at once: peers bound how many they
  * accept, from all callers together.
  */
-import { Client, type Dispatcher } from 'undici';
+import type { Socket } from 'node:net';
+import { Client, type Dispatcher, type buildConnector } from 'undici';
 
 /** Handles one request, and tells when its connection is free again. */
 export interface PooledHandler extends Dispatcher.DispatchHandler {
@@ -12,6 +13,15 @@
   onSettled: ((isWhole: boolean) => void) | undefined;
   /** Called instead of `onSettled` when the request is given up before it was written. */
   onAbandoned: (() => void) | undefined;
+  /** Tells how many bytes the connection has brought that were parsed. */
+  readBytes: (() => number) | undefined;
+  /** Called before bytes that have arrived are parsed. */
+  onReadable(): void;
+}
+
+/** Options of every connection. */
+export interface ConnectionOptions extends Client.Options {
+  readonly connect: buildConnector.connector;
 }
 
 /** A request that waits for a connection. */
@@ -24,14 +34,26 @@
 class PooledConnection {
   isOpen = false;
   requests = 0;
+  /** The request that the connection carries. */
+  handler: PooledHandler | undefined;
   readonly client: Client;
+  private socket: Socket | undefined;
 
   constructor(
     origin: string,
-    options: Client.Options,
+    options: ConnectionOptions,
     onUnusable: (self: PooledConnection) => void,
   ) {
-    this.client = new Client(origin, options);
+    const connect: buildConnector.connector = (target, callback) =>
+      options.connect(target, (...[error, socket]) => {
+        if (error !== null) {
+          callback(error, null);
+          return;
+        }
+        this.watch(socket);
+        callback(null, socket);
+      });
+    this.client = new Client(origin, { ...options, connect });
     this.client.on('connect', () => (this.isOpen = true));
     this.client.on('disconnect', () => (this.isOpen = false));
     this.client.on('connectionError', () => onUnusable(this));
@@ -40,6 +62,18 @@
   get isResting(): boolean {
     return this.isOpen && this.requests === 0;
   }
+
+  /** Bytes of the present connection that were parsed. */
+  get readBytes(): number {
+    const { socket } = this;
+    return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
+  }
+
+  /** undici adds its own listener once it has the socket, so this one is called first. */
+  private watch(socket: Socket): void {
+    this.socket = socket;
+    socket.on('readable', () => this.handler?.onReadable());
+  }
 }
 
 /** See the module comment. */
@@ -51,7 +85,7 @@
     private readonly origin: string,
     /** Most connections at once; further requests wait. */
     private readonly maximumConnections: number,
-    private readonly options: Client.Options,
+    private readonly options: ConnectionOptions,
   ) {}
 
   dispatch(options: Dispatcher.DispatchOptions, handler: PooledHandler): void {
@@ -90,6 +124,8 @@
 
   private dispatchOn(connection: PooledConnection, { options, handler }: WaitingDispatch): void {
     connection.requests += 1;
+    connection.handler = handler;
+    handler.readBytes = () => connection.readBytes;
     handler.onSettled = (isWhole): void => {
       if (isWhole) this.release(connection);
       else this.releaseAfterFailure(connection);
@@ -120,6 +156,7 @@
   /** The connection is free for what waits. */
   private release(connection: PooledConnection): void {
     connection.requests -= 1;
+    connection.handler = undefined;
     const next = this.waiting.shift();
     if (next !== undefined) this.dispatch(next.options, next.handler);
   }
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -3,7 +3,7 @@
  * itself never resends: a request that failed after it was written to a socket
  * is reported, not repeated.
  */
-import { errors, type Client } from 'undici';
+import { errors } from 'undici';
 import { HttpClientError, type HttpClientErrorKind } from '../errors/http-client-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type {
@@ -12,8 +12,12 @@
   HttpClientRequest,
   HttpClientResponse,
 } from '../seams/http.js';
-import { ConnectionPool, type PooledHandler } from './connection-pool.js';
+import { ConnectionPool, type ConnectionOptions, type PooledHandler } from './connection-pool.js';
 import { createResetAwareConnector } from './reset-aware-connector.js';
+import { ResponseByteLimit, ResponseByteLimitError } from './response-byte-limit.js';
+
+/** Lower ones precede the response itself. */
+const FIRST_FINAL_STATUS = 200;
 
 class ResponseTooLargeError extends Error {}
 
@@ -32,6 +36,9 @@
 /** The kind of a failure after the request was handed to a connection. */
 function classify(error: Error, headerReceived: boolean): HttpClientErrorKind {
   if (error instanceof ResponseTooLargeError) return 'response_too_large';
+  if (error instanceof ResponseByteLimitError) {
+    return error.part === 'head' ? 'malformed_response' : 'response_too_large';
+  }
   if (error instanceof ResponseRejectedError) return 'response_rejected';
   if (error instanceof errors.HTTPParserError) return 'malformed_response';
   if (error instanceof errors.HeadersOverflowError) return 'malformed_response';
@@ -43,6 +50,8 @@
 class ResponseCollector implements PooledHandler {
   onSettled: ((isWhole: boolean) => void) | undefined;
   onAbandoned: (() => void) | undefined;
+  readBytes: (() => number) | undefined;
+  private limit: ResponseByteLimit | undefined;
   private requestSent = false;
   /** Given up before it was written to a connection. */
   private isAbandoned = false;
@@ -86,12 +95,19 @@
     clearTimeout(this.connectTimer);
     this.requestSent = true;
     this.abortRequest = abort;
+    this.limit = new ResponseByteLimit(this.readBytes?.() ?? 0, this.maximumBytes);
     this.request.onSent?.();
   }
 
+  onReadable(): void {
+    const error = this.limit?.errorAt(this.readBytes?.() ?? 0);
+    if (error !== undefined) this.abort(error);
+  }
+
   onHeaders(status: number, rawHeaders: Buffer[]): boolean {
     this.status = status;
     this.headers = readHeaders(rawHeaders);
+    if (status >= FIRST_FINAL_STATUS) this.limit?.acceptHead(this.headers['content-length']);
     if (this.request.acceptResponse?.(this.headers) === false) {
       this.abort(new ResponseRejectedError('response rejected'));
       return false;
@@ -233,7 +249,7 @@
 
   private createPool(reuse: ConnectionReuse): ConnectionPool {
     const { connections, connectTimeout, keepAliveTimeout } = this.options;
-    const options: Client.Options = {
+    const options: ConnectionOptions = {
       pipelining: reuse,
       connect: createResetAwareConnector(connectTimeout),
       keepAliveTimeout,
