HTTP server: bound all bytes of a connection between two requests

Callers saw: a daemon with no processor time left for as long as one caller went on sending bytes that never become a request.

Cause: Node bounds headers and chunk extensions by bytes and a request by its time. Its parser passes over empty lines before a request, blanks before a header value and the zeros of a chunk's size; after a request even the time doesn't hold empty lines, since each of them makes the connection busy again.

Change: a listener counts what each connection brings from one head of a request to the next: the longest header, twice the longest body and 128 KiB of framing. Past it the connection is closed. A caller whose body was refused may go on for its second, as before, so that it gets its answer.

--- a/src/node/caller-connection.ts
+++ b/src/node/caller-connection.ts
@@ -1,6 +1,8 @@
 /** What a listener knows of one accepted connection. */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { HttpListenOptions } from '../seams/http.js';
+import { RequestByteLimit } from './request-byte-limit.js';
 
 /** One caller's connection. */
 export class CallerConnection {
@@ -14,8 +16,14 @@
   /** Bytes received when the last response had been written. */
   private bytesAnswered = 0;
   private readonly requests = new Set<AbortController>();
+  private readonly limit: RequestByteLimit;
 
-  constructor(readonly socket: Socket) {
+  constructor(
+    readonly socket: Socket,
+    options: HttpListenOptions,
+    onTooManyBytes: (connection: CallerConnection) => void,
+  ) {
+    this.limit = new RequestByteLimit(socket, options, () => onTooManyBytes(this));
     socket.once('close', () => {
       for (const request of this.requests) request.abort(new Error('caller gone'));
     });
@@ -31,6 +39,7 @@
    * requests sent ahead take neither memory nor places.
    */
   async takeTurn(response: ServerResponse): Promise<void> {
+    this.limit.restart();
     const earlier = this.lastResponse;
     this.lastResponse = response;
     response.once('close', () => this.endResponse(response));
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -33,6 +33,8 @@
 const LINGER = 1_000;
 /** A caller may take a response as slowly as this, after its first `requestTimeout`. Bytes per ms. */
 const MINIMUM_READ_RATE = 64;
+/** Told of a caller whose connection was closed for bytes without end; nothing was answered. */
+const ENDLESS_REQUEST_STATUS = 400;
 /** See {@link HttpListenOptions.maximumBufferedBytes}. */
 const DEFAULT_BUFFERED_BYTES = 268_435_456;
 
@@ -84,7 +86,9 @@
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
-    const connection = new CallerConnection(socket);
+    const connection = new CallerConnection(socket, this.options, (known) =>
+      this.refuseEndless(known),
+    );
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     return connection;
@@ -175,6 +179,13 @@
     socket.once('close', () => clearTimeout(timer));
   }
 
+  /** Bytes that don't become requests; a caller that was refused may still be read for a while. */
+  private refuseEndless({ socket, isRefused }: CallerConnection): void {
+    if (isRefused || socket.destroyed) return;
+    this.tellRefused(socket, ENDLESS_REQUEST_STATUS);
+    socket.destroy();
+  }
+
   private tellRefused(socket: Socket, status: number): void {
     this.options.onRefused?.({ status, remoteAddress: socket.remoteAddress ?? '' });
   }
--- a/test/node/endless-responses.test.ts
+++ b/test/node/endless-responses.test.ts
@@ -3,11 +3,9 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { HttpClientError } from '../../src/errors/http-client-error.js';
 import { NodeHttpClient } from '../../src/node/node-http-client.js';
+import { writeEndlessly } from './support/endless-writer.js';
 
 const MAXIMUM_RESPONSE_BYTES = 64 * 1024;
-/** Far more than the client allows and the system buffers. */
-const ENDLESS_BYTES = 64 * 1024 * 1024;
-const PART_BYTES = 64 * 1024;
 const OK = 'HTTP/1.1 200 OK\r\n';
 const CHUNKED = `${OK}transfer-encoding: chunked\r\n\r\n`;
 
@@ -34,19 +32,18 @@
 
 /** Answers one request with bytes that go on until the connection is closed. */
 class EndlessPeer {
-  /** Whether everything was sent, so that nobody closed the connection. */
-  hasSentAll = false;
+  /** Whether all bytes were taken, so that nobody closed the connection. */
+  hasSentAll: Promise<boolean> | undefined;
   private server: Server | undefined;
   private readonly sockets: Socket[] = [];
 
   async start(prefix: string, repeated: string): Promise<number> {
-    const part = Buffer.alloc(PART_BYTES - (PART_BYTES % repeated.length), repeated, 'latin1');
     this.server = createServer((socket) => {
       this.sockets.push(socket);
       socket.on('error', () => undefined);
       socket.once('data', () => {
         socket.write(prefix, 'latin1');
-        this.sendOn(socket, part);
+        this.hasSentAll = writeEndlessly(socket, repeated);
       });
     });
     this.server.listen(0, '127.0.0.1');
@@ -58,16 +55,6 @@
     this.server?.close();
     for (const socket of this.sockets) socket.destroy();
   }
-
-  private sendOn(socket: Socket, part: Buffer): void {
-    while (!socket.destroyed && socket.bytesWritten < ENDLESS_BYTES) {
-      if (socket.write(part)) continue;
-      socket.once('drain', () => this.sendOn(socket, part));
-      return;
-    }
-    this.hasSentAll = !socket.destroyed;
-    socket.destroy();
-  }
 }
 
 let peer: EndlessPeer;
@@ -102,8 +89,7 @@
       } else {
         expect(prefix).toContain('content-length: 10');
       }
-      await new Promise((resolve) => setImmediate(resolve));
-      expect(peer.hasSentAll).toBe(false);
+      expect(await peer.hasSentAll).toBe(false);
     },
   );
 });
