Message connections: bound the frames that wait for their reader in bytes

Callers saw: nothing yet.

Cause: a connection was paused at 64 received frames. A frame may have 4 MiB, so one slow reader, for instance a gateway that parses long route documents, could hold 256 MiB.

Change: it is paused as well once the frames that wait have the length of the longest one.

Test that failed before: "are bounded in bytes, and all come in order once they are read" (167,772,320 bytes had left the sender, all there were, with a bound of 41,943,040 that has the system's own buffers in it).

Measured: test/node passed.

--- a/src/node/node-message-connection.ts
+++ b/src/node/node-message-connection.ts
@@ -1,11 +1,17 @@
 /** A framed connection over one TCP socket. */
 import type { Socket } from 'node:net';
 import { ConnectionError } from '../errors/connection-error.js';
-import { READ_FRAME_STEP, type MessageConnection } from '../seams/message-connection.js';
+import {
+  MAXIMUM_FRAME_BYTES,
+  READ_FRAME_STEP,
+  type MessageConnection,
+} from '../seams/message-connection.js';
 import { FRAME_HEADER_BYTES, FrameReader } from './frame-reader.js';
 
 /** Received frames held before the socket is paused. */
-const RECEIVE_QUEUE_LIMIT = 64;
+const RECEIVE_QUEUE_FRAMES = 64;
+/** Their bytes: the peer decides how long a frame is. */
+const RECEIVE_QUEUE_BYTES = MAXIMUM_FRAME_BYTES;
 
 interface Waiter {
   resolve(frame: Uint8Array | undefined): void;
@@ -18,6 +24,7 @@
   readonly closed: Promise<void>;
   private readonly reader = new FrameReader();
   private readonly received: Uint8Array[] = [];
+  private receivedBytes = 0;
   private waiter: Waiter | undefined;
   private failure: ConnectionError | undefined;
   private ended = false;
@@ -54,7 +61,8 @@
   receive(): Promise<Uint8Array | undefined> {
     const frame = this.received.shift();
     if (frame !== undefined) {
-      if (this.received.length < RECEIVE_QUEUE_LIMIT) this.socket.resume();
+      this.receivedBytes -= frame.length;
+      if (!this.isQueueFull) this.socket.resume();
       return Promise.resolve(frame);
     }
     if (this.failure !== undefined) return Promise.reject(this.failure);
@@ -89,14 +97,24 @@
       this.fail(READ_FRAME_STEP, error);
       return;
     }
-    if (this.received.length >= RECEIVE_QUEUE_LIMIT) this.socket.pause();
+    if (this.isQueueFull) this.socket.pause();
+  }
+
+  private get isQueueFull(): boolean {
+    return (
+      this.received.length >= RECEIVE_QUEUE_FRAMES || this.receivedBytes >= RECEIVE_QUEUE_BYTES
+    );
   }
 
   private deliver(frame: Uint8Array): void {
     const { waiter } = this;
     this.waiter = undefined;
-    if (waiter === undefined) this.received.push(frame);
-    else waiter.resolve(frame);
+    if (waiter !== undefined) {
+      waiter.resolve(frame);
+      return;
+    }
+    this.received.push(frame);
+    this.receivedBytes += frame.length;
   }
 
   private onEnd(): void {
