Replicas: send a request over a connection only once

Cause: a response names the request and not the sending. A replica that refused a request gets it once more a few milliseconds later, over the same kept connection. A late copy of the first refusal names the request as well, so it was taken for the answer to the second sending.

"is not taken for that to the next sending", on sockets: the copy, written while the second sending was being served, settled it as not run.

Change: a request to a replica states its id to the HTTP client, and the pool passes over connections that have lately carried that id (256 fingerprints each). Another open one is used, or one that is free is replaced. A late copy can then only come where it is known for one: on a resting connection, which is closed, or in place of the answer to another request, which is rejected by its id. That holds for a caller's next sending under the same id as well. The simulated client does the same.

Other paths: attempts of routers carry an id of their own each; gathers, reports, grants and refusals of leaves name the gather by a number that is unique on its connection.

Tests that failed before: "is not taken for that to the next sending", over 1 and over 4 connections.

--- a/lab/simulation/connection-pool.ts
+++ b/lab/simulation/connection-pool.ts
@@ -44,16 +44,7 @@
       pending.fail('connect_failed', new Error('the client is closed'));
       return;
     }
-    const idle = this.findIdle();
-    if (idle !== undefined) {
-      this.assign(pending, idle);
-      return;
-    }
-    if (this.connections.size >= this.target.options.connections) {
-      this.waiting.push(pending);
-      return;
-    }
-    this.openFor(pending);
+    this.assignOrWait(pending);
   }
 
   /** Gives up a request; closes its connection if it was sent. */
@@ -103,7 +94,7 @@
   /** Called by a connection that can take a request. */
   onIdle(connection: PooledConnection): void {
     const next = this.waiting.shift();
-    if (next !== undefined) this.assign(next, connection);
+    if (next !== undefined) this.assignOrWait(next);
     else if (this.closing) connection.close();
     else this.scheduleSweep();
   }
@@ -128,9 +119,30 @@
     connection.carry(pending);
   }
 
-  private findIdle(): PooledConnection | undefined {
+  private assignOrWait(pending: PendingRequest): void {
+    const idle = this.findIdle(pending);
+    if (idle !== undefined) {
+      this.assign(pending, idle);
+      return;
+    }
+    if (this.isFull) this.closeIdle();
+    if (this.isFull) this.waiting.push(pending);
+    else this.openFor(pending);
+  }
+
+  private get isFull(): boolean {
+    return this.connections.size >= this.target.options.connections;
+  }
+
+  /** Makes room for a request that no idle connection may carry. */
+  private closeIdle(): void {
+    const idle = [...this.connections].find((connection) => connection.idle);
+    idle?.close();
+  }
+
+  private findIdle(pending: PendingRequest): PooledConnection | undefined {
     for (const connection of [...this.connections]) {
-      if (!connection.idle) continue;
+      if (!connection.idle || !connection.mayCarry(pending)) continue;
       if (connection.idleFor < this.keepAliveTimeout) return connection;
       // Its time is up though no sweep came by yet; the server may be closing it just now.
       connection.close();
--- a/lab/simulation/pooled-connection.ts
+++ b/lab/simulation/pooled-connection.ts
@@ -19,6 +19,8 @@
   private pending: PendingRequest | undefined;
   private idleSince = 0;
   private gone = false;
+  /** Ids of the requests that it has carried. */
+  private readonly carriedIds = new Set<string>();
 
   constructor(private readonly pool: ConnectionPool) {}
 
@@ -31,6 +33,11 @@
     return (this.pool.target.fabric.events.now - this.idleSince) / MICROSECONDS_PER_MILLISECOND;
   }
 
+  /** A connection carries a request of each id once. */
+  mayCarry({ request }: PendingRequest): boolean {
+    return request.requestId === undefined || !this.carriedIds.has(request.requestId);
+  }
+
   /** Connects, then carries `pending`. */
   open(pending: PendingRequest): void {
     const { fabric, node, life, address, options } = this.pool.target;
@@ -50,6 +57,7 @@
     if (body.length > 0) headers['content-length'] = String(body.length);
     const wire: WireRequest = { method: request.method, target: request.path, headers, body };
     this.pending = pending;
+    if (request.requestId !== undefined) this.carriedIds.add(request.requestId);
     pending.markSent();
     this.socket?.send(wire, headerBytes(headers) + request.path.length + body.length);
   }
--- a/src/gateway/attempt-sender.ts
+++ b/src/gateway/attempt-sender.ts
@@ -57,6 +57,7 @@
         method: request.method,
         path: request.target,
         headers: this.headersFor(request, target, remaining),
+        requestId: request.id,
         ...this.bodyOf(request),
         signal,
         ...(connectWithin === undefined ? {} : { connectWithin }),
--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -6,6 +6,7 @@
  */
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher, type buildConnector } from 'undici';
+import { RecentRequestIds } from './recent-request-ids.js';
 
 /** Handles one request, and tells when its connection is free again. */
 export interface PooledHandler extends Dispatcher.DispatchHandler {
@@ -13,6 +14,8 @@
   onSettled: ((isWhole: boolean) => void) | undefined;
   /** Called instead of `onSettled` when the request is given up before it was written. */
   onAbandoned: (() => void) | undefined;
+  /** Called once the request is written to the connection. */
+  onWritten: (() => void) | undefined;
   /** Tells how many bytes the connection has brought that were parsed. */
   readBytes: (() => number) | undefined;
   /** Called before bytes that have arrived are parsed. */
@@ -24,10 +27,12 @@
   readonly connect: buildConnector.connector;
 }
 
-/** A request that waits for a connection. */
-interface WaitingDispatch {
+/** A request to send. */
+export interface PooledRequest {
   readonly options: Dispatcher.DispatchOptions;
   readonly handler: PooledHandler;
+  /** Of the id that responses name; undefined where they name none. */
+  readonly fingerprint: number | undefined;
 }
 
 /** One connection, opened when it is first needed and again after it closed. */
@@ -36,6 +41,8 @@
   requests = 0;
   /** The request that the connection carries. */
   handler: PooledHandler | undefined;
+  /** What the present connection has carried. */
+  readonly carried = new RecentRequestIds();
   readonly client: Client;
   private socket: Socket | undefined;
 
@@ -72,6 +79,7 @@
   /** undici adds its own listener once it has the socket, so this one is called first. */
   private watch(socket: Socket): void {
     this.socket = socket;
+    this.carried.clear();
     socket.on('readable', () => this.handler?.onReadable());
   }
 }
@@ -79,7 +87,7 @@
 /** See the module comment. */
 export class ConnectionPool {
   private connections: PooledConnection[] = [];
-  private readonly waiting: WaitingDispatch[] = [];
+  private readonly waiting: PooledRequest[] = [];
 
   constructor(
     private readonly origin: string,
@@ -88,10 +96,10 @@
     private readonly options: ConnectionOptions,
   ) {}
 
-  dispatch(options: Dispatcher.DispatchOptions, handler: PooledHandler): void {
-    const connection = this.freeConnection();
-    if (connection === undefined) this.waitWith({ options, handler });
-    else this.dispatchOn(connection, { options, handler });
+  dispatch(request: PooledRequest): void {
+    const connection = this.freeConnection(request);
+    if (connection === undefined) this.waitWith(request);
+    else this.dispatchOn(connection, request);
   }
 
   /** Resolves once every request has its answer. */
@@ -106,11 +114,22 @@
     await Promise.all(this.connections.map(({ client }) => client.destroy()));
   }
 
-  private freeConnection(): PooledConnection | undefined {
+  private freeConnection({ fingerprint }: PooledRequest): PooledConnection | undefined {
     const free = this.connections.filter(({ requests }) => requests === 0);
-    const best = free.find(({ isResting }) => isResting) ?? free[0];
+    const usable = free.filter(
+      ({ carried }) => fingerprint === undefined || !carried.has(fingerprint),
+    );
+    const best = usable.find(({ isResting }) => isResting) ?? usable[0];
     if (best !== undefined) return best;
-    if (this.connections.length >= this.maximumConnections) return undefined;
+    if (this.connections.length < this.maximumConnections) return this.addConnection();
+    const [replaced] = free;
+    return replaced === undefined ? undefined : this.replace(replaced);
+  }
+
+  /** Closes a connection that is free but not usable, which makes room for another. */
+  private replace(connection: PooledConnection): PooledConnection {
+    this.remove(connection);
+    void connection.client.destroy();
     return this.addConnection();
   }
 
@@ -122,8 +141,10 @@
     return connection;
   }
 
-  private dispatchOn(connection: PooledConnection, { options, handler }: WaitingDispatch): void {
+  private dispatchOn(connection: PooledConnection, request: PooledRequest): void {
+    const { options, handler, fingerprint } = request;
     connection.requests += 1;
+    if (fingerprint !== undefined) handler.onWritten = () => connection.carried.add(fingerprint);
     connection.handler = handler;
     handler.readBytes = () => connection.readBytes;
     handler.onSettled = (isWhole): void => {
@@ -134,10 +155,10 @@
     connection.client.dispatch(options, handler);
   }
 
-  private waitWith(dispatch: WaitingDispatch): void {
-    this.waiting.push(dispatch);
-    dispatch.handler.onAbandoned = (): void => {
-      this.waiting.splice(this.waiting.indexOf(dispatch), 1);
+  private waitWith(request: PooledRequest): void {
+    this.waiting.push(request);
+    request.handler.onAbandoned = (): void => {
+      this.waiting.splice(this.waiting.indexOf(request), 1);
     };
   }
 
@@ -158,7 +179,7 @@
     connection.requests -= 1;
     connection.handler = undefined;
     const next = this.waiting.shift();
-    if (next !== undefined) this.dispatch(next.options, next.handler);
+    if (next !== undefined) this.dispatch(next);
   }
 
   /**
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -13,6 +13,7 @@
   HttpClientResponse,
 } from '../seams/http.js';
 import { ConnectionPool, type ConnectionOptions, type PooledHandler } from './connection-pool.js';
+import { requestFingerprint } from './recent-request-ids.js';
 import { createResetAwareConnector } from './reset-aware-connector.js';
 import { ResponseByteLimit, ResponseByteLimitError } from './response-byte-limit.js';
 
@@ -50,6 +51,7 @@
 class ResponseCollector implements PooledHandler {
   onSettled: ((isWhole: boolean) => void) | undefined;
   onAbandoned: (() => void) | undefined;
+  onWritten: (() => void) | undefined;
   readBytes: (() => number) | undefined;
   private limit: ResponseByteLimit | undefined;
   private requestSent = false;
@@ -96,6 +98,7 @@
     this.requestSent = true;
     this.abortRequest = abort;
     this.limit = new ResponseByteLimit(this.readBytes?.() ?? 0, this.maximumBytes);
+    this.onWritten?.();
     this.request.onSent?.();
   }
 
@@ -213,16 +216,12 @@
         handler.onError(new errors.ClientClosedError());
         return;
       }
-      pool.dispatch(
-        {
-          method: request.method,
-          path: request.path,
-          headers: request.headers,
-          body: request.body ?? null,
-          idempotent: false,
-        },
+      const { method, path, headers, body, requestId } = request;
+      pool.dispatch({
+        options: { method, path, headers, body: body ?? null, idempotent: false },
         handler,
-      );
+        fingerprint: requestId === undefined ? undefined : requestFingerprint(requestId),
+      });
     });
   }
 
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -103,6 +103,12 @@
   readonly signal?: AbortSignal;
   /** Asks for a connection that has carried no earlier request. */
   readonly freshConnection?: boolean;
+  /**
+   * What the peer's responses name. A connection that has lately carried a request of the same id is
+   * not used: a peer may send a response once more, and nothing tells a late copy of an earlier
+   * response from the one to this sending.
+   */
+  readonly requestId?: string;
   /**
    * Longest time until the request is written to a connection: after it the request fails with
    * an `HttpClientError` of kind `connect_failed` and is never written. A connection that is being
