HTTP: pass headers on byte for byte, and outlive a response that cannot be written

Cause: the client read headers as UTF-8, so that such a byte became a character beyond Latin-1. Node refuses to write one by throwing, outside of any task, which ends the process.

Change: headers are read as Latin-1, as Node's own server reads those of callers, so that each byte is passed on as it came. The class is text of a peer that reaches a call which throws: a listener now answers in place of any response that Node doesn't write (a character, a line break, a name, a status) with a typed 500 that says the request may have run, and an error in serving one request closes that connection alone.

--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -24,12 +24,16 @@
 
 class ResponseRejectedError extends Error {}
 
-/** Names header pairs as undici's raw buffers give them. */
+/**
+ * Names header pairs as undici's raw buffers give them. A header is bytes in no stated encoding:
+ * read as Latin-1, each byte stays what it is when the header is written again. Other characters
+ * could not be written.
+ */
 function readHeaders(rawHeaders: Buffer[]): Record<string, string> {
   const headers: Record<string, string> = {};
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = String(rawHeaders[index]).toLowerCase();
-    headers[name] ??= String(rawHeaders[index + 1]);
+    const name = rawHeaders[index]?.toString('latin1').toLowerCase() ?? '';
+    headers[name] ??= rawHeaders[index + 1]?.toString('latin1') ?? '';
   }
   return headers;
 }
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -94,13 +94,25 @@
     return connection;
   }
 
+  /** Never rejects: an error in serving one request costs that request's connection alone. */
   private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await this.serveInTurn(message, response);
+    } catch {
+      message.socket.destroy();
+    }
+  }
+
+  private async serveInTurn(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const connection = this.connectionOf(message.socket);
     await connection.takeTurn(response);
     const body = await this.receive(message, response);
     if (body === undefined) return;
-    await this.handle(connection, message, body, response);
-    this.buffered.release(body.length);
+    try {
+      await this.handle(connection, message, body, response);
+    } finally {
+      this.buffered.release(body.length);
+    }
   }
 
   /** The body; undefined when it was refused or the connection ended. */
@@ -129,7 +141,19 @@
     const { signal } = request;
     const content = await this.respond({ ...toRequest(message, body), signal, newConnection });
     connection.endRequest(request);
-    this.write(message.socket, response, content);
+    try {
+      this.write(message.socket, response, content);
+    } catch (error) {
+      this.writeFailure(message.socket, response, error);
+    }
+  }
+
+  /** Answers in place of a response that Node doesn't write, for instance for a character in a header. */
+  private writeFailure(socket: Socket, response: ServerResponse, error: unknown): void {
+    for (const name of response.getHeaderNames()) response.removeHeader(name);
+    const reason = error instanceof Error ? error.message : String(error);
+    const content = handlerFailedResponse(`the response cannot be written: ${reason}`);
+    this.write(socket, response, content);
   }
 
   private async respond(request: HttpRequest): Promise<HttpResponse> {
