Tenants: a new quota owner hears the gateways before it decides

Callers saw: 429 again at the very time that an earlier 429 had told them, when the owner of the quotas changed in the middle of a burst.

Cause: a new owner answered the first gateway that asked, before the others had reported the retry times that the owner before had told. It gave tokens, and times, that were reserved for their callers.

Change: in the first 25 ms of an ownership a frame is answered at the end of that time; the retry times in it are taken over at once. A gateway that finds the owner later still comes too late with its report. It costs requests that wait for an owner 25 ms more at a change, which takes half a second and longer.

--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -25,6 +25,11 @@
 const EVICTION_INTERVAL_WINDOWS = 4;
 /** The retry times of a response that refuses no request. */
 const NO_RETRY_AFTER = { nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
+/**
+ * Time from the start of an ownership in which gateways report the retry times that earlier owners
+ * told, before this one decides on any request: a decision made sooner may give away their tokens.
+ */
+const REPORT_COLLECTION_MS = 25;
 /** Maximum number of refused requests of all tenants for which tokens are reserved. */
 const MAXIMUM_RESERVATIONS = 50_000;
 /** Identity of all callers of a gateway that doesn't send identities. */
@@ -76,6 +81,20 @@
     this.ownedSince = this.options.clock.now();
   }
 
+  /** Time until the owner decides on requests; 0 once it does. Milliseconds. */
+  get collectingMs(): number {
+    return Math.max(0, this.ownedSince + REPORT_COLLECTION_MS - this.options.clock.now());
+  }
+
+  /** Takes over the retry times that a gateway reports, without deciding on its requests yet. */
+  restoreReservations({ tenant: name, reservations = [] }: TokenRequest): void {
+    const tenant = this.options.findTenant(name);
+    if (tenant === undefined || !isLimited(tenant)) return;
+    const { account } = this.getOrCreateTenant(tenant);
+    const now = this.options.clock.now();
+    for (const { caller, dueInMs } of reservations) account.restore(caller, dueInMs, now);
+  }
+
   /** Requests of a tenant that were admitted and refused in about the last window. */
   usageOf(name: string): UsageCounts {
     return this.tenants.get(name)?.usage.read(this.options.clock.now()) ?? NO_USAGE;
@@ -98,8 +117,7 @@
     const { bucket } = account;
     bucket.returnTokens(request.returned, now);
     bucket.charge(request.spent, now);
-    for (const { caller, dueInMs } of request.reservations ?? [])
-      account.restore(caller, dueInMs, now);
+    this.restoreReservations(request);
     const retries = this.decideWaiting(request, account, now);
     const refusedRetries = retries.filter((retryAfterMs) => retryAfterMs > ADMITTED_NOW_MS);
     const refused = refusedRetries.length;
--- a/src/tenants/quota-server.ts
+++ b/src/tenants/quota-server.ts
@@ -110,7 +110,7 @@
         const frame = await connection.receive();
         if (frame === undefined) return;
         guard.recordReceived();
-        const response = QUOTA_CODEC.encodeBatch(this.handleFrame(frame, peer.name));
+        const response = QUOTA_CODEC.encodeBatch(await this.handleFrame(frame, peer.name));
         this.metrics.frames.inc();
         this.metrics.bytes.inc(frame.length + response.length);
         await connection.send(response);
@@ -125,7 +125,7 @@
     }
   }
 
-  private handleFrame(frame: Uint8Array, gateway: string): QuotaMessage[] {
+  private async handleFrame(frame: Uint8Array, gateway: string): Promise<QuotaMessage[]> {
     const [round, ...messages] = QUOTA_CODEC.decodeBatch(frame, gateway);
     if (round?.kind !== 'round') {
       throw new MalformedMessageError(
@@ -136,6 +136,7 @@
     }
     const requests = readRequests(messages, gateway);
     for (const request of requests) this.validateRequest(request, gateway);
+    await this.collectReports(requests);
     const status = this.options.log.status();
     if (!this.isOwner(status)) return [{ kind: 'redirect', owner: this.leaderAddress(status) }];
     this.startOwnershipIfNew(status.term);
@@ -145,6 +146,17 @@
     ];
   }
 
+  /** A new owner takes the reports of all gateways that reach it soon before it decides on a request. */
+  private async collectReports(requests: readonly TokenRequest[]): Promise<void> {
+    const status = this.options.log.status();
+    if (!this.isOwner(status)) return;
+    this.startOwnershipIfNew(status.term);
+    const { collectingMs } = this.owner;
+    if (collectingMs === 0) return;
+    for (const request of requests) this.owner.restoreReservations(request);
+    await this.options.clock.sleep(collectingMs);
+  }
+
   private validateRequest(request: TokenRequest, gateway: string): void {
     const { spent, returned, waiting, ahead, refused, refusedWithoutOwner, callers } = request;
     const counts = [spent, returned, waiting, ahead, refused, refusedWithoutOwner];
--- a/test/tenants/quota-replay.ts
+++ b/test/tenants/quota-replay.ts
@@ -337,6 +337,15 @@
   ): void {
     const respondingOwner = this.owners[owner];
     if (this.stopped.has(owner) || respondingOwner === undefined) return;
+    const { collectingMs } = respondingOwner;
+    if (collectingMs > 0) {
+      // As the quota server does.
+      for (const request of requests) respondingOwner.restoreReservations(request);
+      this.schedule(this.now + collectingMs, () =>
+        this.deliverRound(gateway, owner, connectionNumber, requests),
+      );
+      return;
+    }
     const responses = requests.map((request) => respondingOwner.handleRequest(request));
     this.countFrame(
       responses.flatMap((response, index) =>
