Tenants: report returns that wait for an answer to a new quota owner

Callers saw: 429 again for a return that was sent at the very time it had been told, if the owner changed while the return was on its way.

Cause: on finding a new owner a gateway reported the retry times that were not due yet. A return that the owner before had not answered is due already: it was asked for again as a request that nobody knew.

Change: retry times are reported until the token that is held for them expires. One whose request was admitted is forgotten, so that no token is held for it.

Test that failed before: "are served when the owner changes while their return is on its way".

--- a/src/tenants/assigned-retries.ts
+++ b/src/tenants/assigned-retries.ts
@@ -26,12 +26,18 @@
     this.retries.splice(index + 1, 0, retry);
   }
 
-  /** The retries that aren't due yet. */
-  future(now: number): readonly AssignedRetry[] {
-    this.discardBefore(now);
+  /** The retries that are due at `time` or later; earlier ones are discarded. */
+  dueFrom(time: number): readonly AssignedRetry[] {
+    this.discardBefore(time);
     return this.retries;
   }
 
+  /** Removes the earliest retry of a caller, which was admitted. */
+  remove(caller: string): void {
+    const index = this.retries.findIndex((retry) => retry.caller === caller);
+    if (index >= 0) this.retries.splice(index, 1);
+  }
+
   /** Removes and returns the caller whose retry is due; undefined when there is none. */
   takeDue(now: number, holdMs: number): string | undefined {
     this.discardBefore(now - holdMs);
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -14,6 +14,7 @@
 import type { Clock } from '../seams/clock.js';
 import type { RandomSource } from '../seams/random-source.js';
 import { AllowanceTable } from './allowance-table.js';
+import type { AssignedRetry } from './assigned-retries.js';
 import { readDecisions, type CallerDecision } from './caller-decisions.js';
 import { callerOf, drawCaller } from './caller-identity.js';
 import type { TokenRequest, TokenResponse } from './quota-messages.js';
@@ -57,6 +58,14 @@
   readonly onDecision: (path: QuotaDecisionPath) => void;
 }
 
+/** Retries that a new owner has to know, also those that are due already: their callers may wait here. */
+function retriesToReport(
+  { assignedRetries, bounds }: TenantAllowance,
+  now: number,
+): readonly AssignedRetry[] {
+  return assignedRetries.dueFrom(now - bounds.retryHoldMs);
+}
+
 /** The rate limiter of one gateway. Has no timers and no connection of its own; the quota link drives it. */
 export class QuotaClient implements TenantQuota {
   private readonly allowances: AllowanceTable;
@@ -111,7 +120,7 @@
     this.updateFleetSize();
     const now = this.options.clock.now();
     for (const allowance of this.allowances.values()) {
-      allowance.mustReportRetries = allowance.assignedRetries.future(now).length > 0;
+      allowance.mustReportRetries = retriesToReport(allowance, now).length > 0;
       if (allowance.mustReportRetries) this.enqueue(allowance);
     }
   }
@@ -314,9 +323,8 @@
   ): Pick<TokenRequest, 'reservations'> {
     if (!allowance.mustReportRetries) return {};
     allowance.mustReportRetries = false;
-    const future = allowance.assignedRetries.future(now);
     return {
-      reservations: future.map(({ caller, reservedFrom }) => ({
+      reservations: retriesToReport(allowance, now).map(({ caller, reservedFrom }) => ({
         caller,
         dueInMs: Math.max(0, reservedFrom - now),
       })),
@@ -335,6 +343,7 @@
     for (const { request, retryAfterMs } of decisions) {
       if (retryAfterMs === ADMITTED_NOW_MS) {
         admitted += 1;
+        allowance.assignedRetries.remove(request.caller);
         request.decide(this.admit(QuotaDecisionPath.Asked));
         continue;
       }
--- a/src/tenants/tenant-allowance.ts
+++ b/src/tenants/tenant-allowance.ts
@@ -106,7 +106,7 @@
   /** Whether the state of the tenant can be evicted. */
   isIdle(now: number, windowMs: number): boolean {
     const isQuiet = now - this.lastUsedAt > windowMs;
-    const hasTold = this.assignedRetries.future(now).length > 0;
+    const hasTold = this.assignedRetries.dueFrom(now).length > 0;
     return (
       isQuiet &&
       !hasTold &&
--- a/test/tenants/assigned-retries.test.ts
+++ b/test/tenants/assigned-retries.test.ts
@@ -9,9 +9,9 @@
 it('keeps future retries in the order of their times, and a bounded number of them', () => {
   const retries = new AssignedRetries();
   for (const dueAt of [300, 100, 200]) addRetry(retries, dueAt);
-  expect(retries.future(150).map(({ dueAt }) => dueAt)).toEqual([200, 300]);
+  expect(retries.dueFrom(150).map(({ dueAt }) => dueAt)).toEqual([200, 300]);
   for (let dueAt = 1_000; dueAt < 3_000; dueAt += 1) addRetry(retries, dueAt);
-  expect(retries.future(0).length).toBeLessThanOrEqual(500);
+  expect(retries.dueFrom(0).length).toBeLessThanOrEqual(500);
 });
 
 // Guards against retry times that are lost to a new owner because past ones take their place.
@@ -20,7 +20,7 @@
   for (let dueAt = 0; dueAt < 1_000; dueAt += 1) addRetry(retries, dueAt);
   retries.discardBefore(1_000);
   addRetry(retries, 2_000);
-  expect(retries.future(1_000).map(({ dueAt }) => dueAt)).toEqual([2_000]);
+  expect(retries.dueFrom(1_000).map(({ dueAt }) => dueAt)).toEqual([2_000]);
 });
 
 it('gives each due retry once, and none that is long past', () => {
--- a/test/tenants/quota-retries.test.ts
+++ b/test/tenants/quota-retries.test.ts
@@ -79,6 +79,15 @@
     },
   ];
 
+  // Guards against reports that leave out a return which waits for the new owner's answer.
+  it('are served when the owner changes while their return is on its way', async () => {
+    // Seeds in which a return has been sent to the owner, and not answered, at that moment.
+    for (const seed of [41, 240]) {
+      const outcomes = await replayBurst({ ...usual, ownerChangesAt: 10.5 * SECOND }, seed);
+      expect(outcomes.filter(({ isAdmitted }) => !isAdmitted)).toEqual([]);
+    }
+  });
+
   // Guards against a token that was told to one caller being taken by another.
   it.each(bursts)('are all served after $name', async (burst) => {
     let refusedAgain = 0;
