Message connections: hold no long frame of a peer that has not proven the key

Callers saw: nothing yet. Found by looking for bytes of peers that nothing bounds but a time.

Cause: the bound of 1 KiB on frames of a handshake was applied to whole frames. A stranger could announce 4 MiB, send all but the last byte of it, and have that held until the handshake's 2 s were over, on as many connections as may shake hands at once (4,096).

Change: a connection has a longest frame, which the accepting side sets to that of a handshake until the key is proven. The side that opened the connection keeps the long one: the first long frame may come together with the acceptance.

--- a/lab/scale/counted-network.ts
+++ b/lab/scale/counted-network.ts
@@ -26,6 +26,14 @@
     return this.inner.peer;
   }
 
+  get maximumFrameBytes(): number {
+    return this.inner.maximumFrameBytes;
+  }
+
+  set maximumFrameBytes(bytes: number) {
+    this.inner.maximumFrameBytes = bytes;
+  }
+
   get queuedBytes(): number {
     return this.inner.queuedBytes;
   }
--- a/lab/simulation/simulated-message-connection.ts
+++ b/lab/simulation/simulated-message-connection.ts
@@ -28,6 +28,7 @@
 export class SimulatedMessageConnection implements MessageConnection, SocketHandlers {
   readonly peer: string;
   readonly closed: Promise<void>;
+  maximumFrameBytes = MAXIMUM_FRAME_BYTES;
   queuedBytes = 0;
   private unacknowledgedBytes = 0;
   private readonly waitingFrames: Uint8Array[] = [];
@@ -87,7 +88,7 @@
 
   onData(payload: unknown, bytes: number): void {
     const frame = payload as Uint8Array;
-    if (frame.length > MAXIMUM_FRAME_BYTES) {
+    if (frame.length > this.maximumFrameBytes) {
       this.socket.reset();
       this.fail(READ_FRAME_STEP, `frame of ${frame.length} bytes`);
       return;
--- a/src/node/node-message-connection.ts
+++ b/src/node/node-message-connection.ts
@@ -41,6 +41,14 @@
     socket.on('close', () => this.onEnd());
   }
 
+  get maximumFrameBytes(): number {
+    return this.reader.maximumBytes;
+  }
+
+  set maximumFrameBytes(bytes: number) {
+    this.reader.maximumBytes = bytes;
+  }
+
   get queuedBytes(): number {
     return this.socket.writableLength;
   }
--- a/src/protocol/handshake.ts
+++ b/src/protocol/handshake.ts
@@ -5,7 +5,7 @@
  * nothing signed with the key.
  */
 import type { Clock } from '../seams/clock.js';
-import type { MessageConnection } from '../seams/message-connection.js';
+import { MAXIMUM_FRAME_BYTES, type MessageConnection } from '../seams/message-connection.js';
 import { isConnectionRole, type ConnectionRole } from './connection-role.js';
 import { HANDSHAKE_FAILURES, HandshakeError, type HandshakeFailure } from './handshake-error.js';
 import {
@@ -156,6 +156,8 @@
   connection: MessageConnection,
   local: LocalIdentity,
 ): Promise<RemoteIdentity> {
+  // A longer frame would be held in memory until it is whole.
+  connection.maximumFrameBytes = MAXIMUM_HANDSHAKE_FRAME_BYTES;
   return withinTime(clock, connection, async () => {
     const { message: hello, frame } = await expectMessage(connection, 'hello');
     const mismatch = checkHello(hello, local);
@@ -171,6 +173,7 @@
     const { message } = await expectMessage(connection, 'proof');
     const expected = createProof(local.clusterKey, 'initiator', frame, challenge);
     if (!proofsEqual(expected, message.proof)) return reject(connection, 'wrong_key');
+    connection.maximumFrameBytes = MAXIMUM_FRAME_BYTES;
     const proof = createProof(local.clusterKey, 'acceptor', frame, challenge);
     await connection.send(HANDSHAKE_CODEC.encode({ kind: 'accepted', proof }));
     return { role: hello.role as ConnectionRole, name: hello.name, protocolVersion };
--- a/src/protocol/metered-connection.ts
+++ b/src/protocol/metered-connection.ts
@@ -23,6 +23,14 @@
     return this.connection.peer;
   }
 
+  get maximumFrameBytes(): number {
+    return this.connection.maximumFrameBytes;
+  }
+
+  set maximumFrameBytes(bytes: number) {
+    this.connection.maximumFrameBytes = bytes;
+  }
+
   get queuedBytes(): number {
     return this.connection.queuedBytes;
   }
--- a/src/seams/message-connection.ts
+++ b/src/seams/message-connection.ts
@@ -4,7 +4,7 @@
  */
 import type { Address } from './address.js';
 
-/** Longest frame either side sends; a longer announced length closes the connection. Bytes. */
+/** Longest frame either side sends. Bytes. */
 export const MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
 
 /** Step of the `ConnectionError` of a connection whose peer announced too long a frame. */
@@ -15,6 +15,12 @@
   /** `host:port` of the other end, for errors and logs. */
   readonly peer: string;
 
+  /**
+   * Longest frame that is received; a longer announced length closes the connection.
+   * {@link MAXIMUM_FRAME_BYTES} at first. Bytes.
+   */
+  maximumFrameBytes: number;
+
   /**
    * Sends one frame; resolves once it has been handed to the operating system
    * and there is room for more, which is the sender's flow control.
--- a/test/aggregation/in-memory-connection.ts
+++ b/test/aggregation/in-memory-connection.ts
@@ -1,10 +1,11 @@
 /** A message connection between two ends in the same process, for tests. */
-import type { MessageConnection } from '../../src/seams/message-connection.js';
+import { MAXIMUM_FRAME_BYTES, type MessageConnection } from '../../src/seams/message-connection.js';
 
 /** One end of a connection; frames sent on it arrive at the other end. */
 export class InMemoryConnection implements MessageConnection {
   readonly peer = 'in memory';
   readonly queuedBytes = 0;
+  maximumFrameBytes = MAXIMUM_FRAME_BYTES;
   readonly closed: Promise<void>;
   private readonly frames: Uint8Array[] = [];
   private other: InMemoryConnection | undefined;
--- a/test/consensus/support/shuffling-connection.ts
+++ b/test/consensus/support/shuffling-connection.ts
@@ -27,6 +27,14 @@
     return this.inner.peer;
   }
 
+  get maximumFrameBytes(): number {
+    return this.inner.maximumFrameBytes;
+  }
+
+  set maximumFrameBytes(bytes: number) {
+    this.inner.maximumFrameBytes = bytes;
+  }
+
   get queuedBytes(): number {
     return this.inner.queuedBytes;
   }
--- a/test/protocol/handshake.test.ts
+++ b/test/protocol/handshake.test.ts
@@ -8,7 +8,11 @@
 import type { HandshakeFailure } from '../../src/protocol/handshake-error.js';
 import { HANDSHAKE_CODEC } from '../../src/protocol/handshake-messages.js';
 import { NONCE_BYTES } from '../../src/protocol/handshake-proof.js';
-import type { LocalIdentity, RemoteIdentity } from '../../src/protocol/handshake.js';
+import {
+  MAXIMUM_HANDSHAKE_FRAME_BYTES,
+  type LocalIdentity,
+  type RemoteIdentity,
+} from '../../src/protocol/handshake.js';
 import { OLDEST_PROTOCOL_VERSION, PROTOCOL_VERSION } from '../../src/protocol/protocol-version.js';
 import type { MessageConnection } from '../../src/seams/message-connection.js';
 
@@ -174,4 +178,13 @@
     await sendRaw(Uint8Array.of(255, 255, 255, 255));
     expect(await refusals('malformed')).toBe(1);
   });
+
+  // Guards against strangers who announce long frames and fill the memory until their time is up.
+  it('closes the connection of a stranger who announces a long frame, before it has come', async () => {
+    const announced = Buffer.alloc(4);
+    announced.writeUInt32BE(MAXIMUM_HANDSHAKE_FRAME_BYTES + 1);
+    await sendRaw(announced);
+    expect(await refusals('malformed')).toBe(1);
+    expect(await refusals('timeout')).toBe(0);
+  });
 });
