--- a/src/consensus/member-storage.ts
+++ b/src/consensus/member-storage.ts
@@ -55,22 +55,18 @@
     const snapshots = await SnapshotStore.open(disk);
     const snapshot = await snapshots.load();
     const stored = await hardStates.load();
-    const snapshotBytes = snapshot?.data.length ?? 0;
-    const { segmentBytes, retainedBytes } = logLimits(limits.capacityBytes, snapshotBytes);
-    const { log: store, recovered } = await SegmentedLog.open(
-      disk,
-      Math.min(limits.segmentBytes, segmentBytes),
-      snapshot?.index,
-    );
+    const { capacityBytes, retainedRecords } = limits;
+    const segmentBytes = Math.min(limits.segmentBytes, logLimits(capacityBytes, 0).segmentBytes);
+    const covered = snapshot?.index ?? 0;
+    const { log: store, recovered } = await SegmentedLog.open(disk, segmentBytes, covered);
     if (stored === undefined && (snapshot !== undefined || recovered.position.index > 0)) {
       throw new DamagedStorageError('hard-state', 0, 'missing beside a log or a snapshot');
     }
     const hardState = stored ?? (await MemberStorage.create(hardStates, identity));
     checkIdentity(hardState, identity);
     const log = await reconcile(store, recovered, snapshot);
-    const covered = snapshot?.index ?? 0;
-    const keptFrom = log.retainedFrom(covered, limits.retainedRecords, retainedBytes);
-    await log.compactBeforeWriting(keptFrom);
+    const { retainedBytes } = logLimits(capacityBytes, snapshot?.data.length ?? 0);
+    await log.compactBeforeWriting(log.retainedFrom(covered, retainedRecords, retainedBytes));
     const { tornBytes } = recovered;
     return new MemberStorage(hardStates, snapshots, hardState, snapshot, log, tornBytes, limits);
   }
--- a/src/storage/snapshot-store.ts
+++ b/src/storage/snapshot-store.ts
@@ -72,13 +72,21 @@
     const newest = (await this.names()).at(-1);
     if (newest === undefined) return undefined;
     const content = await readChecksummedFile(this.disk, DIRECTORY, newest);
-    return content === undefined ? undefined : decode(newest, content);
+    if (content === undefined) return undefined;
+    // The process that wrote it may have ended before its name was durable.
+    await this.disk.syncDirectory(DIRECTORY);
+    await this.removeBefore(newest);
+    return decode(newest, content);
   }
 
   /** Durable once the promise resolves; older snapshots are then removed. */
   async save(snapshot: StoredSnapshot): Promise<void> {
     const kept = fileName(snapshot.index);
     await replaceFile(this.disk, DIRECTORY, kept, encode(snapshot));
+    await this.removeBefore(kept);
+  }
+
+  private async removeBefore(kept: string): Promise<void> {
     for (const name of await this.names()) {
       if (name < kept) await this.disk.remove(`${DIRECTORY}/${name}`);
     }
--- a/test/consensus/disk-capacity.test.ts
+++ b/test/consensus/disk-capacity.test.ts
@@ -3,7 +3,9 @@
 import { MINIMUM_CAPACITY_BYTES } from '../../src/consensus/log-limits.js';
 import { MemberStorage } from '../../src/consensus/member-storage.js';
 import { DEFAULT_RAFT_LIMITS } from '../../src/consensus/raft-timings.js';
+import type { StoredSnapshot } from '../../src/storage/snapshot-store.js';
 import { LatestCommandMachine } from './support/latest-command-machine.js';
+import { NamesNotSyncedDisk } from './support/names-not-synced-disk.js';
 import { RaftCluster } from './support/raft-cluster.js';
 
 const IDS = ['a', 'b', 'c'];
@@ -87,19 +89,26 @@
   const IDENTITY = { clusterId: 'dohoku', memberId: 'controller-1', newIncarnation: 'first' };
   const RECORDS = 40;
 
+  async function fillLog({ simulation }: RaftCluster, storage: MemberStorage): Promise<void> {
+    for (let number = 0; number < RECORDS; number += 1) {
+      storage.log.append(1, 0, Buffer.alloc(1_000_000, number));
+      await simulation.settle(storage.log.persist());
+    }
+  }
+
+  function snapshotOfAll(): StoredSnapshot {
+    const membership = Membership.EMPTY.encode();
+    return { index: RECORDS, term: 1, membership, data: Buffer.of(1) };
+  }
+
   /** Fills a disk with a log that a snapshot covers, as a release without a bound in bytes left it. */
   async function fillDisk(cluster: RaftCluster): Promise<void> {
     const { machine } = cluster.member('a');
     const { disk } = machine.environment;
     const unbounded = { ...DEFAULT_RAFT_LIMITS, retainedRecords: Infinity };
     const storage = await cluster.simulation.settle(MemberStorage.open(disk, IDENTITY, unbounded));
-    for (let number = 0; number < RECORDS; number += 1) {
-      storage.log.append(1, 0, Buffer.alloc(1_000_000, number));
-      await cluster.simulation.settle(storage.log.persist());
-    }
-    const membership = Membership.EMPTY.encode();
-    const snapshot = { index: RECORDS, term: 1, membership, data: Buffer.of(1) };
-    await cluster.simulation.settle(storage.saveSnapshot(snapshot));
+    await fillLog(cluster, storage);
+    await cluster.simulation.settle(storage.saveSnapshot(snapshotOfAll()));
     machine.volume.faults.capacityBytes = machine.volume.usedBytes;
   }
 
@@ -139,4 +148,26 @@
       expect(storage.snapshot?.index).toBe(RECORDS);
     }
   });
+
+  // Guards against a log that is dropped for a snapshot whose name is not durable yet.
+  it('opens again after a loss of power behind a start that found a snapshot just renamed', async () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const cluster = new RaftCluster(seed, ['a']);
+      const { machine } = cluster.member('a');
+      const { disk } = machine.environment;
+      const unbounded = { ...DEFAULT_RAFT_LIMITS, retainedRecords: Infinity };
+      const stopping = new NamesNotSyncedDisk(disk);
+      const opening = MemberStorage.open(stopping, IDENTITY, unbounded);
+      const storage = await cluster.simulation.settle(opening);
+      await fillLog(cluster, storage);
+      stopping.stopsIn = 'snapshots';
+      void storage.saveSnapshot(snapshotOfAll());
+      await cluster.runFor(1_000);
+      await open(cluster);
+      machine.restart({ keepDisk: true });
+      const { log, snapshot } = await open(cluster);
+      expect(log.lastIndex).toBe(RECORDS);
+      expect(snapshot?.index).toBe(RECORDS);
+    }
+  });
 });
