--- a/src/consensus/append-handler.ts
+++ b/src/consensus/append-handler.ts
@@ -73,10 +73,10 @@
 }
 
 /**
- * Holds records back while the log is full and a snapshot that shortens it is being written. Without
- * one under way the records are taken: only their commit makes the next snapshot possible.
+ * Waits while the log is full and a snapshot that allows compaction is being written. Accepts records
+ * if none is being written: the next snapshot needs them to be committed.
  *
- * @throws DriftwayError when there is no room in time; the leader then sends them again.
+ * @throws DriftwayError when there is no room in time; the leader then sends the records again.
  */
 async function waitForRoom(state: MemberState): Promise<void> {
   const { clock, storage, timings } = state.dependencies;
--- a/src/consensus/apply-task.ts
+++ b/src/consensus/apply-task.ts
@@ -98,7 +98,7 @@
       this.snapshotUnderWay = undefined;
       state.isSnapshotUnderWay = false;
       state.logCompacted.notify();
-      // While commands are refused for want of room, no commit would ask again.
+      // While commands are refused because the log is full, no commit triggers the next check.
       this.snapshotWhenDue();
     });
   }
--- a/src/consensus/log-limits.ts
+++ b/src/consensus/log-limits.ts
@@ -1,20 +1,20 @@
-/** How much of the data folder's disk the log may take beside the snapshots, and when it is compacted. */
+/** Divides the disk of a data folder between snapshots and the log. */
 
 const MEBIBYTE = 1024 * 1024;
-/** Part of the disk that stays free for small files and for what the file system itself takes. */
+/** Fraction of the disk that stays free for small files and the file system's own data. */
 const SPARE_FRACTION = 0.1;
 /** A snapshot is written whole before the one that it replaces is removed. */
 const SNAPSHOTS_AT_ONCE = 2;
 /** The records of the log are held in memory as well, so a larger disk doesn't make it longer. */
 const MAXIMUM_LOG_BYTES = 64 * MEBIBYTE;
 /**
- * Quarters of the log: records that a snapshot covers, records since that snapshot, records that
- * are not committed, and segments that are only dropped whole.
+ * Equal parts of the log: retained records that a snapshot covers, records since that snapshot,
+ * uncommitted records, and segments that are partly obsolete, as segments are dropped whole.
  */
 const LOG_PARTS = 4;
 const SEGMENTS_PER_PART = 4;
 
-/** Smallest disk on which the longest commands and the state they make leave room for a log. Bytes. */
+/** Smallest supported disk: holds a log beside two snapshots with the longest route document. Bytes. */
 export const MINIMUM_CAPACITY_BYTES = 48 * MEBIBYTE;
 
 /** All in bytes. */
--- a/src/consensus/proposer.ts
+++ b/src/consensus/proposer.ts
@@ -93,7 +93,7 @@
     return this.proposals.wait(leadership.append(LogRecordKind.Command, command));
   }
 
-  /** A leader whose own disk is slow goes on committing, so its log has a bound of its own. */
+  /** A leader with a slow disk goes on committing by the others, so its log needs a bound of its own. */
   private checkRoom(command: Uint8Array): void {
     const { log, dependencies } = this.state;
     const { maximumBytes, maximumUncommittedBytes } = dependencies.storage.logLimits;
--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -16,9 +16,9 @@
   onAbandoned: (() => void) | undefined;
   /** Called once the request is written to the connection. */
   onWritten: (() => void) | undefined;
-  /** Tells how many bytes the connection has brought that were parsed. */
+  /** Returns the bytes received on the connection that were handed to the parser. */
   readBytes: (() => number) | undefined;
-  /** Called before bytes that have arrived are parsed. */
+  /** Called before received bytes are parsed. */
   onReadable(): void;
 }
 
@@ -31,7 +31,7 @@
 export interface PooledRequest {
   readonly options: Dispatcher.DispatchOptions;
   readonly handler: PooledHandler;
-  /** Of the id that responses name; undefined where they name none. */
+  /** Fingerprint of the request's id; undefined where responses name no id. */
   readonly fingerprint: number | undefined;
 }
 
@@ -41,7 +41,7 @@
   requests = 0;
   /** The request that the connection carries. */
   handler: PooledHandler | undefined;
-  /** What the present connection has carried. */
+  /** Requests sent on the open connection. */
   readonly carried = new RecentRequestIds();
   readonly client: Client;
   private socket: Socket | undefined;
@@ -70,7 +70,7 @@
     return this.isOpen && this.requests === 0;
   }
 
-  /** Bytes of the present connection that were parsed. */
+  /** Bytes received on the open connection that were handed to the parser. */
   get readBytes(): number {
     const { socket } = this;
     return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -17,7 +17,7 @@
 import { createResetAwareConnector } from './reset-aware-connector.js';
 import { ResponseByteLimit, ResponseByteLimitError } from './response-byte-limit.js';
 
-/** Lower ones precede the response itself. */
+/** Lower statuses are interim responses. */
 const FIRST_FINAL_STATUS = 200;
 
 class ResponseTooLargeError extends Error {}
@@ -25,9 +25,8 @@
 class ResponseRejectedError extends Error {}
 
 /**
- * Names header pairs as undici's raw buffers give them. A header is bytes in no stated encoding:
- * read as Latin-1, each byte stays what it is when the header is written again. Other characters
- * could not be written.
+ * Reads header pairs from undici's raw buffers. Decodes them as Latin-1, so that each byte stays the
+ * same when the header is written again; other characters could not be written.
  */
 function readHeaders(rawHeaders: Buffer[]): Record<string, string> {
   const headers: Record<string, string> = {};
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -33,7 +33,7 @@
 const LINGER = 1_000;
 /** A caller may take a response as slowly as this, after its first `requestTimeout`. Bytes per ms. */
 const MINIMUM_READ_RATE = 64;
-/** Told of a caller whose connection was closed for bytes without end; nothing was answered. */
+/** Reported for a connection that was closed past its byte limit; no response is written. */
 const ENDLESS_REQUEST_STATUS = 400;
 /** See {@link HttpListenOptions.maximumBufferedBytes}. */
 const DEFAULT_BUFFERED_BYTES = 268_435_456;
@@ -94,7 +94,7 @@
     return connection;
   }
 
-  /** Never rejects: an error in serving one request costs that request's connection alone. */
+  /** Never rejects: an error in serving a request closes its connection only. */
   private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       await this.serveInTurn(message, response);
@@ -148,7 +148,7 @@
     }
   }
 
-  /** Answers in place of a response that Node doesn't write, for instance for a character in a header. */
+  /** Replaces a response that Node refuses to write, such as one with an invalid character in a header. */
   private writeFailure(socket: Socket, response: ServerResponse, error: unknown): void {
     for (const name of response.getHeaderNames()) response.removeHeader(name);
     const reason = error instanceof Error ? error.message : String(error);
@@ -203,7 +203,7 @@
     socket.once('close', () => clearTimeout(timer));
   }
 
-  /** Bytes that don't become requests; a caller that was refused may still be read for a while. */
+  /** Closes a connection past its byte limit, unless the caller was refused and is still read for a while. */
   private refuseEndless({ socket, isRefused }: CallerConnection): void {
     if (isRefused || socket.destroyed) return;
     this.tellRefused(socket, ENDLESS_REQUEST_STATUS);
--- a/src/node/recent-request-ids.ts
+++ b/src/node/recent-request-ids.ts
@@ -1,6 +1,6 @@
 /**
- * Remembers which requests a connection has carried lately. Fingerprints are kept and not the ids:
- * a caller decides how long an id is. Two ids with one fingerprint only cost a connection.
+ * Remembers which requests were sent on a connection lately. Keeps fingerprints instead of ids, because
+ * a caller decides how long an id is. A collision of two fingerprints only costs a connection.
  */
 import { xxh32 } from '@node-rs/xxhash';
 
--- a/src/node/request-byte-limit.ts
+++ b/src/node/request-byte-limit.ts
@@ -1,12 +1,12 @@
 /**
- * Bounds every byte that a caller's connection brings from one request to the next, whatever the
- * parser makes of it. Node bounds headers, chunk extensions and the time of a request, but not what
- * its parser passes over, such as empty lines between requests.
+ * Bounds all bytes received on a caller's connection from the head of one request to that of the next.
+ * Node bounds headers, chunk extensions and the time of a request, but not what its parser skips, such
+ * as empty lines between requests.
  */
 import type { Socket } from 'node:net';
 import type { HttpListenOptions } from '../seams/http.js';
 
-/** Framing of a chunked body, and what of the next request arrives together with it. Bytes. */
+/** Framing of a chunked body, and bytes of the next request that arrive together with it. Bytes. */
 const MAXIMUM_FRAMING_BYTES = 128 * 1024;
 
 /** Counts the bytes of one connection. */
@@ -30,7 +30,7 @@
     });
   }
 
-  /** The head of a request was received. */
+  /** Call when the head of a request is received. */
   restart(): void {
     this.bytes = 0;
   }
--- a/src/node/response-byte-limit.ts
+++ b/src/node/response-byte-limit.ts
@@ -1,12 +1,12 @@
 /**
- * Bounds every byte that a connection brings while a response is awaited, whatever the parser makes
- * of it: status line, header, interim responses, framing and body. A parser tells of the bytes that
- * it hands on and not of those that it passes over, such as a reason phrase or a chunk extension.
+ * Bounds all bytes received on a connection while a response is awaited: status line, header, interim
+ * responses, framing and body. The parser reports only the bytes that it hands on, and not those that
+ * it skips, such as a reason phrase or a chunk extension.
  */
 
 /** Longest head, interim responses included. Bytes. */
 const MAXIMUM_HEAD_BYTES = 32 * 1024;
-/** Framing of a chunked body and its trailers, beside as many bytes as the body may have. Bytes. */
+/** Framing of a chunked body that is allowed on top of the maximum body size. Bytes. */
 const MAXIMUM_FRAMING_BYTES = 64 * 1024;
 
 /** The peer sent more than the response that was awaited may have. */
@@ -25,12 +25,12 @@
   private allowedBytes = MAXIMUM_HEAD_BYTES;
 
   constructor(
-    /** Bytes that the connection had brought when the response began to be awaited. */
+    /** Bytes received on the connection before the request was written. */
     private readonly startBytes: number,
     private readonly maximumBodyBytes: number,
   ) {}
 
-  /** The head is there; a body without `contentLength` is chunked or ends with its connection. */
+  /** Call when the head is received; a body without `contentLength` is chunked or ends with its connection. */
   acceptHead(contentLength: string | undefined): void {
     const announced = contentLength === undefined ? NaN : Number(contentLength);
     const { maximumBodyBytes } = this;
@@ -40,7 +40,7 @@
       : Math.min(announced, maximumBodyBytes);
   }
 
-  /** What is wrong once the connection has brought `bytes`; undefined while nothing is. */
+  /** Returns the error if `bytes` received on the connection exceed the limit; undefined otherwise. */
   errorAt(bytes: number): ResponseByteLimitError | undefined {
     const { part, allowedBytes } = this;
     if (bytes - this.startBytes <= allowedBytes) return undefined;
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -104,9 +104,9 @@
   /** Asks for a connection that has carried no earlier request. */
   readonly freshConnection?: boolean;
   /**
-   * What the peer's responses name. A connection that has lately carried a request of the same id is
-   * not used: a peer may send a response once more, and nothing tells a late copy of an earlier
-   * response from the one to this sending.
+   * Id by which the peer's responses name the request. A connection on which a request of the same id
+   * was sent lately is not used: a peer may repeat a response, and a late copy can't be told from the
+   * response to this sending.
    */
   readonly requestId?: string;
   /**
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -58,7 +58,7 @@
   readonly onDecision: (path: QuotaDecisionPath) => void;
 }
 
-/** Retries that a new owner has to know, also those that are due already: their callers may wait here. */
+/** Retries that a new owner has to know. Includes those already due, whose requests may be waiting here. */
 function retriesToReport(
   { assignedRetries, bounds }: TenantAllowance,
   now: number,
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -26,8 +26,8 @@
 /** The retry times of a response that refuses no request. */
 const NO_RETRY_AFTER = { nextTokenMs: 0, retryAfterMs: 0, retrySpacingMs: 0 };
 /**
- * Time from the start of an ownership in which gateways report the retry times that earlier owners
- * told, before this one decides on any request: a decision made sooner may give away their tokens.
+ * Time from the start of an ownership in which gateways report the retry times assigned by earlier
+ * owners. A decision made sooner could give away the tokens reserved for them.
  */
 const REPORT_COLLECTION_MS = 25;
 /** Maximum number of refused requests of all tenants for which tokens are reserved. */
@@ -86,7 +86,7 @@
     return Math.max(0, this.ownedSince + REPORT_COLLECTION_MS - this.options.clock.now());
   }
 
-  /** Takes over the retry times that a gateway reports, without deciding on its requests yet. */
+  /** Restores the reservations that a gateway reports, without deciding on its requests yet. */
   restoreReservations({ tenant: name, reservations = [] }: TokenRequest): void {
     const tenant = this.options.findTenant(name);
     if (tenant === undefined || !isLimited(tenant)) return;
--- a/src/tenants/quota-server.ts
+++ b/src/tenants/quota-server.ts
@@ -146,7 +146,7 @@
     ];
   }
 
-  /** A new owner takes the reports of all gateways that reach it soon before it decides on a request. */
+  /** Delays the first decisions of a new owner, so that it knows the reservations that gateways report. */
   private async collectReports(requests: readonly TokenRequest[]): Promise<void> {
     const status = this.options.log.status();
     if (!this.isOwner(status)) return;
