Gateways: log how late gathers are read, the learned timer lag and the wait for a quota owner

Callers of fan-outs with short targets get their answers late under load, and neither lines nor metrics tell whether leaves read gathers late, whether the cut-off leaves no time, or whether a 429 waited for an owner that never came.

- A root sends its clock reading with each gather (protocol version 3); the leaf compares it with the smallest recent difference of the connection.
The line of a gather gets delayMs, the metric is driftway_gateway_gather_delay_seconds.
- Lines of fan-outs and gathers get timerLagMs.
- A 429 says in its reason whether an owner decided, and its line how long it waited.

No decision uses these yet.

--- a/src/aggregation/aggregation-messages.ts
+++ b/src/aggregation/aggregation-messages.ts
@@ -61,6 +61,19 @@
   readonly kind: 'relay';
 }
 
+/**
+ * Root to leaf: when the root sent the frame. Sent alone once a connection is open, and in the frame
+ * of each gather or relay. Peers below {@link SEND_TIME_SINCE_VERSION} do not know it.
+ */
+export interface SendTimeMessage {
+  readonly kind: 'sendTime';
+  /** Reading of the root's monotonic clock; only differences have a meaning at the leaf. */
+  readonly sentAt: number;
+}
+
+/** Protocol version from which leaves understand {@link SendTimeMessage}. */
+export const SEND_TIME_SINCE_VERSION = 3;
+
 /** Root to leaf: the result is no longer needed. */
 export interface CancelMessage {
   readonly kind: 'cancel';
@@ -125,6 +138,7 @@
   | RequestMessage
   | GatherMessage
   | RelayMessage
+  | SendTimeMessage
   | CancelMessage
   | GrantMessage
   | PartsMessage
@@ -166,6 +180,7 @@
       field('priority', 'long'),
     ],
   },
+  sendTime: { tag: 68, fields: [field('sentAt', 'double')] },
   cancel: { tag: 61, fields: [field('gatherId', 'long')] },
   parts: {
     tag: 62,
--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -36,6 +36,8 @@
   readonly isRepeat: boolean;
   /** Time until the report that the root waits for. Milliseconds from now. */
   readonly reportInMs: number;
+  /** How late the leaf read the gather; see `TransitDelay`. Milliseconds. */
+  readonly delayMs: number;
   /** Name of the root gateway. */
   readonly root: string;
   /** Version of the root's route document. */
@@ -249,13 +251,21 @@
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
     this.recordLateness();
-    const { shards, request, root, rootRouteVersion } = this.options;
+    const { shards, request, root, rootRouteVersion, delayMs } = this.options;
     const missing = shards.length - this.answered;
     const { sends } = this.gather;
     this.gather.cancel(reason);
     if (missing > 0 || sends > shards.length) {
-      const summary = { root, rootRouteVersion, shards: shards.length, missing, sends, reason };
-      this.context.decisions.logGather(request, this.gather, summary);
+      this.context.decisions.logGather(request, this.gather, {
+        root,
+        rootRouteVersion,
+        shards: shards.length,
+        missing,
+        sends,
+        reason,
+        delayMs: Math.round(delayMs),
+        timerLagMs: Math.round(this.context.answerMargin.lag),
+      });
     }
     this.options.onEnd();
   }
--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -5,7 +5,7 @@
 import type { LeafGateway } from '../directory/leaf-gateway.js';
 import type { GatheredParts } from '../gateway/part-source.js';
 import { RECORD_BYTES } from '../gateway/merge-records.js';
-import { dial } from '../protocol/dial.js';
+import { dialPeer } from '../protocol/dial.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import { MalformedMessageError } from '../protocol/malformed-message-error.js';
 import { MeteredConnection } from '../protocol/metered-connection.js';
@@ -16,6 +16,7 @@
 import type { MessageConnection } from '../seams/message-connection.js';
 import {
   AGGREGATION_CODEC,
+  SEND_TIME_SINCE_VERSION,
   type AggregationMessage,
   type GatherMessage,
   type PartsMessage,
@@ -87,6 +88,8 @@
   reportedLoad = 0;
   reportedAt = -Infinity;
   private connection: MessageConnection | undefined;
+  /** Whether the leaf understands `SendTimeMessage`. */
+  private takesSendTime = false;
   private isDialling = false;
   private readonly closed = new AbortController();
   private failedDials = 0;
@@ -148,13 +151,20 @@
     this.gathers.set(gatherId, { shards, topRecords, startedAt, listener });
     const text = JSON.stringify(shards);
     const gather = AGGREGATION_CODEC.encode({ gatherId, shards: text, ...terms });
-    this.sendFrame(connection, Buffer.concat([request, gather]));
+    this.sendFrame(connection, Buffer.concat([request, gather, ...this.sendTime()]));
     return {
       grant: () => this.send(connection, { kind: 'grant', gatherId }),
       cancel: () => this.cancel(connection, gatherId),
     };
   }
 
+  /** The encoded send time; empty for a leaf that does not understand it. */
+  private sendTime(): readonly Uint8Array[] {
+    if (!this.takesSendTime) return [];
+    const sentAt = this.options.environment.clock.now();
+    return [AGGREGATION_CODEC.encode({ kind: 'sendTime', sentAt })];
+  }
+
   private cancel(connection: MessageConnection, gatherId: number): void {
     if (this.gathers.delete(gatherId)) this.send(connection, { kind: 'cancel', gatherId });
   }
@@ -177,10 +187,13 @@
       const { signal } = this.closed;
       const connectTimeout = DIAL_TIMEOUT_MS;
       const target = { address, role: 'aggregation', connectTimeout, signal } as const;
-      const connection = this.withMetering(await dial(environment, identity, target));
+      const dialled = await dialPeer(environment, identity, target);
+      const connection = this.withMetering(dialled.connection);
       this.isDialling = false;
       if (this.isClosed) connection.close();
       this.connection = connection;
+      this.takesSendTime = dialled.protocolVersion >= SEND_TIME_SINCE_VERSION;
+      for (const frame of this.sendTime()) this.sendFrame(connection, frame);
       this.isStopping = false;
       this.failedDials = 0;
       await this.receive(connection);
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -15,12 +15,14 @@
   type GatherMessage,
   type RelayMessage,
   type RequestMessage,
+  type SendTimeMessage,
 } from './aggregation-messages.js';
 import { readStrings } from './json-list.js';
 import { LeafAdmission } from './leaf-admission.js';
 import { LeafGather } from './leaf-gather.js';
 import type { LeafSource } from './leaf-source.js';
 import type { RelayedCall } from './source-planner.js';
+import { TransitDelay } from './transit-delay.js';
 
 /**
  * Limit of gathers in progress; more are declined, as a leaf this far behind could not help in
@@ -29,6 +31,7 @@
 const MAXIMUM_GATHERS = 256;
 /** Limit of bytes queued for a root; the connection is closed beyond it. */
 const MAXIMUM_QUEUED_BYTES = 4 * 1024 * 1024;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Dependencies of {@link LeafServer}. */
 export interface LeafServerOptions {
@@ -56,6 +59,7 @@
 /** The connection of one root and its gathers in progress. */
 class RootSession {
   readonly gathers = new Map<number, LeafGather>();
+  readonly transitDelay = new TransitDelay();
 
   constructor(
     readonly connection: MessageConnection,
@@ -116,18 +120,33 @@
   }
 
   private handleFrame(session: RootSession, messages: readonly AggregationMessage[]): void {
-    const [first, second] = messages;
+    const [first, second, third] = messages;
     const isGather = second?.kind === 'gather' || second?.kind === 'relay';
-    if (first?.kind === 'request' && isGather && messages.length === 2) {
+    const sendTime = third?.kind === 'sendTime' ? third : undefined;
+    const isWhole = messages.length === (sendTime === undefined ? 2 : 3);
+    if (first?.kind === 'request' && isGather && isWhole) {
+      const delayMs = sendTime === undefined ? 0 : this.recordDelay(session, sendTime);
       const reason = this.declineReason;
-      if (reason === undefined) this.begin(session, first, second);
+      if (reason === undefined) this.begin(session, first, second, delayMs);
       else this.decline(session, second.gatherId, reason);
       return;
     }
     for (const message of messages) this.handleMessage(session, message);
   }
 
+  /** Returns how late the frame was read. Milliseconds. */
+  private recordDelay({ transitDelay }: RootSession, { sentAt }: SendTimeMessage): number {
+    const { environment, metrics } = this.options.context;
+    const delayMs = transitDelay.record(sentAt, environment.clock.now());
+    metrics.gatherDelay.observe(delayMs / MILLISECONDS_PER_SECOND);
+    return delayMs;
+  }
+
   private handleMessage(session: RootSession, message: AggregationMessage): void {
+    if (message.kind === 'sendTime') {
+      session.transitDelay.record(message.sentAt, this.options.context.environment.clock.now());
+      return;
+    }
     if (message.kind === 'cancel') {
       session.gathers.get(message.gatherId)?.cancel('the root does not need the rest');
       return;
@@ -159,6 +178,7 @@
     session: RootSession,
     request: RequestMessage,
     message: GatherMessage | RelayMessage,
+    delayMs: number,
   ): void {
     const { gatherId, isRepeat, reportInMs } = message;
     const { totalShards } = request;
@@ -179,6 +199,7 @@
       totalShards,
       isRepeat,
       reportInMs,
+      delayMs,
       root: session.root,
       rootRouteVersion: request.routeVersion,
       relay: isRelay ? this.createRelay(callerRequest, request, message, shards) : undefined,
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -202,6 +202,7 @@
       missing: this.shards.length - this.answeredShards.size,
       sends: this.sources.reduce((sum, source) => sum + source.sends, 0),
       queriedByRoot: this.sources.reduce((sum, source) => sum + source.shardsQueriedHere, 0),
+      timerLagMs: Math.round(this.context.answerMargin.lag),
       timeline: this.timeline,
       sources: this.sources,
     });
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -39,6 +39,8 @@
   readonly fingerprint?: string;
   /** Time until a retry may be admitted. Milliseconds. */
   readonly retryAfterMs?: number;
+  /** How long the request waited for a decision on its tenant's limit. Milliseconds. */
+  readonly waitedMs?: number;
 }
 
 /** Serves callers while the table in force may change; counts and times each request. */
@@ -133,9 +135,13 @@
     const taken = quota.take(tenant, decideBy, fingerprint);
     const decision = taken instanceof Promise ? await taken : taken;
     if (!decision.isAdmitted) {
-      const { retryAfterMs } = decision;
-      const reason = 'the tenant has reached its limit';
-      return this.reject(request, GatewayRefusal.RateLimited, reason, { retryAfterMs });
+      const { retryAfterMs, isUndecided } = decision;
+      const reason =
+        isUndecided === true
+          ? 'no controller decided on the limit of the tenant in time'
+          : 'the tenant has reached its limit';
+      const waitedMs = Math.round(this.context.environment.clock.now() - receivedAt);
+      return this.reject(request, GatewayRefusal.RateLimited, reason, { retryAfterMs, waitedMs });
     }
     if (signal.aborted) {
       quota.returnToken(tenant, this.context.environment.clock.now());
@@ -162,7 +168,7 @@
     request: HttpRequest,
     refusal: GatewayRefusal,
     reason: string,
-    { fingerprint, retryAfterMs }: RejectionDetails = {},
+    { fingerprint, retryAfterMs, waitedMs }: RejectionDetails = {},
   ): HttpResponse {
     const response = refuse(refusal, reason, retryAfterMs);
     this.context.metrics.refusals.inc({ reason: refusal });
@@ -173,6 +179,7 @@
       refusal,
       reason,
       status: response.status,
+      waitedMs,
       routeVersion: this.table?.version,
     });
     return response;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -3,6 +3,8 @@
 
 /** Upper bounds of the latency buckets. Seconds. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+/** Upper bounds of the buckets of how late gathers are read. Seconds. */
+const GATHER_DELAY_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 2];
 /** Upper bounds of the buckets of the time to put a route document in force. Seconds. */
 const DOCUMENT_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2];
 
@@ -16,6 +18,7 @@
   readonly missingParts: Counter;
   readonly gathers: Counter<'result'>;
   readonly gathersRepeated: Counter;
+  readonly gatherDelay: Histogram;
   readonly unreadableReports: Counter;
   readonly latency: Histogram;
   readonly routeVersion: Gauge;
@@ -70,6 +73,12 @@
       help: 'Shard groups requested from another gateway because the first did not respond.',
       registers,
     });
+    this.gatherDelay = new Histogram({
+      name: 'driftway_gateway_gather_delay_seconds',
+      help: 'How late this gateway read the shard groups that other gateways requested.',
+      buckets: GATHER_DELAY_BUCKETS,
+      registers,
+    });
     this.unreadableReports = new Counter({
       name: 'driftway_gateway_unreadable_load_reports_total',
       help: 'Load reports from replicas that could not be parsed.',
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -25,6 +25,8 @@
   readonly sends: number;
   /** Number of shards that this gateway queried itself; 0 where leaves queried all of them. */
   readonly queriedByRoot: number;
+  /** 90th percentile of recent timer lag. Milliseconds. */
+  readonly timerLagMs: number;
   readonly timeline: FanOutTimeline;
   /** The sources that asked the shards. */
   readonly sources: readonly PartSource[];
@@ -41,6 +43,10 @@
   readonly sends: number;
   /** Why the gather ended. */
   readonly reason: string;
+  /** How late this gateway read the gather. Milliseconds. */
+  readonly delayMs: number;
+  /** 90th percentile of recent timer lag. Milliseconds. */
+  readonly timerLagMs: number;
 }
 
 /** Maximum attempts without a part in one log line. */
@@ -84,6 +90,8 @@
   readonly refusal: GatewayRefusal;
   readonly reason: string;
   readonly status: number;
+  /** How long the request waited for a decision on its tenant's limit. Milliseconds. */
+  readonly waitedMs: number | undefined;
   /** Version of the route document in force; undefined while there is none. */
   readonly routeVersion: number | undefined;
 }
@@ -147,13 +155,15 @@
 
   /** Logs a request that was refused without being forwarded. */
   logNotForwarded(rejected: RejectedRequest): void {
-    const { request, requestId, fingerprint, refusal, reason, status, routeVersion } = rejected;
+    const { request, requestId, fingerprint, refusal, reason, status, waitedMs, routeVersion } =
+      rejected;
     this.log.write(DecisionKind.NotForwarded, () => ({
       requestId,
       fingerprint,
       status,
       refusal,
       reason,
+      waitedMs,
       routeVersion,
       host: request.headers['host'],
       path: request.path.slice(0, MAXIMUM_LOGGED_PATH_CHARACTERS),
--- a/src/protocol/dial.ts
+++ b/src/protocol/dial.ts
@@ -5,6 +5,7 @@
 import type { Network } from '../seams/network.js';
 import type { ConnectionRole } from './connection-role.js';
 import { HandshakeError } from './handshake-error.js';
+import type { ChallengeMessage } from './handshake-messages.js';
 import { initiateHandshake, type LocalIdentity } from './handshake.js';
 
 /** The seams that dialling needs. */
@@ -25,6 +26,13 @@
   readonly signal?: AbortSignal;
 }
 
+/** An open connection and who answered. */
+export interface DialledPeer {
+  readonly connection: MessageConnection;
+  /** Lower of both sides' protocol versions. */
+  readonly protocolVersion: ChallengeMessage['protocolVersion'];
+}
+
 /**
  * Resolves with a connection whose peer has proven the cluster key.
  *
@@ -36,6 +44,16 @@
   identity: LocalIdentity,
   target: DialTarget,
 ): Promise<MessageConnection> {
+  const { connection } = await dialPeer(environment, identity, target);
+  return connection;
+}
+
+/** As {@link dial}, for messages that depend on the peer's version. */
+export async function dialPeer(
+  environment: DialEnvironment,
+  identity: LocalIdentity,
+  target: DialTarget,
+): Promise<DialledPeer> {
   const { address, role, memberId, connectTimeout, signal } = target;
   const connection = await environment.network.connectMessages(address, connectTimeout);
   const close = (): void => connection.close();
@@ -47,5 +65,5 @@
     connection.close();
     throw new HandshakeError('wrong_member', connection.peer, `${peer.name} answers there`);
   }
-  return connection;
+  return { connection, protocolVersion: peer.protocolVersion };
 }
--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -234,7 +234,8 @@
     allowance.refusedWithoutOwner += 1;
     this.options.onDecision(QuotaDecisionPath.RefusedWithoutOwner);
     const spread = 0.5 + this.options.random.nextFloat();
-    return { isAdmitted: false, retryAfterMs: OWNERLESS_RETRY_AFTER_MS * spread };
+    const retryAfterMs = OWNERLESS_RETRY_AFTER_MS * spread;
+    return { isAdmitted: false, retryAfterMs, isUndecided: true };
   }
 
   private admitUnconfirmed(allowance: TenantAllowance, path: QuotaDecisionPath): QuotaDecision {
--- a/src/tenants/tenant-quota.ts
+++ b/src/tenants/tenant-quota.ts
@@ -8,6 +8,8 @@
       readonly isAdmitted: false;
       /** Milliseconds until a request of the tenant is expected to be admitted. */
       readonly retryAfterMs: number;
+      /** Set when no quota owner decided in time; the tenant may be beneath its limit. */
+      readonly isUndecided?: true;
     };
 
 /** The decision that admits a request. */
