Leaves: count a gather's deadline from when the root sent it

Cause: the message says how much time is left, and LeafServer added that to its own clock when it read the message, so the time on the way and in its queue was lost. A class of fault: a relative deadline that starts anew at each hop.

Where else: quota requests carry no deadline, attempts to replicas compute what is left when they are sent. Not known at a gateway: how long a caller's request lay unread.

Both tests of late-gathers.test.ts failed before: four replicas ran a request 200 ms after its caller's deadline of 400 ms, and were told 395 ms after 150 ms had passed.

--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -56,6 +56,19 @@
   );
 }
 
+/**
+ * The terms of a gather at the time when it is read: its durations count from when it was sent,
+ * `delayMs` before.
+ */
+function termsAfterDelay<M extends GatherMessage | RelayMessage>(message: M, delayMs: number): M {
+  return {
+    ...message,
+    elapsedMs: message.elapsedMs + delayMs,
+    leftMs: message.leftMs - delayMs,
+    reportInMs: Math.max(0, message.reportInMs - delayMs),
+  };
+}
+
 /** The connection of one root and its gathers in progress. */
 class RootSession {
   readonly gathers = new Map<number, LeafGather>();
@@ -126,9 +139,10 @@
     const isWhole = messages.length === (sendTime === undefined ? 2 : 3);
     if (first?.kind === 'request' && isGather && isWhole) {
       const delayMs = sendTime === undefined ? 0 : this.recordDelay(session, sendTime);
-      const reason = this.declineReason;
-      if (reason === undefined) this.begin(session, first, second, delayMs);
-      else this.decline(session, second.gatherId, reason);
+      const gather = termsAfterDelay(second, delayMs);
+      const reason = this.declineReason(gather);
+      if (reason === undefined) this.begin(session, first, gather, delayMs);
+      else this.decline(session, gather.gatherId, reason);
       return;
     }
     for (const message of messages) this.handleMessage(session, message);
@@ -162,7 +176,8 @@
     );
   }
 
-  private get declineReason(): string | undefined {
+  private declineReason({ leftMs }: GatherMessage | RelayMessage): string | undefined {
+    if (leftMs <= 0) return 'the deadline of the caller has passed';
     if (this.isStopping) return 'the leaf is stopping';
     if (this.options.table() === undefined) return 'the leaf has no route document yet';
     if (this.inProgress >= MAXIMUM_GATHERS) return 'the leaf has too many gathers';
