Tenants: refuse a request that no quota owner can decide in time at once

Cause: deadlines of waiting requests were looked at each 100 ms, and requests waited for an owner whatever time they had. Class: an answer that is known and held back.

Deadlines are kept to the millisecond. Without an owner a request waits only if it has the 100 ms in which controllers are asked again; with one that has been silent for longer than the request may wait it is refused at once.

The two new cases of quota-link.test.ts failed before (100 ms instead of 30).

--- a/src/tenants/quota-client.ts
+++ b/src/tenants/quota-client.ts
@@ -30,6 +30,11 @@
  * Once no owner has been connected for longer, requests don't wait.
  */
 export const MAXIMUM_WAIT_MS = 2_000;
+/**
+ * Time between two questions to controllers of who the owner is: a request that may wait less is
+ * refused at once while no owner is connected.
+ */
+const OWNER_SEARCH_MS = 100;
 /** Retry time without an owner, when it isn't known when a token is due; an owner may be found soon. */
 const OWNERLESS_RETRY_AFTER_MS = 1_000;
 /** Fraction of a token's lifetime for whose expected requests tokens are prefetched. */
@@ -101,9 +106,22 @@
     if (this.unconfirmed.takeWithOwner(allowance, now)) {
       return this.admitUnconfirmed(allowance, QuotaDecisionPath.Unconfirmed);
     }
+    if (now - this.oldestQuestionAt > waiting.until - now)
+      return this.refuseWithoutOwner(allowance);
     return this.waitForToken(allowance, now, waiting);
   }
 
+  /**
+   * When the token requests that are not answered yet were sent; Infinity when there are none. An owner
+   * that has been silent for longer than a request may wait is not expected to answer it in time.
+   */
+  private get oldestQuestionAt(): number {
+    let oldest = Infinity;
+    for (const { pendingRequest } of this.pending)
+      oldest = Math.min(oldest, pendingRequest?.requestedAt ?? Infinity);
+    return oldest;
+  }
+
   returnToken(tenant: Tenant, takenAt: number): void {
     const allowance = this.allowances.find(tenant.name);
     if (allowance === undefined || !isLimited(tenant)) return;
@@ -194,6 +212,17 @@
     }
   }
 
+  /** Clock reading at which the first of the waiting requests is refused; Infinity when none waits. */
+  get earliestDeadline(): number {
+    let earliest = Infinity;
+    for (const { waiting, pendingRequest } of new Set([...this.queued, ...this.pending])) {
+      for (const { deadline } of waiting) earliest = Math.min(earliest, deadline);
+      for (const { deadline } of pendingRequest?.undecided ?? [])
+        earliest = Math.min(earliest, deadline);
+    }
+    return earliest;
+  }
+
   /** Whether token requests are queued. */
   get hasRequests(): boolean {
     return this.queued.size > 0;
@@ -266,7 +295,7 @@
       return this.admitUnconfirmed(allowance, QuotaDecisionPath.WithoutOwner);
     }
     const isWaitAllowed = now - this.ownerlessSince < MAXIMUM_WAIT_MS;
-    return isWaitAllowed
+    return isWaitAllowed && waiting.until - now >= OWNER_SEARCH_MS
       ? this.waitForToken(allowance, now, waiting)
       : this.refuseWithoutOwner(allowance);
   }
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -32,8 +32,8 @@
 const MAXIMUM_RECONNECT_DELAY_MS = 400;
 /** Interval of the rounds to a controller that knows no owner; cheaper than reconnecting. */
 const OWNERLESS_ROUND_MS = 150;
-/** Interval between checks for waiting requests whose deadline has passed. */
-const EXPIRY_INTERVAL_MS = 100;
+/** Longest interval between checks for waiting requests whose deadline has passed. */
+const MAXIMUM_EXPIRY_INTERVAL_MS = 100;
 /** Time for which a controller that didn't respond is avoided if another one is known. */
 const AVOIDANCE_MS = 1_500;
 /**
@@ -58,6 +58,8 @@
   isConnected = false;
   private readonly stopped = new AbortController();
   private readonly wake: Notifier;
+  /** Wakes the task that refuses waiting requests at their deadlines. */
+  private readonly expiryWake: Notifier;
   private connection: MessageConnection | undefined;
   /**
    * Address to connect to next, from a redirect or for a reconnect; empty when any controller may
@@ -77,12 +79,14 @@
 
   constructor(private readonly options: QuotaLinkOptions) {
     this.wake = new Notifier(options.environment.clock);
+    this.expiryWake = new Notifier(options.environment.clock);
     this.finished = this.run();
   }
 
   /** Signals that token requests may be queued or requests waiting. */
   notify(): void {
     this.wake.notify();
+    this.expiryWake.notify();
     if (!this.isExpiring && this.options.client.hasWaiting) void this.expireWaiting();
   }
 
@@ -90,6 +94,7 @@
     this.stopped.abort(new Error('stopped'));
     this.connection?.close();
     this.wake.close();
+    this.expiryWake.close();
     await this.finished;
   }
 
@@ -272,12 +277,15 @@
     await clock.sleep(delayMs, this.stopped.signal).catch(() => undefined);
   }
 
+  /** Refuses each waiting request at its deadline, until none waits. */
   private async expireWaiting(): Promise<void> {
     const { environment, client } = this.options;
+    const { clock } = environment;
     this.isExpiring = true;
     while (client.hasWaiting && !this.stopped.signal.aborted) {
-      await environment.clock.sleep(EXPIRY_INTERVAL_MS, this.stopped.signal).catch(() => undefined);
-      client.expireWaiting(EXPIRY_INTERVAL_MS);
+      const nextMs = client.earliestDeadline - clock.now();
+      await this.expiryWake.wait(Math.min(Math.max(nextMs, 1), MAXIMUM_EXPIRY_INTERVAL_MS));
+      client.expireWaiting(0);
     }
     this.isExpiring = false;
   }
--- a/test/tenants/quota-link.test.ts
+++ b/test/tenants/quota-link.test.ts
@@ -244,6 +244,28 @@
     expect(fleet.simulation.now - now).toBeLessThanOrEqual(500);
   });
 
+  it.each([
+    ['that was just lost', 100],
+    ['that is silent', 0],
+  ])(
+    'refuses a request with a short deadline in time while it waits for an owner %s',
+    async (_, lostForMs) => {
+      const fleet = await QuotaFleet.start();
+      const [, quota] = await fleet.startGateway('gateway-1', 1_000_000);
+      fleet.controllers[0]?.crash({ power: lostForMs === 0 });
+      fleet.leader = undefined;
+      await fleet.simulation.runFor(lostForMs);
+      const { clock } = fleet.simulation.machine('gateway-1').environment;
+      for (const shortMs of [30, 30, 60]) {
+        const takenAt = clock.now();
+        const decision = quota.client.take(TENANT, takenAt + shortMs);
+        const decided = await fleet.simulation.settle(Promise.resolve(decision));
+        expect(decided).toMatchObject({ isAdmitted: false, isUndecided: true });
+        expect(clock.now() - takenAt).toBeLessThanOrEqual(shortMs + 1);
+      }
+    },
+  );
+
   it('refuses requests at once with a retry time when no owner was found for long', async () => {
     const fleet = await QuotaFleet.start();
     fleet.leader = undefined;
