Tests: a replica that stops in the middle of its answer's head, on each path

Other operators saw a 200 with an empty or short body, framed as whole, from replicas that stopped in the middle of a response's head.

- Soak: a fault that cuts each answer of a replica in its head, for requests to one replica and for fan-outs over leaves, and a check of each success's body.

A response without a length whose head is whole is whole by the protocol, also where the replica meant to send more; that stays so.

--- a/lab/soak/loopback-proxy.ts
+++ b/lab/soak/loopback-proxy.ts
@@ -11,8 +11,13 @@
   Silent = 'silent',
   /** What the server says is held up until the mode changes. */
   OneWay = 'oneWay',
+  /** Each answer of the server is cut after some bytes of its head, and its connection closed. */
+  CutAnswer = 'cutAnswer',
 }
 
+/** By how much the place of a cut moves from one answer to the next; shares no factor with usual lengths. */
+const CUT_STEP_BYTES = 37;
+
 /** The two ends of one connection. */
 interface ProxiedPair {
   readonly client: Socket;
@@ -23,6 +28,7 @@
 export class LoopbackProxy {
   private mode = ProxyMode.Pass;
   private readonly pairs = new Set<ProxiedPair>();
+  private cuts = 0;
 
   private constructor(
     private readonly listener: Server,
@@ -71,19 +77,31 @@
     this.pairs.add(pair);
     this.join(pair, client, server);
     this.join(pair, server, client);
+    server.prependListener('data', (bytes) => this.cutAnswer(client, server, bytes));
     this.apply(pair);
   }
 
+  /** Ends both sides of the connection in the middle of the answer's head, wherever the next cut falls. */
+  private cutAnswer(client: Socket, server: Socket, bytes: Buffer): void {
+    if (this.mode !== ProxyMode.CutAnswer) return;
+    this.cuts += 1;
+    const headBytes = Math.max(1, bytes.indexOf('\r\n\r\n'));
+    client.end(bytes.subarray(0, (this.cuts * CUT_STEP_BYTES) % headBytes));
+    server.destroy();
+  }
+
   /** Passes on what `from` says, and its end. */
   private join(pair: ProxiedPair, from: Socket, to: Socket): void {
     from.on('data', (bytes) => {
+      if (to.writableEnded) return;
       if (!to.write(bytes)) from.pause();
     });
     to.on('drain', () => this.apply(pair));
     from.on('end', () => to.end());
     from.on('error', () => to.destroy());
     from.on('close', () => {
-      to.destroy();
+      // What was written before an end still leaves.
+      if (!to.writableEnded) to.destroy();
       this.pairs.delete(pair);
     });
   }
@@ -95,7 +113,7 @@
       return;
     }
     const passesRequests = this.mode !== ProxyMode.Silent;
-    const passesAnswers = this.mode === ProxyMode.Pass;
+    const passesAnswers = this.mode === ProxyMode.Pass || this.mode === ProxyMode.CutAnswer;
     if (passesRequests) client.resume();
     else client.pause();
     if (passesAnswers) server.resume();
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -40,7 +40,8 @@
   /** Whether the gateway was killed between the request and its answer. */
   wasKilled: boolean;
   /** Undefined when the connection broke. */
-  answer?: { readonly status: number; readonly headers: HttpHeaders } | undefined;
+  answer?:
+    { readonly status: number; readonly headers: HttpHeaders; readonly body: string } | undefined;
 }
 
 /** See the module comment. */
@@ -95,12 +96,16 @@
     };
     const path = `${PATHS[kind]}${this.calls.length}`;
     try {
-      const { status, headers: answered } = await this.clientOf(gateway).request({
+      const {
+        status,
+        headers: answered,
+        body,
+      } = await this.clientOf(gateway).request({
         method: 'GET',
         path,
         headers,
       });
-      call.answer = { status, headers: answered };
+      call.answer = { status, headers: answered, body: Buffer.from(body).toString('latin1') };
     } catch {
       // The connection broke; whether it ran is for the replicas' notes to say.
     }
--- a/lab/soak/soak-fleet.ts
+++ b/lab/soak/soak-fleet.ts
@@ -9,7 +9,7 @@
 import { isPlannedEnd } from '../fleet/process-end.js';
 import { programArguments } from '../fleet/program.js';
 import { LoopbackProxy } from './loopback-proxy.js';
-import { SHARDS, SINGLE_SERVICE } from './soak-routes.js';
+import { REPLICA_CONTENT, SHARDS, SINGLE_SERVICE } from './soak-routes.js';
 
 /** How many processes a soak has. */
 export interface SoakFleetSize {
@@ -167,6 +167,7 @@
       zone: ZONES[number % ZONES.length] as string,
       controllers: registration,
     });
+    replica.content = REPLICA_CONTENT;
     await replica.start();
     this.replicas.push({ replica, proxy, leftAt: undefined });
   }
--- a/lab/soak/soak-plan.ts
+++ b/lab/soak/soak-plan.ts
@@ -26,6 +26,8 @@
   OneWayController = 'oneWayController',
   ResetReplica = 'resetReplica',
   CutReplica = 'cutReplica',
+  /** A replica stops in the middle of the head of each of its answers. */
+  CutAnswers = 'cutAnswers',
   /** A replica says that it leaves, ends, and another takes its place. */
   DrainReplica = 'drainReplica',
 }
--- a/lab/soak/soak-routes.ts
+++ b/lab/soak/soak-routes.ts
@@ -10,6 +10,11 @@
 export const SINGLE_SERVICE = 'ledger';
 export const SHARDS = ['shard-1', 'shard-2', 'shard-3', 'shard-4'] as const;
 export const TENANTS = ['harbour', 'valley'] as const;
+/** Records in an answer to many shards, and in each replica's answer. */
+const TOP_RECORDS = 4;
+const RECORD = 'record-of-16-b.\n';
+/** What each replica answers: as many equal records as the answer to many shards has. */
+export const REPLICA_CONTENT = RECORD.repeat(TOP_RECORDS);
 const TIMEOUT_MS = 1_500;
 const REQUIRED_COVERAGE = 0.5;
 /** Far above what callers send, so that only a tenant that sends many times its usual reaches it. */
@@ -23,7 +28,7 @@
 /** As an operator sends it. */
 export function routeDocument(version: number): string {
   const common = { host: HOST, timeoutMs: TIMEOUT_MS, maximumAttempts: 2 };
-  const shards = { shards: SHARDS, topRecords: 4, requiredCoverage: REQUIRED_COVERAGE };
+  const shards = { shards: SHARDS, topRecords: TOP_RECORDS, requiredCoverage: REQUIRED_COVERAGE };
   const single = { service: SINGLE_SERVICE };
   const repeatable = { execution: 'repeatable' };
   return JSON.stringify({
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -165,6 +165,8 @@
         return this.disturb(pick(currentReplicas, fault).proxy, ProxyMode.Reset, fault);
       case SoakFault.CutReplica:
         return this.disturb(pick(currentReplicas, fault).proxy, ProxyMode.Silent, fault);
+      case SoakFault.CutAnswers:
+        return this.disturb(pick(currentReplicas, fault).proxy, ProxyMode.CutAnswer, fault);
       case SoakFault.DrainReplica:
         return this.drain(pick(currentReplicas, fault));
     }
--- a/lab/soak/soak-verdict.ts
+++ b/lab/soak/soak-verdict.ts
@@ -5,7 +5,7 @@
 import type { SoakReplica } from './soak-fleet.js';
 import { REVOCATION_BOUND_MS } from './soak-fleet.js';
 import type { AcknowledgedVersion } from './soak-operator.js';
-import { SHARDS } from './soak-routes.js';
+import { REPLICA_CONTENT, SHARDS } from './soak-routes.js';
 
 /** After its leaving was acknowledged a replica gets nothing new. Milliseconds. */
 const LEAVING_MS = 4_000;
@@ -45,6 +45,10 @@
   const problems: string[] = [];
   const isOwn = signatures.every((one) => one.endsWith(`.${requestId}`));
   if (!isOwn) problems.push(`${requestId} got another request's answer: ${text}`);
+  // All records are alike, so the greatest of a fan-out's are as many as one part has.
+  if (answer.body !== REPLICA_CONTENT) {
+    problems.push(`${requestId} got ${answer.body.length} of ${REPLICA_CONTENT.length} bytes`);
+  }
   if (kind !== 'fanOut') return problems;
   const stated = signatures.length + Number(answer.headers[missingParts] ?? 0);
   const isTrue = stated === SHARDS.length && new Set(signatures).size === signatures.length;
--- a/test/lab/soak/soak-verdict.test.ts
+++ b/test/lab/soak/soak-verdict.test.ts
@@ -3,6 +3,7 @@
 import { Simulation } from '../../../lab/simulation/simulation.js';
 import type { CallKind, SoakCall } from '../../../lab/soak/soak-callers.js';
 import type { SoakDaemon, SoakReplica } from '../../../lab/soak/soak-fleet.js';
+import { REPLICA_CONTENT } from '../../../lab/soak/soak-routes.js';
 import { judgeSoak, type SoakEvidence } from '../../../lab/soak/soak-verdict.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../../src/gateway/exchange-headers.js';
 
@@ -19,7 +20,7 @@
     sentAt: 10_000,
     wasStopping: false,
     wasKilled: false,
-    answer: { status: 200, headers: { [signature]: 'replica-1.call-1' } },
+    answer: { status: 200, headers: { [signature]: 'replica-1.call-1' }, body: REPLICA_CONTENT },
     ...changes,
   };
 }
@@ -62,17 +63,28 @@
   });
 
   it("finds another request's answer", () => {
-    const answer = { status: 200, headers: { [signature]: 'replica-1.call-2' } };
+    const headers = { [signature]: 'replica-1.call-2' };
+    const answer = { status: 200, headers, body: REPLICA_CONTENT };
     expect(judge(callOf('repeatable', { answer }))).toHaveLength(1);
   });
 
   it('finds coverage that is not as stated', () => {
     const headers = { [partSignatures]: 'replica-1.call-1, replica-2.call-1', [missingParts]: '1' };
-    expect(judge(callOf('fanOut', { answer: { status: 200, headers } }))).toHaveLength(1);
+    const answer = { status: 200, headers, body: REPLICA_CONTENT };
+    expect(judge(callOf('fanOut', { answer }))).toHaveLength(1);
+  });
+
+  it('finds a success with an empty or a short body', () => {
+    const headers = { [signature]: 'replica-1.call-1' };
+    for (const body of ['', REPLICA_CONTENT.slice(1)]) {
+      expect(judge(callOf('repeatable', { answer: { status: 200, headers, body } }))).toHaveLength(
+        1,
+      );
+    }
   });
 
   it('finds a run of what was said not to have run', () => {
-    const answer = { status: 503, headers: {} };
+    const answer = { status: 503, headers: {}, body: '' };
     expect(judge(callOf('repeatable', { answer }))).toHaveLength(1);
   });
 
