Gateways: say why a hedge that was due was not sent

The attempts in the line get hedgeRefusal, and the metric is driftway_gateway_hedges_refused_total{reason}. No decision changes.

--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -15,6 +15,7 @@
   readonly keyRefusals: Counter<'reason'>;
   readonly attempts: Counter<'result'>;
   readonly hedges: Counter;
+  readonly hedgesRefused: Counter<'reason'>;
   readonly missingParts: Counter;
   readonly gathers: Counter<'result'>;
   readonly gathersRepeated: Counter;
@@ -57,6 +58,12 @@
       help: 'Hedges: attempts sent to a second replica because the first was late.',
       registers,
     });
+    this.hedgesRefused = new Counter({
+      name: 'driftway_gateway_hedges_refused_total',
+      help: 'Hedges of requests to many shards that were due and not sent, by reason.',
+      labelNames: ['reason'],
+      registers,
+    });
     this.missingParts = new Counter({
       name: 'driftway_gateway_missing_parts_total',
       help: 'Shards missing from merged responses.',
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -13,6 +13,7 @@
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from './caller-request.js';
 import type { FleetShares } from './fleet-shares.js';
+import { HedgeRefusal } from './hedge-refusal.js';
 import { QUARANTINED } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { ReplicaAttempt } from './replica-attempt.js';
@@ -60,6 +61,8 @@
 /** Race between the replicas of one service for one request. */
 export class ReplicaRace {
   outcome: RaceOutcome | undefined;
+  /** Why the last hedge that was due was not sent; undefined when it was, or none was due. */
+  hedgeRefusal: HedgeRefusal | undefined;
   /** Attempts so far, in the order of sending. */
   readonly attempts: AttemptRecord[] = [];
   private readonly inFlight = new Set<ReplicaAttempt>();
@@ -110,11 +113,22 @@
    * sent, or if the race ended because the request is quarantined.
    */
   hedge(): boolean {
-    const isOver = this.outcome !== undefined || !this.context.mechanisms.hedging;
-    if (isOver || this.request.route.execution !== 'repeatable' || !this.hasAttemptsLeft)
-      return false;
-    if (this.context.crashGuard.isSuspected(this.request.fingerprint)) return false;
-    return this.startFurtherAttempt(this.context.shares);
+    if (this.outcome !== undefined) return false;
+    this.hedgeRefusal = this.refuseHedge();
+    return this.hedgeRefusal === undefined;
+  }
+
+  /** Starts a hedge, or returns why it may not be sent. */
+  private refuseHedge(): HedgeRefusal | undefined {
+    const { crashGuard, mechanisms, shares } = this.context;
+    const { route, fingerprint } = this.request;
+    if (!mechanisms.hedging || route.execution !== 'repeatable') return HedgeRefusal.NotPermitted;
+    if (!this.hasAttemptsLeft) return HedgeRefusal.NoAttemptsLeft;
+    if (crashGuard.isSuspected(fingerprint)) return HedgeRefusal.Suspected;
+    const target = this.candidates.choose();
+    if (target === undefined) return HedgeRefusal.NoReplica;
+    if (!this.isFurtherAttemptAllowed) return HedgeRefusal.NotGranted;
+    return this.sendIfAdmitted(target, shares) ? undefined : HedgeRefusal.NoBudget;
   }
 
   /** Number of attempts so far. */
--- a/src/gateway/shard-gather.ts
+++ b/src/gateway/shard-gather.ts
@@ -78,8 +78,12 @@
   missingAttempts(receivedAt: number): readonly LogFields[] {
     return this.races
       .filter(({ outcome }) => outcome?.kind !== 'answered')
-      .flatMap(({ service, attempts }) =>
-        attempts.map((attempt) => ({ service, ...attemptFields(attempt, receivedAt) })),
+      .flatMap(({ service, attempts, hedgeRefusal }) =>
+        attempts.map((attempt) => ({
+          service,
+          ...attemptFields(attempt, receivedAt),
+          ...(hedgeRefusal === undefined ? {} : { hedgeRefusal }),
+        })),
       );
   }
 
@@ -123,6 +127,8 @@
   hedge(): void {
     for (const race of this.races) {
       if (race.hedge()) this.context.metrics.hedges.inc();
+      else if (race.hedgeRefusal !== undefined)
+        this.context.metrics.hedgesRefused.inc({ reason: race.hedgeRefusal });
     }
   }
 
