Replica choice: compare with what is left until the cut-off, not with the whole target

Cause: ReplicaChoice weighs the cost of another zone against (expected time / target)^2. A gather at a leaf starts 6 to 50 ms after the request came, and its parts are of use until the cut-off, so half of the target is often more than is left. Class: a time budget that is compared whole where part of it is spent. Elsewhere: hedge delays count from the start of the gather; retries have a deadline of their own.

Requests to one replica count until the target.

--- a/src/gateway/replica-candidates.ts
+++ b/src/gateway/replica-candidates.ts
@@ -5,6 +5,9 @@
 import { targetLatencyOf } from './route-latencies.js';
 import type { RouteLatency } from './route-latency.js';
 
+/** Lower bound of the time that is taken to be left, as a fraction of the target latency. */
+const MINIMUM_TIME_LEFT_FRACTION = 0.1;
+
 /** Inputs of the choice that are fixed for a race. */
 export interface ReplicaCandidatesOptions {
   readonly service: string;
@@ -73,15 +76,28 @@
     return regions.permitted(this.request.route, targets.of(this.options.service));
   }
 
+  /**
+   * Time until the answer stops being of full use: until the cut-off where parts are merged. Overdue
+   * attempts are chosen as if a little were left, so that their costs stay comparable. Milliseconds.
+   */
+  private get timeLeft(): number {
+    const { answerMargin, environment } = this.context;
+    const { route, receivedAt } = this.request;
+    const target = targetLatencyOf(route);
+    const usefulMs = route.shards === undefined ? target : answerMargin.cutOffDelay(target);
+    const leftMs = receivedAt + usefulMs - environment.clock.now();
+    return Math.max(leftMs, target * MINIMUM_TIME_LEFT_FRACTION);
+  }
+
   private chooseExcept(excluded: ReadonlySet<ReplicaTarget>): ReplicaTarget | undefined {
     const { choice, shares } = this.context;
-    const { table, route } = this.request;
+    const { table } = this.request;
     const { service, latency, valueFraction } = this.options;
     return choice.choose({
       targets: this.permitted,
       excluded,
       medianLatency: latency.median,
-      targetLatency: targetLatencyOf(route),
+      timeLeft: this.timeLeft,
       valueFraction,
       maximumInFlight: shares.maximumInFlight(table, service),
       coldSendInterval: shares.coldSendInterval(table, service),
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -15,7 +15,7 @@
 /**
  * Upper bound of the cross-zone cost, as a fraction of the value lost if the answer is late. With
  * it, a replica in another zone is preferred over one in the same zone that is expected to take more
- * than half of the target latency.
+ * than half of the time left.
  */
 const MAXIMUM_ZONE_COST_FRACTION = 0.3;
 /** Factor by which a cold replica is expected to be slower. */
@@ -40,8 +40,8 @@
   readonly excluded: ReadonlySet<ReplicaTarget>;
   /** Median latency of an attempt. */
   readonly medianLatency: number;
-  /** Latency within which an answer has its full value. */
-  readonly targetLatency: number;
+  /** Time left in which an answer is of full use; above 0. */
+  readonly timeLeft: number;
   /** Fraction of the request's value that is lost if this answer is late; at most 1. */
   readonly valueFraction: number;
   /** Maximum number of attempts in flight from this gateway to one replica. */
@@ -118,12 +118,12 @@
 
   /**
    * Grows with the square of the expected latency: additional time matters little while there is
-   * plenty left, and ever more as the expected latency approaches the target.
+   * plenty left, and ever more as the expected latency approaches the time left.
    */
   private latenessCost(target: ReplicaTarget, query: ChoiceQuery, now: number): number {
-    const { medianLatency, targetLatency, valueFraction } = query;
+    const { medianLatency, timeLeft, valueFraction } = query;
     const expectedTime = medianLatency * this.latencyFactor(target, medianLatency, now);
-    return valueFraction * (expectedTime / targetLatency) ** 2;
+    return valueFraction * (expectedTime / timeLeft) ** 2;
   }
 
   /** Expected latency as a multiple of the median latency. */
--- a/test/gateway/replica-choice.test.ts
+++ b/test/gateway/replica-choice.test.ts
@@ -43,7 +43,7 @@
       targets: [this.far, this.near],
       excluded: new Set(),
       medianLatency: 20,
-      targetLatency: 100,
+      timeLeft: 100,
       valueFraction: 1,
       maximumInFlight: 8,
       coldSendInterval: Infinity,
