Clock: a late timer runs after what has arrived meanwhile was read

Callers of fan-outs got late answers because their gateway gave groups of shards to second leaves while the reports of the first ones lay unread.

Cause: the event loop runs timers before it polls sockets. After a pause, for want of processor time or by garbage collection, every timeout that fell due in it fires first: silent leaves, hedges, cut-offs, deadlines, lost leaders. Class: a timeout that counts the waiter's own pause. At NodeClock, which all timers of the product go through, a timer more than 2 ms late now waits for one poll.

Both new tests of node-clock.test.ts failed before: 'timeout' came before 'answer', which had been in the socket for 60 ms.

--- a/src/node/node-clock.ts
+++ b/src/node/node-clock.ts
@@ -1,6 +1,10 @@
 /**
  * The clock of the operating system. Time for which the machine was suspended counts: in
  * `now`, and for timers, which are set anew once it shows that some of them are overdue.
+ *
+ * A timer that is late runs after what has arrived meanwhile was read. The event loop runs timers
+ * before it polls sockets, so a timeout would otherwise strike after each pause of the process,
+ * although what it waits for is already here.
  */
 import type { Clock, Timer } from '../seams/clock.js';
 import { SYSTEM_READINGS, SuspensionMeter, type ClockReadings } from './suspension-meter.js';
@@ -8,12 +12,17 @@
 /** How often the clock looks for a suspension while timers wait and nobody reads it. Milliseconds. */
 const WATCH_INTERVAL_MS = 250;
 
+/** Lag of the timers of an idle process; a timer that is later was held up. Milliseconds. */
+const IDLE_TIMER_LAG_MS = 2;
+
 /** A timer that has not run yet. */
 interface PendingTimer {
   /** Reading of the clock. */
   readonly dueAt: number;
   readonly callback: () => void;
   handle: NodeJS.Timeout;
+  /** Set once the timer is late and waits until sockets were polled. */
+  afterPoll: NodeJS.Immediate | undefined;
 }
 
 /** Production {@link Clock}. */
@@ -46,7 +55,8 @@
     const timer: PendingTimer = {
       dueAt: this.now() + milliseconds,
       callback,
-      handle: setTimeout(() => this.run(timer), milliseconds),
+      handle: setTimeout(() => this.fire(timer), milliseconds),
+      afterPoll: undefined,
     };
     this.pending.add(timer);
     return { cancel: () => this.cancel(timer) };
@@ -70,6 +80,12 @@
     });
   }
 
+  private fire(timer: PendingTimer): void {
+    const lateMs = this.readings.steady() + this.suspended - timer.dueAt;
+    if (lateMs <= IDLE_TIMER_LAG_MS) this.run(timer);
+    else timer.afterPoll = setImmediate(() => this.run(timer));
+  }
+
   private run(timer: PendingTimer): void {
     this.remove(timer);
     timer.callback();
@@ -77,15 +93,17 @@
 
   private cancel(timer: PendingTimer): void {
     clearTimeout(timer.handle);
+    clearImmediate(timer.afterPoll);
     this.remove(timer);
   }
 
   /** The machine was suspended: timers of the runtime wait for that much too long. */
   private resetTimers(now: number): void {
     for (const timer of this.pending) {
+      if (timer.afterPoll !== undefined) continue;
       clearTimeout(timer.handle);
       const rest = Math.max(0, timer.dueAt - now);
-      timer.handle = setTimeout(() => this.run(timer), rest);
+      timer.handle = setTimeout(() => this.fire(timer), rest);
     }
   }
 
--- a/test/node/node-clock.test.ts
+++ b/test/node/node-clock.test.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import { describe, expect, it, vi } from 'vitest';
 import { NodeClock } from '../../src/node/node-clock.js';
 import type { ClockReadings } from '../../src/node/suspension-meter.js';
@@ -175,3 +178,51 @@
     expect(clock.now()).toBeGreaterThan(before);
   });
 });
+
+function resolvers(): { readonly promise: Promise<void>; resolve: () => void } {
+  let resolve: () => void = () => undefined;
+  const promise = new Promise<void>((resolvePromise) => (resolve = resolvePromise));
+  return { promise, resolve };
+}
+
+/** Keeps the event loop from running, as a process that gets no processor time. */
+function block(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end);
+}
+
+describe('a timer of a process that was held up', () => {
+  // Guards against timeouts that strike although what they wait for has arrived.
+  it('runs after what has arrived meanwhile was read', async () => {
+    const order: string[] = [];
+    const answered = resolvers();
+    const server = createServer((peer) => peer.write('answer', () => answered.resolve()));
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1').pause();
+    await answered.promise;
+    const timedOut = resolvers();
+    socket.on('data', () => order.push('answer')).resume();
+    new NodeClock().setTimer(20, () => {
+      order.push('timeout');
+      timedOut.resolve();
+    });
+    block(60);
+    await timedOut.promise;
+    expect(order).toEqual(['answer', 'timeout']);
+    socket.destroy();
+    server.close();
+  });
+
+  it('does not run when it is cancelled before that', async () => {
+    const callback = vi.fn();
+    const timer = new NodeClock().setTimer(5, callback);
+    const cancelled = new Promise<void>((resolve) => {
+      setTimeout(() => resolve(timer.cancel()), 10);
+    });
+    block(30);
+    await cancelled;
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(callback).not.toHaveBeenCalled();
+  });
+});
