--- a/lab/soak/loopback-proxy.ts
+++ b/lab/soak/loopback-proxy.ts
@@ -86,8 +86,9 @@
     if (this.mode !== ProxyMode.CutAnswer) return;
     this.cuts += 1;
     const headBytes = Math.max(1, bytes.indexOf('\r\n\r\n'));
-    client.end(bytes.subarray(0, (this.cuts * CUT_STEP_BYTES) % headBytes));
-    server.destroy();
+    const sent = bytes.subarray(0, (this.cuts * CUT_STEP_BYTES) % headBytes);
+    // The end of the server's side also destroys the client's, so it comes once the bytes have left.
+    client.end(sent, () => server.destroy());
   }
 
   /** Passes on what `from` says, and its end. */
@@ -100,8 +101,7 @@
     from.on('end', () => to.end());
     from.on('error', () => to.destroy());
     from.on('close', () => {
-      // What was written before an end still leaves.
-      if (!to.writableEnded) to.destroy();
+      to.destroy();
       this.pairs.delete(pair);
     });
   }
