Clock: only timeouts wait until what has arrived was read

Cause: reading all that has arrived takes long in a busy process, and hedges, reports and cut-offs, which do work and conclude nothing, waited for it too.

Waiting is now asked for by the timer: the root's timeout for silent leaves, the timeouts of requests between members of the controllers' group, and of questions to the quota owner. The tests of node-clock.test.ts ask the same of such a timer.

--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -102,7 +102,9 @@
     repeats.recordRequest(1);
     const { clock } = leafContext.environment;
     const reportTimeoutMs = latencies.reportTimeoutMs(this.request.route);
-    this.reportTimer = clock.setTimer(reportTimeoutMs, () => this.replaceSilentLeaf());
+    this.reportTimer = clock.setTimer(reportTimeoutMs, () => this.replaceSilentLeaf(), {
+      afterReading: true,
+    });
     this.tryNextLeaf();
   }
 
--- a/src/consensus/request-connection.ts
+++ b/src/consensus/request-connection.ts
@@ -66,7 +66,8 @@
     const requestType = EXCHANGES[exchange].request as AnyMessageType;
     const body = requestType.encode(message);
     const answer = this.waitForAnswer(correlation, exchange);
-    const timer = this.clock.setTimer(timeout, () => this.close(`no answer within ${timeout} ms`));
+    const expire = (): void => this.close(`no answer within ${timeout} ms`);
+    const timer = this.clock.setTimer(timeout, expire, { afterReading: true });
     try {
       const frame = encodeEnvelope({ exchange, isResponse: false, correlation, body });
       await Promise.race([this.connection.send(frame), answer]);
--- a/src/node/node-clock.ts
+++ b/src/node/node-clock.ts
@@ -2,27 +2,25 @@
  * The clock of the operating system. Time for which the machine was suspended counts: in
  * `now`, and for timers, which are set anew once it shows that some of them are overdue.
  *
- * A timer that is late runs after what has arrived meanwhile was read. The event loop runs timers
- * before it polls sockets, so a timeout would otherwise strike after each pause of the process,
- * although what it waits for is already here.
+ * The event loop runs timers before it polls sockets. After each pause of the process a timeout
+ * would so strike although what it waits for is here; see `TimerOptions.afterReading`.
  */
-import type { Clock, Timer } from '../seams/clock.js';
+import type { Clock, Timer, TimerOptions } from '../seams/clock.js';
 import { SYSTEM_READINGS, SuspensionMeter, type ClockReadings } from './suspension-meter.js';
 
 /** How often the clock looks for a suspension while timers wait and nobody reads it. Milliseconds. */
 const WATCH_INTERVAL_MS = 250;
 
-/** Lag of the timers of an idle process; a timer that is later was held up. Milliseconds. */
-const IDLE_TIMER_LAG_MS = 2;
-
 /** A timer that has not run yet. */
 interface PendingTimer {
   /** Reading of the clock. */
   readonly dueAt: number;
   readonly callback: () => void;
+  /** Whether it waits until sockets were polled once it is due. */
+  readonly afterReading: boolean;
   handle: NodeJS.Timeout;
-  /** Set once the timer is late and waits until sockets were polled. */
-  afterPoll: NodeJS.Immediate | undefined;
+  /** Set once it is due and waits for that. */
+  polling: NodeJS.Immediate | undefined;
 }
 
 /** Production {@link Clock}. */
@@ -50,13 +48,18 @@
     return this.readings.wall();
   }
 
-  setTimer(milliseconds: number, callback: () => void): Timer {
+  setTimer(
+    milliseconds: number,
+    callback: () => void,
+    { afterReading = false }: TimerOptions = {},
+  ): Timer {
     this.startWatch();
     const timer: PendingTimer = {
       dueAt: this.now() + milliseconds,
       callback,
+      afterReading,
       handle: setTimeout(() => this.fire(timer), milliseconds),
-      afterPoll: undefined,
+      polling: undefined,
     };
     this.pending.add(timer);
     return { cancel: () => this.cancel(timer) };
@@ -81,9 +84,8 @@
   }
 
   private fire(timer: PendingTimer): void {
-    const lateMs = this.readings.steady() + this.suspended - timer.dueAt;
-    if (lateMs <= IDLE_TIMER_LAG_MS) this.run(timer);
-    else timer.afterPoll = setImmediate(() => this.run(timer));
+    if (timer.afterReading) timer.polling = setImmediate(() => this.run(timer));
+    else this.run(timer);
   }
 
   private run(timer: PendingTimer): void {
@@ -93,14 +95,14 @@
 
   private cancel(timer: PendingTimer): void {
     clearTimeout(timer.handle);
-    clearImmediate(timer.afterPoll);
+    clearImmediate(timer.polling);
     this.remove(timer);
   }
 
   /** The machine was suspended: timers of the runtime wait for that much too long. */
   private resetTimers(now: number): void {
     for (const timer of this.pending) {
-      if (timer.afterPoll !== undefined) continue;
+      if (timer.polling !== undefined) continue;
       clearTimeout(timer.handle);
       const rest = Math.max(0, timer.dueAt - now);
       timer.handle = setTimeout(() => this.fire(timer), rest);
--- a/src/seams/clock.ts
+++ b/src/seams/clock.ts
@@ -10,6 +10,15 @@
   cancel(): void;
 }
 
+/** How a timer runs. */
+export interface TimerOptions {
+  /**
+   * For timers that conclude something from silence, such as timeouts: what has arrived by then is read
+   * first. Other timers don't wait for that, which takes long in a busy process.
+   */
+  readonly afterReading?: boolean;
+}
+
 /** Source of time and timers. All durations are milliseconds. */
 export interface Clock {
   /** Monotonic time in milliseconds since an arbitrary origin; never steps back. */
@@ -22,7 +31,7 @@
   wallTime(): number;
 
   /** Runs `callback` once after `milliseconds`. */
-  setTimer(milliseconds: number, callback: () => void): Timer;
+  setTimer(milliseconds: number, callback: () => void, options?: TimerOptions): Timer;
 
   /**
    * Resolves after `milliseconds`.
--- a/src/tenants/quota-link.ts
+++ b/src/tenants/quota-link.ts
@@ -201,10 +201,11 @@
     const frame = QUOTA_CODEC.encodeBatch([{ kind: 'round', round: this.round }, ...messages]);
     metrics.frames.inc();
     metrics.bytes.inc(frame.length);
-    const timer = environment.clock.setTimer(RESPONSE_TIMEOUT_MS, () => {
+    const expire = (): void => {
       this.hasTimedOut = true;
       connection.close();
-    });
+    };
+    const timer = environment.clock.setTimer(RESPONSE_TIMEOUT_MS, expire, { afterReading: true });
     try {
       await connection.send(frame);
       const received = await connection.receive();
--- a/test/node/node-clock.test.ts
+++ b/test/node/node-clock.test.ts
@@ -191,7 +191,7 @@
   while (performance.now() < end);
 }
 
-describe('a timer of a process that was held up', () => {
+describe('a timeout of a process that was held up', () => {
   // Guards against timeouts that strike although what they wait for has arrived.
   it('runs after what has arrived meanwhile was read', async () => {
     const order: string[] = [];
@@ -203,10 +203,11 @@
     await answered.promise;
     const timedOut = resolvers();
     socket.on('data', () => order.push('answer')).resume();
-    new NodeClock().setTimer(20, () => {
+    const conclude = (): void => {
       order.push('timeout');
       timedOut.resolve();
-    });
+    };
+    new NodeClock().setTimer(20, conclude, { afterReading: true });
     block(60);
     await timedOut.promise;
     expect(order).toEqual(['answer', 'timeout']);
@@ -216,7 +217,7 @@
 
   it('does not run when it is cancelled before that', async () => {
     const callback = vi.fn();
-    const timer = new NodeClock().setTimer(5, callback);
+    const timer = new NodeClock().setTimer(5, callback, { afterReading: true });
     const cancelled = new Promise<void>((resolve) => {
       setTimeout(() => resolve(timer.cancel()), 10);
     });
