Leaves: ask for second attempts earlier where timers lag

Cause: the first report, which asks for the grant and shows that the leaf is alive, is due at 0.35 of the target and fires later by the lag; the report that the root waits for was moved by the lag already, this one was not. Class: a correction made at one of two alike places.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -1,8 +1,8 @@
 /**
  * One gather at a leaf: queries the shards and reports their merged parts to the root. A report
  * is sent when all shards have ended, once when attempts are unusually late (which shows the root
- * that the leaf is alive), and when the root is about to answer; after that, each part is reported
- * as it arrives.
+ * that the leaf is alive), and when the root is about to answer; after that, parts are reported as
+ * they arrive, those in quick succession together.
  */
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from '../gateway/caller-request.js';
@@ -120,14 +120,18 @@
     this.gather.start();
   }
 
-  /** Time until a gather that has not ended yet is reported for the first time. Milliseconds. */
+  /**
+   * Time until a gather that has not ended yet is reported for the first time: earlier by the lag of
+   * timers, as a busy leaf would look silent and get its grant after its hedges are due. Milliseconds.
+   */
   private get firstReportDelay(): number {
     const { route } = this.options.request;
-    const { hedgeDelay } = this.context.latencies.of(route);
-    return Math.min(
-      hedgeDelay * GRANT_REQUEST_FRACTION,
+    const { answerMargin, latencies } = this.context;
+    const dueMs = Math.min(
+      latencies.of(route).hedgeDelay * GRANT_REQUEST_FRACTION,
       targetLatencyOf(route) * FIRST_REPORT_FRACTION,
     );
+    return Math.max(0, dueMs - answerMargin.lag);
   }
 
   /**
