Gathers: log when each step was reached, and whether the process worked or waited

The lines could not tell why: a leaf wrote one only for a gather in which a shard was missing or asked twice, so its figures were of the gathers that the root had cancelled, and no line told work from waiting.

Change: a leaf's line says when the gather was begun, sent, first and last answered, first and last reported; a few gathers without trouble are logged too, under a kind and budget of their own; lines of fan-outs and gathers carry `busyMs`, for how long the event loop was busy. The seam for it is optional, as simulated processes share one loop. The timeline of the fan-out is now one class for both.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -11,6 +11,7 @@
 import type { GatheredParts, PartListener } from '../gateway/part-source.js';
 import { ShardGather } from '../gateway/shard-gather.js';
 import { targetLatencyOf } from '../gateway/route-latencies.js';
+import { GatherStep, StepTimeline } from '../gateway/step-timeline.js';
 import { TIME_UP, NO_ATTEMPT_REFUSAL_FRACTION } from '../gateway/forward-single.js';
 import type { PartsMessage } from './aggregation-messages.js';
 import type { LeafAdmission } from './leaf-admission.js';
@@ -76,6 +77,7 @@
   private readonly gather: LeafSource;
   private readonly positions: ReadonlyMap<string, number>;
   private readonly timers: Timer[] = [];
+  private readonly timeline: StepTimeline<GatherStep>;
   private unreported: GatheredParts[] = [];
   private answered = 0;
   private failed = 0;
@@ -98,6 +100,8 @@
   ) {
     const { request, shards } = options;
     this.positions = new Map(shards.map((shard, index) => [shard, index]));
+    this.timeline = new StepTimeline(context.environment, request.receivedAt);
+    this.timeline.record(GatherStep.Begun);
     const { totalShards, isRepeat, relay } = options;
     const maySendAgain = (): boolean => this.maySendAgain();
     const gatherOptions = { shards, totalShards, isRepeat, maySendAgain };
@@ -118,6 +122,7 @@
       clock.setTimer(Math.max(0, deadline - clock.now()), () => this.end(TIME_UP)),
     );
     this.gather.start();
+    this.timeline.record(GatherStep.Sent);
   }
 
   /**
@@ -153,6 +158,8 @@
 
   onParts(parts: GatheredParts): void {
     if (this.isDone) return;
+    this.timeline.record(GatherStep.FirstPart);
+    this.timeline.record(GatherStep.LastPart);
     this.unreported.push(parts);
     this.answered += parts.shards.length;
     this.reportProgress();
@@ -238,6 +245,8 @@
     const parts = this.unreported;
     this.unreported = [];
     this.lastReportAt = this.context.environment.clock.now();
+    this.timeline.record(GatherStep.FirstReport, this.lastReportAt);
+    this.timeline.record(GatherStep.LastReport, this.lastReportAt);
     const { topRecords = 0 } = request.route;
     this.options.report({
       kind: 'parts',
@@ -291,18 +300,17 @@
     const missing = shards.length - this.answered;
     const { sends } = this.gather;
     this.gather.cancel(reason);
-    if (missing > 0 || sends > shards.length) {
-      this.context.decisions.logGather(request, this.gather, {
-        root,
-        rootRouteVersion,
-        shards: shards.length,
-        missing,
-        sends,
-        reason,
-        delayMs: Math.round(delayMs),
-        timerLagMs: Math.round(this.context.answerMargin.lag),
-      });
-    }
+    this.context.decisions.logGather(request, this.gather, {
+      root,
+      rootRouteVersion,
+      shards: shards.length,
+      missing,
+      sends,
+      reason,
+      delayMs: Math.round(delayMs),
+      timerLagMs: Math.round(this.context.answerMargin.lag),
+      timeline: this.timeline,
+    });
     this.options.onEnd();
   }
 }
--- a/src/explain/loss-cause.ts
+++ b/src/explain/loss-cause.ts
@@ -12,6 +12,7 @@
 /** Lines that don't say what became of a caller's request. */
 const WITHOUT_OUTCOME: ReadonlySet<DecisionKind> = new Set([
   DecisionKind.Gathered,
+  DecisionKind.GatheredAtOnce,
   DecisionKind.ConnectionLost,
   DecisionKind.QuarantineChanged,
   DecisionKind.UnreadableReport,
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -7,10 +7,10 @@
 import { priorityOf, type CallerRequest } from './caller-request.js';
 import { CALLER_GONE, TIME_UP, NO_ATTEMPT_REFUSAL_FRACTION } from './forward-single.js';
 import { GatewayRefusal, QUARANTINED, refuse, refuseNotRun } from './gateway-answers.js';
-import { FanOutStep, FanOutTimeline } from './fan-out-timeline.js';
 import type { GatewayContext } from './gateway-context.js';
 import { mergeRecords } from './merge-records.js';
 import type { GatheredParts, PartListener, PartSource } from './part-source.js';
+import { FanOutStep, StepTimeline } from './step-timeline.js';
 import { targetLatencyOf } from './route-latencies.js';
 
 /** Absorbs the binary rounding error of fractions such as 0.89. */
@@ -35,7 +35,7 @@
   private readonly answeredShards = new Set<string>();
   private readonly failedShards = new Set<string>();
   private readonly timers: Timer[] = [];
-  private readonly timeline: FanOutTimeline;
+  private readonly timeline: StepTimeline<FanOutStep>;
   private isPastCutOff = false;
   private isDone = false;
   private resolve!: (response: HttpResponse) => void;
@@ -47,7 +47,7 @@
     private readonly shards: readonly string[],
     private readonly planSources: PlanSources,
   ) {
-    this.timeline = new FanOutTimeline(context.environment.clock, request.receivedAt);
+    this.timeline = new StepTimeline(context.environment, request.receivedAt);
   }
 
   /** Resolves with the final response, at the request's deadline at the latest. Call it once. */
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -5,12 +5,12 @@
 import type { HttpRequest, RefusedRequest } from '../seams/http.js';
 import { attemptFields, type AttemptRecord } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
-import type { FanOutTimeline } from './fan-out-timeline.js';
 import type { GatewayRefusal } from './gateway-answers.js';
 import type { PartSource } from './part-source.js';
 import type { RaceOutcome } from './race-outcome.js';
 import type { ReplicaRace } from './replica-race.js';
 import { targetLatencyOf } from './route-latencies.js';
+import type { FanOutStep, GatherStep, StepTimeline } from './step-timeline.js';
 import type { UnreadableReport } from './attempt-sender.js';
 
 /** Outcome of a fan-out; all fields but `timeline` and `sources` are log fields. */
@@ -27,12 +27,12 @@
   readonly queriedByRoot: number;
   /** 90th percentile of recent timer lag. Milliseconds. */
   readonly timerLagMs: number;
-  readonly timeline: FanOutTimeline;
+  readonly timeline: StepTimeline<FanOutStep>;
   /** The sources that asked the shards. */
   readonly sources: readonly PartSource[];
 }
 
-/** Outcome of a gather for another gateway; all fields are log fields. */
+/** Outcome of a gather for another gateway; all fields but `timeline` are log fields. */
 export interface GatherSummary {
   /** The gateway that requested the gather. */
   readonly root: string;
@@ -47,6 +47,7 @@
   readonly delayMs: number;
   /** 90th percentile of recent timer lag. Milliseconds. */
   readonly timerLagMs: number;
+  readonly timeline: StepTimeline<GatherStep>;
 }
 
 /** Maximum attempts without a part in one log line. */
@@ -131,11 +132,19 @@
     }));
   }
 
-  /** Logs a gather for another gateway in which not every shard answered its first attempt. */
-  logGather(request: CallerRequest, source: PartSource, summary: GatherSummary): void {
-    this.log.write(DecisionKind.Gathered, () => ({
+  /** Logs a gather for another gateway. */
+  logGather(
+    request: CallerRequest,
+    source: PartSource,
+    { timeline, ...summary }: GatherSummary,
+  ): void {
+    const { missing, sends, shards } = summary;
+    const isUneventful = missing === 0 && sends <= shards;
+    const kind = isUneventful ? DecisionKind.GatheredAtOnce : DecisionKind.Gathered;
+    this.log.write(kind, () => ({
       ...this.commonFields(request),
       ...summary,
+      ...timeline.fields,
       missingAttempts: source.missingAttempts(request.receivedAt).slice(0, MAXIMUM_LOGGED_ATTEMPTS),
     }));
   }
--- a/src/node/node-environment.ts
+++ b/src/node/node-environment.ts
@@ -2,6 +2,7 @@
 import type { DurableEnvironment, Environment } from '../seams/environment.js';
 import { NodeClock } from './node-clock.js';
 import { NodeDisk } from './node-disk.js';
+import { NODE_EVENT_LOOP } from './node-event-loop.js';
 import { NodeNetwork } from './node-network.js';
 import { PureRandomSource } from './pure-random-source.js';
 
@@ -9,6 +10,7 @@
 export function createNodeEnvironment(): Environment {
   return {
     clock: new NodeClock(),
+    eventLoop: NODE_EVENT_LOOP,
     network: new NodeNetwork(),
     random: PureRandomSource.fromSystem(),
   };
--- a/src/observability/decision-log.ts
+++ b/src/observability/decision-log.ts
@@ -25,8 +25,10 @@
   Late = 'request answered late',
   Partial = 'request answered in part',
   Hedged = 'request answered after more than one sending',
-  /** Shards that were asked for another gateway. */
+  /** Shards that were asked for another gateway; some were missing or asked twice. */
   Gathered = 'shards gathered for another gateway',
+  /** The same, where every shard answered its first attempt. */
+  GatheredAtOnce = 'shards gathered for another gateway at once',
   Failed = 'request failed',
   Refused = 'request refused',
   NotForwarded = 'request not forwarded',
@@ -40,6 +42,10 @@
 
 /** Uneventful requests get this part of the lines that others get. */
 const UNEVENTFUL_PART = 0.1;
+const UNEVENTFUL_KINDS: ReadonlySet<DecisionKind> = new Set([
+  DecisionKind.Answered,
+  DecisionKind.GatheredAtOnce,
+]);
 
 /** See the module comment. */
 export class DecisionLog {
@@ -52,7 +58,7 @@
 
   /** Writes the line when its kind has any left. `fields` is asked only then. */
   write(kind: DecisionKind, fields: () => LogFields): void {
-    const part = kind === DecisionKind.Answered ? UNEVENTFUL_PART : 1;
+    const part = UNEVENTFUL_KINDS.has(kind) ? UNEVENTFUL_PART : 1;
     const budget = this.refill(kind, part);
     if (budget.lines < 1) {
       budget.omitted += 1;
--- a/src/seams/environment.ts
+++ b/src/seams/environment.ts
@@ -1,12 +1,15 @@
 /** The four seams together, as handed to every daemon. */
 import type { Clock } from './clock.js';
 import type { Disk } from './disk.js';
+import type { EventLoop } from './event-loop.js';
 import type { Network } from './network.js';
 import type { RandomSource } from './random-source.js';
 
 /** What a daemon without a data folder needs. */
 export interface Environment {
   readonly clock: Clock;
+  /** Absent where processes share a loop, as in simulations. */
+  readonly eventLoop?: EventLoop;
   readonly network: Network;
   readonly random: RandomSource;
 }
