Answers: hand over what a caller waits for before cancelling and logging

What callers saw: answers to many shards that left their gateway several milliseconds after enough parts were in, for targets of 50 to 60 ms.

Cause: FanOut.finish cancelled the gathers at a dozen leaves and wrote its log line (with up to eight attempts) before it resolved the response; LeafGather.end ended its attempts and wrote its line before the last report; a single request wrote its line first too. Class: work that nobody waits for, done before what somebody waits for. At a third of a core each millisecond of it takes three.

Why this works: the response is resolved first, and the rest runs from a timer once it has been written. A failure or refusal is different on purpose: it may say that nothing was run, so its sources are cancelled before it.

Looked for elsewhere: requests to one service, the same way.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -174,7 +174,8 @@
   /** Ends the gather without a report. */
   cancel(reason: string): void {
     if (this.isDone) return;
-    this.finish(reason);
+    this.finish();
+    this.endAttempts(reason);
   }
 
   /**
@@ -232,8 +233,9 @@
 
   private end(reason: string): void {
     if (this.isDone) return;
-    this.finish(reason);
+    this.finish();
     this.report({ isLast: true, reason });
+    this.endAttempts(reason);
   }
 
   private report({
@@ -291,11 +293,15 @@
     this.options.admission.recordGather(this.isLate || (isOverdue && this.hasFewParts));
   }
 
-  private finish(reason: string): void {
+  private finish(): void {
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
     this.lateReportTimer?.cancel();
     this.recordLateness();
+    this.options.onEnd();
+  }
+
+  private endAttempts(reason: string): void {
     const { shards, request, root, rootRouteVersion, delayMs } = this.options;
     const missing = shards.length - this.answered;
     const { sends } = this.gather;
@@ -311,6 +317,5 @@
       timerLagMs: Math.round(this.context.answerMargin.lag),
       timeline: this.timeline,
     });
-    this.options.onEnd();
   }
 }
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -4,6 +4,7 @@
  */
 import type { HttpResponse } from '../seams/http.js';
 import type { Timer } from '../seams/clock.js';
+import { afterResponse } from './after-response.js';
 import { priorityOf, type CallerRequest } from './caller-request.js';
 import { CALLER_GONE, TIME_UP, NO_ATTEMPT_REFUSAL_FRACTION } from './forward-single.js';
 import { GatewayRefusal, QUARANTINED, refuse, refuseNotRun } from './gateway-answers.js';
@@ -15,6 +16,7 @@
 
 /** Absorbs the binary rounding error of fractions such as 0.89. */
 const ROUNDING_TOLERANCE = 1e-9;
+const SUCCESS_STATUS = 200;
 
 /** Assigns the shards of a request to sources, each of which reports to `listener`. */
 export type PlanSources = (
@@ -177,7 +179,12 @@
       [partSignatures]: signatures.join(', '),
       [missingParts]: String(this.shards.length - this.answeredShards.size),
     };
-    this.finish({ status: 200, headers, body }, 'enough parts are in');
+    this.finish();
+    this.resolve({ status: SUCCESS_STATUS, headers, body });
+    this.timeline.record(FanOutStep.Answered);
+    afterResponse(this.context.environment.clock, () =>
+      this.endSources(SUCCESS_STATUS, 'enough parts are in'),
+    );
   }
 
   private giveUp(refusal: GatewayRefusal, reason: string): void {
@@ -187,16 +194,22 @@
     const isQuarantined = crashGuard.isQuarantined(this.request.fingerprint);
     const cause = isQuarantined ? QUARANTINED : reason;
     const response = mayRun ? refuse(refusalAfterPossibleRun(refusal), cause) : refuseNotRun(cause);
-    this.finish(response, cause);
+    this.finish();
+    // Before the response, which may say that nothing was run: nothing may be sent after it.
+    this.endSources(response.status, cause);
+    this.resolve(response);
   }
 
-  private finish(response: HttpResponse, reason: string): void {
+  private finish(): void {
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
     this.request.signal.removeEventListener('abort', this.onCallerGone);
+  }
+
+  private endSources(status: number, reason: string): void {
     for (const source of this.sources) source.cancel(reason);
     this.context.decisions.logFanOut(this.request, {
-      status: response.status,
+      status,
       reason,
       shards: this.shards.length,
       missing: this.shards.length - this.answeredShards.size,
@@ -206,6 +219,5 @@
       timeline: this.timeline,
       sources: this.sources,
     });
-    this.resolve(response);
   }
 }
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -1,6 +1,7 @@
 /** Forwards a request to one replica of its service and returns its response unchanged. */
 import type { Timer } from '../seams/clock.js';
 import type { HttpResponse } from '../seams/http.js';
+import { afterResponse } from './after-response.js';
 import type { CallerRequest } from './caller-request.js';
 import { connectTimeout, sendTimeout } from './connect-timeouts.js';
 import { GatewayRefusal, refuse, refuseNotRun } from './gateway-answers.js';
@@ -114,8 +115,10 @@
     for (const timer of this.timers) timer.cancel();
     this.request.signal.removeEventListener('abort', this.onCallerGone);
     const outcome = race.outcome as RaceOutcome;
-    this.context.decisions.logSingleRequest(this.request, race, outcome);
     this.resolve(this.responseOf(outcome));
+    afterResponse(this.context.environment.clock, () =>
+      this.context.decisions.logSingleRequest(this.request, race, outcome),
+    );
   };
 
   private responseOf(outcome: RaceOutcome): HttpResponse {
--- a/src/gateway/step-timeline.ts
+++ b/src/gateway/step-timeline.ts
@@ -16,6 +16,8 @@
   CutOffDue = 'cutOffDueMs',
   /** The cut-off timer fired. */
   CutOff = 'cutOffMs',
+  /** The merged answer was handed over. */
+  Answered = 'answeredMs',
 }
 
 /** Steps of a gather at its leaf, named as the log fields are. */
--- a/test/aggregation/leaf-gather.test.ts
+++ b/test/aggregation/leaf-gather.test.ts
@@ -14,6 +14,8 @@
   /** Times of the reports. Clock readings. */
   readonly reportedAt: number[];
   readonly listener: PartListener;
+  /** What happened, in order. */
+  readonly events: string[];
 }
 
 /** Starts a gather at a leaf whose timers lag by `lag`; its parts come from the test. */
@@ -21,15 +23,21 @@
   const clock = new ManualClock();
   const reports: PartsMessage[] = [];
   const reportedAt: number[] = [];
+  const events: string[] = [];
   let listener: PartListener | undefined;
   const context = {
     environment: { clock },
     latencies: { of: () => ({ hedgeDelay: 1_000 }) },
     answerMargin: { lag, recordTimerLag: () => undefined },
     shedding: { admittedPart: () => 1 },
-    decisions: { logGather: () => undefined },
+    decisions: { logGather: () => events.push('line written') },
+  };
+  const source = {
+    start: () => undefined,
+    cancel: () => events.push('attempts ended'),
+    mayHaveSent: true,
+    sends: 8,
   };
-  const source = { start: () => undefined, cancel: () => undefined, mayHaveSent: true, sends: 8 };
   const route = { targetLatencyMs: 1_000, timeoutMs: 2_000, topRecords: 1 };
   const options = {
     gatherId: 1,
@@ -48,6 +56,7 @@
     },
     report: (message: PartsMessage) => {
       reports.push(message);
+      events.push('reported');
       reportedAt.push(clock.now());
     },
     onEnd: () => undefined,
@@ -55,7 +64,7 @@
   };
   new LeafGather(context as never, options as never).start();
   if (listener === undefined) throw new Error('expected the gather to create its source');
-  return { clock, reports, reportedAt, listener };
+  return { clock, reports, reportedAt, listener, events };
 }
 
 function partOf(shard: string): Parameters<PartListener['onParts']>[0] {
@@ -109,3 +118,11 @@
     }
   });
 });
+
+describe('a gather whose shards have all ended', () => {
+  it('is reported before its attempts are ended and its line is written', () => {
+    const { events, listener } = startGather();
+    for (const shard of SHARDS) listener.onParts(partOf(shard));
+    expect(events).toEqual(['reported', 'attempts ended', 'line written']);
+  });
+});
