Leaves: ask a root for a grant when replicas can have answered, not at once and empty

What callers saw: fan-outs late where gateways are short of processor time.

Cause: the first report of a gather is due at a third of the target and sent earlier by the lag of the leaf's timers, without a bound. With a lag of 14 to 19 ms for a target of 55 every gather reports at once, without a part, and the root answers each with a grant: a dozen reports and a dozen messages more for each request, because everything is slow. The report that the root waits for has had its bound since; this one had none. Class: load that is added because everything is slow; a correction without the bound of its twin.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -72,6 +72,11 @@
   readonly reason: string;
 }
 
+/** The lag by which a report that is due in `dueMs` is sent earlier. Milliseconds. */
+function lagWithin(dueMs: number, lag: number): number {
+  return Math.min(lag, dueMs * MAXIMUM_LAG_FRACTION);
+}
+
 /** Starts with {@link start}; ends by itself or by {@link cancel}, then calls `onEnd` once. */
 export class LeafGather implements PartListener {
   private readonly gather: LeafSource;
@@ -127,7 +132,8 @@
 
   /**
    * Time until a gather that has not ended yet is reported for the first time: earlier by the lag of
-   * timers, as a busy leaf would look silent and get its grant after its hedges are due. Milliseconds.
+   * timers, as a busy leaf would look silent and get its grant after its hedges are due, but not so early
+   * that replicas cannot have answered. Milliseconds.
    */
   private get firstReportDelay(): number {
     const { route } = this.options.request;
@@ -136,7 +142,7 @@
       latencies.of(route).hedgeDelay * GRANT_REQUEST_FRACTION,
       targetLatencyOf(route) * FIRST_REPORT_FRACTION,
     );
-    return Math.max(0, dueMs - answerMargin.lag);
+    return dueMs - lagWithin(dueMs, answerMargin.lag);
   }
 
   /**
@@ -147,7 +153,7 @@
     const { environment, answerMargin } = this.context;
     const { clock } = environment;
     const { reportInMs } = this.options;
-    const delayMs = reportInMs - Math.min(answerMargin.lag, reportInMs * MAXIMUM_LAG_FRACTION);
+    const delayMs = reportInMs - lagWithin(reportInMs, answerMargin.lag);
     const dueAt = clock.now() + delayMs;
     this.reportDueAt = dueAt;
     return clock.setTimer(delayMs, () => {
