Daemons: log their limits, and memory by kind before it reaches its limit

Each daemon logs its limits when it starts and its memory by kind when it passes 60, 75 and 90 % of memory.limitBytes; gauges tell the limit and what is held. The budgets for what peers can make a process hold are created and not yet used.

--- a/src/commands/controller-command.ts
+++ b/src/commands/controller-command.ts
@@ -6,6 +6,7 @@
 import { createDurableNodeEnvironment } from '../node/node-environment.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
+import { watchMemory } from './watch-memory.js';
 
 /** Runs until SIGTERM. */
 export class ControllerCommand extends ConfiguredCommand {
@@ -48,7 +49,8 @@
       { path: 'zone', value: this.zone },
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
-    const environment = createDurableNodeEnvironment(configuration.dataFolder);
+    const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
+    const environment = createDurableNodeEnvironment(configuration.dataFolder, budgets);
     return runDaemonProcess(telemetry.logger, () =>
       ControllerDaemon.start(environment, configuration, telemetry),
     );
--- a/src/commands/gateway-command.ts
+++ b/src/commands/gateway-command.ts
@@ -6,6 +6,7 @@
 import { ConfiguredCommand } from './configured-command.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
+import { watchMemory } from './watch-memory.js';
 
 /** Runs until SIGTERM. */
 export class GatewayCommand extends ConfiguredCommand {
@@ -33,7 +34,8 @@
       { path: 'listen.health', value: this.listenHealth },
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
-    const environment = createNodeEnvironment();
+    const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
+    const environment = createNodeEnvironment(budgets);
     return runDaemonProcess(telemetry.logger, () =>
       GatewayDaemon.start(environment, configuration, telemetry),
     );
--- a/src/commands/router-command.ts
+++ b/src/commands/router-command.ts
@@ -7,6 +7,7 @@
 import { RouterDaemon } from '../router/router-daemon.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
+import { watchMemory } from './watch-memory.js';
 
 /** Runs until SIGTERM. */
 export class RouterCommand extends ConfiguredCommand {
@@ -41,7 +42,8 @@
       { path: 'zone', value: this.zone },
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
-    const environment = createNodeEnvironment();
+    const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
+    const environment = createNodeEnvironment(budgets);
     return runDaemonProcess(telemetry.logger, async () => {
       const source = ControlStreamClient.start(environment, configuration, telemetry);
       const router = await RouterDaemon.start(environment, configuration, source, telemetry);
--- a/src/configuration/controller-configuration.ts
+++ b/src/configuration/controller-configuration.ts
@@ -10,6 +10,7 @@
   clusterSchema,
   controllerEndpointSchema,
   logSchema,
+  memorySchema,
   placeShape,
   zonesSchema,
 } from './daemon-configuration.js';
@@ -101,6 +102,7 @@
     .describe('{ bootstrapTokenHash: (SHA-256 of the token, hexadecimal) }'),
   /** The platform's list of machines, polled over HTTP. */
   platformList: addressSchema.optional(),
+  memory: memorySchema,
   log: logSchema,
 });
 export type ControllerConfiguration = z.infer<typeof controllerConfigurationSchema>;
--- a/src/configuration/daemon-configuration.ts
+++ b/src/configuration/daemon-configuration.ts
@@ -61,3 +61,14 @@
   })
   .default({ format: 'auto' })
   .describe('{ format: json }');
+
+/** Smaller limits leave no room beside what a daemon takes when it starts. Bytes. */
+const MINIMUM_MEMORY_BYTES = 134_217_728;
+
+export const memorySchema = z
+  .strictObject({
+    /** Memory that the process may use, buffers included; by default the container's or the machine's. Bytes. */
+    limitBytes: z.int().min(MINIMUM_MEMORY_BYTES).optional().describe('367001600'),
+  })
+  .prefault({})
+  .describe('{ limitBytes: 367001600 }');
--- a/src/configuration/gateway-configuration.ts
+++ b/src/configuration/gateway-configuration.ts
@@ -7,6 +7,7 @@
   addressSchema,
   clusterSchema,
   logSchema,
+  memorySchema,
   placeShape,
   zonesSchema,
 } from './daemon-configuration.js';
@@ -94,6 +95,7 @@
     })
     .prefault({})
     .describe('{ maximumConnections: 10000 }'),
+  memory: memorySchema,
   log: logSchema,
 });
 export type GatewayConfiguration = z.infer<typeof gatewayConfigurationSchema>;
--- a/src/configuration/router-configuration.ts
+++ b/src/configuration/router-configuration.ts
@@ -7,6 +7,7 @@
   clusterSchema,
   controllerEndpointSchema,
   logSchema,
+  memorySchema,
   placeShape,
 } from './daemon-configuration.js';
 
@@ -38,6 +39,7 @@
     })
     .prefault({})
     .describe('{ maximumConnections: 10000 }'),
+  memory: memorySchema,
   log: logSchema,
 });
 export type RouterConfiguration = z.infer<typeof routerConfigurationSchema>;
--- a/src/node/byte-budget.ts
+++ b/src/node/byte-budget.ts
@@ -5,7 +5,12 @@
   private held = 0;
 
   /** `limit` in bytes. */
-  constructor(private readonly limit: number) {}
+  constructor(readonly limit: number) {}
+
+  /** Bytes held now. */
+  get heldBytes(): number {
+    return this.held;
+  }
 
   /** Takes `bytes` unless the limit would be passed; says whether it did. */
   take(bytes: number): boolean {
--- a/src/node/node-environment.ts
+++ b/src/node/node-environment.ts
@@ -1,5 +1,6 @@
 /** The four seams as the operating system provides them. */
 import type { DurableEnvironment, Environment } from '../seams/environment.js';
+import type { MemoryBudgets } from './memory-budgets.js';
 import { NodeClock } from './node-clock.js';
 import { NodeDisk } from './node-disk.js';
 import { NODE_EVENT_LOOP } from './node-event-loop.js';
@@ -7,16 +8,19 @@
 import { PureRandomSource } from './pure-random-source.js';
 
 /** For a daemon without a data folder. */
-export function createNodeEnvironment(): Environment {
+export function createNodeEnvironment(budgets?: MemoryBudgets): Environment {
   return {
     clock: new NodeClock(),
     eventLoop: NODE_EVENT_LOOP,
-    network: new NodeNetwork(),
+    network: new NodeNetwork(budgets),
     random: PureRandomSource.fromSystem(),
   };
 }
 
 /** For a daemon whose data folder is `dataFolder`. */
-export function createDurableNodeEnvironment(dataFolder: string): DurableEnvironment {
-  return { ...createNodeEnvironment(), disk: new NodeDisk(dataFolder) };
+export function createDurableNodeEnvironment(
+  dataFolder: string,
+  budgets?: MemoryBudgets,
+): DurableEnvironment {
+  return { ...createNodeEnvironment(budgets), disk: new NodeDisk(dataFolder) };
 }
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -9,12 +9,16 @@
 } from '../seams/http.js';
 import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
 import type { Network } from '../seams/network.js';
+import { divideMemory, type MemoryBudgets } from './memory-budgets.js';
 import { connectMessages, listenMessages } from './message-server.js';
 import { NodeHttpClient } from './node-http-client.js';
+import { availableMemory } from './process-memory.js';
 import { listenHttp } from './node-http-server.js';
 
 /** Production {@link Network}. */
 export class NodeNetwork implements Network {
+  constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {}
+
   listenHttp(
     address: Address,
     options: HttpListenOptions,
