--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -13,6 +13,12 @@
   readonly nodeArguments: readonly string[];
   /** Everything the process writes is appended here. */
   readonly logFile: string;
+  /** All of its environment; that of this process when absent. */
+  readonly environment?: Readonly<Record<string, string>>;
+  /** Working directory; that of this process when absent. */
+  readonly folder?: string;
+  /** Whether a channel tells it that this process is gone; see `end-with-parent.ts`. On by default. */
+  readonly hasChannel?: boolean;
 }
 
 /** One log line of a daemon. */
@@ -25,6 +31,9 @@
 /** Logged by a process that something keeps running after its daemon has stopped. */
 const LINGERED_MESSAGE = 'process still running after its stop';
 
+/** Lines that are kept for a message about the process's end. */
+const LAST_LINES = 5;
+
 type LineListener = (line: LogLine) => void;
 
 function parseLine(text: string): LogLine | undefined {
@@ -46,14 +55,17 @@
   private failure: string | undefined;
   private hung = false;
   private hasLingered = false;
+  private readonly latest: string[] = [];
 
   constructor(readonly options: FleetProcessOptions) {
-    const { name, nodeArguments } = options;
+    const { name, nodeArguments, environment, folder, hasChannel = true } = options;
     this.child = spawn(process.execPath, nodeArguments, {
+      env: environment ?? process.env,
+      cwd: folder,
       // A group of its own: Ctrl-C in a terminal reaches the runner alone. Else
       // the runner's SIGTERM would be the process's second signal, and end it at once.
       detached: true,
-      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+      stdio: ['ignore', 'pipe', 'pipe', ...(hasChannel ? (['ipc'] as const) : [])],
     });
     const logged = this.record();
     this.ended = new Promise((resolve) => {
@@ -82,6 +94,16 @@
     return this.options.name;
   }
 
+  /** Undefined when it could not be started. */
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
+  /** What it wrote last. */
+  get lastLines(): readonly string[] {
+    return this.latest;
+  }
+
   get isRunning(): boolean {
     return !this.hasEnded;
   }
@@ -116,6 +138,10 @@
     });
   }
 
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
   /** Ends it without warning. */
   async kill(): Promise<ProcessEnd> {
     this.child.kill('SIGKILL');
@@ -151,11 +177,15 @@
     log.on('error', () => undefined);
     const closed = new Promise<void>((resolve) => log.once('close', () => resolve()));
     this.child.once('close', () => log.end());
-    stderr?.on('data', (chunk: Buffer) => log.write(chunk));
+    stderr?.on('data', (chunk: Buffer) => {
+      log.write(chunk);
+      for (const text of chunk.toString().trim().split('\n')) this.keepLine(text);
+    });
     if (stdout === null) return closed;
     const lines = createInterface({ input: stdout });
     lines.on('line', (text) => {
       log.write(`${text}\n`);
+      this.keepLine(text);
       const line = parseLine(text);
       if (line?.message === LINGERED_MESSAGE) this.hasLingered = true;
       if (line?.message === 'daemon failed') this.failure = String(line.context['reason']);
@@ -163,4 +193,9 @@
     });
     return closed;
   }
+
+  private keepLine(text: string): void {
+    this.latest.push(text);
+    if (this.latest.length > LAST_LINES) this.latest.shift();
+  }
 }
