Lab: replicas that send an answer without end until their caller closes

A proxy in front of a replica can put an answer without end in the place of each answer: headers, chunks, chunks of one byte, a length of 10^12, or bytes that are no HTTP.

--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -11,6 +11,7 @@
 import type { HttpHeaders, HttpListener, HttpRequest, HttpResponse } from '../../src/seams/http.js';
 
 const HEARTBEAT_INTERVAL_MS = 1_000;
+export const DEFAULT_CAPACITY = 2;
 const LISTEN_OPTIONS = {
   maximumBodyBytes: 1_048_576,
   maximumHeaderBytes: 65_536,
@@ -55,6 +56,8 @@
   /** Where heartbeats go, the first that answers; `host:port` each. */
   readonly controllers: readonly Address[];
   readonly headers?: ExchangeHeaders;
+  /** Requests that it says it can run at a time; {@link DEFAULT_CAPACITY} when absent. */
+  readonly capacity?: number;
   /** When it says that it started; it does not say it when absent. Unix milliseconds. */
   readonly bornAt?: number;
 }
@@ -136,13 +139,21 @@
   }
 
   private async register(): Promise<boolean> {
-    const { replicaId, service, address, zone, controllers, bornAt } = this.options;
+    const {
+      replicaId,
+      service,
+      address,
+      zone,
+      controllers,
+      bornAt,
+      capacity = DEFAULT_CAPACITY,
+    } = this.options;
     this.sequence += 1;
     const body = JSON.stringify({
       service,
       address: formatAddress(address),
       zone,
-      capacity: 2,
+      capacity,
       state: this.state,
       sequence: this.sequence,
       warmupRemainingMs: this.warmupMs,
--- a/test/lab/soak/loopback-proxy.test.ts
+++ b/test/lab/soak/loopback-proxy.test.ts
@@ -1,10 +1,12 @@
 import { once } from 'node:events';
 import { connect, createServer, type AddressInfo, type Server } from 'node:net';
 import { afterEach, beforeEach, expect, it } from 'vitest';
+import { ENDLESS_ANSWERS } from '../../../lab/exchange/endless-answer.js';
 import { LoopbackProxy, ProxyMode } from '../../../lab/soak/loopback-proxy.js';
 
 const HOST = '127.0.0.1';
 const ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+const ENDLESS_BYTES = 10_000_000;
 const HEAD_BYTES = ANSWER.indexOf('\r\n\r\n');
 
 let server: Server;
@@ -58,6 +60,21 @@
   expect(lengths.size).toBeGreaterThan(6);
 });
 
+it.each(ENDLESS_ANSWERS)('sends %s until its caller closes', async (kind) => {
+  proxy.useEndless(kind);
+  const socket = connect(proxy.address.port, HOST);
+  socket.write('GET / HTTP/1.1\r\n\r\n');
+  for (let received = 0; received < ENDLESS_BYTES;) {
+    const [bytes] = (await once(socket, 'data')) as [Buffer];
+    if (received === 0) expect(bytes.toString('latin1')).not.toContain('content-length: 2\r\n');
+    received += bytes.length;
+  }
+  socket.destroy();
+  expect(proxy.endlessAnswerCount).toBe(1);
+  proxy.useEndless(undefined);
+  expect(await ask()).toBe(ANSWER);
+});
+
 // Guards against a soak that ends without a result: its proxies waited for a connection whose server
 // had gone and whose client was silent.
 it('closes although a client keeps its side of a connection open', async () => {
