Gateway: a stopping gateway takes only what it can answer before its drain ends

Callers whose requests came late in a planned stop got 502 when the drain ended, while replicas ran them: a caller of a request that may not be repeated could not know whether it was billed.

Cause: for 0.6 of the grace period everything was taken, whatever time it could need, and the drain ends at 0.9. Waiting first attempts, retries and hedges were likewise sent until the last moment.

Now the drain knows when it ends (Drain). A request that may not be repeated is passed on only if its deadline is before that; a repeatable one also if twice the 99th percentile of the route's attempts, for all that it may need, fits, and nothing learned counts as its whole time. What doesn't fit is rejected before it reaches a replica or takes a token of its tenant: 503 not_run, Retry-After 20 ms, connection: close. The same holds for each first attempt, retry and hedge in a drain, also of gathers for other gateways.

--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -8,6 +8,7 @@
 import { CrashGuard } from '../quarantine/crash-guard.js';
 import type { QuarantineChange } from '../quarantine/quarantine-register.js';
 import { AnswerMargin } from './answer-margin.js';
+import { Drain } from './drain.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
 import { FleetShares } from './fleet-shares.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -69,6 +70,7 @@
     isEnabled: mechanisms.quarantine,
     areTrialsEnabled: mechanisms.crashTrials,
   });
+  const latencies = new RouteLatencies();
   return {
     environment,
     headers,
@@ -77,7 +79,7 @@
     regions,
     choice: new ReplicaChoice(clock, random, placement, mechanisms),
     sender: new AttemptSender(clock, headers, onUnreadableReport, traffic),
-    latencies: new RouteLatencies(),
+    latencies,
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
     retrySchedule: new RetrySchedule(random),
     shedding: new OverloadShedding(random),
@@ -85,6 +87,7 @@
     crashGuard,
     lease,
     quota,
+    drain: new Drain(clock, latencies),
     decisions,
     metrics,
     traffic,
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -3,6 +3,7 @@
 import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import type { Environment } from '../seams/environment.js';
 import type { AnswerMargin } from './answer-margin.js';
+import type { Drain } from './drain.js';
 import type { RequestDecisions } from './request-decisions.js';
 import type { ExchangeHeaders } from './exchange-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -38,6 +39,7 @@
   readonly crashGuard: CrashGuard;
   readonly lease: AuthorizationLease;
   readonly quota: TenantQuota;
+  readonly drain: Drain;
   readonly decisions: RequestDecisions;
   readonly metrics: GatewayMetrics;
   readonly traffic: ZoneTraffic;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -142,11 +142,13 @@
     await drainCallers({
       clock,
       graceMs: stopGraceMs,
+      drain: this.context.drain,
       inFlight: () => this.inFlight,
       closeListener: () => this.callerListener?.close(),
     });
     await this.release();
-    this.logger.info('gateway stopped', { inFlight: this.inFlight });
+    const { refused } = this.context.drain;
+    this.logger.info('gateway stopped', { inFlight: this.inFlight, refused });
   }
 
   /** Closes everything but the listener for callers, which a planned stop drains first. */
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -11,6 +11,7 @@
 import { authenticate, KEY_PROBLEM_REASONS, type KeyProblem } from './authentication.js';
 import type { CallerRequest } from './caller-request.js';
 import { sendTimeout } from './connect-timeouts.js';
+import { DRAIN_RETRY_AFTER_MS, STOPPING } from './drain.js';
 import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
 import { CALLER_GONE, forwardSingle } from './forward-single.js';
@@ -113,6 +114,7 @@
       this.context.crashGuard.recordRefusal();
       return this.reject(request, GatewayRefusal.Quarantined, QUARANTINED, { fingerprint });
     }
+    if (!this.context.drain.admits(callerRequest)) return this.rejectStopping(request);
     if (tenant === undefined) return this.forward(callerRequest);
     return this.forwardWithinLimits(request, callerRequest, tenant);
   }
@@ -147,6 +149,10 @@
       quota.returnToken(tenant, this.context.environment.clock.now());
       return this.reject(request, GatewayRefusal.NotRun, CALLER_GONE);
     }
+    if (!this.context.drain.admits(callerRequest)) {
+      quota.returnToken(tenant, this.context.environment.clock.now());
+      return this.rejectStopping(request);
+    }
     const takenAt = this.context.environment.clock.now();
     const response = await this.forward(callerRequest);
     if (this.isCertainlyNotRun(response)) quota.returnToken(tenant, takenAt);
@@ -159,6 +165,13 @@
     return isRefusal && headers[this.context.headers.signature] === undefined;
   }
 
+  private rejectStopping(request: HttpRequest): HttpResponse {
+    this.context.drain.refused += 1;
+    return this.reject(request, GatewayRefusal.NotRun, STOPPING, {
+      retryAfterMs: DRAIN_RETRY_AFTER_MS,
+    });
+  }
+
   private rejectKey(request: HttpRequest, problem: KeyProblem): HttpResponse {
     this.context.metrics.keyRefusals.inc({ reason: problem });
     return this.reject(request, GatewayRefusal.NotAuthenticated, KEY_PROBLEM_REASONS[problem]);
--- a/src/gateway/hedge-refusal.ts
+++ b/src/gateway/hedge-refusal.ts
@@ -10,6 +10,8 @@
   NoReplica = 'no_replica',
   /** The root has not granted further attempts yet. */
   NotGranted = 'not_granted',
+  /** The gateway is stopping, and the answer would come too late. */
+  Stopping = 'stopping',
   /** The budget of extra attempts is used up. */
   NoBudget = 'no_budget',
 }
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -1,6 +1,7 @@
 /** The phase of a planned stop in which callers move to other gateways and requests are drained. */
 import type { Clock } from '../seams/clock.js';
 import { settleWithin } from '../seams/settle-within.js';
+import type { Drain } from './drain.js';
 
 /** Fraction of the grace period during which new connections are accepted. */
 const ACCEPTING_FRACTION = 0.6;
@@ -13,6 +14,8 @@
   readonly clock: Clock;
   /** Grace period of the whole stop. Milliseconds. */
   readonly graceMs: number;
+  /** Begins now. */
+  readonly drain: Drain;
   /** Returns the number of unanswered requests. */
   readonly inFlight: () => number;
   /** Stops accepting connections and closes idle ones; resolves when all connections are closed. */
@@ -24,17 +27,13 @@
  * ready; then closes idle connections and waits until the requests in flight are answered.
  */
 export async function drainCallers(options: DrainOptions): Promise<void> {
-  const { clock, graceMs, inFlight, closeListener } = options;
+  const { clock, graceMs, drain, inFlight, closeListener } = options;
   const startedAt = clock.now();
+  const endsAt = startedAt + graceMs * DRAIN_FRACTION;
+  drain.begin(endsAt);
   await clock.sleep(graceMs * ACCEPTING_FRACTION);
   const closed = closeListener();
-  while (inFlight() > 0 && clock.now() - startedAt < graceMs * DRAIN_FRACTION) {
-    await clock.sleep(DRAIN_POLL_INTERVAL_MS);
-  }
+  while (inFlight() > 0 && clock.now() < endsAt) await clock.sleep(DRAIN_POLL_INTERVAL_MS);
   // `inFlight` does not count requests whose bodies are still being received; only the listener does.
-  const remainingMs = Math.max(
-    DRAIN_POLL_INTERVAL_MS,
-    startedAt + graceMs * DRAIN_FRACTION - clock.now(),
-  );
-  await settleWithin(clock, closed, remainingMs);
+  await settleWithin(clock, closed, Math.max(DRAIN_POLL_INTERVAL_MS, endsAt - clock.now()));
 }
--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -14,6 +14,7 @@
 import type { CallerRequest } from './caller-request.js';
 import type { FleetShares } from './fleet-shares.js';
 import { HedgeRefusal } from './hedge-refusal.js';
+import { STOPPING } from './drain.js';
 import { QUARANTINED } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { ReplicaAttempt } from './replica-attempt.js';
@@ -102,7 +103,7 @@
       if (!this.startFurtherAttempt(this.context.shares)) this.finish(this.failure());
       return;
     }
-    if (this.startFirstAttempt()) return;
+    if (this.startFirstAttempt() || this.refuseIfStopping()) return;
     const mayWait = this.context.mechanisms.waitForRoom && this.candidates.mayBecomeAvailable;
     if (mayWait) this.waitForCapacity();
     else this.finish(this.failure());
@@ -124,6 +125,7 @@
     const { route, fingerprint } = this.request;
     if (!mechanisms.hedging || route.execution !== 'repeatable') return HedgeRefusal.NotPermitted;
     if (!this.hasAttemptsLeft) return HedgeRefusal.NoAttemptsLeft;
+    if (!this.hasTimeBeforeStop) return HedgeRefusal.Stopping;
     if (crashGuard.isSuspected(fingerprint)) return HedgeRefusal.Suspected;
     const target = this.candidates.choose();
     if (target === undefined) return HedgeRefusal.NoReplica;
@@ -158,8 +160,9 @@
   }
 
   private readonly onCapacity = (): void => {
-    if (this.outcome === undefined && this.inFlight.size === 0 && !this.startFirstAttempt())
-      this.waitForCapacity();
+    if (this.outcome !== undefined || this.inFlight.size > 0) return;
+    if (this.startFirstAttempt() || this.refuseIfStopping()) return;
+    this.waitForCapacity();
   };
 
   private waitForCapacity(): void {
@@ -186,10 +189,23 @@
    * Starts the first attempt, without budget; returns as {@link ReplicaRace.startFurtherAttempt}.
    */
   private startFirstAttempt(): boolean {
+    if (!this.hasTimeBeforeStop) return false;
     const target = this.candidates.choose();
     return target !== undefined && this.sendIfAdmitted(target, undefined);
   }
 
+  /** False when this gateway is stopping, and an attempt that starts now might be cut off. */
+  private get hasTimeBeforeStop(): boolean {
+    return this.context.drain.admitsAttempt(this.request);
+  }
+
+  /** Returns true if the race ended because no first attempt may be started any more. */
+  private refuseIfStopping(): boolean {
+    if (this.hasTimeBeforeStop) return false;
+    this.refuse(STOPPING);
+    return true;
+  }
+
   private sendIfAdmitted(target: ReplicaTarget, budget: FleetShares | undefined): boolean {
     const { crashGuard } = this.context;
     const { fingerprint } = this.request;
@@ -286,7 +302,7 @@
   }
 
   private mayRetryAfter(result: AttemptResult): boolean {
-    if (!this.context.mechanisms.retries) return false;
+    if (!this.context.mechanisms.retries || !this.hasTimeBeforeStop) return false;
     const wasNotRun = result.kind === 'notRun';
     const isRepeatable = this.request.route.execution === 'repeatable';
     const isAllowed = wasNotRun ? this.tally.isWithinRefusalLimit : isRepeatable;
--- a/src/gateway/route-latency.ts
+++ b/src/gateway/route-latency.ts
@@ -37,6 +37,11 @@
     return this.hedgeTime;
   }
 
+  /** Latency of an attempt at that quantile, 0 to 1; undefined until enough attempts have ended. */
+  quantile(quantile: number): number | undefined {
+    return this.digest.weight < MINIMUM_SAMPLES ? undefined : this.digest.quantile(quantile);
+  }
+
   addAnswer(latency: number): void {
     this.digest.addReply(latency);
     this.refresh();
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,6 +1,8 @@
 /** Tests the end of a planned stop of a gateway. */
 import { expect, it } from 'vitest';
+import { Drain } from '../../src/gateway/drain.js';
 import { drainCallers } from '../../src/gateway/planned-stop.js';
+import { RouteLatencies } from '../../src/gateway/route-latencies.js';
 import { ManualClock } from '../support/manual-clock.js';
 
 const GRACE_MS = 10_000;
@@ -11,6 +13,7 @@
   const drained = drainCallers({
     clock,
     graceMs: GRACE_MS,
+    drain: new Drain(clock, new RouteLatencies()),
     inFlight: () => 0,
     closeListener: () => Promise.resolve(),
   });
