Gateway: a probe that is sent slowly doesn't hold up a planned stop

A stopping gateway waited for its health listener without a bound, before it closed anything else. A probe of which only a part was sent held it for 5 s, until the listener gave it up with 408: longer than what is left of a grace period, at the end of which the process is killed.

The wait is 100 ms at most. The test, on real sockets, failed before: "expected { status: 408, …(2) } to be 'still open'", after 6 s.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -16,6 +16,7 @@
 import { RouteTable } from '../routes/route-table.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
+import { settleWithin } from '../seams/settle-within.js';
 import type {
   HttpListenOptions,
   HttpListener,
@@ -35,6 +36,9 @@
 import { drainCallers } from './planned-stop.js';
 import { ZoneRegions } from './zone-regions.js';
 
+/** A probe that is sent slowly must not hold up a stop. */
+const HEALTH_CLOSE_TIMEOUT_MS = 100;
+
 /** One gateway, from {@link GatewayDaemon.start} until {@link GatewayDaemon.stop}. */
 export class GatewayDaemon {
   private readonly logger: Logger;
@@ -153,8 +157,9 @@
 
   /** Closes everything but the listener for callers, which a planned stop drains first. */
   private async release(): Promise<void> {
+    const { clock } = this.environment;
     this.shutdown.abort(new Error('stopped'));
-    await this.health?.close();
+    await settleWithin(clock, this.health?.close(), HEALTH_CLOSE_TIMEOUT_MS);
     this.context.crashGuard.stop();
     await this.client.stop();
     await this.tenants.stop();
