Gateway: what is unanswered when the drain ends is answered before connections are closed

A request that was unanswered at 0.9 of the grace period got 502 "connection_lost" only because its connection to the replica was closed last of all, and the connections of leaves and controllers before it. Gathers for other gateways ended without a report, so that their parts were lost. The process then ended, also while callers took their responses.

The end of the drain now gives up each request and gather: 502 if a replica may have run it, 503 not_run if none did, the parts that are there if they cover enough, a last report to the root. `gateway stopped` says how many were unanswered.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -6,6 +6,7 @@
  */
 import type { Timer } from '../seams/clock.js';
 import type { CallerRequest } from '../gateway/caller-request.js';
+import { STOPPING } from '../gateway/drain.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
 import { mergeRecords } from '../gateway/merge-records.js';
 import type { GatheredParts, PartListener } from '../gateway/part-source.js';
@@ -127,6 +128,7 @@
       ),
       clock.setTimer(Math.max(0, deadline - clock.now()), () => this.end(TIME_UP)),
     );
+    this.context.drain.onceEnded(this.onDrainEnd);
     this.gather.start();
     this.timeline.record(GatherStep.Sent);
   }
@@ -301,8 +303,11 @@
     this.options.admission.recordGather(this.isLate || (isOverdue && this.hasFewParts));
   }
 
+  private readonly onDrainEnd = (): void => this.end(STOPPING);
+
   private finish(): void {
     this.isDone = true;
+    this.context.drain.cancelOnceEnded(this.onDrainEnd);
     for (const timer of this.timers) timer.cancel();
     this.lateReportTimer?.cancel();
     this.recordLateness();
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -6,6 +6,7 @@
 import type { Timer } from '../seams/clock.js';
 import { afterResponse } from './after-response.js';
 import { priorityOf, type CallerRequest } from './caller-request.js';
+import { STOPPING } from './drain.js';
 import { CALLER_GONE, TIME_UP, NO_ATTEMPT_REFUSAL_FRACTION } from './forward-single.js';
 import { GatewayRefusal, QUARANTINED, refuse, refuseNotRun } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -42,6 +43,7 @@
   private isDone = false;
   private resolve!: (response: HttpResponse) => void;
   private readonly onCallerGone = (): void => this.giveUp(GatewayRefusal.Failed, CALLER_GONE);
+  private readonly onDrainEnd = (): void => this.answerOrGiveUp(GatewayRefusal.Failed, STOPPING);
 
   constructor(
     private readonly context: GatewayContext,
@@ -65,6 +67,7 @@
         return;
       }
       this.request.signal.addEventListener('abort', this.onCallerGone, { once: true });
+      this.context.drain.onceEnded(this.onDrainEnd);
       this.startTimers();
       this.startSources();
     });
@@ -120,7 +123,9 @@
     }
     this.timers.push(
       clock.setTimer(target * NO_ATTEMPT_REFUSAL_FRACTION, () => this.refuseIfNotAttempted()),
-      clock.setTimer(deadline - clock.now(), () => this.onDeadline()),
+      clock.setTimer(deadline - clock.now(), () =>
+        this.answerOrGiveUp(GatewayRefusal.TimedOut, TIME_UP),
+      ),
     );
   }
 
@@ -150,9 +155,9 @@
     if (!mayHaveSent) this.giveUp(GatewayRefusal.NotRun, 'no replica has room');
   }
 
-  private onDeadline(): void {
+  private answerOrGiveUp(refusal: GatewayRefusal, reason: string): void {
     if (this.isCovered) this.answer();
-    else this.giveUp(GatewayRefusal.TimedOut, TIME_UP);
+    else this.giveUp(refusal, reason);
   }
 
   private finishIfDecided(): void {
@@ -204,6 +209,7 @@
     this.isDone = true;
     for (const timer of this.timers) timer.cancel();
     this.request.signal.removeEventListener('abort', this.onCallerGone);
+    this.context.drain.cancelOnceEnded(this.onDrainEnd);
   }
 
   private endSources(status: number, reason: string): void {
--- a/src/gateway/forward-single.ts
+++ b/src/gateway/forward-single.ts
@@ -4,6 +4,7 @@
 import { afterResponse } from './after-response.js';
 import type { CallerRequest } from './caller-request.js';
 import { connectTimeout, sendTimeout } from './connect-timeouts.js';
+import { STOPPING } from './drain.js';
 import { GatewayRefusal, refuse, refuseNotRun } from './gateway-answers.js';
 import type { GatewayContext } from './gateway-context.js';
 import { targetLatencyOf } from './route-latencies.js';
@@ -57,6 +58,7 @@
   start(): void {
     this.setTimers();
     this.request.signal.addEventListener('abort', this.onCallerGone, { once: true });
+    this.context.drain.onceEnded(this.onDrainEnd);
     const { refusal } = this.admission;
     if (refusal === undefined) this.race.start();
     else this.race.refuse(refusal);
@@ -105,6 +107,8 @@
 
   private readonly onCallerGone = (): void => this.giveUp(CALLER_GONE);
 
+  private readonly onDrainEnd = (): void => this.giveUp(STOPPING);
+
   private giveUp(reason: string): void {
     if (this.race.outcome !== undefined) return;
     this.race.cancel(reason);
@@ -114,6 +118,7 @@
   private readonly onEnd = (race: ReplicaRace): void => {
     for (const timer of this.timers) timer.cancel();
     this.request.signal.removeEventListener('abort', this.onCallerGone);
+    this.context.drain.cancelOnceEnded(this.onDrainEnd);
     const outcome = race.outcome as RaceOutcome;
     this.resolve(this.responseOf(outcome));
     afterResponse(this.context.environment.clock, () =>
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -151,8 +151,8 @@
       closeListener: () => this.callerListener?.close(),
     });
     await this.release();
-    const { refused } = this.context.drain;
-    this.logger.info('gateway stopped', { inFlight: this.inFlight, refused });
+    const { refused, unanswered } = this.context.drain;
+    this.logger.info('gateway stopped', { inFlight: this.inFlight, refused, unanswered });
   }
 
   /** Closes everything but the listener for callers, which a planned stop drains first. */
--- a/test/aggregation/leaf-gather.test.ts
+++ b/test/aggregation/leaf-gather.test.ts
@@ -2,7 +2,9 @@
 import type { PartsMessage } from '../../src/aggregation/aggregation-messages.js';
 import { LeafAdmission } from '../../src/aggregation/leaf-admission.js';
 import { LeafGather } from '../../src/aggregation/leaf-gather.js';
+import { Drain } from '../../src/gateway/drain.js';
 import type { PartListener } from '../../src/gateway/part-source.js';
+import { RouteLatencies } from '../../src/gateway/route-latencies.js';
 import { ManualClock } from '../support/manual-clock.js';
 
 const SHARDS = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
@@ -16,6 +18,7 @@
   readonly listener: PartListener;
   /** What happened, in order. */
   readonly events: string[];
+  readonly drain: Drain;
 }
 
 /** Starts a gather at a leaf with this lag of its timers; its parts come from the test. */
@@ -24,12 +27,14 @@
   const reports: PartsMessage[] = [];
   const reportedAt: number[] = [];
   const events: string[] = [];
+  const drain = new Drain(clock, new RouteLatencies());
   let listener: PartListener | undefined;
   const context = {
     environment: { clock },
     latencies: { of: () => ({ hedgeDelay: 1_000 }) },
     answerMargin: { lag, typicalLag, recordTimerLag: () => undefined },
     shedding: { admittedPart: () => 1 },
+    drain,
     decisions: { logGather: () => events.push('line written') },
   };
   const source = {
@@ -64,7 +69,7 @@
   };
   new LeafGather(context as never, options as never).start();
   if (listener === undefined) throw new Error('expected the gather to create its source');
-  return { clock, reports, reportedAt, listener, events };
+  return { clock, reports, reportedAt, listener, events, drain };
 }
 
 function partOf(shard: string): Parameters<PartListener['onParts']>[0] {
@@ -128,6 +133,19 @@
   });
 });
 
+describe('a gather that is in progress when the drain of its leaf ends', () => {
+  // Guards against a root that knows nothing of the parts, as its connection is closed without a report.
+  it('is reported with the parts that are there', () => {
+    const { reports, listener, events, drain } = startGather();
+    listener.onParts(partOf('a'));
+    drain.end();
+    expect(reports.map(({ shards, isLast, reason }) => ({ shards, isLast, reason }))).toEqual([
+      { shards: '[0]', isLast: true, reason: 'the gateway is stopping' },
+    ]);
+    expect(events).toEqual(['reported', 'attempts ended', 'line written']);
+  });
+});
+
 describe('a leaf whose timers lag in rare pauses only', () => {
   // Guards against reports without a part, and a report for each part after them.
   it('moves none of its reports forward', () => {
--- a/test/gateway/answer-before-cancels.test.ts
+++ b/test/gateway/answer-before-cancels.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
+import { Drain } from '../../src/gateway/drain.js';
 import { FanOut } from '../../src/gateway/fan-out.js';
 import type { PartListener, PartSource } from '../../src/gateway/part-source.js';
+import { RouteLatencies } from '../../src/gateway/route-latencies.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
 import { ManualClock } from '../support/manual-clock.js';
 
@@ -25,6 +27,7 @@
     targets: { of: () => ['replica'] },
     answerMargin: { cutOffDelay: () => 10, recordTimerLag: () => undefined, lag: 0 },
     crashGuard: { isQuarantined: () => false },
+    drain: new Drain(clock, new RouteLatencies()),
     headers: DEFAULT_EXCHANGE_HEADERS,
     decisions: { logFanOut: () => events.push('line written') },
   };
--- a/test/gateway/drain.test.ts
+++ b/test/gateway/drain.test.ts
@@ -86,3 +86,16 @@
   const route: Route = { ...ROUTE, execution: 'atMostOnce' };
   expect(drain.admits(requestOf(clock, route, 3_600_000))).toBe(true);
 });
+
+it('gives up what is unanswered at its end, and nothing that was answered before', () => {
+  const { drain } = startDrain();
+  const ended: string[] = [];
+  const onEnd = (): void => void ended.push('answered');
+  drain.onceEnded(onEnd);
+  drain.onceEnded(() => void ended.push('unanswered'));
+  drain.cancelOnceEnded(onEnd);
+  drain.end();
+  drain.end();
+  expect(ended).toEqual(['unanswered']);
+  expect(drain.unanswered).toBe(1);
+});
--- a/test/gateway/late-in-a-stop.test.ts
+++ b/test/gateway/late-in-a-stop.test.ts
@@ -85,7 +85,38 @@
   });
 });
 
-describe('a request that was taken before a planned stop', () => {
+describe('a request that is unanswered when the drain ends', () => {
+  // Guards against a connection that is closed without a word.
+  it('is answered with what is known: a replica may have run it', async () => {
+    const { harness, replicas } = await start(AT_MOST_ONCE, ['ledger']);
+    for (const replica of replicas) replica.workMs = LONG_MS;
+    const sent = harness.send({ path: '/l/1', method: 'POST', deadlineMs: LONG_MS });
+    await harness.simulation.runFor(100);
+    const stopped = harness.gateway.stop();
+    const answer = await harness.simulation.settle(sent);
+    expect(answer.status).toBe(502);
+    expect(textOf(answer)).toContain('the gateway is stopping');
+    await harness.simulation.settle(stopped);
+    expect(harness.lines.find(({ message }) => message === 'gateway stopped')?.fields).toEqual({
+      inFlight: 0,
+      refused: 0,
+      unanswered: 1,
+    });
+  });
+
+  it('is answered with the parts that are there if they cover enough', async () => {
+    const { harness, replicas } = await start({ ...FAN_OUT, targetLatencyMs: LONG_MS }, SHARDS);
+    const [slow] = replicas;
+    if (slow !== undefined) slow.workMs = LONG_MS;
+    const sent = harness.send({ path: '/q/1', deadlineMs: LONG_MS });
+    await harness.simulation.runFor(100);
+    const stopped = harness.gateway.stop();
+    const answer = await harness.simulation.settle(sent);
+    expect(answer.status).toBe(200);
+    expect(answer.headers['x-driftway-missing-parts']).toBe('1');
+    await harness.simulation.settle(stopped);
+  });
+
   // Guards against a first attempt that is cut off as soon as it was sent.
   it('is not sent to a replica that has room only shortly before', async () => {
     const { harness, replicas } = await start({ ...AT_MOST_ONCE, targetLatencyMs: LONG_MS }, [
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -21,3 +21,32 @@
   await drained;
   expect(clock.pendingTimers).toBe(0);
 });
+
+// Guards against a process that ends while a slow caller still takes its response.
+it('waits for responses that are given up at the end of the drain to reach their callers', async () => {
+  const clock = new ManualClock();
+  const drain = new Drain(clock, new RouteLatencies());
+  let inFlight = 1;
+  let takeResponse = (): void => undefined;
+  const closed = new Promise<void>((resolve) => (takeResponse = resolve));
+  drain.onceEnded(() => (inFlight -= 1));
+  let isDrained = false;
+  const closeListener = (): Promise<void> => closed;
+  const drained = drainCallers({
+    clock,
+    graceMs: GRACE_MS,
+    drain,
+    inFlight: () => inFlight,
+    closeListener,
+  });
+  void drained.then(() => (isDrained = true));
+  for (let passedMs = 0; passedMs < GRACE_MS * 0.92; passedMs += 10) {
+    clock.advance(10);
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+  expect([inFlight, isDrained]).toEqual([0, false]);
+  takeResponse();
+  await drained;
+  expect(clock.pendingTimers).toBe(0);
+});
