Daemons: a repeated SIGTERM, or a SIGHUP, doesn't cut a planned stop short

A supervisor that sent SIGTERM twice, or to a process and then to its group, ended a draining daemon at once, and everything in flight was cut off: the handlers were removed with the first signal, so that the system's default applied. A terminal that closed during the stop did the same with SIGHUP.

The handlers stay: a further SIGTERM changes nothing, SIGHUP has no effect once the stop has begun, and only a second SIGINT ends the process at once (exit code 130). What SIGHUP does to a daemon that isn't stopping is left as it is.

--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -62,8 +62,8 @@
     this.child = spawn(process.execPath, nodeArguments, {
       env: environment ?? process.env,
       cwd: folder,
-      // A group of its own: Ctrl-C in a terminal reaches the runner alone. Else
-      // the runner's SIGTERM would be the process's second signal, and end it at once.
+      // A group of its own: Ctrl-C in a terminal reaches the runner alone. A
+      // second SIGINT would end the process at once.
       detached: true,
       stdio: ['ignore', 'pipe', 'pipe', ...(hasChannel ? (['ipc'] as const) : [])],
     });
--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -7,6 +7,7 @@
 import { createRoarrLogger } from '../observability/roarr-logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import { settleWithin } from '../seams/settle-within.js';
+import { nextStopSignal } from './stop-signals.js';
 import { watchUncaughtErrors, type UncaughtErrorSource } from './uncaught-errors.js';
 
 /** A daemon that can be stopped without cutting off what is in flight. */
@@ -53,13 +54,6 @@
   return { logger, registry, flush: () => writer.drain(FLUSH_TIMEOUT_MS) };
 }
 
-function nextStopSignal(): Promise<NodeJS.Signals> {
-  return new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
-}
-
 /** What ends a running daemon. */
 type DaemonEnd = { readonly signal: NodeJS.Signals } | { readonly failure: Error };
 
@@ -90,14 +84,14 @@
 /**
  * Starts a daemon and runs it until SIGTERM or SIGINT, then stops it in the
  * planned way; also when the daemon itself cannot go on, or an error was thrown
- * outside its tasks. A second signal ends the process at once.
+ * outside its tasks. Further signals: see {@link nextStopSignal}.
  */
 export async function runDaemon(
   logger: Logger,
   start: () => Promise<StoppableDaemon>,
   uncaughtErrors: UncaughtErrorSource = process,
 ): Promise<ExitCode> {
-  const stopSignal = nextStopSignal();
+  const stopSignal = nextStopSignal(process);
   const uncaught = watchUncaughtErrors(logger, uncaughtErrors);
   try {
     const daemon = await startOrFail(start, uncaught);
