Starts: daemons wait for their addresses instead of ending

Cause: an address in use was taken as final. Worse, what came before the listeners had begun already: a gateway followed the controllers under its predecessor's name, and a controller opened the data folder that its predecessor still wrote to.

Listen calls wait now (src/startup), with a bounded backoff through the clock, for addresses that another process holds or that no interface has, also while descriptors are short; one line when the wait begins and one when it ends. A port that needs a privilege (EACCES) stays final: it is a matter of settings. A gateway takes its addresses in the reverse of the order in which a planned stop gives them up (messages, health, callers), and controllers and gateways hear of it only then; until then /readyz says 503 `starting`. A controller holds its address for messages before it touches the data folder and until nothing writes to it any more, so that the address is the folder's lock: file locks have no effect on every platform. A router connects to controllers once it listens. SIGTERM during a start ends it at once with exit code 0, also a start that hangs (1 s).

--- a/lab/simulation/simulated-network.ts
+++ b/lab/simulation/simulated-network.ts
@@ -1,4 +1,5 @@
 /** The network seam of one process on a simulated machine. */
+import { AddressUnavailableError } from '../../src/errors/address-unavailable-error.js';
 import { ConnectionError } from '../../src/errors/connection-error.js';
 import { formatAddress, type Address } from '../../src/seams/address.js';
 import type {
@@ -80,12 +81,12 @@
   /** The address really bound; port 0 gets a free one. */
   private bind(address: Address): Address {
     if (!isOwnHost(this.node, address.host)) {
-      throw new ConnectionError('listen', formatAddress(address), 'address not available');
+      throw new AddressUnavailableError(formatAddress(address), 'address not available');
     }
     const port = address.port === 0 ? this.node.allocatePort() : address.port;
     const known = this.node.listeners.get(port);
     if (known?.life.alive === true) {
-      throw new ConnectionError('listen', formatAddress(address), 'address already in use');
+      throw new AddressUnavailableError(formatAddress(address), 'address already in use');
     }
     return { host: address.host, port };
   }
--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -11,10 +11,10 @@
 import type { ReplicaTarget } from '../gateway/replica-target.js';
 import { ExtraAttemptBudget, type ExtraAttemptLimits } from '../gateway/extra-attempt-budget.js';
 import type { Telemetry } from '../observability/telemetry.js';
-import { AuthenticatedListener } from '../protocol/authenticated-listener.js';
+import type { AuthenticatedListener } from '../protocol/authenticated-listener.js';
+import { ConnectionAcceptor, type ConnectionRoutes } from '../protocol/connection-acceptor.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { RouteTable } from '../routes/route-table.js';
-import type { Address } from '../seams/address.js';
 import { LeafAssignment } from './leaf-assignment.js';
 import { GROUP_OWNERS, SAME_ZONE_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 import { LeafChangeLog } from './leaf-change-log.js';
@@ -51,7 +51,7 @@
   readonly stopped: AbortSignal;
 }
 
-/** Created once per gateway; {@link listen} is called only on a gateway that acts as a leaf. */
+/** Created once per gateway; {@link serve} is called only on a gateway that acts as a leaf. */
 export class Aggregation {
   private readonly pool: LeafPool;
   private readonly assignment: LeafAssignment;
@@ -93,20 +93,15 @@
     });
   }
 
-  /**
-   * Accepts connections of roots.
-   *
-   * @throws ConnectionError when it cannot listen on the address.
-   */
-  async listen(address: Address): Promise<void> {
+  /** Serves connections of roots, until {@link Aggregation.close}. */
+  serve(listener: AuthenticatedListener): void {
     const { context, identity, telemetry } = this.options;
-    this.listener = await AuthenticatedListener.listen(
-      context.environment,
-      address,
-      identity,
-      { aggregation: (connection, peer) => this.server.serve(connection, peer) },
-      telemetry.registry,
-    );
+    const { clock } = context.environment;
+    const routes: ConnectionRoutes = {
+      aggregation: (connection, peer) => this.server.serve(connection, peer),
+    };
+    listener.serve(new ConnectionAcceptor(clock, identity, routes, telemetry.registry));
+    this.listener = listener;
   }
 
   /** Maintains connections to leaves until the gateway stops. */
--- a/src/commands/controller-command.ts
+++ b/src/commands/controller-command.ts
@@ -4,6 +4,7 @@
 import { controllerConfigurationSchema } from '../configuration/controller-configuration.js';
 import { ControllerDaemon } from '../control/controller-daemon.js';
 import { createDurableNodeEnvironment } from '../node/node-environment.js';
+import { waitForAddresses } from '../startup/waiting-network.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 import { watchMemory } from './watch-memory.js';
@@ -51,8 +52,13 @@
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
     const environment = createDurableNodeEnvironment(configuration.dataFolder, budgets);
-    return runDaemonProcess(telemetry.logger, () =>
-      ControllerDaemon.start(environment, configuration, telemetry),
+    const { logger } = telemetry;
+    return runDaemonProcess(logger, (stopped) =>
+      ControllerDaemon.start(
+        waitForAddresses(environment, { logger, stopped }),
+        configuration,
+        telemetry,
+      ),
     );
   }
 }
--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -7,7 +7,7 @@
 import { createRoarrLogger } from '../observability/roarr-logger.js';
 import type { Telemetry } from '../observability/telemetry.js';
 import { settleWithin } from '../seams/settle-within.js';
-import { nextStopSignal } from './stop-signals.js';
+import { nextStopSignal, type SignalledProcess } from './stop-signals.js';
 import { watchUncaughtErrors, type UncaughtErrorSource } from './uncaught-errors.js';
 
 /** A daemon that can be stopped without cutting off what is in flight. */
@@ -43,6 +43,8 @@
  * broken, and a process that never ends is never started again. Milliseconds.
  */
 const FAILED_STOP_TIMEOUT_MS = 15_000;
+/** Time for a start to end once the process is told to stop. Milliseconds. */
+const ABANDONED_START_TIMEOUT_MS = 1_000;
 
 /** Makes the process's logger and metrics registry; a reader of its lines that stalls costs lines. */
 export function createTelemetry(format: LogFormat, output: OutputStream): ProcessTelemetry {
@@ -54,6 +56,12 @@
   return { logger, registry, flush: () => writer.drain(FLUSH_TIMEOUT_MS) };
 }
 
+/** Where a process hears of signals and uncaught errors; Node's `process`. */
+export type ProcessEvents = UncaughtErrorSource & SignalledProcess;
+
+/** Starts a daemon; `stopped` aborts when the process is told to stop before it has started. */
+export type DaemonStart = (stopped: AbortSignal) => Promise<StoppableDaemon>;
+
 /** What ends a running daemon. */
 type DaemonEnd = { readonly signal: NodeJS.Signals } | { readonly failure: Error };
 
@@ -70,15 +78,31 @@
   return Promise.race(ends);
 }
 
-/** What was thrown outside a task may be what the start waits for. */
-function startOrFail(
-  start: () => Promise<StoppableDaemon>,
+/**
+ * Resolves with the daemon, or undefined when the stop signal came first. What was thrown outside a
+ * task may be what the start waits for.
+ */
+async function startUnlessStopped(
+  start: DaemonStart,
+  stopSignal: Promise<NodeJS.Signals>,
   uncaught: Promise<Error>,
-): Promise<StoppableDaemon> {
+): Promise<StoppableDaemon | undefined> {
+  const stop = new AbortController();
+  const starting = start(stop.signal);
   const failed = uncaught.then((error) => {
     throw error;
   });
-  return Promise.race([start(), failed]);
+  const first = await Promise.race([starting, failed, stopSignal]);
+  if (typeof first !== 'string') return first;
+  stop.abort(new Error(`stopped by ${first}`));
+  let late: StoppableDaemon | undefined;
+  const settled = starting.then(
+    (started) => void (late = started),
+    () => undefined,
+  );
+  await settleWithin(new NodeClock(), settled, ABANDONED_START_TIMEOUT_MS);
+  await late?.stop();
+  return undefined;
 }
 
 /**
@@ -88,13 +112,17 @@
  */
 export async function runDaemon(
   logger: Logger,
-  start: () => Promise<StoppableDaemon>,
-  uncaughtErrors: UncaughtErrorSource = process,
+  start: DaemonStart,
+  events: ProcessEvents = process,
 ): Promise<ExitCode> {
-  const stopSignal = nextStopSignal(process);
-  const uncaught = watchUncaughtErrors(logger, uncaughtErrors);
+  const stopSignal = nextStopSignal(events);
+  const uncaught = watchUncaughtErrors(logger, events);
   try {
-    const daemon = await startOrFail(start, uncaught);
+    const daemon = await startUnlessStopped(start, stopSignal, uncaught);
+    if (daemon === undefined) {
+      logger.info('stopped while it started');
+      return ExitCode.Success;
+    }
     logger.info('daemon started', { startupMs: Math.round(process.uptime() * 1_000) });
     const end = await nextEnd(daemon, stopSignal, uncaught);
     if ('signal' in end) logger.info('stopping', { signal: end.signal });
@@ -115,10 +143,7 @@
 }
 
 /** Runs a daemon that has the process to itself, and sees to it that the process ends with it. */
-export async function runDaemonProcess(
-  logger: Logger,
-  start: () => Promise<StoppableDaemon>,
-): Promise<ExitCode> {
+export async function runDaemonProcess(logger: Logger, start: DaemonStart): Promise<ExitCode> {
   const exitCode = await runDaemon(logger, start);
   enforceExit(logger, exitCode, process);
   return exitCode;
--- a/src/commands/gateway-command.ts
+++ b/src/commands/gateway-command.ts
@@ -3,6 +3,7 @@
 import { gatewayConfigurationSchema } from '../configuration/gateway-configuration.js';
 import { GatewayDaemon } from '../gateway/gateway-daemon.js';
 import { createNodeEnvironment } from '../node/node-environment.js';
+import { waitForAddresses } from '../startup/waiting-network.js';
 import { ConfiguredCommand } from './configured-command.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
@@ -36,8 +37,13 @@
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
     const environment = createNodeEnvironment(budgets);
-    return runDaemonProcess(telemetry.logger, () =>
-      GatewayDaemon.start(environment, configuration, telemetry),
+    const { logger } = telemetry;
+    return runDaemonProcess(logger, (stopped) =>
+      GatewayDaemon.start(
+        waitForAddresses(environment, { logger, stopped }),
+        configuration,
+        telemetry,
+      ),
     );
   }
 }
--- a/src/commands/router-command.ts
+++ b/src/commands/router-command.ts
@@ -5,6 +5,7 @@
 import { ControlStreamClient } from '../control-stream/control-stream-client.js';
 import { createNodeEnvironment } from '../node/node-environment.js';
 import { RouterDaemon } from '../router/router-daemon.js';
+import { waitForAddresses } from '../startup/waiting-network.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 import { watchMemory } from './watch-memory.js';
@@ -43,14 +44,18 @@
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
-    const environment = createNodeEnvironment(budgets);
-    return runDaemonProcess(telemetry.logger, async () => {
-      const source = ControlStreamClient.start(environment, configuration, telemetry);
-      const router = await RouterDaemon.start(environment, configuration, source, telemetry);
+    const system = createNodeEnvironment(budgets);
+    const { logger } = telemetry;
+    return runDaemonProcess(logger, async (stopped) => {
+      const environment = waitForAddresses(system, { logger, stopped });
+      let source: ControlStreamClient | undefined;
+      const connect = (): ControlStreamClient =>
+        (source = ControlStreamClient.start(environment, configuration, telemetry));
+      const router = await RouterDaemon.startWith(environment, configuration, connect, telemetry);
       return {
         stop: async () => {
           await router.stop();
-          await source.close();
+          await source?.close();
         },
       };
     });
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -13,10 +13,8 @@
 } from '../control-stream/control-stream-faults.js';
 import type { DriftwayError } from '../errors/driftway-error.js';
 import type { Telemetry } from '../observability/telemetry.js';
-import {
-  AuthenticatedListener,
-  type ConnectionRoutes,
-} from '../protocol/authenticated-listener.js';
+import { AuthenticatedListener } from '../protocol/authenticated-listener.js';
+import { ConnectionAcceptor, type ConnectionRoutes } from '../protocol/connection-acceptor.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
 import type { HttpListener } from '../seams/http.js';
@@ -54,7 +52,9 @@
   }
 
   /**
-   * Starts a controller on its data folder, which is created if missing.
+   * Starts a controller on its data folder, which is created if missing. The address for messages is
+   * held for as long as the folder is used: two processes on one folder would falsify its log, and
+   * file locks don't have an effect on every platform.
    *
    * @throws DriftwayError when the folder cannot be read or an address cannot be listened on.
    */
@@ -65,25 +65,32 @@
     faults: ControlStreamFaults = NO_CONTROL_STREAM_FAULTS,
     raftFaults: RaftFaults = NO_FAULTS,
   ): Promise<ControllerDaemon> {
-    await environment.disk.createDirectory('.');
-    const member = await resolveMemberIdentity(environment, configuration);
-    const { cluster } = configuration;
-    const daemon = new ControllerDaemon({
-      environment,
-      configuration,
-      member,
-      identity: { clusterId: cluster.id, clusterKey: cluster.key, name: member.memberId },
-      logger: telemetry.logger.child({ component: 'controller', memberId: member.memberId }),
-      telemetry,
-      faults,
-      raftFaults,
-    });
-    daemon.parts = await daemon.startParts();
-    daemon.coreOptions.logger.info('controller started', {
-      http: formatAddress(daemon.httpAddress),
-      messages: formatAddress(daemon.messageAddress),
-    });
-    return daemon;
+    const { network } = environment;
+    const messages = await AuthenticatedListener.bind(network, configuration.listen.messages);
+    try {
+      await environment.disk.createDirectory('.');
+      const member = await resolveMemberIdentity(environment, configuration);
+      const { cluster } = configuration;
+      const daemon = new ControllerDaemon({
+        environment,
+        configuration,
+        member,
+        identity: { clusterId: cluster.id, clusterKey: cluster.key, name: member.memberId },
+        logger: telemetry.logger.child({ component: 'controller', memberId: member.memberId }),
+        telemetry,
+        faults,
+        raftFaults,
+      });
+      daemon.parts = await daemon.startParts(messages);
+      daemon.coreOptions.logger.info('controller started', {
+        http: formatAddress(daemon.httpAddress),
+        messages: formatAddress(daemon.messageAddress),
+      });
+      return daemon;
+    } catch (error) {
+      await messages.close();
+      throw error;
+    }
   }
 
   get httpAddress(): Address {
@@ -118,8 +125,8 @@
     await http.close();
     await platformList?.stop();
     await stopControllerCore(this.parts);
-    await messages.close();
     await this.discardIfRemoved();
+    await messages.close();
     this.coreOptions.logger.info('controller stopped');
   }
 
@@ -134,23 +141,23 @@
     this.coreOptions.logger.info('data folder discarded', { reason: cause.message });
   }
 
-  private async startParts(): Promise<ControllerParts> {
+  private async startParts(messages: AuthenticatedListener): Promise<ControllerParts> {
     const core = await startControllerCore(this.coreOptions);
-    let messages: AuthenticatedListener | undefined;
+    let http: HttpListener | undefined;
     try {
-      messages = await this.listenMessages(core);
-      const http = await this.listenHttp(core);
+      this.serveMessages(messages, core);
+      http = await this.listenHttp(core);
       const { registration: address } = this.configuration.listen;
       if (address !== undefined) await core.registration.listen(address);
       return { ...core, messages, http, platformList: this.startPlatformList(core) };
     } catch (error) {
+      await http?.close();
       await stopControllerCore(core);
-      await messages?.close();
       throw error;
     }
   }
 
-  private listenMessages(core: ControllerCore): Promise<AuthenticatedListener> {
+  private serveMessages(messages: AuthenticatedListener, core: ControllerCore): void {
     const { log, exchange, server, registration, quota } = core;
     const routes: ConnectionRoutes = {
       consensus: (connection, peer) => log.acceptConnection(connection, peer.name),
@@ -162,10 +169,8 @@
         : { quota: (connection, peer) => quota.serve(connection, peer) }),
       enrolment: (connection) => registration.serveEnrolment(connection),
     };
-    const { environment, identity, configuration, telemetry } = this.coreOptions;
-    const { messages } = configuration.listen;
-    const { registry } = telemetry;
-    return AuthenticatedListener.listen(environment, messages, identity, routes, registry);
+    const { environment, identity, telemetry } = this.coreOptions;
+    messages.serve(new ConnectionAcceptor(environment.clock, identity, routes, telemetry.registry));
   }
 
   private listenHttp(core: ControllerCore): Promise<HttpListener> {
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -103,6 +103,7 @@
   private readonly routeLag: RouteLagWatch;
   private readonly stopped = new AbortController();
   private listener: HttpListener | undefined;
+  private storing: Promise<void> | undefined;
 
   constructor(private readonly options: RegistrationPartOptions) {
     const { environment, identity, logger, log, register, zone, ownAddress } = options;
@@ -184,7 +185,7 @@
     const { directory, unusable } = this;
     const storeParts: ReplicaStoreParts = { disk, clock, directory, unusable, logger, stopped };
     await restoreReplicas(storeParts);
-    void storeReplicas(storeParts);
+    this.storing = storeReplicas(storeParts);
   }
 
   /**
@@ -222,11 +223,13 @@
   }
 
   /**
-   * Second step of a planned stop, after {@link RegistrationPart.close}: ends the background tasks.
+   * Second step of a planned stop, after {@link RegistrationPart.close}: ends the background tasks;
+   * the data folder is no longer written to.
    */
   async stop(): Promise<void> {
     this.stopped.abort(new Error('stopped'));
     await this.client.stop();
+    await this.storing;
   }
 
   private startMembership(seeds: readonly string[]): void {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -17,22 +17,18 @@
 import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
 import { settleWithin } from '../seams/settle-within.js';
-import type {
-  HttpListenOptions,
-  HttpListener,
-  HttpRequest,
-  HttpResponse,
-  RefusedRequest,
-} from '../seams/http.js';
+import type { HttpRequest, HttpResponse, RefusedRequest } from '../seams/http.js';
 import { createDirectoryClient } from './create-directory-client.js';
 import { createGatewayContext } from './create-gateway-context.js';
 import { DEFAULT_EXCHANGE_HEADERS, type ExchangeHeaders } from './exchange-headers.js';
 import { EvacuationsInForce } from './evacuations-in-force.js';
 import type { GatewayContext } from './gateway-context.js';
+import { refuseNotRun } from './gateway-answers.js';
 import { GatewayEndpoint } from './gateway-endpoint.js';
 import { GatewayTenants } from './gateway-tenants.js';
 import { GatewayMaintenance } from './gateway-maintenance.js';
-import { HEALTH_LISTENER_OPTIONS, HealthEndpoint } from './health-endpoint.js';
+import { GatewayListeners } from './gateway-listeners.js';
+import { HealthEndpoint, type HealthSources } from './health-endpoint.js';
 import { drainCallers } from './planned-stop.js';
 import { ZoneRegions } from './zone-regions.js';
 
@@ -51,14 +47,13 @@
   private readonly aggregation: Aggregation;
   private readonly shutdown = new AbortController();
   private isStopping = false;
-  private callerListener: HttpListener | undefined;
-  private health: HttpListener | undefined;
 
   private constructor(
     private readonly environment: Environment,
     private readonly configuration: GatewayConfiguration,
     private readonly telemetry: Telemetry,
     headers: ExchangeHeaders,
+    private readonly listeners: GatewayListeners,
   ) {
     const { name } = configuration;
     this.logger = telemetry.logger.child({ gateway: name });
@@ -92,7 +87,8 @@
   }
 
   /**
-   * Starts a gateway that follows the controllers; resolves once it listens.
+   * Starts a gateway that follows the controllers; resolves once it listens. Controllers and other
+   * gateways hear of it only then: its predecessor may still drain under the same name.
    *
    * @throws ConnectionError when it cannot listen on one of its addresses.
    */
@@ -102,23 +98,28 @@
     telemetry: Telemetry,
     headers: ExchangeHeaders = DEFAULT_EXCHANGE_HEADERS,
   ): Promise<GatewayDaemon> {
-    const daemon = new GatewayDaemon(environment, configuration, telemetry, headers);
+    const { listen, limits } = configuration;
+    // Set in the same turn in which the listener for callers opens, before it accepts anyone.
+    let daemon: GatewayDaemon | undefined;
+    const health = new HealthEndpoint(telemetry.registry, () => daemon?.healthSources);
+    const listeners = await GatewayListeners.open(environment.network, listen, {
+      callerOptions: { ...limits, onRefused: (refused) => daemon?.noteUnreadRequest(refused) },
+      caller: async (request) => (await daemon?.serve(request)) ?? refuseNotRun('starting'),
+      health: (request) => health.handle(request),
+    });
     try {
-      await daemon.listen();
+      daemon = new GatewayDaemon(environment, configuration, telemetry, headers, listeners);
     } catch (error) {
-      // Open streams to controllers would keep the process alive although the gateway serves nobody.
-      await daemon.callerListener?.close();
-      await daemon.release();
+      await listeners.close();
       throw error;
     }
+    daemon.begin();
     return daemon;
   }
 
-  /** Address on which the gateway accepts callers. Throws before the gateway listens. */
+  /** Address on which the gateway accepts callers. */
   get address(): Address {
-    if (this.callerListener === undefined)
-      throw new Error('the gateway is not listening for callers yet');
-    return this.callerListener.address;
+    return this.listeners.callers.address;
   }
 
   /** Number of controllers to which a stream is open. */
@@ -148,7 +149,7 @@
       graceMs: stopGraceMs,
       drain: this.context.drain,
       inFlight: () => this.inFlight,
-      closeListener: () => this.callerListener?.close(),
+      closeListener: () => this.listeners.callers.close(),
     });
     await this.release();
     const { refused, unanswered } = this.context.drain;
@@ -159,7 +160,7 @@
   private async release(): Promise<void> {
     const { clock } = this.environment;
     this.shutdown.abort(new Error('stopped'));
-    await settleWithin(clock, this.health?.close(), HEALTH_CLOSE_TIMEOUT_MS);
+    await settleWithin(clock, this.listeners.health.close(), HEALTH_CLOSE_TIMEOUT_MS);
     this.context.crashGuard.stop();
     await this.client.stop();
     await this.tenants.stop();
@@ -222,22 +223,10 @@
     });
   }
 
-  private async listen(): Promise<void> {
-    const { listen, limits } = this.configuration;
-    const { network } = this.environment;
-    if (listen.messages !== undefined) await this.aggregation.listen(listen.messages);
+  private begin(): void {
+    const { messages } = this.listeners;
+    if (messages !== undefined) this.aggregation.serve(messages);
     this.aggregation.start();
-    const options: HttpListenOptions = {
-      ...limits,
-      onRefused: (refused) => this.noteUnreadRequest(refused),
-    };
-    this.callerListener = await network.listenHttp(listen.http, options, (request) =>
-      this.serve(request),
-    );
-    const health = this.createHealthEndpoint();
-    this.health = await network.listenHttp(listen.health, HEALTH_LISTENER_OPTIONS, (request) =>
-      health.handle(request),
-    );
     void this.tenants.renewLease();
     this.startMaintenance();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
@@ -249,14 +238,13 @@
     new GatewayMaintenance({ context, directory, aggregation, endpoint, logger, stopped }).start();
   }
 
-  private createHealthEndpoint(): HealthEndpoint {
-    return new HealthEndpoint({
-      registry: this.telemetry.registry,
+  private get healthSources(): HealthSources {
+    return {
       isStopping: () => this.isStopping,
       hasRoutes: () => this.endpoint.table !== undefined,
       isFresh: () => this.client.isFresh,
       acceptsKeys: () => this.endpoint.table?.needsKeys !== true || this.context.lease.isHeld,
-    });
+    };
   }
 
   private noteUnreadRequest(refused: RefusedRequest): void {
@@ -278,7 +266,7 @@
       const table = new RouteTable(readRouteDocument(content), this.endpoint.table);
       this.endpoint.useTable(table);
       this.tenants.useTable(table);
-      this.callerListener?.setIdleTimeout(table.limits.idleTimeoutMs);
+      this.listeners.callers.setIdleTimeout(table.limits.idleTimeoutMs);
       this.context.metrics.routeVersion.set(version);
       const tookMs = clock.now() - startedAt;
       this.context.metrics.routeDocumentSeconds.observe(tookMs / 1_000);
--- a/src/gateway/health-endpoint.ts
+++ b/src/gateway/health-endpoint.ts
@@ -10,9 +10,8 @@
   maximumConnections: 100,
 };
 
-/** State on which readiness depends, and the metrics to serve. */
+/** State on which readiness depends. */
 export interface HealthSources {
-  readonly registry: Registry;
   readonly isStopping: () => boolean;
   readonly hasRoutes: () => boolean;
   /** Whether the gateway follows a controller that had contact with a quorum recently. */
@@ -29,12 +28,16 @@
 export class HealthEndpoint {
   private wasReady = false;
 
-  constructor(private readonly sources: HealthSources) {}
+  /** @param readSources - undefined until the gateway serves. */
+  constructor(
+    private readonly registry: Registry,
+    private readonly readSources: () => HealthSources | undefined,
+  ) {}
 
   async handle({ path }: HttpRequest): Promise<HttpResponse> {
     if (path === '/readyz') return this.readyz();
     if (path === '/livez') return textResponse(200, 'live\n');
-    if (path === '/metrics') return textResponse(200, await this.sources.registry.metrics());
+    if (path === '/metrics') return textResponse(200, await this.registry.metrics());
     return textResponse(404, 'no such path\n');
   }
 
@@ -43,7 +46,9 @@
    * still serve requests.
    */
   private readyz(): HttpResponse {
-    const { isStopping, hasRoutes, isFresh, acceptsKeys } = this.sources;
+    const sources = this.readSources();
+    if (sources === undefined) return textResponse(503, 'starting\n');
+    const { isStopping, hasRoutes, isFresh, acceptsKeys } = sources;
     if (isStopping()) return textResponse(503, 'stopping\n');
     if (!hasRoutes()) return textResponse(503, 'no route document yet\n');
     if (!acceptsKeys()) return textResponse(503, 'API keys are not confirmed\n');
--- a/src/node/message-server.ts
+++ b/src/node/message-server.ts
@@ -3,6 +3,7 @@
 import { ConnectionError } from '../errors/connection-error.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
+import { bindServer } from './bind-server.js';
 import { NodeMessageConnection } from './node-message-connection.js';
 
 /** Accepts framed connections; see `Network.listenMessages`. */
@@ -20,12 +21,7 @@
       () => connection.close(),
     );
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', (error) => {
-      reject(new ConnectionError('listen', formatAddress(address), error.message, error));
-    });
-    server.listen(address.port, address.host, resolve);
-  });
+  await bindServer(server, address);
   const bound = server.address() as AddressInfo;
   return {
     address: { host: address.host, port: bound.port },
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -6,8 +6,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
-import { ConnectionError } from '../errors/connection-error.js';
-import { formatAddress, type Address } from '../seams/address.js';
+import type { Address } from '../seams/address.js';
 import {
   DEFAULT_IDLE_TIMEOUT,
   type HttpHandler,
@@ -16,6 +15,7 @@
   type HttpRequest,
   type HttpResponse,
 } from '../seams/http.js';
+import { bindServer } from './bind-server.js';
 import { ByteBudget } from './byte-budget.js';
 import { CallerConnection, type CallerConnectionListener } from './caller-connection.js';
 import {
@@ -300,11 +300,6 @@
     noDelay: true,
   });
   server.maxConnections = options.maximumConnections;
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', (error) => {
-      reject(new ConnectionError('listen', formatAddress(address), error.message, error));
-    });
-    server.listen(address.port, address.host, resolve);
-  });
+  await bindServer(server, address);
   return new NodeHttpListener(server, options, handler, address.host, minimumReadRate, memory);
 }
--- a/src/router/router-daemon.ts
+++ b/src/router/router-daemon.ts
@@ -53,7 +53,6 @@
   private readonly logger: Logger;
   private readonly endSubscriptions: (event: undefined) => void;
   private readonly subscriptionsEnd: Stream<undefined>;
-  private listener: HttpListener | undefined;
   private stopped: Promise<void> | undefined;
 
   private constructor(
@@ -61,6 +60,7 @@
     private readonly configuration: RouterConfiguration,
     private readonly source: ConfigurationSource,
     private readonly telemetry: RouterTelemetry,
+    private readonly listener: HttpListener,
     faults: RouterFaults,
   ) {
     const { name, limits, zone } = configuration;
@@ -90,21 +90,48 @@
    *
    * @throws ConnectionError when the listener cannot be opened.
    */
-  static async start(
+  static start(
     environment: Environment,
     configuration: RouterConfiguration,
     source: ConfigurationSource,
     telemetry: RouterTelemetry,
     faults: RouterFaults = NO_ROUTER_FAULTS,
   ): Promise<RouterDaemon> {
-    const daemon = new RouterDaemon(environment, configuration, source, telemetry, faults);
-    await daemon.listen();
+    return RouterDaemon.startWith(environment, configuration, () => source, telemetry, faults);
+  }
+
+  /**
+   * As {@link RouterDaemon.start}, with a source that is connected only once the router listens:
+   * until then its predecessor may follow a controller under the same name.
+   */
+  static async startWith(
+    environment: Environment,
+    configuration: RouterConfiguration,
+    connectSource: () => ConfigurationSource,
+    telemetry: RouterTelemetry,
+    faults: RouterFaults = NO_ROUTER_FAULTS,
+  ): Promise<RouterDaemon> {
+    const { limits, listen } = configuration;
+    // Set in the same turn in which the listener opens, before it accepts anyone.
+    let daemon: RouterDaemon | undefined;
+    const listener = await environment.network.listenHttp(
+      listen.http,
+      limits,
+      async (request) => (await daemon?.handleRequest(request)) ?? textResponse(503, 'starting\n'),
+    );
+    const source = connectSource();
+    try {
+      daemon = new RouterDaemon(environment, configuration, source, telemetry, listener, faults);
+    } catch (error) {
+      await listener.close();
+      throw error;
+    }
+    daemon.begin();
     return daemon;
   }
 
-  /** Address of the HTTP listener. Throws before the listener is open. */
+  /** Address of the HTTP listener. */
   get address(): Address {
-    if (this.listener === undefined) throw new Error('the router is not listening yet');
     return this.listener.address;
   }
 
@@ -134,12 +161,7 @@
     });
   }
 
-  private async listen(): Promise<void> {
-    const { limits, listen } = this.configuration;
-    const { network } = this.context.environment;
-    this.listener = await network.listenHttp(listen.http, limits, (request) =>
-      this.handleRequest(request),
-    );
+  private begin(): void {
     this.logger.info('router listening', { http: formatAddress(this.address) });
     const { registry } = this.context;
     this.subscribe(this.source.revisions, (state) => this.applyRevision(state));
@@ -201,7 +223,7 @@
     if (this.context.faults.cutInFlightAtStop) this.inFlight.cancelAll();
     await this.context.environment.clock.sleep(STOP_NOTICE_MS);
     await this.inFlight.whenDrained();
-    await this.listener?.close();
+    await this.listener.close();
     this.endSubscriptions(undefined);
     await this.context.registry.stop();
     this.logger.info('router stopped');
