Listeners: an error in accepting a connection doesn't end the daemon

Found in the search for what ends processes by themselves. Node emits `error` on a server when the system fails to accept a connection (ENOBUFS, ENOMEM, a firewall's EPERM). The handler that waits for the result of the listen call took the first of them, and went; the second was an error outside a task, upon which the daemon stops with exit code 1. That such an error struck the reported processes is not shown: no logs were kept.

The handler stays now; the connection concerned is lost, the listener goes on.

Failed before: "errors in accepting connections are no uncaught errors", with `expected [Function] to not throw an error but 'Error: accept ENOBUFS' was thrown`.

--- a/src/node/bind-server.ts
+++ b/src/node/bind-server.ts
@@ -25,7 +25,8 @@
  */
 export function bindServer(server: Server, address: Address): Promise<void> {
   return new Promise((resolve, reject) => {
-    server.once('error', (error) => reject(listenError(address, error)));
+    // Stays: an error in accepting a connection later concerns that connection only.
+    server.on('error', (error) => reject(listenError(address, error)));
     server.listen(address.port, address.host, resolve);
   });
 }
--- a/test/node/bind-server.test.ts
+++ b/test/node/bind-server.test.ts
@@ -31,3 +31,10 @@
   const bound = bindServer(newServer(), { host: FOREIGN_HOST, port: 0 });
   await expect(bound).rejects.toBeInstanceOf(AddressUnavailableError);
 });
+
+it('errors in accepting connections are no uncaught errors', async () => {
+  const server = newServer();
+  await bindServer(server, { host: HOST, port: 0 });
+  server.emit('error', new Error('accept ENOBUFS'));
+  expect(() => server.emit('error', new Error('accept ENOBUFS'))).not.toThrow();
+});
