Messages: a bound for what all message connections hold together

What operators may see: a process over its memory is killed.

Cause: a bound for each peer, none for their sum.

The other tests of connections only changed how they are opened.

--- a/src/node/caller-connection.ts
+++ b/src/node/caller-connection.ts
@@ -37,10 +37,9 @@
     memory: SharedMemory,
     private readonly listener: CallerConnectionListener,
   ) {
+    memory.join(this);
     this.limit = new RequestByteLimit(socket, options, () => listener.onTooManyBytes(this));
-    this.unserved = new UnservedRequests(socket, (bytes) => {
-      if (!socket.destroyed) memory.update(this, bytes);
-    });
+    this.unserved = new UnservedRequests(socket, (bytes) => memory.update(this, bytes));
     this.feeder = new RequestFeeder(socket, this, (bytes) => this.unserved.setAhead(bytes));
     socket.once('close', () => {
       memory.leave(this);
--- a/src/node/message-server.ts
+++ b/src/node/message-server.ts
@@ -5,17 +5,19 @@
 import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
 import { bindServer } from './bind-server.js';
 import { NodeMessageConnection } from './node-message-connection.js';
+import type { SharedMemory } from './shared-memory.js';
 
 /** Accepts framed connections; see `Network.listenMessages`. */
 export async function listenMessages(
   address: Address,
   onConnection: (connection: MessageConnection) => Promise<void>,
+  memory: SharedMemory,
 ): Promise<MessageListener> {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
-    const connection = new NodeMessageConnection(socket);
+    const connection = new NodeMessageConnection(socket, memory);
     onConnection(connection).then(
       () => connection.close(),
       () => connection.close(),
@@ -34,7 +36,11 @@
 }
 
 /** Opens a framed connection; see `Network.connectMessages`. */
-export function connectMessages(peer: Address, timeout: number): Promise<MessageConnection> {
+export function connectMessages(
+  peer: Address,
+  timeout: number,
+  memory: SharedMemory,
+): Promise<MessageConnection> {
   return new Promise((resolve, reject) => {
     const socket = connect({ host: peer.host, port: peer.port });
     const fail = (message: string, cause?: unknown): void => {
@@ -47,7 +53,7 @@
     socket.once('connect', () => {
       socket.setTimeout(0);
       socket.off('error', onError);
-      resolve(new NodeMessageConnection(socket));
+      resolve(new NodeMessageConnection(socket, memory));
     });
   });
 }
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -20,9 +20,12 @@
 export class NodeNetwork implements Network {
   /** Of all callers of the process. */
   private readonly requestMemory: SharedMemory;
+  /** Of all message connections of the process. */
+  private readonly messageMemory: SharedMemory;
 
   constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {
     this.requestMemory = new SharedMemory(budgets.requests);
+    this.messageMemory = new SharedMemory(budgets.messages);
   }
 
   listenHttp(
@@ -41,10 +44,10 @@
     address: Address,
     onConnection: (connection: MessageConnection) => Promise<void>,
   ): Promise<MessageListener> {
-    return listenMessages(address, onConnection);
+    return listenMessages(address, onConnection, this.messageMemory);
   }
 
   connectMessages(peer: Address, timeout: number): Promise<MessageConnection> {
-    return connectMessages(peer, timeout);
+    return connectMessages(peer, timeout, this.messageMemory);
   }
 }
--- a/test/node/cut-response-heads.test.ts
+++ b/test/node/cut-response-heads.test.ts
@@ -2,6 +2,8 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { HttpClientError } from '../../src/errors/http-client-error.js';
+import { ByteBudget } from '../../src/node/byte-budget.js';
+import { SharedMemory } from '../../src/node/shared-memory.js';
 import { NodeHttpClient } from '../../src/node/node-http-client.js';
 import { NodeMessageConnection } from '../../src/node/node-message-connection.js';
 import { errorOf, GET, ListenerFixture } from './support/listener-fixture.js';
@@ -124,13 +126,14 @@
 describe('a gateway that stops in the middle of a message to another', () => {
   it('delivers no message, whichever byte is the last one', async () => {
     client = createClient();
+    const memory = new SharedMemory(new ByteBudget(Infinity));
     const frame = Buffer.concat([Buffer.from([0, 0, 0, 6]), Buffer.from('report')]);
     for (let bytes = 1; bytes < frame.length; bytes += 1) {
       const accepted = once(peer, 'connection') as Promise<[Socket]>;
       const { port } = peer.address() as AddressInfo;
       const socket = connect(port, '127.0.0.1');
       const [other] = await accepted;
-      const connection = new NodeMessageConnection(socket);
+      const connection = new NodeMessageConnection(socket, memory);
       other.end(frame.subarray(0, bytes));
       await expect(connection.receive()).rejects.toThrow('cut in a frame');
     }
--- a/test/node/node-message-connection.test.ts
+++ b/test/node/node-message-connection.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { afterEach, describe, expect, it } from 'vitest';
 import { FRAME_HEADER_BYTES } from '../../src/node/frame-reader.js';
-import { connectMessages } from '../../src/node/message-server.js';
+import { NodeNetwork } from '../../src/node/node-network.js';
 import { MAXIMUM_FRAME_BYTES, type MessageConnection } from '../../src/seams/message-connection.js';
 
 const FRAMES = 40;
@@ -25,7 +25,7 @@
   await once(listening, 'listening');
   const accepted = once(listening, 'connection') as Promise<[Socket]>;
   const { port } = listening.address() as AddressInfo;
-  connection = await connectMessages({ host: '127.0.0.1', port }, 5_000);
+  connection = await new NodeNetwork().connectMessages({ host: '127.0.0.1', port }, 5_000);
   const [far] = await accepted;
   return { near: connection, far };
 }
