HTTP client: responses that announce too long a body are refused at their head

Callers of a gateway whose replicas announced a length of 10^12 made it hold up to 16 MiB for each of its requests, 853 MB of the 350 MB that it may use (load.py endless-length: 60 callers, three gateways, deployed build, real processes on loopback). Cause: the length in the head was only used to bound the bytes of the connection, and the body was read up to the longest one allowed. A head with a longer announcement ends the request now, before any of the body is kept. HEAD, 204 and 304 announce no body. After: 122 MB, and 149 MB with fan-outs over 20 services (load.py endless-length, and with shards). test/node/announced-lengths.test.ts failed before: "Test timed out in 60000ms", as its peer sends none of the announced body. Bodies without a length aren't bounded together by this.

--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -19,6 +19,8 @@
 
 /** Lower statuses are interim responses. */
 const FIRST_FINAL_STATUS = 200;
+/** Responses with these statuses have no body, whatever length their head announces. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 class ResponseTooLargeError extends Error {}
 
@@ -118,6 +120,10 @@
       this.abort(new ResponseRejectedError('response rejected'));
       return false;
     }
+    if (this.announcedBytes > this.maximumBytes) {
+      this.abort(new ResponseTooLargeError(`announced ${this.announcedBytes} bytes`));
+      return false;
+    }
     return true;
   }
 
@@ -148,6 +154,13 @@
     this.onSettled?.(false);
   }
 
+  /** Length of the body according to the head; 0 when the head tells none. */
+  private get announcedBytes(): number {
+    const hasBody = this.request.method !== 'HEAD' && !BODILESS_STATUSES.has(this.status);
+    const isFinal = this.status >= FIRST_FINAL_STATUS;
+    return hasBody && isFinal ? Number(this.headers['content-length'] ?? 0) : 0;
+  }
+
   private kindOf(error: Error): HttpClientErrorKind {
     if (this.request.signal?.aborted === true) return 'aborted';
     return this.requestSent ? classify(error, this.status !== 0) : 'connect_failed';
