HTTP client: what the responses of all peers hold together is bounded

Cause: one response was bounded, and nothing bounded their sum. Its class: a bound for each, none for all. When it is spent, the peer that holds the most in unfinished responses loses the largest of them: its connection is closed and the request fails with memory_exhausted, as a response of which nothing can be used. A newcomer loses its own only if its peer is that one, or if nothing that could be given up would make room.

--- a/src/errors/http-client-error.ts
+++ b/src/errors/http-client-error.ts
@@ -7,6 +7,8 @@
   | 'connection_lost'
   | 'response_truncated'
   | 'response_too_large'
+  /** The responses of all peers together took all the memory there is for them. */
+  | 'memory_exhausted'
   | 'response_rejected'
   | 'malformed_response'
   | 'aborted';
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -15,7 +15,9 @@
 import { ConnectionPool, type ConnectionOptions, type PooledHandler } from './connection-pool.js';
 import { requestFingerprint } from './recent-request-ids.js';
 import { createResetAwareConnector } from './reset-aware-connector.js';
+import { ByteBudget } from './byte-budget.js';
 import { ResponseByteLimit, ResponseByteLimitError } from './response-byte-limit.js';
+import { ResponseMemory, type ResponseLease } from './response-memory.js';
 
 /** Lower statuses are interim responses. */
 const FIRST_FINAL_STATUS = 200;
@@ -26,6 +28,9 @@
 
 class ResponseRejectedError extends Error {}
 
+/** The responses of all peers hold all that they may. */
+class MemoryExhaustedError extends Error {}
+
 /**
  * Reads header pairs from undici's raw buffers. Decodes them as Latin-1, so that each byte stays the
  * same when the header is written again; other characters could not be written.
@@ -45,6 +50,7 @@
   if (error instanceof ResponseByteLimitError) {
     return error.part === 'head' ? 'malformed_response' : 'response_too_large';
   }
+  if (error instanceof MemoryExhaustedError) return 'memory_exhausted';
   if (error instanceof ResponseRejectedError) return 'response_rejected';
   if (error instanceof errors.HTTPParserError) return 'malformed_response';
   if (error instanceof errors.HeadersOverflowError) return 'malformed_response';
@@ -59,6 +65,8 @@
   onWritten: (() => void) | undefined;
   readBytes: (() => number) | undefined;
   private limit: ResponseByteLimit | undefined;
+  /** Undefined until the request is written. */
+  private lease: ResponseLease | undefined;
   private requestSent = false;
   /** Given up before it was written to a connection. */
   private isAbandoned = false;
@@ -74,6 +82,7 @@
   constructor(
     private readonly peer: string,
     private readonly maximumBytes: number,
+    private readonly memory: ResponseMemory,
     private readonly request: HttpClientRequest,
     private readonly resolve: (response: HttpClientResponse) => void,
     private readonly reject: (error: HttpClientError) => void,
@@ -103,6 +112,9 @@
     this.requestSent = true;
     this.abortRequest = abort;
     this.limit = new ResponseByteLimit(this.readBytes?.() ?? 0, this.maximumBytes);
+    this.lease = this.memory.open(this.peer, () =>
+      this.abort(new MemoryExhaustedError('the largest response of the peer that holds the most')),
+    );
     this.onWritten?.();
     this.request.onSent?.();
   }
@@ -120,7 +132,7 @@
       this.abort(new ResponseRejectedError('response rejected'));
       return false;
     }
-    if (this.announcedBytes > this.maximumBytes) {
+    if (this.announcedBytes > Math.min(this.maximumBytes, this.memory.limit)) {
       this.abort(new ResponseTooLargeError(`announced ${this.announcedBytes} bytes`));
       return false;
     }
@@ -134,6 +146,10 @@
       this.abort(new ResponseTooLargeError('response too large'));
       return false;
     }
+    if (this.lease?.take(chunk.length) === false) {
+      this.abort(new MemoryExhaustedError('no room for the response'));
+      return false;
+    }
     this.chunks.push(chunk);
     return true;
   }
@@ -142,6 +158,8 @@
     this.request.signal?.removeEventListener('abort', this.onSignal);
     const [only] = this.chunks;
     const body = this.chunks.length === 1 && only !== undefined ? only : Buffer.concat(this.chunks);
+    if (this.request.holder === undefined) this.lease?.close();
+    else this.lease?.keepFor(this.request.holder);
     this.resolve({ status: this.status, headers: this.headers, body });
     this.onSettled?.(true);
   }
@@ -149,6 +167,8 @@
   onError(error: Error): void {
     if (this.isAbandoned) return;
     this.stopWaiting();
+    this.lease?.close();
+    this.chunks.length = 0;
     const kind = this.kindOf(error);
     this.reject(new HttpClientError(kind, this.requestSent, this.peer, error));
     this.onSettled?.(false);
@@ -210,6 +230,8 @@
   constructor(
     address: Address,
     private readonly options: HttpClientOptions,
+    /** Shared by all clients of a process. */
+    private readonly memory = new ResponseMemory(new ByteBudget(Infinity)),
   ) {
     this.peer = formatAddress(address);
   }
@@ -223,6 +245,7 @@
       const handler = new ResponseCollector(
         this.peer,
         this.options.maximumResponseBytes,
+        this.memory,
         request,
         resolve,
         reject,
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -14,6 +14,7 @@
 import { NodeHttpClient } from './node-http-client.js';
 import { availableMemory } from './process-memory.js';
 import { listenHttp } from './node-http-server.js';
+import { ResponseMemory } from './response-memory.js';
 import { SharedMemory } from './shared-memory.js';
 
 /** Production {@link Network}. */
@@ -22,10 +23,12 @@
   private readonly requestMemory: SharedMemory;
   /** Of all message connections of the process. */
   private readonly messageMemory: SharedMemory;
+  private readonly responses: ResponseMemory;
 
   constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {
     this.requestMemory = new SharedMemory(budgets.requests);
     this.messageMemory = new SharedMemory(budgets.messages);
+    this.responses = new ResponseMemory(budgets.responses);
   }
 
   listenHttp(
@@ -37,7 +40,7 @@
   }
 
   httpClient(peer: Address, options: HttpClientOptions): HttpClient {
-    return new NodeHttpClient(peer, options);
+    return new NodeHttpClient(peer, options, this.responses);
   }
 
   listenMessages(
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -93,6 +93,12 @@
   close(): Promise<void>;
 }
 
+/** Somebody who keeps responses that were received in full. */
+export interface ResponseHolder {
+  /** Calls `callback` once the responses are not kept any more; at once if that is so already. */
+  onceReleased(callback: () => void): void;
+}
+
 /** One request to send. */
 export interface HttpClientRequest {
   readonly method: string;
@@ -130,6 +136,12 @@
    * fails with an `HttpClientError` of kind `response_too_large`.
    */
   readonly acceptBytes?: (bytes: number) => boolean;
+  /**
+   * The response counts as held in memory until it is released; when absent, until the response is
+   * handed over. When the responses of all peers hold all that they may, the request fails with an
+   * `HttpClientError` of kind `memory_exhausted`.
+   */
+  readonly holder?: ResponseHolder;
 }
 
 /** A response received in full. */
