HTTP server: bodies and untaken answers of all callers are bounded by the process's memory

Callers could make a process hold more than its machine bears: a listener bounds bodies and untaken answers by maximumBufferedBytes, 64 MB at a gateway and 256 MB where nothing is set, whatever the memory of the process; answers that callers don't take were counted and not bounded at all. Class: a bound for each, none for all. A newcomer was refused for bodies that never end. Both count against the budget for requests, an eighth of the process's memory, besides the listener's own bound. When it is spent, the address that holds the most loses its largest unfinished body with 503, not run. When a further answer doesn't fit, those that wait longest are cut; the newest is always written. Not measured on the deployed build.

--- a/src/node/body-collector.ts
+++ b/src/node/body-collector.ts
@@ -22,6 +22,8 @@
 export class BodyCollector {
   /** Bytes of the body so far. */
   size = 0;
+  /** Bytes of the whole body as announced; 0 when nothing is. */
+  announcedBytes = 0;
   /** Bytes taken from the source. */
   private heldBytes = 0;
   /** Every block but the last is full. */
@@ -38,28 +40,22 @@
   /** Returns false if there is no room for the part; the body is of no use then. */
   add(part: Buffer): boolean {
     const isKept = this.size === 0 && this.mayKeep(part);
-    const isAdded = isKept ? this.keep(part) : this.copy(part);
-    if (isAdded) this.size += part.length;
-    return isAdded;
+    return isKept ? this.keep(part) : this.copy(part);
   }
 
-  /** The whole body. What it holds is left to the caller: see {@link BodyCollector.release}. */
+  /** The whole body. What it holds of the source is left to the caller. */
   finish(): Buffer {
-    const [first] = this.blocks;
-    const isSingle = this.blocks.length === 1 && first !== undefined;
-    if (isSingle && this.freeBytes === 0) return first;
-    const body = Buffer.allocUnsafeSlow(this.size);
-    let offset = 0;
-    for (const block of this.blocks) offset += block.copy(body, offset, 0, this.size - offset);
-    this.giveBlocks();
-    this.releaseAbove(this.size);
+    const body = this.join();
+    if (this.heldBytes > this.size) this.source.release(this.heldBytes - this.size);
+    this.heldBytes = 0;
     return body;
   }
 
   /** Forgets the body and releases what it holds. */
   release(): void {
     this.giveBlocks();
-    this.releaseAbove(0);
+    this.source.release(this.heldBytes);
+    this.heldBytes = 0;
   }
 
   private mayKeep(part: Buffer): boolean {
@@ -69,6 +65,7 @@
   private keep(part: Buffer): boolean {
     if (!this.take(part.buffer.byteLength)) return false;
     this.blocks.push(part);
+    this.size = part.length;
     this.isFirstKept = true;
     return true;
   }
@@ -83,19 +80,25 @@
   }
 
   private addBlock(neededBytes: number): boolean {
-    const wanted = Math.max(neededBytes, this.size, MINIMUM_BLOCK_BYTES);
-    const bytes = Math.min(wanted, BLOCK_BYTES);
+    const bytes = Math.min(this.wantedBytes(neededBytes), BLOCK_BYTES);
     if (!this.take(bytes)) return false;
     this.blocks.push(bytes === BLOCK_BYTES ? this.pool.take() : Buffer.allocUnsafeSlow(bytes));
     this.freeBytes = bytes;
     return true;
   }
 
+  /** Of a body that announces no length, as much again is expected as has come. */
+  private wantedBytes(neededBytes: number): number {
+    const announced = this.announcedBytes - this.size;
+    return announced > 0 ? announced : Math.max(neededBytes, this.size, MINIMUM_BLOCK_BYTES);
+  }
+
   /** Copies into the last block; returns how many bytes. */
   private fill(part: Buffer, from: number): number {
     const block = this.blocks[this.blocks.length - 1] as Buffer;
     const copied = part.copy(block, block.length - this.freeBytes, from);
     this.freeBytes -= copied;
+    this.size += copied;
     return copied;
   }
 
@@ -105,6 +108,20 @@
     return true;
   }
 
+  private join(): Buffer {
+    const [first] = this.blocks;
+    const isWhole = this.blocks.length === 1 && this.freeBytes === 0;
+    if (isWhole && first !== undefined) {
+      this.blocks = [];
+      return first;
+    }
+    const body = Buffer.allocUnsafeSlow(this.size);
+    let offset = 0;
+    for (const block of this.blocks) offset += block.copy(body, offset, 0, this.size - offset);
+    this.giveBlocks();
+    return body;
+  }
+
   private giveBlocks(): void {
     const { blocks, isFirstKept } = this;
     this.blocks = [];
@@ -114,10 +131,4 @@
       if (isOwn && block.length === BLOCK_BYTES) this.pool.give(block);
     }
   }
-
-  private releaseAbove(keptBytes: number): void {
-    const released = this.heldBytes - keptBytes;
-    if (released > 0) this.source.release(released);
-    this.heldBytes = Math.min(this.heldBytes, keptBytes);
-  }
 }
--- a/src/node/byte-budget.ts
+++ b/src/node/byte-budget.ts
@@ -4,27 +4,37 @@
 export class ByteBudget {
   private held = 0;
 
-  /** `limit` in bytes. */
-  constructor(readonly limit: number) {}
+  /** `limit` in bytes. What is held counts against `parent`, too. */
+  constructor(
+    readonly limit: number,
+    private readonly parent?: ByteBudget,
+  ) {}
 
   /** Bytes held now. */
   get heldBytes(): number {
     return this.held;
   }
 
+  /** Whether the limit would be kept with `bytes` more. */
+  hasRoomFor(bytes: number): boolean {
+    return this.held + bytes <= this.limit && (this.parent?.hasRoomFor(bytes) ?? true);
+  }
+
   /** Takes `bytes` unless the limit would be passed; says whether it did. */
   take(bytes: number): boolean {
-    if (this.held + bytes > this.limit) return false;
-    this.held += bytes;
+    if (!this.hasRoomFor(bytes)) return false;
+    this.add(bytes);
     return true;
   }
 
   /** Counts bytes that are in memory already, limit or not. */
   add(bytes: number): void {
     this.held += bytes;
+    this.parent?.add(bytes);
   }
 
   release(bytes: number): void {
     this.held -= bytes;
+    this.parent?.release(bytes);
   }
 }
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -18,7 +18,7 @@
 import { BodyCollector } from './body-collector.js';
 import { ByteBudget } from './byte-budget.js';
 import { ResponseByteLimit, ResponseByteLimitError } from './response-byte-limit.js';
-import { ResponseMemory, type ResponseLease } from './response-memory.js';
+import { ReceiveMemory, type ReceiveLease } from './receive-memory.js';
 
 /** Lower statuses are interim responses. */
 const FIRST_FINAL_STATUS = 200;
@@ -67,7 +67,7 @@
   readBytes: (() => number) | undefined;
   private limit: ResponseByteLimit | undefined;
   /** Undefined until the request is written. */
-  private lease: ResponseLease | undefined;
+  private lease: ReceiveLease | undefined;
   private body: BodyCollector | undefined;
   private requestSent = false;
   /** Given up before it was written to a connection. */
@@ -82,7 +82,7 @@
   constructor(
     private readonly peer: string,
     private readonly maximumBytes: number,
-    private readonly memory: ResponseMemory,
+    private readonly memory: ReceiveMemory,
     private readonly request: HttpClientRequest,
     private readonly resolve: (response: HttpClientResponse) => void,
     private readonly reject: (error: HttpClientError) => void,
@@ -137,6 +137,7 @@
       this.abort(new ResponseTooLargeError(`announced ${this.announcedBytes} bytes`));
       return false;
     }
+    if (this.body !== undefined) this.body.announcedBytes = this.announcedBytes;
     return true;
   }
 
@@ -231,7 +232,7 @@
     address: Address,
     private readonly options: HttpClientOptions,
     /** Shared by all clients of a process. */
-    private readonly memory = new ResponseMemory(new ByteBudget(Infinity)),
+    private readonly memory = new ReceiveMemory(new ByteBudget(Infinity)),
   ) {
     this.peer = formatAddress(address);
   }
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -17,6 +17,7 @@
 } from '../seams/http.js';
 import { bindServer } from './bind-server.js';
 import { ByteBudget } from './byte-budget.js';
+import type { BlockPool } from './block-pool.js';
 import { CallerConnection, type CallerConnectionListener } from './caller-connection.js';
 import {
   bodyRefusedResponse,
@@ -28,8 +29,10 @@
 import { divideMemory } from './memory-budgets.js';
 import { availableMemory } from './process-memory.js';
 import { toRequest } from './received-request.js';
-import { announcesTooMuch, BodyRefusedError, readBody } from './request-body.js';
+import { ReceiveMemory } from './receive-memory.js';
+import { announcesTooMuch, BodyRefusedError, readBody, type ReceivedBody } from './request-body.js';
 import { SharedMemory } from './shared-memory.js';
+import { UntakenResponses } from './untaken-responses.js';
 
 /** How often Node looks for requests that outlasted their time, at most. Milliseconds. */
 const CONNECTION_CHECK_INTERVAL = 1_000;
@@ -54,18 +57,18 @@
   readonly address: Address;
   private closing = false;
   private readonly connections = new Map<Socket, CallerConnection>();
-  private readonly buffered: ByteBudget;
 
   constructor(
     private readonly server: Server,
     private readonly options: HttpListenOptions,
     private readonly handler: HttpHandler,
     host: string,
+    private readonly memory: ReceiveMemory,
+    private readonly untaken: UntakenResponses,
+    private readonly unserved: SharedMemory,
     private readonly minimumReadRate: number,
-    private readonly memory: SharedMemory,
   ) {
     this.address = { host, port: (server.address() as AddressInfo).port };
-    this.buffered = new ByteBudget(options.maximumBufferedBytes ?? DEFAULT_BUFFERED_BYTES);
     const serve = (message: IncomingMessage, response: ServerResponse): void =>
       void this.serve(message, response);
     server.on('connection', (socket) => this.connectionOf(socket));
@@ -99,7 +102,7 @@
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
-    const connection = new CallerConnection(socket, this.options, this.memory, this);
+    const connection = new CallerConnection(socket, this.options, this.unserved, this);
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
@@ -123,9 +126,9 @@
     const body = await this.receive(message, response);
     if (body === undefined) return;
     try {
-      await this.handle(connection, message, body, response);
+      await this.handle(connection, message, body.bytes, response);
     } finally {
-      this.buffered.release(body.length);
+      body.lease.close();
     }
   }
 
@@ -133,9 +136,9 @@
   private async receive(
     message: IncomingMessage,
     response: ServerResponse,
-  ): Promise<Buffer | undefined> {
+  ): Promise<ReceivedBody | undefined> {
     try {
-      return await readBody(message, this.options.maximumBodyBytes, this.buffered);
+      return await readBody(message, this.options.maximumBodyBytes, this.memory);
     } catch (error) {
       if (error instanceof BodyRefusedError) {
         this.refuseBody(message, response, bodyRefusedResponse(error.refusal));
@@ -268,28 +271,35 @@
   /** Gives the caller a bounded time to take the response, unless the system has it already. */
   private limitTaking(socket: Socket, response: ServerResponse, bytes: number): void {
     if (socket.writableLength === 0 || socket.destroyed) return;
-    this.buffered.add(bytes);
+    this.untaken.add(socket, bytes);
     const allowed = this.options.requestTimeout + bytes / this.minimumReadRate;
     const timer = setTimeout(() => socket.destroy(), allowed);
     response.once('close', () => {
       clearTimeout(timer);
-      this.buffered.release(bytes);
+      this.untaken.remove(socket);
     });
   }
 }
 
-/**
- * Starts a listener; see `Network.listenHttp`. `minimumReadRate` in bytes per millisecond; `memory` is shared
- * with the other listeners of the process.
- */
+/** What a listener shares with the process, and what tests set. */
+export interface ListenerResources {
+  /** For the requests of all listeners. */
+  readonly requests?: ByteBudget;
+  readonly blocks?: BlockPool;
+  /** For what all callers have sent and nobody serves yet. */
+  readonly unserved?: SharedMemory;
+  /** Bytes per millisecond. */
+  readonly minimumReadRate?: number;
+}
+
+/** Starts a listener; see `Network.listenHttp`. */
 export async function listenHttp(
   address: Address,
   options: HttpListenOptions,
   handler: HttpHandler,
-  minimumReadRate = MINIMUM_READ_RATE,
-  memory = new SharedMemory(divideMemory(availableMemory()).requests),
+  { requests, blocks, unserved, minimumReadRate = MINIMUM_READ_RATE }: ListenerResources = {},
 ): Promise<HttpListener> {
-  const { requestTimeout } = options;
+  const { requestTimeout, maximumBufferedBytes = DEFAULT_BUFFERED_BYTES } = options;
   const server = createServer({
     maxHeaderSize: options.maximumHeaderBytes,
     requestTimeout,
@@ -301,5 +311,15 @@
   });
   server.maxConnections = options.maximumConnections;
   await bindServer(server, address);
-  return new NodeHttpListener(server, options, handler, address.host, minimumReadRate, memory);
+  const budget = new ByteBudget(maximumBufferedBytes, requests);
+  return new NodeHttpListener(
+    server,
+    options,
+    handler,
+    address.host,
+    new ReceiveMemory(budget, blocks),
+    new UntakenResponses(budget),
+    unserved ?? new SharedMemory(divideMemory(availableMemory()).requests),
+    minimumReadRate,
+  );
 }
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -9,26 +9,29 @@
 } from '../seams/http.js';
 import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
 import type { Network } from '../seams/network.js';
+import { BlockPool } from './block-pool.js';
 import { divideMemory, type MemoryBudgets } from './memory-budgets.js';
 import { connectMessages, listenMessages } from './message-server.js';
 import { NodeHttpClient } from './node-http-client.js';
 import { availableMemory } from './process-memory.js';
 import { listenHttp } from './node-http-server.js';
-import { ResponseMemory } from './response-memory.js';
+import { ReceiveMemory } from './receive-memory.js';
 import { SharedMemory } from './shared-memory.js';
 
 /** Production {@link Network}. */
 export class NodeNetwork implements Network {
-  /** Of all callers of the process. */
-  private readonly requestMemory: SharedMemory;
+  private readonly blocks: BlockPool;
+  private readonly responses: ReceiveMemory;
+  /** Of what callers of all listeners have sent and nobody serves yet. */
+  private readonly unserved: SharedMemory;
   /** Of all message connections of the process. */
   private readonly messageMemory: SharedMemory;
-  private readonly responses: ResponseMemory;
 
   constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {
-    this.requestMemory = new SharedMemory(budgets.requests);
+    this.blocks = new BlockPool(budgets.responses.limit);
+    this.responses = new ReceiveMemory(budgets.responses, this.blocks);
+    this.unserved = new SharedMemory(budgets.requests);
     this.messageMemory = new SharedMemory(budgets.messages);
-    this.responses = new ResponseMemory(budgets.responses);
   }
 
   listenHttp(
@@ -36,7 +39,8 @@
     options: HttpListenOptions,
     handler: HttpHandler,
   ): Promise<HttpListener> {
-    return listenHttp(address, options, handler, undefined, this.requestMemory);
+    const { blocks, budgets, unserved } = this;
+    return listenHttp(address, options, handler, { requests: budgets.requests, blocks, unserved });
   }
 
   httpClient(peer: Address, options: HttpClientOptions): HttpClient {
--- a/src/node/response-memory.ts
+++ b/src/node/receive-memory.ts
@@ -1,25 +1,25 @@
 /**
- * Bounds what the responses of all peers hold together. When the budget is spent, the peer that holds the most
- * loses its largest response, so that a faulty peer doesn't end the requests to others. The bytes of a
- * response count until it is handed on, or until its holder lets go of it.
+ * Bounds what all peers together make a process hold of what they send. When the budget is spent, the peer that
+ * holds the most loses its largest transfer, so that a faulty peer doesn't end those of others. The bytes
+ * of a transfer count until it is handed on, or until its holder lets go of it.
  */
 import type { ResponseHolder } from '../seams/http.js';
 import { BlockPool } from './block-pool.js';
 import type { ByteBudget } from './byte-budget.js';
 
-/** What one response holds. */
-export class ResponseLease {
+/** What one transfer holds: a response, or the body of a request. */
+export class ReceiveLease {
   /** Bytes that were taken and not released. */
   heldBytes = 0;
 
   constructor(
-    private readonly memory: ResponseMemory,
+    private readonly memory: ReceiveMemory,
     readonly peer: string,
-    /** Ends the request; has to call {@link ResponseLease.close} before it returns. */
+    /** Ends the transfer; has to call {@link ReceiveLease.close} before it returns. */
     readonly giveUp: () => void,
   ) {}
 
-  /** Takes bytes, of larger responses if there are no others; says whether it did. */
+  /** Takes bytes, of larger transfers if there are no others; says whether it did. */
   take(bytes: number): boolean {
     return this.memory.take(this, bytes);
   }
@@ -28,41 +28,46 @@
     this.memory.release(this, bytes);
   }
 
-  /** The response failed, or was handed on to somebody who doesn't keep it. */
+  /** The transfer failed, or was handed on to somebody who doesn't keep it. */
   close(): void {
     this.memory.close(this);
   }
 
-  /** The response is whole and can't be given up any more. */
-  keepFor(holder: ResponseHolder): void {
+  /** It is whole and can't be given up any more. */
+  settle(): void {
     this.memory.settle(this);
+  }
+
+  /** The response is whole; it is held until `holder` lets go of it. */
+  keepFor(holder: ResponseHolder): void {
+    this.settle();
     holder.onceReleased(() => this.close());
   }
 }
 
-/** The responses that a process receives. */
-export class ResponseMemory {
-  /** For the bodies. */
-  readonly blocks: BlockPool;
+/** The transfers of one kind of a process. */
+export class ReceiveMemory {
   /** Those that can still be given up. */
-  private readonly receiving = new Set<ResponseLease>();
+  private readonly receiving = new Set<ReceiveLease>();
 
-  constructor(private readonly budget: ByteBudget) {
-    this.blocks = new BlockPool(budget.limit);
-  }
+  constructor(
+    private readonly budget: ByteBudget,
+    /** For the bodies. */
+    readonly blocks = new BlockPool(budget.limit),
+  ) {}
 
-  /** Bytes that all responses may hold. */
+  /** Bytes that all of them may hold. */
   get limit(): number {
     return this.budget.limit;
   }
 
-  open(peer: string, giveUp: () => void): ResponseLease {
-    const lease = new ResponseLease(this, peer, giveUp);
+  open(peer: string, giveUp: () => void): ReceiveLease {
+    const lease = new ReceiveLease(this, peer, giveUp);
     this.receiving.add(lease);
     return lease;
   }
 
-  take(lease: ResponseLease, bytes: number): boolean {
+  take(lease: ReceiveLease, bytes: number): boolean {
     while (!this.budget.take(bytes)) {
       const victim = this.canMakeRoom(bytes) ? this.largest(lease, bytes) : lease;
       if (victim === lease) return false;
@@ -72,16 +77,16 @@
     return true;
   }
 
-  release(lease: ResponseLease, bytes: number): void {
+  release(lease: ReceiveLease, bytes: number): void {
     lease.heldBytes -= bytes;
     this.budget.release(bytes);
   }
 
-  settle(lease: ResponseLease): void {
+  settle(lease: ReceiveLease): void {
     this.receiving.delete(lease);
   }
 
-  close(lease: ResponseLease): void {
+  close(lease: ReceiveLease): void {
     this.settle(lease);
     this.release(lease, lease.heldBytes);
   }
@@ -93,9 +98,9 @@
     return kept + bytes <= this.budget.limit;
   }
 
-  /** The largest response of the peer that holds the most, with `bytes` that `taker` is about to take. */
-  private largest(taker: ResponseLease, bytes: number): ResponseLease {
-    const held = (lease: ResponseLease): number =>
+  /** The largest transfer of the peer that holds the most, with `bytes` that `taker` is about to take. */
+  private largest(taker: ReceiveLease, bytes: number): ReceiveLease {
+    const held = (lease: ReceiveLease): number =>
       lease === taker ? lease.heldBytes + bytes : lease.heldBytes;
     const byPeer = new Map<string, number>();
     for (const lease of this.receiving) {
--- a/src/node/request-body.ts
+++ b/src/node/request-body.ts
@@ -1,6 +1,7 @@
 /** Receives the body of a request within bounds. */
 import type { IncomingMessage } from 'node:http';
-import type { ByteBudget } from './byte-budget.js';
+import { BodyCollector } from './body-collector.js';
+import type { ReceiveLease, ReceiveMemory } from './receive-memory.js';
 
 /** Why a body was not received to its end. */
 export type BodyRefusal =
@@ -21,9 +22,14 @@
   return Number(message.headers['content-length'] ?? 0) > maximumBytes;
 }
 
+/** A body, and the memory that it holds. */
+export interface ReceivedBody {
+  readonly bytes: Buffer;
+  readonly lease: ReceiveLease;
+}
+
 /**
- * The whole body, its bytes taken from `budget`; the caller of this function
- * releases them.
+ * The whole body, its bytes taken from `memory`; the caller of this function closes the lease.
  *
  * @throws BodyRefusedError when it is too large or there is no room for it.
  * @throws Error when the connection ends first.
@@ -31,37 +37,39 @@
 export function readBody(
   message: IncomingMessage,
   maximumBytes: number,
-  budget: ByteBudget,
-): Promise<Buffer> {
+  memory: ReceiveMemory,
+): Promise<ReceivedBody> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    if (message.destroyed) {
+      reject(new Error('the connection was closed'));
+      return;
+    }
+    if (announcesTooMuch(message, maximumBytes)) {
+      reject(new BodyRefusedError('too_large'));
+      return;
+    }
+    const giveUp = (): void => fail(new BodyRefusedError('no_room'));
+    const lease = memory.open(message.socket.remoteAddress ?? '', giveUp);
+    const body = new BodyCollector(lease, memory.blocks);
+    body.announcedBytes = Number(message.headers['content-length'] ?? 0);
+    let isWhole = false;
     const fail = (error: Error): void => {
+      if (isWhole) return;
       message.off('data', onData);
       message.off('end', onEnd);
-      budget.release(size);
-      size = 0;
+      body.release();
+      lease.close();
       reject(error);
     };
     const onData = (chunk: Buffer): void => {
-      if (size + chunk.length > maximumBytes) return fail(new BodyRefusedError('too_large'));
-      if (!budget.take(chunk.length)) return fail(new BodyRefusedError('no_room'));
-      size += chunk.length;
-      chunks.push(chunk);
+      if (body.size + chunk.length > maximumBytes) fail(new BodyRefusedError('too_large'));
+      else if (!body.add(chunk)) giveUp();
     };
     const onEnd = (): void => {
-      size = 0;
-      const [only] = chunks;
-      resolve(chunks.length === 1 && only !== undefined ? only : Buffer.concat(chunks));
+      isWhole = true;
+      lease.settle();
+      resolve({ bytes: body.finish(), lease });
     };
-    if (message.destroyed) {
-      reject(new Error('the connection was closed'));
-      return;
-    }
-    if (announcesTooMuch(message, maximumBytes)) {
-      reject(new BodyRefusedError('too_large'));
-      return;
-    }
     message.on('data', onData);
     message.once('end', onEnd);
     message.once('error', fail);
--- a/src/node/unserved-requests.ts
+++ b/src/node/unserved-requests.ts
@@ -22,6 +22,8 @@
   private aheadBytes = 0;
   private newest: IncomingMessage | undefined;
   private beganInPart = false;
+  /** Whether the next part continues a body. */
+  private isBody = false;
 
   /** `onChange` is called with the estimate in bytes; Node's own listener has parsed each part by then. */
   constructor(
@@ -45,10 +47,10 @@
 
   /** A part ends where a head ends, see `RequestFeeder`. */
   private addPart(part: Buffer): void {
-    const isBody = this.newest !== undefined && !this.newest.complete;
-    if (isBody || this.beganInPart) this.headBytes = 0;
+    if (this.isBody || this.beganInPart) this.headBytes = 0;
     else this.headBytes += part.length + countLines(part) * HEADER_OVERHEAD_BYTES;
     this.beganInPart = false;
+    this.isBody = this.newest !== undefined && !this.newest.complete;
     this.report();
   }
 
--- a/test/node/response-memory.test.ts
+++ b/test/node/receive-memory.test.ts
@@ -1,17 +1,17 @@
 import { describe, expect, it } from 'vitest';
 import { ByteBudget } from '../../src/node/byte-budget.js';
-import { ResponseMemory, type ResponseLease } from '../../src/node/response-memory.js';
+import { ReceiveMemory, type ReceiveLease } from '../../src/node/receive-memory.js';
 
 const LIMIT_BYTES = 1_000;
 
 class MemoryFixture {
   readonly budget = new ByteBudget(LIMIT_BYTES);
-  readonly memory = new ResponseMemory(this.budget);
+  readonly memory = new ReceiveMemory(this.budget);
   readonly givenUp: string[] = [];
 
   /** A response of `peer` that holds `bytes`. */
-  open(name: string, peer: string, bytes: number): ResponseLease {
-    const lease: ResponseLease = this.memory.open(peer, () => {
+  open(name: string, peer: string, bytes: number): ReceiveLease {
+    const lease: ReceiveLease = this.memory.open(peer, () => {
       this.givenUp.push(name);
       lease.close();
     });
--- a/test/node/support/listener-fixture.ts
+++ b/test/node/support/listener-fixture.ts
@@ -47,7 +47,9 @@
     limits: Partial<HttpListenOptions> = {},
     minimumReadRate?: number,
   ): Promise<void> {
-    this.listener = await listenHttp(LOOPBACK, { ...LIMITS, ...limits }, handler, minimumReadRate);
+    this.listener = await listenHttp(LOOPBACK, { ...LIMITS, ...limits }, handler, {
+      ...(minimumReadRate === undefined ? {} : { minimumReadRate }),
+    });
   }
 
   /** Listens with a handler that answers `body` when the test says so. */
--- a/test/node/unserved-requests.test.ts
+++ b/test/node/unserved-requests.test.ts
@@ -21,8 +21,8 @@
 
 async function listen(handler = answerAtOnce): Promise<ByteBudget> {
   const budget = new ByteBudget(BUDGET_BYTES);
-  const memory = new SharedMemory(budget);
-  listener = await listenHttp(LOOPBACK, LIMITS, handler, undefined, memory);
+  const unserved = new SharedMemory(budget);
+  listener = await listenHttp(LOOPBACK, LIMITS, handler, { unserved });
   return budget;
 }
 
