Controllers: a planned stop answers changes in flight and hands over within the grace period

A stopping controller waited without a bound for the HTTP requests in flight, first at its registration address, then at its administration address. A request that was never sent in full held it for 10 s, and so did a change that waited for a quorum: the process was killed before it had handed its leadership over, and the operator's connection closed without an answer.

It waits for both listeners together, 1.5 s at most, then hands over and stops the log, which settles what waits for it: a change in flight is acknowledged, or refused as 503, or 504 at the leader that has recorded it. The responses are written before the process ends.

--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -18,6 +18,7 @@
 import { formatAddress, type Address } from '../seams/address.js';
 import type { DurableEnvironment } from '../seams/environment.js';
 import type { HttpListener } from '../seams/http.js';
+import { settleWithin } from '../seams/settle-within.js';
 import { CONTROLLER_HTTP_OPTIONS, createControllerHandler } from './controller-http.js';
 import { markDiscarded } from '../storage/discarded-folder.js';
 import {
@@ -30,6 +31,14 @@
 import { evaluateReadiness, type Readiness } from './controller-readiness.js';
 import { PlatformListPoller } from './platform-list-poller.js';
 
+/**
+ * Maximum time that a planned stop waits for HTTP requests in flight, before it transfers leadership: a
+ * caller that never sends the rest of its request, or a change without a quorum, must not prevent that.
+ */
+const REQUESTS_TIMEOUT_MS = 1_500;
+/** Maximum time for the last responses to be written and taken. */
+const RESPONSES_TIMEOUT_MS = 200;
+
 /** The core, its listeners and the optional poller. */
 interface ControllerParts extends ControllerCore {
   readonly messages: AuthenticatedListener;
@@ -115,16 +124,19 @@
 
   /**
    * Planned stop: completes the HTTP requests in flight, redirects daemons to other controllers,
-   * transfers leadership, then closes. Further calls return at once.
+   * transfers leadership, then closes. Requests that wait for a quorum are answered with what is
+   * known once the log has stopped. Further calls return at once.
    */
   async stop(): Promise<void> {
     if (this.stopping) return;
     this.stopping = true;
+    const { clock } = this.environment;
     const { messages, http, platformList, registration } = this.parts;
-    await registration.close();
-    await http.close();
+    const closed = Promise.all([registration.close(), http.close()]);
+    await settleWithin(clock, closed, REQUESTS_TIMEOUT_MS);
     await platformList?.stop();
     await stopControllerCore(this.parts);
+    await settleWithin(clock, closed, RESPONSES_TIMEOUT_MS);
     await this.discardIfRemoved();
     await messages.close();
     this.coreOptions.logger.info('controller stopped');
--- a/test/control/controller-daemon.test.ts
+++ b/test/control/controller-daemon.test.ts
@@ -15,6 +15,7 @@
 import { formatAddress } from '../../src/seams/address.js';
 import type { ConfigurationSource } from '../../src/settings/configuration-source.js';
 import { createTokenText, hashToken } from '../../src/settings/token-text.js';
+import { RawCaller } from '../node/support/raw-caller.js';
 
 const TOKEN = createTokenText('bootstrap');
 const CLUSTER = { id: 'dohoku', key: 'a-long-random-secret' };
@@ -123,6 +124,17 @@
     await waitForMetricLine(controller, 'driftway_control_stream_subscribers 1');
   });
 
+  // Guards against a process that is killed before it has handed its leadership over.
+  it('does not wait in a planned stop for a request that is never sent in full', async () => {
+    const controller = await startController();
+    const caller = await RawCaller.open(controller.httpAddress);
+    caller.send('POST /v1/changes HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\nhalf');
+    await (await request(controller, '/livez')).text();
+    await controller.stop();
+    expect(await Promise.race([caller.next(), Promise.resolve('still open')])).toBe('still open');
+    caller.close();
+  });
+
   it('restarts with the last accepted revision, and daemons reconnect to it', async () => {
     const first = await startController();
     const client = startClient(first);
