HTTP client: lines of unfinished heads and trailers count as what they take

Cause: the parser makes two objects of each line, 53 times its bytes as measured with undici alone, and nothing counted them; 32 KiB a head and 64 KiB a trailer were bounded each. What the parser has read and not handed on counts with 64 bytes for each byte, from the read on, and header fields that were handed on count until the response is. Heads that come in one read, chunks and bodies count nothing extra.

--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -20,6 +20,8 @@
   readBytes: (() => number) | undefined;
   /** Called before received bytes are parsed. */
   onReadable(): void;
+  /** Called after received bytes were parsed, unless they ended the request. */
+  onParsed(): void;
 }
 
 /** Options of every connection. */
@@ -61,7 +63,11 @@
         callback(null, socket);
       });
     this.client = new Client(origin, { ...options, connect });
-    this.client.on('connect', () => (this.isOpen = true));
+    this.client.on('connect', () => {
+      this.isOpen = true;
+      // undici has added its listener by now, so this one is called after it.
+      this.socket?.on('readable', () => this.handler?.onParsed());
+    });
     this.client.on('disconnect', () => (this.isOpen = false));
     this.client.on('connectionError', () => onUnusable(this));
   }
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -14,6 +14,7 @@
 } from '../seams/http.js';
 import { ConnectionPool, type ConnectionOptions, type PooledHandler } from './connection-pool.js';
 import { requestFingerprint } from './recent-request-ids.js';
+import { ParserMemory } from './parser-memory.js';
 import { createResetAwareConnector } from './reset-aware-connector.js';
 import { BodyCollector } from './body-collector.js';
 import { ByteBudget } from './byte-budget.js';
@@ -25,6 +26,9 @@
 /** Responses with these statuses have no body, whatever length their head announces. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** Memory that a name or value takes beside its characters. Bytes. */
+const HEADER_STRING_BYTES = 64;
+
 class ResponseTooLargeError extends Error {}
 
 class ResponseRejectedError extends Error {}
@@ -45,6 +49,12 @@
   return headers;
 }
 
+/** Memory that the header takes: strings, and their places in the object. Bytes. */
+function headerMemory(rawHeaders: readonly Buffer[]): number {
+  const text = rawHeaders.reduce((sum, { length }) => sum + length, 0);
+  return text + rawHeaders.length * HEADER_STRING_BYTES;
+}
+
 /** The kind of a failure after the request was handed to a connection. */
 function classify(error: Error, headerReceived: boolean): HttpClientErrorKind {
   if (error instanceof ResponseTooLargeError) return 'response_too_large';
@@ -69,6 +79,7 @@
   /** Undefined until the request is written. */
   private lease: ReceiveLease | undefined;
   private body: BodyCollector | undefined;
+  private parser: ParserMemory | undefined;
   private requestSent = false;
   /** Given up before it was written to a connection. */
   private isAbandoned = false;
@@ -111,11 +122,13 @@
     clearTimeout(this.connectTimer);
     this.requestSent = true;
     this.abortRequest = abort;
-    this.limit = new ResponseByteLimit(this.readBytes?.() ?? 0, this.maximumBytes);
+    const startBytes = this.readBytes?.() ?? 0;
+    this.limit = new ResponseByteLimit(startBytes, this.maximumBytes);
     this.lease = this.memory.open(this.peer, () =>
       this.abort(new MemoryExhaustedError('the largest response of the peer that holds the most')),
     );
     this.body = new BodyCollector(this.lease, this.memory.blocks);
+    this.parser = new ParserMemory(this.lease, startBytes);
     this.onWritten?.();
     this.request.onSent?.();
   }
@@ -125,8 +138,17 @@
     if (error !== undefined) this.abort(error);
   }
 
+  onParsed(): void {
+    if (this.parser?.update(this.readBytes?.() ?? 0) === false) this.abortForMemory();
+  }
+
   onHeaders(status: number, rawHeaders: Buffer[]): boolean {
     this.status = status;
+    this.parser?.acceptHead(rawHeaders);
+    if (this.lease?.take(headerMemory(rawHeaders)) === false) {
+      this.abortForMemory();
+      return false;
+    }
     this.headers = readHeaders(rawHeaders);
     if (status >= FIRST_FINAL_STATUS) this.limit?.acceptHead(this.headers['content-length']);
     if (this.request.acceptResponse?.(this.headers) === false) {
@@ -148,8 +170,9 @@
       this.abort(new ResponseTooLargeError('response too large'));
       return false;
     }
+    this.parser?.acceptPart(chunk.length);
     if (this.body?.add(chunk) === false) {
-      this.abort(new MemoryExhaustedError('no room for the response'));
+      this.abortForMemory();
       return false;
     }
     return true;
@@ -158,6 +181,7 @@
   onComplete(): void {
     this.request.signal?.removeEventListener('abort', this.onSignal);
     const body = this.body?.finish() ?? Buffer.alloc(0);
+    this.parser?.release();
     if (this.request.holder === undefined) this.lease?.close();
     else this.lease?.keepFor(this.request.holder);
     this.resolve({ status: this.status, headers: this.headers, body });
@@ -169,7 +193,10 @@
     this.stopWaiting();
     this.body?.release();
     this.body = undefined;
+    this.parser?.release();
+    this.parser = undefined;
     this.lease?.close();
+    this.lease = undefined;
     const kind = this.kindOf(error);
     this.reject(new HttpClientError(kind, this.requestSent, this.peer, error));
     this.onSettled?.(false);
@@ -195,6 +222,10 @@
     this.abandon('aborted', error);
   }
 
+  private abortForMemory(): void {
+    this.abort(new MemoryExhaustedError('no room for the response'));
+  }
+
   /** Fails the request before it was written; undici is told when it comes to it. */
   private abandon(kind: HttpClientErrorKind, error: Error): void {
     if (this.requestSent || this.isAbandoned) return;
--- a/test/node/many-endless-responses.test.ts
+++ b/test/node/many-endless-responses.test.ts
@@ -14,6 +14,11 @@
 const UNFINISHED = `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffff\r\n${'z'.repeat(PART_BYTES)}`;
 const LARGE_BYTES = 100 * 1024;
 const LARGE = `HTTP/1.1 200 OK\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n${'y'.repeat(LARGE_BYTES)}`;
+/** Heads and trailers of many short lines; their connections stay open. */
+const UNFINISHED_LINES = {
+  heads: `HTTP/1.1 200 OK\r\n${'a:\r\n'.repeat(7_500)}`,
+  trailers: `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n${'a:\r\n'.repeat(15_000)}`,
+};
 const GET = { method: 'GET', path: '/', headers: {} };
 
 let network: NodeNetwork;
@@ -104,6 +109,22 @@
   });
 });
 
+describe('lines that never end, on many connections', () => {
+  // Guards against objects on the heap that the bytes of the lines don't tell of.
+  it.each(Object.entries(UNFINISHED_LINES))(
+    'in %s hold no more than the budget',
+    async (_, reply) => {
+      const peer = await clientOf(reply);
+      const requests = Array.from({ length: REQUESTS }, () => peer.request(GET));
+      const results = await Promise.allSettled(requests);
+      for (const result of results) {
+        expect(result).toMatchObject({ status: 'rejected', reason: { kind: 'memory_exhausted' } });
+      }
+      expect(network.budgets.responses.heldBytes).toBe(0);
+    },
+  );
+});
+
 describe('a body of one byte', () => {
   // Guards against a view of a read that holds all of it.
   it('does not hold the memory of the head that came with it', async () => {
