--- a/lab/deployed/deployed-process.ts
+++ b/lab/deployed/deployed-process.ts
@@ -1,8 +1,9 @@
 /** A daemon as the deployment runs it, with a bound on its memory. */
+import { constants } from 'node:os';
 import { FleetProcess, type LogLine } from '../fleet/fleet-process.js';
 import { describeEnd, type ProcessEnd } from '../fleet/process-end.js';
 import type { ProcessGuard } from './process-guard.js';
-import { readPeakBytes } from './process-memory.js';
+import { catchesSignal, readPeakBytes } from './process-status.js';
 
 /** How to start it. */
 export interface DeployedProcessOptions {
@@ -81,6 +82,16 @@
     return this.peak;
   }
 
+  /** Whether it has a handler for the signal by now. */
+  catches(signal: 'SIGHUP' | 'SIGTERM'): boolean {
+    return this.pid !== undefined && catchesSignal(this.pid, constants.signals[signal]);
+  }
+
+  /** Whether it has logged this message. */
+  hasSaid(message: string): boolean {
+    return this.process.hasSaid(message);
+  }
+
   /** @throws Error when the process ends before it logs this message, or the signal aborts. */
   waitFor(message: string, signal: AbortSignal): Promise<LogLine> {
     return this.process.waitFor(message, signal);
--- a/lab/fleet/fleet-process.ts
+++ b/lab/fleet/fleet-process.ts
@@ -56,6 +56,7 @@
   private hung = false;
   private hasLingered = false;
   private readonly latest: string[] = [];
+  private readonly messages = new Set<string>();
 
   constructor(readonly options: FleetProcessOptions) {
     const { name, nodeArguments, environment, folder, hasChannel = true } = options;
@@ -138,6 +139,11 @@
     });
   }
 
+  /** Whether it has logged this message. */
+  hasSaid(message: string): boolean {
+    return this.messages.has(message);
+  }
+
   signal(signal: NodeJS.Signals): void {
     this.child.kill(signal);
   }
@@ -187,6 +193,7 @@
       log.write(`${text}\n`);
       this.keepLine(text);
       const line = parseLine(text);
+      if (line !== undefined) this.messages.add(line.message);
       if (line?.message === LINGERED_MESSAGE) this.hasLingered = true;
       if (line?.message === 'daemon failed') this.failure = String(line.context['reason']);
       if (line !== undefined) for (const listener of [...this.listeners]) listener(line);
--- a/test/lab/deployed/deployed-fleet.test.ts
+++ b/test/lab/deployed/deployed-fleet.test.ts
@@ -2,11 +2,20 @@
 import { once } from 'node:events';
 import { describe, expect, it } from 'vitest';
 import { ProcessGuard } from '../../../lab/deployed/process-guard.js';
-import { withDeployedFleet } from './deployed-support.js';
+import type { DeployedFleet } from '../../../lab/deployed/deployed-fleet.js';
+import { DeployedSite } from './deployed-support.js';
 
 /** Less than Node itself uses. */
 const TOO_LITTLE_MB = 20;
 
+async function withDeployedFleet(
+  size: { readonly memoryMb?: number },
+  use: (fleet: DeployedFleet) => Promise<void>,
+): Promise<void> {
+  const site = await DeployedSite.create(size);
+  await use(site.fleet).finally(() => site.close());
+}
+
 describe('a deployed fleet', () => {
   it('starts and stops as it is told to', async () => {
     await withDeployedFleet({}, async (fleet) => {
