HTTP listener: requests that have arrived when it is closed are read and answered

Sockets are polled before the listening socket is closed, and again before idle connections are: what has arrived is accepted, read and answered with connection: close. Later connections are refused.

A request that is still on its way over the network when an idle connection is closed can't be told from one that comes later.

--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -53,6 +53,12 @@
   process.nextTick(() => socket.removeAllListeners());
 }
 
+/** Resolves once all sockets were polled after the call. */
+function socketsPolled(): Promise<void> {
+  // The first immediate may end a poll that began before the call.
+  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
+}
+
 class NodeHttpListener implements HttpListener, CallerConnectionListener {
   readonly address: Address;
   private closing = false;
@@ -87,16 +93,20 @@
     this.server.keepAliveTimeout = milliseconds;
   }
 
-  close(): Promise<void> {
+  /** What has arrived is accepted and read first: its sender couldn't know that it was not read. */
+  async close(): Promise<void> {
     this.closing = true;
-    return new Promise((resolve) => {
+    await socketsPolled();
+    const closed = new Promise<void>((resolve) => {
       // HTTP's own close would cut responses short and stop looking for slow senders.
       NetServer.prototype.close.call(this.server, () => {
         this.server.close();
         resolve();
       });
-      for (const connection of this.connections.values()) connection.closeWhenIdle();
     });
+    await socketsPolled();
+    for (const connection of this.connections.values()) connection.closeWhenIdle();
+    await closed;
   }
 
   private connectionOf(socket: Socket): CallerConnection {
--- a/test/node/node-http-server.test.ts
+++ b/test/node/node-http-server.test.ts
@@ -107,6 +107,36 @@
     await Promise.all([idle.closed, half.closed, slow.closed]);
   });
 
+  // Guards against callers that can't know whether a request was run whose connection was reset.
+  it('answers requests that arrive at the very moment', async () => {
+    await fixture.start();
+    const used = await fixture.call(GET);
+    await used.next();
+    const unused = await fixture.call('');
+    const other = await fixture.call(GET);
+    await other.next();
+    used.send(GET);
+    unused.send(GET);
+    const closed = fixture.close();
+    const responses = [await used.next(), await unused.next()];
+    expect(responses.map((response) => response?.status)).toEqual([200, 200]);
+    for (const response of responses) expect(response?.header).toContain('connection: close');
+    await closed;
+    await other.closed;
+  });
+
+  // Guards against connections that are accepted by the system and reset before they are read.
+  it('answers a request on a connection that is not accepted yet', async () => {
+    await fixture.start();
+    const calling = fixture.call(GET);
+    // The system completes the connection while this process does something else.
+    await new Promise((resolve) => process.nextTick(resolve));
+    const closed = fixture.close();
+    const caller = await calling;
+    expect((await caller.next())?.status).toBe(200);
+    await closed;
+  });
+
   it('lets a response on its way reach its caller in full', async () => {
     const body = Buffer.alloc(LARGE_BODY_BYTES, 'x');
     let answered = 0;
