Gateway: parts of merged responses count as held until the caller is answered

Callers of fan-outs could make a gateway hold the parts of all their requests: a part stopped counting when it was whole, and waited for the parts of other shards then. Each request has a holder of its replicas' responses, which lets go of them when its answer is handed over.

--- a/src/gateway/attempt-sender.ts
+++ b/src/gateway/attempt-sender.ts
@@ -61,6 +61,7 @@
         ...this.bodyOf(request),
         signal,
         ...(connectWithin === undefined ? {} : { connectWithin }),
+        ...(request.responses === undefined ? {} : { holder: request.responses }),
         onSent,
         acceptResponse: (headers) => this.isForRequest(request, headers),
       });
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -2,7 +2,7 @@
 import type { Route } from '../routes/route-document.js';
 import type { RouteTable } from '../routes/route-table.js';
 import type { Tenant } from '../tenants/tenant.js';
-import type { HttpHeaders } from '../seams/http.js';
+import type { HttpHeaders, ResponseHolder } from '../seams/http.js';
 
 /** Immutable, and shared by all attempts of the request at this gateway. */
 export interface CallerRequest {
@@ -16,6 +16,8 @@
   readonly fingerprint: string;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Keeps the responses of replicas until the caller is answered; undefined where they are passed on at once. */
+  readonly responses?: ResponseHolder;
   /** The route table version that the request is pinned to, for all of its attempts. */
   readonly table: RouteTable;
   readonly route: Route;
--- a/src/gateway/gateway-endpoint.ts
+++ b/src/gateway/gateway-endpoint.ts
@@ -12,6 +12,7 @@
 import type { CallerRequest } from './caller-request.js';
 import { sendTimeout } from './connect-timeouts.js';
 import { DRAIN_RETRY_AFTER_MS, STOPPING } from './drain.js';
+import { HeldResponses } from './held-responses.js';
 import { FanOut, type PlanSources } from './fan-out.js';
 import { endToEndHeaders } from './forwarded-headers.js';
 import { CALLER_GONE, forwardSingle } from './forward-single.js';
@@ -72,18 +73,24 @@
   async handle(request: HttpRequest): Promise<HttpResponse> {
     const { clock } = this.context.environment;
     const receivedAt = clock.now();
+    const responses = new HeldResponses();
     this.inFlight += 1;
     try {
-      const response = await this.route(request, receivedAt);
+      const response = await this.route(request, responses, receivedAt);
       this.context.metrics.requests.inc({ status: String(response.status) });
       return response;
     } finally {
       this.inFlight -= 1;
+      responses.release();
       this.context.metrics.latency.observe((clock.now() - receivedAt) / 1_000);
     }
   }
 
-  private async route(request: HttpRequest, receivedAt: number): Promise<HttpResponse> {
+  private async route(
+    request: HttpRequest,
+    responses: HeldResponses,
+    receivedAt: number,
+  ): Promise<HttpResponse> {
     if (this.table === undefined)
       await this.tableInForce.waitForFirst(this.callerTimeoutMs(request));
     // Not the awaited table: a newer one may be in force, to which the lease applies.
@@ -108,7 +115,8 @@
     const authentication = authenticate(request, table, route, this.context.headers.apiKey);
     if ('problem' in authentication) return this.rejectKey(request, authentication.problem);
     const { tenant } = authentication;
-    const callerRequest = this.toCallerRequest(request, { table, route, tenant }, receivedAt);
+    const match = { table, route, tenant };
+    const callerRequest = this.toCallerRequest(request, match, responses, receivedAt);
     const { fingerprint } = callerRequest;
     if (this.context.crashGuard.isQuarantined(fingerprint)) {
       this.context.crashGuard.recordRefusal();
@@ -201,6 +209,7 @@
   private toCallerRequest(
     request: HttpRequest,
     { table, route, tenant }: MatchedRoute,
+    responses: HeldResponses,
     receivedAt: number,
   ): CallerRequest {
     const { requestId } = this.context.headers;
@@ -217,6 +226,7 @@
       // Uses the forwarded headers only: a gateway that gathers for this one sees no others.
       fingerprint: fingerprintOf({ method, target, headers, body, tenant: tenant?.name }),
       signal: request.signal,
+      responses,
       table,
       route,
       tenant,
