Gateway: merging parts with very many equal records takes bounded memory

Callers lose a gateway whose replicas answer with many equal records: an object on the heap was made for each record that ties with the last one wanted, and all of them were sorted. Four parts of 4 MB, which are allowed, end a process with 32 MB of heap ("Worker terminated due to reaching memory limit: JS heap out of memory", test/gateway/merge-equal-records.test.ts before); a gateway has 160 MB and parts of up to 16 MiB of each shard. Class: bytes are bounded and what is made of them is not. The greatest records are collected with at most four times those that are wanted. The result is the same, as test/gateway/merge-records.test.ts shows for any parts.

--- a/src/gateway/merge-records.ts
+++ b/src/gateway/merge-records.ts
@@ -4,6 +4,8 @@
 export const RECORD_BYTES = 16;
 /** Leading bytes of a record that a number represents exactly. */
 const KEY_PREFIX_BYTES = 6;
+/** Records are sorted when there are so many times those that are wanted. */
+const SORTED_MULTIPLE = 4;
 
 /** Position of a record in its part. */
 interface RecordPosition {
@@ -49,23 +51,41 @@
   return keys.slice().sort()[keys.length - count] ?? 0;
 }
 
-/** Positions of the records whose key is `threshold` or greater. */
-function selectCandidates(
+/** Collects the greatest `count` records; holds a few times as many, however many are equal. */
+class GreatestRecords {
+  private records: RecordPosition[] = [];
+
+  constructor(private readonly count: number) {}
+
+  add(record: RecordPosition): void {
+    this.records.push(record);
+    if (this.records.length >= this.count * SORTED_MULTIPLE) this.records = this.sorted();
+  }
+
+  /** In descending order. */
+  sorted(): RecordPosition[] {
+    return this.records.sort(compareDescending).slice(0, this.count);
+  }
+}
+
+/** The greatest `count` records, of those whose key is `threshold` or greater. */
+function selectGreatest(
   parts: readonly Buffer[],
   keys: Float64Array,
-  threshold: number,
+  count: number,
 ): RecordPosition[] {
-  const candidates: RecordPosition[] = [];
+  const threshold = thresholdKey(keys, count);
+  const greatest = new GreatestRecords(count);
   let index = 0;
   for (const part of parts) {
     const last = part.length - RECORD_BYTES;
     for (let offset = 0; offset <= last; offset += RECORD_BYTES) {
       const key = keys[index] ?? 0;
-      if (key >= threshold) candidates.push({ part, offset, key });
+      if (key >= threshold) greatest.add({ part, offset, key });
       index += 1;
     }
   }
-  return candidates;
+  return greatest.sorted();
 }
 
 /**
@@ -77,9 +97,7 @@
   if (count === 0) return new Uint8Array(0);
   const buffers = parts.map((part) => Buffer.from(part.buffer, part.byteOffset, part.byteLength));
   const keys = readKeyPrefixes(buffers, countRecords(buffers));
-  const candidates = selectCandidates(buffers, keys, thresholdKey(keys, count));
-  candidates.sort(compareDescending);
-  const greatest = candidates.slice(0, count);
+  const greatest = selectGreatest(buffers, keys, count);
   return Buffer.concat(
     greatest.map(({ part, offset }) => part.subarray(offset, offset + RECORD_BYTES)),
   );
