Fan-outs: keep of a long part only its greatest records

What callers saw: the memory of a gateway rises with each fan-out whose replicas answer at length (a faulty one may send 16 MB), and a process over its memory is killed.

Cause: a fan-out kept the whole body of each part until its last part was there, up to the caller's deadline, and each race kept the same body again as its outcome, also that of answers nobody needs any more. Only the greatest records of the route are needed.

The race of a shard shortens a body over 16 KB to its greatest records before anything keeps it. Shorter parts are kept whole, as merging all of them at once is cheaper.

Evidence: test/gateway/fan-out.test.ts, before: `expected 262180 to be less than or equal to 16384`.

--- a/src/gateway/replica-race.ts
+++ b/src/gateway/replica-race.ts
@@ -56,6 +56,8 @@
    * absent.
    */
   readonly maySendAgain?: (() => boolean) | undefined;
+  /** Applied to the body of each answer before the race keeps it; the whole body is kept if absent. */
+  readonly shortenBody?: (body: Uint8Array) => Uint8Array;
   readonly onEnd: (race: ReplicaRace) => void;
 }
 
@@ -259,11 +261,18 @@
     this.inFlight.add(attempt);
     attempt.start((result) => {
       this.inFlight.delete(attempt);
-      this.handleResult(attempt, result);
+      this.handleResult(attempt, this.shorten(result));
       this.context.targets.notifyCapacity(this.service);
     });
   }
 
+  private shorten(result: AttemptResult): AttemptResult {
+    const { shortenBody } = this.options;
+    if (shortenBody === undefined || !('answer' in result)) return result;
+    const { answer } = result;
+    return { ...result, answer: { ...answer, body: shortenBody(answer.body) } };
+  }
+
   private handleResult(attempt: ReplicaAttempt, result: AttemptResult): void {
     const { target, record, isTrial } = attempt;
     this.lastResult = result;
--- a/src/gateway/shard-gather.ts
+++ b/src/gateway/shard-gather.ts
@@ -4,6 +4,7 @@
 import { attemptFields } from './attempt-record.js';
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayContext } from './gateway-context.js';
+import { mergeRecords, RECORD_BYTES } from './merge-records.js';
 import type { PartListener, PartSource } from './part-source.js';
 import { ReplicaRace, type ReplicaRaceOptions } from './replica-race.js';
 import { targetLatencyOf } from './route-latencies.js';
@@ -20,6 +21,11 @@
  * one shard costs about twice that shard's fraction.
  */
 const COVERAGE_EXPONENT = 2;
+/**
+ * A longer part is cut to its greatest records as soon as it is here. Shorter ones are kept as they are, as
+ * merging all parts at once is cheaper. Bytes.
+ */
+export const MAXIMUM_KEPT_PART_BYTES = 1_024 * RECORD_BYTES;
 
 /** The shards to ask and how their attempts count. */
 export interface ShardGatherOptions {
@@ -113,6 +119,7 @@
           isRepeat,
           retryDeadline,
           maySendAgain,
+          shortenBody: (body) => this.shortenPart(body),
           onEnd: (race) => this.onRaceEnd(race),
         }),
       );
@@ -132,6 +139,11 @@
     }
   }
 
+  private shortenPart(body: Uint8Array): Uint8Array {
+    if (body.length <= MAXIMUM_KEPT_PART_BYTES) return body;
+    return mergeRecords([body], this.request.route.topRecords ?? 0);
+  }
+
   private onRaceEnd({ service, outcome }: ReplicaRace): void {
     if (this.isCancelled || outcome === undefined) return;
     if (outcome.kind === 'failed') {
--- a/test/gateway/fan-out.test.ts
+++ b/test/gateway/fan-out.test.ts
@@ -1,6 +1,8 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { ReplicaBehaviour, type ExchangeReplica } from '../../lab/exchange/exchange-replica.js';
 import { DEFAULT_EXCHANGE_HEADERS } from '../../src/gateway/exchange-headers.js';
+import { FanOut } from '../../src/gateway/fan-out.js';
+import { MAXIMUM_KEPT_PART_BYTES } from '../../src/gateway/shard-gather.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
 import { GatewayHarness, textOf } from './gateway-harness.js';
 
@@ -112,4 +114,18 @@
       expect(arrivals).toBeLessThanOrEqual(bound);
     }
   });
+
+  // Guards against whole answers of megabytes that are held for each shard until the slowest one has answered.
+  it('keeps no more of a long part than the greatest records', async () => {
+    const { harness, replicas } = await start();
+    const filler = record('a').repeat(MAXIMUM_KEPT_PART_BYTES);
+    for (const replica of replicas) replica.content = filler + replica.content;
+    const kept = vi.spyOn(FanOut.prototype, 'onParts');
+    const answer = await harness.call({ path: '/q/1' });
+    const lengths = kept.mock.calls.map(([{ records }]) => records.buffer.byteLength);
+    kept.mockRestore();
+    expect(lengths).toHaveLength(SHARDS.length);
+    for (const length of lengths) expect(length).toBeLessThanOrEqual(MAXIMUM_KEPT_PART_BYTES);
+    expect(textOf(answer)).toBe(record('z shard-d') + record('z shard-c') + record('z shard-b'));
+  });
 });
