Roots: close the connection to a leaf that reads nothing

What operators may see: the memory of a gateway rises while one of the gateways beside it is held up.

Cause: a root sends gathers, with the caller's body, without waiting for room. A leaf closes the connection of a root for which more than 4 MiB are queued; a root had no such limit. It closes the connection to a leaf that is silent while a gather waits for a second, but gathers that end sooner, as with a deadline of 800 ms, are never that old.

Both ends now send through sendOrClose with the limit of the leaf. The bound for all message connections together remains the last resort.

--- a/src/aggregation/leaf-link.ts
+++ b/src/aggregation/leaf-link.ts
@@ -22,6 +22,7 @@
   type PartsMessage,
 } from './aggregation-messages.js';
 import { readPositions, readStrings } from './json-list.js';
+import { sendOrClose } from './send-or-close.js';
 
 /** Connect timeout; a leaf without power does not even refuse connections. */
 const DIAL_TIMEOUT_MS = 300;
@@ -153,7 +154,7 @@
     this.gathers.set(gatherId, { shards, topRecords, startedAt, listener });
     const text = JSON.stringify(shards);
     const gather = AGGREGATION_CODEC.encode({ gatherId, shards: text, ...terms });
-    this.sendFrame(connection, Buffer.concat([request, gather, ...this.sendTime()]));
+    sendOrClose(connection, Buffer.concat([request, gather, ...this.sendTime()]));
     return {
       grant: () => this.send(connection, { kind: 'grant', gatherId }),
       cancel: () => this.cancel(connection, gatherId),
@@ -173,12 +174,7 @@
   }
 
   private send(connection: MessageConnection, message: AggregationMessage): void {
-    this.sendFrame(connection, AGGREGATION_CODEC.encode(message));
-  }
-
-  private sendFrame(connection: MessageConnection, frame: Uint8Array): void {
-    // Ignored: a broken connection also ends the receive loop, which ends its gathers as lost.
-    connection.send(frame).catch(() => undefined);
+    sendOrClose(connection, AGGREGATION_CODEC.encode(message));
   }
 
   private async run(): Promise<void> {
@@ -196,7 +192,7 @@
       if (this.isClosed) connection.close();
       this.connection = connection;
       this.takesSendTime = dialled.protocolVersion >= SEND_TIME_SINCE_VERSION;
-      for (const frame of this.sendTime()) this.sendFrame(connection, frame);
+      for (const frame of this.sendTime()) sendOrClose(connection, frame);
       this.isStopping = false;
       this.failedDials = 0;
       await this.receive(connection);
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -21,6 +21,7 @@
 import { LeafAdmission } from './leaf-admission.js';
 import { LeafGather } from './leaf-gather.js';
 import type { LeafSource } from './leaf-source.js';
+import { sendOrClose } from './send-or-close.js';
 import type { RelayedCall } from './source-planner.js';
 import { TransitDelay } from './transit-delay.js';
 
@@ -29,8 +30,6 @@
  * time.
  */
 const MAXIMUM_GATHERS = 256;
-/** Limit of bytes queued for a root; the connection is closed beyond it. */
-const MAXIMUM_QUEUED_BYTES = 4 * 1024 * 1024;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Dependencies of {@link LeafServer}. */
@@ -80,9 +79,7 @@
   ) {}
 
   send(message: AggregationMessage): void {
-    if (this.connection.queuedBytes > MAXIMUM_QUEUED_BYTES) this.connection.close();
-    // Ignored: a broken connection also ends `serve`, which cancels its gathers.
-    this.connection.send(AGGREGATION_CODEC.encode(message)).catch(() => undefined);
+    sendOrClose(this.connection, AGGREGATION_CODEC.encode(message));
   }
 }
 
