HTTP client: free blocks are kept only as far as the budget has room

Blocks for bodies that were free stayed beside a budget that was held by whole responses, so both together took up to twice what is allowed. Free blocks go as far as held bytes leave room for them.

--- a/src/node/block-pool.ts
+++ b/src/node/block-pool.ts
@@ -2,6 +2,7 @@
  * Blocks of memory that are used again. Memory outside the heap is given back only when its owner is
  * collected, and peers can make a process give blocks up much faster than they are collected.
  */
+import type { ByteBudget } from './byte-budget.js';
 
 /** Bytes. */
 export const BLOCK_BYTES = 64 * 1024;
@@ -10,17 +11,24 @@
 export class BlockPool {
   private readonly free: Buffer[] = [];
 
-  /** `maximumBytes` bounds the free blocks that are kept. */
-  constructor(private readonly maximumBytes: number) {}
+  /** Free blocks are kept as far as `budget` has room for them. */
+  constructor(private readonly budget: ByteBudget) {}
 
   /** A block of {@link BLOCK_BYTES} whose content is undefined. */
   take(): Buffer {
     return this.free.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES);
   }
 
-  /** Nothing may refer to the block any more. */
+  /** Nothing may refer to the block any more, and its bytes have to be released. */
   give(block: Buffer): void {
-    const isWanted = (this.free.length + 1) * BLOCK_BYTES <= this.maximumBytes;
-    if (isWanted) this.free.push(block);
+    this.free.push(block);
+    this.trim();
+  }
+
+  /** Gives up free blocks that there is no room for. */
+  trim(): void {
+    while (this.free.length > 0 && !this.budget.hasRoomFor(this.free.length * BLOCK_BYTES)) {
+      this.free.pop();
+    }
   }
 }
--- a/src/node/body-collector.ts
+++ b/src/node/body-collector.ts
@@ -48,14 +48,15 @@
     const body = this.join();
     if (this.heldBytes > this.size) this.source.release(this.heldBytes - this.size);
     this.heldBytes = 0;
+    this.giveBlocks();
     return body;
   }
 
   /** Forgets the body and releases what it holds. */
   release(): void {
-    this.giveBlocks();
     this.source.release(this.heldBytes);
     this.heldBytes = 0;
+    this.giveBlocks();
   }
 
   private mayKeep(part: Buffer): boolean {
@@ -118,7 +119,6 @@
     const body = Buffer.allocUnsafeSlow(this.size);
     let offset = 0;
     for (const block of this.blocks) offset += block.copy(body, offset, 0, this.size - offset);
-    this.giveBlocks();
     return body;
   }
 
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -28,7 +28,7 @@
   private readonly messageMemory: SharedMemory;
 
   constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {
-    this.blocks = new BlockPool(budgets.responses.limit);
+    this.blocks = new BlockPool(budgets.responses);
     this.responses = new ReceiveMemory(budgets.responses, this.blocks);
     this.unserved = new SharedMemory(budgets.requests);
     this.messageMemory = new SharedMemory(budgets.messages);
--- a/src/node/receive-memory.ts
+++ b/src/node/receive-memory.ts
@@ -53,7 +53,7 @@
   constructor(
     private readonly budget: ByteBudget,
     /** For the bodies. */
-    readonly blocks = new BlockPool(budget.limit),
+    readonly blocks = new BlockPool(budget),
   ) {}
 
   /** Bytes that all of them may hold. */
--- a/test/node/body-collector.test.ts
+++ b/test/node/body-collector.test.ts
@@ -13,7 +13,7 @@
 
 function create(): { body: BodyCollector; budget: ByteBudget; pool: BlockPool } {
   const budget = new ByteBudget(LIMIT_BYTES);
-  const pool = new BlockPool(LIMIT_BYTES);
+  const pool = new BlockPool(budget);
   return { body: new BodyCollector(budget, pool), budget, pool };
 }
 
@@ -61,6 +61,18 @@
     },
   );
 
+  // Guards against free blocks beside a full budget: together they would be twice what is allowed.
+  it('leaves no more free blocks than there is room for', () => {
+    const { body, budget, pool } = create();
+    for (let count = 0; count < 8; count += 1) body.add(part(0, READ_BYTES - 5_000));
+    body.release();
+    const kept = pool.take();
+    pool.give(kept);
+    budget.add(LIMIT_BYTES);
+    pool.trim();
+    expect(pool.take()).not.toBe(kept);
+  });
+
   it('that finds no room tells so, and holds nothing once it is released', () => {
     const { body, budget } = create();
     let isAdded = true;
