--- a/src/commands/watch-memory.ts
+++ b/src/commands/watch-memory.ts
@@ -1,5 +1,6 @@
 /** Tells which limits a process runs under, and when its memory comes near its limit. */
-import { Gauge, type Registry } from 'prom-client';
+import { Counter, Gauge, type Registry } from 'prom-client';
+import type { ByteBudget } from '../node/byte-budget.js';
 import { divideMemory, type MemoryBudgets } from '../node/memory-budgets.js';
 import {
   availableMemory,
@@ -8,6 +9,7 @@
   PROCESS_MEMORY,
 } from '../node/process-memory.js';
 import { repeatWhileRunning } from '../node/repeat-while-running.js';
+import { BudgetWatch } from '../observability/budget-watch.js';
 import { MemoryWatch, type HeldBytes } from '../observability/memory-watch.js';
 import type { Telemetry } from '../observability/telemetry.js';
 
@@ -39,10 +41,22 @@
     messageBytes: budgets.messages.heldBytes,
   });
   const watch = new MemoryWatch({ reader: PROCESS_MEMORY, held, limitBytes, logger });
-  repeatWhileRunning(CHECK_INTERVAL_MS, () => watch.check());
+  const budgetWatches = Object.entries(budgets).map(
+    ([kind, budget]) => new BudgetWatch({ kind, countGivenUp: () => totalGivenUp(budget), logger }),
+  );
+  repeatWhileRunning(CHECK_INTERVAL_MS, () => {
+    watch.check();
+    for (const budgetWatch of budgetWatches) budgetWatch.check();
+  });
   return budgets;
 }
 
+function totalGivenUp({ givenUp }: ByteBudget): number {
+  let total = 0;
+  for (const count of givenUp.values()) total += count;
+  return total;
+}
+
 function registerGauges(registry: Registry, limitBytes: number, budgets: MemoryBudgets): void {
   new Gauge({
     name: 'driftway_memory_limit_bytes',
@@ -58,4 +72,16 @@
       for (const [kind, { heldBytes }] of Object.entries(budgets)) this.set({ kind }, heldBytes);
     },
   });
+  new Counter({
+    name: 'driftway_given_up_total',
+    help: 'Responses, requests and message connections given up because those of all peers held too much.',
+    labelNames: ['kind', 'reason'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const [kind, { givenUp }] of Object.entries(budgets)) {
+        for (const [reason, count] of givenUp) this.inc({ kind, reason }, count);
+      }
+    },
+  });
 }
--- a/src/node/byte-budget.ts
+++ b/src/node/byte-budget.ts
@@ -1,7 +1,18 @@
 /** A bound on bytes held in memory by many holders together. */
 
+/** Why something was given up for want of room. */
+export type GivenUpReason =
+  /** It held the most. */
+  | 'largest'
+  /** It was the one to be given up itself, or nothing that could be given up would have made room. */
+  | 'no_room'
+  /** Its caller took it the slowest. */
+  | 'untaken';
+
 /** Counts what is held. */
 export class ByteBudget {
+  /** What was given up so far, by reason. */
+  readonly givenUp = new Map<GivenUpReason, number>();
   private held = 0;
 
   /** `limit` in bytes. What is held counts against `parent`, too. */
@@ -33,6 +44,11 @@
     this.parent?.add(bytes);
   }
 
+  countGivenUp(reason: GivenUpReason): void {
+    this.givenUp.set(reason, (this.givenUp.get(reason) ?? 0) + 1);
+    this.parent?.countGivenUp(reason);
+  }
+
   release(bytes: number): void {
     this.held -= bytes;
     this.parent?.release(bytes);
--- a/src/node/receive-memory.ts
+++ b/src/node/receive-memory.ts
@@ -70,6 +70,7 @@
   take(lease: ReceiveLease, bytes: number): boolean {
     while (!this.budget.take(bytes)) {
       const victim = this.canMakeRoom(bytes) ? this.largest(lease, bytes) : lease;
+      this.budget.countGivenUp(victim === lease ? 'no_room' : 'largest');
       if (victim === lease) return false;
       victim.giveUp();
     }
--- a/src/node/shared-memory.ts
+++ b/src/node/shared-memory.ts
@@ -43,6 +43,7 @@
     while (this.budget.heldBytes > this.budget.limit) {
       const largest = this.findLargest();
       if (largest === undefined) return;
+      this.budget.countGivenUp('largest');
       this.leave(largest);
       largest.giveUp();
     }
--- a/src/node/untaken-responses.ts
+++ b/src/node/untaken-responses.ts
@@ -15,6 +15,7 @@
     this.remove(socket);
     for (const oldest of this.bytesOf.keys()) {
       if (this.budget.hasRoomFor(bytes)) break;
+      this.budget.countGivenUp('untaken');
       this.remove(oldest);
       oldest.destroy();
     }
--- a/test/node/receive-memory.test.ts
+++ b/test/node/receive-memory.test.ts
@@ -38,6 +38,7 @@
     fixture.open('second', 'faulty', 400);
     expect(large.take(150)).toBe(true);
     expect(fixture.givenUp).toEqual(['second']);
+    expect([...fixture.budget.givenUp]).toEqual([['largest', 1]]);
   });
 
   it('is refused to the response that would itself be the one to give up', () => {
@@ -45,6 +46,7 @@
     fixture.open('small', 'healthy', 100);
     const faulty = fixture.open('endless', 'faulty', 800);
     expect(faulty.take(101)).toBe(false);
+    expect([...fixture.budget.givenUp]).toEqual([['no_room', 1]]);
     expect(fixture.givenUp).toEqual([]);
     expect(fixture.budget.heldBytes).toBe(900);
   });
