Control stream: a request for the configuration on a probe no longer holds the controller

What operators may see: a controller takes a whole core, answers nothing and ends ("JavaScript heap out of memory"). One message of one daemon that holds the key is enough, and it can send it to every controller.

Cause: the sending task of a stream waits for the next update unless the configuration was asked for. On a stream that only probes, the configuration is never sent and the wish never forgotten, so that the task goes round without waiting, each time with another waiter for the next update.

A probe is sent heartbeats only, so the message is a violation of the protocol: the connection is closed and counted.

Evidence: test/control-stream/malformed-frames.test.ts, before (heap of 400 MB): `FATAL ERROR: Reached heap limit Allocation failed - JavaScript heap out of memory` in the test's process.

--- a/src/control-stream/subscriber-session.ts
+++ b/src/control-stream/subscriber-session.ts
@@ -15,6 +15,7 @@
   NO_REVISION,
   STREAM_CODEC,
   type GoodbyeReason,
+  type ResyncMessage,
   type RevisionReportMessage,
   type LivenessReportMessage,
   type StreamMessage,
@@ -47,6 +48,8 @@
     heartbeatNumber: 0,
   };
   private record: DaemonRecord | undefined;
+  /** Whether the daemon only probes this controller; it is then sent heartbeats only. */
+  private isProbe = false;
   private snapshotRequested = false;
   private ended = false;
   private readonly guard: SilenceGuard;
@@ -116,18 +119,16 @@
     if (knownIncarnation > incarnation) return;
     if (heldRevision === NO_REVISION && !provenFresh) return this.sendGoodbye('not_proven_fresh');
     this.position.heldRevision = heldRevision;
-    if (!subscription.probe) this.register(subscription);
+    this.isProbe = subscription.probe;
+    if (!this.isProbe) this.register(subscription);
     // Whichever task ends first ends the stream; closing the connection then ends the other.
-    await Promise.race([this.sendUpdates(subscription, broadcast), this.receiveAll(zone)]);
+    await Promise.race([this.sendUpdates(zone, broadcast), this.receiveAll(zone)]);
   }
 
-  private async sendUpdates(
-    subscription: SubscribeMessage,
-    broadcast: StreamBroadcast,
-  ): Promise<void> {
+  private async sendUpdates(zone: string, broadcast: StreamBroadcast): Promise<void> {
     while (!this.ended) {
       const nextUpdate = broadcast.updates.wait(Infinity);
-      for (const frame of this.nextFrames(subscription, broadcast)) {
+      for (const frame of this.nextFrames(zone, broadcast)) {
         await this.connection.send(frame);
         this.context.metrics.sentBytes.inc(frame.length);
       }
@@ -135,11 +136,8 @@
     }
   }
 
-  private nextFrames(
-    { probe, zone }: SubscribeMessage,
-    broadcast: StreamBroadcast,
-  ): readonly Uint8Array[] {
-    if (probe) return broadcast.takeHeartbeat(this.position);
+  private nextFrames(zone: string, broadcast: StreamBroadcast): readonly Uint8Array[] {
+    if (this.isProbe) return broadcast.takeHeartbeat(this.position);
     if (!this.snapshotRequested) return broadcast.takeFrames(this.position, zone);
     this.snapshotRequested = false;
     this.position.heldRevision = broadcast.history.revision;
@@ -164,15 +162,19 @@
       case 'sign':
         return this.handleLivenessReport(message, zone);
       case 'resync':
-        this.context.metrics.resyncs.inc({ reason: message.reason });
-        this.snapshotRequested = true;
-        this.context.broadcast.updates.notify();
-        return;
+        return this.handleResync(message);
       default:
         throw this.malformed(`unexpected ${message.kind} message from a daemon`);
     }
   }
 
+  private handleResync({ reason }: ResyncMessage): void {
+    if (this.isProbe) throw this.malformed('expected no request for the configuration on a probe');
+    this.context.metrics.resyncs.inc({ reason });
+    this.snapshotRequested = true;
+    this.context.broadcast.updates.notify();
+  }
+
   private register({ incarnation, zone, version, heldRevision }: SubscribeMessage): void {
     this.update({
       name: this.daemonName,
--- a/test/control-stream/malformed-frames.test.ts
+++ b/test/control-stream/malformed-frames.test.ts
@@ -89,6 +89,14 @@
     expect(await controller.counter(SUBSCRIBER)).toBe(1);
   });
 
+  // Guards against a sending task that never pauses: it held the controller until its heap was used up.
+  it('closes the connection of a daemon that asks for the configuration on a probe', async () => {
+    const probe = stream({ ...SUBSCRIPTION, heldRevision: 0, probe: true });
+    const resync = stream({ kind: 'resync', reason: 'gap' });
+    expect(await isClosedAfter('subscriber', [probe, resync])).toBe(true);
+    expect(await controller.counter(SUBSCRIBER)).toBe(1);
+  });
+
   const fromControllers: [string, Uint8Array][] = [
     ['an unknown message', Uint8Array.of(255)],
     [
