Storage: records of a failed sync are cut off

Found while controllers were made to start again in their process after a disk error. After a failed sync the system may hold bytes as clean that never reached the disk: a member that was started again read them back, its next sync succeeded, and it acknowledged what a loss of power then took. Seen in the simulator, which models this: the log doesn't open after the loss of power.

The records that a sync failed for were acknowledged to nobody, so they are cut off before the log is closed. The simulated file keeps to this: bytes that are written after a cut are new to the disk.

Failed before: "keeps what is synced after it was opened again following a failed sync", with `DamagedStorageError: read data folder: log/.segment at byte 86: a bad record before a valid one at byte 139`.

--- a/lab/simulation/simulated-file.ts
+++ b/lab/simulation/simulated-file.ts
@@ -17,7 +17,7 @@
   private syncedLength = 0;
   /** Durable content that a truncation or replacement not yet synced would bring back. */
   private replaced: Buffer | undefined;
-  private readonly lostRanges: LostRange[] = [];
+  private lostRanges: LostRange[] = [];
 
   get size(): number {
     return this.length;
@@ -40,6 +40,10 @@
       this.syncedLength = size;
     }
     this.length = size;
+    // What is written there from now on is new to the disk.
+    this.lostRanges = this.lostRanges
+      .filter(({ start }) => start < size)
+      .map(({ start, end }) => ({ start, end: Math.min(end, size) }));
   }
 
   replace(bytes: Uint8Array): void {
@@ -80,7 +84,7 @@
     for (const { start, end } of this.lostRanges) {
       this.buffer.fill(0, Math.min(start, this.length), Math.min(end, this.length));
     }
-    this.lostRanges.length = 0;
+    this.lostRanges = [];
   }
 
   /** Keeps part of the unsynced tail, of which the last part may read as zeros. */
--- a/src/storage/segmented-log.ts
+++ b/src/storage/segmented-log.ts
@@ -118,10 +118,18 @@
     }
   }
 
-  /** Makes all appended records durable. After a failure the log is unusable. */
+  /**
+   * Makes all appended records durable. After a failure the log is unusable until it is opened again.
+   * The records concerned are cut off: later syncs may succeed without them.
+   */
   async sync(): Promise<void> {
     const size = this.file.size;
-    await this.file.sync();
+    try {
+      await this.file.sync();
+    } catch (error) {
+      await this.file.truncate(this.syncedOffset).catch(() => undefined);
+      throw error;
+    }
     this.syncedOffset = size;
   }
 
--- a/test/storage/segmented-log.test.ts
+++ b/test/storage/segmented-log.test.ts
@@ -76,6 +76,24 @@
     expect(last).toBeGreaterThan(3);
   });
 
+  // After a failed sync the system may hold bytes that never reach the disk, later syncs or not.
+  it('keeps what is synced after it was opened again following a failed sync', async () => {
+    const { log } = await open();
+    await write(log, [record(1)]);
+    await simulation.settle(log.append([record(2)]));
+    const { faults } = machine.volume;
+    faults.failSyncs = true;
+    await expect(simulation.settle(log.sync())).rejects.toThrow('EIO');
+    faults.failSyncs = false;
+    await simulation.settle(log.close());
+
+    const { log: reopened, recovered } = await open();
+    const next = record(recovered.position.index + 1);
+    await write(reopened, [next]);
+    machine.restart({ keepDisk: true });
+    expect((await open()).recovered.records).toEqual([...recovered.records, next]);
+  });
+
   it('lets a record of a later term take the place of those that it replaces', async () => {
     const { log } = await open(SMALL_SEGMENT);
     await write(log, [record(1), record(2), record(3), record(4), record(2, 5), record(3, 5)]);
