Gateway: a test of hedges that are due shortly before the drain ends

A hedge due in the last 50 ms of a drain isn't sent. Without the check in the race the test fails: "expected [ { requestId: 'call-1', …(6) }, …(1) ] to have a length of 1 but got 2".

--- a/test/gateway/late-in-a-stop.test.ts
+++ b/test/gateway/late-in-a-stop.test.ts
@@ -135,6 +135,21 @@
   });
 });
 
+// Guards against a replica that is given work whose answer nobody waits for.
+it('sends no hedge that is due shortly before the drain ends', async () => {
+  const hedgeAfterMs = DRAIN_MS - 50;
+  const targetLatencyMs = hedgeAfterMs / 0.3;
+  const route = { ...SINGLE, timeoutMs: 20_000, targetLatencyMs };
+  const { harness, replicas } = await start(route, ['ledger', 'ledger']);
+  for (const replica of replicas) replica.workMs = 20_000;
+  const sent = harness.send({ path: '/l/1', deadlineMs: 20_000 });
+  await harness.simulation.runFor(10);
+  const stopped = harness.gateway.stop();
+  expect((await harness.simulation.settle(sent)).status).toBe(502);
+  await harness.simulation.settle(stopped);
+  expect(replicas.flatMap(({ runs }) => runs)).toHaveLength(1);
+});
+
 it('leaves nothing of a drain unanswered in less than its whole time when all answers are there', async () => {
   const { harness } = await start(SINGLE, ['ledger']);
   const startedAt = harness.machine.environment.clock.now();
