Controllers: a disk that fails for a while doesn't end the process

Operators saw processes that ended by themselves. A controller whose disk was full ended with exit code 1 (`append: ENOSPC`), and again at each start until there was room; the same at a start on a folder that couldn't be created or read for the moment (ENOSPC, EIO, EROFS). Cause: a state of the disk that passes was taken as final.

The process supervises its controller now (src/startup): after a disk error the controller stops, all its parts and listeners close, the address for messages last, and it starts again from its data folder after a backoff of 0.25 to 5 s, as after a restart of the process, with nothing kept in memory. It is never started beside one that has not stopped: if that takes more than 15 s, the process ends with exit code 1 as before. A damaged or foreign folder stays final, and so does an error outside a task. Metrics that the controller registered are registered anew. Files that fail to open are closed.

Failed before (with no failure counted as passing): all five of test/control/disk-faults.test.ts, since the controllers failed or didn't start.

--- a/src/commands/controller-command.ts
+++ b/src/commands/controller-command.ts
@@ -2,9 +2,8 @@
 import { Command, Option } from 'clipanion';
 import { ConfiguredCommand } from './configured-command.js';
 import { controllerConfigurationSchema } from '../configuration/controller-configuration.js';
-import { ControllerDaemon } from '../control/controller-daemon.js';
+import { startController } from '../control/start-controller.js';
 import { createDurableNodeEnvironment } from '../node/node-environment.js';
-import { waitForAddresses } from '../startup/waiting-network.js';
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 import { watchMemory } from './watch-memory.js';
@@ -52,13 +51,8 @@
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
     const environment = createDurableNodeEnvironment(configuration.dataFolder, budgets);
-    const { logger } = telemetry;
-    return runDaemonProcess(logger, (stopped) =>
-      ControllerDaemon.start(
-        waitForAddresses(environment, { logger, stopped }),
-        configuration,
-        telemetry,
-      ),
+    return runDaemonProcess(telemetry.logger, (stopped) =>
+      startController(environment, configuration, telemetry, stopped),
     );
   }
 }
--- a/src/consensus/member-storage.ts
+++ b/src/consensus/member-storage.ts
@@ -62,13 +62,18 @@
     if (stored === undefined && (snapshot !== undefined || recovered.position.index > 0)) {
       throw new DamagedStorageError('hard-state', 0, 'missing beside a log or a snapshot');
     }
-    const hardState = stored ?? (await MemberStorage.create(hardStates, identity));
-    checkIdentity(hardState, identity);
-    const log = await reconcile(store, recovered, snapshot);
-    const { retainedBytes } = logLimits(capacityBytes, snapshot?.data.length ?? 0);
-    await log.compactBeforeWriting(log.retainedFrom(covered, retainedRecords, retainedBytes));
-    const { tornBytes } = recovered;
-    return new MemberStorage(hardStates, snapshots, hardState, snapshot, log, tornBytes, limits);
+    try {
+      const hardState = stored ?? (await MemberStorage.create(hardStates, identity));
+      checkIdentity(hardState, identity);
+      const log = await reconcile(store, recovered, snapshot);
+      const { retainedBytes } = logLimits(capacityBytes, snapshot?.data.length ?? 0);
+      await log.compactBeforeWriting(log.retainedFrom(covered, retainedRecords, retainedBytes));
+      const { tornBytes } = recovered;
+      return new MemberStorage(hardStates, snapshots, hardState, snapshot, log, tornBytes, limits);
+    } catch (error) {
+      await store.close().catch(() => undefined);
+      throw error;
+    }
   }
 
   private static async create(
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -137,8 +137,11 @@
     await platformList?.stop();
     await stopControllerCore(this.parts);
     await settleWithin(clock, closed, RESPONSES_TIMEOUT_MS);
-    await this.discardIfRemoved();
-    await messages.close();
+    try {
+      await this.discardIfRemoved();
+    } finally {
+      await messages.close();
+    }
     this.coreOptions.logger.info('controller stopped');
   }
 
--- a/src/storage/segmented-log.ts
+++ b/src/storage/segmented-log.ts
@@ -26,6 +26,16 @@
   readonly size: number;
 }
 
+/** A process that starts again on a full disk would run out of descriptors. */
+async function closeOnFailure(file: AppendFile, operation: () => Promise<void>): Promise<void> {
+  try {
+    await operation();
+  } catch (error) {
+    await file.close().catch(() => undefined);
+    throw error;
+  }
+}
+
 /** One log in one data folder. Callers do not overlap calls. */
 export class SegmentedLog {
   private syncedOffset = 0;
@@ -57,9 +67,11 @@
     const manifest = (await loadManifest(disk, LOG_DIRECTORY)) ?? (await SegmentedLog.begin(disk));
     const recovered = await recoverSegments(disk, manifest, coveredIndex);
     const file = await disk.openAppend(segmentPath(manifest.last));
-    if (file.size > recovered.lastSegmentBytes) await file.truncate(recovered.lastSegmentBytes);
-    // Also after a clean read: what was read may not have been synced yet.
-    await file.sync();
+    await closeOnFailure(file, async () => {
+      if (file.size > recovered.lastSegmentBytes) await file.truncate(recovered.lastSegmentBytes);
+      // Also after a clean read: what was read may not have been synced yet.
+      await file.sync();
+    });
     const { position } = recovered;
     const log = new SegmentedLog(disk, segmentBytes, manifest, file, position, position.index);
     log.sealed = [...recovered.sealed];
@@ -94,11 +106,13 @@
     previous: LogPosition,
   ): Promise<AppendFile> {
     const file = await disk.openAppend(segmentPath(sequence));
-    if (file.size > 0) await file.truncate(0);
     const start = { ...previous, kind: LogRecordKind.SegmentStart, payload: EMPTY_PAYLOAD };
-    await file.append(encodeRecord(start, 0));
-    await file.sync();
-    await disk.syncDirectory(LOG_DIRECTORY);
+    await closeOnFailure(file, async () => {
+      if (file.size > 0) await file.truncate(0);
+      await file.append(encodeRecord(start, 0));
+      await file.sync();
+      await disk.syncDirectory(LOG_DIRECTORY);
+    });
     return file;
   }
 
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -5,12 +5,14 @@
 import { Simulation } from '../../lab/simulation/simulation.js';
 import { controllerConfigurationSchema } from '../../src/configuration/controller-configuration.js';
 import { ControllerDaemon } from '../../src/control/controller-daemon.js';
+import { startController } from '../../src/control/start-controller.js';
 import {
   NO_CONTROL_STREAM_FAULTS,
   type ControlStreamFaults,
 } from '../../src/control-stream/control-stream-faults.js';
 import { SILENT_LOGGER, type Logger } from '../../src/observability/logger.js';
 import type { HttpClientResponse } from '../../src/seams/http.js';
+import type { SupervisedDaemon } from '../../src/startup/supervised-daemon.js';
 
 export const CLUSTER = { id: 'automatic', key: 'a-long-random-secret' };
 export const MESSAGE_PORT = 7500;
@@ -53,6 +55,8 @@
   readonly tenants?: object | undefined;
   /** Defects that the controllers are run with. */
   readonly faults?: ControlStreamFaults | undefined;
+  /** Controllers are run as in production, started again when their disk failed. */
+  readonly supervised?: boolean | undefined;
 }
 
 /** A group of controllers, its machines and an operator's machine. */
@@ -60,7 +64,10 @@
   readonly simulation: Simulation;
   readonly operator: SimulatedMachine;
   readonly machines: SimulatedMachine[] = [];
+  /** Empty in a supervised group. */
   readonly daemons = new Map<SimulatedMachine, ControllerDaemon>();
+  /** Empty unless the group is supervised. */
+  readonly supervisors = new Map<SimulatedMachine, SupervisedDaemon>();
   private readonly registries = new Map<SimulatedMachine, Registry>();
   private seeds: readonly string[] = [];
 
@@ -121,6 +128,12 @@
     this.registries.set(machine, registry);
     const { logger = SILENT_LOGGER, faults = NO_CONTROL_STREAM_FAULTS } = this.options;
     const telemetry = { logger, registry };
+    if (this.options.supervised === true) {
+      const { signal } = new AbortController();
+      const starting = startController(environment, configuration, telemetry, signal);
+      this.supervisors.set(machine, await this.simulation.settle(starting));
+      return;
+    }
     const daemon = ControllerDaemon.start(environment, configuration, telemetry, faults);
     this.daemons.set(machine, await this.simulation.settle(daemon));
   }
