Controllers: a removed member joins as a new one in its process

Under automatic membership a controller that was cut off, and that its group removed meanwhile, discarded its data folder and ended with exit code 1, in order to be started again as a new member: a process that ended by itself by design. It is started again in its process now, like one whose disk failed. Where operators manage the members, a removal stays final.

In the simulator: the removed member discards its folder, joins and takes a route document, with no failure told to the process. Not tried with real processes.

Failed before (with no failure counted as passing): "a controller that was removed while it was cut off joins as a new member in its process", since the controller failed.

--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -5,7 +5,6 @@
  */
 import { createAdministrationHandler } from '../administration/administration-handler.js';
 import type { ControllerConfiguration } from '../configuration/controller-configuration.js';
-import { IncarnationMismatchError, MemberRetiredError } from '../consensus/consensus-errors.js';
 import { NO_FAULTS, type RaftFaults } from '../consensus/raft-faults.js';
 import {
   NO_CONTROL_STREAM_FAULTS,
@@ -27,6 +26,7 @@
   type ControllerCore,
   type ControllerCoreOptions,
 } from './controller-core.js';
+import { isRemoval } from './may-start-again.js';
 import { resolveMemberIdentity } from './member-identity.js';
 import { evaluateReadiness, type Readiness } from './controller-readiness.js';
 import { PlatformListPoller } from './platform-list-poller.js';
@@ -149,9 +149,7 @@
   private async discardIfRemoved(): Promise<void> {
     if (this.configuration.automaticMembership === undefined) return;
     const cause = await this.parts.log.stopped;
-    const isRemoved =
-      cause instanceof MemberRetiredError || cause instanceof IncarnationMismatchError;
-    if (!isRemoved) return;
+    if (cause === undefined || !isRemoval(cause)) return;
     await markDiscarded(this.environment.disk);
     this.coreOptions.logger.info('data folder discarded', { reason: cause.message });
   }
--- a/src/control/start-controller.ts
+++ b/src/control/start-controller.ts
@@ -9,7 +9,7 @@
 
 /**
  * Resolves once the controller runs for the first time: it waits for its addresses and for its disk,
- * and is started again when its disk failed.
+ * and is started again when its disk failed or the group removed it.
  *
  * @param stopped - ends the wait.
  * @throws DriftwayError when it cannot start with these settings, or on a damaged data folder.
@@ -30,6 +30,6 @@
       const waiting = waitForAddresses(environment, { logger, stopped: stopping });
       return ControllerDaemon.start(waiting, configuration, telemetry);
     },
-    mayStartAgain,
+    mayStartAgain: (failure) => mayStartAgain(failure, configuration),
   });
 }
--- a/test/control/disk-faults.test.ts
+++ b/test/control/disk-faults.test.ts
@@ -1,6 +1,7 @@
 /** Controllers whose disk fails for a while stay in their process and keep what they acknowledged. */
 import { describe, expect, it } from 'vitest';
 import type { SimulatedMachine } from '../../lab/simulation/simulated-machine.js';
+import type { Logger } from '../../src/observability/logger.js';
 import { AutomaticGroup, SETTLE_MS, routeDocument } from './automatic-group.js';
 
 const FAULT_MS = 30_000;
@@ -80,3 +81,19 @@
   await group.simulation.runFor(SETTLE_MS);
   expect((await group.putRoutes(machine, routeDocument(1))).status).toBe(200);
 });
+
+it('a controller that was removed while it was cut off joins as a new member in its process', async () => {
+  const lines: string[] = [];
+  const note = (message: string): void => void lines.push(message);
+  const logger: Logger = { info: note, warn: note, error: note, child: () => logger };
+  const group = await AutomaticGroup.start(3, 14, { supervised: true, logger });
+  const machine = group.machineAt(2);
+  machine.crash();
+  await group.startOn(group.addMachine());
+  await group.simulation.runFor(SETTLE_MS);
+  await group.restart(machine, true);
+  await group.simulation.runFor(SETTLE_MS);
+  expect(lines).toContain('data folder discarded');
+  await expectNoEnd(group);
+  expect((await group.putRoutes(machine, routeDocument(8))).status).toBe(200);
+});
