Messages: a bound for the messages of one frame

What operators may see: a process ends ("JavaScript heap out of memory") after one frame of a faulty peer that holds the key.

Cause: a frame is bounded in bytes, and nothing bounded how many messages it holds. Messages without fields take one byte and become an object each: 4 MiB are four million objects. A compressed frame of some kilobytes expands to as many.

decodeBatch takes 65,536 messages at most. Frames in use hold 2,000 (directory), 1,000 (exchange) and three for each tenant of a round, of which a route document has room for 10,000; so no peer of an earlier version sends more.

Evidence: trial with the flags of the deployment, one frame of 4 MiB of keep-alives: before `FATAL ERROR: Ineffective mark-compacts near heap limit Allocation failed - JavaScript heap out of memory`, after `more than 65536 messages in a frame`. test/protocol/message-codec.test.ts without the check: `expected function to throw an error, but it didn't`.

--- a/src/protocol/message-codec.ts
+++ b/src/protocol/message-codec.ts
@@ -5,13 +5,18 @@
  * Schemas must not use Avro arrays or maps: their decoder allocates as many
  * items as the sender announces before it looks whether the bytes are there.
  * A list is sent as several messages in one frame instead, so that decoding
- * never yields more than the frame's own length.
+ * yields no more items than there are bytes in the frame, nor than {@link MAXIMUM_MESSAGES_PER_FRAME}.
  */
 import avsc from 'avsc';
 import { MalformedMessageError } from './malformed-message-error.js';
 
 /** Bytes of the tag that precedes each record. */
 const TAG_BYTES = 1;
+/**
+ * Limit of messages in a frame; the longest frames in use hold some ten thousand. A message may be one byte,
+ * and takes a hundred times as much once it is read.
+ */
+export const MAXIMUM_MESSAGES_PER_FRAME = 65_536;
 
 /** One field of a record. */
 export interface MessageField {
@@ -81,13 +86,16 @@
   /**
    * All messages of a frame, at least one.
    *
-   * @throws MalformedMessageError when any byte of it is not part of a known message.
+   * @throws MalformedMessageError when any byte of it is not part of a known message, or it holds too many.
    */
   decodeBatch(frame: Uint8Array, peer: string): M[] {
     const buffer = asBuffer(frame);
     const messages: M[] = [];
     let position = 0;
     do {
+      if (messages.length === MAXIMUM_MESSAGES_PER_FRAME) {
+        throw this.malformed(peer, `more than ${MAXIMUM_MESSAGES_PER_FRAME} messages in a frame`);
+      }
       const schema = this.byTag.get(buffer[position] ?? -1);
       if (schema === undefined) throw this.malformed(peer, 'unknown kind of message');
       const { value, offset } = this.decodeRecord(schema, buffer, position + TAG_BYTES, peer);
--- a/test/protocol/message-codec.test.ts
+++ b/test/protocol/message-codec.test.ts
@@ -1,7 +1,9 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { EXCHANGE_CODEC } from '../../src/control-stream/exchange-messages.js';
 import { STREAM_CODEC } from '../../src/control-stream/stream-messages.js';
 import { MalformedMessageError } from '../../src/protocol/malformed-message-error.js';
+import { MAXIMUM_MESSAGES_PER_FRAME } from '../../src/protocol/message-codec.js';
 
 const REPORT = { kind: 'report', sequence: 7, revision: 42 } as const;
 const GOODBYE = { kind: 'goodbye', reason: 'stopping' } as const;
@@ -21,6 +23,16 @@
     }
   });
 
+  // Guards against a frame of 4 MiB whose messages are one byte each: the objects use up the heap.
+  it('turns away a frame of too many messages', () => {
+    const [tag = 0] = EXCHANGE_CODEC.encode({ kind: 'keepAlive' });
+    const frame = new Uint8Array(MAXIMUM_MESSAGES_PER_FRAME + 1).fill(tag);
+    expect(EXCHANGE_CODEC.decodeBatch(frame.subarray(1), 'peer')).toHaveLength(
+      MAXIMUM_MESSAGES_PER_FRAME,
+    );
+    expect(() => EXCHANGE_CODEC.decodeBatch(frame, 'peer')).toThrow(MalformedMessageError);
+  });
+
   it('turns away a length that would move the decoder backwards', () => {
     // Tag of goodbye, then a string length of -2 in zigzag form.
     const bytes = Uint8Array.of(19, 3);
