HTTP server: what callers sent ahead is bounded by itself, and is never run after it was refused

A POST whose body's end was still pending when its connection was given up got 503 'not run' and then ran. Bytes sent ahead shared a budget with bodies and untaken answers, so one slow reader with 24 MB made the listener close connections of others, a request in flight among them. And heads that end in line feeds only, a delimiter split between two parts, or requests behind a chunked body reached the parser by the thousand uncounted: 50 connections ended a process of 160 MB of heap.

A connection that waits for an answer keeps it and loses only what it sent ahead; one that was refused runs nothing. Heads and chunked bodies reach the parser 1,024 bytes at a time, and requests that wait there count. Whether room can be made for a body is judged by the smaller of its budgets. Tests: the two new cases of test/node/unserved-requests.test.ts; the one of requests dropped past the bound was not run on the code before.

--- a/src/commands/watch-memory.ts
+++ b/src/commands/watch-memory.ts
@@ -39,6 +39,7 @@
     responseBytes: budgets.responses.heldBytes,
     requestBytes: budgets.requests.heldBytes,
     messageBytes: budgets.messages.heldBytes,
+    unservedBytes: budgets.unserved.heldBytes,
   });
   const watch = new MemoryWatch({ reader: PROCESS_MEMORY, held, limitBytes, logger });
   const budgetWatches = Object.entries(budgets).map(
--- a/src/node/byte-budget.ts
+++ b/src/node/byte-budget.ts
@@ -31,6 +31,11 @@
     return this.held + bytes <= this.limit && (this.parent?.hasRoomFor(bytes) ?? true);
   }
 
+  /** Bytes that would have to be released before `bytes` more fit; 0 or less when they do. */
+  shortfall(bytes: number): number {
+    return Math.max(this.held + bytes - this.limit, this.parent?.shortfall(bytes) ?? -Infinity);
+  }
+
   /** Takes `bytes` unless the limit would be passed; says whether it did. */
   take(bytes: number): boolean {
     if (!this.hasRoomFor(bytes)) return false;
--- a/src/node/caller-connection.ts
+++ b/src/node/caller-connection.ts
@@ -69,7 +69,30 @@
     this.lastResponse = response;
     response.once('close', () => this.endResponse(response));
     if (earlier === undefined) return;
+    this.unserved.startWaiting();
     await new Promise<void>((resolve) => earlier.once('close', () => resolve()));
+    this.unserved.endWaiting();
+  }
+
+  /** Whether no request is served after the one that is served now. */
+  get endsAfterAnswer(): boolean {
+    return this.isClosing;
+  }
+
+  /**
+   * Drops what was sent ahead; the connection ends after the answer that it waits for. False when nothing
+   * would be gained: no answer is waited for, or requests that wait are parsed already.
+   */
+  dropAhead(): boolean {
+    if (!this.hasUnanswered || this.unserved.waiting > 0) return false;
+    this.isClosing = true;
+    this.feeder.stop();
+    return true;
+  }
+
+  /** Nothing that is received from now on is parsed. */
+  stopReading(): void {
+    this.feeder.stop();
   }
 
   giveUp(): void {
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -163,6 +163,7 @@
     body: Buffer,
     response: ServerResponse,
   ): Promise<void> {
+    if (message.socket.destroyed || connection.isRefused) return;
     const newConnection = !connection.isUsed;
     const request = connection.beginRequest();
     const { signal } = request;
@@ -240,8 +241,8 @@
   /** Closes a connection whose unserved requests hold the most, when all together hold too much. */
   onGivenUp(connection: CallerConnection): void {
     const { socket } = connection;
-    if (socket.destroyed) return;
-    const canAnswer = socket.writable && !connection.isBusy && socket.writableLength === 0;
+    if (socket.destroyed || connection.dropAhead()) return;
+    const canAnswer = socket.writable && !connection.hasUnanswered && socket.writableLength === 0;
     const content = noMemoryResponse();
     if (!connection.isRefused) this.tellRefused(socket, content.status);
     if (!canAnswer || connection.isRefused) {
@@ -249,6 +250,7 @@
       return;
     }
     connection.isRefused = true;
+    connection.stopReading();
     socket.end(writeRawResponse(content), () => socket.destroy());
   }
 
@@ -264,7 +266,8 @@
   private write(socket: Socket, response: ServerResponse, content: HttpResponse): void {
     if (!this.canWrite(socket, response)) return;
     const body = typeof content.body === 'string' ? Buffer.from(content.body) : content.body;
-    if (this.closing) response.setHeader('connection', 'close');
+    const isLast = this.closing || this.connections.get(socket)?.endsAfterAnswer === true;
+    if (isLast) response.setHeader('connection', 'close');
     if (content.closeAfterBytes === 0) {
       response.destroy();
       return;
@@ -329,7 +332,7 @@
     address.host,
     new ReceiveMemory(budget, blocks),
     new UntakenResponses(budget),
-    unserved ?? new SharedMemory(divideMemory(availableMemory()).requests),
+    unserved ?? new SharedMemory(divideMemory(availableMemory()).unserved),
     minimumReadRate,
   );
 }
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -30,7 +30,7 @@
   constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {
     this.blocks = new BlockPool(budgets.responses);
     this.responses = new ReceiveMemory(budgets.responses, this.blocks);
-    this.unserved = new SharedMemory(budgets.requests);
+    this.unserved = new SharedMemory(budgets.unserved);
     this.messageMemory = new SharedMemory(budgets.messages);
   }
 
--- a/src/node/receive-memory.ts
+++ b/src/node/receive-memory.ts
@@ -94,9 +94,9 @@
 
   /** Whether there is room for `bytes` once everything that can be given up is. */
   private canMakeRoom(bytes: number): boolean {
-    let kept = this.budget.heldBytes;
-    for (const { heldBytes } of this.receiving) kept -= heldBytes;
-    return kept + bytes <= this.budget.limit;
+    let releasable = 0;
+    for (const { heldBytes } of this.receiving) releasable += heldBytes;
+    return this.budget.shortfall(bytes) <= releasable;
   }
 
   /** The largest transfer of the peer that holds the most, with `bytes` that `taker` is about to take. */
--- a/src/node/request-feeder.ts
+++ b/src/node/request-feeder.ts
@@ -7,8 +7,11 @@
 import type { Socket } from 'node:net';
 
 const END_OF_HEAD = '\r\n\r\n';
-/** Bytes of a body without a length that are handed over at a time; what follows the body comes with them. */
-const CHUNKED_STEP_BYTES = 4_096;
+/**
+ * Bytes that are handed over at a time where a request may end among them unseen: in a head, and in a body without
+ * a length. Requests that begin in the same step are parsed, and wait.
+ */
+const MAXIMUM_STEP_BYTES = 1_024;
 /** Bytes sent ahead after which the connection is not read on. Until then its end is noticed at once. */
 const MAXIMUM_HELD_BYTES = 65_536;
 const EMPTY = Buffer.alloc(0);
@@ -28,6 +31,7 @@
   /** Bytes of the newest request's body that were not received yet. */
   private bodyBytesLeft = 0;
   private resuming: NodeJS.Immediate | undefined;
+  private isStopped = false;
   private readonly emit: Emit;
 
   constructor(
@@ -66,11 +70,18 @@
     });
   }
 
+  /** Drops what is held and what is still received. */
+  stop(): void {
+    this.isStopped = true;
+    this.drop();
+  }
+
   private get isReceivingBody(): boolean {
     return this.newest !== undefined && !this.newest.complete;
   }
 
   private onData(part: Buffer): boolean {
+    if (this.isStopped) return true;
     if (this.isHolding) this.hold(Buffer.concat([this.held, part]));
     else this.feed(part);
     return true;
@@ -90,7 +101,7 @@
 
   private feed(bytes: Buffer): void {
     let left = bytes;
-    while (left.length > 0 && !this.socket.destroyed) {
+    while (left.length > 0 && !this.socket.destroyed && !this.isStopped) {
       if (!this.isReceivingBody && this.connection.hasUnanswered) {
         this.hold(left);
         return;
@@ -106,11 +117,12 @@
   /** Bytes up to the end of the head, or of a step of the body, that comes next. */
   private nextStep(bytes: Buffer): number {
     if (this.isReceivingBody) {
-      const step = Number.isFinite(this.bodyBytesLeft) ? this.bodyBytesLeft : CHUNKED_STEP_BYTES;
+      const step = Number.isFinite(this.bodyBytesLeft) ? this.bodyBytesLeft : MAXIMUM_STEP_BYTES;
       return Math.min(bytes.length, Math.max(1, step));
     }
     const end = bytes.indexOf(END_OF_HEAD);
-    return end < 0 ? bytes.length : end + END_OF_HEAD.length;
+    const head = end < 0 ? bytes.length : end + END_OF_HEAD.length;
+    return Math.min(head, MAXIMUM_STEP_BYTES);
   }
 
   private hold(bytes: Buffer): void {
--- a/src/node/unserved-requests.ts
+++ b/src/node/unserved-requests.ts
@@ -1,6 +1,6 @@
 /**
- * Estimates the memory of what a caller has sent and nobody serves yet: the head that is being received, and
- * bytes that were sent ahead. Node's parser holds an object for each header, so a head of short headers
+ * Estimates the memory of what a caller has sent and nobody serves yet: the head that is being received,
+ * bytes that were sent ahead, and requests that wait for earlier ones. Node's parser holds an object for each header, so a head of short headers
  * takes many times its bytes.
  */
 import type { IncomingMessage } from 'node:http';
@@ -8,6 +8,8 @@
 
 /** Name and value of one header, beside their bytes. Bytes. */
 const HEADER_OVERHEAD_BYTES = 128;
+/** One request with its response, beside its head. Bytes. */
+const REQUEST_OVERHEAD_BYTES = 4_096;
 const LINE_END = 0x0a;
 
 function countLines(part: Buffer): number {
@@ -20,6 +22,8 @@
 export class UnservedRequests {
   private headBytes = 0;
   private aheadBytes = 0;
+  /** Requests that were parsed and wait for earlier ones. */
+  waiting = 0;
   private newest: IncomingMessage | undefined;
   private beganInPart = false;
   /** Whether the next part continues a body. */
@@ -45,6 +49,15 @@
     this.report();
   }
 
+  startWaiting(): void {
+    this.waiting += 1;
+  }
+
+  endWaiting(): void {
+    this.waiting -= 1;
+    this.report();
+  }
+
   /** A part ends where a head ends, see `RequestFeeder`. */
   private addPart(part: Buffer): void {
     if (this.isBody || this.beganInPart) this.headBytes = 0;
@@ -55,6 +68,7 @@
   }
 
   private report(): void {
-    this.onChange(this.headBytes + this.aheadBytes);
+    const waitingBytes = this.waiting * REQUEST_OVERHEAD_BYTES;
+    this.onChange(this.headBytes + this.aheadBytes + waitingBytes);
   }
 }
--- a/src/observability/memory-watch.ts
+++ b/src/observability/memory-watch.ts
@@ -35,6 +35,7 @@
   readonly responseBytes: number;
   readonly requestBytes: number;
   readonly messageBytes: number;
+  readonly unservedBytes: number;
 }
 
 /** What a {@link MemoryWatch} reads and writes. */
--- a/test/node/unserved-requests.test.ts
+++ b/test/node/unserved-requests.test.ts
@@ -3,11 +3,13 @@
 import { listenHttp } from '../../src/node/node-http-server.js';
 import { SharedMemory } from '../../src/node/shared-memory.js';
 import type { HttpHandler, HttpListener, HttpListenOptions } from '../../src/seams/http.js';
-import { GET, nextTurn } from './support/listener-fixture.js';
+import { GET, nextTurn, post } from './support/listener-fixture.js';
 import { RawCaller } from './support/raw-caller.js';
 
 const LOOPBACK = { host: '127.0.0.1', port: 0 };
 const BUDGET_BYTES = 262_144;
+/** Less than is read of one connection. */
+const SMALL_BUDGET_BYTES = 16_384;
 const LIMITS: HttpListenOptions = {
   maximumBodyBytes: 1_024,
   maximumHeaderBytes: 65_536,
@@ -19,8 +21,8 @@
 let listener: HttpListener | undefined;
 let callers: RawCaller[] = [];
 
-async function listen(handler = answerAtOnce): Promise<ByteBudget> {
-  const budget = new ByteBudget(BUDGET_BYTES);
+async function listen(handler = answerAtOnce, budgetBytes = BUDGET_BYTES): Promise<ByteBudget> {
+  const budget = new ByteBudget(budgetBytes);
   const unserved = new SharedMemory(budget);
   listener = await listenHttp(LOOPBACK, LIMITS, handler, { unserved });
   return budget;
@@ -96,6 +98,35 @@
     expect(budget.heldBytes).toBe(0);
   });
 
+  it('are dropped past the bound, and the request before them gets its own answer', async () => {
+    let served = 0;
+    const budget = await listen(async () => {
+      served += 1;
+      while (budget.heldBytes > 0) await nextTurn();
+      return { status: 200, body: 'own answer' };
+    }, SMALL_BUDGET_BYTES);
+    const caller = await call(post('once') + GET);
+    for (let sent = 0; sent <= SMALL_BUDGET_BYTES; sent += GET.length) caller.send(GET);
+    const response = await caller.next();
+    expect(response?.body).toBe('own answer');
+    expect(response?.header).toContain('connection: close');
+    await caller.closed;
+    expect(served).toBe(1);
+    expect(await caller.next()).toBeUndefined();
+  });
+
+  it('count as requests where the parser takes other ends of a head than this server looks for', async () => {
+    let served = 0;
+    const budget = await listen(async () => {
+      served += 1;
+      return new Promise(() => undefined);
+    });
+    const caller = await call('GET / HTTP/1.1\n\n'.repeat(3_000));
+    await caller.closed;
+    while (budget.heldBytes > 0) await nextTurn();
+    expect(served).toBeLessThanOrEqual(1);
+  });
+
   it('may follow a body, whole or in pieces', async () => {
     await listen(async ({ body }) => ({ status: 200, body }));
     const chunked =
--- a/test/observability/memory-watch.test.ts
+++ b/test/observability/memory-watch.test.ts
@@ -28,7 +28,12 @@
       openDescriptors: 40,
     }),
   };
-  const held = () => ({ responseBytes: bufferBytes, requestBytes: 0, messageBytes: 0 });
+  const held = () => ({
+    responseBytes: bufferBytes,
+    requestBytes: 0,
+    messageBytes: 0,
+    unservedBytes: 0,
+  });
   const watch = new MemoryWatch({ reader, held, limitBytes: LIMIT_BYTES, logger });
   const use = (megabytes: number): void => {
     bufferBytes = megabytes * MEGABYTE - baseBytes;
