Decision log: lines of fan-outs and gathers tell the process's age and what is admitted

Each line of a fan-out or gather now says how long its process has run (processAgeMs), how many of them ended before (endedBefore), and which part of the requests is admitted (admittedPart).

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -276,14 +276,16 @@
       mayHaveRun: this.gather.mayRun,
       sends: this.gather.sends,
       reason: this.failed > 0 || this.isIncomplete ? reason : '',
-      admittedPart: Math.min(
-        this.context.shedding.admittedPart(this.options.shards[0] ?? ''),
-        this.options.admission.admittedPart,
-      ),
+      admittedPart: this.admittedPart,
       gathersInProgress: gathersInProgress(),
     });
   }
 
+  private get admittedPart(): number {
+    const { shards, admission } = this.options;
+    return Math.min(this.context.shedding.admittedPart(shards[0] ?? ''), admission.admittedPart);
+  }
+
   private get hasFewParts(): boolean {
     return this.answered < this.options.shards.length / 2;
   }
@@ -329,6 +331,7 @@
       reason,
       delayMs: Math.round(delayMs),
       timerLagMs: Math.round(this.context.answerMargin.lag),
+      admittedPart: this.admittedPart,
       timeline: this.timeline,
     });
   }
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -222,6 +222,7 @@
       sends: this.sources.reduce((sum, source) => sum + source.sends, 0),
       queriedByRoot: this.sources.reduce((sum, source) => sum + source.shardsQueriedHere, 0),
       timerLagMs: Math.round(this.context.answerMargin.lag),
+      admittedPart: this.context.shedding.admittedPart(this.shards[0] ?? ''),
       timeline: this.timeline,
       sources: this.sources,
     });
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -27,6 +27,8 @@
   readonly queriedByRoot: number;
   /** 90th percentile of recent timer lag. Milliseconds. */
   readonly timerLagMs: number;
+  /** Part of the requests to these shards that the gateway admits, from 0 to 1. */
+  readonly admittedPart: number;
   readonly timeline: StepTimeline<FanOutStep>;
   /** The sources that asked the shards. */
   readonly sources: readonly PartSource[];
@@ -49,6 +51,8 @@
   readonly delayMs: number;
   /** 90th percentile of recent timer lag. Milliseconds. */
   readonly timerLagMs: number;
+  /** Part of its gathers that this gateway can serve in time, as the last report said, from 0 to 1. */
+  readonly admittedPart: number;
   readonly timeline: StepTimeline<GatherStep>;
 }
 
@@ -105,10 +109,16 @@
 
 /** One method per kind of event; each writes at most one line, within the line budget of the log. */
 export class RequestDecisions {
+  private readonly startedAt: number;
+  /** Fan-outs and gathers that ended before. */
+  private endedBefore = 0;
+
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLog,
-  ) {}
+  ) {
+    this.startedAt = clock.now();
+  }
 
   /** Logs the end of a request to one service. */
   logSingleRequest(request: CallerRequest, race: ReplicaRace, outcome: RaceOutcome): void {
@@ -124,9 +134,11 @@
   /** Logs the end of a request to all shards of a route. */
   logFanOut(request: CallerRequest, { sources, timeline, ...summary }: FanOutSummary): void {
     const kind = kindOfFanOut(summary, this.isLate(request));
+    const process = this.processFields();
     this.log.write(kind, () => ({
       ...this.commonFields(request),
       ...summary,
+      ...process,
       ...timeline.fields,
       missingAttempts: sources
         .flatMap((source) => source.missingAttempts(request.receivedAt))
@@ -143,9 +155,11 @@
     const { missing, sends, shards } = summary;
     const isUneventful = missing === 0 && sends <= shards;
     const kind = isUneventful ? DecisionKind.GatheredAtOnce : DecisionKind.Gathered;
+    const process = this.processFields();
     this.log.write(kind, () => ({
       ...this.commonFields(request),
       ...summary,
+      ...process,
       ...timeline.fields,
       missingAttempts: source.missingAttempts(request.receivedAt).slice(0, MAXIMUM_LOGGED_ATTEMPTS),
     }));
@@ -197,6 +211,14 @@
     }));
   }
 
+  /** How long the process has run and how much it has done: the same work costs more in a young one. */
+  private processFields(): LogFields {
+    const processAgeMs = Math.round(this.clock.now() - this.startedAt);
+    const { endedBefore } = this;
+    this.endedBefore += 1;
+    return { processAgeMs, endedBefore };
+  }
+
   private isLate({ route, receivedAt }: CallerRequest): boolean {
     return this.clock.now() - receivedAt > targetLatencyOf(route);
   }
--- a/test/gateway/request-decisions.test.ts
+++ b/test/gateway/request-decisions.test.ts
@@ -75,4 +75,19 @@
       },
     });
   });
+
+  it('tells how long the process of a fan-out has run, what it did before, and what it admits', async () => {
+    const harness = await GatewayHarness.start();
+    await harness.addReplica('shard-a');
+    const shards = ['shard-a', 'shard-b'];
+    await harness.putRoutes([
+      { pathPrefix: '/all/', shards, topRecords: 1, requiredCoverage: 0.5 },
+    ]);
+    await harness.call({ path: '/all/1', id: 'first' });
+    await harness.call({ path: '/all/1', id: 'second' });
+    const [first, second] = ['first', 'second'].map((id) => harness.lineOf(id)?.fields);
+    expect(first).toMatchObject({ endedBefore: 0, admittedPart: 1 });
+    expect(second).toMatchObject({ endedBefore: 1, admittedPart: 1 });
+    expect(Number(second?.['processAgeMs'])).toBeGreaterThan(Number(first?.['processAgeMs']));
+  });
 });
