Overload shedding: an overload that has ended refuses nothing any more

Cause: an estimate without time, whose bound is never reached but treated as reached. - A root moved its admitted part towards that of a leaf by 0.15 of the difference: from 0.4 it stays below 1 for ever, and everything below 1 refused 4 % of the requests for each step of priority. - Without samples the part stayed, at a leaf as well as at a root, and a window of samples was finished minutes later with the samples of the overload. - A gateway kept what it heard from leaves and what it met at replicas under one key, where its group held the first shard of a route, and reported both to other roots: an overload went round among gateways.

--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -7,6 +7,7 @@
 import type { CallerRequest } from '../gateway/caller-request.js';
 import { FleetShares } from '../gateway/fleet-shares.js';
 import type { GatewayContext } from '../gateway/gateway-context.js';
+import { OverloadShedding } from '../gateway/overload-shedding.js';
 import type { PartListener, PartSource } from '../gateway/part-source.js';
 import type { ReplicaTarget } from '../gateway/replica-target.js';
 import { ExtraAttemptBudget, type ExtraAttemptLimits } from '../gateway/extra-attempt-budget.js';
@@ -64,7 +65,11 @@
     const { context, identity, zone, settings, telemetry, leaves, table } = options;
     const { environment, targets } = context;
     const { clock, random } = environment;
-    const leafContext = { ...context, shares: this.createLeafShares() };
+    const leafContext = {
+      ...context,
+      shares: this.createLeafShares(),
+      shedding: new OverloadShedding(clock, random),
+    };
     const { logger } = telemetry;
     const { traffic } = context;
     this.pool = new LeafPool({ environment, identity, logger, traffic }, random);
--- a/src/aggregation/group-gather.ts
+++ b/src/aggregation/group-gather.ts
@@ -270,12 +270,11 @@
   }
 
   private recordReport(attempt: LeafAttempt, report: PartsMessage): void {
-    const { latencies, rootContext } = this.context;
+    const { latencies, rootContext, leafContext } = this.context;
+    const isRelay = this.options.reportAt !== undefined;
+    const { shedding } = isRelay ? leafContext : rootContext;
     attempt.sends = report.sends;
-    rootContext.shedding.mergeAdmittedPart(
-      this.request.route.shards?.[0] ?? '',
-      report.admittedPart,
-    );
+    shedding.mergeAdmittedPart(this.request.route.shards?.[0] ?? '', report.admittedPart);
     if (attempt.hasReported) return;
     attempt.hasReported = true;
     latencies.recordReport(this.request.route, this.now() - attempt.sentAt);
--- a/src/aggregation/leaf-admission.ts
+++ b/src/aggregation/leaf-admission.ts
@@ -3,6 +3,7 @@
  * queues everything until nothing is in time; roots learn the part with each report and refuse the
  * other requests at once (`OverloadShedding`), so that those admitted are answered in time.
  */
+import type { Clock } from '../seams/clock.js';
 import { AdmittedPart, type AdmittedPartSettings } from '../gateway/admitted-part.js';
 
 const SETTINGS: AdmittedPartSettings = {
@@ -15,7 +16,11 @@
 
 /** One per leaf. */
 export class LeafAdmission {
-  private readonly part = new AdmittedPart(SETTINGS);
+  private readonly part: AdmittedPart;
+
+  constructor(clock: Pick<Clock, 'now'>) {
+    this.part = new AdmittedPart(SETTINGS, clock);
+  }
 
   /** Part of the requests that roots may admit, from 0 to 1. */
   get admittedPart(): number {
--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -282,8 +282,13 @@
   }
 
   private get admittedPart(): number {
-    const { shards, admission } = this.options;
-    return Math.min(this.context.shedding.admittedPart(shards[0] ?? ''), admission.admittedPart);
+    const { shards, admission, relay } = this.options;
+    const { shedding } = this.context;
+    const [firstShard = ''] = shards;
+    // A relay's leaves report to nobody else; what a gateway heard as a root is never passed on.
+    const part =
+      relay === undefined ? shedding.replicaPart(firstShard) : shedding.admittedPart(firstShard);
+    return Math.min(part, admission.admittedPart);
   }
 
   private get hasFewParts(): boolean {
--- a/src/aggregation/leaf-server.ts
+++ b/src/aggregation/leaf-server.ts
@@ -86,10 +86,12 @@
 /** Serves any number of roots; {@link serve} runs once per connection. */
 export class LeafServer {
   private readonly sessions = new Set<RootSession>();
-  private readonly admission = new LeafAdmission();
+  private readonly admission: LeafAdmission;
   private isStopping = false;
 
-  constructor(private readonly options: LeafServerOptions) {}
+  constructor(private readonly options: LeafServerOptions) {
+    this.admission = new LeafAdmission(options.context.environment.clock);
+  }
 
   /** Number of gathers in progress, for all roots. */
   get inProgress(): number {
--- a/src/gateway/create-gateway-context.ts
+++ b/src/gateway/create-gateway-context.ts
@@ -82,7 +82,7 @@
     latencies,
     shares: new FleetShares(clock, secondSends, countGateways, mechanisms.youngShares),
     retrySchedule: new RetrySchedule(random),
-    shedding: new OverloadShedding(random),
+    shedding: new OverloadShedding(clock, random),
     answerMargin: new AnswerMargin(mechanisms.learnedMargin),
     crashGuard,
     lease,
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -21,7 +21,7 @@
 
 /**
  * Created once per gateway. For shard groups that this gateway asks as a leaf, aggregation uses a
- * copy with `shares` of its own.
+ * copy with `shares` and `shedding` of its own.
  */
 export interface GatewayContext {
   readonly environment: Environment;
--- a/test/aggregation/leaf-admission.test.ts
+++ b/test/aggregation/leaf-admission.test.ts
@@ -5,6 +5,7 @@
 import { describe, expect, it } from 'vitest';
 import type { ExchangeReplica } from '../../lab/exchange/exchange-replica.js';
 import { LeafAdmission } from '../../src/aggregation/leaf-admission.js';
+import { ManualClock } from '../support/manual-clock.js';
 import { GatewayHarness } from '../gateway/gateway-harness.js';
 
 const SHARDS = ['shard-a', 'shard-b', 'shard-c', 'shard-d', 'shard-e', 'shard-f'];
@@ -18,13 +19,13 @@
 
 describe('LeafAdmission', () => {
   it('admits everything while few gathers are late', () => {
-    const admission = new LeafAdmission();
+    const admission = new LeafAdmission(new ManualClock());
     recordGathers(admission, 2_000, 3);
     expect(admission.admittedPart).toBe(1);
   });
 
   it('admits less while most gathers are late, never nothing, and everything again afterwards', () => {
-    const admission = new LeafAdmission();
+    const admission = new LeafAdmission(new ManualClock());
     recordGathers(admission, 100, 9);
     expect(admission.admittedPart).toBeLessThan(0.6);
     recordGathers(admission, 10_000, 10);
@@ -32,6 +33,25 @@
     recordGathers(admission, 200, 0);
     expect(admission.admittedPart).toBe(1);
   });
+
+  // Guards against a leaf that is asked seldom and refuses for minutes after an overload.
+  it('admits everything within ten seconds after the last late gather, however few come', () => {
+    const clock = new ManualClock();
+    const admission = new LeafAdmission(clock);
+    recordGathers(admission, 200, 10);
+    clock.advance(10_000);
+    expect(admission.admittedPart).toBe(1);
+  });
+
+  it('admits less while gathers stay late, however few come', () => {
+    const clock = new ManualClock();
+    const admission = new LeafAdmission(clock);
+    for (let gather = 0; gather < 120; gather += 1) {
+      admission.recordGather(true);
+      clock.advance(500);
+    }
+    expect(admission.admittedPart).toBeLessThan(0.6);
+  });
 });
 
 describe('a root whose leaves are late with nearly all gathers', () => {
@@ -65,4 +85,21 @@
     await statusesOf(harness, 200);
     expect(await statusesOf(harness, 40)).not.toContain(NOT_RUN);
   });
+
+  // Guards against refusals for minutes after an overload that nobody has met since.
+  it('refuses none ten seconds after the last request, without any in between', async () => {
+    const harness = await GatewayHarness.start(7, {
+      others: 4,
+      takesGathers: false,
+      aggregation: { divideAbove: 3, shardsPerGroup: 2 },
+    });
+    const replicas: ExchangeReplica[] = [];
+    for (const shard of [...SHARDS, ...SHARDS]) replicas.push(await harness.addReplica(shard));
+    await harness.putRoutes([{ ...ROUTE, priority: 2 }]);
+    for (const replica of replicas) replica.workMs = 2 * TARGET_MS;
+    await statusesOf(harness, 60);
+    for (const replica of replicas) replica.workMs = 10;
+    await harness.simulation.runFor(10_000);
+    expect(await statusesOf(harness, 60)).not.toContain(NOT_RUN);
+  });
 });
--- a/test/aggregation/leaf-gather.test.ts
+++ b/test/aggregation/leaf-gather.test.ts
@@ -33,7 +33,7 @@
     environment: { clock },
     latencies: { of: () => ({ hedgeDelay: 1_000 }) },
     answerMargin: { lag, typicalLag, recordTimerLag: () => undefined },
-    shedding: { admittedPart: () => 1 },
+    shedding: { admittedPart: () => 1, replicaPart: () => 1 },
     drain,
     decisions: { logGather: () => events.push('line written') },
   };
@@ -54,7 +54,7 @@
     delayMs: 0,
     root: 'root',
     rootRouteVersion: 1,
-    admission: new LeafAdmission(),
+    admission: new LeafAdmission(clock),
     relay: (given: PartListener) => {
       listener = given;
       return source;
--- a/test/aggregation/leaf-server.test.ts
+++ b/test/aggregation/leaf-server.test.ts
@@ -9,6 +9,7 @@
 import type { GatewayContext } from '../../src/gateway/gateway-context.js';
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js';
 import { SILENT_LOGGER } from '../../src/observability/logger.js';
+import { ManualClock } from '../support/manual-clock.js';
 import { InMemoryConnection } from './in-memory-connection.js';
 
 const PEER = { role: 'aggregation', name: 'root', protocolVersion: 1 } as const;
@@ -47,7 +48,9 @@
 
 /** Serves a connection at a leaf that has no route document yet. */
 function serve(): Served {
-  const context = { metrics: new GatewayMetrics(new Registry()) } as GatewayContext;
+  const metrics = new GatewayMetrics(new Registry());
+  const environment = { clock: new ManualClock() };
+  const context = { metrics, environment } as unknown as GatewayContext;
   const server = new LeafServer({
     context,
     logger: SILENT_LOGGER,
--- a/test/gateway/answer-before-cancels.test.ts
+++ b/test/gateway/answer-before-cancels.test.ts
@@ -25,6 +25,7 @@
     mechanisms: { cutOff: true, shedding: false },
     regions: { permitted: () => ['replica'] },
     targets: { of: () => ['replica'] },
+    shedding: { admittedPart: () => 1 },
     answerMargin: { cutOffDelay: () => 10, recordTimerLag: () => undefined, lag: 0 },
     crashGuard: { isQuarantined: () => false },
     drain: new Drain(clock, new RouteLatencies()),
