Consensus: dials outlast the round of votes that waits for them

Cause, of the class of timeouts that throw progress away: a vote waited 200 ms (half an election timeout) for its connection, its proof of identity and its answer, each. What took longer was closed and begun anew in the next round. The event loops of controllers that 87 gateways return to are busy for longer than that, so each round began where the last one had. That they were so busy is concluded from the lines, not measured.

A dial now has a time of its own (connectionTimeout, 2 s) and goes on while requests that wait for it fail; links to the other voters are opened at the start; a round of votes ends after an election timeout as a whole, and an answer counts until then. Opening the socket keeps the short time, as a machine that is off answers nothing.

--- a/src/consensus/election-task.ts
+++ b/src/consensus/election-task.ts
@@ -28,6 +28,7 @@
   /** Runs until the member stops. */
   async run(): Promise<void> {
     const { state } = this;
+    this.openLinks();
     while (!state.signal.aborted) {
       if (!this.mayStand()) {
         await state.roleChanged.wait(Infinity);
@@ -44,6 +45,14 @@
     }
   }
 
+  /** So that the first votes after a start need not wait for connections. */
+  private openLinks(): void {
+    const { membership, memberId } = this.state;
+    for (const member of membership.voters) {
+      if (member.memberId !== memberId) this.links.find(member.memberId)?.open();
+    }
+  }
+
   private mayStand(): boolean {
     const { state } = this;
     const isVoter = state.membership.isVoter(state.memberId);
@@ -125,7 +134,7 @@
     return term;
   }
 
-  /** True once a majority, this member included, grants the vote. */
+  /** True once a majority, this member included, grants the vote; false after an election timeout. */
   private askVotes(term: number, preVote: boolean, transfer: boolean): Promise<boolean> {
     const { state } = this;
     const { membership, memberId } = state;
@@ -141,9 +150,17 @@
     return new Promise((resolve) => {
       let granted = 1;
       let outstanding = others.length;
+      const { clock, timings } = state.dependencies;
+      const end = (isWon: boolean): void => {
+        timer.cancel();
+        resolve(isWon);
+      };
+      const timer = clock.setTimer(timings.electionTimeoutMinimum, () => end(false), {
+        afterReading: true,
+      });
       const settle = (): void => {
-        if (granted >= membership.quorum) resolve(true);
-        else if (outstanding === 0) resolve(false);
+        if (granted >= membership.quorum) end(true);
+        else if (outstanding === 0) end(false);
       };
       settle();
       for (const member of others) {
@@ -162,7 +179,7 @@
     try {
       const link = this.links.find(peerId);
       if (link === undefined) return false;
-      const response = await link.request('vote', request, timings.electionTimeoutMinimum / 2);
+      const response = await link.request('vote', request, timings.electionTimeoutMinimum);
       if (response.term > state.term) {
         await state.runExclusive(() => state.adoptTerm(response.term));
       }
--- a/src/consensus/peer-link.ts
+++ b/src/consensus/peer-link.ts
@@ -35,8 +35,14 @@
     return this.endpoint.memberId;
   }
 
+  /** Opens the connection ahead of the first request. */
+  open(): void {
+    void this.connect().catch(() => undefined);
+  }
+
   /**
-   * Sends one request and waits for its answer.
+   * Sends one request and waits for its answer. A connection that takes longer than `timeout` to open is
+   * opened on for the requests that follow.
    *
    * @throws PeerRequestError telling whether the request may have left.
    */
@@ -45,7 +51,7 @@
     message: RequestOf<N>,
     timeout: number,
   ): Promise<ResponseOf<N>> {
-    const connection = await this.connect(exchange, timeout);
+    const connection = await this.connectWithin(exchange, timeout);
     try {
       return await connection.request(exchange, message, timeout);
     } catch (error) {
@@ -59,24 +65,28 @@
     this.connection?.close('link closed');
   }
 
-  private async connect(step: string, timeout: number): Promise<RequestConnection> {
-    if (this.closed || this.state.signal.aborted) throw this.notSent(step, 'link closed');
+  private connectWithin(step: string, timeout: number): Promise<RequestConnection> {
+    return this.within(this.connect(), step, timeout);
+  }
+
+  private async connect(): Promise<RequestConnection> {
+    if (this.closed || this.state.signal.aborted) throw this.notSent('dial', 'link closed');
     if (this.connection !== undefined && !this.connection.closed) return this.connection;
-    this.dialling ??= this.redial(timeout).finally(() => {
+    this.dialling ??= this.redial().finally(() => {
       this.dialling = undefined;
     });
     return this.dialling;
   }
 
-  private async redial(timeout: number): Promise<RequestConnection> {
+  private async redial(): Promise<RequestConnection> {
     const { clock, timings } = this.state.dependencies;
     const wait = this.lastDialAt + timings.redialInterval - clock.now();
     if (wait > 0) await clock.sleep(wait);
     this.lastDialAt = clock.now();
-    const raw = await this.dialWithin(timeout);
+    const raw = await this.dialWithin(timings.connectionTimeout);
     const connection = this.adopt(raw);
     try {
-      await this.sayHello(connection, timeout);
+      await this.sayHello(connection, timings.connectionTimeout);
     } catch (error) {
       connection.close('hello failed');
       if (error instanceof PeerRequestError) throw this.notSent('hello', error.message, error);
@@ -88,24 +98,24 @@
   }
 
   /** Gives up after `timeout`; a connection that still comes later is closed. */
-  private dialWithin(timeout: number): Promise<MessageConnection> {
+  private async dialWithin(timeout: number): Promise<MessageConnection> {
+    const dialled = this.dial(this.endpoint, this.state.signal).catch((error: unknown) => {
+      throw this.notSent('dial', String(error), error);
+    });
+    try {
+      return await this.within(dialled, 'dial', timeout);
+    } catch (error) {
+      void dialled.then((late) => late.close()).catch(() => undefined);
+      throw error;
+    }
+  }
+
+  /** Rejects after `timeout`, without an effect on `connecting`. */
+  private within<T>(connecting: Promise<T>, step: string, timeout: number): Promise<T> {
     return new Promise((resolve, reject) => {
-      let abandoned = false;
-      const timer = this.state.dependencies.clock.setTimer(timeout, () => {
-        abandoned = true;
-        reject(this.notSent('dial', `no connection within ${timeout} ms`));
-      });
-      this.dial(this.endpoint, this.state.signal).then(
-        (connection) => {
-          timer.cancel();
-          if (abandoned) connection.close();
-          else resolve(connection);
-        },
-        (error: unknown) => {
-          timer.cancel();
-          reject(this.notSent('dial', String(error), error));
-        },
-      );
+      const expire = (): void => reject(this.notSent(step, `no connection within ${timeout} ms`));
+      const timer = this.state.dependencies.clock.setTimer(timeout, expire, { afterReading: true });
+      void connecting.then(resolve, reject).finally(() => timer.cancel());
     });
   }
 
--- a/src/consensus/raft-timings.ts
+++ b/src/consensus/raft-timings.ts
@@ -16,6 +16,11 @@
   readonly firstElectionPart: number;
   /** Wait before dialling a member again. */
   readonly redialInterval: number;
+  /**
+   * Longest time to open a connection to a member. Apart from the time that a request waits for it: a
+   * busy member takes long to prove who it is, and to begin anew would take as long again.
+   */
+  readonly connectionTimeout: number;
   /** Longest wait for the answer to records or a snapshot chunk, a slow sync included. */
   readonly replicationTimeout: number;
   /** Longest wait of a proposal for its outcome. */
@@ -34,6 +39,7 @@
   electionTimeoutMaximum: 2_000,
   firstElectionPart: 1,
   redialInterval: 100,
+  connectionTimeout: 2_000,
   replicationTimeout: 5_000,
   proposalTimeout: 10_000,
   readTimeout: 5_000,
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -12,7 +12,6 @@
 import { ControllerExchange } from '../control-stream/controller-exchange.js';
 import { DaemonDirectory } from '../control-stream/daemon-directory.js';
 import { LivenessReportTable } from '../control-stream/liveness-report-table.js';
-import { CONNECT_TIMEOUT_MS } from '../control-stream/stream-timing.js';
 import { EvacuationOrders } from '../evacuations/evacuation-orders.js';
 import { EvacuationRegister } from '../evacuations/evacuation-register.js';
 import type { Logger } from '../observability/logger.js';
@@ -234,7 +233,8 @@
       },
       limits: { capacityBytes: storage.capacityBytes },
       dial: async (peer, signal) => {
-        const connectTimeout = CONNECT_TIMEOUT_MS;
+        // Short, as a machine that is powered off answers nothing, and may be back a moment later.
+        const connectTimeout = consensus.electionTimeoutMs / 2;
         const target = { ...peer, role: 'consensus', connectTimeout, signal } as const;
         return meterConnection(await dial(environment, identity, target), traffic);
       },
--- a/test/consensus/election.test.ts
+++ b/test/consensus/election.test.ts
@@ -38,3 +38,27 @@
     expect(Math.max(...delays)).toBeLessThan(1_200);
   });
 });
+
+// Guards against dials that are given up and begun anew in each round of votes, so that busy members
+// elect nobody for seconds after the loss of all.
+describe('a group that starts as a whole while its members are busy', () => {
+  const EIGHT_IDS = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+  const timings = {
+    electionTimeoutMinimum: 400,
+    electionTimeoutMaximum: 800,
+    firstElectionPart: 0.25,
+  };
+
+  it.each([1, 2, 3, 4, 5])(
+    'elects within two seconds when a handshake takes longer than a round of votes (seed %i)',
+    async (seed) => {
+      const cluster = await RaftCluster.started(seed, EIGHT_IDS, { timings });
+      for (const id of EIGHT_IDS) cluster.losePower(id);
+      cluster.handshakeMs = 450;
+      for (const id of EIGHT_IDS) await cluster.start(id);
+      const startedAt = cluster.simulation.now;
+      await cluster.leader();
+      expect(cluster.simulation.now - startedAt).toBeLessThan(2_000);
+    },
+  );
+});
--- a/test/consensus/support/raft-cluster.ts
+++ b/test/consensus/support/raft-cluster.ts
@@ -37,6 +37,8 @@
   readonly simulation: Simulation;
   readonly links: ClusterLinks;
   readonly members = new Map<string, Member>();
+  /** How long members take to prove each other's identity on a new connection. Milliseconds. */
+  handshakeMs = 0;
   private readonly watch = new SafetyWatch();
 
   constructor(
@@ -116,6 +118,7 @@
         stateMachine: member.state,
         dial: async (peer) => {
           const connection = await dialMember(environment, id, peer);
+          await environment.clock.sleep(this.handshakeMs);
           if (this.options.shuffle !== true) return connection;
           return new ShufflingConnection(connection, environment.clock, this.random);
         },
