Directory: a fleet that has lost all controllers returns to as many of them as it follows

Cause, of the class of load that is added because nothing works: while no controller was fresh, all were followed, as nothing could be lost by it.

A gateway now follows as many as it wants (two) also while none is fresh. One that cannot be reached doesn't count, so a fleet without any still dials all; once streams open, dials to others are dropped at once; a controller without a quorum counts for a second, after which the search widens by two.

--- a/src/directory/controller-choice.ts
+++ b/src/directory/controller-choice.ts
@@ -26,9 +26,9 @@
 export enum FollowState {
   /** The controller is followed, has recent information and is not about to stop. */
   Fresh = 'fresh',
-  /** The controller was dialled recently and has not become fresh yet. */
+  /** The controller may become fresh: it was dialled or reached recently, or would be dialled now. */
   Pending = 'pending',
-  /** The controller is silent, partitioned from its group, about to stop, or not followed. */
+  /** The controller cannot be reached, is partitioned from its group, or is about to stop. */
   Unusable = 'unusable',
 }
 
@@ -46,8 +46,8 @@
 
 /**
  * Returns the addresses to follow: controllers in order of preference until `count` of them are
- * fresh or pending. Returns all addresses while no controller is fresh, since nothing can be lost by
- * trying every controller then.
+ * fresh or pending. Also while none is fresh: after the loss of all controllers a fleet that follows
+ * each of them at once keeps them from electing a leader.
  */
 export function chooseControllers(
   controllers: readonly KnownController[],
@@ -55,7 +55,6 @@
   stateOf: (address: string) => FollowState,
 ): string[] {
   const ranked = rankControllers(controllers, options).map(({ address }) => address);
-  if (!ranked.some((address) => stateOf(address) === FollowState.Fresh)) return ranked;
   const chosen: string[] = [];
   let usableCount = 0;
   for (const address of ranked) {
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -274,6 +274,7 @@
     const fields = { controller: link.address };
     if (!isOpen) this.announcedGateways.handleStreamEnd(link.gateways);
     this.gatewayCount.update();
+    if (isOpen) this.controllers.handleOpened();
     if (isOpen) logger.info('controller regained', fields);
     else logger.warn('controller lost', fields);
   }
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -91,6 +91,8 @@
   controllers: readonly KnownController[] = [];
   /** When the first connection was attempted. Clock reading. */
   readonly startedAt: number;
+  /** When the stream opened; undefined while it is not open. Clock reading. */
+  openedAt: number | undefined;
   /** Gateways by name, as listed by the controller on this connection. */
   readonly gateways = new Map<string, KnownGateway>();
   private readonly stopped = new AbortController();
@@ -110,6 +112,11 @@
     this.finished = this.run();
   }
 
+  /** Whether the last dial failed, or the stream was lost and is not open again. */
+  get isUnreachable(): boolean {
+    return this.failures > 0 && this.openedAt === undefined;
+  }
+
   /** Sends a message if the stream is open; returns false otherwise. */
   send(message: DirectoryMessage): boolean {
     if (this.connection === undefined || this.status === undefined) return false;
@@ -158,6 +165,7 @@
       await connection.send(this.subscription());
       wasOpen = true;
       this.failures = 0;
+      this.openedAt = environment.clock.now();
       onState(this, true);
       await this.follow(connection);
     } catch (error) {
@@ -166,6 +174,7 @@
     } finally {
       this.connection?.close();
       this.connection = undefined;
+      this.openedAt = undefined;
       this.status = undefined;
       if (wasOpen) onState(this, false);
     }
--- a/src/directory/directory-timing.ts
+++ b/src/directory/directory-timing.ts
@@ -37,8 +37,8 @@
  */
 export const FOLLOWED_FRESHNESS_MS = 1_200;
 
-/** How long after the first dial a controller that is not fresh yet counts as pending. */
-export const PENDING_AFTER_DIAL_MS = 1_000;
+/** How long after the first dial, or after its stream opened, a controller that is not fresh counts as pending. */
+export const PENDING_MS = 1_000;
 
 /**
  * Delay after which a controller that is not a gateway's preferred one sends it a new route document.
--- a/src/directory/followed-controllers.ts
+++ b/src/directory/followed-controllers.ts
@@ -12,7 +12,7 @@
 } from './controller-choice.js';
 import type { DirectoryLink } from './directory-link.js';
 import {
-  PENDING_AFTER_DIAL_MS,
+  PENDING_MS,
   FOLLOWED_FRESHNESS_MS,
   LINK_CHECK_INTERVAL_MS,
   FRESHNESS_MS,
@@ -39,6 +39,8 @@
   /** Last known zones of controllers by address. */
   private readonly zones = new Map<string, string>();
   private readonly links = new Map<string, DirectoryLink>();
+  /** List of a link that was dropped, until a link that is open has sent one. */
+  private droppedList: readonly KnownController[] = [];
   private seeds: readonly string[] = [];
   /** Members in this process's own log; empty in a gateway, which uses the lists sent by controllers. */
   private members: readonly string[] = [];
@@ -60,6 +62,7 @@
 
   /** Records the group members that a controller has sent. */
   recordGroupMembers(controllers: readonly KnownController[]): void {
+    this.droppedList = [];
     for (const { address, zone } of controllers) {
       if (zone !== '') this.zones.set(address, zone);
     }
@@ -84,19 +87,16 @@
 
   /**
    * All known controllers, followed or not. This is the union of all lists, because the list of a
-   * partitioned controller may be out of date.
+   * partitioned controller may be out of date. Zones are those last heard, so that the order of
+   * preference does not change with the links that happen to be open.
    */
   get known(): readonly KnownController[] {
     const known = new Map<string, KnownController>();
-    for (const address of [...this.members, ...this.seeds]) {
-      known.set(address, { address, zone: '' });
-    }
-    for (const { controllers } of this.links.values()) {
-      for (const controller of controllers) {
-        const zone = controller.zone === '' ? known.get(controller.address)?.zone : controller.zone;
-        known.set(controller.address, { address: controller.address, zone: zone ?? '' });
-      }
-    }
+    const add = (address: string): void =>
+      void known.set(address, { address, zone: this.zoneOf(address) });
+    for (const address of [...this.members, ...this.seeds]) add(address);
+    const lists = [...this.links.values()].map(({ controllers }) => controllers);
+    for (const { address } of [...this.droppedList, ...lists.flat()]) add(address);
     return [...known.values()];
   }
 
@@ -111,6 +111,11 @@
     return [...links.filter(isFresh), ...links.filter((link) => !isFresh(link))];
   }
 
+  /** Drops surplus links at once when one opens: others that are being dialled are not needed then. */
+  handleOpened(): void {
+    this.adjustLinks();
+  }
+
   /** Replaces followed controllers that are no longer fresh, until stopped. */
   async maintainLinks(): Promise<void> {
     const { clock } = this.options.environment;
@@ -134,6 +139,7 @@
     for (const [address, link] of this.links) {
       if (targets.has(address)) continue;
       this.links.delete(address);
+      if (link.controllers.length > 0) this.droppedList = link.controllers;
       void link.stop();
     }
     for (const address of [...targets].slice(0, MAXIMUM_LINKS)) {
@@ -152,13 +158,12 @@
 
   private followStateOf(address: string): FollowState {
     const link = this.links.get(address);
-    if (link === undefined) return FollowState.Unusable;
+    if (link === undefined) return FollowState.Pending;
     const now = this.now();
-    const isFresh = this.ageOf(link, now) < FOLLOWED_FRESHNESS_MS && link.status?.stopping !== true;
-    if (isFresh) return FollowState.Fresh;
-    return now - link.startedAt < PENDING_AFTER_DIAL_MS
-      ? FollowState.Pending
-      : FollowState.Unusable;
+    if (link.isUnreachable || link.status?.stopping === true) return FollowState.Unusable;
+    if (this.ageOf(link, now) < FOLLOWED_FRESHNESS_MS) return FollowState.Fresh;
+    const pendingSince = link.openedAt ?? link.startedAt;
+    return now - pendingSince < PENDING_MS ? FollowState.Pending : FollowState.Unusable;
   }
 
   /** Age of the controller's information; Infinity while it is not followed. Milliseconds. */
