Gateways: the lag of timers is measured at a steady rate, not by late requests

Cause, of the class of estimates that have no time in them, and are sampled only where things go wrong: the lag came from the timers of cut-offs and of leaves' reports, which fire only for requests that have not ended by then. While all goes well nothing is sampled, and the last overload is remembered.

A probe now measures the lag every 50 ms, whatever requests do, and the margin takes its quantiles over the last 40 samples, two seconds. In a digest that halves, a tenth of the weight was of the overload for five seconds.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -159,10 +159,7 @@
     const delayMs = reportInMs - lagWithin(reportInMs, answerMargin.typicalLag);
     const dueAt = clock.now() + delayMs;
     this.reportDueAt = dueAt;
-    return clock.setTimer(delayMs, () => {
-      answerMargin.recordTimerLag(clock.now() - dueAt);
-      this.reportOnTime();
-    });
+    return clock.setTimer(delayMs, () => this.reportOnTime());
   }
 
   onParts(parts: GatheredParts): void {
--- a/src/gateway/answer-margin.ts
+++ b/src/gateway/answer-margin.ts
@@ -3,7 +3,7 @@
  * time. A process short of CPU time fires its timers late and reads requests late; recent timer lag
  * is the estimate for both delays.
  */
-import { LatencyDigest } from '../policies/latency-digest.js';
+import { RecentSamples } from './recent-samples.js';
 
 /**
  * Typical time for reading the request, merging, and the network round trip to the caller. With
@@ -15,8 +15,8 @@
  * room for the fixed margin and some lag; 0.3 did not.
  */
 const MAXIMUM_TARGET_FRACTION = 0.5;
-/** Few samples are kept because the load of a process changes within seconds. */
-const LAG_WINDOW_SAMPLES = 60;
+/** Of a few seconds, see `timer-lag-probe.ts`, as the load of a process changes within seconds. */
+const LAG_WINDOW_SAMPLES = 40;
 /** High, because a late answer loses 90 % of its value, but a missing part only a few percent. */
 const LAG_QUANTILE = 0.9;
 const TYPICAL_LAG_QUANTILE = 0.5;
@@ -24,7 +24,7 @@
 
 /** Margin of one gateway process. Durations are milliseconds. */
 export class AnswerMargin {
-  private readonly lags = new LatencyDigest(LAG_WINDOW_SAMPLES);
+  private readonly lags = new RecentSamples(LAG_WINDOW_SAMPLES);
   private sinceRefresh = 0;
   private timerLag = 0;
   private medianTimerLag = 0;
@@ -37,7 +37,7 @@
   /** Records that a timer fired `lag` after it was due. */
   recordTimerLag(lag: number): void {
     if (!this.learnsLag) return;
-    this.lags.addReply(Math.max(0, lag));
+    this.lags.add(Math.max(0, lag));
     this.sinceRefresh += 1;
     if (this.sinceRefresh < REFRESH_INTERVAL_SAMPLES) return;
     this.sinceRefresh = 0;
--- a/src/gateway/fan-out.ts
+++ b/src/gateway/fan-out.ts
@@ -145,7 +145,6 @@
   private cutOff(dueAt: number): void {
     this.timeline.record(FanOutStep.CutOffDue, dueAt);
     this.timeline.record(FanOutStep.CutOff);
-    this.context.answerMargin.recordTimerLag(this.context.environment.clock.now() - dueAt);
     this.isPastCutOff = true;
     this.finishIfDecided();
   }
--- a/src/gateway/gateway-maintenance.ts
+++ b/src/gateway/gateway-maintenance.ts
@@ -1,9 +1,13 @@
-/** Background tasks of a gateway: warms connections, drops silent replicas, logs zone traffic. */
+/**
+ * Background tasks of a gateway: warms connections, drops silent replicas, measures the lag of timers,
+ * logs zone traffic.
+ */
 import type { Aggregation } from '../aggregation/aggregation.js';
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
 import { logZoneTraffic } from '../observability/zone-traffic-log.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
+import { measureTimerLag } from './timer-lag-probe.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GatewayEndpoint } from './gateway-endpoint.js';
 
@@ -32,9 +36,11 @@
   /** Starts all tasks; they run until `stopped` is aborted. */
   start(): void {
     const { context, logger, stopped } = this.options;
-    const { environment, mechanisms, traffic } = context;
+    const { environment, mechanisms, traffic, answerMargin } = context;
+    const { clock } = environment;
     void this.forgetSilent();
-    void logZoneTraffic({ clock: environment.clock, logger, traffic, stopped });
+    void logZoneTraffic({ clock, logger, traffic, stopped });
+    void measureTimerLag(clock, answerMargin, stopped);
     if (mechanisms.warmConnections) void this.keepWarm();
   }
 
