Leaves: a gather is late by when the root waits for it, not by an early report

Cause: a leaf whose timers lag reports earlier, by up to half of the time until the root waits, and counted the gather as late when fewer than half of its parts were there at that moment. With a target of 55 ms that is 15 ms after the request: replicas could hardly have answered. So the remedy against lag was taken for a sign of overload.

Whether a gather is late is now told by when half of its shards had answered, against the time until which the root waits.

Failing before: a gather whose parts are all there at three quarters of that time was late.

--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -91,9 +91,10 @@
   /** When the last report was sent. Clock reading. */
   private lastReportAt = -Infinity;
   private lateReportTimer: Timer | undefined;
-  /** When the root waits for the report. Clock reading. */
-  private reportDueAt = Infinity;
-  private isLate = false;
+  /** Until when the root waits for the report. Clock reading. */
+  private rootWaitsUntil = Infinity;
+  /** When half of the shards had answered; undefined before. Clock reading. */
+  private halfAnsweredAt: number | undefined;
   private reports = 0;
   private hasRequestedGrant = false;
   private isGranted = false;
@@ -156,9 +157,8 @@
     const { environment, answerMargin } = this.context;
     const { clock } = environment;
     const { reportInMs } = this.options;
+    this.rootWaitsUntil = clock.now() + reportInMs;
     const delayMs = reportInMs - lagWithin(reportInMs, answerMargin.typicalLag);
-    const dueAt = clock.now() + delayMs;
-    this.reportDueAt = dueAt;
     return clock.setTimer(delayMs, () => this.reportOnTime());
   }
 
@@ -168,6 +168,7 @@
     this.timeline.record(GatherStep.LastPart);
     this.unreported.push(parts);
     this.answered += parts.shards.length;
+    if (!this.hasFewParts) this.halfAnsweredAt ??= this.context.environment.clock.now();
     this.reportProgress();
   }
 
@@ -229,7 +230,6 @@
 
   private reportOnTime(): void {
     this.isReportTimePast = true;
-    this.isLate = this.hasFewParts;
     this.report({});
   }
 
@@ -300,11 +300,10 @@
     return this.positions.get(shard) ?? 0;
   }
 
-  /** A cancel may come while the report itself is overdue. */
+  /** Judged by when the root waits for the report, not by when a lagging leaf sends it to be in time. */
   private recordLateness(): void {
-    const { clock } = this.context.environment;
-    const isOverdue = !this.isReportTimePast && clock.now() > this.reportDueAt;
-    this.options.admission.recordGather(this.isLate || (isOverdue && this.hasFewParts));
+    const halfAt = this.halfAnsweredAt ?? this.context.environment.clock.now();
+    this.options.admission.recordGather(halfAt > this.rootWaitsUntil);
   }
 
   private readonly onDrainEnd = (): void => this.end(STOPPING);
--- a/test/aggregation/leaf-gather.test.ts
+++ b/test/aggregation/leaf-gather.test.ts
@@ -1,6 +1,5 @@
 import { describe, expect, it } from 'vitest';
 import type { PartsMessage } from '../../src/aggregation/aggregation-messages.js';
-import { LeafAdmission } from '../../src/aggregation/leaf-admission.js';
 import { LeafGather } from '../../src/aggregation/leaf-gather.js';
 import { Drain } from '../../src/gateway/drain.js';
 import type { PartListener } from '../../src/gateway/part-source.js';
@@ -19,6 +18,8 @@
   /** What happened, in order. */
   readonly events: string[];
   readonly drain: Drain;
+  /** Whether each gather that ended was late. */
+  readonly lateness: boolean[];
 }
 
 /** Starts a gather at a leaf with this lag of its timers; its parts come from the test. */
@@ -27,6 +28,7 @@
   const reports: PartsMessage[] = [];
   const reportedAt: number[] = [];
   const events: string[] = [];
+  const lateness: boolean[] = [];
   const drain = new Drain(clock, new RouteLatencies());
   let listener: PartListener | undefined;
   const context = {
@@ -54,7 +56,7 @@
     delayMs: 0,
     root: 'root',
     rootRouteVersion: 1,
-    admission: new LeafAdmission(clock),
+    admission: { recordGather: (isLate: boolean) => lateness.push(isLate), admittedPart: 1 },
     relay: (given: PartListener) => {
       listener = given;
       return source;
@@ -69,7 +71,7 @@
   };
   new LeafGather(context as never, options as never).start();
   if (listener === undefined) throw new Error('expected the gather to create its source');
-  return { clock, reports, reportedAt, listener, events, drain };
+  return { clock, reports, reportedAt, listener, events, drain, lateness };
 }
 
 function partOf(shard: string): Parameters<PartListener['onParts']>[0] {
@@ -157,3 +159,21 @@
     expect((reportedAt[requested] ?? 0) - startedAt).toBe(350);
   });
 });
+
+// Guards against a leaf that refuses requests because it reports early: the parts of its gathers come
+// after such a report, in time for the root.
+describe('a leaf that reports early as its timers lag', () => {
+  it('counts no gather as late whose parts are there when the root waits for them', () => {
+    const { clock, listener, lateness } = startGather(REPORT_IN_MS);
+    clock.advance(REPORT_IN_MS * 0.75);
+    for (const shard of SHARDS) listener.onParts(partOf(shard));
+    expect(lateness).toEqual([false]);
+  });
+
+  it('counts one as late when half of the parts come after that', () => {
+    const { clock, listener, lateness } = startGather(REPORT_IN_MS);
+    clock.advance(REPORT_IN_MS + 1);
+    for (const shard of SHARDS) listener.onParts(partOf(shard));
+    expect(lateness).toEqual([true]);
+  });
+});
