--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -282,7 +282,7 @@
     const { shards, admission, relay } = this.options;
     const { shedding } = this.context;
     const [firstShard = ''] = shards;
-    // A relay's leaves report to nobody else; what a gateway heard as a root is never passed on.
+    // A relay passes on what its leaves reported; what a gateway heard as a root is never passed on.
     const part =
       relay === undefined ? shedding.replicaPart(firstShard) : shedding.admittedPart(firstShard);
     return Math.min(part, admission.admittedPart);
--- a/src/consensus/raft-timings.ts
+++ b/src/consensus/raft-timings.ts
@@ -17,8 +17,9 @@
   /** Wait before dialling a member again. */
   readonly redialInterval: number;
   /**
-   * Longest time to open a connection to a member. Apart from the time that a request waits for it: a
-   * busy member takes long to prove who it is, and to begin anew would take as long again.
+   * Longest time to open a connection to a member, and again for its hello. Apart from the time that a
+   * request waits for it: a busy member takes long to prove who it is, and to begin anew would take as
+   * long again.
    */
   readonly connectionTimeout: number;
   /** Longest wait for the answer to records or a snapshot chunk, a slow sync included. */
