--- a/src/commands/controller-command.ts
+++ b/src/commands/controller-command.ts
@@ -7,6 +7,7 @@
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 import { watchMemory } from './watch-memory.js';
+import { watchProcessor } from './watch-processor.js';
 
 /** Runs until SIGTERM. */
 export class ControllerCommand extends ConfiguredCommand {
@@ -50,7 +51,8 @@
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
-    const environment = createDurableNodeEnvironment(configuration.dataFolder, budgets);
+    const processor = watchProcessor(telemetry);
+    const environment = createDurableNodeEnvironment(configuration.dataFolder, budgets, processor);
     return runDaemonProcess(telemetry.logger, (stopped) =>
       startController(environment, configuration, telemetry, stopped),
     );
--- a/src/commands/gateway-command.ts
+++ b/src/commands/gateway-command.ts
@@ -8,6 +8,7 @@
 import { createTelemetry, runDaemonProcess, type ExitCode } from './daemon-process.js';
 import { loadConfiguration } from './load-configuration.js';
 import { watchMemory } from './watch-memory.js';
+import { watchProcessor } from './watch-processor.js';
 
 /** Runs until SIGTERM. */
 export class GatewayCommand extends ConfiguredCommand {
@@ -36,7 +37,7 @@
     ]);
     const telemetry = createTelemetry(configuration.log.format, process.stdout);
     const budgets = watchMemory(telemetry, configuration.memory.limitBytes);
-    const environment = createNodeEnvironment(budgets);
+    const environment = createNodeEnvironment(budgets, watchProcessor(telemetry));
     const { logger } = telemetry;
     return runDaemonProcess(logger, (stopped) =>
       GatewayDaemon.start(
--- a/src/control/controller-daemon.ts
+++ b/src/control/controller-daemon.ts
@@ -91,6 +91,7 @@
         raftFaults,
       });
       daemon.parts = await daemon.startParts(messages);
+      environment.processor?.endStart();
       daemon.coreOptions.logger.info('controller started', {
         http: formatAddress(daemon.httpAddress),
         messages: formatAddress(daemon.messageAddress),
--- a/src/directory/directory-link.ts
+++ b/src/directory/directory-link.ts
@@ -8,6 +8,7 @@
 import type { ZoneTraffic } from '../observability/zone-traffic.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
+import { chargeProcessor, ProcessorCause } from '../seams/processor-meter.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import {
   DIRECTORY_CODEC,
@@ -207,7 +208,11 @@
       const frame = await connection.receive();
       if (frame === undefined) return;
       guard.recordReceived();
-      const { position, hasReplicas } = this.handleFrame(frame);
+      const { position, hasReplicas } = chargeProcessor(
+        this.parts.environment.processor,
+        ProcessorCause.Controllers,
+        () => this.handleFrame(frame),
+      );
       if (position === undefined) continue;
       const documentVersion = this.parts.documentVersion();
       await connection.send(DIRECTORY_CODEC.encode({ kind: 'confirm', position, documentVersion }));
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -4,6 +4,7 @@
  * connections would soon be closed. Replicas in use get no checks.
  */
 import type { Clock } from '../seams/clock.js';
+import { chargeProcessor, ProcessorCause, type ProcessorMeter } from '../seams/processor-meter.js';
 import type { RandomSource } from '../seams/random-source.js';
 import type { ReplicaTarget } from './replica-target.js';
 
@@ -24,6 +25,7 @@
 export interface ConnectionWarmerOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly processor?: ProcessorMeter | undefined;
   readonly targets: () => Iterable<ReplicaTarget>;
   /**
    * Whether this gateway calls the service, with requests so short that connecting delays them
@@ -39,9 +41,9 @@
 
 /** Scans replicas periodically until `stopped` is aborted. */
 export async function keepConnectionsWarm(options: ConnectionWarmerOptions): Promise<void> {
-  const { clock, stopped } = options;
+  const { clock, processor, stopped } = options;
   while (!stopped.aborted) {
-    checkIdleReplicas(options);
+    chargeProcessor(processor, ProcessorCause.Connections, () => checkIdleReplicas(options));
     await clock.sleep(SCAN_INTERVAL_MS, stopped).catch(() => undefined);
   }
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -16,6 +16,7 @@
 import { RouteTable } from '../routes/route-table.js';
 import { formatAddress, type Address } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
+import { chargeProcessor, ProcessorCause } from '../seams/processor-meter.js';
 import { settleWithin } from '../seams/settle-within.js';
 import type { HttpRequest, HttpResponse, RefusedRequest } from '../seams/http.js';
 import { createDirectoryClient } from './create-directory-client.js';
@@ -79,7 +80,11 @@
     this.endpoint = new GatewayEndpoint(this.context, (request, shards, listener) =>
       this.aggregation.plan(request, shards, listener),
     );
-    observe(this.client.documents, (document) => this.applyDocument(document));
+    observe(this.client.documents, (document) =>
+      chargeProcessor(environment.processor, ProcessorCause.Configuration, () =>
+        this.applyDocument(document),
+      ),
+    );
     const evacuations = new EvacuationsInForce(this.context, this.logger);
     observe(this.client.evacuations, (evacuation) => evacuations.take(evacuation));
     this.tenants.observeControllers();
@@ -229,6 +234,7 @@
     this.aggregation.start();
     void this.tenants.renewLease();
     this.startMaintenance();
+    this.environment.processor?.endStart();
     this.logger.info('gateway listening', { http: formatAddress(this.address) });
   }
 
--- a/src/gateway/gateway-maintenance.ts
+++ b/src/gateway/gateway-maintenance.ts
@@ -46,10 +46,11 @@
 
   private keepWarm(): Promise<void> {
     const { context, aggregation, endpoint, stopped } = this.options;
-    const { clock, random } = context.environment;
+    const { clock, random, processor } = context.environment;
     return keepConnectionsWarm({
       clock,
       random,
+      processor,
       targets: () => aggregation.preferredTargets(),
       shouldKeepWarm: (service) => this.shouldKeepWarm(service),
       warmupHeader: context.headers.warmup,
--- a/src/gateway/replica-attempt.ts
+++ b/src/gateway/replica-attempt.ts
@@ -3,6 +3,7 @@
 import { NotRunReason, REPLICA_ENDED, type AttemptResult } from './attempt-result.js';
 import type { CallerRequest } from './caller-request.js';
 import type { GatewayContext } from './gateway-context.js';
+import { chargeProcessor, ProcessorCause } from '../seams/processor-meter.js';
 import { REPLACED_REPLICA_GRACE_MS } from './replacement-signal.js';
 import type { ReplicaTarget } from './replica-target.js';
 import type { SendOptions } from './attempt-sender.js';
@@ -78,13 +79,19 @@
     target.unusedChecks = 0;
     if (isTrial) target.trialsInFlight += 1;
     if (options.abortsOnReplacement) target.replacement.once(this.onReplicaReplaced);
-    void this.context.sender.send(options.request, target, this.sendOptions).then((result) => {
-      target.replacement.cancel(this.onReplicaReplaced);
-      target.end(number);
-      if (isTrial) target.trialsInFlight -= 1;
-      this.hasEnded = true;
-      onResult(this.wasReplicaReplaced ? this.resultAfterReplacement(result) : result);
-    });
+    const { processor } = this.context.environment;
+    const sending = chargeProcessor(processor, ProcessorCause.Attempts, () =>
+      this.context.sender.send(options.request, target, this.sendOptions),
+    );
+    void sending.then((result) =>
+      chargeProcessor(processor, ProcessorCause.Attempts, () => {
+        target.replacement.cancel(this.onReplicaReplaced);
+        target.end(number);
+        if (isTrial) target.trialsInFlight -= 1;
+        this.hasEnded = true;
+        onResult(this.wasReplicaReplaced ? this.resultAfterReplacement(result) : result);
+      }),
+    );
   }
 
   /** Aborts the attempt immediately. */
--- a/src/seams/environment.ts
+++ b/src/seams/environment.ts
@@ -3,6 +3,7 @@
 import type { Disk } from './disk.js';
 import type { EventLoop } from './event-loop.js';
 import type { Network } from './network.js';
+import type { ProcessorMeter } from './processor-meter.js';
 import type { RandomSource } from './random-source.js';
 
 /** What a daemon without a data folder needs. */
@@ -11,6 +12,8 @@
   /** Absent where processes share a loop, as in simulations. */
   readonly eventLoop?: EventLoop;
   readonly network: Network;
+  /** Absent where processes share a loop, as in simulations. */
+  readonly processor?: ProcessorMeter;
   readonly random: RandomSource;
 }
 
