--- a/src/commands/daemon-process.ts
+++ b/src/commands/daemon-process.ts
@@ -38,6 +38,8 @@
 }
 
 const FLUSH_TIMEOUT_MS = 200;
+/** How often the delay of the event loop is sampled. Each sample wakes the process up. */
+const LOOP_SAMPLE_INTERVAL_MS = 100;
 /**
  * Longest planned stop of a daemon that failed: what it waits for may be what is
  * broken, and a process that never ends is never started again. Milliseconds.
@@ -52,7 +54,10 @@
   const writer = createOutputLineWriter(output);
   const logger = createRoarrLogger(pretty, (line) => writer.write(line));
   const registry = new Registry();
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({
+    register: registry,
+    eventLoopMonitoringPrecision: LOOP_SAMPLE_INTERVAL_MS,
+  });
   return { logger, registry, flush: () => writer.drain(FLUSH_TIMEOUT_MS) };
 }
 
