--- a/test/commands/own-metrics-wake-idle-process.test.ts
+++ b/test/commands/own-metrics-wake-idle-process.test.ts
@@ -1,6 +1,5 @@
 // Guards against idle processes that are woken up a hundred times a second to measure their own event loop.
 import perfHooks from 'node:perf_hooks';
-import { PassThrough } from 'node:stream';
 import { describe, expect, it, vi } from 'vitest';
 import { createTelemetry } from '../../src/commands/daemon-process.js';
 
@@ -10,7 +9,7 @@
 describe('the metrics of a process', () => {
   it('wake it up at most ten times a second', () => {
     const monitor = vi.spyOn(perfHooks, 'monitorEventLoopDelay');
-    createTelemetry('json', new PassThrough());
+    createTelemetry('json', process.stdout);
     const resolutions = monitor.mock.calls.map(([options]) => options?.resolution ?? 10);
     expect(resolutions).not.toEqual([]);
     const wakeUps = resolutions.reduce((sum, milliseconds) => sum + 1_000 / milliseconds, 0);
