--- a/src/node/caller-connection.ts
+++ b/src/node/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { HttpListenOptions } from '../seams/http.js';
+import type { ParsingTurns } from './parsing-turns.js';
 import { RequestByteLimit } from './request-byte-limit.js';
 import { RequestFeeder } from './request-feeder.js';
 import type { MemoryHolder, SharedMemory } from './shared-memory.js';
@@ -35,12 +36,13 @@
     readonly socket: Socket,
     options: HttpListenOptions,
     memory: SharedMemory,
+    turns: ParsingTurns,
     private readonly listener: CallerConnectionListener,
   ) {
     memory.join(this);
     this.limit = new RequestByteLimit(socket, options, () => listener.onTooManyBytes(this));
     this.unserved = new UnservedRequests(socket, (bytes) => memory.update(this, bytes));
-    this.feeder = new RequestFeeder(socket, this, (bytes) => this.unserved.setAhead(bytes));
+    this.feeder = new RequestFeeder(socket, this, turns, (bytes) => this.unserved.setAhead(bytes));
     socket.once('close', () => {
       memory.leave(this);
       for (const request of this.requests) request.abort(new Error('caller gone'));
@@ -85,6 +87,8 @@
    */
   dropAhead(): boolean {
     if (!this.hasUnanswered || this.unserved.waiting > 0) return false;
+    // The answer waits for the bytes that are held.
+    if (this.feeder.isReceivingBody) return false;
     this.isClosing = true;
     this.feeder.stop();
     return true;
--- a/src/node/node-http-server.ts
+++ b/src/node/node-http-server.ts
@@ -27,6 +27,7 @@
   writeRawResponse,
 } from './listener-errors.js';
 import { divideMemory } from './memory-budgets.js';
+import { ParsingTurns } from './parsing-turns.js';
 import { availableMemory } from './process-memory.js';
 import { toRequest } from './received-request.js';
 import { ReceiveMemory } from './receive-memory.js';
@@ -63,6 +64,7 @@
   readonly address: Address;
   private closing = false;
   private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly turns = new ParsingTurns();
 
   constructor(
     private readonly server: Server,
@@ -112,7 +114,7 @@
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
-    const connection = new CallerConnection(socket, this.options, this.unserved, this);
+    const connection = new CallerConnection(socket, this.options, this.unserved, this.turns, this);
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
--- a/src/node/request-feeder.ts
+++ b/src/node/request-feeder.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import type { ParsingTurns } from './parsing-turns.js';
 
 const END_OF_HEAD = '\r\n\r\n';
 /**
@@ -16,6 +17,11 @@
 const MAXIMUM_HELD_BYTES = 65_536;
 const EMPTY = Buffer.alloc(0);
 
+/** Whether the view keeps more than twice its bytes in memory. */
+function isSparse({ length, buffer }: Buffer): boolean {
+  return length > 0 && buffer.byteLength > 2 * length;
+}
+
 type Emit = (event: string, ...values: unknown[]) => boolean;
 
 /** What the feeder asks of its connection. */
@@ -32,17 +38,29 @@
   private bodyBytesLeft = 0;
   private resuming: NodeJS.Immediate | undefined;
   private isStopped = false;
+  private isWaitingForTurn = false;
+  /** The caller ended its side while bytes of it waited for a turn; this is passed on after them. */
+  private hasEnded = false;
   private readonly emit: Emit;
+  private readonly onTurn = (): void => {
+    this.isWaitingForTurn = false;
+    this.feedHeld();
+    if (this.hasEnded && !this.isWaitingForTurn) setImmediate(() => this.passEndOn());
+  };
 
   constructor(
     private readonly socket: Socket,
     private readonly connection: FedConnection,
+    private readonly turns: ParsingTurns,
     /** Called with the bytes that are held, whenever they change. */
     private readonly onHeld: (bytes: number) => void,
   ) {
     this.emit = socket.emit.bind(socket) as Emit;
     socket.emit = (event: string, ...values: unknown[]): boolean => {
       if (event === 'data') return this.onData(values[0] as Buffer);
+      if (event === 'end' && this.isWaitingForTurn) return (this.hasEnded = true);
+      // Node's request resumes the connection when it is read from.
+      if (event === 'resume' && this.isWaitingForTurn) socket.pause();
       // A caller that ends its side has gone: nobody waits for what it sent ahead.
       if (event === 'end' || event === 'close') this.drop();
       return this.emit(event, ...values);
@@ -76,10 +94,19 @@
     this.drop();
   }
 
-  private get isReceivingBody(): boolean {
+  /** Whether the body of the newest request is not received whole. */
+  get isReceivingBody(): boolean {
     return this.newest !== undefined && !this.newest.complete;
   }
 
+  private passEndOn(): void {
+    if (!this.socket.destroyed) this.socket.emit('end');
+  }
+
+  private get isReceivingChunks(): boolean {
+    return this.isReceivingBody && !Number.isFinite(this.bodyBytesLeft);
+  }
+
   private onData(part: Buffer): boolean {
     if (this.isStopped) return true;
     if (this.isHolding) this.hold(Buffer.concat([this.held, part]));
@@ -96,6 +123,8 @@
 
   private drop(): void {
     clearImmediate(this.resuming);
+    this.turns.cancel(this.onTurn);
+    this.isWaitingForTurn = false;
     if (this.isHolding) this.hold(EMPTY);
   }
 
@@ -106,8 +135,13 @@
         this.hold(left);
         return;
       }
+      if (this.isReceivingChunks && !this.turns.hasRoom) {
+        this.holdForTurn(left);
+        return;
+      }
       const length = this.nextStep(left);
       const isBody = this.isReceivingBody;
+      if (this.isReceivingChunks) this.turns.count(left.subarray(0, length));
       this.emit('data', length === left.length ? left : left.subarray(0, length));
       if (isBody) this.bodyBytesLeft -= length;
       left = left.subarray(length);
@@ -125,8 +159,16 @@
     return Math.min(head, MAXIMUM_STEP_BYTES);
   }
 
+  /** Nothing more is read meanwhile: what the system holds of a body is not counted here. */
+  private holdForTurn(bytes: Buffer): void {
+    this.hold(bytes);
+    this.socket.pause();
+    this.isWaitingForTurn = true;
+    this.turns.wait(this.onTurn);
+  }
+
   private hold(bytes: Buffer): void {
-    this.held = bytes;
+    this.held = isSparse(bytes) ? Buffer.from(bytes) : bytes;
     if (bytes.length > MAXIMUM_HELD_BYTES) this.socket.pause();
     this.onHeld(bytes.length);
   }
--- a/src/node/unserved-requests.ts
+++ b/src/node/unserved-requests.ts
@@ -5,18 +5,12 @@
  */
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { countLines } from './parsing-turns.js';
 
 /** Name and value of one header, beside their bytes. Bytes. */
 const HEADER_OVERHEAD_BYTES = 128;
 /** One request with its response, beside its head. Bytes. */
 const REQUEST_OVERHEAD_BYTES = 4_096;
-const LINE_END = 0x0a;
-
-function countLines(part: Buffer): number {
-  let lines = 0;
-  for (let at = part.indexOf(LINE_END); at >= 0; at = part.indexOf(LINE_END, at + 1)) lines += 1;
-  return lines;
-}
 
 /** Follows one connection. */
 export class UnservedRequests {
