--- a/lab/deployed/caller-crowd.ts
+++ b/lab/deployed/caller-crowd.ts
@@ -9,6 +9,8 @@
   readonly parts: () => Iterable<Buffer>;
   /** Whether the caller reads what it is sent. */
   readonly reads: boolean;
+  /** After this time the caller leaves and comes again on a new connection; it stays when absent. Milliseconds. */
+  readonly leavesAfterMs?: number;
 }
 
 const POLL_MS = 20;
@@ -61,6 +63,8 @@
       this.sockets.delete(socket);
       setTimeout(() => this.open(), POLL_MS);
     });
+    const { leavesAfterMs } = this.caller;
+    if (leavesAfterMs !== undefined) setTimeout(() => socket.destroy(), leavesAfterMs);
     if (this.caller.reads) socket.resume();
     else socket.pause();
   }
--- a/src/node/block-pool.ts
+++ b/src/node/block-pool.ts
@@ -2,6 +2,7 @@
  * Blocks of memory that are used again. Memory outside the heap is given back only when its owner is
  * collected, and peers can make a process give blocks up much faster than they are collected.
  */
+import type { BufferReclaimer } from './buffer-reclaimer.js';
 import type { ByteBudget } from './byte-budget.js';
 
 /** Bytes. */
@@ -12,7 +13,21 @@
   private readonly free: Buffer[] = [];
 
   /** Free blocks are kept as far as `budget` has room for them. */
-  constructor(private readonly budget: ByteBudget) {}
+  constructor(
+    private readonly budget: ByteBudget,
+    /** Told of all that is allocated for bodies; undefined where garbage is left to the runtime. */
+    private readonly reclaimer?: BufferReclaimer,
+  ) {}
+
+  /** Bytes of free blocks. */
+  get freeBytes(): number {
+    return this.free.length * BLOCK_BYTES;
+  }
+
+  /** Call for each buffer that a body takes beside its blocks, and for what is received of it. */
+  noteAllocated(bytes: number): void {
+    this.reclaimer?.noteAllocated(bytes);
+  }
 
   /** A block of {@link BLOCK_BYTES} whose content is undefined. */
   take(): Buffer {
--- a/src/node/body-collector.ts
+++ b/src/node/body-collector.ts
@@ -39,6 +39,7 @@
 
   /** Returns false if there is no room for the part; the body is of no use then. */
   add(part: Buffer): boolean {
+    this.pool.noteAllocated(part.length);
     const isKept = this.size === 0 && this.mayKeep(part);
     return isKept ? this.keep(part) : this.copy(part);
   }
@@ -116,6 +117,7 @@
       this.blocks = [];
       return first;
     }
+    this.pool.noteAllocated(this.size);
     const body = Buffer.allocUnsafeSlow(this.size);
     let offset = 0;
     for (const block of this.blocks) offset += block.copy(body, offset, 0, this.size - offset);
--- a/src/node/memory-budgets.ts
+++ b/src/node/memory-budgets.ts
@@ -14,6 +14,9 @@
   unserved: 1 / 16,
 } as const;
 
+/** Buffers that nobody holds any more, beside the responses that may be held. */
+const GARBAGE_PER_RESPONSES = 1 / 2;
+
 /** What peers can make a process hold. */
 export type HeldKind = keyof typeof FRACTIONS;
 
@@ -31,3 +34,13 @@
     unserved: create('unserved'),
   };
 }
+
+/** Bytes that all peers make the process hold. */
+export function heldBytes(budgets: MemoryBudgets): number {
+  return Object.values(budgets).reduce((sum, budget) => sum + budget.heldBytes, 0);
+}
+
+/** Bytes that buffers may take which nobody holds any more. */
+export function garbageBound({ responses }: MemoryBudgets): number {
+  return Math.floor(responses.limit * GARBAGE_PER_RESPONSES);
+}
--- a/src/node/node-network.ts
+++ b/src/node/node-network.ts
@@ -10,7 +10,9 @@
 import type { MessageConnection, MessageListener } from '../seams/message-connection.js';
 import type { Network } from '../seams/network.js';
 import { BlockPool } from './block-pool.js';
-import { divideMemory, type MemoryBudgets } from './memory-budgets.js';
+import { BufferReclaimer } from './buffer-reclaimer.js';
+import { collectHeap, collectYoungGeneration } from './heap-collector.js';
+import { divideMemory, garbageBound, heldBytes, type MemoryBudgets } from './memory-budgets.js';
 import { connectMessages, listenMessages } from './message-server.js';
 import { NodeHttpClient } from './node-http-client.js';
 import { availableMemory } from './process-memory.js';
@@ -28,7 +30,7 @@
   private readonly messageMemory: SharedMemory;
 
   constructor(readonly budgets: MemoryBudgets = divideMemory(availableMemory())) {
-    this.blocks = new BlockPool(budgets.responses);
+    this.blocks = new BlockPool(budgets.responses, this.createReclaimer());
     this.responses = new ReceiveMemory(budgets.responses, this.blocks);
     this.unserved = new SharedMemory(budgets.unserved);
     this.messageMemory = new SharedMemory(budgets.messages);
@@ -57,4 +59,14 @@
   connectMessages(peer: Address, timeout: number): Promise<MessageConnection> {
     return connectMessages(peer, timeout, this.messageMemory);
   }
+
+  private createReclaimer(): BufferReclaimer {
+    return new BufferReclaimer({
+      bufferBytes: () => process.memoryUsage().arrayBuffers,
+      heldBytes: () => heldBytes(this.budgets) + this.blocks.freeBytes,
+      maximumGarbageBytes: garbageBound(this.budgets),
+      collectYoung: collectYoungGeneration,
+      collectAll: collectHeap,
+    });
+  }
 }
