--- a/src/seams/processor-meter.ts
+++ b/src/seams/processor-meter.ts
@@ -12,13 +12,16 @@
   Connections = 'connections',
   /** Sending requests to replicas, and handling the results. */
   Attempts = 'attempts',
-  /** Everything else, the work of the runtime between callbacks included. */
+  /** Everything else, such as other work for requests, and the work of the runtime between callbacks. */
   Other = 'other',
 }
 
 /** Production daemons have one per process; simulated ones have none. */
 export interface ProcessorMeter {
-  /** Runs `work` and charges its synchronous part to `cause`; a nested call charges its own part to its cause. */
+  /**
+   * Runs `work` and charges its synchronous part to `cause`; a nested call charges its own part to its cause.
+   * Work that is frequent is measured at times, and what was measured counts for the rest.
+   */
   charge<T>(cause: ProcessorCause, work: () => T): T;
 
   /** Ends {@link ProcessorCause.Start}; called once the daemon listens. */
