--- a/src/aggregation/aggregation.ts
+++ b/src/aggregation/aggregation.ts
@@ -16,6 +16,7 @@
 import { ConnectionAcceptor, type ConnectionRoutes } from '../protocol/connection-acceptor.js';
 import type { LocalIdentity } from '../protocol/handshake.js';
 import type { RouteTable } from '../routes/route-table.js';
+import { sleepUntilTick } from '../seams/sleep-until-tick.js';
 import { LeafAssignment } from './leaf-assignment.js';
 import { GROUP_OWNERS, SAME_ZONE_GROUP_OWNERS, type LeafGroup } from './leaf-group.js';
 import { LeafChangeLog } from './leaf-change-log.js';
@@ -36,7 +37,7 @@
  */
 const REPEATED_GATHERS: ExtraAttemptLimits = { ratio: 0.05, slack: 8, windowMs: 10_000 };
 /** Interval at which connections to leaves are opened and closed as the groups require. */
-const MAINTENANCE_INTERVAL_MS = 300;
+const MAINTENANCE_INTERVAL_MS = 250;
 
 /** Dependencies and settings of {@link Aggregation}. */
 export interface AggregationOptions {
@@ -228,7 +229,7 @@
           leaves: group.leaves.filter(({ name }) => name !== identity.name),
         })),
       );
-      await clock.sleep(MAINTENANCE_INTERVAL_MS, stopped).catch(() => undefined);
+      await sleepUntilTick(clock, MAINTENANCE_INTERVAL_MS, stopped).catch(() => undefined);
     }
   }
 
--- a/src/directory/followed-controllers.ts
+++ b/src/directory/followed-controllers.ts
@@ -4,6 +4,7 @@
  * those that are not fresh.
  */
 import type { Environment } from '../seams/environment.js';
+import { sleepUntilTick } from '../seams/sleep-until-tick.js';
 import {
   chooseControllers,
   FollowState,
@@ -122,7 +123,7 @@
     const { signal } = this.stopped;
     while (!signal.aborted) {
       this.adjustLinks();
-      await clock.sleep(LINK_CHECK_INTERVAL_MS, signal).catch(() => undefined);
+      await sleepUntilTick(clock, LINK_CHECK_INTERVAL_MS, signal).catch(() => undefined);
     }
   }
 
--- a/src/gateway/answer-margin.ts
+++ b/src/gateway/answer-margin.ts
@@ -16,11 +16,11 @@
  */
 const MAXIMUM_TARGET_FRACTION = 0.5;
 /** Of a few seconds, see `timer-lag-probe.ts`, as the load of a process changes within seconds. */
-const LAG_WINDOW_SAMPLES = 40;
+const LAG_WINDOW_SAMPLES = 20;
 /** High, because a late answer loses 90 % of its value, but a missing part only a few percent. */
 const LAG_QUANTILE = 0.9;
 const TYPICAL_LAG_QUANTILE = 0.5;
-const REFRESH_INTERVAL_SAMPLES = 6;
+const REFRESH_INTERVAL_SAMPLES = 3;
 
 /** Margin of one gateway process. Durations are milliseconds. */
 export class AnswerMargin {
--- a/src/gateway/connection-warmer.ts
+++ b/src/gateway/connection-warmer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../seams/clock.js';
 import { chargeProcessor, ProcessorCause, type ProcessorMeter } from '../seams/processor-meter.js';
 import type { RandomSource } from '../seams/random-source.js';
+import { sleepUntilTick } from '../seams/sleep-until-tick.js';
 import type { ReplicaTarget } from './replica-target.js';
 
 const SCAN_INTERVAL_MS = 250;
@@ -44,7 +45,7 @@
   const { clock, processor, stopped } = options;
   while (!stopped.aborted) {
     chargeProcessor(processor, ProcessorCause.Connections, () => checkIdleReplicas(options));
-    await clock.sleep(SCAN_INTERVAL_MS, stopped).catch(() => undefined);
+    await sleepUntilTick(clock, SCAN_INTERVAL_MS, stopped).catch(() => undefined);
   }
 }
 
--- a/src/gateway/gateway-maintenance.ts
+++ b/src/gateway/gateway-maintenance.ts
@@ -6,6 +6,7 @@
 import type { ReplicaDirectory } from '../directory/replica-directory.js';
 import type { Logger } from '../observability/logger.js';
 import { logZoneTraffic } from '../observability/zone-traffic-log.js';
+import { sleepUntilTick } from '../seams/sleep-until-tick.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { measureTimerLag } from './timer-lag-probe.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -70,7 +71,7 @@
     const { context, directory, stopped } = this.options;
     const { clock } = context.environment;
     while (!stopped.aborted) {
-      await clock.sleep(FORGET_INTERVAL_MS, stopped).catch(() => undefined);
+      await sleepUntilTick(clock, FORGET_INTERVAL_MS, stopped).catch(() => undefined);
       directory.forgetSilent();
     }
   }
--- a/src/gateway/timer-lag-probe.ts
+++ b/src/gateway/timer-lag-probe.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../seams/clock.js';
 import type { AnswerMargin } from './answer-margin.js';
 
-const PROBE_INTERVAL_MS = 50;
+const PROBE_INTERVAL_MS = 100;
 
 /** Runs until `stopped` is aborted. */
 export async function measureTimerLag(
