--- a/src/node/request-feeder.ts
+++ b/src/node/request-feeder.ts
@@ -58,7 +58,10 @@
     this.emit = socket.emit.bind(socket) as Emit;
     socket.emit = (event: string, ...values: unknown[]): boolean => {
       if (event === 'data') return this.onData(values[0] as Buffer);
-      if (event === 'end' && this.isWaitingForTurn) return (this.hasEnded = true);
+      if (event === 'end' && this.isWaitingForTurn) {
+        this.hasEnded = true;
+        return true;
+      }
       // Node's request resumes the connection when it is read from.
       if (event === 'resume' && this.isWaitingForTurn) socket.pause();
       // A caller that ends its side has gone: nobody waits for what it sent ahead.
