--- a/src/aggregation/leaf-gather.ts
+++ b/src/aggregation/leaf-gather.ts
@@ -96,6 +96,8 @@
   /** When half of the shards had answered; undefined before. Clock reading. */
   private halfAnsweredAt: number | undefined;
   private reports = 0;
+  /** Reports without a part. */
+  private emptyReports = 0;
   private hasRequestedGrant = false;
   private isGranted = false;
   /** A further attempt was due before the grant arrived. */
@@ -252,6 +254,7 @@
     const { gatherId, request, gathersInProgress } = this.options;
     const parts = this.unreported;
     this.reports += 1;
+    if (parts.length === 0) this.emptyReports += 1;
     this.unreported = [];
     this.lastReportAt = this.context.environment.clock.now();
     this.timeline.record(GatherStep.FirstReport, this.lastReportAt);
@@ -329,6 +332,7 @@
       missing,
       sends,
       reports: this.reports,
+      emptyReports: this.emptyReports,
       reason,
       delayMs: Math.round(delayMs),
       timerLagMs: Math.round(this.context.answerMargin.lag),
--- a/src/gateway/request-decisions.ts
+++ b/src/gateway/request-decisions.ts
@@ -45,6 +45,8 @@
   readonly sends: number;
   /** Number of reports to the root. */
   readonly reports: number;
+  /** Reports of them that held no part. */
+  readonly emptyReports: number;
   /** Why the gather ended. */
   readonly reason: string;
   /** How late this gateway read the gather. Milliseconds. */
--- a/test/aggregation/leaf-gather.test.ts
+++ b/test/aggregation/leaf-gather.test.ts
@@ -2,6 +2,7 @@
 import type { PartsMessage } from '../../src/aggregation/aggregation-messages.js';
 import { LeafGather } from '../../src/aggregation/leaf-gather.js';
 import { Drain } from '../../src/gateway/drain.js';
+import type { GatherSummary } from '../../src/gateway/request-decisions.js';
 import type { PartListener } from '../../src/gateway/part-source.js';
 import { RouteLatencies } from '../../src/gateway/route-latencies.js';
 import { ManualClock } from '../support/manual-clock.js';
@@ -20,6 +21,8 @@
   readonly drain: Drain;
   /** Whether each gather that ended was late. */
   readonly lateness: boolean[];
+  /** Summaries of gathers whose line was written. */
+  readonly summaries: GatherSummary[];
 }
 
 /** Starts a gather at a leaf with this lag of its timers; its parts come from the test. */
@@ -29,6 +32,7 @@
   const reportedAt: number[] = [];
   const events: string[] = [];
   const lateness: boolean[] = [];
+  const summaries: GatherSummary[] = [];
   const drain = new Drain(clock, new RouteLatencies());
   let listener: PartListener | undefined;
   const context = {
@@ -37,7 +41,12 @@
     answerMargin: { lag, typicalLag, recordTimerLag: () => undefined },
     shedding: { admittedPart: () => 1, replicaPart: () => 1 },
     drain,
-    decisions: { logGather: () => events.push('line written') },
+    decisions: {
+      logGather: (_request: unknown, _source: unknown, summary: GatherSummary): void => {
+        events.push('line written');
+        summaries.push(summary);
+      },
+    },
   };
   const source = {
     start: () => undefined,
@@ -71,7 +80,7 @@
   };
   new LeafGather(context as never, options as never).start();
   if (listener === undefined) throw new Error('expected the gather to create its source');
-  return { clock, reports, reportedAt, listener, events, drain, lateness };
+  return { clock, reports, reportedAt, listener, events, drain, lateness, summaries };
 }
 
 function partOf(shard: string): Parameters<PartListener['onParts']>[0] {
@@ -127,6 +136,17 @@
   });
 });
 
+describe('the line of a gather', () => {
+  it('tells how many reports held no part', () => {
+    const { clock, listener, summaries } = startGather();
+    clock.advance(REPORT_IN_MS);
+    for (const shard of SHARDS) listener.onParts(partOf(shard));
+    expect(summaries.map(({ reports, emptyReports }) => ({ reports, emptyReports }))).toEqual([
+      { reports: 2, emptyReports: 1 },
+    ]);
+  });
+});
+
 describe('a gather whose shards have all ended', () => {
   it('is reported before its attempts are ended and its line is written', () => {
     const { events, listener } = startGather();
