HTTP client: a response with a status outside 100 to 599 is malformed

What callers saw: the answer of a replica in trouble with a status that no client knows, signed (HTTP/1.1 600 unknown). 000 did not reach callers, but it was taken for a connection that was lost, which is evidence that the request crashes replicas.

Cause: the client took any three digits for a status. One above 599 counted as a final response; what became of one below 100 was left to the parser.

Change: such a response fails as malformed as soon as its head is there, and its connection is closed. Callers get 502, or the answer of another replica. It holds for each use of the client: replicas, health checks, back ends of routers.

Tests: 000, 001, 099, 600 and 999 with a body, without one and until the connection closes. All 15 fail before: 000 as connection_lost, 001 and 099 as response_truncated, 600 and 999 as a response.

--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -21,6 +21,9 @@
 import { ResponseByteLimit, ResponseByteLimitError } from './response-byte-limit.js';
 import { ReceiveMemory, type ReceiveLease } from './receive-memory.js';
 
+/** Statuses outside of these bounds are invalid (RFC 9110, 15): nothing tells what the response means. */
+const MINIMUM_STATUS = 100;
+const MAXIMUM_STATUS = 599;
 /** Lower statuses are interim responses. */
 const FIRST_FINAL_STATUS = 200;
 /** Responses with these statuses have no body, whatever length their head announces. */
@@ -33,6 +36,8 @@
 
 class ResponseRejectedError extends Error {}
 
+class InvalidStatusError extends Error {}
+
 /** The responses of all peers hold all that they may. */
 class MemoryExhaustedError extends Error {}
 
@@ -63,6 +68,7 @@
   }
   if (error instanceof MemoryExhaustedError) return 'memory_exhausted';
   if (error instanceof ResponseRejectedError) return 'response_rejected';
+  if (error instanceof InvalidStatusError) return 'malformed_response';
   if (error instanceof errors.HTTPParserError) return 'malformed_response';
   if (error instanceof errors.HeadersOverflowError) return 'malformed_response';
   if (error instanceof errors.ResponseContentLengthMismatchError) return 'malformed_response';
@@ -143,6 +149,10 @@
   }
 
   onHeaders(status: number, rawHeaders: Buffer[]): boolean {
+    if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+      this.abort(new InvalidStatusError(`expected a status from 100 to 599, received ${status}`));
+      return false;
+    }
     this.status = status;
     this.parser?.acceptHead(rawHeaders);
     if (this.lease?.take(headerMemory(rawHeaders)) === false) {
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -148,6 +148,7 @@
 
 /** A response received in full. */
 export interface HttpClientResponse {
+  /** 200 to 599; a response with a status that HTTP does not define is malformed. */
   readonly status: number;
   readonly headers: HttpHeaders;
   readonly body: Uint8Array;
--- a/test/node/node-http-client.test.ts
+++ b/test/node/node-http-client.test.ts
@@ -183,6 +183,23 @@
     });
   }
 
+  // Guards against answers of replicas in trouble that reach callers with a status no client knows.
+  for (const status of ['000', '001', '099', '600', '999']) {
+    for (const rest of ['content-length: 2\r\n\r\nok', 'content-length: 0\r\n\r\n', '\r\n']) {
+      it(`takes a response with status ${status} for malformed (${JSON.stringify(rest)})`, async () => {
+        const http = await start((socket, number) => {
+          if (number > 1) socket.write(httpReply('next'));
+          else if (rest === '\r\n') socket.end(`HTTP/1.1 ${status} odd\r\n${rest}`);
+          else socket.write(`HTTP/1.1 ${status} odd\r\n${rest}`);
+        });
+        const error = await failureOf(http.request(GET));
+        expect(error).toMatchObject({ kind: 'malformed_response', requestSent: true });
+        expect(textOf(await http.request(GET))).toBe('next');
+        expect(peer.current.sockets).toHaveLength(2);
+      });
+    }
+  }
+
   it('takes a body without a length that was reset for truncated, not for whole', async () => {
     const header = `HTTP/1.1 200 OK\r\nconnection: close${END_OF_HEADER}`;
     const http = await start((socket) => socket.write(`${header}part`));
