Attempts: a plain cancellation in place of an AbortController for each

Cause: each request to a replica made an AbortController, and the client added a listener to its signal and removed it.

Change: AttemptCancellation, which has one listener at most in practice. HttpClientRequest takes any CancellationSignal; AbortSignals still are one.

--- a/src/gateway/attempt-sender.ts
+++ b/src/gateway/attempt-sender.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one replica once, and accepts only an answer that names this request. */
 import { HttpClientError } from '../errors/http-client-error.js';
 import { TrafficDirection, type ZoneTraffic } from '../observability/zone-traffic.js';
+import type { CancellationSignal } from '../seams/cancellation-signal.js';
 import type { Clock } from '../seams/clock.js';
 import type { HttpClientRequest, HttpClientResponse, HttpHeaders } from '../seams/http.js';
 import { NotRunReason, type AttemptResult, type ReplicaAnswer } from './attempt-result.js';
@@ -27,7 +28,7 @@
 /** Options of one attempt. */
 export interface SendOptions {
   /** Aborting it cancels the attempt. */
-  readonly signal: AbortSignal;
+  readonly signal: CancellationSignal;
   /** Connect timeout in milliseconds; undefined for the client's own. */
   readonly connectWithin: number | undefined;
   /** Called when the request is written to a connection; the replica may run it from then on. */
--- a/src/gateway/replica-attempt.ts
+++ b/src/gateway/replica-attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: a request sent to one replica, from the choice of the replica to the result. */
+import { AttemptCancellation } from './attempt-cancellation.js';
 import { choiceInputs, type AttemptRecord } from './attempt-record.js';
 import { NotRunReason, REPLICA_ENDED, type AttemptResult } from './attempt-result.js';
 import type { CallerRequest } from './caller-request.js';
@@ -33,7 +34,7 @@
 /** Sends once; the record is filled in as the attempt proceeds. */
 export class ReplicaAttempt {
   readonly record: AttemptRecord;
-  private readonly abortController = new AbortController();
+  private readonly cancellation = new AttemptCancellation();
   private hasEnded = false;
   /** Set when the attempt is aborted because another replica took over the address. */
   private wasReplicaReplaced = false;
@@ -96,7 +97,7 @@
 
   /** Aborts the attempt immediately. */
   abort(): void {
-    this.abortController.abort(ABANDONED_ERROR);
+    this.cancellation.abort(ABANDONED_ERROR);
   }
 
   /**
@@ -120,7 +121,7 @@
   private get sendOptions(): SendOptions {
     const { clock } = this.context.environment;
     return {
-      signal: this.abortController.signal,
+      signal: this.cancellation,
       connectWithin: this.options.connectTimeout,
       onSent: () => (this.record.connectedAt = clock.now()),
     };
--- a/src/seams/http.ts
+++ b/src/seams/http.ts
@@ -3,6 +3,7 @@
  * sizes bounded by the implementation. Part of the network seam.
  */
 import type { Address } from './address.js';
+import type { CancellationSignal } from './cancellation-signal.js';
 
 /** Header names are lower case. A repeated header keeps its first value. */
 export type HttpHeaders = Readonly<Record<string, string>>;
@@ -108,7 +109,7 @@
   readonly headers: HttpHeaders;
   readonly body?: string | Uint8Array;
   /** Aborting closes the connection that carries the request, which cancels it at the peer. */
-  readonly signal?: AbortSignal;
+  readonly signal?: CancellationSignal;
   /** Asks for a connection that has carried no earlier request. */
   readonly freshConnection?: boolean;
   /**
