HTTP client: the name of the server is not derived from the Host header

Cause: without a servername, which only TLS uses, undici derives one from the Host header of each request, with the pattern of an IPv6 address: 265 of the 5,850 ms of all attempts in a profile of six gateways at 0.7/s.

Change: requests name the peer.

--- a/src/node/connection-pool.ts
+++ b/src/node/connection-pool.ts
@@ -29,9 +29,17 @@
   readonly connect: buildConnector.connector;
 }
 
+/**
+ * Options of one request. `servername` is of use with TLS alone; where it is absent, undici derives it from the
+ * Host header of each request.
+ */
+export interface RequestOptions extends Dispatcher.DispatchOptions {
+  readonly servername: string;
+}
+
 /** A request to send. */
 export interface PooledRequest {
-  readonly options: Dispatcher.DispatchOptions;
+  readonly options: RequestOptions;
   readonly handler: PooledHandler;
   /** Fingerprint of the request's id; undefined where responses name no id. */
   readonly fingerprint: number | undefined;
--- a/src/node/node-http-client.ts
+++ b/src/node/node-http-client.ts
@@ -299,7 +299,14 @@
       }
       const { method, path, headers, body, requestId } = request;
       pool.dispatch({
-        options: { method, path, headers, body: body ?? null, idempotent: false },
+        options: {
+          method,
+          path,
+          headers,
+          body: body ?? null,
+          idempotent: false,
+          servername: this.peer,
+        },
         handler,
         fingerprint: requestId === undefined ? undefined : requestFingerprint(requestId),
       });
