--- a/src/aggregation/report-schedule.ts
+++ b/src/aggregation/report-schedule.ts
@@ -44,6 +44,12 @@
   return Math.min(lag, due * MAXIMUM_LAG_FRACTION);
 }
 
+/** Time before the hedge at which the grant is requested. Milliseconds. */
+function timeForGrant({ hedgeDelay, grantDelay }: ReportTerms): number {
+  const longest = hedgeDelay * MAXIMUM_GRANT_FRACTION;
+  return Math.min(grantDelay ?? longest, longest);
+}
+
 /** Schedule of one gather. */
 export class ReportSchedule {
   /** Time until the report that the root waits for. Milliseconds. */
@@ -56,7 +62,7 @@
   private interval = LATE_REPORT_INTERVAL_MS;
 
   constructor(terms: ReportTerms) {
-    const { target, hedgeDelay, reportIn, shards, requiredCoverage } = terms;
+    const { target, reportIn, shards, requiredCoverage } = terms;
     this.sufficientParts = Math.floor(requiredCoverage * shards);
     this.maximumInterval = Math.max(LATE_REPORT_INTERVAL_MS, target * MAXIMUM_INTERVAL_FRACTION);
     const latestFirst = target * FIRST_REPORT_FRACTION;
@@ -64,9 +70,7 @@
     const withoutLag = (due: number): number =>
       Math.max(due - lagWithin(due, terms.typicalLag), earliest);
     this.reportDelay = withoutLag(reportIn);
-    const longestGrant = hedgeDelay * MAXIMUM_GRANT_FRACTION;
-    const inTimeForHedge = hedgeDelay - Math.min(terms.grantDelay ?? longestGrant, longestGrant);
-    const requestDelay = withoutLag(Math.min(inTimeForHedge, latestFirst));
+    const requestDelay = withoutLag(Math.min(terms.hedgeDelay - timeForGrant(terms), latestFirst));
     const isJoined =
       Math.abs(this.reportDelay - requestDelay) <= target * JOINED_REPORTS_FRACTION &&
       this.reportDelay <= latestFirst;
--- a/src/observability/zone-traffic.ts
+++ b/src/observability/zone-traffic.ts
@@ -34,8 +34,8 @@
 }
 
 /**
- * Bytes are added up here and handed to the metric when it is read: to find its labels for each message would
- * cost more than to send a short one.
+ * Bytes are added up here and handed to the metric when it is read, as finding its labels for each message is
+ * costly.
  */
 export class ZoneTraffic {
   private readonly counted = new Map<string, CountedBytes>();
--- a/src/seams/cancellation-signal.ts
+++ b/src/seams/cancellation-signal.ts
@@ -1,6 +1,6 @@
 /**
- * What tells a request that it is cancelled; an `AbortSignal` is one. Where there is one for each of very many
- * requests, a simpler one takes its place, as signals of the runtime cost a tenth of a request.
+ * What tells a request that it is cancelled; an `AbortSignal` is one. Where very many requests have one each, a
+ * simpler one takes its place, as those of the runtime are costly to make and to listen to.
  */
 
 /** Listeners that are added once it is aborted are not called. */
