--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -125,7 +125,10 @@
       (_, i) => new Machine(this, 'controller', i),
     );
     this.gateways = Array.from({ length: gateways }, (_, i) => new Machine(this, 'gateway', i));
-    process.once('exit', () => this.killAll());
+    process.once('exit', () => {
+      this.killAll();
+      rmSync(this.folder, { recursive: true, force: true });
+    });
   }
 
   get machines() {
--- a/review/lib-2/record.js
+++ b/review/lib-2/record.js
@@ -1,6 +1,7 @@
 /** Writes what was sent, answered and run into `record.txt` of a case, and ends it with its result. */
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout } from 'node:timers';
 import { now } from './stand-ins.js';
 
 export class Record {
@@ -36,9 +37,24 @@
 /** Exit codes of a case. */
 export const EXIT = { held: 0, broken: 1, notRun: 2 };
 
+const TIME_LIMIT_MS = 115_000;
+
+/** Ends a case that was interrupted, met an unexpected error or takes too long; its processes end with it. */
+function endWhenInterrupted(record) {
+  const end = (reason) => {
+    record.say(`the case could not run: ${reason}`);
+    record.write();
+    process.exit(EXIT.notRun);
+  };
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => end(signal));
+  process.once('uncaughtException', (error) => end(error.stack ?? error));
+  setTimeout(() => end('it takes too long'), TIME_LIMIT_MS).unref();
+}
+
 /** Runs a case: `play(record)` resolves with whether the rule was broken, or throws when it could not run. */
 export async function runCase(folder, play, close) {
   const record = new Record(folder);
+  endWhenInterrupted(record);
   let exitCode;
   try {
     const isBroken = await play(record);
