Controllers: lines that tell the members, the quorum and who is silent; when an evacuation order is read

The leader now logs each change of members with the voters, the learners and the votes of a majority ('members changed'), and which voters were silent when it steps down ('no quorum answers'). A controller logs when it reads an evacuation order and in which role ('evacuation order received'), and with 'evacuation ordered' whether the caller had closed its connection by then.

No logic is changed.

--- a/src/administration/administration-handler.ts
+++ b/src/administration/administration-handler.ts
@@ -97,7 +97,8 @@
     const principal = await this.authenticator.authenticate(request.headers);
     this.requireAccess(route, principal);
     const { query, body } = parseCall(route, request, this.maximumBodyBytes);
-    return route.handle({ context: this.context, principal, parameters, query, body });
+    const { signal } = request;
+    return route.handle({ context: this.context, principal, parameters, query, body, signal });
   }
 
   /** For what is not decided when a command is applied: reads of tokens and changes of members. */
--- a/src/administration/evacuation-routes.ts
+++ b/src/administration/evacuation-routes.ts
@@ -56,10 +56,10 @@
     body: evacuationRequestSchema,
     response: evacuationListSchema,
     errors: ['not_found', 'not_offered', 'outcome_unknown'],
-    handle: async ({ context, body }) => {
+    handle: async ({ context, body, signal }) => {
       const orders = ordersOf(context);
       try {
-        await orders.submit({ zone: body.zone, isEvacuated: body.evacuated });
+        await orders.submit({ zone: body.zone, isEvacuated: body.evacuated }, signal);
       } catch (error) {
         throw orderError(error);
       }
--- a/src/administration/route.ts
+++ b/src/administration/route.ts
@@ -15,6 +15,8 @@
   readonly parameters: Readonly<Record<string, string>>;
   readonly body: Body;
   readonly query: Query;
+  /** Aborts when the caller closed its connection. */
+  readonly signal: AbortSignal;
 }
 
 /** What is written down of an endpoint. */
--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -6,7 +6,7 @@
 import { LogRecordKind, type LogRecord } from '../storage/log-record.js';
 import { FollowerProgress } from './follower-progress.js';
 import { heartbeatFollower } from './heartbeat-task.js';
-import type { Member } from './membership.js';
+import { describeMembers, type Member } from './membership.js';
 import type { MemberState } from './member-state.js';
 import { Notifier } from './notifier.js';
 import type { PeerLinks } from './peer-links.js';
@@ -148,6 +148,7 @@
     while (!this.signal.aborted) {
       const silence = clock.now() - this.quorumKnownAt;
       if (silence >= timings.electionTimeoutMinimum) {
+        this.logSilentVoters();
         this.state.becomeFollower(undefined, 'no quorum');
         return;
       }
@@ -155,6 +156,20 @@
     }
   }
 
+  private logSilentVoters(): void {
+    const { membership, memberId, dependencies } = this.state;
+    const { clock, timings, logger } = dependencies;
+    const heardSince = clock.now() - timings.electionTimeoutMinimum;
+    const silent = membership.voters
+      .filter((voter) => voter.memberId !== memberId)
+      .filter(
+        (voter) => (this.followers.get(voter.memberId)?.confirmedAt ?? -Infinity) <= heardSince,
+      )
+      .map((voter) => voter.memberId);
+    const members = describeMembers(membership);
+    logger.info('no quorum answers', { term: this.term, ...members, silent: silent.join(' ') });
+  }
+
   /** A leader that was removed leads only until its removal is committed. */
   private leaveIfRemoved(): void {
     const { log, membership, memberId, commitIndex } = this.state;
--- a/src/consensus/membership-changer.ts
+++ b/src/consensus/membership-changer.ts
@@ -13,7 +13,7 @@
 } from './consensus-errors.js';
 import type { Leadership } from './leadership.js';
 import type { MemberState } from './member-state.js';
-import type { Member, Membership } from './membership.js';
+import { describeMembers, type Member, type Membership } from './membership.js';
 import { MembershipAction, type MembershipChange } from './membership-action.js';
 import type { RequestOf, ResponseOf } from './messages.js';
 import { OutcomeKind } from './outcome-kind.js';
@@ -210,6 +210,8 @@
     this.checkQuorum(next, leadership);
     const record = leadership.append(LogRecordKind.Membership, next.encode());
     state.roleChanged.notify();
+    const { index, term } = record;
+    state.dependencies.logger.info('members changed', { index, term, ...describeMembers(next) });
     await this.proposals.wait(record);
   }
 
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -106,3 +106,17 @@
     );
   }
 }
+
+/** Log fields that tell who votes, who does not, and how many votes make a majority. */
+export function describeMembers({ members, quorum }: Membership): {
+  readonly voters: string;
+  readonly learners: string;
+  readonly quorum: number;
+} {
+  const idsOf = (isVoter: boolean): string =>
+    members
+      .filter(({ voter }) => voter === isVoter)
+      .map(({ memberId }) => memberId)
+      .join(' ');
+  return { voters: idsOf(true), learners: idsOf(false), quorum };
+}
--- a/src/control/evacuation-endpoint.ts
+++ b/src/control/evacuation-endpoint.ts
@@ -3,6 +3,7 @@
  * and the list of evacuated zones.
  */
 import { EvacuationRefusedError, type EvacuationOrders } from '../evacuations/evacuation-orders.js';
+import type { EvacuationOrder } from '../evacuations/evacuation-register.js';
 import type { HttpRequest, HttpResponse } from '../seams/http.js';
 import { errorResponse, jsonResponse, proposalErrorResponse } from './json-response.js';
 
@@ -32,7 +33,7 @@
 export class EvacuationEndpoint {
   constructor(private readonly orders: EvacuationOrders) {}
 
-  async handle({ method, path }: HttpRequest): Promise<HttpResponse> {
+  async handle({ method, path, signal }: HttpRequest): Promise<HttpResponse> {
     if (path === EVACUATIONS_PATH) {
       return method === 'GET' ? this.list() : errorResponse(405, 'use GET');
     }
@@ -40,12 +41,13 @@
     const isEvacuated = EVACUATED_AFTER_METHOD[method];
     if (zone === undefined) return errorResponse(400, 'the name of the zone cannot be read');
     if (isEvacuated === undefined) return errorResponse(405, 'use PUT or DELETE');
-    return this.submitOrder(zone, isEvacuated);
+    return this.submitOrder({ zone, isEvacuated }, signal);
   }
 
-  private async submitOrder(zone: string, isEvacuated: boolean): Promise<HttpResponse> {
+  private async submitOrder(order: EvacuationOrder, signal: AbortSignal): Promise<HttpResponse> {
+    const { zone, isEvacuated } = order;
     try {
-      const { status, revision } = await this.orders.submit({ zone, isEvacuated });
+      const { status, revision } = await this.orders.submit(order, signal);
       return jsonResponse(200, { zone, evacuated: isEvacuated, status, revision });
     } catch (error) {
       return orderErrorResponse(error);
--- a/src/evacuations/evacuation-orders.ts
+++ b/src/evacuations/evacuation-orders.ts
@@ -43,16 +43,19 @@
   /**
    * Resolves once the order is durable. Idempotent: repeating an order changes nothing.
    *
+   * @param caller - aborts when the caller closed its connection.
    * @throws EvacuationRefusedError when there is no such zone, or too many zones are registered.
    * @throws NotProposedError when nothing was changed.
    * @throws ProposalOutcomeUnknownError when the order may still be carried out.
    */
-  async submit(order: EvacuationOrder): Promise<EvacuationOutcome> {
+  async submit(order: EvacuationOrder, caller: AbortSignal): Promise<EvacuationOutcome> {
     this.checkZone(order.zone);
+    const { log, logger } = this.options;
+    logger.info('evacuation order received', { ...order, role: log.status().role });
     const command = sectionCommand(SectionTag.Evacuations, encodeEvacuationOrder(order));
-    const { result } = await this.options.log.propose(command);
+    const { result } = await log.propose(command);
     const outcome = decodeEvacuationOutcome(result);
-    this.options.logger.info('evacuation ordered', { ...order, ...outcome });
+    logger.info('evacuation ordered', { ...order, ...outcome, callerGone: caller.aborted });
     if (outcome.status === EvacuationOrderStatus.Refused) {
       throw new EvacuationRefusedError('too many zones were evacuated before');
     }
--- a/test/administration/tenant-usage.test.ts
+++ b/test/administration/tenant-usage.test.ts
@@ -29,7 +29,9 @@
   const context = new AdministrationContext(dependencies);
   const [route] = TENANT_USAGE_ROUTES as [Route];
   const principal = {} as Parameters<Route['handle']>[0]['principal'];
-  return route.handle({ context, principal, parameters: {}, body: undefined, query: { name } });
+  const { signal } = new AbortController();
+  const call = { context, principal, parameters: {}, body: undefined, query: { name }, signal };
+  return route.handle(call);
 }
 
 const OWNER = { ownerId: 'controller-1', settings: SETTINGS, usage: () => REPORTS };
