Membership: a member whose data folder is lost is removed before its successor is added

Cause: a controller with a new data folder became a voter before the voter of its lost folder was removed, 1.5 s later. With the successor lost too in between, two of four voters are left and three are needed; neither an addition nor a removal can be committed any more.

Ruled out: that the third folder does not enrol (it is added as a learner at once), and a leader that cannot commit (two changes of members are committed before).

Why this works: the successor answers the leader at the address of the member that is lost, with an id and the key that are proved on that connection, so the lost folder is not in use there any more. Removing a voter that is gone for good never raises the votes that are needed of the others. Each removal is one ordinary change of one member, committed by a majority of those that stay. Learners of lost folders go in the same way.

--- a/src/consensus/membership-changer.ts
+++ b/src/consensus/membership-changer.ts
@@ -106,7 +106,8 @@
   private async changeHere(change: MembershipChange, leadership: Leadership): Promise<void> {
     if (change.action === MembershipAction.AddLearner) await this.addLearner(change, leadership);
     else if (change.action === MembershipAction.Promote) await this.promote(change, leadership);
-    else if (change.action === MembershipAction.Remove) await this.remove(change, leadership);
+    else if (change.action === MembershipAction.Remove)
+      await this.remove(change.memberId, leadership);
     else throw new MembershipChangeRefusedError(`unknown action ${String(change.action)}`);
   }
 
@@ -114,6 +115,7 @@
     const { memberId, address } = change;
     refuseUsedId(this.state.membership, memberId, address);
     const incarnation = await this.askIncarnation(memberId, address);
+    await this.removePredecessors(memberId, address, leadership);
     const learner = { memberId, address, incarnation, voter: false };
     await this.commit(leadership, (current) => {
       // Others may have changed the group while the new member was asked.
@@ -125,6 +127,27 @@
     });
   }
 
+  /**
+   * Removes the members whose data folders are lost: `memberId` has answered at their address with
+   * another one. First, since a lost voter beside its successor would raise the number of votes
+   * needed, beyond those of the other members should the successor lose its data folder too.
+   */
+  private async removePredecessors(
+    memberId: string,
+    address: string,
+    leadership: Leadership,
+  ): Promise<void> {
+    for (const predecessor of this.state.membership.members) {
+      if (predecessor.address !== address || predecessor.memberId === memberId) continue;
+      await this.remove(predecessor.memberId, leadership);
+      const { logger } = this.state.dependencies;
+      logger.info('member with a lost data folder removed', {
+        lost: predecessor.memberId,
+        successor: memberId,
+      });
+    }
+  }
+
   /** The data folder with which the new member will take part. */
   private async askIncarnation(memberId: string, address: string): Promise<string> {
     const { timings } = this.state.dependencies;
@@ -180,8 +203,7 @@
     }
   }
 
-  private async remove(change: MembershipChange, leadership: Leadership): Promise<void> {
-    const { memberId } = change;
+  private async remove(memberId: string, leadership: Leadership): Promise<void> {
     await this.commit(leadership, (current) => {
       if (current.retiredIds.includes(memberId)) return current;
       requireMember(current, memberId);
