Consensus: calls are refused at once when no leader has been known for longer than an election takes

Cause: Reader.readBarrier and Proposer.proposeAnywhere ask again until their deadline, also where elections have failed for long.

Why this works: a member knows since when no leader is known to it. An ordinary election ends within the longest election timeout, so a call that comes during one waits as before; past it, reads and proposals are refused as not run.

--- a/src/consensus/consensus-errors.ts
+++ b/src/consensus/consensus-errors.ts
@@ -15,6 +15,15 @@
   }
 }
 
+/** Reason of a refusal while no leader is known. */
+export function describeLeaderlessTime({
+  leaderlessMs,
+}: {
+  readonly leaderlessMs: number;
+}): string {
+  return `no leader for ${Math.round(leaderlessMs)} ms`;
+}
+
 /** No leader confirmed by a quorum could be had in time. */
 export class NoQuorumError extends DriftwayError {
   constructor(message: string, peer?: string) {
--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -73,6 +73,8 @@
   /** The term in which the leader asked this member to stand at once. */
   transferTerm: number | undefined;
 
+  /** When this member started, or last ceased to lead. */
+  private leaderSoughtSince: number;
   private readonly stopController = new AbortController();
   private failureCause: DriftwayError | undefined;
 
@@ -85,6 +87,7 @@
     this.logCompacted = new Notifier(clock);
     this.session = random.nextIdentifier(8);
     this.electionTimerStart = clock.now();
+    this.leaderSoughtSince = clock.now();
     this.commitIndex = storage.snapshot?.index ?? 0;
     this.appliedIndex = this.commitIndex;
   }
@@ -192,6 +195,7 @@
       this.dependencies.metrics.leadershipsLost.inc({ reason });
       this.dependencies.logger.info('leadership lost', { term: this.term, reason });
       this.electionTimerStart = this.dependencies.clock.now();
+      this.leaderSoughtSince = this.dependencies.clock.now();
     }
     this.leadership?.end();
     this.leadership = undefined;
@@ -217,6 +221,18 @@
     return silence < this.dependencies.timings.electionTimeoutMinimum;
   }
 
+  /** How long no leader has been known here; 0 on the leader. Milliseconds. */
+  get leaderlessMs(): number {
+    if (this.leadership !== undefined) return 0;
+    const knownAt = Math.max(this.lastLeaderContact, this.leaderSoughtSince);
+    return this.dependencies.clock.now() - knownAt;
+  }
+
+  /** Whether elections have failed for so long that nothing here should wait for the next one. */
+  get isWithoutLeader(): boolean {
+    return this.leaderlessMs > this.dependencies.timings.electionTimeoutMaximum;
+  }
+
   /** Raises the commit index. */
   advanceCommit(index: number): void {
     if (index <= this.commitIndex) return;
--- a/src/consensus/proposer.ts
+++ b/src/consensus/proposer.ts
@@ -2,6 +2,7 @@
 import { ErrorLabel } from '../errors/driftway-error.js';
 import { LogRecordKind } from '../storage/log-record.js';
 import {
+  describeLeaderlessTime,
   NotProposedError,
   PeerRequestError,
   ProposalOutcomeUnknownError,
@@ -62,6 +63,7 @@
     const deadline = clock.now() + timings.proposalTimeout;
     let reason = 'no leader is known';
     while (!state.signal.aborted && clock.now() < deadline) {
+      if (state.isWithoutLeader) throw new NotProposedError(describeLeaderlessTime(state));
       try {
         if (state.leadership !== undefined) return await this.proposeHere(command);
         const { leaderId } = state;
--- a/src/consensus/reader.ts
+++ b/src/consensus/reader.ts
@@ -2,7 +2,7 @@
  * Linearizable reads by read index: the commit index at a leader that a quorum
  * confirms after the read began is at or after everything committed before it.
  */
-import { NoQuorumError } from './consensus-errors.js';
+import { describeLeaderlessTime, NoQuorumError } from './consensus-errors.js';
 import type { Leadership } from './leadership.js';
 import type { MemberState } from './member-state.js';
 import type { ResponseOf } from './messages.js';
@@ -21,6 +21,7 @@
     const { clock, timings } = state.dependencies;
     const deadline = clock.now() + timings.readTimeout;
     while (!state.signal.aborted && clock.now() < deadline) {
+      if (state.isWithoutLeader) throw new NoQuorumError(describeLeaderlessTime(state));
       const index = await this.readIndex(deadline);
       if (index !== undefined && (await this.waitForApplied(index, deadline))) return;
       const wait = Math.min(timings.heartbeatInterval, deadline - clock.now());
