Evacuations: an order is not carried out for a caller that has gone, nor after a newer one

A controller that stood still for 4 s had read an order to end the evacuation which its caller had given up 2.8 s before; that end and a new start had been acknowledged by others meanwhile.

Cause: a controller carried a call out whether or not its caller waited, and an order had nothing by which the register could tell a late copy of an earlier one.

The follower reads the call after it goes on (11.01 s), not before the freeze, and the caller's connection is found closed within 10 ms.

Why this works: before an order is proposed, a quorum confirms the state, a round trip in which the end of the caller's connection is seen; an order whose caller has gone is refused as not run. The proposal is conditional on the revision of the zone as it was read, and every order that is carried out raises it, so a copy that is late after that check finds another revision. A caller that waits and lost against another order has its order proposed anew. Commands of earlier versions in the log are applied as before.

--- a/src/consensus/consensus-errors.ts
+++ b/src/consensus/consensus-errors.ts
@@ -15,6 +15,9 @@
   }
 }
 
+/** Reason of a refusal that nobody waits for. */
+export const CALLER_GONE_REASON = 'the caller has closed its connection';
+
 /** Reason of a refusal while no leader is known. */
 export function describeLeaderlessTime({
   leaderlessMs,
--- a/src/consensus/proposer.ts
+++ b/src/consensus/proposer.ts
@@ -2,6 +2,7 @@
 import { ErrorLabel } from '../errors/driftway-error.js';
 import { LogRecordKind } from '../storage/log-record.js';
 import {
+  CALLER_GONE_REASON,
   describeLeaderlessTime,
   NotProposedError,
   PeerRequestError,
@@ -25,10 +26,10 @@
   ) {}
 
   /** See {@link ReplicatedLog.propose}. */
-  async propose(command: Uint8Array): Promise<CommittedCommand> {
+  async propose(command: Uint8Array, caller?: AbortSignal): Promise<CommittedCommand> {
     const { metrics } = this.state.dependencies;
     try {
-      const committed = await this.proposeAnywhere(command);
+      const committed = await this.proposeAnywhere(command, caller);
       metrics.proposals.inc({ outcome: OutcomeKind.Committed });
       return committed;
     } catch (error) {
@@ -56,13 +57,17 @@
   }
 
   /** Proposes here or at the leader; tries again for as long as nothing was proposed. */
-  private async proposeAnywhere(command: Uint8Array): Promise<CommittedCommand> {
+  private async proposeAnywhere(
+    command: Uint8Array,
+    caller: AbortSignal | undefined,
+  ): Promise<CommittedCommand> {
     const { state } = this;
     const { clock, timings } = state.dependencies;
     this.checkSize(command);
     const deadline = clock.now() + timings.proposalTimeout;
     let reason = 'no leader is known';
     while (!state.signal.aborted && clock.now() < deadline) {
+      if (caller?.aborted === true) throw new NotProposedError(CALLER_GONE_REASON);
       if (state.isWithoutLeader) throw new NotProposedError(describeLeaderlessTime(state));
       try {
         if (state.leadership !== undefined) return await this.proposeHere(command);
--- a/src/consensus/raft-node.ts
+++ b/src/consensus/raft-node.ts
@@ -110,8 +110,8 @@
     return this.applyTask.applied;
   }
 
-  propose(command: Uint8Array): Promise<CommittedCommand> {
-    return this.proposer.propose(command);
+  propose(command: Uint8Array, caller?: AbortSignal): Promise<CommittedCommand> {
+    return this.proposer.propose(command, caller);
   }
 
   readBarrier(): Promise<void> {
--- a/src/consensus/replicated-log.ts
+++ b/src/consensus/replicated-log.ts
@@ -56,10 +56,11 @@
    * Proposes a command and waits until it is committed and applied here.
    * A follower forwards it to the leader.
    *
+   * @param caller - when it aborts, the command is not tried again at another leader.
    * @throws NotProposedError when it certainly never will be committed.
    * @throws ProposalOutcomeUnknownError when it may or may not be.
    */
-  propose(command: Uint8Array): Promise<CommittedCommand>;
+  propose(command: Uint8Array, caller?: AbortSignal): Promise<CommittedCommand>;
 
   /**
    * Waits until everything committed before the call is applied here, with the
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -149,12 +149,13 @@
 }
 
 function createEvacuationOrders(
-  { configuration, logger }: ControllerCoreOptions,
+  { environment, configuration, logger }: ControllerCoreOptions,
   log: RaftNode,
   register: EvacuationRegister,
 ): EvacuationOrders {
   const knownZones = new Set(Object.keys(configuration.zones));
-  return new EvacuationOrders({ log, register, knownZones, logger });
+  const { clock } = environment;
+  return new EvacuationOrders({ log, register, clock, knownZones, logger });
 }
 
 function createQuotaServer(
--- a/src/evacuations/zone-evacuation.ts
+++ b/src/evacuations/zone-evacuation.ts
@@ -6,7 +6,7 @@
   /** True while the zone's replicas must not receive new requests. */
   readonly isEvacuated: boolean;
   /**
-   * Counter over all zones, incremented by each order that changes a zone; the higher one is the
+   * Counter over all zones, incremented by each order that is carried out; the higher one is the
    * later.
    */
   readonly revision: number;
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -70,6 +70,7 @@
     this.evacuationOrders = new EvacuationOrders({
       log: this,
       register: this.evacuations,
+      clock: { sleep: async () => undefined },
       knownZones: new Set(['nayoro', 'wakkanai']),
       logger: SILENT_LOGGER,
     });
--- a/test/control/automatic-group.ts
+++ b/test/control/automatic-group.ts
@@ -149,6 +149,20 @@
     await this.startOn(machine);
   }
 
+  /** Cuts a controller off from the other controllers for a time; the operator reaches it. */
+  isolate(machine: SimulatedMachine, forMs: number): void {
+    const { simulation } = this;
+    const cuts = this.machines
+      .filter((other) => other !== machine)
+      .flatMap((other) => [
+        simulation.cut({ from: { machine: machine.name }, to: { machine: other.name } }),
+        simulation.cut({ from: { machine: other.name }, to: { machine: machine.name } }),
+      ]);
+    simulation.at(simulation.now + forMs, () => {
+      for (const cut of cuts) simulation.heal(cut);
+    });
+  }
+
   async call(
     machine: SimulatedMachine,
     method: string,
--- a/test/evacuations/evacuation-register.test.ts
+++ b/test/evacuations/evacuation-register.test.ts
@@ -4,13 +4,18 @@
 import {
   EvacuationOrderStatus,
   EvacuationRegister,
+  NO_REVISION,
   decodeEvacuationOutcome,
   encodeEvacuationOrder,
+  type ConditionalEvacuationOrder,
   type EvacuationOrder,
   type EvacuationOutcome,
 } from '../../src/evacuations/evacuation-register.js';
 
-function applyOrder(register: EvacuationRegister, order: EvacuationOrder): EvacuationOutcome {
+function applyOrder(
+  register: EvacuationRegister,
+  order: EvacuationOrder | ConditionalEvacuationOrder,
+): EvacuationOutcome {
   return decodeEvacuationOutcome(register.apply(encodeEvacuationOrder(order)));
 }
 
@@ -69,6 +74,54 @@
   });
 });
 
+describe('EvacuationRegister with conditional orders', () => {
+  const start = { zone: 'a', isEvacuated: true };
+  const end = { zone: 'a', isEvacuated: false };
+
+  // Guards against a late copy of an order that undoes a newer one.
+  it('does not carry out an order after another one for its zone', () => {
+    const register = new EvacuationRegister();
+    const late = { ...end, expectedRevision: applyOrder(register, start).revision };
+    const newer = applyOrder(register, { ...start, expectedRevision: 1 });
+    expect(newer).toEqual({ status: EvacuationOrderStatus.Unchanged, revision: 2 });
+    const superseded = { status: EvacuationOrderStatus.Superseded, revision: 2 };
+    expect(applyOrder(register, late)).toEqual(superseded);
+    expect(register.evacuatedZones()).toEqual(['a']);
+  });
+
+  // Guards against a late start that follows an end which had nothing to end.
+  it('counts an order that changes nothing, also for a zone without an entry', () => {
+    const register = new EvacuationRegister();
+    const late = { ...start, expectedRevision: register.revisionOf('a') };
+    const { status } = applyOrder(register, { ...end, expectedRevision: NO_REVISION });
+    expect(status).toBe(EvacuationOrderStatus.Unchanged);
+    expect(applyOrder(register, late).status).toBe(EvacuationOrderStatus.Superseded);
+    const restored = new EvacuationRegister();
+    restored.restore(register.snapshot());
+    expect(applyOrder(restored, late).status).toBe(EvacuationOrderStatus.Superseded);
+  });
+
+  it('is not hindered by orders for other zones', () => {
+    const register = new EvacuationRegister();
+    applyOrder(register, { zone: 'b', isEvacuated: true });
+    const outcome = applyOrder(register, { ...start, expectedRevision: NO_REVISION });
+    expect(outcome).toEqual({ status: EvacuationOrderStatus.Changed, revision: 2 });
+  });
+
+  it('adds no zone when it is full', () => {
+    const register = new EvacuationRegister();
+    for (let index = 0; index < 1_000; index += 1) {
+      applyOrder(register, { zone: `zone-${index}`, isEvacuated: true });
+    }
+    const condition = { expectedRevision: NO_REVISION };
+    const refused = { status: EvacuationOrderStatus.Refused, revision: NO_REVISION };
+    const unchanged = { status: EvacuationOrderStatus.Unchanged, revision: NO_REVISION };
+    expect(applyOrder(register, { ...start, ...condition })).toEqual(refused);
+    expect(applyOrder(register, { ...end, ...condition })).toEqual(unchanged);
+    expect([...register.all()]).toHaveLength(1_000);
+  });
+});
+
 describe('EvacuatedZones', () => {
   it('reaches the same state whatever the order in which messages of controllers arrive', () => {
     fc.assert(
