Consensus: a read that no quorum confirms tells that nothing was run

What callers saw: since evacuation orders begin with a read barrier, an order at the administration API without a quorum was answered 'outcome_unknown, changed: unknown', where 503 'unavailable, changed: no' is known; lifting a quarantine did so before already.

Cause: NoQuorumError had no label that says so, and the routes go by the label.

Why this works: a read proposes nothing, whatever follows it.

Test: test/administration/administration-handler.test.ts, 'are told that nothing was changed without a quorum', fails for both orders before. The stand-in of the log throws the product's own error now.

--- a/src/consensus/consensus-errors.ts
+++ b/src/consensus/consensus-errors.ts
@@ -30,7 +30,11 @@
 /** No leader confirmed by a quorum could be had in time. */
 export class NoQuorumError extends DriftwayError {
   constructor(message: string, peer?: string) {
-    super(message, { step: 'read barrier', peer, labels: [ErrorLabel.Transient] });
+    super(message, {
+      step: 'read barrier',
+      peer,
+      labels: [ErrorLabel.NotRun, ErrorLabel.Transient],
+    });
   }
 }
 
--- a/test/administration/administration-handler.test.ts
+++ b/test/administration/administration-handler.test.ts
@@ -139,6 +139,17 @@
     expect(await revisionAt(second)).toBe(2);
   });
 
+  // Guards against a refusal that leaves open whether the order was carried out.
+  it.each([
+    ['/v1/evacuations', { zone: 'nayoro', evacuated: true }],
+    ['/v1/quarantine/lift', { fingerprint: 'f' }],
+  ])('are told that nothing was changed without a quorum: POST %s', async (path, body) => {
+    first.log.hasQuorum = false;
+    const reply = await first.call('POST', path, { body });
+    expect(reply.status).toBe(503);
+    expect(reply.body.error).toMatchObject({ code: 'unavailable', changed: 'no' });
+  });
+
   it('are refused without a quorum, the status excepted', async () => {
     first.log.hasQuorum = false;
     const refused = await first.call('GET', '/v1/configuration');
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -1,5 +1,6 @@
 /** A replicated log of several members in one process, with failures on demand. */
 import { empty } from '@most/core';
+import { NoQuorumError } from '../../src/consensus/consensus-errors.js';
 import type {
   CommittedCommand,
   ReplicatedLog,
@@ -93,10 +94,7 @@
   }
 
   async readBarrier(): Promise<void> {
-    if (!this.hasQuorum) {
-      const labels = [ErrorLabel.Transient];
-      throw new DriftwayError('no quorum', { step: 'read barrier', labels });
-    }
+    if (!this.hasQuorum) throw new NoQuorumError('no quorum');
     this.applyUpTo(this.history.commands.length);
   }
 
