Quarantine: a lift is not carried out for a caller that has gone, nor over a newer quarantine

What callers saw: a lift that was given up at a controller that stood still, and acknowledged by another, was carried out a second time when the first one went on: a request that had been quarantined anew under new evidence was let through again.

Why this works: the lift is proposed after a read barrier in which the end of the caller's connection is seen, and has an effect only while the entry has the revision that was read; every change of an entry raises it. Its stored form is that of earlier versions; lifts of earlier versions in the log are applied as before.

Test: test/quarantine/quarantine-lift.test.ts, 'is not lifted by a call that was given up', fails at all three controllers before; a late copy in test/quarantine/quarantine-register.test.ts.

--- a/src/administration/quarantine-routes.ts
+++ b/src/administration/quarantine-routes.ts
@@ -63,10 +63,10 @@
     body: liftRequestSchema,
     response: quarantineListSchema,
     errors: ['not_found', 'not_offered', 'outcome_unknown'],
-    handle: async ({ context, body }) => {
+    handle: async ({ context, body, signal }) => {
       const orders = ordersOf(context);
       try {
-        await orders.lift(body.fingerprint);
+        await orders.lift(body.fingerprint, signal);
       } catch (error) {
         throw liftError(error);
       }
--- a/src/control/controller-core.ts
+++ b/src/control/controller-core.ts
@@ -79,8 +79,9 @@
   // No await from here until every observer of the state machines is attached: they would miss
   // entries that the log applies in between.
   const evacuationOrders = createEvacuationOrders(options, log, evacuations);
-  const { logger } = options;
-  const quarantineOrders = new QuarantineOrders({ log, register: quarantine, logger });
+  const { logger, environment } = options;
+  const { clock } = environment;
+  const quarantineOrders = new QuarantineOrders({ log, register: quarantine, clock, logger });
   const sectionState = { register, evacuations, evacuationOrders, quarantine, quarantineOrders };
   const replicatedState = { log, ...sectionState };
   const registration = startRegistration(options, replicatedState, traffic);
--- a/src/control/quarantine-endpoint.ts
+++ b/src/control/quarantine-endpoint.ts
@@ -14,17 +14,17 @@
 export class QuarantineEndpoint {
   constructor(private readonly orders: QuarantineOrders) {}
 
-  async handle({ method, path }: HttpRequest): Promise<HttpResponse> {
+  async handle({ method, path, signal }: HttpRequest): Promise<HttpResponse> {
     if (path === QUARANTINE_PATH) {
       return method === 'GET' ? this.list() : errorResponse(405, 'use GET');
     }
     if (method !== 'DELETE') return errorResponse(405, 'use DELETE');
-    return this.lift(path.slice(QUARANTINE_PATH.length + 1));
+    return this.lift(path.slice(QUARANTINE_PATH.length + 1), signal);
   }
 
-  private async lift(fingerprint: string): Promise<HttpResponse> {
+  private async lift(fingerprint: string, signal: AbortSignal): Promise<HttpResponse> {
     try {
-      await this.orders.lift(fingerprint);
+      await this.orders.lift(fingerprint, signal);
       return jsonResponse(200, { fingerprint, lifted: true });
     } catch (error) {
       if (error instanceof UnknownFingerprintError) return errorResponse(404, error.message);
--- a/src/quarantine/quarantine-register.ts
+++ b/src/quarantine/quarantine-register.ts
@@ -28,8 +28,10 @@
   Evidence = 'evidence',
   /** A replica answered the request. */
   Answer = 'answer',
-  /** An operator lifts the quarantine or the suspicion of the request. */
+  /** An operator lifts the quarantine or the suspicion of the request; written by earlier versions. */
   Lift = 'lift',
+  /** As `Lift`, while the entry has {@link QuarantineChange.expectedRevision}. */
+  ConditionalLift = 'conditionalLift',
   /** A gateway requests the grant to run a trial of the request. */
   Trial = 'trial',
   /** A gateway gives the grant back. */
@@ -43,6 +45,8 @@
   readonly holder: string;
   /** Holder that timed out and may be replaced; empty when there is none. */
   readonly replaces: string;
+  /** Revision of the entry that a `ConditionalLift` follows; absent for other kinds. */
+  readonly expectedRevision?: number;
 }
 
 /** Fields of a change that carries no evidence and concerns no grant. */
@@ -101,11 +105,15 @@
   return text === '' ? [] : text.split(REPLICA_SEPARATOR);
 }
 
-/** Encodes a command that applies the changes in order. */
+/**
+ * Encodes a command that applies the changes in order. An expected revision takes the place of `replaces`, so
+ * that the stored form is that of earlier versions.
+ */
 export function encodeQuarantineChanges(changes: readonly QuarantineChange[]): Uint8Array {
   return changeType.encodeAll(
-    changes.map(({ ended, endedInTrial, ...change }) => ({
+    changes.map(({ ended, endedInTrial, expectedRevision, ...change }) => ({
       ...change,
+      replaces: expectedRevision === undefined ? change.replaces : String(expectedRevision),
       ended: joinIds(ended),
       endedInTrial: joinIds(endedInTrial),
     })),
@@ -209,6 +217,9 @@
         return this.entryAfterClearing(known, QuarantineState.Answered);
       case QuarantineChangeKind.Lift:
         return this.entryAfterClearing(known, QuarantineState.Lifted);
+      case QuarantineChangeKind.ConditionalLift:
+        if (String(known?.revision) !== change.replaces) return undefined;
+        return this.entryAfterClearing(known, QuarantineState.Lifted);
       case QuarantineChangeKind.Trial:
         return this.entryAfterTrialRequest(change, known);
       case QuarantineChangeKind.TrialEnd:
--- a/test/administration/memory-log.ts
+++ b/test/administration/memory-log.ts
@@ -66,6 +66,7 @@
     this.quarantineOrders = new QuarantineOrders({
       log: this,
       register: this.quarantine,
+      clock: { sleep: async () => undefined },
       logger: SILENT_LOGGER,
     });
     this.evacuationOrders = new EvacuationOrders({
--- a/test/quarantine/quarantine-lift.test.ts
+++ b/test/quarantine/quarantine-lift.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { QuarantineEntry } from '../../src/quarantine/quarantine-entry.js';
 import { SETTLE_MS } from '../control/automatic-group.js';
+import { Operator } from '../control/operator.js';
 import { CrashingFleet, type CrashingFleetOptions } from './crashing-fleet.js';
 
 const OPTIONS: CrashingFleetOptions = {
@@ -13,6 +14,8 @@
 /** Longer than replicas take to restart, and a lift to reach every gateway. Milliseconds. */
 const SETTLED_MS = 5_000;
 const QUARANTINED = 429;
+/** Longer than a request takes to be lifted and quarantined anew. */
+const FREEZE_MS = 30_000;
 
 async function quarantinedFleet(): Promise<CrashingFleet> {
   const fleet = await CrashingFleet.start('/one/crash', OPTIONS);
@@ -92,6 +95,24 @@
     expect((await harness.call({ path: '/one/crash' })).status).toBe(200);
   });
 
+  // Guards against a controller that carries out a lift it reads late, over a newer quarantine.
+  it.each([0, 1, 2])('is not lifted by a call that was given up (controller %i)', async (late) => {
+    const fleet = await quarantinedFleet();
+    const fingerprint = await onlyFingerprint(fleet);
+    const { group, simulation } = fleet.harness;
+    const operator = new Operator(group);
+    const other = (late + 1) % 3;
+    group.machineAt(late).freeze(FREEZE_MS);
+    expect(await operator.tryOnce('DELETE', `${PATH}/${fingerprint}`, late)).toBeUndefined();
+    expect(await operator.order('DELETE', `${PATH}/${fingerprint}`, [other])).toBe(200);
+    await simulation.runFor(SETTLED_MS);
+    await fleet.repeat(3, SETTLED_MS);
+    expect(await list(fleet, other)).toMatchObject([{ state: 'quarantined' }]);
+    await simulation.runFor(FREEZE_MS);
+    expect(await list(fleet, other)).toMatchObject([{ state: 'quarantined' }]);
+    expect((await fleet.call({ path: '/one/crash' })).status).toBe(QUARANTINED);
+  });
+
   it('is not lifted by an unknown fingerprint, nor without a quorum', async () => {
     const fleet = await quarantinedFleet();
     const fingerprint = await onlyFingerprint(fleet);
--- a/test/quarantine/quarantine-register.test.ts
+++ b/test/quarantine/quarantine-register.test.ts
@@ -73,6 +73,19 @@
     },
   );
 
+  // Guards against a late copy of a lift that ends a newer quarantine.
+  it('lifts an entry only while it has the revision that the lift follows', () => {
+    const register = new QuarantineRegister();
+    applyTo(register, evidence('f', ['a', 'b', 'c']));
+    const expectedRevision = register.find('f')?.revision ?? expect.fail('no entry');
+    const lift = { ...change(QuarantineChangeKind.ConditionalLift, 'f'), expectedRevision };
+    expect(applyTo(register, lift)).toBe(1);
+    applyTo(register, evidence('f', ['d', 'e', 'g']));
+    expect(stateOf(register, 'f')).toBe(QuarantineState.Suspected);
+    expect(applyTo(register, lift)).toBe(0);
+    expect(stateOf(register, 'f')).toBe(QuarantineState.Suspected);
+  });
+
   it('ignores an answer or a lift for a request without an entry or with a cleared one', () => {
     const register = new QuarantineRegister();
     expect(applyTo(register, change(QuarantineChangeKind.Lift, 'f'))).toBe(0);
