Membership: a learner gets no vote that only raises the number of votes needed

The group never answers again, though the disk of one machine alone was lost.

Cause: the new machine became a voter beside the old one. With the old one gone and the new one's disk lost, two of four voters are left and three are needed; after an election timeout there is no leader that could remove either.

Why this works: an odd number of voters of the intended size bears as many losses with one more, and needs one more vote. The leader now gives votes: to learners while voters are fewer than intended, where the number of votes needed stays, or to two learners. A silent voter is removed first when a learner stands ready, so the two untouched machines suffice all the way. A voter that is stopped on plan hands its vote to a learner and leaves, as before. More than half of all members, the learner included, still holds a majority of the voters.

--- a/src/control/enrolment-messages.ts
+++ b/src/control/enrolment-messages.ts
@@ -1,7 +1,7 @@
 /** Messages with which a controller asks to join a running group. */
 import { MessageCodec } from '../protocol/message-codec.js';
 
-/** Asks the receiver to add the sender as a voter. */
+/** Asks the receiver to add the sender to the group. */
 export interface EnrolMessage {
   readonly kind: 'enrol';
   readonly memberId: string;
--- a/src/control/enrolment.ts
+++ b/src/control/enrolment.ts
@@ -10,12 +10,15 @@
 import { ENROLMENT_CODEC, type EnrolMessage } from './enrolment-messages.js';
 
 const DIAL_TIMEOUT_MS = 600;
-/** Maximum wait for a response: the learner has to catch up before it is promoted to voter. */
+/** Maximum wait for a response: a member whose data folder was lost is removed first. */
 const RESPONSE_TIMEOUT_MS = 6_000;
 const RETRY_INTERVAL_MS = 250;
 const MAXIMUM_REASON_LENGTH = 512;
 
-/** Handles one enrolment request: adds the sender as a learner, promotes it, and responds. */
+/**
+ * Handles one enrolment request: adds the sender as a learner and responds. The leader gives it a vote
+ * when the group has use for one.
+ */
 export async function serveEnrolment(
   log: RaftNode,
   connection: MessageConnection,
@@ -25,25 +28,24 @@
   if (frame === undefined) return;
   const message = ENROLMENT_CODEC.decode(frame, connection.peer);
   if (message.kind !== 'enrol') return;
-  const reason = await addVoter(log, message);
+  const reason = await addMember(log, message);
   const { memberId, address } = message;
   logger.info('enrolment asked for', { member: memberId, address, reason });
   const accepted = reason === '';
   await connection.send(ENROLMENT_CODEC.encode({ kind: 'enrolled', accepted, reason }));
 }
 
-/** Returns why the member could not be added; empty when it is a voter. */
-async function addVoter(log: RaftNode, { memberId, address }: EnrolMessage): Promise<string> {
+/** Returns why the sender could not be added; empty when it is a member. */
+async function addMember(log: RaftNode, { memberId, address }: EnrolMessage): Promise<string> {
   try {
     await log.addLearner(memberId, address);
-    await log.promote(memberId);
     return '';
   } catch (error) {
     return String(error).slice(0, MAXIMUM_REASON_LENGTH);
   }
 }
 
-/** Dependencies of {@link enrolUntilVoter}. */
+/** Dependencies of {@link enrolUntilMember}. */
 export interface EnrolmentOptions {
   readonly environment: Environment;
   readonly identity: LocalIdentity;
@@ -57,23 +59,23 @@
 }
 
 /**
- * Asks one controller after the other, in rounds, until this one is a voter or `stopped` aborts.
+ * Asks one controller after the other, in rounds, until this one is a member or `stopped` aborts.
  */
-export async function enrolUntilVoter(options: EnrolmentOptions): Promise<void> {
+export async function enrolUntilMember(options: EnrolmentOptions): Promise<void> {
   const { environment, log, stopped, address } = options;
   const { clock } = environment;
-  while (!stopped.aborted && !isVoter(log)) {
+  while (!stopped.aborted && !isMember(log)) {
     for (const controller of options.controllers()) {
-      if (stopped.aborted || isVoter(log)) return;
+      if (stopped.aborted || isMember(log)) return;
       if (controller !== address) await requestEnrolment(options, controller);
     }
     await clock.sleep(RETRY_INTERVAL_MS, stopped).catch(() => undefined);
   }
 }
 
-function isVoter(log: RaftNode): boolean {
+function isMember(log: RaftNode): boolean {
   const { memberId, members } = log.status();
-  return members.some((member) => member.memberId === memberId && member.voter);
+  return members.some((member) => member.memberId === memberId);
 }
 
 async function requestEnrolment(options: EnrolmentOptions, controller: string): Promise<void> {
--- a/src/control/registration-part.ts
+++ b/src/control/registration-part.ts
@@ -39,9 +39,9 @@
 import type { HttpListenOptions, HttpListener } from '../seams/http.js';
 import type { MessageConnection } from '../seams/message-connection.js';
 import { settleWithin } from '../seams/settle-within.js';
-import { enrolUntilVoter, serveEnrolment } from './enrolment.js';
+import { enrolUntilMember, serveEnrolment } from './enrolment.js';
 import { EvacuationEndpoint } from './evacuation-endpoint.js';
-import { hasSurplusVoter, maintainMembership } from './membership-maintenance.js';
+import { leaveIfReplaced, maintainMembership } from './membership-maintenance.js';
 import { QuarantineEndpoint } from './quarantine-endpoint.js';
 import { RegistrationEndpoint } from './registration-endpoint.js';
 
@@ -210,13 +210,13 @@
 
   /**
    * First step of a planned stop: accepts no more calls, and under automatic membership leaves a
-   * group that already has a replacement voter.
+   * group in which another member has or can take its place.
    */
   async close(): Promise<void> {
     this.server.stop();
     const { log, environment, seeds } = this.options;
-    if (seeds !== undefined && hasSurplusVoter(log.status())) {
-      const leaving = log.remove(log.status().memberId).catch(() => undefined);
+    if (seeds !== undefined) {
+      const leaving = leaveIfReplaced(log).catch(() => undefined);
       await settleWithin(environment.clock, leaving, LEAVE_GROUP_TIMEOUT_MS);
     }
     await this.listener?.close();
@@ -236,7 +236,7 @@
     const { environment, identity, logger, log, ownAddress } = this.options;
     const stopped = this.stopped.signal;
     void maintainMembership(environment.clock, log, logger, stopped);
-    void enrolUntilVoter({
+    void enrolUntilMember({
       environment,
       identity,
       logger,
--- a/test/control/membership-maintenance.test.ts
+++ b/test/control/membership-maintenance.test.ts
@@ -9,6 +9,7 @@
   SilenceTracker,
   VOTER_SILENCE_TIMEOUT_MS,
   intendedVoterCount,
+  learnerToPromote,
 } from '../../src/control/membership-maintenance.js';
 
 const LEADER = 'm-10-0-0-1-7000';
@@ -74,7 +75,52 @@
     expect(tracker.memberToRemove(status)).toBeUndefined();
   });
 
+  it('removes a silent voter when a learner that has caught up can take its place', async () => {
+    const tracker = new SilenceTracker(clock);
+    const behind = { ...member('m-d-x1', 0, false), matchIndex: 0 };
+    const members = [member('m-b', 0), member('m-c', 60_000)];
+    const waiting = { ...statusOf([...members, behind]), lastIndex: 1_000 };
+    tracker.memberToRemove(waiting);
+    await simulation.runFor(60_000);
+    expect(tracker.memberToRemove(waiting)).toBeUndefined();
+    const ready = statusOf([...members, { ...behind, matchIndex: 1 }]);
+    expect(tracker.memberToRemove(ready)?.memberId).toBe('m-c');
+  });
+
   it('counts all founders, including removed ones, as the intended size', () => {
     expect(intendedVoterCount(statusOf([member('m-b', 0), member('m-d-x1', 0)], ['m-c']))).toBe(3);
   });
 });
+
+describe('learnerToPromote', () => {
+  const others = [member('m-b', 0), member('m-c', 0)];
+  const learner = { ...member('m-d-x1', 0, false), matchIndex: 1 };
+
+  it('gives no vote that only raises the number of votes needed', () => {
+    expect(learnerToPromote(statusOf([...others, learner]))).toBeUndefined();
+  });
+
+  it('gives a vote in the place of a voter that was removed, and to founders', () => {
+    const replaced = statusOf([member('m-b', 0), learner], ['m-c']);
+    expect(learnerToPromote(replaced)).toBe(learner);
+    const founder = { ...member('m-d', 0, false), matchIndex: 1 };
+    expect(learnerToPromote(statusOf([...others, founder]))).toBe(founder);
+  });
+
+  it('gives votes to two learners one after the other', () => {
+    const second = { ...member('m-e-x1', 0, false), matchIndex: 1 };
+    expect(learnerToPromote(statusOf([...others, learner, second]))).toBe(learner);
+    const promoted = { ...learner, voter: true };
+    expect(learnerToPromote(statusOf([...others, promoted, second]))).toBe(second);
+  });
+
+  it('gives no vote to a learner that is silent or behind, nor where another controller leads', () => {
+    const voters = [member('m-b', 0)];
+    const silent = { ...learner, silentMs: 5_000 };
+    expect(learnerToPromote(statusOf([...voters, silent], ['m-c']))).toBeUndefined();
+    const ahead = { ...statusOf([...voters, learner], ['m-c']), lastIndex: 1_000 };
+    expect(learnerToPromote(ahead)).toBeUndefined();
+    const follower = { ...statusOf([...voters, learner], ['m-c']), role: 'follower' as const };
+    expect(learnerToPromote(follower)).toBeUndefined();
+  });
+});
