Administration: members are not changed for a caller that has gone

What callers saw: a removal of a member that was given up at a controller that stood still was carried out when it went on. Its caller could not promote the member any more, which it had decided to do instead; ids of removed members are never taken again.

Why this works: the change is made after a read barrier in which the end of the caller's connection is seen. A copy that is forwarded to the leader late is not covered; changes of members name an id, and each may be repeated.

--- a/src/administration/status-routes.ts
+++ b/src/administration/status-routes.ts
@@ -1,5 +1,6 @@
 /** The state of the controllers and daemons, and changes of the controllers' group. */
 import * as z from 'zod';
+import { readForCaller } from '../consensus/caller-barrier.js';
 import { MembershipChangeRefusedError } from '../consensus/consensus-errors.js';
 import type { ReplicatedLogStatus } from '../consensus/replicated-log.js';
 import { DriftwayError, ErrorLabel } from '../errors/driftway-error.js';
@@ -103,13 +104,15 @@
 async function changeMembers(
   context: AdministrationContext,
   request: MemberRequest,
+  caller: AbortSignal,
 ): Promise<MemberList> {
-  const { members, log } = context.dependencies;
+  const { members, log, clock } = context.dependencies;
   if (members === undefined) {
     const reason = 'this controller cannot change members';
     throw new AdministrationError('not_offered', 'change members', reason);
   }
   try {
+    await readForCaller(log, clock, caller);
     await runMemberRequest(members, request);
   } catch (error) {
     throw memberError(error);
@@ -137,6 +140,6 @@
     body: memberRequestSchema,
     response: memberListSchema,
     errors: ['forbidden', 'rejected', 'not_offered', 'outcome_unknown'],
-    handle: ({ context, body }) => changeMembers(context, body),
+    handle: ({ context, body, signal }) => changeMembers(context, body, signal),
   }),
 ];
--- a/test/control/replace-controller.test.ts
+++ b/test/control/replace-controller.test.ts
@@ -90,6 +90,24 @@
     });
   }
 
+  /** Sends a membership change and closes the connection after a second. */
+  async giveUp(id: string, change: MemberChange): Promise<void> {
+    const machine = this.simulation.createMachine(`caller-${this.simulation.now}`, 'office');
+    const address = { host: this.machine(id).host, port: HTTP_PORT };
+    const client = machine.environment.network.httpClient(address, {
+      connections: 1,
+      maximumResponseBytes: 100_000,
+      connectTimeout: 1_000,
+      keepAliveTimeout: 1_000,
+    });
+    const headers = { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' };
+    const body = JSON.stringify(change);
+    const request = client.request({ method: 'POST', path: '/v1/members', headers, body });
+    request.catch(() => undefined);
+    await this.simulation.runFor(1_000);
+    client.destroy();
+  }
+
   async accept(client: OperatorClient, revision: number): Promise<void> {
     const result = await this.simulation.settle(
       client.post<ChangeResult>('/v1/changes', {
@@ -155,4 +173,24 @@
       expect((refusal as OperatorError).exitCode).toBe(OperatorExitCode.BadInput);
     }
   });
+
+  // Guards against a removal that is carried out long after its caller gave it up and decided otherwise.
+  it.each(INITIAL)('does not remove a member for a call that was given up at %s', async (late) => {
+    const group = new ManualGroup();
+    for (const id of INITIAL) await group.start(id);
+    await group.start(ADDED, true);
+    await group.simulation.runFor(ELECTION_MS);
+    const client = group.operator(...INITIAL.filter((id) => id !== late));
+    const address = group.messageAddress(ADDED);
+    const added = { action: 'addLearner', memberId: ADDED, address } as const;
+    await group.simulation.settle(changeMembers(client, added));
+    group.machine(late).freeze(6_000);
+    await group.giveUp(late, { action: 'remove', memberId: ADDED });
+    await group.simulation.runFor(ELECTION_MS / 2);
+    const promoted = { action: 'promote', memberId: ADDED } as const;
+    await group.simulation.settle(changeMembers(client, promoted));
+    await group.simulation.runFor(ELECTION_MS);
+    const { members } = await group.simulation.settle(client.get<MemberList>('/v1/status'));
+    expect(members).toContainEqual(expect.objectContaining({ memberId: ADDED, voter: true }));
+  });
 });
