Quarantine: a series of failed evidence proposals is logged once

A proposal without a leader is refused at once now, and gateways resend their evidence ten times a second: each resend would write a line. The first failure of a series is logged; 'crash evidence recorded' ends it.

--- a/src/quarantine/evidence-intake.ts
+++ b/src/quarantine/evidence-intake.ts
@@ -28,6 +28,8 @@
 export class EvidenceIntake {
   private waiting: QuarantineChange[] = [];
   private isProposing = false;
+  /** The last proposal failed; a series of failures is logged once. */
+  private isFailing = false;
   private dropped = 0;
 
   constructor(private readonly parts: EvidenceIntakeParts) {}
@@ -60,16 +62,20 @@
       if (effective.length === 0) continue;
       try {
         await orders.propose(effective);
+        this.isFailing = false;
         logger.info('crash evidence recorded', {
           changes: effective.length,
           dropped: this.dropped,
         });
       } catch (error) {
         // Gateways resend the evidence, to another controller if this one is partitioned.
-        logger.warn('crash evidence not recorded', {
-          changes: effective.length,
-          reason: String(error),
-        });
+        if (!this.isFailing) {
+          logger.warn('crash evidence not recorded', {
+            changes: effective.length,
+            reason: String(error),
+          });
+        }
+        this.isFailing = true;
       }
       this.dropped = 0;
     }
