Membership: a learner gets records once its addition is committed

Cause: the leader sent records to a learner as soon as its addition was appended. If that record is replaced by another leader's, the joiner keeps records that nobody compares, and no leader takes it.

Why this works: nothing is sent before the addition is committed, so what the joiner holds is part of the group's history. A learner is not needed to commit its own addition. Voters are followed at once, as before.

Test: test/consensus/membership-races.test.ts, 'leaves a joiner free to be added again when the first addition is taken back', fails before.

--- a/src/consensus/leadership.ts
+++ b/src/consensus/leadership.ts
@@ -117,15 +117,18 @@
   /** Starts tasks for new members and ends those of members whose removal is committed. */
   private followMembers(): void {
     const { membership, memberId, log, commitIndex } = this.state;
+    const isCommitted = log.memberships.latestIndex <= commitIndex;
     const added = membership.members
       .filter((member) => member.memberId !== memberId && !this.followers.has(member.memberId))
+      // A learner of a change that is taken back would be left with a history that the group refuses.
+      .filter(({ voter }) => voter || isCommitted)
       .map((member) => this.addFollower(member));
     // Only now: the tasks look at the progress of all members.
     for (const follower of added) {
       void replicateToFollower(this.state, this, this.links, follower);
       void heartbeatFollower(this.state, this, this.links, follower);
     }
-    if (log.memberships.latestIndex > commitIndex) return;
+    if (!isCommitted) return;
     for (const [id, follower] of this.followers) {
       if (membership.find(id) !== undefined) continue;
       follower.end();
--- a/test/consensus/membership-races.test.ts
+++ b/test/consensus/membership-races.test.ts
@@ -98,4 +98,22 @@
       expect((refusal as MembershipChangeRefusedError).hasLabel(ErrorLabel.BadInput)).toBe(true);
     },
   );
+
+  // Guards against a joiner that keeps records of an addition that was never committed, and is refused for good.
+  it('leaves a joiner free to be added again when the first addition is taken back', async () => {
+    const { cluster, leader } = await withJoiners(8, ['d']);
+    const others = IDS.filter((id) => id !== leader);
+    for (const other of others) cluster.links.cut(leader, other);
+    const lost = outcomeOf(cluster.node(leader).addLearner('d', cluster.addressOf('d')));
+    await cluster.runFor(500);
+    cluster.losePower(leader);
+    lost.catch(() => undefined);
+    cluster.links.heal();
+    const next = await cluster.leader(others);
+    await cluster.propose(next, 'accepted');
+    const added = outcomeOf(cluster.node(next).addLearner('d', cluster.addressOf('d')));
+    expect(await cluster.simulation.settle(added)).toBe('done');
+    await cluster.simulation.settle(cluster.node(next).promote('d'));
+    await cluster.converge([...others, 'd']);
+  });
 });
