Consensus: a call is refused for want of a leader only after an election has had its time

What callers saw: a change sent to a controller that had just been restarted was refused with 503, `propose: no leader for 2012 ms`, while the controller was being elected.

Cause: refuses once no leader was known for longer than the longest election timeout. That is when the last member stands at the latest; its pre-vote and its vote come after that.

Evidence: the response of that run names 2,012 ms, and the longest election timeout of the test is 2,000 ms.

--- a/src/consensus/member-state.ts
+++ b/src/consensus/member-state.ts
@@ -18,6 +18,9 @@
 import type { RaftLimits, RaftTimings } from './raft-timings.js';
 import type { StateMachine } from './replicated-log.js';
 
+/** Ballots of an election: the pre-vote and the vote. Each ends within the shortest election timeout. */
+const BALLOTS_OF_ELECTION = 2;
+
 /** What a member's tasks need from outside. */
 export interface MemberDependencies {
   readonly clusterId: string;
@@ -228,9 +231,14 @@
     return this.dependencies.clock.now() - knownAt;
   }
 
-  /** Whether elections have failed for so long that nothing here should wait for the next one. */
+  /**
+   * Whether an election has failed, so that nothing here should wait for the next one: one that began
+   * after the longest silence, with ballots that took as long as they may.
+   */
   get isWithoutLeader(): boolean {
-    return this.leaderlessMs > this.dependencies.timings.electionTimeoutMaximum;
+    const { electionTimeoutMinimum, electionTimeoutMaximum } = this.dependencies.timings;
+    const longestElection = BALLOTS_OF_ELECTION * electionTimeoutMinimum;
+    return this.leaderlessMs > electionTimeoutMaximum + longestElection;
   }
 
   /** Raises the commit index. */
