--- a/lab/exchange/exchange-replica.ts
+++ b/lab/exchange/exchange-replica.ts
@@ -178,7 +178,9 @@
     const requestId = request.headers[this.names.requestId];
     if (requestId === undefined) {
       this.healthChecks += 1;
-      return { status: 200, headers: { [this.names.warmup]: String(this.warmupMs) }, body: '' };
+      const { warmup, replicaId } = this.names;
+      const headers = { [warmup]: String(this.warmupMs), [replicaId]: this.options.replicaId };
+      return { status: 200, headers, body: '' };
     }
     this.arrivals += 1;
     const target = request.headers[this.names.targetReplica];
--- a/src/gateway/attempt-observer.ts
+++ b/src/gateway/attempt-observer.ts
@@ -27,6 +27,7 @@
   recordLoad(context, route, target, sentAt);
   switch (result.kind) {
     case 'answered':
+      context.targets.confirmAddress(target);
       latency.addAnswer(elapsed);
       target.recordLatency(ratio / reportedWorkFactor(context, target, sentAt), endedAt);
       target.recordSuccess();
--- a/src/gateway/exchange-headers.ts
+++ b/src/gateway/exchange-headers.ts
@@ -10,6 +10,8 @@
   readonly signature: string;
   /** Id of the only replica that may run the request. */
   readonly targetReplica: string;
+  /** In health check responses: id of the replica that responds. */
+  readonly replicaId: string;
   /** A replica's load: running requests, waiting requests and slots, separated by commas. */
   readonly load: string;
   /** In health check responses: how long the replica stays cold. Milliseconds. */
@@ -35,6 +37,7 @@
   deadline: 'x-driftway-deadline-ms',
   signature: 'x-driftway-signature',
   targetReplica: 'x-driftway-replica',
+  replicaId: 'x-driftway-replica-id',
   load: 'x-driftway-load',
   warmup: 'x-driftway-warmup-ms',
   notExecuted: 'x-driftway-not-executed',
--- a/src/gateway/gateway-maintenance.ts
+++ b/src/gateway/gateway-maintenance.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../observability/logger.js';
 import { logZoneTraffic } from '../observability/zone-traffic-log.js';
 import { sleepUntilTick } from '../seams/sleep-until-tick.js';
+import { AddressChecker } from './address-checker.js';
 import { keepConnectionsWarm } from './connection-warmer.js';
 import { measureTimerLag } from './timer-lag-probe.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -17,6 +18,7 @@
  * only if the gateway knows at most this many replicas.
  */
 const MAXIMUM_REPLICAS_WARMED_WITHOUT_ROUTES = 128;
+const DEFAULT_HEALTH_PATH = '/health';
 /** Interval between checks for silent replicas. */
 const FORGET_INTERVAL_MS = 500;
 
@@ -40,13 +42,14 @@
     const { environment, mechanisms, traffic, answerMargin } = context;
     const { clock } = environment;
     void this.forgetSilent();
+    void this.checkAddresses();
     void logZoneTraffic({ clock, logger, traffic, stopped });
     void measureTimerLag(clock, answerMargin, stopped);
     if (mechanisms.warmConnections) void this.keepWarm();
   }
 
   private keepWarm(): Promise<void> {
-    const { context, aggregation, endpoint, stopped } = this.options;
+    const { context, aggregation, stopped } = this.options;
     const { clock, random, processor } = context.environment;
     return keepConnectionsWarm({
       clock,
@@ -55,11 +58,40 @@
       targets: () => aggregation.preferredTargets(),
       shouldKeepWarm: (service) => this.shouldKeepWarm(service),
       warmupHeader: context.headers.warmup,
-      healthPath: (service) => endpoint.table?.service(service)?.healthPath ?? '/health',
+      healthPath: (service) => this.healthPath(service),
       stopped,
     });
   }
 
+  private checkAddresses(): Promise<void> {
+    const { context, logger, stopped } = this.options;
+    const { environment, headers, metrics, targets } = context;
+    const checker = new AddressChecker({
+      clock: environment.clock,
+      targets,
+      sendsTo: (service) => this.sendsTo(service),
+      healthPath: (service) => this.healthPath(service),
+      replicaIdHeader: headers.replicaId,
+      metrics,
+      logger,
+      stopped,
+    });
+    return checker.run();
+  }
+
+  private healthPath(service: string): string {
+    return this.options.endpoint.table?.service(service)?.healthPath ?? DEFAULT_HEALTH_PATH;
+  }
+
+  private sendsTo(service: string): boolean {
+    const { aggregation, endpoint } = this.options;
+    const { table } = endpoint;
+    if (table === undefined) return false;
+    return (
+      table.isRouted(service) || (table.isShard(service) && aggregation.queriesDirectly(service))
+    );
+  }
+
   private shouldKeepWarm(service: string): boolean {
     const { context, aggregation, endpoint } = this.options;
     const { table } = endpoint;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -18,6 +18,7 @@
   readonly attempts: Counter<'result'>;
   readonly hedges: Counter;
   readonly hedgesRefused: Counter<'reason'>;
+  readonly addressChecks: Counter<'result'>;
   readonly missingParts: Counter;
   readonly gathers: Counter<'result'>;
   readonly gathersRepeated: Counter;
@@ -67,6 +68,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.addressChecks = new Counter({
+      name: 'driftway_gateway_address_checks_total',
+      help: 'Health checks of addresses at which several replicas are registered, by result.',
+      labelNames: ['result'],
+      registers,
+    });
     this.missingParts = new Counter({
       name: 'driftway_gateway_missing_parts_total',
       help: 'Shards missing from merged responses.',
--- a/src/gateway/replica-target.ts
+++ b/src/gateway/replica-target.ts
@@ -38,8 +38,6 @@
   hasLeft = false;
   /** The replica that registered later at this address or under this id, if any. */
   successor: ReplicaTarget | undefined;
-  /** The previous replica at this address, unless it has left. */
-  predecessor: ReplicaTarget | undefined;
   /** Until when the replica is assumed to be full after it refused a request. */
   fullUntil = -Infinity;
   /** Notifies attempts in flight that another replica has taken over the address. */
--- a/src/gateway/service-targets.ts
+++ b/src/gateway/service-targets.ts
@@ -8,6 +8,7 @@
 import { RegisteredState, incarnationIdOf, type ReplicaEntry } from '../directory/replica-entry.js';
 import { parseAddress } from '../seams/address.js';
 import type { Environment } from '../seams/environment.js';
+import { AddressCheckResult, AddressClaims, type ContestedAddress } from './address-claims.js';
 import { ColdSendLimiter } from './cold-send-limiter.js';
 import { ReplicaTarget } from './replica-target.js';
 
@@ -44,7 +45,7 @@
 /** Replicas of all services, by service. */
 export class ServiceTargets {
   private readonly byId = new Map<string, ReplicaTarget>();
-  private readonly byAddress = new Map<string, ReplicaTarget>();
+  private readonly addresses = new AddressClaims();
   private readonly groups = new Map<string, ServiceGroup>();
   private readonly capacityCallbacks = new Map<string, Set<() => void>>();
   private evacuatedZones: ReadonlySet<string> = new Set();
@@ -122,7 +123,7 @@
   stop(): void {
     for (const target of this.byId.values()) target.client.destroy();
     this.byId.clear();
-    this.byAddress.clear();
+    this.addresses.clear();
     this.groups.clear();
     this.usableCount = 0;
   }
@@ -164,35 +165,58 @@
     this.notifyCapacity(entry.service);
   }
 
-  /**
-   * Assigns an address to the replica that registered there last. A crashed process may still be
-   * registered, or be reported by a delayed heartbeat, after another one has taken over its
-   * address.
-   */
+  /** Assigns an address to the replica that registered there last. */
   private takeOverAddress(target: ReplicaTarget): void {
-    const earlier = this.byAddress.get(target.address);
-    this.byAddress.set(target.address, target);
+    const earlier = this.addresses.register(target, this.environment.clock.now());
     if (earlier === undefined) return;
     earlier.successor = target;
-    earlier.predecessor = undefined;
-    target.predecessor = earlier;
     this.refreshGroup(earlier.entry.service);
     earlier.replacement.emit();
   }
 
+  /** Addresses at which several replicas are registered and no answer has shown which one is there. */
+  contestedAddresses(): Iterable<ContestedAddress> {
+    return this.addresses.contested();
+  }
+
+  /** Handles an answer of the replica to a request that named it. */
+  confirmAddress(target: ReplicaTarget): void {
+    this.addresses.confirm(target);
+  }
+
+  /**
+   * Handles the result of a check of a contested address: the id of the replica there, if one
+   * responded. An address whose holder registered late is given back.
+   */
+  decideAddress(contest: ContestedAddress, replicaId: string | undefined): AddressCheckResult {
+    const winner = replicaId === undefined ? undefined : this.addresses.decide(contest, replicaId);
+    if (winner === undefined) return AddressCheckResult.Undecided;
+    if (winner === contest.holder) return AddressCheckResult.Confirmed;
+    if (contest.holder !== undefined) this.exclude(contest.holder);
+    this.giveBack(winner);
+    return AddressCheckResult.GivenBack;
+  }
+
   /**
    * Handles an answer from another replica at the target's address. If the target had taken over
    * the address from a known replica, its registration was outdated, and the address is given back.
    */
   markReplaced(target: ReplicaTarget): void {
+    this.exclude(target);
+    const earlier = this.addresses.revoke(target, this.environment.clock.now());
+    if (earlier !== undefined) this.giveBack(earlier);
+  }
+
+  private exclude(target: ReplicaTarget): void {
     target.markReplaced(this.environment.clock.now());
     target.replacement.emit();
-    const { predecessor, address } = target;
-    if (predecessor === undefined) return;
-    target.predecessor = undefined;
-    predecessor.successor = undefined;
-    this.byAddress.set(address, predecessor);
-    this.refreshGroup(predecessor.entry.service);
+  }
+
+  private giveBack(target: ReplicaTarget): void {
+    target.successor = undefined;
+    const { service } = target.entry;
+    this.refreshGroup(service);
+    this.notifyCapacity(service);
   }
 
   /** Returns undefined if the registered address is invalid. */
@@ -218,8 +242,7 @@
     const target = this.byId.get(replicaId);
     if (target === undefined) return;
     this.byId.delete(replicaId);
-    if (this.byAddress.get(target.address) === target) this.byAddress.delete(target.address);
-    if (target.successor !== undefined) target.successor.predecessor = undefined;
+    this.addresses.remove(target, this.environment.clock.now());
     const { service } = target.entry;
     const { all = NO_TARGETS } = this.groups.get(service) ?? {};
     this.setGroup(
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -62,6 +62,10 @@
   return groups;
 }
 
+function routedServices({ service, split = [] }: Route): readonly string[] {
+  return [...(service === undefined ? [] : [service]), ...split.map((part) => part.service)];
+}
+
 /** Returns the host of a Host header without its port, in lower case. */
 export function normalizeHost(hostHeader: string): string {
   return hostHeader.replace(/:\d+$/, '').toLowerCase();
@@ -83,6 +87,7 @@
   private readonly shardListsByKey: ShardListsByKey;
   private readonly byHost: ReadonlyMap<string, RoutesOfHost>;
   private readonly shards: ReadonlySet<string>;
+  private readonly routed: ReadonlySet<string>;
   private readonly services: ReadonlyMap<string, RoutedService>;
 
   constructor(document: RouteDocument, previous?: RouteTable) {
@@ -103,6 +108,7 @@
     }
     this.byHost = groups;
     this.shards = new Set(document.routes.flatMap(({ shards = [] }) => shards));
+    this.routed = new Set(document.routes.flatMap((route) => routedServices(route)));
     this.services = new Map(document.services.map((service) => [service.name, service]));
   }
 
@@ -119,6 +125,11 @@
     return this.shards.has(name) || !this.services.has(name);
   }
 
+  /** Whether a route sends requests to one replica of the service. */
+  isRouted(name: string): boolean {
+    return this.routed.has(name);
+  }
+
   service(name: string): RoutedService | undefined {
     return this.services.get(name);
   }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -251,6 +251,15 @@
     return replica;
   }
 
+  /** Restarts a machine with a replica of the service in place of the one that ran there. */
+  async addReplicaOn(machine: SimulatedMachine, service: string): Promise<ExchangeReplica> {
+    this.replicas += 1;
+    machine.restart({ keepDisk: true });
+    const replica = this.createReplica(machine, service, machine.zone);
+    await this.simulation.settle(replica.start());
+    return replica;
+  }
+
   /** The machine on which the replica runs. */
   machineOf(replica: ExchangeReplica): SimulatedMachine {
     const machine = this.machines.get(replica);
@@ -293,6 +302,30 @@
     return replica;
   }
 
+  /** Sends one heartbeat in the name of a replica at the machine's address, as if it had been held up. */
+  sendHeartbeat(registration: {
+    readonly replicaId: string;
+    readonly service: string;
+    readonly machine: SimulatedMachine;
+  }): Promise<HttpClientResponse> {
+    const { replicaId, service, machine } = registration;
+    const body = JSON.stringify({
+      service,
+      address: `${machine.host}:${REPLICA_PORT}`,
+      zone: machine.zone,
+      capacity: 2,
+      state: 'ready',
+      sequence: 1,
+      warmupRemainingMs: 0,
+    });
+    return this.group.send(this.group.machineAt(0), 'PUT', `/v1/replicas/${replicaId}`, body);
+  }
+
+  /** Sends a deregistration in the name of a replica. */
+  sendDeregistration(replicaId: string): Promise<HttpClientResponse> {
+    return this.group.send(this.group.machineAt(0), 'DELETE', `/v1/replicas/${replicaId}`);
+  }
+
   /** The only log line with the request id; fails the test unless there is exactly one. */
   lineOf(requestId: string): LogLine {
     const [line, ...others] = this.lines.filter(({ fields }) => fields['requestId'] === requestId);
--- a/test/gateway/service-targets.test.ts
+++ b/test/gateway/service-targets.test.ts
@@ -2,6 +2,7 @@
 import { Simulation } from '../../lab/simulation/simulation.js';
 import { DirectoryKind, ReplicaDirectory } from '../../src/directory/replica-directory.js';
 import { RegisteredState, type ReplicaEntry } from '../../src/directory/replica-entry.js';
+import { AddressCheckResult, type ContestedAddress } from '../../src/gateway/address-claims.js';
 import { ServiceTargets } from '../../src/gateway/service-targets.js';
 
 const ADDRESS = '10.0.0.1:80';
@@ -75,6 +76,70 @@
   });
 });
 
+describe('an address that several replicas claim', () => {
+  function contestOf(targets: ServiceTargets): ContestedAddress {
+    const [contest] = targets.contestedAddresses();
+    return contest ?? expect.fail('no contested address');
+  }
+
+  it('is given back to the replica that a check found there, whichever registered since', () => {
+    const { directory, targets } = create();
+    directory.report(entry('alive'));
+    directory.report(entry('outdated 1', { service: 'other' }));
+    directory.report(entry('outdated 2', { service: 'third' }));
+    const result = targets.decideAddress(contestOf(targets), 'alive');
+    expect(result).toBe(AddressCheckResult.GivenBack);
+    expect(idsOf(targets)).toEqual(['alive']);
+    expect(idsOf(targets, 'other')).toEqual([]);
+    expect([...targets.contestedAddresses()]).toEqual([]);
+  });
+
+  it('is not decided by a check that another registration has overtaken', () => {
+    const { directory, targets } = create();
+    directory.report(entry('first'));
+    directory.report(entry('second', { service: 'other' }));
+    const contest = contestOf(targets);
+    directory.report(entry('third', { service: 'third' }));
+    expect(targets.decideAddress(contest, 'first')).toBe(AddressCheckResult.Undecided);
+    expect(idsOf(targets)).toEqual([]);
+    expect(idsOf(targets, 'third')).toEqual(['third']);
+  });
+
+  it('stays contested after a response without an id, or with that of an unknown replica', () => {
+    const { directory, targets } = create();
+    directory.report(entry('first'));
+    directory.report(entry('second', { service: 'other' }));
+    const contest = contestOf(targets);
+    for (const replicaId of [undefined, 'unknown']) {
+      expect(targets.decideAddress(contest, replicaId)).toBe(AddressCheckResult.Undecided);
+    }
+    expect(contestOf(targets)).toBe(contest);
+    expect(idsOf(targets, 'other')).toEqual(['second']);
+  });
+
+  it('is confirmed by an answer of its holder only', () => {
+    const { directory, targets } = create();
+    directory.report(entry('first'));
+    const [first] = targets.of('ledger');
+    directory.report(entry('second', { service: 'other' }));
+    const [second] = targets.of('other');
+    if (first === undefined || second === undefined) return expect.fail('no target');
+    targets.confirmAddress(first);
+    expect(contestOf(targets).holder).toBe(second);
+    targets.confirmAddress(second);
+    expect([...targets.contestedAddresses()]).toEqual([]);
+    expect(idsOf(targets)).toEqual([]);
+  });
+
+  it('is not contested by replicas that have left', () => {
+    const { directory, targets } = create();
+    directory.report(entry('first'));
+    directory.report(entry('second', { service: 'other' }));
+    directory.leave('first');
+    expect([...targets.contestedAddresses()]).toEqual([]);
+  });
+});
+
 describe('a replica that reports a warmup time', () => {
   it('is cold from its start, and again when it turns cold later', async () => {
     const { directory, targets, simulation, now } = create();
